--- /dev/null
+++ b/Makefile
@@ -0,0 +1,91 @@
+# Builds with plain make. "make run" and "make check" do everything on a fresh machine.
+BUILD ?= build
+CFLAGS ?= -O2 -g
+PKGS = glib-2.0 libprotobuf-c libmicrohttpd libcurl jansson libxxhash inih
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+CXXWARN = -Wall -Wextra -Werror
+
+PROGRAMS = bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine
+SLICES = base conf host pool fair req once order
+
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CPPFLAGS += -I. $(PKG_CFLAGS)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+LIBS = $(PKG_LIBS) -lck -lpthread -lm
+
+PROTO_C = $(wildcard msg/*.pb-c.c)
+LIB_SRC = $(foreach d,$(SLICES),$(wildcard $(d)/*.c)) $(PROTO_C)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libbronzegauge.a
+FAKE_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/*.c))
+TEST_SRC = $(foreach d,$(SLICES),$(wildcard $(d)/*_test.cc))
+TEST_OBJ = $(TEST_SRC:%.cc=$(BUILD)/%.o)
+C_FILES = $(foreach d,$(SLICES) prog fake,$(wildcard $(d)/*.[ch]))
+CC_FILES = $(TEST_SRC) $(wildcard regress/fuzz/*.c)
+
+all: deps
+	$(MAKE) programs
+
+programs: $(PROGRAMS:%=$(BUILD)/%)
+
+deps:
+	@tools/deps
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/msg/%.o: msg/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(CPPFLAGS) -std=gnu11 -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(WARN) $(CPPFLAGS) -std=gnu11 -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CFLAGS) $(CXXWARN) $(CPPFLAGS) -std=gnu++17 -MMD -MP -c -o $@ $<
+
+# Each program is prog/NAME.c, with the modules named for it beside it (NAME without "bg").
+$(BUILD)/bgentryd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/entry*.c prog/common*.c))
+$(BUILD)/bgcontrold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/control*.c prog/common*.c))
+$(BUILD)/bgctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/ctl*.c))
+$(BUILD)/bgload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/load*.c prog/common*.c))
+$(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c prog/common*.c))
+$(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c prog/common*.c))
+
+$(PROGRAMS:%=$(BUILD)/%): $(LIB)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LIBS)
+
+$(BUILD)/unit-tests: $(TEST_OBJ) $(LIB)
+	$(CXX) $(CFLAGS) -o $@ $(TEST_OBJ) $(LIB) $(LIBS) -lgtest -lgtest_main
+
+unit: $(BUILD)/unit-tests
+	$(BUILD)/unit-tests --gtest_brief=1
+
+# Regenerates the committed message code; not part of the build.
+proto:
+	cd msg && protoc-c --c_out=. *.proto
+
+run: all
+	tools/demo
+
+check: all
+	$(MAKE) $(BUILD)/unit-tests
+	regress/run
+
+format:
+	clang-format -i $(C_FILES) $(CC_FILES)
+
+lint:
+	clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
+	printf '%s\n' $(filter %.c,$(C_FILES)) | xargs -P 8 -I{} \
+		sh -c 'clang-tidy --quiet {} -- $(CPPFLAGS) -std=gnu11 2>/dev/null'
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all programs deps unit proto run check format lint clean
+-include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d) $(FAKE_OBJ:.o=.d) \
+	$(patsubst %.c,$(BUILD)/%.d,$(wildcard prog/*.c))
--- /dev/null
+++ b/base/addr.h
@@ -0,0 +1,17 @@
+#ifndef BASE_ADDR_H
+#define BASE_ADDR_H
+
+#include <glib.h>
+#include <netinet/in.h>
+
+G_BEGIN_DECLS
+
+/* Reads "IP:PORT" (IPv4, by number). Returns 0 or BASE_EADDR. */
+int addr_parse(const char *text, struct sockaddr_in *sin);
+
+/* Opens a listening, non-blocking TCP socket. Returns the descriptor or a negative base error. */
+int addr_listen(const char *text);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/base/frm.c
@@ -0,0 +1,326 @@
+#define _GNU_SOURCE
+#include "base/frm.h"
+#include "base/addr.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	FRM_READ_LEN = 65536
+};
+
+struct frm_conn {
+	struct loop *loop;
+	struct loop_fd lfd;
+	const struct frm_ops *ops;
+	struct frm_limits limits;
+	void *ctx;
+	void *data;
+	struct frm_server *server;
+	struct tmr heartbeat;
+	GByteArray *in;
+	GByteArray *out;
+	int64_t heard_us;
+	int64_t sent_us;
+	bool connecting;
+	bool closed; /* freed in a later round of the loop: a callback of it may be running */
+};
+
+static struct frm_conn *frm_new(struct loop *loop, int fd, const struct frm_ops *ops,
+				const struct frm_limits *limits, void *ctx);
+static void frm_on_event(void *ctx, uint32_t events);
+static void frm_on_accept(void *ctx, uint32_t events);
+static void frm_on_heartbeat(void *ctx, int64_t now_us);
+static void frm_fail(struct frm_conn *conn, int err);
+static void frm_free(void *ctx);
+static void frm_flush(struct frm_conn *conn);
+static void frm_read(struct frm_conn *conn);
+static int frm_take(struct frm_conn *conn);
+static void frm_append(struct frm_conn *conn, uint16_t kind, const uint8_t *body, size_t len);
+
+static struct met_ctr *frm_ctr(const char *name)
+{
+	return met_counter(name, "");
+}
+
+int frm_parse(const uint8_t *data, size_t len, uint16_t *kind, const uint8_t **body,
+	      size_t *body_len)
+{
+	uint32_t n;
+	uint16_t k;
+
+	if (len < FRM_HEAD_LEN)
+		return 0;
+	memcpy(&n, data, sizeof(n));
+	memcpy(&k, data + sizeof(n), sizeof(k));
+	n = ntohl(n);
+	if (n > FRM_BODY_MAX)
+		return BASE_EFRAME;
+	if (len < FRM_HEAD_LEN + (size_t)n)
+		return 0;
+	*kind = ntohs(k);
+	*body = data + FRM_HEAD_LEN;
+	*body_len = n;
+	return FRM_HEAD_LEN + (int)n;
+}
+
+static struct frm_conn *frm_new(struct loop *loop, int fd, const struct frm_ops *ops,
+				const struct frm_limits *limits, void *ctx)
+{
+	struct frm_conn *conn = g_new0(struct frm_conn, 1);
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	conn->loop = loop;
+	conn->lfd.fd = fd;
+	conn->lfd.fn = frm_on_event;
+	conn->lfd.ctx = conn;
+	conn->ops = ops;
+	conn->limits = *limits;
+	conn->ctx = ctx;
+	conn->in = g_byte_array_new();
+	conn->out = g_byte_array_new();
+	conn->heard_us = tmr_now();
+	conn->sent_us = conn->heard_us;
+	loop_after(loop, &conn->heartbeat, limits->heartbeat_us, frm_on_heartbeat, conn);
+	return conn;
+}
+
+struct frm_conn *frm_connect(struct loop *loop, const char *addr, const struct frm_ops *ops,
+			     const struct frm_limits *limits, void *ctx)
+{
+	struct sockaddr_in sin;
+	struct frm_conn *conn;
+	int fd;
+
+	if (addr_parse(addr, &sin) < 0)
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	conn = frm_new(loop, fd, ops, limits, ctx);
+	conn->connecting = true;
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 && errno != EINPROGRESS) {
+		/* The socket then reports the error as an event; on_close() follows from there. */
+		log_msg(LOG_DEBUG, "connect_failed addr=%s errno=%d", addr, errno);
+	}
+	loop_fd_add(loop, &conn->lfd, EPOLLIN | EPOLLOUT);
+	return conn;
+}
+
+int frm_listen(struct frm_server *server, struct loop *loop, const char *addr,
+	       const struct frm_ops *ops, const struct frm_limits *limits, void *ctx)
+{
+	int fd = addr_listen(addr);
+
+	if (fd < 0)
+		return fd;
+	server->loop = loop;
+	server->lfd.fd = fd;
+	server->lfd.fn = frm_on_accept;
+	server->lfd.ctx = server;
+	server->ops = ops;
+	server->limits = *limits;
+	server->ctx = ctx;
+	server->conns = g_ptr_array_new();
+	return loop_fd_add(loop, &server->lfd, EPOLLIN);
+}
+
+void frm_server_finish(struct frm_server *server)
+{
+	loop_fd_del(server->loop, &server->lfd);
+	close(server->lfd.fd);
+	while (server->conns->len > 0)
+		frm_close(server->conns->pdata[0]);
+	g_ptr_array_free(server->conns, TRUE);
+}
+
+static void frm_on_accept(void *ctx, uint32_t events)
+{
+	struct frm_server *server = ctx;
+	struct frm_conn *conn;
+	int fd = accept4(server->lfd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)events;
+	if (fd < 0)
+		return;
+	conn = frm_new(server->loop, fd, server->ops, &server->limits, server->ctx);
+	conn->server = server;
+	g_ptr_array_add(server->conns, conn);
+	loop_fd_add(server->loop, &conn->lfd, EPOLLIN);
+}
+
+static void frm_free(void *ctx)
+{
+	struct frm_conn *conn = ctx;
+
+	g_byte_array_free(conn->in, TRUE);
+	g_byte_array_free(conn->out, TRUE);
+	g_free(conn);
+}
+
+void frm_close(struct frm_conn *conn)
+{
+	if (conn->closed)
+		return;
+	conn->closed = true;
+	tmr_cancel(&conn->loop->tmr, &conn->heartbeat);
+	loop_fd_del(conn->loop, &conn->lfd);
+	close(conn->lfd.fd);
+	if (conn->server)
+		g_ptr_array_remove_fast(conn->server->conns, conn);
+	loop_post(conn->loop, frm_free, conn);
+}
+
+static void frm_fail(struct frm_conn *conn, int err)
+{
+	if (conn->closed)
+		return;
+	conn->ops->on_close(conn->ctx, conn, err);
+	frm_close(conn);
+}
+
+static void frm_append(struct frm_conn *conn, uint16_t kind, const uint8_t *body, size_t len)
+{
+	uint8_t head[FRM_HEAD_LEN];
+	uint32_t n = htonl((uint32_t)len);
+	uint16_t k = htons(kind);
+
+	memcpy(head, &n, sizeof(n));
+	memcpy(head + sizeof(n), &k, sizeof(k));
+	g_byte_array_append(conn->out, head, sizeof(head));
+	if (len > 0)
+		g_byte_array_append(conn->out, body, (guint)len);
+	conn->sent_us = tmr_now();
+	met_add(frm_ctr("bg_frames_sent_total"), 1);
+	met_add(frm_ctr("bg_frame_bytes_sent_total"), FRM_HEAD_LEN + len);
+}
+
+void frm_send(struct frm_conn *conn, uint16_t kind, const ProtobufCMessage *msg)
+{
+	size_t len = protobuf_c_message_get_packed_size(msg);
+	uint8_t *body;
+
+	if (conn->closed)
+		return;
+	body = g_malloc(len + 1);
+	protobuf_c_message_pack(msg, body);
+	frm_append(conn, kind, body, len);
+	g_free(body);
+	if (!conn->connecting)
+		frm_flush(conn);
+}
+
+/* A failed write is left for the event that follows it, so that senders never see conn vanish. */
+static void frm_flush(struct frm_conn *conn)
+{
+	ssize_t n = 1;
+
+	while (conn->out->len > 0 && n > 0) {
+		n = send(conn->lfd.fd, conn->out->data, conn->out->len, MSG_NOSIGNAL);
+		if (n > 0)
+			g_byte_array_remove_range(conn->out, 0, (guint)n);
+	}
+	loop_fd_mod(conn->loop, &conn->lfd, conn->out->len > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+/*
+ * A connection can go silent for good while new ones work: something between the two ends has lost
+ * track of it, and TCP alone would not tell for many minutes. Both ends therefore send a heartbeat
+ * when they have nothing else to say, and give up a peer of which they hear nothing at all.
+ */
+static void frm_on_heartbeat(void *ctx, int64_t now_us)
+{
+	struct frm_conn *conn = ctx;
+
+	if (now_us - conn->heard_us > conn->limits.silent_us || conn->out->len > FRM_OUT_MAX) {
+		met_add(frm_ctr("bg_connections_silent_total"), 1);
+		frm_fail(conn, BASE_ESILENT);
+		return;
+	}
+	if (!conn->connecting && now_us - conn->sent_us >= conn->limits.heartbeat_us) {
+		frm_append(conn, FRM_KIND_HEARTBEAT, NULL, 0);
+		frm_flush(conn);
+	}
+	loop_after(conn->loop, &conn->heartbeat, conn->limits.heartbeat_us, frm_on_heartbeat, conn);
+}
+
+/* Handles one frame of the input. Returns bytes used, 0 when there is none, or an error. */
+static int frm_take(struct frm_conn *conn)
+{
+	uint16_t kind;
+	const uint8_t *body;
+	size_t len;
+	int used = frm_parse(conn->in->data, conn->in->len, &kind, &body, &len);
+	int err = 0;
+
+	if (used <= 0)
+		return used;
+	met_add(frm_ctr("bg_frames_received_total"), 1);
+	met_add(frm_ctr("bg_frame_bytes_received_total"), (uint64_t)used);
+	if (kind != FRM_KIND_HEARTBEAT)
+		err = conn->ops->on_msg(conn->ctx, conn, kind, body, len);
+	if (err < 0)
+		return BASE_EFRAME;
+	return used;
+}
+
+static void frm_read(struct frm_conn *conn)
+{
+	uint8_t buf[FRM_READ_LEN];
+	ssize_t n = recv(conn->lfd.fd, buf, sizeof(buf), 0);
+	int used = 1;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		frm_fail(conn, n == 0 ? BASE_ECLOSED : BASE_EREFUSED);
+		return;
+	}
+	conn->heard_us = tmr_now();
+	g_byte_array_append(conn->in, buf, (guint)n);
+	while (!conn->closed && used > 0) {
+		used = frm_take(conn);
+		if (used > 0 && !conn->closed)
+			g_byte_array_remove_range(conn->in, 0, (guint)used);
+	}
+	if (used < 0 && !conn->closed) {
+		met_add(frm_ctr("bg_frames_refused_total"), 1);
+		log_msg(LOG_WARNING, "frame_refused fd=%d", conn->lfd.fd);
+		frm_fail(conn, BASE_EFRAME);
+	}
+}
+
+static void frm_on_event(void *ctx, uint32_t events)
+{
+	struct frm_conn *conn = ctx;
+
+	if (conn->connecting && events & EPOLLOUT) {
+		conn->connecting = false;
+		conn->heard_us = tmr_now();
+	}
+	if (events & (EPOLLERR | EPOLLHUP) && !(events & EPOLLIN))
+		frm_fail(conn, BASE_EREFUSED);
+	if (!conn->closed && events & EPOLLIN)
+		frm_read(conn);
+	if (!conn->closed && events & EPOLLOUT)
+		frm_flush(conn);
+}
+
+void frm_set_data(struct frm_conn *conn, void *data)
+{
+	conn->data = data;
+}
+
+void *frm_data(const struct frm_conn *conn)
+{
+	return conn->data;
+}
--- /dev/null
+++ b/base/hd.c
@@ -0,0 +1,385 @@
+#include "base/hd.h"
+#include "base/addr.h"
+#include "base/err.h"
+#include "base/met.h"
+
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	HD_BLOCK_LEN = 32768
+};
+
+struct hd {
+	struct MHD_Daemon *daemon;
+	struct hd_config config;
+	char *too_large;
+};
+
+struct hd_call {
+	struct hd *hd;
+	struct MHD_Connection *conn;
+	char *method;
+	char *path;
+	GString *body;
+	bool too_large;
+	bool handed; /* the handler has been called */
+	int port;
+	int fd;
+	unsigned int refs;
+
+	/* All below is guarded by lock. */
+	pthread_mutex_t lock;
+	GString *pending; /* of the answer, not yet taken by the library */
+	GPtrArray *headers;
+	const char *type;
+	int status;
+	bool streaming;
+	bool answered; /* status and headers are set */
+	bool queued;   /* the library has the answer */
+	bool ended;
+	bool aborted;
+	bool closed; /* the library is done with the connection */
+	bool suspended;
+};
+
+static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+				     const char *method, const char *version, const char *data,
+				     size_t *len, void **state);
+static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			    enum MHD_RequestTerminationCode code);
+static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max);
+static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *url,
+				   const char *method);
+static enum MHD_Result hd_queue(struct hd_call *call);
+static void hd_wake(struct hd_call *call);
+
+struct hd *hd_start(const struct hd_config *config)
+{
+	struct hd *hd = g_new0(struct hd, 1);
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+	int fd = -1;
+
+	hd->config = *config;
+	hd->too_large = g_strdup(config->too_large ? config->too_large : "{}");
+	if (config->addr) {
+		fd = addr_listen(config->addr);
+		if (fd < 0) {
+			g_free(hd->too_large);
+			g_free(hd);
+			return NULL;
+		}
+	} else {
+		flags |= MHD_USE_NO_LISTEN_SOCKET;
+	}
+	hd->daemon = MHD_start_daemon(
+		flags, 0, NULL, NULL, hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED,
+		hd_on_completed, hd, MHD_OPTION_THREAD_POOL_SIZE,
+		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT, 16384U,
+		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
+	if (!hd->daemon) {
+		if (fd >= 0)
+			close(fd);
+		g_free(hd->too_large);
+		g_free(hd);
+		return NULL;
+	}
+	return hd;
+}
+
+void hd_stop(struct hd *hd)
+{
+	MHD_stop_daemon(hd->daemon);
+	g_free(hd->too_large);
+	g_free(hd);
+}
+
+void hd_adopt(struct hd *hd, int fd)
+{
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	memset(&sin, 0, sizeof(sin));
+	if (getpeername(fd, (struct sockaddr *)&sin, &len) < 0) {
+		close(fd);
+		return;
+	}
+	if (MHD_add_connection(hd->daemon, fd, (struct sockaddr *)&sin, len) != MHD_YES)
+		met_add(met_counter("bg_http_adopt_failed_total", ""), 1);
+}
+
+static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *url,
+				   const char *method)
+{
+	struct hd_call *call = g_new0(struct hd_call, 1);
+	const union MHD_ConnectionInfo *info;
+	struct sockaddr_in sin;
+	socklen_t len = sizeof(sin);
+
+	call->hd = hd;
+	call->conn = conn;
+	call->method = g_strdup(method);
+	call->path = g_strdup(url);
+	call->body = g_string_new(NULL);
+	call->pending = g_string_new(NULL);
+	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->refs = 1;
+	pthread_mutex_init(&call->lock, NULL);
+	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	call->fd = info ? info->connect_fd : -1;
+	memset(&sin, 0, sizeof(sin));
+	if (getsockname(call->fd, (struct sockaddr *)&sin, &len) == 0)
+		call->port = ntohs(sin.sin_port);
+	return call;
+}
+
+void hd_unref(struct hd_call *call)
+{
+	if (ck_pr_faa_uint(&call->refs, (unsigned int)-1) != 1)
+		return;
+	pthread_mutex_destroy(&call->lock);
+	g_ptr_array_free(call->headers, TRUE);
+	g_string_free(call->pending, TRUE);
+	g_string_free(call->body, TRUE);
+	g_free(call->method);
+	g_free(call->path);
+	g_free(call);
+}
+
+static enum MHD_Result hd_reply_too_large(struct hd_call *call)
+{
+	struct MHD_Response *resp = MHD_create_response_from_buffer(
+		strlen(call->hd->too_large), call->hd->too_large, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	MHD_add_response_header(resp, "Content-Type", "application/json");
+	MHD_add_response_header(resp, "Bg-Ran", "no");
+	result = MHD_queue_response(call->conn, MHD_HTTP_CONTENT_TOO_LARGE, resp);
+	MHD_destroy_response(resp);
+	return result;
+}
+
+static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+				     const char *method, const char *version, const char *data,
+				     size_t *len, void **state)
+{
+	struct hd *hd = ctx;
+	struct hd_call *call = *state;
+	enum MHD_Result result = MHD_YES;
+
+	(void)version;
+	if (!call) {
+		*state = hd_call_new(hd, conn, url, method);
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		if (call->body->len + *len > hd->config.body_max)
+			call->too_large = true;
+		else
+			g_string_append_len(call->body, data, (gssize)*len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (call->too_large)
+		return hd_reply_too_large(call);
+	if (!call->handed) {
+		call->handed = true;
+		ck_pr_inc_uint(&call->refs);
+		hd->config.handler(hd->config.ctx, call);
+	}
+	pthread_mutex_lock(&call->lock);
+	if (call->answered && !call->queued) {
+		result = hd_queue(call);
+	} else if (!call->queued) {
+		call->suspended = true;
+		MHD_suspend_connection(conn);
+	}
+	pthread_mutex_unlock(&call->lock);
+	return result;
+}
+
+static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			    enum MHD_RequestTerminationCode code)
+{
+	struct hd_call *call = *state;
+
+	(void)ctx;
+	(void)conn;
+	(void)code;
+	if (!call)
+		return;
+	pthread_mutex_lock(&call->lock);
+	call->closed = true;
+	pthread_mutex_unlock(&call->lock);
+	*state = NULL;
+	hd_unref(call);
+}
+
+static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	struct hd_call *call = ctx;
+	ssize_t n = 0;
+
+	(void)pos;
+	pthread_mutex_lock(&call->lock);
+	if (call->pending->len > 0) {
+		n = (ssize_t)MIN(max, call->pending->len);
+		memcpy(buf, call->pending->str, (size_t)n);
+		g_string_erase(call->pending, 0, n);
+	} else if (call->aborted) {
+		n = MHD_CONTENT_READER_END_WITH_ERROR;
+	} else if (call->ended) {
+		n = MHD_CONTENT_READER_END_OF_STREAM;
+	} else {
+		call->suspended = true;
+		MHD_suspend_connection(call->conn);
+	}
+	pthread_mutex_unlock(&call->lock);
+	return n;
+}
+
+/* Called with the lock held, in the library's thread. */
+static enum MHD_Result hd_queue(struct hd_call *call)
+{
+	struct MHD_Response *resp;
+	enum MHD_Result result;
+
+	if (call->aborted)
+		return MHD_NO;
+	if (call->streaming)
+		resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, HD_BLOCK_LEN, hd_on_read,
+							 call, NULL);
+	else
+		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
+						       MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(resp, "Content-Type", call->type);
+	for (guint i = 0; i + 1 < call->headers->len; i += 2)
+		MHD_add_response_header(resp, call->headers->pdata[i], call->headers->pdata[i + 1]);
+	call->queued = true;
+	result = MHD_queue_response(call->conn, (unsigned int)call->status, resp);
+	MHD_destroy_response(resp);
+	return result;
+}
+
+/* Called with the lock held. */
+static void hd_wake(struct hd_call *call)
+{
+	if (!call->suspended || call->closed)
+		return;
+	call->suspended = false;
+	MHD_resume_connection(call->conn);
+}
+
+void hd_set_header(struct hd_call *call, const char *name, const char *value)
+{
+	pthread_mutex_lock(&call->lock);
+	g_ptr_array_add(call->headers, g_strdup(name));
+	g_ptr_array_add(call->headers, g_strdup(value));
+	pthread_mutex_unlock(&call->lock);
+}
+
+void hd_reply(struct hd_call *call, int status, const char *type, const char *body, size_t len)
+{
+	pthread_mutex_lock(&call->lock);
+	call->status = status;
+	call->type = type;
+	g_string_append_len(call->pending, body, (gssize)len);
+	call->answered = true;
+	call->ended = true;
+	hd_wake(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+void hd_begin(struct hd_call *call, int status, const char *type)
+{
+	pthread_mutex_lock(&call->lock);
+	call->status = status;
+	call->type = type;
+	call->streaming = true;
+	call->answered = true;
+	hd_wake(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+bool hd_write(struct hd_call *call, const char *data, size_t len)
+{
+	bool ok;
+
+	pthread_mutex_lock(&call->lock);
+	ok = !call->closed && call->pending->len + len <= call->hd->config.pending_max;
+	if (ok)
+		g_string_append_len(call->pending, data, (gssize)len);
+	hd_wake(call);
+	pthread_mutex_unlock(&call->lock);
+	return ok;
+}
+
+void hd_end(struct hd_call *call)
+{
+	pthread_mutex_lock(&call->lock);
+	call->ended = true;
+	hd_wake(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+void hd_abort(struct hd_call *call)
+{
+	pthread_mutex_lock(&call->lock);
+	call->aborted = true;
+	call->answered = true;
+	hd_wake(call);
+	pthread_mutex_unlock(&call->lock);
+}
+
+/*
+ * While a connection is suspended the library does not look at its socket, so a caller that hangs
+ * up would hold its endpoint until the next token. This looks at the socket without reading it.
+ */
+bool hd_gone(struct hd_call *call)
+{
+	char byte;
+	bool gone;
+
+	pthread_mutex_lock(&call->lock);
+	gone = call->closed;
+	if (!gone && call->fd >= 0)
+		gone = recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	pthread_mutex_unlock(&call->lock);
+	return gone;
+}
+
+const char *hd_method(const struct hd_call *call)
+{
+	return call->method;
+}
+
+const char *hd_path(const struct hd_call *call)
+{
+	return call->path;
+}
+
+const char *hd_header(struct hd_call *call, const char *name)
+{
+	return MHD_lookup_connection_value(call->conn, MHD_HEADER_KIND, name);
+}
+
+const char *hd_query(struct hd_call *call, const char *name)
+{
+	return MHD_lookup_connection_value(call->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char *hd_body(const struct hd_call *call, size_t *len)
+{
+	*len = call->body->len;
+	return call->body->str;
+}
+
+int hd_local_port(const struct hd_call *call)
+{
+	return call->port;
+}
--- /dev/null
+++ b/base/set.c
@@ -0,0 +1,137 @@
+#include "base/set.h"
+#include "base/addr.h"
+#include "base/err.h"
+#include "base/str.h"
+
+#include <ini.h>
+#include <stdio.h>
+
+struct set_reader {
+	const char *path;
+	FILE *file;
+	int line; /* of the file that the library is at */
+	const struct set_item *items;
+	size_t n;
+	char *target;
+	bool *seen;
+	GString *errors;
+};
+
+static int set_on_pair(void *user, const char *section, const char *name, const char *value);
+static char *set_read_line(char *buf, int size, void *stream);
+static const char *set_store(const struct set_item *item, char *target, const char *value);
+static const char *set_store_int(const struct set_item *item, char *target, const char *value);
+static const struct set_item *set_find(const struct set_reader *r, const char *section,
+				       const char *name);
+
+static const struct set_item *set_find(const struct set_reader *r, const char *section,
+				       const char *name)
+{
+	for (size_t i = 0; i < r->n; i++) {
+		const struct set_item *item = &r->items[i];
+
+		if (strcmp(item->section, section) == 0 && strcmp(item->key, name) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+static const char *set_store_int(const struct set_item *item, char *target, const char *value)
+{
+	static __thread char problem[128];
+	gint64 number;
+
+	if (g_ascii_string_to_signed(value, 10, item->min, item->max, &number, NULL)) {
+		*(int64_t *)(target + item->offset) = number;
+		return NULL;
+	}
+	g_snprintf(problem, sizeof(problem),
+		   "expected a whole number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+		   item->min, item->max);
+	return problem;
+}
+
+/* Returns NULL or what was expected. */
+static const char *set_store(const struct set_item *item, char *target, const char *value)
+{
+	char **text = (char **)(target + item->offset);
+	struct sockaddr_in sin;
+
+	if (item->type == SET_INT)
+		return set_store_int(item, target, value);
+	if (item->type == SET_ADDR && addr_parse(value, &sin) < 0)
+		return "expected an address IP:PORT";
+	if (item->type == SET_TEXT && item->min > 0 && value[0] == '\0')
+		return "expected a text that is not empty";
+	g_free(*text);
+	*text = g_strdup(value);
+	return NULL;
+}
+
+/* The library as packaged does not tell its handler the line, so the reader counts. */
+static char *set_read_line(char *buf, int size, void *stream)
+{
+	struct set_reader *r = stream;
+
+	r->line++;
+	return fgets(buf, size, r->file);
+}
+
+static int set_on_pair(void *user, const char *section, const char *name, const char *value)
+{
+	struct set_reader *r = user;
+	const struct set_item *item = set_find(r, section, name);
+	const char *problem;
+
+	if (!item) {
+		g_string_append_printf(r->errors, "%s:%d: unknown key '%s' in section [%s]\n",
+				       r->path, r->line, name, section);
+		return 1;
+	}
+	problem = set_store(item, r->target, value);
+	if (problem)
+		g_string_append_printf(r->errors, "%s:%d: [%s] %s = '%s': %s\n", r->path, r->line,
+				       section, name, value, problem);
+	r->seen[item - r->items] = true;
+	return 1;
+}
+
+int set_load(const char *path, const struct set_item *items, size_t n, void *target,
+	     GString *errors)
+{
+	struct set_reader r = {path, NULL, 0, items, n, target, NULL, errors};
+	int line;
+
+	for (size_t i = 0; i < n; i++) {
+		if (items[i].initial)
+			set_store(&items[i], target, items[i].initial);
+	}
+	r.file = fopen(path, "r");
+	if (!r.file) {
+		g_string_append_printf(errors, "%s: cannot be read\n", path);
+		return BASE_EFILE;
+	}
+	r.seen = g_new0(bool, n);
+	line = ini_parse_stream(set_read_line, &r, set_on_pair, &r);
+	fclose(r.file);
+	if (line != 0)
+		g_string_append_printf(errors, "%s:%d: expected [section] or key = value\n", path,
+				       line);
+	for (size_t i = 0; line == 0 && i < n; i++) {
+		if (!items[i].initial && !r.seen[i])
+			g_string_append_printf(errors, "%s: [%s] %s is missing\n", path,
+					       items[i].section, items[i].key);
+	}
+	g_free(r.seen);
+	return errors->len > 0 ? BASE_ESETTING : 0;
+}
+
+void set_clear(const struct set_item *items, size_t n, void *target)
+{
+	for (size_t i = 0; i < n; i++) {
+		char **text = (char **)((char *)target + items[i].offset);
+
+		if (items[i].type != SET_INT)
+			g_clear_pointer(text, g_free);
+	}
+}
--- /dev/null
+++ b/base/str.h
@@ -0,0 +1,54 @@
+#ifndef BASE_STR_H
+#define BASE_STR_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+G_BEGIN_DECLS
+
+/* A length-counted view of bytes that somebody else owns. Not NUL-terminated. */
+struct str {
+	const char *data;
+	size_t len;
+};
+
+static inline struct str str_of(const char *cstr)
+{
+	struct str s = {cstr, cstr ? strlen(cstr) : 0};
+	return s;
+}
+
+static inline struct str str_make(const char *data, size_t len)
+{
+	struct str s = {data, len};
+	return s;
+}
+
+static inline bool str_eq(struct str a, struct str b)
+{
+	return a.len == b.len && (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
+}
+
+static inline bool str_is(struct str a, const char *cstr)
+{
+	return str_eq(a, str_of(cstr));
+}
+
+/* Returns a NUL-terminated copy that the caller frees with g_free(). */
+static inline char *str_dup(struct str s)
+{
+	return g_strndup(s.data ? s.data : "", s.len);
+}
+
+/* Reads a whole unsigned decimal. Returns false when anything else stands in s. */
+bool str_to_u64(struct str s, uint64_t *value);
+
+/* Hashes len bytes at data with a seed (XXH3, 64 bits). */
+uint64_t str_hash(const void *data, size_t len, uint64_t seed);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/host/host.c
@@ -0,0 +1,147 @@
+#include "host/host.h"
+#include "base/str.h"
+
+#include <string.h>
+
+enum {
+	HOST_FAILURES_MAX = 4
+};
+
+static gint host_cmp(gconstpointer a, gconstpointer b);
+static const struct host *host_rank(const struct host_table *table, uint64_t hash,
+				    unsigned int rank, int64_t now_us, bool all);
+
+static gint host_cmp(gconstpointer a, gconstpointer b)
+{
+	const struct host *x = *(const struct host *const *)a;
+	const struct host *y = *(const struct host *const *)b;
+
+	return strcmp(x->name, y->name);
+}
+
+void host_table_init(struct host_table *table, int64_t suspect_us)
+{
+	table->hosts = g_ptr_array_new_with_free_func(g_free);
+	table->suspect_us = suspect_us;
+}
+
+void host_table_finish(struct host_table *table)
+{
+	g_ptr_array_free(table->hosts, TRUE);
+}
+
+struct host *host_find(const struct host_table *table, const char *name)
+{
+	for (guint i = 0; i < table->hosts->len; i++) {
+		struct host *host = table->hosts->pdata[i];
+
+		if (strcmp(host->name, name) == 0)
+			return host;
+	}
+	return NULL;
+}
+
+void host_on_list(struct host_table *table, const struct host *items, size_t n)
+{
+	GPtrArray *next = g_ptr_array_new_with_free_func(g_free);
+
+	for (size_t i = 0; i < n; i++) {
+		struct host *copy = g_memdup2(&items[i], sizeof(items[i]));
+		const struct host *old = host_find(table, copy->name);
+
+		copy->seed = str_hash(copy->name, strlen(copy->name), 0);
+		copy->suspect_until_us = old ? old->suspect_until_us : 0;
+		copy->failures = old ? old->failures : 0;
+		g_ptr_array_add(next, copy);
+	}
+	g_ptr_array_sort(next, host_cmp);
+	g_ptr_array_free(table->hosts, TRUE);
+	table->hosts = next;
+}
+
+/*
+ * The list goes on naming a dead host for a while; a node that only followed it would ask that host
+ * for each grant and wait for the timeout each time. What the node itself has seen counts at once,
+ * but only for a while, since the evidence may come from a broken link and not from a dead host.
+ */
+void host_on_evidence(struct host_table *table, const char *name, enum host_evidence evidence,
+		      int64_t now_us)
+{
+	struct host *host = host_find(table, name);
+
+	if (!host)
+		return;
+	if (evidence == HOST_HEARD) {
+		host->failures = 0;
+		host->suspect_until_us = 0;
+		return;
+	}
+	host->failures = MIN(host->failures + 1, HOST_FAILURES_MAX);
+	host->suspect_until_us = now_us + table->suspect_us * host->failures;
+}
+
+/* The mix is that of splitmix64, so that near seeds give unrelated weights. */
+uint64_t host_weight(const struct host *host, uint64_t key_hash)
+{
+	uint64_t x = host->seed ^ key_hash;
+
+	x = (x ^ (x >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	x = (x ^ (x >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return x ^ (x >> 31);
+}
+
+static bool host_usable(const struct host *host, int64_t now_us)
+{
+	return !host->leaving && host->suspect_until_us <= now_us;
+}
+
+static const struct host *host_rank(const struct host_table *table, uint64_t hash,
+				    unsigned int rank, int64_t now_us, bool all)
+{
+	const struct host *found = NULL;
+	uint64_t below = UINT64_MAX;
+
+	for (unsigned int r = 0; r <= rank; r++) {
+		uint64_t best = 0;
+
+		found = NULL;
+		for (guint i = 0; i < table->hosts->len; i++) {
+			const struct host *host = table->hosts->pdata[i];
+			uint64_t weight = host_weight(host, hash);
+
+			if (!all && !host_usable(host, now_us))
+				continue;
+			if (weight >= below || (found && weight <= best))
+				continue;
+			best = weight;
+			found = host;
+		}
+		if (!found)
+			return NULL;
+		below = best;
+	}
+	return found;
+}
+
+const struct host *host_home(const struct host_table *table, const char *key, unsigned int rank,
+			     int64_t now_us)
+{
+	uint64_t hash = str_hash(key, strlen(key), 0);
+	const struct host *host = host_rank(table, hash, rank, now_us, false);
+
+	if (host || rank > 0)
+		return host;
+	return host_rank(table, hash, rank, now_us, true);
+}
+
+unsigned int host_live_count(const struct host_table *table)
+{
+	unsigned int n = 0;
+
+	for (guint i = 0; i < table->hosts->len; i++) {
+		const struct host *host = table->hosts->pdata[i];
+
+		n += !host->leaving;
+	}
+	return n;
+}
--- /dev/null
+++ b/once/once.c
@@ -0,0 +1,397 @@
+#include "once/once.h"
+
+#include <jansson.h>
+#include <string.h>
+
+enum {
+	ONCE_BATCH_MAX = 256
+};
+
+struct once_held {
+	struct once_claim *claim;
+	int64_t read_us;
+};
+
+/* Either a claim with somebody who waits, or a release. */
+struct once_wait {
+	struct once_asker asker;
+	struct once_claim *claim;
+	bool release;
+};
+
+static void once_step(struct once *once, int64_t now_us);
+static void once_append_batch(struct once *once);
+static void once_answer_all(struct once *once, GPtrArray *waits, bool out);
+static void once_decide(struct once *once, const struct once_wait *wait);
+static void once_apply(struct once *once, json_t *item, int64_t now_us);
+
+static const char *const once_verdict_names[ONCE_VERDICT_COUNT] = {
+	[ONCE_WON] = "won",
+	[ONCE_LOST] = "lost",
+	[ONCE_OUT] = "out",
+};
+
+const char *once_verdict_name(enum once_verdict verdict)
+{
+	return once_verdict_names[verdict];
+}
+
+struct once_claim *once_claim_copy(const struct once_claim *claim)
+{
+	struct once_claim *copy = g_new0(struct once_claim, 1);
+
+	copy->key = g_strdup(claim->key);
+	copy->id = g_strdup(claim->id);
+	copy->request = g_strdup(claim->request);
+	copy->entry = g_strdup(claim->entry);
+	copy->endpoints = g_strdup(claim->endpoints);
+	copy->digest = g_strdup(claim->digest);
+	copy->supersedes = g_strdup(claim->supersedes ? claim->supersedes : "");
+	return copy;
+}
+
+void once_claim_free(struct once_claim *claim)
+{
+	if (!claim)
+		return;
+	g_free(claim->key);
+	g_free(claim->id);
+	g_free(claim->request);
+	g_free(claim->entry);
+	g_free(claim->endpoints);
+	g_free(claim->digest);
+	g_free(claim->supersedes);
+	g_free(claim);
+}
+
+static void once_wait_free(gpointer data)
+{
+	struct once_wait *wait = data;
+
+	once_claim_free(wait->claim);
+	g_free(wait);
+}
+
+static void once_held_free(gpointer data)
+{
+	struct once_held *held = data;
+
+	once_claim_free(held->claim);
+	g_free(held);
+}
+
+void once_init(struct once *once, const struct once_settings *settings, const struct once_ops *ops,
+	       void *ctx)
+{
+	memset(once, 0, sizeof(*once));
+	once->ops = ops;
+	once->ctx = ctx;
+	once->settings = *settings;
+	once->claims = g_hash_table_new(g_str_hash, g_str_equal);
+	once->released = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	once->by_age = g_queue_new();
+	once->must_reach = -1;
+	once->waiting = g_ptr_array_new_with_free_func(once_wait_free);
+	once->appended = g_ptr_array_new_with_free_func(once_wait_free);
+}
+
+void once_finish(struct once *once)
+{
+	g_ptr_array_free(once->waiting, TRUE);
+	g_ptr_array_free(once->appended, TRUE);
+	g_hash_table_destroy(once->claims);
+	g_hash_table_destroy(once->released);
+	g_queue_free_full(once->by_age, once_held_free);
+}
+
+unsigned int once_partition(const char *key, unsigned int n)
+{
+	return (unsigned int)(str_hash(key, strlen(key), 0) % n);
+}
+
+static bool once_claim_counts(const struct once *once, const struct once_claim *claim)
+{
+	return !g_hash_table_contains(once->released, claim->id);
+}
+
+/*
+ * A claim that is read counts only if no earlier one of its key does. Everybody who reads the same
+ * records comes to the same result, whoever appended them.
+ */
+static const struct once_claim *once_winner(const struct once *once, const char *key)
+{
+	const struct once_held *held = g_hash_table_lookup(once->claims, key);
+
+	return held && once_claim_counts(once, held->claim) ? held->claim : NULL;
+}
+
+static void once_decide(struct once *once, const struct once_wait *wait)
+{
+	const struct once_claim *winner = once_winner(once, wait->claim->key);
+	bool won = winner && strcmp(winner->id, wait->claim->id) == 0;
+
+	if (wait->release)
+		return;
+	once->ops->answer(once->ctx, wait->asker, !winner ? ONCE_OUT : (won ? ONCE_WON : ONCE_LOST),
+			  winner);
+}
+
+static void once_answer_all(struct once *once, GPtrArray *waits, bool out)
+{
+	for (guint i = 0; i < waits->len; i++) {
+		struct once_wait *wait = waits->pdata[i];
+
+		if (!out)
+			once_decide(once, wait);
+		else if (!wait->release)
+			once->ops->answer(once->ctx, wait->asker, ONCE_OUT, NULL);
+	}
+	g_ptr_array_set_size(waits, 0);
+}
+
+/* A key whose claim is in the log already is lost; the log need not be asked again. */
+static bool once_known_lost(const struct once *once, const struct once_claim *claim)
+{
+	const struct once_claim *winner = once_winner(once, claim->key);
+
+	if (!winner || !once->caught_up)
+		return false;
+	return strcmp(winner->id, claim->id) != 0 && strcmp(winner->id, claim->supersedes) != 0;
+}
+
+void once_on_ask(struct once *once, struct once_asker asker, const struct once_claim *claim,
+		 int64_t now_us)
+{
+	struct once_wait *wait;
+
+	if (once_known_lost(once, claim)) {
+		once->ops->answer(once->ctx, asker, ONCE_LOST, once_winner(once, claim->key));
+		return;
+	}
+	if (now_us < once->out_until_us) {
+		once->ops->answer(once->ctx, asker, ONCE_OUT, NULL);
+		return;
+	}
+	wait = g_new0(struct once_wait, 1);
+	wait->asker = asker;
+	wait->claim = once_claim_copy(claim);
+	g_ptr_array_add(once->waiting, wait);
+	once_step(once, now_us);
+}
+
+void once_on_release(struct once *once, const char *key, const char *id, int64_t now_us)
+{
+	struct once_claim claim = {.key = (char *)key, .id = (char *)id};
+	struct once_wait *wait = g_new0(struct once_wait, 1);
+
+	wait->claim = once_claim_copy(&claim);
+	wait->release = true;
+	g_ptr_array_add(once->waiting, wait);
+	once_step(once, now_us);
+}
+
+/*
+ * A home that has just begun reads the partition before it appends anything: an earlier home may
+ * have written claims of the same keys.
+ */
+static void once_step(struct once *once, int64_t now_us)
+{
+	if (once->phase != ONCE_IDLE || once->waiting->len == 0 || now_us < once->out_until_us)
+		return;
+	if (!once->caught_up) {
+		once->phase = ONCE_READING;
+		once->ops->read(once->ctx, once->next);
+		return;
+	}
+	once_append_batch(once);
+}
+
+static json_t *once_to_json(const struct once_wait *wait)
+{
+	const struct once_claim *c = wait->claim;
+
+	if (wait->release)
+		return json_pack("{s:s, s:s}", "release", c->id, "key", c->key);
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "key", c->key, "id", c->id,
+			 "request", c->request, "entry", c->entry, "endpoints", c->endpoints,
+			 "digest", c->digest, "supersedes", c->supersedes);
+}
+
+/* All that wait go into one record: the log takes only several hundred appends a second in all. */
+static void once_append_batch(struct once *once)
+{
+	json_t *batch = json_array();
+	char *text;
+
+	while (once->waiting->len > 0 && once->appended->len < ONCE_BATCH_MAX) {
+		struct once_wait *wait = g_ptr_array_steal_index(once->waiting, 0);
+
+		if (!wait->release && once_known_lost(once, wait->claim)) {
+			once_decide(once, wait);
+			once_wait_free(wait);
+			continue;
+		}
+		json_array_append_new(batch, once_to_json(wait));
+		g_ptr_array_add(once->appended, wait);
+	}
+	if (once->appended->len > 0) {
+		text = json_dumps(batch, JSON_COMPACT);
+		once->phase = ONCE_APPENDING;
+		once->failed = false;
+		once->appends++;
+		once->ops->append(once->ctx, text);
+		free(text);
+	}
+	json_decref(batch);
+}
+
+/*
+ * An append may have taken effect although its answer was lost, so the partition is read in either
+ * case; only what stands there decides.
+ */
+void once_on_appended(struct once *once, bool ok, int64_t offset)
+{
+	if (once->phase != ONCE_APPENDING)
+		return;
+	once->failed = !ok;
+	once->must_reach = ok ? offset : -1;
+	once->phase = ONCE_READING;
+	once->ops->read(once->ctx, once->next);
+}
+
+static char *once_json_text(json_t *item, const char *key)
+{
+	const char *text = json_string_value(json_object_get(item, key));
+
+	return (char *)(text ? text : "");
+}
+
+static void once_apply(struct once *once, json_t *item, int64_t now_us)
+{
+	char *release = once_json_text(item, "release");
+	struct once_claim claim = {
+		.key = once_json_text(item, "key"),
+		.id = once_json_text(item, "id"),
+		.request = once_json_text(item, "request"),
+		.entry = once_json_text(item, "entry"),
+		.endpoints = once_json_text(item, "endpoints"),
+		.digest = once_json_text(item, "digest"),
+		.supersedes = once_json_text(item, "supersedes"),
+	};
+	const struct once_claim *winner = once_winner(once, claim.key);
+	struct once_held *held;
+
+	if (release[0]) {
+		g_hash_table_add(once->released, g_strdup(release));
+		return;
+	}
+	if (winner && claim.supersedes[0] && strcmp(winner->id, claim.supersedes) == 0) {
+		g_hash_table_add(once->released, g_strdup(claim.supersedes));
+		winner = NULL;
+	}
+	if (winner || g_hash_table_contains(once->released, claim.id))
+		return;
+	held = g_new0(struct once_held, 1);
+	held->claim = once_claim_copy(&claim);
+	held->read_us = now_us;
+	g_hash_table_replace(once->claims, held->claim->key, held);
+	g_queue_push_tail(once->by_age, held);
+}
+
+int once_on_record(struct once *once, int64_t offset, struct str data, int64_t now_us)
+{
+	json_t *batch;
+	json_t *item;
+	size_t i;
+
+	if (offset < once->next)
+		return 0;
+	once->next = offset + 1;
+	batch = json_loadb(data.data, data.len, 0, NULL);
+	if (!json_is_array(batch)) {
+		json_decref(batch);
+		return ONCE_ERECORD;
+	}
+	json_array_foreach(batch, i, item)
+	{
+		once_apply(once, item, now_us);
+	}
+	json_decref(batch);
+	return 0;
+}
+
+/* Whether the claim that waits has come to stand in the log, won or lost. */
+static bool once_settled(const struct once *once, const struct once_wait *wait)
+{
+	return wait->release || once_winner(once, wait->claim->key) != NULL;
+}
+
+/*
+ * After a failed append a claim may be absent now and still arrive later. Its asker is told that
+ * the log is out and does not dispatch, so a claim that arrives late costs the key, not a second
+ * run.
+ */
+static void once_after_failure(struct once *once, int64_t now_us)
+{
+	once->out_until_us = now_us + once->settings.out_us;
+	for (guint i = once->appended->len; i-- > 0;) {
+		struct once_wait *wait = once->appended->pdata[i];
+
+		if (!once_settled(once, wait))
+			continue;
+		once_decide(once, wait);
+		g_ptr_array_remove_index(once->appended, i);
+	}
+	once_answer_all(once, once->appended, true);
+	once_answer_all(once, once->waiting, true);
+}
+
+void once_on_read(struct once *once, bool ok, int64_t next, int64_t now_us)
+{
+	if (once->phase != ONCE_READING)
+		return;
+	once->phase = ONCE_IDLE;
+	if (!ok || next <= once->must_reach) {
+		once->out_until_us = now_us + once->settings.out_us;
+		once_answer_all(once, once->appended, true);
+		once_answer_all(once, once->waiting, true);
+		once->failed = false;
+		once->must_reach = -1;
+		return;
+	}
+	once->must_reach = -1;
+	once->next = MAX(once->next, next);
+	once->caught_up = true;
+	if (once->failed)
+		once_after_failure(once, now_us);
+	else
+		once_answer_all(once, once->appended, false);
+	once->failed = false;
+	once_step(once, now_us);
+}
+
+void once_on_tick(struct once *once, int64_t now_us)
+{
+	for (;;) {
+		struct once_held *oldest = g_queue_peek_head(once->by_age);
+
+		if (!oldest || now_us - oldest->read_us < once->settings.life_us)
+			break;
+		g_queue_pop_head(once->by_age);
+		if (g_hash_table_lookup(once->claims, oldest->claim->key) == oldest)
+			g_hash_table_remove(once->claims, oldest->claim->key);
+		g_hash_table_remove(once->released, oldest->claim->id);
+		once_held_free(oldest);
+	}
+	once_step(once, now_us);
+}
+
+void once_on_conn_gone(struct once *once, uint64_t conn)
+{
+	for (guint i = once->waiting->len; i-- > 0;) {
+		struct once_wait *wait = once->waiting->pdata[i];
+
+		if (!wait->release && wait->asker.conn == conn)
+			g_ptr_array_remove_index(once->waiting, i);
+	}
+}
--- /dev/null
+++ b/prog/common.c
@@ -0,0 +1,122 @@
+#include "prog/common.h"
+#include "base/log.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+struct prog_stop {
+	struct loop_fd lfd;
+	void (*fn)(void *ctx);
+	void *ctx;
+};
+
+static gchar *prog_config;
+static gchar *prog_log_level;
+static gboolean prog_check;
+static gboolean prog_version;
+
+static GOptionEntry prog_options[] = {
+	{"config", 'c', 0, G_OPTION_ARG_FILENAME, &prog_config, "settings file (INI)", "FILE"},
+	{"check", 0, 0, G_OPTION_ARG_NONE, &prog_check, "check the settings and exit", NULL},
+	{"log-level", 'l', 0, G_OPTION_ARG_STRING, &prog_log_level,
+	 "err, warning, notice, info or debug", "LEVEL"},
+	{"version", 'V', 0, G_OPTION_ARG_NONE, &prog_version, "print the version and exit", NULL},
+	{NULL, 0, 0, 0, NULL, NULL, NULL},
+};
+
+static void prog_fail(const char *program, const char *text)
+{
+	fprintf(stderr, "%s: %s\n", program, text);
+	exit(PROG_EXIT_USAGE);
+}
+
+static void prog_load(const char *program, const struct set_item *items, size_t n, void *settings)
+{
+	GString *errors = g_string_new(NULL);
+
+	if (!prog_config)
+		prog_fail(program, "--config FILE is missing");
+	if (set_load(prog_config, items, n, settings, errors) < 0) {
+		fputs(errors->str, stderr);
+		exit(PROG_EXIT_USAGE);
+	}
+	g_string_free(errors, TRUE);
+	if (prog_check) {
+		printf("%s: settings are well formed\n", prog_config);
+		exit(PROG_EXIT_OK);
+	}
+}
+
+void prog_start(int *argc, char ***argv, const char *summary, const struct set_item *items,
+		size_t n, void *settings)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	char *program = g_path_get_basename((*argv)[0]);
+	GError *error = NULL;
+
+	g_option_context_set_summary(context, summary);
+	g_option_context_add_main_entries(context, prog_options, NULL);
+	if (!g_option_context_parse(context, argc, argv, &error))
+		prog_fail(program, error->message);
+	if (*argc > 1)
+		prog_fail(program, "takes no arguments besides options");
+	if (prog_version) {
+		printf("%s %s\n", program, PROG_VERSION);
+		exit(PROG_EXIT_OK);
+	}
+	log_open(program, LOG_INFO);
+	if (prog_log_level && !log_set_level(prog_log_level))
+		prog_fail(program, "unknown log level");
+	prog_load(program, items, n, settings);
+	g_option_context_free(context);
+}
+
+static void prog_on_signal(void *ctx, uint32_t events)
+{
+	struct prog_stop *stop = ctx;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	if (read(stop->lfd.fd, &info, sizeof(info)) == (ssize_t)sizeof(info))
+		stop->fn(stop->ctx);
+}
+
+void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx)
+{
+	struct prog_stop *stop = g_new0(struct prog_stop, 1);
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	stop->lfd.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	stop->lfd.fn = prog_on_signal;
+	stop->lfd.ctx = stop;
+	stop->fn = fn;
+	stop->ctx = ctx;
+	loop_fd_add(loop, &stop->lfd, EPOLLIN);
+}
+
+void prog_reply_json(struct hd_call *call, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	hd_reply(call, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(body);
+	hd_unref(call);
+}
+
+const char *prog_path_below(const char *path, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return strncmp(path, prefix, len) == 0 ? path + len : NULL;
+}
--- /dev/null
+++ b/prog/control.c
@@ -0,0 +1,199 @@
+#include "prog/control.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "msg/kind.h"
+
+#include <string.h>
+
+enum {
+	CONTROL_BODY_MAX = 8 << 20,
+	CONTROL_TICK_US = 50000
+};
+
+typedef int (*control_msg_fn)(struct control *c, struct frm_conn *conn, const uint8_t *body,
+			      size_t len);
+
+static int control_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+			  size_t len);
+static void control_on_close(void *ctx, struct frm_conn *conn, int err);
+
+#define CONTROL_OFF(field) offsetof(struct control_settings, field)
+
+static const struct set_item control_items[] = {
+	{"host", "name", SET_TEXT, CONTROL_OFF(name), NULL, 1, 0},
+	{"host", "zone", SET_TEXT, CONTROL_OFF(zone), NULL, 1, 0},
+	{"host", "entry_peer", SET_ADDR, CONTROL_OFF(peer_addr), NULL, 0, 0},
+	{"control", "listen", SET_ADDR, CONTROL_OFF(listen), NULL, 0, 0},
+	{"control", "operators", SET_ADDR, CONTROL_OFF(operator_addr), NULL, 0, 0},
+	{"control", "bootstrap", SET_TEXT, CONTROL_OFF(bootstrap), "", 0, 0},
+	{"control", "policy", SET_TEXT, CONTROL_OFF(policy), "flow", 1, 0},
+	{"control", "seed", SET_INT, CONTROL_OFF(seed), "1", 0, INT32_MAX},
+	{"control", "drain_ms", SET_INT, CONTROL_OFF(drain_ms), "1500", 0, 600000},
+	{"platform", "address", SET_ADDR, CONTROL_OFF(platform), NULL, 0, 0},
+	{"platform", "retention_s", SET_INT, CONTROL_OFF(retention_s), "3600", 1, 1000000},
+	{"platform", "hosts_ms", SET_INT, CONTROL_OFF(hosts_ms), "1000", 10, 600000},
+	{"platform", "append_ms", SET_INT, CONTROL_OFF(append_ms), "1000", 10, 600000},
+	{"peers", "heartbeat_ms", SET_INT, CONTROL_OFF(heartbeat_ms), "300", 10, 600000},
+	{"peers", "silent_ms", SET_INT, CONTROL_OFF(silent_ms), "900", 10, 600000},
+	{"peers", "suspect_ms", SET_INT, CONTROL_OFF(suspect_ms), "2000", 10, 600000},
+	{"peers", "gossip_ms", SET_INT, CONTROL_OFF(gossip_ms), "1000", 10, 600000},
+	{"endpoints", "load_ms", SET_INT, CONTROL_OFF(load_ms), "1000", 10, 600000},
+	{"endpoints", "load_timeout_ms", SET_INT, CONTROL_OFF(load_timeout_ms), "400", 10, 600000},
+	{"endpoints", "lease_ms", SET_INT, CONTROL_OFF(lease_ms), "5000", 100, 600000},
+	{"claims", "partitions", SET_INT, CONTROL_OFF(claim_partitions), "64", 1, 4096},
+	{"claims", "life_s", SET_INT, CONTROL_OFF(claim_life_s), "1800", 1, 1000000},
+};
+
+static const control_msg_fn control_msgs[MSG_KIND_COUNT] = {
+	[MSG_POOL_ASK] = control_on_ask,	   [MSG_POOL_WITHDRAW] = control_on_withdraw,
+	[MSG_POOL_DONE] = control_on_done,	   [MSG_POOL_HOLDING] = control_on_holding,
+	[MSG_ONCE_CLAIM] = control_on_claim,	   [MSG_ONCE_RELEASE] = control_on_release,
+	[MSG_CONF_REVISION] = control_on_revision, [MSG_CONF_FETCH] = control_on_fetch,
+	[MSG_CONF_STATE] = control_on_state,	   [MSG_CONF_IN_FORCE] = control_on_in_force,
+};
+
+const struct frm_ops control_frm_ops = {control_on_msg, control_on_close};
+
+static struct control_conn *control_conn(struct control *c, struct frm_conn *conn)
+{
+	struct control_conn *own = frm_data(conn);
+
+	if (own)
+		return own;
+	own = g_new0(struct control_conn, 1);
+	own->conn = conn;
+	own->id = ++c->last_id;
+	frm_set_data(conn, own);
+	g_hash_table_insert(c->conns, &own->id, own);
+	return own;
+}
+
+static int control_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+			  size_t len)
+{
+	struct control *c = ctx;
+
+	if (kind >= MSG_KIND_COUNT || !control_msgs[kind])
+		return BASE_EFRAME;
+	control_conn(c, conn);
+	return control_msgs[kind](c, conn, body, len);
+}
+
+static void control_on_close(void *ctx, struct frm_conn *conn, int err)
+{
+	log_msg(LOG_DEBUG, "connection_closed reason=\"%s\"", base_strerror(err));
+	control_conn_forget(ctx, conn);
+}
+
+void control_conn_forget(struct control *c, struct frm_conn *conn)
+{
+	struct control_conn *own = frm_data(conn);
+
+	control_partner_gone(c, conn);
+	if (!own)
+		return;
+	g_hash_table_remove(c->conns, &own->id);
+	control_pools_conn_gone(c, own->id);
+	control_once_conn_gone(c, own->id);
+	frm_set_data(conn, NULL);
+	g_free(own);
+}
+
+static void control_on_tick(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+
+	c->cpu_us = loop_cpu_us();
+	control_pools_tick(c, now_us);
+	control_once_tick(c, now_us);
+	control_log_tick(c, now_us);
+	loop_after(&c->loop, &c->tick, CONTROL_TICK_US, control_on_tick, c);
+}
+
+static void control_on_stop_timer(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+
+	(void)now_us;
+	loop_stop(&c->loop);
+}
+
+/*
+ * Graceful shutdown: the host list is told, and so is every connected daemon at once, since the
+ * list lags. Homes move to other hosts meanwhile; whoever still asks is served until the end.
+ */
+static void control_stop(void *ctx)
+{
+	struct control *c = ctx;
+
+	if (c->stopping)
+		return;
+	c->stopping = true;
+	log_msg(LOG_NOTICE, "stopping drain_ms=%d", (int)c->settings.drain_ms);
+	control_hosts_register(c);
+	control_push_all(c);
+	loop_after(&c->loop, &c->stop_timer, c->settings.drain_ms * USEC_PER_MSEC,
+		   control_on_stop_timer, c);
+}
+
+static int control_listen(struct control *c)
+{
+	struct frm_limits limits = {c->settings.heartbeat_ms * USEC_PER_MSEC,
+				    c->settings.silent_ms * USEC_PER_MSEC};
+	struct hd_config config = {
+		.addr = c->settings.operator_addr,
+		.threads = 1,
+		.body_max = CONTROL_BODY_MAX,
+		.pending_max = CONTROL_BODY_MAX,
+		.handler = control_http_handler,
+		.ctx = c,
+	};
+	int err =
+		frm_listen(&c->server, &c->loop, c->settings.listen, &control_frm_ops, &limits, c);
+
+	if (err < 0) {
+		log_msg(LOG_ERR, "listen_failed addr=%s reason=\"%s\"", c->settings.listen,
+			base_strerror(err));
+		return err;
+	}
+	c->operators = hd_start(&config);
+	if (!c->operators) {
+		log_msg(LOG_ERR, "listen_failed addr=%s", c->settings.operator_addr);
+		return BASE_ESYS;
+	}
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct control *c = g_new0(struct control, 1);
+
+	prog_start(&argc, &argv, "Control daemon of a bronzegauge host.", control_items,
+		   G_N_ELEMENTS(control_items), &c->settings);
+	if (loop_init(&c->loop) < 0)
+		return PROG_EXIT_FAILED;
+	prog_on_stop(&c->loop, control_stop, c);
+	c->started_us = tmr_now();
+	c->hc = hc_new(&c->loop);
+	c->conns = g_hash_table_new(g_int64_hash, g_int64_equal);
+	c->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	c->parts = g_hash_table_new(NULL, NULL);
+	c->commands = g_ptr_array_new();
+	c->rand = g_rand_new_with_seed(
+		(guint32)(c->settings.seed ^
+			  str_hash(c->settings.name, strlen(c->settings.name), 0)));
+	clog_init(&c->clog);
+	host_table_init(&c->hosts, c->settings.suspect_ms * USEC_PER_MSEC);
+	if (control_listen(c) < 0)
+		return PROG_EXIT_FAILED;
+	control_log_start(c);
+	control_hosts_start(c);
+	control_order_start(c);
+	loop_after(&c->loop, &c->tick, CONTROL_TICK_US, control_on_tick, c);
+	log_msg(LOG_INFO, "started host=%s listen=%s operators=%s", c->settings.name,
+		c->settings.listen, c->settings.operator_addr);
+	loop_run(&c->loop);
+	log_msg(LOG_INFO, "stopped host=%s", c->settings.name);
+	return PROG_EXIT_OK;
+}
--- /dev/null
+++ b/prog/control_hosts.c
@@ -0,0 +1,344 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "msg/conf.pb-c.h"
+#include "msg/kind.h"
+#include "prog/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The platform's list of hosts: this host's own entry in it, and what it says of the others. Gossip
+ * of revisions with other control daemons. What entry daemons are told.
+ */
+enum {
+	CONTROL_HOSTS_MAX = 4096,
+	CONTROL_GOSSIP_ROUNDS = 10, /* before new partners are drawn */
+	CONTROL_HIGHER_US = USEC_PER_SEC
+};
+
+static void control_poll_hosts(void *ctx, int64_t now_us);
+static void control_gossip(void *ctx, int64_t now_us);
+static void control_fetch(struct control *c, struct frm_conn *conn);
+static void control_on_hosts(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len);
+static void control_on_registered(void *ctx, int status, int err, bool sent, const char *body,
+				  size_t len);
+
+static const struct hc_ops control_hosts_ops = {NULL, control_on_hosts};
+static const struct hc_ops control_register_ops = {NULL, control_on_registered};
+
+void control_hosts_start(struct control *c)
+{
+	control_poll_hosts(c, tmr_now());
+	control_gossip(c, tmr_now());
+}
+
+static bool control_is_draining(const struct control *c, const char *name)
+{
+	const struct conf_obj *obj = conf_get(c->clog.state, CONF_HOST, name);
+
+	return obj && obj->value[HOST_STATE] != 0;
+}
+
+void control_hosts_register(struct control *c)
+{
+	bool leaving = c->stopping || control_is_draining(c, c->settings.name);
+	json_t *json = json_pack("{s:s, s:s, s:s, s:s, s:s}", "zone", c->settings.zone, "control",
+				 c->settings.listen, "operators", c->settings.operator_addr, "peer",
+				 c->settings.peer_addr, "state", leaving ? "leaving" : "live");
+	char *body = json_dumps(json, JSON_COMPACT);
+	char *url = g_strdup_printf("http://%s/hosts/%s", c->settings.platform, c->settings.name);
+	struct hc_request request = {
+		.method = "PUT",
+		.url = url,
+		.body = body,
+		.body_len = strlen(body),
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = c->settings.hosts_ms,
+	};
+
+	hc_start(c->hc, &request, &control_register_ops, c);
+	g_free(url);
+	free(body);
+	json_decref(json);
+}
+
+static void control_on_registered(void *ctx, int status, int err, bool sent, const char *body,
+				  size_t len)
+{
+	(void)ctx;
+	(void)err;
+	(void)sent;
+	(void)body;
+	(void)len;
+	if (status != 200)
+		met_add(met_counter("bg_hosts_failures_total", ""), 1);
+}
+
+static void control_poll_hosts(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	char *url = g_strdup_printf("http://%s/hosts", c->settings.platform);
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = c->settings.hosts_ms,
+	};
+
+	(void)now_us;
+	control_hosts_register(c);
+	hc_start(c->hc, &request, &control_hosts_ops, c);
+	g_free(url);
+	loop_after(&c->loop, &c->hosts_timer, c->settings.hosts_ms * USEC_PER_MSEC,
+		   control_poll_hosts, c);
+}
+
+static void control_copy(char *to, size_t size, const json_t *json, const char *key)
+{
+	const char *text = json_string_value(json_object_get(json, key));
+
+	g_strlcpy(to, text ? text : "", size);
+}
+
+static void control_host_of(const struct control *c, const json_t *json, struct host *host)
+{
+	char state[16];
+
+	memset(host, 0, sizeof(*host));
+	control_copy(host->name, sizeof(host->name), json, "name");
+	control_copy(host->zone, sizeof(host->zone), json, "zone");
+	control_copy(host->control_addr, sizeof(host->control_addr), json, "control");
+	control_copy(host->operator_addr, sizeof(host->operator_addr), json, "operators");
+	control_copy(host->peer_addr, sizeof(host->peer_addr), json, "peer");
+	control_copy(state, sizeof(state), json, "state");
+	host->leaving = strcmp(state, "leaving") == 0 || control_is_draining(c, host->name);
+}
+
+/* When the platform does not answer, the last list stays in use. */
+static void control_on_hosts(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len)
+{
+	struct control *c = ctx;
+	json_t *json = status == 200 ? json_loadb(body, len, 0, NULL) : NULL;
+	json_t *list = json_object_get(json, "hosts");
+	size_t n = MIN(json_array_size(list), (size_t)CONTROL_HOSTS_MAX);
+	struct host *items;
+	uint64_t hash;
+
+	(void)err;
+	(void)sent;
+	if (!json) {
+		met_add(met_counter("bg_hosts_failures_total", ""), 1);
+		return;
+	}
+	items = g_new(struct host, n + 1);
+	for (size_t i = 0; i < n; i++)
+		control_host_of(c, json_array_get(list, i), &items[i]);
+	if (n > 0)
+		host_on_list(&c->hosts, items, n);
+	g_free(items);
+	json_decref(json);
+	hash = str_hash(body, len, (uint64_t)c->clog.revision);
+	if (hash != c->hosts_hash)
+		control_push_all(c);
+	c->hosts_hash = hash;
+}
+
+static void control_send_hosts(struct control *c, struct frm_conn *conn, bool only_self)
+{
+	Conf__Hosts msg = CONF__HOSTS__INIT;
+	guint n = c->hosts.hosts->len;
+	Conf__Host *items = g_new(Conf__Host, n + 1);
+	Conf__Host **list = g_new(Conf__Host *, n + 1);
+
+	for (guint i = 0; i < n; i++) {
+		struct host *host = c->hosts.hosts->pdata[i];
+		bool self = strcmp(host->name, c->settings.name) == 0;
+		Conf__Host *item = &items[msg.n_hosts];
+
+		if (only_self && !self)
+			continue;
+		conf__host__init(item);
+		item->name = host->name;
+		item->zone = host->zone;
+		item->control_addr = host->control_addr;
+		item->operator_addr = host->operator_addr;
+		item->peer_addr = host->peer_addr;
+		item->leaving = host->leaving || (self && c->stopping);
+		list[msg.n_hosts++] = item;
+	}
+	msg.hosts = list;
+	frm_send(conn, MSG_CONF_HOSTS, &msg.base);
+	g_free(list);
+	g_free(items);
+}
+
+static void control_send_state(struct control *c, struct frm_conn *conn)
+{
+	Conf__State msg = CONF__STATE__INIT;
+
+	msg.snapshot = clog_snapshot_record(&c->clog);
+	frm_send(conn, MSG_CONF_STATE, &msg.base);
+	free(msg.snapshot);
+}
+
+/* What has changed for a subscriber. Others are told only that this host is leaving. */
+void control_push(struct control *c, struct control_conn *conn)
+{
+	if (!conn->subscriber) {
+		if (c->stopping)
+			control_send_hosts(c, conn->conn, true);
+		return;
+	}
+	if (c->clog.ready && conn->in_force < c->clog.revision)
+		control_send_state(c, conn->conn);
+	control_send_hosts(c, conn->conn, false);
+}
+
+void control_push_all(struct control *c)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->conns);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		control_push(c, value);
+}
+
+/* Draws two other hosts now and then, and tells those of the moment the revision. */
+static void control_gossip(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	struct frm_limits limits = {c->settings.heartbeat_ms * USEC_PER_MSEC,
+				    c->settings.silent_ms * USEC_PER_MSEC};
+	Conf__Revision msg = CONF__REVISION__INIT;
+
+	(void)now_us;
+	msg.revision = c->clog.ready ? c->clog.revision : -1;
+	msg.host = c->settings.name;
+	for (size_t i = 0; i < G_N_ELEMENTS(c->partners); i++) {
+		guint n = c->hosts.hosts->len;
+		const struct host *host;
+
+		if (c->partners[i] && c->gossip_round % CONTROL_GOSSIP_ROUNDS == 0) {
+			struct frm_conn *old = c->partners[i];
+
+			control_conn_forget(c, old);
+			frm_close(old);
+		}
+		if (!c->partners[i] && n > 0) {
+			host = c->hosts.hosts->pdata[g_rand_int_range(c->rand, 0, (gint32)n)];
+			if (strcmp(host->name, c->settings.name) != 0)
+				c->partners[i] = frm_connect(&c->loop, host->control_addr,
+							     &control_frm_ops, &limits, c);
+		}
+		if (c->partners[i])
+			frm_send(c->partners[i], MSG_CONF_REVISION, &msg.base);
+	}
+	c->gossip_round++;
+	loop_after(&c->loop, &c->gossip_timer, c->settings.gossip_ms * USEC_PER_MSEC,
+		   control_gossip, c);
+}
+
+void control_partner_gone(struct control *c, const struct frm_conn *conn)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(c->partners); i++) {
+		if (c->partners[i] == conn)
+			c->partners[i] = NULL;
+	}
+}
+
+static void control_fetch(struct control *c, struct frm_conn *conn)
+{
+	Conf__Fetch msg = CONF__FETCH__INIT;
+
+	(void)c;
+	frm_send(conn, MSG_CONF_FETCH, &msg.base);
+}
+
+/*
+ * A healthy log brings the same revision within moments, so a higher one is fetched from the peer
+ * only when the log has not brought it for a second.
+ */
+int control_on_revision(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	Conf__Revision *msg = conf__revision__unpack(NULL, len, body);
+	int64_t now = tmr_now();
+	bool partner = conn == c->partners[0] || conn == c->partners[1];
+
+	if (!msg)
+		return BASE_EFRAME;
+	if (!c->clog.ready || msg->revision > c->clog.revision) {
+		if (c->heard_higher_us == 0)
+			c->heard_higher_us = now;
+		if (msg->revision >= 0 &&
+		    (!c->log_ok || now - c->heard_higher_us > CONTROL_HIGHER_US))
+			control_fetch(c, conn);
+	} else {
+		c->heard_higher_us = 0;
+	}
+	if (!partner && msg->revision != c->clog.revision && c->clog.ready) {
+		Conf__Revision own = CONF__REVISION__INIT;
+
+		own.revision = c->clog.revision;
+		own.host = c->settings.name;
+		frm_send(conn, MSG_CONF_REVISION, &own.base);
+	}
+	conf__revision__free_unpacked(msg, NULL);
+	return 0;
+}
+
+int control_on_fetch(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	Conf__Fetch *msg = conf__fetch__unpack(NULL, len, body);
+
+	if (!msg)
+		return BASE_EFRAME;
+	if (c->clog.ready)
+		control_send_state(c, conn);
+	conf__fetch__free_unpacked(msg, NULL);
+	return 0;
+}
+
+int control_on_state(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	Conf__State *msg = conf__state__unpack(NULL, len, body);
+	int taken;
+
+	(void)conn;
+	if (!msg)
+		return BASE_EFRAME;
+	taken = clog_on_peer_state(&c->clog, str_of(msg->snapshot));
+	conf__state__free_unpacked(msg, NULL);
+	if (taken < 0)
+		return BASE_EFRAME;
+	if (taken > 0) {
+		log_msg(LOG_NOTICE, "config_from_peer revision=%" G_GINT64_FORMAT,
+			c->clog.revision);
+		met_add(met_counter("bg_config_from_peer_total", ""), 1);
+		c->heard_higher_us = 0;
+		control_state_changed(c);
+	}
+	return 0;
+}
+
+int control_on_in_force(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	Conf__InForce *msg = conf__in_force__unpack(NULL, len, body);
+	struct control_conn *own = frm_data(conn);
+	bool fresh;
+
+	if (!msg)
+		return BASE_EFRAME;
+	fresh = !own->subscriber;
+	own->subscriber = true;
+	own->in_force = msg->revision;
+	g_strlcpy(own->host, msg->host, sizeof(own->host));
+	conf__in_force__free_unpacked(msg, NULL);
+	if (fresh)
+		control_push(c, own);
+	return 0;
+}
--- /dev/null
+++ b/prog/control_log.c
@@ -0,0 +1,389 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "prog/control.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Follows the configuration's stream of the platform's log, appends operators' commands and answers
+ * them only after their record was read back, and writes snapshots.
+ */
+enum {
+	CONTROL_POLL_WAIT_MS = 5000,
+	CONTROL_POLL_MARGIN_MS = 2000,
+	CONTROL_RETRY_US = 200000,
+	CONTROL_COMMAND_US = 8 * USEC_PER_SEC,
+	CONTROL_SNAPSHOT_PART = 4,
+	CONTROL_RANK_US = 500000
+};
+
+static void control_follow(void *ctx, int64_t now_us);
+static void control_on_read(void *ctx, int status, int err, bool sent, const char *body,
+			    size_t len);
+static void control_append_command(struct control_command *cmd);
+static void control_on_appended(void *ctx, int status, int err, bool sent, const char *body,
+				size_t len);
+static void control_on_retry(void *ctx, int64_t now_us);
+static void control_check_command(struct control_command *cmd);
+static void control_on_checked(void *ctx, int status, int err, bool sent, const char *body,
+			       size_t len);
+static void control_answer(struct control_command *cmd, const struct clog_verdict *verdict);
+static void control_command_free(struct control_command *cmd);
+
+static const struct hc_ops control_read_ops = {NULL, control_on_read};
+static const struct hc_ops control_append_ops = {NULL, control_on_appended};
+static const struct hc_ops control_check_ops = {NULL, control_on_checked};
+
+char *control_log_url(const struct control *c, const char *stream)
+{
+	return g_strdup_printf("http://%s/log/%s", c->settings.platform, stream);
+}
+
+void control_log_start(struct control *c)
+{
+	control_follow(c, tmr_now());
+}
+
+/* Until the node is ready it must not wait for new records: it has to learn where the log ends. */
+static void control_follow(void *ctx, int64_t now_us)
+{
+	struct control *c = ctx;
+	int64_t wait_ms = c->clog.ready ? CONTROL_POLL_WAIT_MS : 0;
+	char *url = g_strdup_printf("http://%s/log/config?from=%" G_GINT64_FORMAT
+				    "&wait_ms=%" G_GINT64_FORMAT,
+				    c->settings.platform, c->clog.next, wait_ms);
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = wait_ms + CONTROL_POLL_MARGIN_MS,
+	};
+
+	(void)now_us;
+	hc_start(c->hc, &request, &control_read_ops, c);
+	g_free(url);
+}
+
+static void control_tell_commands(struct control *c, const struct clog_verdict *verdict)
+{
+	for (guint i = c->commands->len; i-- > 0;) {
+		struct control_command *cmd = c->commands->pdata[i];
+
+		if (strcmp(cmd->id, verdict->id) == 0)
+			control_answer(cmd, verdict);
+	}
+}
+
+static void control_take_record(struct control *c, const json_t *record)
+{
+	json_t *data = json_object_get(record, "data");
+	struct clog_verdict verdict;
+	int err = clog_on_record(&c->clog, json_integer_value(json_object_get(record, "offset")),
+				 str_make(json_string_value(data), json_string_length(data)),
+				 &verdict);
+
+	if (err < 0) {
+		met_add(met_counter("bg_config_records_refused_total", ""), 1);
+		log_msg(LOG_WARNING, "config_record_refused reason=\"%s\"", conf_strerror(err));
+	}
+	if (verdict.outcome == CLOG_NONE)
+		return;
+	log_msg(LOG_INFO, "config_change id=%s outcome=%s revision=%" G_GINT64_FORMAT, verdict.id,
+		verdict.outcome == CLOG_ACCEPTED ? "accepted" : "rejected", verdict.revision);
+	control_tell_commands(c, &verdict);
+}
+
+/* Commands whose records were read while the node was not ready got no verdict then. */
+static void control_tell_known(struct control *c)
+{
+	for (guint i = c->commands->len; i-- > 0;) {
+		struct control_command *cmd = c->commands->pdata[i];
+		const struct clog_verdict *verdict = clog_find(&c->clog, cmd->id);
+
+		if (verdict)
+			control_answer(cmd, verdict);
+	}
+}
+
+static void control_take_read(struct control *c, const json_t *json)
+{
+	json_t *records = json_object_get(json, "records");
+	int64_t end = json_integer_value(json_object_get(json, "end"));
+	int64_t revision = c->clog.revision;
+	int64_t snapshot = c->clog.snapshot_at;
+	bool ready = c->clog.ready;
+	size_t i;
+	json_t *record;
+
+	if (clog_on_first(&c->clog, json_integer_value(json_object_get(json, "first"))) < 0)
+		log_msg(LOG_WARNING, "config_gap next=%" G_GINT64_FORMAT, c->clog.next);
+	json_array_foreach(records, i, record)
+	{
+		control_take_record(c, record);
+	}
+	if (c->clog.next >= end && clog_on_end(&c->clog) < 0)
+		log_msg(LOG_WARNING, "config_without_snapshot next=%" G_GINT64_FORMAT,
+			c->clog.next);
+	if (c->clog.snapshot_at != snapshot)
+		c->snapshot_seen_us = tmr_now();
+	if (c->clog.revision != revision || c->clog.ready != ready) {
+		control_state_changed(c);
+		control_tell_known(c);
+	}
+}
+
+static void control_on_read(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct control *c = ctx;
+	json_t *json = status == 200 ? json_loadb(body, len, 0, NULL) : NULL;
+
+	(void)sent;
+	if (!json) {
+		if (c->log_ok)
+			log_msg(LOG_WARNING, "log_out status=%d reason=\"%s\"", status,
+				base_strerror(err));
+		c->log_ok = false;
+		met_add(met_counter("bg_log_read_failures_total", ""), 1);
+		loop_after(&c->loop, &c->follow_timer, CONTROL_RETRY_US, control_follow, c);
+		return;
+	}
+	if (!c->log_ok)
+		log_msg(LOG_NOTICE, "log_ok next=%" G_GINT64_FORMAT, c->clog.next);
+	c->log_ok = true;
+	c->log_ok_us = tmr_now();
+	control_take_read(c, json);
+	json_decref(json);
+	if (c->clog.ready)
+		control_follow(c, tmr_now());
+	else
+		loop_after(&c->loop, &c->follow_timer, CONTROL_RETRY_US, control_follow, c);
+}
+
+void control_state_changed(struct control *c)
+{
+	met_add(met_counter("bg_config_changes_total", ""), 1);
+	control_pools_on_conf(c);
+	control_push_all(c);
+}
+
+void control_command(struct control *c, struct hd_call *call, const char *id, const char *by,
+		     int64_t expected, struct str statements)
+{
+	struct control_command *cmd = g_new0(struct control_command, 1);
+
+	cmd->c = c;
+	cmd->call = call;
+	cmd->id = g_strdup(id);
+	cmd->record = clog_change_record(id, expected, by, statements);
+	cmd->until_us = tmr_now() + CONTROL_COMMAND_US;
+	g_ptr_array_add(c->commands, cmd);
+	control_append_command(cmd);
+}
+
+static void control_append_command(struct control_command *cmd)
+{
+	struct control *c = cmd->c;
+	char *url = control_log_url(c, "config");
+	struct hc_request request = {
+		.method = "POST",
+		.url = url,
+		.body = cmd->record,
+		.body_len = strlen(cmd->record),
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = c->settings.append_ms,
+	};
+
+	cmd->busy = true;
+	met_add(met_counter("bg_log_appends_total", "stream=\"config\""), 1);
+	hc_start(c->hc, &request, &control_append_ops, cmd);
+	g_free(url);
+}
+
+/*
+ * Only a record that was read back counts. An append that was refused outright is reported at once;
+ * one whose answer was lost is looked for in the log, and appended again only when the log, read
+ * after the loss, does not show it.
+ */
+static void control_on_appended(void *ctx, int status, int err, bool sent, const char *body,
+				size_t len)
+{
+	struct control_command *cmd = ctx;
+	struct control *c = cmd->c;
+	bool refused = (status >= 400 && status < 600) || (err < 0 && !sent);
+
+	(void)body;
+	(void)len;
+	cmd->busy = false;
+	if (!cmd->call) {
+		control_command_free(cmd);
+		return;
+	}
+	if (status != 200 && !refused)
+		cmd->uncertain = true;
+	if (refused && !cmd->uncertain) {
+		hd_set_header(cmd->call, "Retry-After", "2");
+		prog_reply_json(cmd->call, 503,
+				json_pack("{s:s, s:s}", "outcome", "not_accepted", "reason",
+					  "the platform's log is out; nothing was changed"));
+		cmd->call = NULL;
+		control_command_free(cmd);
+		return;
+	}
+	loop_after(&c->loop, &cmd->retry, CONTROL_RETRY_US, control_on_retry, cmd);
+}
+
+static void control_on_retry(void *ctx, int64_t now_us)
+{
+	struct control_command *cmd = ctx;
+	struct control *c = cmd->c;
+
+	if (now_us > cmd->until_us) {
+		prog_reply_json(cmd->call, 504,
+				json_pack("{s:s, s:s, s:s}", "outcome", "unknown", "id", cmd->id,
+					  "reason",
+					  "the log did not show the change in time; ask again with "
+					  "the same id"));
+		cmd->call = NULL;
+		control_command_free(cmd);
+		return;
+	}
+	if (cmd->uncertain)
+		control_check_command(cmd);
+	else
+		loop_after(&c->loop, &cmd->retry, CONTROL_RETRY_US, control_on_retry, cmd);
+}
+
+/* Reads the log to its end to learn whether the uncertain append took effect. */
+static void control_check_command(struct control_command *cmd)
+{
+	struct control *c = cmd->c;
+	char *url = g_strdup_printf("http://%s/log/config?from=%" G_GINT64_FORMAT,
+				    c->settings.platform, c->clog.next);
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = c->settings.append_ms,
+	};
+
+	cmd->busy = true;
+	hc_start(c->hc, &request, &control_check_ops, cmd);
+	g_free(url);
+}
+
+static void control_on_checked(void *ctx, int status, int err, bool sent, const char *body,
+			       size_t len)
+{
+	struct control_command *cmd = ctx;
+	json_t *json = status == 200 ? json_loadb(body, len, 0, NULL) : NULL;
+
+	(void)err;
+	(void)sent;
+	if (json)
+		control_take_read(cmd->c, json);
+	cmd->busy = false;
+	if (!cmd->call)
+		control_command_free(cmd);
+	else if (json)
+		control_append_command(cmd);
+	else
+		loop_after(&cmd->c->loop, &cmd->retry, CONTROL_RETRY_US, control_on_retry, cmd);
+	json_decref(json);
+}
+
+/* A command with a call to the platform under way is freed when that ends. */
+static void control_command_free(struct control_command *cmd)
+{
+	tmr_cancel(&cmd->c->loop.tmr, &cmd->retry);
+	g_ptr_array_remove_fast(cmd->c->commands, cmd);
+	if (cmd->busy)
+		return;
+	g_free(cmd->id);
+	g_free(cmd->record);
+	g_free(cmd);
+}
+
+static void control_answer(struct control_command *cmd, const struct clog_verdict *verdict)
+{
+	bool accepted = verdict->outcome == CLOG_ACCEPTED;
+
+	prog_reply_json(cmd->call, accepted ? 200 : 409,
+			json_pack("{s:s, s:s, s:I, s:i, s:i, s:s}", "outcome",
+				  accepted ? "accepted" : "rejected", "id", verdict->id, "revision",
+				  (json_int_t)verdict->revision, "line", verdict->problem.line,
+				  "column", verdict->problem.column, "reason",
+				  verdict->problem.text));
+	cmd->call = NULL;
+	control_command_free(cmd);
+}
+
+static void control_on_snapshot(void *ctx, int status, int err, bool sent, const char *body,
+				size_t len)
+{
+	struct control *c = ctx;
+
+	(void)err;
+	(void)sent;
+	(void)body;
+	(void)len;
+	c->snapshot_appending = false;
+	c->snapshot_seen_us = tmr_now();
+	log_msg(LOG_INFO, "snapshot_written status=%d revision=%" G_GINT64_FORMAT, status,
+		c->clog.revision);
+}
+
+static const struct hc_ops control_snapshot_ops = {NULL, control_on_snapshot};
+
+static void control_write_snapshot(struct control *c)
+{
+	char *record = clog_snapshot_record(&c->clog);
+	char *url = control_log_url(c, "config");
+	struct hc_request request = {
+		.method = "POST",
+		.url = url,
+		.body = record,
+		.body_len = strlen(record),
+		.connect_ms = CONTROL_CONNECT_MS,
+		.total_ms = c->settings.append_ms,
+	};
+
+	c->snapshot_appending = true;
+	met_add(met_counter("bg_log_appends_total", "stream=\"config\""), 1);
+	hc_start(c->hc, &request, &control_snapshot_ops, c);
+	g_free(url);
+	free(record);
+}
+
+/* How many hosts come before this one as the writer of the next snapshot. */
+static int64_t control_snapshot_rank(const struct control *c, int64_t now_us)
+{
+	unsigned int rank;
+
+	for (rank = 0; rank < c->hosts.hosts->len; rank++) {
+		const struct host *host = host_home(&c->hosts, "snapshot", rank, now_us);
+
+		if (!host || strcmp(host->name, c->settings.name) == 0)
+			break;
+	}
+	return rank;
+}
+
+/*
+ * Records expire, so a snapshot must come well before the oldest record that it replaces is gone.
+ * The host that hashing names writes first; the others wait a little longer each, in case it is
+ * dead. Two snapshots do no harm.
+ */
+void control_log_tick(struct control *c, int64_t now_us)
+{
+	int64_t every = c->settings.retention_s * USEC_PER_SEC / CONTROL_SNAPSHOT_PART;
+	int64_t since = now_us - MAX(c->snapshot_seen_us, c->started_us);
+
+	if (!c->clog.ready || !c->log_ok || c->snapshot_appending || c->clog.next == 0)
+		return;
+	if (since < every)
+		return;
+	if (since >= every + control_snapshot_rank(c, now_us) * CONTROL_RANK_US)
+		control_write_snapshot(c);
+}
--- /dev/null
+++ b/prog/ctl.h
@@ -0,0 +1,36 @@
+#ifndef PROG_CTL_H
+#define PROG_CTL_H
+
+#include <glib.h>
+#include <jansson.h>
+
+/* bgctl: the operators' command line. */
+enum ctl_exit {
+	CTL_OK = 0,
+	CTL_FAILED = 1,	  /* could not be done, or not be reached */
+	CTL_USAGE = 2,	  /* wrong command line, or wrong input */
+	CTL_REJECTED = 3, /* the change was rejected */
+	CTL_UNKNOWN = 4	  /* whether the change was accepted is not known */
+};
+
+struct ctl {
+	char *control; /* address of a control daemon's operators' port */
+	char *token;
+	gboolean json;
+	gboolean wait;
+	gint64 expect;
+	gint wait_ms;
+	char *file;
+};
+
+/* One call to a control daemon. Returns the status, or 0; *body must be released. */
+long ctl_call(const struct ctl *ctl, const char *addr, const char *method, const char *path,
+	      json_t *send, json_t **body);
+
+/* Prints what went wrong in a call and returns the exit status. */
+int ctl_fail(const char *what, long status, json_t *body);
+
+int ctl_show(const struct ctl *ctl, const char *what);
+int ctl_change(const struct ctl *ctl, const char *statements, gint64 expect);
+
+#endif
--- /dev/null
+++ b/prog/entry_call.c
@@ -0,0 +1,662 @@
+#include "prog/entry_call.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "once/once.h"
+
+#include <ck_pr.h>
+#include <string.h>
+
+/* Ties the pure life of a request (req/) to grants, claims, streams and the caller. */
+enum {
+	ENTRY_SWEEP_US = 200000
+};
+
+static void entry_act_ask(void *ctx, unsigned int attempt, char *const *exclude);
+static void entry_act_withdraw(void *ctx, unsigned int attempt);
+static void entry_act_claim(void *ctx, unsigned int attempt, bool supersede);
+static void entry_act_release(void *ctx, unsigned int attempt);
+static void entry_act_dispatch(void *ctx, unsigned int attempt, uint64_t delivered);
+static void entry_act_resume(void *ctx, unsigned int attempt, uint64_t from);
+static void entry_act_cancel(void *ctx, unsigned int attempt, bool stop);
+static void entry_act_ungrant(void *ctx, unsigned int attempt, enum req_grant_end end,
+			      const char *bad);
+static void entry_act_join(void *ctx);
+static void entry_act_deliver(void *ctx, uint64_t index, const char *text, size_t len);
+static void entry_act_finish(void *ctx, enum req_code code, int64_t retry_us);
+static void entry_act_timer(void *ctx, int64_t due_us);
+static void entry_call_check(struct entry_call *call);
+static void entry_call_begin(struct entry_call *call);
+
+static const struct req_ops entry_req_ops = {
+	.ask = entry_act_ask,
+	.withdraw = entry_act_withdraw,
+	.claim = entry_act_claim,
+	.release = entry_act_release,
+	.dispatch = entry_act_dispatch,
+	.resume = entry_act_resume,
+	.cancel = entry_act_cancel,
+	.ungrant = entry_act_ungrant,
+	.join = entry_act_join,
+	.deliver = entry_act_deliver,
+	.finish = entry_act_finish,
+	.timer = entry_act_timer,
+};
+
+static const enum pool_outcome entry_outcomes[] = {
+	[REQ_GRANT_OK] = POOL_OUTCOME_OK,
+	[REQ_GRANT_REFUSED] = POOL_OUTCOME_REFUSED,
+	[REQ_GRANT_STALLED] = POOL_OUTCOME_STALLED,
+	[REQ_GRANT_NOT_RUN] = POOL_OUTCOME_NOT_RUN,
+};
+
+void entry_call_free(struct entry_call *call)
+{
+	if (call->hc)
+		hc_cancel(call->hc);
+	if (call->req_ready)
+		req_finish(&call->req);
+	if (call->http)
+		hd_unref(call->http);
+	if (call->stages)
+		g_ptr_array_free(call->stages, TRUE);
+	g_string_free(call->sse, TRUE);
+	g_ptr_array_free(call->tokens, TRUE);
+	g_ptr_array_free(call->claim_ids, TRUE);
+	g_ptr_array_free(call->joiners, TRUE);
+	g_free(call->request);
+	g_free(call->account);
+	g_free(call->model);
+	g_free(call->version);
+	g_free(call->prompt);
+	g_free(call->key);
+	g_free(call->digest);
+	g_free(call->service);
+	g_free(call->method);
+	g_free(call->rest);
+	g_free(call->body);
+	g_free(call->content_type);
+	g_free(call->service_type);
+	g_free(call->fault_at);
+	g_free(call->run_handle);
+	g_free(call->run_address);
+	g_free(call->winner_id);
+	g_free(call->winner_entry);
+	g_free(call);
+}
+
+/* --- start --- */
+
+void entry_post_call(void *letter)
+{
+	struct entry_call *call = letter;
+	struct entry *e = call->entry;
+
+	call->id = ++e->traffic.last_id;
+	ck_pr_inc_uint(&e->open_calls);
+	g_hash_table_insert(e->traffic.calls, &call->id, call);
+	entry_call_check(call);
+}
+
+/* Ends a call that never became a request. */
+static void entry_call_refuse(struct entry_call *call, enum req_code code, const char *detail)
+{
+	struct entry *e = call->entry;
+	char *labels =
+		g_strdup_printf("account=\"%s\",code=\"%s\"", call->account ? call->account : "",
+				req_code_info(code)->name);
+
+	met_add(met_counter("bg_requests_total", labels), 1);
+	g_free(labels);
+	entry_answer_error(call->http, call->request, code, detail, 0);
+	call->http = NULL;
+	g_hash_table_remove(e->traffic.calls, &call->id);
+	ck_pr_dec_uint(&e->open_calls);
+	entry_call_free(call);
+}
+
+/* Bearer tokens are NAME.SECRET, so one account's hash is compared and not all. */
+static const struct conf_obj *entry_call_account(const struct entry_call *call)
+{
+	const char *token = call->account;
+	const char *dot = token ? strchr(token, '.') : NULL;
+	const struct conf_obj *account;
+	char *name;
+
+	if (!dot)
+		return NULL;
+	name = g_strndup(token, (gsize)(dot - token));
+	account = conf_get(call->entry->traffic.conf, CONF_ACCOUNT, name);
+	g_free(name);
+	if (account && conf_secret_matches(account->text[ACCOUNT_TOKEN], token))
+		return account;
+	return NULL;
+}
+
+/* MODEL is the version that is declared as current; MODEL@VERSION another one that is served. */
+static bool entry_call_version(struct entry_call *call)
+{
+	char *at = strchr(call->model, '@');
+	const struct conf_obj *model;
+
+	if (at) {
+		call->version = g_strdup(at + 1);
+		*at = '\0';
+	}
+	model = conf_get(call->entry->traffic.conf, CONF_MODEL, call->model);
+	if (model && !call->version)
+		call->version = g_strdup(model->text[MODEL_VERSION]);
+	return model != NULL;
+}
+
+static void entry_call_check(struct entry_call *call)
+{
+	struct entry *e = call->entry;
+	const struct conf_obj *account;
+	const struct conf_obj *service;
+
+	if (!e->traffic.conf) {
+		entry_call_refuse(call, REQ_ENOTREADY, NULL);
+		return;
+	}
+	account = entry_call_account(call);
+	if (!account) {
+		g_clear_pointer(&call->account, g_free);
+		entry_call_refuse(call, REQ_EAUTH, NULL);
+		return;
+	}
+	g_free(call->account);
+	call->account = g_strdup(account->name);
+	if (call->kind == ENTRY_SERVICE) {
+		service = conf_get(e->traffic.conf, CONF_SERVICE, call->service);
+		if (!service) {
+			entry_call_refuse(call, REQ_ENOTFOUND, "service");
+			return;
+		}
+		if (service->value[SERVICE_IDEMPOTENT] == 0 && strcmp(call->method, "GET") != 0)
+			call->idempotent = false;
+	} else if (!entry_call_version(call)) {
+		entry_call_refuse(call, REQ_ENOTFOUND, "model");
+		return;
+	} else if (!conf_may_use(account, call->model, call->version)) {
+		entry_call_refuse(call, REQ_EFORBIDDEN, "model");
+		return;
+	} else if (call->max_tokens > (uint64_t)account->value[ACCOUNT_MAX_TOKENS]) {
+		entry_call_refuse(call, REQ_EARGUMENT, "max_tokens");
+		return;
+	}
+	entry_call_begin(call);
+}
+
+struct entry_est *entry_call_est(struct entry_call *call)
+{
+	GHashTable *ests = call->entry->traffic.ests;
+	const char *name = call->kind == ENTRY_SERVICE ? call->service : call->model;
+	struct entry_est *est = g_hash_table_lookup(ests, name);
+
+	if (!est) {
+		est = g_new0(struct entry_est, 1);
+		g_hash_table_insert(ests, g_strdup(name), est);
+	}
+	return est;
+}
+
+static void entry_call_begin(struct entry_call *call)
+{
+	struct entry *e = call->entry;
+	struct entry_est *est = entry_call_est(call);
+	struct req_params params = {
+		.settings = &e->traffic.req_settings,
+		.budget = &e->traffic.budget,
+		.first_est = &est->first,
+		.gap_est = &est->gap,
+		.idempotent = call->idempotent,
+		.service = call->kind == ENTRY_SERVICE,
+		.deadline_us = call->deadline_us,
+		.seed = (uint64_t)e->settings.seed + call->id,
+	};
+
+	req_init(&call->req, &params, &entry_req_ops, call);
+	call->req_ready = true;
+	log_msg(LOG_DEBUG, "request request=%s account=%s", call->request, call->account);
+	req_start(&call->req, tmr_now());
+}
+
+/* --- actions --- */
+
+static void entry_act_ask(void *ctx, unsigned int attempt, char *const *exclude)
+{
+	struct entry_call *call = ctx;
+	struct entry *e = call->entry;
+	struct entry_ask *ask;
+
+	if (call->kind == ENTRY_SERVICE) {
+		struct entry_news *news = g_new0(struct entry_news, 1);
+
+		news->kind = ENTRY_NEWS_GRANTED;
+		news->call_id = call->id;
+		news->attempt = attempt;
+		entry_send_news(e, news);
+		return;
+	}
+	ask = g_new0(struct entry_ask, 1);
+	ask->entry = e;
+	ask->call_id = call->id;
+	ask->attempt = attempt;
+	ask->account = g_strdup(call->account);
+	ask->model = g_strdup(call->model);
+	ask->version = g_strdup(call->version);
+	ask->tokens = call->max_tokens - call->tokens->len;
+	ask->deadline_us = call->deadline_us;
+	ask->exclude = g_strdupv((char **)exclude);
+	loop_post(&e->loop, entry_post_ask, ask);
+}
+
+static struct entry_ungrant *entry_ungrant_new(struct entry_call *call, unsigned int attempt)
+{
+	struct entry_ungrant *ungrant = g_new0(struct entry_ungrant, 1);
+
+	ungrant->entry = call->entry;
+	ungrant->call_id = call->id;
+	ungrant->attempt = attempt;
+	ungrant->tokens = call->tokens->len - call->attempt_first;
+	return ungrant;
+}
+
+static void entry_act_withdraw(void *ctx, unsigned int attempt)
+{
+	struct entry_call *call = ctx;
+
+	if (call->kind != ENTRY_SERVICE)
+		loop_post(&call->entry->loop, entry_post_withdraw,
+			  entry_ungrant_new(call, attempt));
+}
+
+static void entry_act_ungrant(void *ctx, unsigned int attempt, enum req_grant_end end,
+			      const char *bad)
+{
+	struct entry_call *call = ctx;
+	struct entry_ungrant *ungrant;
+
+	if (call->kind == ENTRY_SERVICE)
+		return;
+	ungrant = entry_ungrant_new(call, attempt);
+	ungrant->outcome = entry_outcomes[end];
+	ungrant->bad = g_strdup(bad);
+	loop_post(&call->entry->loop, entry_post_ungrant, ungrant);
+}
+
+static char *entry_endpoint_names(const struct entry_call *call)
+{
+	GString *names = g_string_new(NULL);
+
+	for (guint i = 0; call->stages && i < call->stages->len; i++) {
+		const struct entry_stage *stage = call->stages->pdata[i];
+
+		g_string_append_printf(names, "%s%s", i > 0 ? "," : "", stage->name);
+	}
+	return g_string_free(names, FALSE);
+}
+
+static struct entry_claim *entry_claim_new(struct entry_call *call, unsigned int attempt,
+					   const char *id)
+{
+	struct entry_claim *claim = g_new0(struct entry_claim, 1);
+
+	claim->entry = call->entry;
+	claim->call_id = call->id;
+	claim->attempt = attempt;
+	claim->key = g_strdup_printf("%s/%s", call->account, call->key);
+	claim->id = g_strdup(id);
+	claim->request = g_strdup_printf("%s-%u", call->request, attempt);
+	claim->endpoints = entry_endpoint_names(call);
+	claim->digest = g_strdup(call->digest);
+	claim->supersedes = g_strdup("");
+	return claim;
+}
+
+/* The claim that a new one of this call replaces: another's that was never used, or its own. */
+static const char *entry_superseded(const struct entry_call *call)
+{
+	if (call->winner_id)
+		return call->winner_id;
+	if (call->claim_ids->len > 1)
+		return call->claim_ids->pdata[call->claim_ids->len - 2];
+	return "";
+}
+
+/*
+ * Without a key no other request can be the same one, so there is nothing to claim; it still is
+ * dispatched at most once.
+ */
+static void entry_act_claim(void *ctx, unsigned int attempt, bool supersede)
+{
+	struct entry_call *call = ctx;
+	struct entry *e = call->entry;
+	struct entry_claim *claim;
+	char *id;
+
+	if (!call->key) {
+		struct entry_news *news = g_new0(struct entry_news, 1);
+
+		news->kind = ENTRY_NEWS_CLAIM;
+		news->call_id = call->id;
+		news->attempt = attempt;
+		news->verdict = ONCE_WON;
+		entry_send_news(e, news);
+		return;
+	}
+	id = g_strdup_printf("%s/%u", call->request, attempt);
+	g_ptr_array_add(call->claim_ids, id);
+	g_hash_table_insert(e->traffic.claims, id, call);
+	claim = entry_claim_new(call, attempt, id);
+	if (supersede) {
+		g_free(claim->supersedes);
+		claim->supersedes = g_strdup(entry_superseded(call));
+	}
+	loop_post(&e->loop, entry_post_claim, claim);
+}
+
+static void entry_act_release(void *ctx, unsigned int attempt)
+{
+	struct entry_call *call = ctx;
+
+	for (guint i = 0; i < call->claim_ids->len; i++)
+		loop_post(&call->entry->loop, entry_post_release,
+			  entry_claim_new(call, attempt, call->claim_ids->pdata[i]));
+}
+
+static void entry_act_dispatch(void *ctx, unsigned int attempt, uint64_t delivered)
+{
+	struct entry_call *call = ctx;
+
+	call->attempt_first = delivered;
+	entry_stream_dispatch(call, attempt, delivered);
+}
+
+static void entry_act_resume(void *ctx, unsigned int attempt, uint64_t from)
+{
+	struct entry_call *call = ctx;
+
+	(void)attempt;
+	log_msg(LOG_INFO, "resume request=%s run=%s from=%" G_GUINT64_FORMAT, call->request,
+		call->run_handle ? call->run_handle : "", from);
+	entry_stream_resume(call, from);
+}
+
+static void entry_act_cancel(void *ctx, unsigned int attempt, bool stop)
+{
+	(void)attempt;
+	entry_stream_cancel(ctx, stop);
+}
+
+static void entry_act_join(void *ctx)
+{
+	entry_join(ctx);
+}
+
+static void entry_act_deliver(void *ctx, uint64_t index, const char *text, size_t len)
+{
+	struct entry_call *call = ctx;
+	int64_t now = tmr_now();
+	char *labels = g_strdup_printf("account=\"%s\"", call->account);
+
+	if (call->last_token_us == 0)
+		met_observe(met_histogram("bg_first_token_us", labels), now - call->began_us);
+	else
+		met_observe(met_histogram("bg_token_gap_us", labels), now - call->last_token_us);
+	g_free(labels);
+	call->last_token_us = now;
+	g_ptr_array_add(call->tokens, g_bytes_new(text, len));
+	entry_answer_token(call, index, text, len);
+}
+
+static void entry_call_count(const struct entry_call *call, enum req_code code)
+{
+	char *labels = g_strdup_printf("account=\"%s\",code=\"%s\"", call->account,
+				       req_code_info(code)->name);
+
+	met_add(met_counter("bg_requests_total", labels), 1);
+	g_free(labels);
+	labels = g_strdup_printf("account=\"%s\"", call->account);
+	met_observe(met_histogram("bg_request_us", labels), tmr_now() - call->began_us);
+	met_add(met_counter("bg_tokens_total", labels), call->tokens->len);
+	g_free(labels);
+}
+
+/*
+ * A call that claimed a key is kept for a while after its end: another entry host may ask what
+ * became of it.
+ */
+static void entry_act_finish(void *ctx, enum req_code code, int64_t retry_us)
+{
+	struct entry_call *call = ctx;
+	struct entry *e = call->entry;
+
+	call->finished = true;
+	call->finished_us = tmr_now();
+	call->code = code;
+	log_msg(code == REQ_OK ? LOG_DEBUG : LOG_INFO,
+		"request_end request=%s account=%s code=%s tokens=%u attempts=%u", call->request,
+		call->account, req_code_info(code)->name, call->tokens->len, call->req.attempt);
+	entry_call_count(call, code);
+	tmr_cancel(&e->traffic.loop.tmr, &call->timer);
+	entry_answer_finish(call, code, retry_us);
+	entry_join_tell(call);
+	g_queue_push_tail(e->traffic.kept, call);
+	ck_pr_dec_uint(&e->open_calls);
+}
+
+static void entry_on_timer(void *ctx, int64_t now_us)
+{
+	struct entry_call *call = ctx;
+
+	req_on_timer(&call->req, now_us);
+}
+
+static void entry_act_timer(void *ctx, int64_t due_us)
+{
+	struct entry_call *call = ctx;
+
+	tmr_set(&call->entry->traffic.loop.tmr, &call->timer, due_us, entry_on_timer, call);
+}
+
+/* --- news from the control thread --- */
+
+static void entry_news_free(struct entry_news *news)
+{
+	if (news->stages)
+		g_ptr_array_free(news->stages, TRUE);
+	if (news->hosts)
+		g_ptr_array_free(news->hosts, TRUE);
+	conf_state_unref(news->conf);
+	g_free(news->winner_id);
+	g_free(news->winner_request);
+	g_free(news->winner_entry);
+	g_free(news->winner_endpoints);
+	g_free(news->winner_digest);
+	g_free(news);
+}
+
+static void entry_news_granted(struct entry_call *call, struct entry_news *news)
+{
+	guint n = news->stages ? news->stages->len : 0;
+	char **names = g_new0(char *, n + 1);
+
+	for (guint i = 0; i < n; i++)
+		names[i] = ((struct entry_stage *)news->stages->pdata[i])->name;
+	if (call->req.state != REQ_DONE && call->req.attempt == news->attempt) {
+		if (call->stages)
+			g_ptr_array_free(call->stages, TRUE);
+		call->stages = news->stages;
+		news->stages = NULL;
+	}
+	req_on_granted(&call->req, news->attempt, names, tmr_now());
+	g_free(names);
+}
+
+static const char *entry_stage_address(struct entry *e, const char *endpoints)
+{
+	char *first = g_strndup(endpoints, strcspn(endpoints, ","));
+	const struct conf_obj *obj = conf_get(e->traffic.conf, CONF_ENDPOINT, first);
+
+	g_free(first);
+	return obj ? obj->text[ENDPOINT_ADDRESS] : NULL;
+}
+
+static void entry_news_claim(struct entry_call *call, struct entry_news *news)
+{
+	enum req_claim_verdict verdict = REQ_CLAIM_OUT;
+
+	if (news->verdict == ONCE_WON)
+		verdict = REQ_CLAIM_WON;
+	if (news->verdict == ONCE_LOST && call->req.state == REQ_WAIT_CLAIM) {
+		verdict = strcmp(news->winner_digest, call->digest) == 0 ? REQ_CLAIM_LOST
+									 : REQ_CLAIM_REUSED;
+		g_free(call->winner_id);
+		g_free(call->winner_entry);
+		g_free(call->run_handle);
+		g_free(call->run_address);
+		call->winner_id = g_strdup(news->winner_id);
+		call->winner_entry = g_strdup(news->winner_entry);
+		call->run_handle = g_strdup(news->winner_request);
+		call->run_address =
+			g_strdup(entry_stage_address(call->entry, news->winner_endpoints));
+	}
+	req_on_claim(&call->req, news->attempt, verdict, tmr_now());
+}
+
+static void entry_news_view(struct entry *e, struct entry_news *news)
+{
+	conf_state_unref(e->traffic.conf);
+	e->traffic.conf = news->conf;
+	news->conf = NULL;
+	if (e->traffic.hosts)
+		g_ptr_array_free(e->traffic.hosts, TRUE);
+	e->traffic.hosts = news->hosts;
+	news->hosts = NULL;
+	ck_pr_store_64(&e->revision, (uint64_t)news->revision);
+}
+
+void entry_on_news(void *letter)
+{
+	struct entry_news *news = letter;
+	struct entry *e = news->entry;
+	struct entry_call *call = g_hash_table_lookup(e->traffic.calls, &news->call_id);
+
+	if (news->kind == ENTRY_NEWS_VIEW) {
+		entry_news_view(e, news);
+	} else if (news->kind == ENTRY_NEWS_DRAIN) {
+		e->traffic.draining = true;
+	} else if (call && !call->finished) {
+		if (news->kind == ENTRY_NEWS_GRANTED)
+			entry_news_granted(call, news);
+		else if (news->kind == ENTRY_NEWS_REFUSED)
+			req_on_refused(&call->req, news->attempt, news->refusal, news->retry_us,
+				       tmr_now());
+		else if (news->kind == ENTRY_NEWS_BREAK)
+			req_on_break(&call->req, news->attempt, news->why, NULL, tmr_now());
+		else
+			entry_news_claim(call, news);
+	}
+	entry_news_free(news);
+}
+
+/* --- housekeeping --- */
+
+static void entry_forget(struct entry *e, struct entry_call *call)
+{
+	for (guint i = 0; i < call->claim_ids->len; i++)
+		g_hash_table_remove(e->traffic.claims, call->claim_ids->pdata[i]);
+	g_hash_table_remove(e->traffic.calls, &call->id);
+	entry_call_free(call);
+}
+
+static void entry_sweep_kept(struct entry *e, int64_t now_us)
+{
+	int64_t keep_us = e->settings.keep_s * USEC_PER_SEC;
+
+	for (GList *l = e->traffic.kept->head; l;) {
+		struct entry_call *call = l->data;
+		GList *next = l->next;
+
+		if (call->claim_ids->len == 0 || now_us - call->finished_us > keep_us) {
+			g_queue_delete_link(e->traffic.kept, l);
+			entry_forget(e, call);
+		}
+		l = next;
+	}
+}
+
+/* A caller that hangs up must not go on holding an endpoint. */
+static void entry_sweep(void *ctx, int64_t now_us)
+{
+	struct entry *e = ctx;
+	GList *calls = g_hash_table_get_values(e->traffic.calls);
+
+	for (GList *l = calls; l; l = l->next) {
+		struct entry_call *call = l->data;
+
+		if (call->finished || !call->http || !hd_gone(call->http))
+			continue;
+		hd_unref(call->http);
+		call->http = NULL;
+		met_add(met_counter("bg_callers_gone_total", ""), 1);
+		req_on_caller_gone(&call->req, now_us);
+	}
+	g_list_free(calls);
+	entry_sweep_kept(e, now_us);
+	e->traffic.cpu_us = loop_cpu_us();
+	loop_after(&e->traffic.loop, &e->traffic.sweep, ENTRY_SWEEP_US, entry_sweep, e);
+}
+
+static void *entry_traffic_main(void *ctx)
+{
+	struct entry *e = ctx;
+
+	loop_run(&e->traffic.loop);
+	return NULL;
+}
+
+static void entry_traffic_settings(struct entry *e)
+{
+	const struct entry_settings *s = &e->settings;
+	struct req_settings *r = &e->traffic.req_settings;
+
+	r->first_floor_us = s->first_floor_ms * USEC_PER_MSEC;
+	r->first_ceiling_us = s->first_ceiling_ms * USEC_PER_MSEC;
+	r->gap_floor_us = s->gap_floor_ms * USEC_PER_MSEC;
+	r->gap_ceiling_us = s->gap_ceiling_ms * USEC_PER_MSEC;
+	r->claim_us = s->claim_ms * USEC_PER_MSEC;
+	r->dispatch_us = s->dispatch_ms * USEC_PER_MSEC;
+	r->backoff_us = s->backoff_ms * USEC_PER_MSEC;
+	r->resume_us = s->resume_ms * USEC_PER_MSEC;
+	r->retry_after_us = USEC_PER_SEC;
+	r->attempts = (unsigned int)s->attempts;
+	req_budget_init(&e->traffic.budget, (double)s->retry_burst, (double)s->retry_percent / 100);
+}
+
+int entry_traffic_start(struct entry *e)
+{
+	struct entry_traffic *t = &e->traffic;
+	int err = loop_init(&t->loop);
+
+	if (err < 0)
+		return err;
+	entry_traffic_settings(e);
+	t->hc = hc_new(&t->loop);
+	t->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	t->claims = g_hash_table_new(g_str_hash, g_str_equal);
+	t->kept = g_queue_new();
+	t->ests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	err = entry_join_start(e);
+	if (err < 0) {
+		log_msg(LOG_ERR, "listen_failed addr=%s reason=\"%s\"", e->settings.peer,
+			base_strerror(err));
+		return err;
+	}
+	loop_after(&t->loop, &t->sweep, ENTRY_SWEEP_US, entry_sweep, e);
+	if (pthread_create(&t->thread, NULL, entry_traffic_main, e) != 0)
+		return BASE_ESYS;
+	return 0;
+}
--- /dev/null
+++ b/prog/entry_stream.c
@@ -0,0 +1,332 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "prog/entry_call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Streams to and from engines, and single calls to plain services. */
+enum {
+	ENTRY_CANCEL_MS = 1000
+};
+
+static void entry_on_data(void *ctx, const char *data, size_t len);
+static void entry_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void entry_on_service_done(void *ctx, int status, int err, bool sent, const char *body,
+				  size_t len);
+static void entry_on_canceled(void *ctx, int status, int err, bool sent, const char *body,
+			      size_t len);
+static void entry_service_dispatch(struct entry_call *call);
+
+static const struct hc_ops entry_stream_ops = {entry_on_data, entry_on_done};
+static const struct hc_ops entry_service_ops = {NULL, entry_on_service_done};
+static const struct hc_ops entry_cancel_ops = {NULL, entry_on_canceled};
+
+/* --- the engine's stream --- */
+
+static char *entry_dispatch_body(const struct entry_call *call, unsigned int attempt,
+				 uint64_t delivered)
+{
+	json_t *route = json_array();
+	json_t *json;
+	char *text;
+
+	for (guint i = 0; i < call->stages->len; i++) {
+		const struct entry_stage *stage = call->stages->pdata[i];
+
+		json_array_append_new(route, json_pack("{s:s, s:s, s:i, s:i}", "endpoint",
+						       stage->name, "address", stage->address,
+						       "first", stage->first, "last", stage->last));
+	}
+	json = json_pack("{s:s, s:s, s:s, s:I, s:s, s:i, s:I, s:s, s:b, s:o}", "model", call->model,
+			 "version", call->version, "prompt", call->prompt, "max_tokens",
+			 (json_int_t)call->max_tokens, "request_id", call->request, "attempt",
+			 (int)attempt, "resume", (json_int_t)delivered, "key",
+			 call->key ? call->key : "", "detached", !call->idempotent, "route", route);
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return text;
+}
+
+/* The request must not be called from inside its own action; it hears of this a moment later. */
+static void entry_post_break(struct entry_call *call, enum req_break why)
+{
+	struct entry_news *news = g_new0(struct entry_news, 1);
+
+	news->kind = ENTRY_NEWS_BREAK;
+	news->call_id = call->id;
+	news->attempt = call->req.attempt;
+	news->why = why;
+	entry_send_news(call->entry, news);
+}
+
+/* An earlier stream of the call may still be open: the engine said that its run has failed. */
+static void entry_stream_reset(struct entry_call *call)
+{
+	if (call->hc)
+		hc_cancel(call->hc);
+	call->hc = NULL;
+	g_string_truncate(call->sse, 0);
+	call->ended_well = false;
+	g_clear_pointer(&call->fault_at, g_free);
+}
+
+void entry_stream_dispatch(struct entry_call *call, unsigned int attempt, uint64_t delivered)
+{
+	const struct entry_stage *first;
+	char *body;
+	char *url;
+	struct hc_request request = {
+		.method = "POST",
+		.connect_ms = ENTRY_CONNECT_MS,
+		.fresh = attempt > 1,
+	};
+
+	if (call->kind == ENTRY_SERVICE) {
+		entry_service_dispatch(call);
+		return;
+	}
+	entry_stream_reset(call);
+	if (call->stages->len == 0) {
+		entry_post_break(call, REQ_BREAK_NOT_SENT);
+		return;
+	}
+	first = call->stages->pdata[0];
+	g_free(call->run_handle);
+	g_free(call->run_address);
+	call->run_handle = g_strdup_printf("%s-%u", call->request, attempt);
+	call->run_address = g_strdup(first->address);
+	body = entry_dispatch_body(call, attempt, delivered);
+	url = g_strdup_printf("http://%s/v1/completions", first->address);
+	request.url = url;
+	request.body = body;
+	request.body_len = strlen(body);
+	call->hc = hc_start(call->entry->traffic.hc, &request, &entry_stream_ops, call);
+	g_free(url);
+	free(body);
+}
+
+/*
+ * Attaches to a run that exists already, always on a new connection: the old one may be silent for
+ * good though the run goes on.
+ */
+void entry_stream_resume(struct entry_call *call, uint64_t from)
+{
+	char *url;
+	struct hc_request request = {
+		.method = "GET",
+		.connect_ms = ENTRY_CONNECT_MS,
+		.fresh = true,
+	};
+
+	entry_stream_cancel(call, false);
+	entry_stream_reset(call);
+	if (!call->run_address || !call->run_handle) {
+		entry_post_break(call, REQ_BREAK_MISSING);
+		return;
+	}
+	url = g_strdup_printf("http://%s/v1/requests/%s?from=%" G_GUINT64_FORMAT, call->run_address,
+			      call->run_handle, from);
+	request.url = url;
+	call->hc = hc_start(call->entry->traffic.hc, &request, &entry_stream_ops, call);
+	g_free(url);
+}
+
+static void entry_on_canceled(void *ctx, int status, int err, bool sent, const char *body,
+			      size_t len)
+{
+	(void)ctx;
+	(void)err;
+	(void)sent;
+	(void)body;
+	(void)len;
+	if (status != 200)
+		met_add(met_counter("bg_cancel_failures_total", ""), 1);
+}
+
+/* Closing the stream is enough for most engines; a detached run has to be told. */
+void entry_stream_cancel(struct entry_call *call, bool stop)
+{
+	char *url;
+	struct hc_request request = {
+		.method = "DELETE",
+		.connect_ms = ENTRY_CONNECT_MS,
+		.total_ms = ENTRY_CANCEL_MS,
+		.fresh = true,
+	};
+
+	if (call->hc)
+		hc_cancel(call->hc);
+	call->hc = NULL;
+	if (!stop || call->kind == ENTRY_SERVICE || !call->run_address)
+		return;
+	url = g_strdup_printf("http://%s/v1/requests/%s", call->run_address, call->run_handle);
+	request.url = url;
+	hc_start(call->entry->traffic.hc, &request, &entry_cancel_ops, NULL);
+	g_free(url);
+}
+
+static void entry_on_frame(struct entry_call *call, const json_t *json)
+{
+	const json_t *text = json_object_get(json, "text");
+	const json_t *index = json_object_get(json, "index");
+	const char *at = json_string_value(json_object_get(json, "endpoint"));
+	unsigned int attempt = call->req.attempt;
+
+	if (json_is_string(text) && json_is_integer(index)) {
+		req_on_token(&call->req, attempt, (uint64_t)json_integer_value(index),
+			     json_string_value(text), json_string_length(text), tmr_now());
+	} else if (json_is_true(json_object_get(json, "done"))) {
+		call->ended_well = true;
+		req_on_end(&call->req, attempt,
+			   (uint64_t)json_integer_value(json_object_get(json, "count")), tmr_now());
+	} else if (json_object_get(json, "error")) {
+		g_free(call->fault_at);
+		call->fault_at = g_strdup(at && at[0] ? at : NULL);
+		call->ended_well = true;
+		req_on_break(&call->req, attempt, REQ_BREAK_FAILED, call->fault_at, tmr_now());
+	}
+}
+
+/* Server-sent events: frames are lines "data: JSON" with an empty line behind each. */
+static void entry_on_data(void *ctx, const char *data, size_t len)
+{
+	struct entry_call *call = ctx;
+	const struct hc_call *stream = call->hc;
+	char *end;
+
+	g_string_append_len(call->sse, data, (gssize)len);
+	while (call->hc == stream && (end = strstr(call->sse->str, "\n\n"))) {
+		gsize used = (gsize)(end - call->sse->str) + 2;
+		const char *payload = prog_path_below(call->sse->str, "data: ");
+		json_t *json = NULL;
+
+		if (payload)
+			json = json_loadb(payload, (size_t)(end - payload), 0, NULL);
+		g_string_erase(call->sse, 0, (gssize)used);
+		if (json)
+			entry_on_frame(call, json);
+		else
+			met_add(met_counter("bg_stream_frames_refused_total", ""), 1);
+		json_decref(json);
+	}
+}
+
+/*
+ * What the end of a stream means. "Not run" counts only when the engine itself says so, or when no
+ * connection was ever there; anything else may have run.
+ */
+static enum req_break entry_break_of(int status, bool sent, const char *body, size_t len)
+{
+	json_t *json = json_loadb(body, len, 0, NULL);
+	const char *ran = json_string_value(json_object_get(json, "ran"));
+	enum req_break why = REQ_BREAK_LOST;
+
+	if (status == 404)
+		why = REQ_BREAK_MISSING;
+	else if (status >= 400 && ran && strcmp(ran, "no") == 0)
+		why = REQ_BREAK_NOT_RUN;
+	else if (status == 0 && !sent)
+		why = REQ_BREAK_NOT_SENT;
+	json_decref(json);
+	return why;
+}
+
+static void entry_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct entry_call *call = ctx;
+	enum req_break why = entry_break_of(status, sent, body, len);
+	const struct entry_stage *first =
+		call->stages && call->stages->len > 0 ? call->stages->pdata[0] : NULL;
+
+	call->hc = NULL;
+	if (call->ended_well || call->finished)
+		return;
+	if (why == REQ_BREAK_NOT_SENT && call->req.state == REQ_RESUMING)
+		why = REQ_BREAK_LOST;
+	log_msg(LOG_INFO,
+		"attempt_broken request=%s attempt=%u endpoint=%s status=%d reason=\"%s\"",
+		call->request, call->req.attempt, first ? first->name : "", status,
+		base_strerror(err));
+	met_add(met_counter("bg_attempts_broken_total", ""), 1);
+	req_on_break(&call->req, call->req.attempt, why,
+		     first && why != REQ_BREAK_NOT_RUN ? first->name : NULL, tmr_now());
+}
+
+/* --- plain services --- */
+
+static char *entry_service_address(struct entry_call *call)
+{
+	const struct conf_obj *service =
+		conf_get(call->entry->traffic.conf, CONF_SERVICE, call->service);
+	gchar **list;
+	char *address;
+
+	if (!service)
+		return NULL;
+	list = g_strsplit(service->text[SERVICE_ADDRESS], ",", -1);
+	address = g_strdup(list[(call->id + call->service_turn++) % g_strv_length(list)]);
+	g_strfreev(list);
+	return address;
+}
+
+static void entry_service_dispatch(struct entry_call *call)
+{
+	char *address = entry_service_address(call);
+	char *url;
+	char *type;
+	char *key;
+	char *request_id;
+	const char *headers[4];
+	struct hc_request request = {
+		.method = call->method,
+		.connect_ms = ENTRY_CONNECT_MS,
+		.body = call->body_len > 0 ? call->body : NULL,
+		.body_len = call->body_len,
+		.fresh = !call->idempotent,
+	};
+
+	if (!address) {
+		entry_post_break(call, REQ_BREAK_NOT_SENT);
+		return;
+	}
+	url = g_strdup_printf("http://%s/%s", address, call->rest);
+	type = g_strdup_printf("Content-Type: %s", call->content_type);
+	key = g_strdup_printf("Idempotency-Key: %s", call->key ? call->key : call->request);
+	request_id = g_strdup_printf("Bg-Request: %s", call->request);
+	headers[0] = type;
+	headers[1] = key;
+	headers[2] = request_id;
+	headers[3] = NULL;
+	request.url = url;
+	request.headers = headers;
+	entry_stream_reset(call);
+	call->hc = hc_start(call->entry->traffic.hc, &request, &entry_service_ops, call);
+	g_free(url);
+	g_free(type);
+	g_free(key);
+	g_free(request_id);
+	g_free(address);
+}
+
+/* Any answer of the service is the answer; its status is the caller's business. */
+static void entry_on_service_done(void *ctx, int status, int err, bool sent, const char *body,
+				  size_t len)
+{
+	struct entry_call *call = ctx;
+
+	call->hc = NULL;
+	if (call->finished)
+		return;
+	if (status == 0) {
+		log_msg(LOG_INFO, "service_broken request=%s service=%s reason=\"%s\"",
+			call->request, call->service, base_strerror(err));
+		req_on_break(&call->req, call->req.attempt,
+			     sent ? REQ_BREAK_LOST : REQ_BREAK_NOT_SENT, NULL, tmr_now());
+		return;
+	}
+	call->service_status = status;
+	req_on_token(&call->req, call->req.attempt, 0, body, len, tmr_now());
+	req_on_end(&call->req, call->req.attempt, 1, tmr_now());
+}
--- /dev/null
+++ b/regress/proc/path.sh
@@ -0,0 +1,42 @@
+# The whole path: a request's route covers every layer once, in order, as the engine's ledger shows,
+# on both hosts, streamed and not; bad input is refused with its place and did not run.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 2 --endpoints 4
+
+for entry in $ENTRY_0 $ENTRY_1; do
+	answer=$(complete "$entry" 12 "plain $entry")
+	whole "$(jq -r '.choices[0].text' <<<"$answer")" 12
+	complete_stream "$entry" 12 "stream $entry" >"$dir/stream"
+	whole "$(stream_text "$dir/stream")" 12
+	grep -q '^data: \[DONE\]' "$dir/stream" || fail "no end mark"
+done
+no_violations
+before=$(ledger '.runs | length')
+
+# expect STATUS CODE BODY [curl options]
+expect()
+{
+	local status=$1 code=$2 body=$3 got
+
+	shift 3
+	got=$(http -D "$dir/headers" -o "$dir/body" -w '%{http_code}' \
+		-H "Authorization: Bearer ${token:-$TOKEN_0}" "$@" -d "$body" "http://$ENTRY_0/v1/completions")
+	[ "$got" = "$status" ] || fail "expected status $status, got $got: $body"
+	[ "$(jq -r .error.code "$dir/body")" = "$code" ] || fail "expected $code: $(cat "$dir/body")"
+	grep -qi '^Bg-Ran: no' "$dir/headers" || fail "no Bg-Ran: no for $code"
+}
+expect 400 bad_body '{"model":"m1"'
+expect 400 bad_body '[]'
+expect 400 bad_body '{"model":"m1","prompt":5}'
+expect 400 bad_body '{"model":"m1","prompt":"x","max_tokens":-1}'
+expect 400 bad_argument '{"model":"m1","prompt":"x","max_tokens":100000}'
+expect 400 bad_argument '{"model":"m1","prompt":"x"}' -H 'Bg-Deadline-Ms: soon'
+token=farm.wrong expect 401 unauthorized '{"model":"m1","prompt":"x"}'
+expect 404 not_found '{"model":"m9","prompt":"x"}'
+head -c 2000000 /dev/zero | tr '\0' ' ' >"$dir/large"
+expect 413 too_large "@$dir/large"
+bgctl --wait "account mill models m1@v7" >/dev/null
+got=$(http -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $TOKEN_1" \
+	-d '{"model":"m1","prompt":"x"}' "http://$ENTRY_0/v1/completions")
+[ "$got" = 403 ] || fail "expected 403, got $got"
+[ "$(ledger '.runs | length')" = "$before" ] || fail "something ran that was refused"
