--- /dev/null
+++ b/regress/proc/frames.sh
@@ -0,0 +1,35 @@
+# Symptom: a daemon crashes or hangs on what somebody else sends to its port.
+# Sequence: frames that are too large, malformed, of unknown kinds, or cut off.
+# Cause: trusting the length or the kind that a frame announces.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 2 --endpoints 2
+
+send()
+{
+	local addr=$1
+
+	exec 3<>"/dev/tcp/${addr%:*}/${addr#*:}"
+	printf '%b' "$2" >&3
+	# The other end closes, or waits for the rest of a frame that never comes.
+	timeout 5 cat <&3 >/dev/null || true
+	exec 3<&- 3>&-
+}
+
+for addr in $FRAMES_0 $PEER_0; do
+	send "$addr" '\xff\xff\xff\xff\x00\x01'
+	send "$addr" '\x00\x00\x00\x04\x00\x01\xff\xff\xff\xff'
+	send "$addr" '\x00\x00\x00\x00\x7f\xff'
+	send "$addr" 'GET / HTTP/1.1\r\n\r\n'
+done
+complete "$ENTRY_0" 4 "still there" >"$dir/a"
+whole "$(jq -r '.choices[0].text' "$dir/a")" 4
+refused=$(http "http://$CONTROL_0/metrics" | sed -n 's/^bg_frames_refused_total{} //p')
+[ "$refused" -ge 3 ] || fail "refused frames are not counted: $refused"
+
+# Operators need their token.
+code=$(http -o /dev/null -w '%{http_code}' "http://$CONTROL_0/v1/config")
+[ "$code" = 401 ] || fail "configuration without a token: $code"
+code=$(http -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $TOKEN_0" \
+	-d '{"statements":"","id":"x"}' "http://$CONTROL_0/v1/change")
+[ "$code" = 401 ] || fail "an account's token changed the configuration: $code"
+if grep -rq "${TOKEN_0#*.}\|${OPERATOR_TOKEN#*.}" "$dir"/*.log; then fail "a token was logged"; fi
--- /dev/null
+++ b/regress/proc/hosts.sh
@@ -0,0 +1,53 @@
+# Symptom: requests fail or hang because another host is dead, though this one works.
+# Sequence: control daemons die while the platform's list still names them; all of them die; they
+# come back.
+# Cause: waiting for a host that the list calls live.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 3 --endpoints 4
+
+text_of()
+{
+	jq -r '.choices[0].text' <"$1"
+}
+
+fault_platform '{"hosts_frozen":true}'
+complete_stream "$ENTRY_1" 80 "over a lost home" >"$dir/s" &
+pid=$!
+eventually "the stream has begun" tokens_in "$dir/s" 5
+kill -KILL "$PID_CONTROL_0" "$PID_CONTROL_1"
+for i in 1 2 3; do
+	complete "$ENTRY_2" 4 "one control daemon left $i" >"$dir/a"
+	whole "$(text_of "$dir/a")" 4
+done
+wait $pid
+whole "$(stream_text "$dir/s")" 80
+
+# None is left: entries decide alone from their last view.
+kill -KILL "$PID_CONTROL_2"
+for entry in $ENTRY_0 $ENTRY_1 $ENTRY_2; do
+	complete "$entry" 4 "no control daemon left" >"$dir/a"
+	whole "$(text_of "$dir/a")" 4
+done
+http "http://$ENTRY_0/metrics" | grep -q '^bg_grants_decided_alone_total' || fail "not decided alone"
+
+# They come back and are homes again.
+fault_platform '{"hosts_frozen":false}'
+start control-0
+start control-1
+start control-2
+is_home()
+{
+	complete "$ENTRY_1" 2 "back" >/dev/null
+	[ "$(bgctl show bound 2>/dev/null | grep -c host-)" -ge 1 ]
+}
+eventually "a control daemon is home again" is_home
+
+# A host whose control daemon is gone for long follows another's.
+kill -KILL "$PID_CONTROL_2"
+in_force()
+{
+	[ "$(http "http://$ENTRY_2/metrics" | sed -n 's/^bg_config_revision{} //p')" = "$1" ]
+}
+bgctl account mill share 2 >"$dir/a"
+eventually "host-2 has the change from another host" in_force "$(sed -n 's/.*revision //p' "$dir/a")"
+no_violations
--- /dev/null
+++ b/regress/proc/leaving.sh
@@ -0,0 +1,80 @@
+# Symptom: a planned stop cuts requests off, or an endpoint that leaves goes on getting work.
+# Sequence: drains and SIGTERM under load.
+# Cause: stopping before what is in progress has ended, or news of leaving that does not arrive.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 3 --endpoints 4
+
+granted()
+{
+	bgctl --json show endpoints | jq --arg e "$1" \
+		'[.[].endpoints[] | select(.endpoint == $e) | .granted] | add'
+}
+
+loads()
+{
+	for i in 1 2 3 4 5 6 7 8; do
+		complete "$ENTRY_1" 3 "load $i" >/dev/null
+	done
+}
+
+# By an operator: nothing new once the change is in force.
+bgctl --wait drain endpoint e0 >/dev/null
+before=$(granted e0)
+loads
+[ "$(granted e0)" = "$before" ] || fail "a drained endpoint got new work"
+bgctl --wait admit endpoint e0 >/dev/null
+
+# By the endpoint's own word.
+fault_engine e2 leave
+is_leaving()
+{
+	bgctl show endpoints | grep -q 'e2 .*leaving'
+}
+eventually "e2 is known to leave" is_leaving
+before=$(granted e2)
+loads
+[ "$(granted e2)" = "$before" ] || fail "a leaving endpoint got new work"
+fault_engine e2 revive
+
+# A host is stopped with requests in progress, streamed and not: all of them end well.
+pids=()
+for i in 1 2 3 4; do
+	complete_stream "$ENTRY_0" 80 "stop stream $i" >"$dir/s$i" &
+	pids+=($!)
+	complete "$ENTRY_0" 80 "stop plain $i" >"$dir/p$i" &
+	pids+=($!)
+done
+eventually "streams have begun" tokens_in "$dir/s4" 5
+kill -TERM "$PID_ENTRY_0" "$PID_CONTROL_0"
+not_ready()
+{
+	[ "$(http -o /dev/null -w '%{http_code}' "http://$ENTRY_0/readyz")" = 503 ]
+}
+eventually "the balancer is told" not_ready
+complete "$ENTRY_0" 4 "the balancer lags" >"$dir/late"
+whole "$(jq -r '.choices[0].text' "$dir/late")" 4
+for pid in "${pids[@]}"; do
+	wait "$pid" || fail "a request was cut off"
+done
+for i in 1 2 3 4; do
+	whole "$(stream_text "$dir/s$i")" 80
+	whole "$(jq -r '.choices[0].text' "$dir/p$i")" 80
+done
+ended()
+{
+	! kill -0 "$1"
+}
+eventually "the entry daemon ends" ended "$PID_ENTRY_0"
+eventually "the control daemon ends" ended "$PID_CONTROL_0"
+
+# A drained host is not ready and no home; admitted, it is again.
+export BRONZEGAUGE_CONTROL=$CONTROL_1
+bgctl drain host host-2 >/dev/null
+readyz_is()
+{
+	[ "$(http -o /dev/null -w '%{http_code}' "http://$1/readyz")" = "$2" ]
+}
+eventually "a drained host is not ready" readyz_is "$ENTRY_2" 503
+bgctl admit host host-2 >/dev/null
+eventually "an admitted host is ready" readyz_is "$ENTRY_2" 200
+no_violations
--- /dev/null
+++ b/regress/proc/once.sh
@@ -0,0 +1,88 @@
+# Symptom: two trucks are sent for one load.
+# Sequence: the caller asks again through another host, or both at once, while hosts die.
+# Cause: no host alone knows what another has done; the order of the log decides.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 3 --endpoints 4
+
+ask()
+{
+	local entry=$1 key=$2 tokens=$3
+
+	complete "$entry" "$tokens" "confirm $key" -H 'Bg-Idempotent: no' -H "Idempotency-Key: $key"
+}
+
+text_of()
+{
+	jq -r '.choices[0].text' <"$1"
+}
+
+# Both at the same moment, many times.
+for i in 1 2 3 4 5; do
+	ask "$ENTRY_0" "both-$i" 8 >"$dir/a" &
+	a=$!
+	ask "$ENTRY_1" "both-$i" 8 >"$dir/b" &
+	b=$!
+	wait $a $b
+	whole "$(text_of "$dir/a")" 8
+	[ "$(text_of "$dir/a")" = "$(text_of "$dir/b")" ] || fail "two answers for one key"
+	ran_once "both-$i"
+done
+
+# The first entry host dies mid answer: who asks again gets the whole answer, and nothing ran twice.
+ask "$ENTRY_0" dies 80 >"$dir/a" &
+a=$!
+running()
+{
+	[ "$(ledger --arg k "$1" '[.runs[] | select(.key == $k) | .tokens] | add // 0')" -ge 5 ]
+}
+eventually "the run has begun" running dies
+kill -KILL "$PID_ENTRY_0"
+wait $a || true
+ask "$ENTRY_1" dies 80 >"$dir/b"
+whole "$(text_of "$dir/b")" 80
+ran_once dies
+
+# Plain services: the second asker gets the first one's answer.
+book()
+{
+	http -H "Authorization: Bearer $TOKEN_0" -H "Idempotency-Key: $2" -d '{"lot":7}' \
+		"http://$1/svc/booking/loads"
+}
+book "$ENTRY_1" svc >"$dir/a" &
+a=$!
+book "$ENTRY_2" svc >"$dir/b"
+wait $a
+[ "$(cat "$dir/a")" = "$(cat "$dir/b")" ] || fail "two answers of the service"
+ran_once svc
+
+# The answer of an append is lost.
+fault_platform '{"log":"lose"}'
+ask "$ENTRY_1" lost 4 >"$dir/a"
+whole "$(text_of "$dir/a")" 4
+fault_platform '{"log":"ok"}'
+ran_once lost
+
+# The log is out: refused at once, not run, with when to come back; later it runs.
+fault_platform '{"log":"out"}'
+ask "$ENTRY_1" out 4 >"$dir/a"
+code=$(jq -r .error.code "$dir/a")
+[ "$code" = claim_failed ] || fail "log out: $(cat "$dir/a")"
+complete "$ENTRY_1" 4 "repeatable" >"$dir/b"
+whole "$(text_of "$dir/b")" 4
+fault_platform '{"log":"ok"}'
+asked_again()
+{
+	ask "$ENTRY_2" out 4 >"$dir/a" && [ "$(jq -r '.choices[0].text // empty' "$dir/a")" ]
+}
+eventually "the log is used again" asked_again
+whole "$(text_of "$dir/a")" 4
+ran_once out
+
+# Every control daemon but one dies: claims go on at the one that is left.
+kill -KILL "$PID_CONTROL_0" "$PID_CONTROL_1"
+for i in 1 2 3 4; do
+	ask "$ENTRY_2" "home-$i" 4 >"$dir/a"
+	whole "$(text_of "$dir/a")" 4
+	ran_once "home-$i"
+done
+no_violations
--- /dev/null
+++ b/regress/proc/stage-dies.sh
@@ -0,0 +1,42 @@
+# Symptom: an answer stops in the middle, or goes on with layers left out.
+# Sequence: a stage of the pipeline dies, goes silent, or its connection goes silent mid answer.
+# Cause: the run is gone, or cannot be heard; another pipeline must go on from what was delivered.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 2 --endpoints 4
+
+# second_stage HEADERS FILE: the endpoint of the second stage.
+route_stage()
+{
+	tr -d '\r' <"$dir/headers" | sed -n 's/^Bg-Route: //p' | cut -d, -f"$1" | cut -d: -f1
+}
+
+# hit STAGE FAULT: a request that is hit mid answer still gets its whole answer.
+hit()
+{
+	local stage=$1 fault=$2 endpoint pid
+
+	rm -f "$dir/answer" "$dir/headers"
+	complete_stream "$ENTRY_0" 60 "hit $stage $fault" -D "$dir/headers" >"$dir/answer" &
+	pid=$!
+	eventually "ten tokens" tokens_in "$dir/answer" 10
+	endpoint=$(route_stage "$stage")
+	fault_engine "$endpoint" "$fault"
+	wait $pid
+	whole "$(stream_text "$dir/answer")" 60
+	grep -q '^data: \[DONE\]' "$dir/answer" || fail "no end mark: $fault of stage $stage"
+	fault_engine "$endpoint" revive
+	fault_engine "$endpoint" wake
+	eventually "all endpoints admitted" all_admitted
+}
+
+all_admitted()
+{
+	[ "$(bgctl show endpoints | grep -c admitted)" = 4 ]
+}
+
+for stage in 1 2; do
+	hit $stage die
+	hit $stage silent
+done
+hit 1 mute
+no_violations
