Waking from a pause no longer drops healthy homes; control daemons hear each other leave

Cause (regress/proc/frozen.sh: 'not whole: null'): an entry daemon that was stopped for seconds found all its connections silent when it woke, since it had not listened, and suspected every host. With all hosts suspected the same silent host was asked for a claim three times in a row. Cause (found on the way): a stopping control daemon tells connected daemons that it leaves; other control daemons did not know that frame and closed the connection. Ruled out: the stand-ins (the ledger shows one run, whole); the claim's log order.

--- a/base/frm.c
+++ b/base/frm.c
@@ -232,6 +232,16 @@
 	loop_fd_mod(conn->loop, &conn->lfd, conn->out->len > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
 
+/*
+ * A process that was paused finds all its peers silent when it wakes, for want of having listened.
+ * It shows in this timer, which then comes late; a daemon that blamed its peers for its own pause
+ * would drop every healthy home at once. They get their time anew.
+ */
+static bool frm_was_paused(const struct frm_conn *conn, int64_t now_us)
+{
+	return now_us - conn->heartbeat.due_us > conn->limits.heartbeat_us;
+}
+
 /*
  * A connection can go silent for good while new ones work: something between the two ends has lost
  * track of it, and TCP alone would not tell for many minutes. Both ends therefore send a heartbeat
@@ -241,6 +251,8 @@
 {
 	struct frm_conn *conn = ctx;
 
+	if (frm_was_paused(conn, now_us))
+		conn->heard_us = now_us;
 	if (now_us - conn->heard_us > conn->limits.silent_us || conn->out->len > FRM_OUT_MAX) {
 		met_add(frm_ctr("bg_connections_silent_total"), 1);
 		frm_fail(conn, BASE_ESILENT);
--- a/host/host.c
+++ b/host/host.c
@@ -9,7 +9,8 @@
 
 static gint host_cmp(gconstpointer a, gconstpointer b);
 static const struct host *host_rank(const struct host_table *table, uint64_t hash,
-				    unsigned int rank, int64_t now_us, bool all);
+				    unsigned int rank, int64_t now_us);
+static const struct host *host_least_suspected(const struct host_table *table);
 
 static gint host_cmp(gconstpointer a, gconstpointer b)
 {
@@ -96,7 +97,7 @@
 }
 
 static const struct host *host_rank(const struct host_table *table, uint64_t hash,
-				    unsigned int rank, int64_t now_us, bool all)
+				    unsigned int rank, int64_t now_us)
 {
 	const struct host *found = NULL;
 	uint64_t below = UINT64_MAX;
@@ -109,7 +110,7 @@
 			const struct host *host = table->hosts->pdata[i];
 			uint64_t weight = host_weight(host, hash);
 
-			if (!all && !host_usable(host, now_us))
+			if (!host_usable(host, now_us))
 				continue;
 			if (weight >= below || (found && weight <= best))
 				continue;
@@ -123,15 +124,31 @@
 	return found;
 }
 
+/* With everybody suspected, the oldest suspicion is the one most likely to be out of date. */
+static const struct host *host_least_suspected(const struct host_table *table)
+{
+	const struct host *best = NULL;
+
+	for (guint i = 0; i < table->hosts->len; i++) {
+		const struct host *host = table->hosts->pdata[i];
+
+		if (!best || host->leaving < best->leaving ||
+		    (host->leaving == best->leaving &&
+		     host->suspect_until_us < best->suspect_until_us))
+			best = host;
+	}
+	return best;
+}
+
 const struct host *host_home(const struct host_table *table, const char *key, unsigned int rank,
 			     int64_t now_us)
 {
 	uint64_t hash = str_hash(key, strlen(key), 0);
-	const struct host *host = host_rank(table, hash, rank, now_us, false);
+	const struct host *host = host_rank(table, hash, rank, now_us);
 
 	if (host || rank > 0)
 		return host;
-	return host_rank(table, hash, rank, now_us, true);
+	return host_least_suspected(table);
 }
 
 unsigned int host_live_count(const struct host_table *table)
--- a/host/host_test.cc
+++ b/host/host_test.cc
@@ -96,6 +96,8 @@
 		host_on_evidence(&table_, name, HOST_REFUSED, 0);
 	EXPECT_NE(Home(1, 0, 10), "");
 	EXPECT_EQ(Home(1, 1, 10), "");
+	host_on_evidence(&table_, "host-0", HOST_REFUSED, 20);
+	EXPECT_EQ(Home(1, 0, 30), "host-1") << "the older suspicion is given the benefit";
 }
 
 } // namespace
--- a/prog/control.c
+++ b/prog/control.c
@@ -51,6 +51,7 @@
 	[MSG_ONCE_CLAIM] = control_on_claim,	   [MSG_ONCE_RELEASE] = control_on_release,
 	[MSG_CONF_REVISION] = control_on_revision, [MSG_CONF_FETCH] = control_on_fetch,
 	[MSG_CONF_STATE] = control_on_state,	   [MSG_CONF_IN_FORCE] = control_on_in_force,
+	[MSG_CONF_HOSTS] = control_on_hosts_msg,
 };
 
 const struct frm_ops control_frm_ops = {control_on_msg, control_on_close};
--- a/prog/control.h
+++ b/prog/control.h
@@ -134,6 +134,7 @@
 int control_on_fetch(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len);
 int control_on_state(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len);
 int control_on_in_force(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len);
+int control_on_hosts_msg(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len);
 void control_partner_gone(struct control *c, const struct frm_conn *conn);
 extern const struct frm_ops control_frm_ops;
 
--- a/prog/control_hosts.c
+++ b/prog/control_hosts.c
@@ -342,3 +342,21 @@
 		control_push(c, own);
 	return 0;
 }
+
+/* Another control daemon says that it is leaving; the list will say so later. */
+int control_on_hosts_msg(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	Conf__Hosts *msg = conf__hosts__unpack(NULL, len, body);
+
+	(void)conn;
+	if (!msg)
+		return BASE_EFRAME;
+	for (size_t i = 0; i < msg->n_hosts; i++) {
+		struct host *host = host_find(&c->hosts, msg->hosts[i]->name);
+
+		if (host)
+			host->leaving = msg->hosts[i]->leaving;
+	}
+	conf__hosts__free_unpacked(msg, NULL);
+	return 0;
+}
--- a/prog/entry_broker.c
+++ b/prog/entry_broker.c
@@ -149,6 +149,18 @@
 
 /* --- homes --- */
 
+/*
+ * The home of a pool, or NULL when every host that could be it is suspected: to wait for such a
+ * host again would cost each request the whole limit of silence, and grants can be decided here.
+ */
+static const struct host *entry_home_of(const struct entry *e, const char *key)
+{
+	int64_t now = tmr_now();
+	const struct host *host = host_home(&e->view.hosts, key, 0, now);
+
+	return host && host->suspect_until_us <= now ? host : NULL;
+}
+
 static struct entry_home *entry_home(struct entry *e, const struct host *host)
 {
 	struct entry_home *home = g_hash_table_lookup(e->broker.homes, host->name);
@@ -209,7 +221,7 @@
 
 static void entry_rehome_grant(struct entry *e, struct entry_hold *hold)
 {
-	const struct host *host = host_home(&e->view.hosts, hold->pool->name, 0, tmr_now());
+	const struct host *host = entry_home_of(e, hold->pool->name);
 	struct entry_home *home = host ? entry_home(e, host) : NULL;
 
 	hold->grant_id = 0;
@@ -370,7 +382,7 @@
 	struct entry_home *home;
 
 	if (hold->rank < ENTRY_HOME_RANKS)
-		host = host_home(&e->view.hosts, hold->pool->name, 0, tmr_now());
+		host = entry_home_of(e, hold->pool->name);
 	hold->rank++;
 	home = host ? entry_home(e, host) : NULL;
 	g_free(hold->home);
--- a/regress/proc/leaving.sh
+++ b/regress/proc/leaving.sh
@@ -67,6 +67,8 @@
 eventually "the entry daemon ends" ended "$PID_ENTRY_0"
 eventually "the control daemon ends" ended "$PID_CONTROL_0"
 
+if grep -h frame_refused "$dir"/*.log; then fail "daemons refuse each other's frames"; fi
+
 # A drained host is not ready and no home; admitted, it is again.
 export BRONZEGAUGE_CONTROL=$CONTROL_1
 bgctl drain host host-2 >/dev/null
--- a/req/matrix_test.cc
+++ b/req/matrix_test.cc
@@ -42,9 +42,9 @@
 	kSteps
 };
 
-const char *const kStepNames[kSteps] = {"accepted",   "grant-asked", "granted",	  "claim-appended",
-					"claim-read", "dispatched",  "first-token", "mid-answer",
-					"last-token", "end-mark"};
+const char *const kStepNames[kSteps] = {
+	"accepted",   "grant-asked", "granted",	   "claim-appended", "claim-read",
+	"dispatched", "first-token", "mid-answer", "last-token",     "end-mark"};
 
 enum Fault {
 	kEntryDies,
@@ -65,13 +65,18 @@
 	kFaults
 };
 
-const char *const kFaultNames[kFaults] = {
-	"entry dies",	   "home dies",	       "stage dies",	    "first stage dies",
-	"stage silent",	   "link slow",	       "connection silent", "log out",
-	"log slow",	   "append answer lost", "entry frozen",    "home frozen",
-	"host list stale", "operator change",  "planned stop"};
-
-enum LogMode { kLogOk, kLogIsOut, kLogIsSlow, kLogLoses };
+const char *const kFaultNames[kFaults] = {"entry dies",		"home dies",	   "stage dies",
+					  "first stage dies",	"stage silent",	   "link slow",
+					  "connection silent",	"log out",	   "log slow",
+					  "append answer lost", "entry frozen",	   "home frozen",
+					  "host list stale",	"operator change", "planned stop"};
+
+enum LogMode {
+	kLogOk,
+	kLogIsOut,
+	kLogIsSlow,
+	kLogLoses
+};
 
 struct World;
 
@@ -343,8 +348,9 @@
 	int home = w->entries[s->entry].home;
 
 	for (const auto &id : s->claims)
-		w->ToHome(home, kMs,
-			  [=]() { once_on_release(&w->homes[home].once, "a/k", id.c_str(), w->now); });
+		w->ToHome(home, kMs, [=]() {
+			once_on_release(&w->homes[home].once, "a/k", id.c_str(), w->now);
+		});
 }
 
 void ActDispatch(void *ctx, unsigned attempt, uint64_t delivered)
@@ -480,8 +486,8 @@
 {
 	once_settings once = {500 * kMs, 3600 * kSecond};
 
-	settings = {700 * kMs,	5 * kSecond, 500 * kMs, 3 * kSecond, 4 * kSecond, 4 * kSecond,
-		    100 * kMs, 10 * kSecond, kSecond,	4};
+	settings = {700 * kMs,	 5 * kSecond, 500 * kMs,    3 * kSecond, 4 * kSecond,
+		    4 * kSecond, 100 * kMs,   10 * kSecond, kSecond,	 4};
 	req_budget_init(&budget, 100, 0.2);
 	for (int h = 0; h < 2; h++) {
 		homes[h].world = this;
@@ -505,8 +511,8 @@
 int World::Open(int entry, bool again)
 {
 	auto s = std::make_unique<Session>();
-	req_params params = {&settings, &budget, &first_est, &gap_est, idempotent, false,
-			     now + kDeadline, 7};
+	req_params params = {&settings,	 &budget, &first_est,	   &gap_est,
+			     idempotent, false,	  now + kDeadline, 7};
 
 	s->world = this;
 	s->index = (int)sessions.size();
@@ -535,7 +541,7 @@
 		std::string pipe = std::to_string(s->pipeline);
 		std::string old;
 		if (supersede)
-			old = !s->winner_id.empty()	 ? s->winner_id
+			old = !s->winner_id.empty()  ? s->winner_id
 			      : s->claims.size() > 1 ? s->claims[s->claims.size() - 2]
 						     : "";
 		once_claim claim = {(char *)"a/k",	    (char *)id.c_str(),
@@ -613,8 +619,8 @@
 {
 	if (s->finished || s->req.state != REQ_JOINING)
 		return;
-	Session *winner = s->winner_session >= 0 ? sessions[(size_t)s->winner_session].get()
-						 : nullptr;
+	Session *winner =
+		s->winner_session >= 0 ? sessions[(size_t)s->winner_session].get() : nullptr;
 	if (!winner || entries[winner->entry].dead) {
 		req_on_join_lost(&s->req, now);
 		return;
@@ -811,7 +817,8 @@
 	return fault != kEntryDies && fault != kFaults;
 }
 
-class Matrix : public ::testing::TestWithParam<bool> {
+class Matrix : public ::testing::TestWithParam<bool>
+{
 };
 
 TEST_P(Matrix, EveryFaultAtEveryStep)
@@ -873,7 +880,8 @@
 
 	ASSERT_NE(out, nullptr);
 	for (int idem = 1; idem >= 0; idem--) {
-		fprintf(out, "\n%s\n\n| fault |", idem ? "Repeatable requests" : "Non-idempotent requests");
+		fprintf(out, "\n%s\n\n| fault |",
+			idem ? "Repeatable requests" : "Non-idempotent requests");
 		for (const char *name : kStepNames)
 			fprintf(out, " %s |", name);
 		fprintf(out, "\n|---|");
@@ -887,8 +895,8 @@
 				w.Run();
 				bool reached = w.injections[0].done;
 				const auto &s = w.sessions[0];
-				std::string end = s->finished ? req_code_info(s->code)->name
-							      : "cut off";
+				std::string end =
+					s->finished ? req_code_info(s->code)->name : "cut off";
 				if (w.sessions.size() > 1 && w.sessions.back()->finished)
 					end += std::string(", again: ") +
 					       req_code_info(w.sessions.back()->code)->name;
--- a/req/req_test.cc
+++ b/req/req_test.cc
@@ -10,8 +10,9 @@
 constexpr int64_t kMs = 1000;
 
 /* Writes down what the request asks for, in order. */
-class ReqTest : public ::testing::Test {
-    protected:
+class ReqTest : public ::testing::Test
+{
+      protected:
 	void SetUp() override
 	{
 		req_budget_init(&budget_, 100, 0.1);
@@ -31,9 +32,7 @@
 			[](void *c, unsigned a, uint64_t from) {
 				Note(c, "dispatch", a, (int)from);
 			},
-			[](void *c, unsigned a, uint64_t from) {
-				Note(c, "resume", a, (int)from);
-			},
+			[](void *c, unsigned a, uint64_t from) { Note(c, "resume", a, (int)from); },
 			[](void *c, unsigned a, bool stop) { Note(c, stop ? "stop" : "close", a); },
 			[](void *c, unsigned a, req_grant_end end, const char *) {
 				Note(c, "ungrant", a, (int)end);
@@ -47,7 +46,7 @@
 			},
 			[](void *c, int64_t due) { ((ReqTest *)c)->timer_ = due; },
 		};
-		req_params params = {&settings_, &budget_, &first_, &gap_,
+		req_params params = {&settings_, &budget_, &first_,	&gap_,
 				     idempotent, service,  10000 * kMs, 1};
 		req_init(&req_, &params, &ops, this);
 		begun_ = true;
@@ -299,10 +298,11 @@
 {
 	/* Each code with "no" here needs a row in the matrix or in ReqTest; see docs/PROOF.md. */
 	const std::vector<std::string> no = {
-		"bad_body",	"bad_argument",	    "unauthorized", "forbidden",    "not_found",
-		"bad_method",	"too_large",	    "key_reused",   "queue_full",   "too_long_to_wait",
-		"no_pipeline",	"not_ready",	    "claim_failed", "retry_budget",
-		"deadline_before_start"};
+		"bad_body",	    "bad_argument", "unauthorized",
+		"forbidden",	    "not_found",    "bad_method",
+		"too_large",	    "key_reused",   "queue_full",
+		"too_long_to_wait", "no_pipeline",  "not_ready",
+		"claim_failed",	    "retry_budget", "deadline_before_start"};
 	std::vector<std::string> got;
 	for (int code = 0; code < REQ_CODE_COUNT; code++) {
 		const struct req_code_info *info = req_code_info((enum req_code)code);
