Control traffic that grows with hosts: list by version, heartbeats only where something is awaited

Cause (tools/slopes, first points): ten idle entry connections cost a control daemon 107.8 segments a second, all heartbeats; with 370 hosts each entry would also hold a connection to every home, and the host list would be sent whole to every host each second (trial by arithmetic: about 74 KB/s). Ruled out: a longer heartbeat for all (detection within a second would go with it).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
 
-PROGRAMS = bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine
+PROGRAMS = bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript
 SLICES = base conf host pool fair req once order
 
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
@@ -52,6 +52,7 @@
 $(BUILD)/bgcontrold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/control*.c prog/common*.c))
 $(BUILD)/bgctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/ctl*.c))
 $(BUILD)/bgload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/load*.c prog/common*.c))
+$(BUILD)/bgscript: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/script*.c prog/common*.c))
 $(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c prog/common*.c))
 $(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c prog/common*.c))
 
--- a/base/frm.c
+++ b/base/frm.c
@@ -8,13 +8,15 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 enum {
-	FRM_READ_LEN = 65536
+	FRM_READ_LEN = 65536,
+	FRM_IDLE_ROUNDS = 3 /* heartbeats missed before an idle connection is given up */
 };
 
 struct frm_conn {
@@ -29,7 +31,8 @@
 	GByteArray *in;
 	GByteArray *out;
 	int64_t heard_us;
-	int64_t sent_us;
+	int64_t active_us; /* since when it is active */
+	bool active;
 	bool connecting;
 	bool closed; /* freed in a later round of the loop: a callback of it may be running */
 };
@@ -39,6 +42,7 @@
 static void frm_on_event(void *ctx, uint32_t events);
 static void frm_on_accept(void *ctx, uint32_t events);
 static void frm_on_heartbeat(void *ctx, int64_t now_us);
+static void frm_set_timer(struct frm_conn *conn);
 static void frm_fail(struct frm_conn *conn, int err);
 static void frm_free(void *ctx);
 static void frm_flush(struct frm_conn *conn);
@@ -46,9 +50,42 @@
 static int frm_take(struct frm_conn *conn);
 static void frm_append(struct frm_conn *conn, uint16_t kind, const uint8_t *body, size_t len);
 
-static struct met_ctr *frm_ctr(const char *name)
+/* Looked up once: a look-up for each frame would cost more than the frame. */
+enum frm_counter {
+	FRM_SENT,
+	FRM_BYTES_SENT,
+	FRM_SEGMENTS_SENT,
+	FRM_RECEIVED,
+	FRM_BYTES_RECEIVED,
+	FRM_SEGMENTS_RECEIVED,
+	FRM_REFUSED,
+	FRM_SILENT,
+	FRM_COUNTER_COUNT
+};
+
+static const char *const frm_counter_names[FRM_COUNTER_COUNT] = {
+	[FRM_SENT] = "bg_frames_sent_total",
+	[FRM_BYTES_SENT] = "bg_frame_bytes_sent_total",
+	[FRM_SEGMENTS_SENT] = "bg_frame_segments_sent_total",
+	[FRM_RECEIVED] = "bg_frames_received_total",
+	[FRM_BYTES_RECEIVED] = "bg_frame_bytes_received_total",
+	[FRM_SEGMENTS_RECEIVED] = "bg_frame_segments_received_total",
+	[FRM_REFUSED] = "bg_frames_refused_total",
+	[FRM_SILENT] = "bg_connections_silent_total",
+};
+
+static struct met_ctr *frm_counters[FRM_COUNTER_COUNT];
+static pthread_once_t frm_counters_once = PTHREAD_ONCE_INIT;
+
+static void frm_counters_init(void)
 {
-	return met_counter(name, "");
+	for (int i = 0; i < FRM_COUNTER_COUNT; i++)
+		frm_counters[i] = met_counter(frm_counter_names[i], "");
+}
+
+static void frm_add(enum frm_counter counter, uint64_t n)
+{
+	met_add(frm_counters[counter], n);
 }
 
 int frm_parse(const uint8_t *data, size_t len, uint16_t *kind, const uint8_t **body,
@@ -78,6 +115,7 @@
 	struct frm_conn *conn = g_new0(struct frm_conn, 1);
 	int one = 1;
 
+	pthread_once(&frm_counters_once, frm_counters_init);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	conn->loop = loop;
 	conn->lfd.fd = fd;
@@ -89,8 +127,7 @@
 	conn->in = g_byte_array_new();
 	conn->out = g_byte_array_new();
 	conn->heard_us = tmr_now();
-	conn->sent_us = conn->heard_us;
-	loop_after(loop, &conn->heartbeat, limits->heartbeat_us, frm_on_heartbeat, conn);
+	frm_set_timer(conn);
 	return conn;
 }
 
@@ -108,6 +145,7 @@
 		return NULL;
 	conn = frm_new(loop, fd, ops, limits, ctx);
 	conn->connecting = true;
+	frm_set_timer(conn);
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 && errno != EINPROGRESS) {
 		/* The socket then reports the error as an event; on_close() follows from there. */
 		log_msg(LOG_DEBUG, "connect_failed addr=%s errno=%d", addr, errno);
@@ -199,9 +237,8 @@
 	g_byte_array_append(conn->out, head, sizeof(head));
 	if (len > 0)
 		g_byte_array_append(conn->out, body, (guint)len);
-	conn->sent_us = tmr_now();
-	met_add(frm_ctr("bg_frames_sent_total"), 1);
-	met_add(frm_ctr("bg_frame_bytes_sent_total"), FRM_HEAD_LEN + len);
+	frm_add(FRM_SENT, 1);
+	frm_add(FRM_BYTES_SENT, FRM_HEAD_LEN + len);
 }
 
 void frm_send(struct frm_conn *conn, uint16_t kind, const ProtobufCMessage *msg)
@@ -226,12 +263,35 @@
 
 	while (conn->out->len > 0 && n > 0) {
 		n = send(conn->lfd.fd, conn->out->data, conn->out->len, MSG_NOSIGNAL);
-		if (n > 0)
-			g_byte_array_remove_range(conn->out, 0, (guint)n);
+		if (n <= 0)
+			break;
+		g_byte_array_remove_range(conn->out, 0, (guint)n);
+		frm_add(FRM_SEGMENTS_SENT, 1);
 	}
 	loop_fd_mod(conn->loop, &conn->lfd, conn->out->len > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
 
+static int64_t frm_interval(const struct frm_conn *conn)
+{
+	bool often = conn->active || conn->connecting;
+
+	return often ? conn->limits.heartbeat_us : conn->limits.idle_us;
+}
+
+static void frm_set_timer(struct frm_conn *conn)
+{
+	loop_after(conn->loop, &conn->heartbeat, frm_interval(conn), frm_on_heartbeat, conn);
+}
+
+void frm_set_active(struct frm_conn *conn, bool active)
+{
+	if (conn->closed || conn->active == active)
+		return;
+	conn->active = active;
+	conn->active_us = tmr_now();
+	frm_set_timer(conn);
+}
+
 /*
  * A process that was paused finds all its peers silent when it wakes, for want of having listened.
  * It shows in this timer, which then comes late; a daemon that blamed its peers for its own pause
@@ -242,10 +302,17 @@
 	return now_us - conn->heartbeat.due_us > conn->limits.heartbeat_us;
 }
 
+static bool frm_is_silent(const struct frm_conn *conn, int64_t now_us)
+{
+	if (conn->active || conn->connecting)
+		return now_us - MAX(conn->heard_us, conn->active_us) > conn->limits.silent_us;
+	return now_us - conn->heard_us > FRM_IDLE_ROUNDS * conn->limits.idle_us;
+}
+
 /*
  * A connection can go silent for good while new ones work: something between the two ends has lost
- * track of it, and TCP alone would not tell for many minutes. Both ends therefore send a heartbeat
- * when they have nothing else to say, and give up a peer of which they hear nothing at all.
+ * track of it, and TCP alone would not tell for many minutes. The side that connected therefore
+ * asks for signs of life, and either side gives up a peer of which it hears nothing at all.
  */
 static void frm_on_heartbeat(void *ctx, int64_t now_us)
 {
@@ -253,16 +320,25 @@
 
 	if (frm_was_paused(conn, now_us))
 		conn->heard_us = now_us;
-	if (now_us - conn->heard_us > conn->limits.silent_us || conn->out->len > FRM_OUT_MAX) {
-		met_add(frm_ctr("bg_connections_silent_total"), 1);
+	if (frm_is_silent(conn, now_us) || conn->out->len > FRM_OUT_MAX) {
+		frm_add(FRM_SILENT, 1);
 		frm_fail(conn, BASE_ESILENT);
 		return;
 	}
-	if (!conn->connecting && now_us - conn->sent_us >= conn->limits.heartbeat_us) {
+	if (!conn->server && !conn->connecting && now_us - conn->heard_us >= frm_interval(conn)) {
 		frm_append(conn, FRM_KIND_HEARTBEAT, NULL, 0);
 		frm_flush(conn);
 	}
-	loop_after(conn->loop, &conn->heartbeat, conn->limits.heartbeat_us, frm_on_heartbeat, conn);
+	frm_set_timer(conn);
+}
+
+/* Only the side that was connected to answers, or the two would never stop. */
+static void frm_answer_heartbeat(struct frm_conn *conn)
+{
+	if (!conn->server)
+		return;
+	frm_append(conn, FRM_KIND_HEARTBEAT, NULL, 0);
+	frm_flush(conn);
 }
 
 /* Handles one frame of the input. Returns bytes used, 0 when there is none, or an error. */
@@ -276,9 +352,11 @@
 
 	if (used <= 0)
 		return used;
-	met_add(frm_ctr("bg_frames_received_total"), 1);
-	met_add(frm_ctr("bg_frame_bytes_received_total"), (uint64_t)used);
-	if (kind != FRM_KIND_HEARTBEAT)
+	frm_add(FRM_RECEIVED, 1);
+	frm_add(FRM_BYTES_RECEIVED, (uint64_t)used);
+	if (kind == FRM_KIND_HEARTBEAT)
+		frm_answer_heartbeat(conn);
+	else
 		err = conn->ops->on_msg(conn->ctx, conn, kind, body, len);
 	if (err < 0)
 		return BASE_EFRAME;
@@ -298,6 +376,7 @@
 		return;
 	}
 	conn->heard_us = tmr_now();
+	frm_add(FRM_SEGMENTS_RECEIVED, 1);
 	g_byte_array_append(conn->in, buf, (guint)n);
 	while (!conn->closed && used > 0) {
 		used = frm_take(conn);
@@ -305,7 +384,7 @@
 			g_byte_array_remove_range(conn->in, 0, (guint)used);
 	}
 	if (used < 0 && !conn->closed) {
-		met_add(frm_ctr("bg_frames_refused_total"), 1);
+		frm_add(FRM_REFUSED, 1);
 		log_msg(LOG_WARNING, "frame_refused fd=%d", conn->lfd.fd);
 		frm_fail(conn, BASE_EFRAME);
 	}
@@ -318,6 +397,7 @@
 	if (conn->connecting && events & EPOLLOUT) {
 		conn->connecting = false;
 		conn->heard_us = tmr_now();
+		frm_set_timer(conn);
 	}
 	if (events & (EPOLLERR | EPOLLHUP) && !(events & EPOLLIN))
 		frm_fail(conn, BASE_EREFUSED);
--- a/base/frm.h
+++ b/base/frm.h
@@ -34,9 +34,15 @@
 	void (*on_close)(void *ctx, struct frm_conn *conn, int err);
 };
 
+/*
+ * The side that connected asks for signs of life with heartbeats, which the other side answers.
+ * While it waits for something (frm_set_active()), it does so often, and gives a silent peer up
+ * soon; while it only keeps the connection, seldom, so that connections cost little.
+ */
 struct frm_limits {
-	int64_t heartbeat_us; /* a connection that sent nothing for so long sends a heartbeat */
-	int64_t silent_us;    /* a peer that sent nothing for so long is given up */
+	int64_t heartbeat_us; /* between heartbeats while active */
+	int64_t silent_us;    /* an active connection that heard nothing for so long is given up */
+	int64_t idle_us;      /* between heartbeats while not active */
 };
 
 struct frm_server {
@@ -63,6 +69,9 @@
 /* Queues one message. Errors show later as on_close(). */
 void frm_send(struct frm_conn *conn, uint16_t kind, const ProtobufCMessage *msg);
 
+/* Whether the owner waits for the peer; for connections made by frm_connect(). */
+void frm_set_active(struct frm_conn *conn, bool active);
+
 /* Closes without on_close(). */
 void frm_close(struct frm_conn *conn);
 
--- a/base/hc.c
+++ b/base/hc.c
@@ -1,6 +1,7 @@
 #include "base/hc.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "base/met.h"
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
@@ -185,6 +186,21 @@
 	}
 }
 
+/* Bytes of requests and answers with their headers; those of TCP and IP are not seen here. */
+static void hc_count(CURL *easy, long request_size)
+{
+	curl_off_t body = 0;
+	curl_off_t posted = 0;
+	long head = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &posted);
+	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &head);
+	met_add(met_counter("bg_http_calls_total", ""), 1);
+	met_add(met_counter("bg_http_bytes_sent_total", ""), (uint64_t)(request_size + posted));
+	met_add(met_counter("bg_http_bytes_received_total", ""), (uint64_t)(body + head));
+}
+
 /*
  * "sent" is false only when the library never had a connection for the call: then no byte of it can
  * have reached anybody.
@@ -201,6 +217,7 @@
 	curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &size);
 	sent = connected > 0 || size > 0;
+	hc_count(call->easy, size);
 	call->busy = true;
 	if (!call->canceled)
 		call->ops->on_done(call->ctx, err < 0 ? 0 : (int)status, err, sent, call->body->str,
--- a/conf/conf.h
+++ b/conf/conf.h
@@ -117,6 +117,9 @@
 				const char *name);
 guint conf_count(const struct conf_state *state, enum conf_kind kind);
 
+/* Whether state has the object with the same attributes. */
+bool conf_obj_same(const struct conf_state *state, const struct conf_obj *obj);
+
 typedef void (*conf_each_fn)(void *ctx, const struct conf_obj *obj);
 void conf_each(const struct conf_state *state, enum conf_kind kind, conf_each_fn fn, void *ctx);
 
--- a/conf/state.c
+++ b/conf/state.c
@@ -165,12 +165,18 @@
 	return true;
 }
 
+bool conf_obj_same(const struct conf_state *state, const struct conf_obj *obj)
+{
+	const struct conf_obj *other = conf_get(state, obj->kind, obj->name);
+
+	return other && conf_obj_eq(other, obj);
+}
+
 static void conf_write_changed(void *ctx, const struct conf_obj *obj)
 {
 	struct conf_diff_walk *walk = ctx;
-	const struct conf_obj *old = conf_get(walk->other, obj->kind, obj->name);
 
-	if (!old || !conf_obj_eq(old, obj))
+	if (!conf_obj_same(walk->other, obj))
 		conf_write_obj(walk->out, obj);
 }
 
--- a/fake/platform.c
+++ b/fake/platform.c
@@ -67,7 +67,8 @@
 	GHashTable *hosts;
 	GPtrArray *waits;
 	GPtrArray *delayed;
-	json_t *host_list; /* as served: lags */
+	json_t *host_list;    /* as served: lags */
+	int64_t host_version; /* of the list as served */
 	int64_t host_list_us;
 	int64_t weights_free_us;
 	enum platform_log_fault fault;
@@ -257,6 +258,7 @@
 	GHashTableIter iter;
 	gpointer value;
 	int64_t now = tmr_now();
+	json_t *old = json_copy(p->host_list);
 
 	json_array_clear(p->host_list);
 	g_hash_table_iter_init(&iter, p->hosts);
@@ -267,15 +269,25 @@
 			json_array_append(p->host_list, host->info);
 	}
 	p->host_list_us = now;
+	if (!json_equal(old, p->host_list))
+		p->host_version++;
+	json_decref(old);
 }
 
+/* Whoever names the version that he has gets the list only if it has changed. */
 static void platform_hosts(struct platform *p, struct hd_call *call, const char *rest)
 {
 	(void)rest;
 	if (!p->hosts_frozen &&
 	    tmr_now() - p->host_list_us >= p->settings.host_lag_ms * USEC_PER_MSEC)
 		platform_refresh_hosts(p);
-	prog_reply_json(call, 200, json_pack("{s:O}", "hosts", p->host_list));
+	if (platform_query(call, "version") == p->host_version && p->host_version > 0)
+		prog_reply_json(call, 200,
+				json_pack("{s:I}", "version", (json_int_t)p->host_version));
+	else
+		prog_reply_json(call, 200,
+				json_pack("{s:I, s:O}", "version", (json_int_t)p->host_version,
+					  "hosts", p->host_list));
 }
 
 static void platform_host_put(struct platform *p, struct hd_call *call, const char *rest)
--- a/host/host.h
+++ b/host/host.h
@@ -29,6 +29,7 @@
 	char operator_addr[HOST_ADDR_MAX_LEN + 1]; /* HTTP of bgcontrold */
 	char peer_addr[HOST_ADDR_MAX_LEN + 1];	   /* frames of bgentryd */
 	bool leaving;				   /* the list or the configuration says so */
+	bool listed_leaving;			   /* the list says so */
 	uint64_t seed;				   /* hash of the name */
 	int64_t suspect_until_us;		   /* passed over as a home until then */
 	int failures;				   /* in a row; lengthens the next suspicion */
--- a/prog/control.c
+++ b/prog/control.c
@@ -36,6 +36,7 @@
 	{"platform", "append_ms", SET_INT, CONTROL_OFF(append_ms), "1000", 10, 600000},
 	{"peers", "heartbeat_ms", SET_INT, CONTROL_OFF(heartbeat_ms), "300", 10, 600000},
 	{"peers", "silent_ms", SET_INT, CONTROL_OFF(silent_ms), "900", 10, 600000},
+	{"peers", "idle_ms", SET_INT, CONTROL_OFF(idle_ms), "5000", 10, 600000},
 	{"peers", "suspect_ms", SET_INT, CONTROL_OFF(suspect_ms), "2000", 10, 600000},
 	{"peers", "gossip_ms", SET_INT, CONTROL_OFF(gossip_ms), "1000", 10, 600000},
 	{"endpoints", "load_ms", SET_INT, CONTROL_OFF(load_ms), "1000", 10, 600000},
@@ -138,10 +139,18 @@
 		   control_on_stop_timer, c);
 }
 
-static int control_listen(struct control *c)
+struct frm_limits control_limits_of(const struct control *c)
 {
 	struct frm_limits limits = {c->settings.heartbeat_ms * USEC_PER_MSEC,
-				    c->settings.silent_ms * USEC_PER_MSEC};
+				    c->settings.silent_ms * USEC_PER_MSEC,
+				    c->settings.idle_ms * USEC_PER_MSEC};
+
+	return limits;
+}
+
+static int control_listen(struct control *c)
+{
+	struct frm_limits limits = control_limits_of(c);
 	struct hd_config config = {
 		.addr = c->settings.operator_addr,
 		.threads = 1,
--- a/prog/control.h
+++ b/prog/control.h
@@ -33,6 +33,7 @@
 	int64_t retention_s;
 	int64_t heartbeat_ms;
 	int64_t silent_ms;
+	int64_t idle_ms;
 	int64_t suspect_ms;
 	int64_t hosts_ms;
 	int64_t gossip_ms;
@@ -99,7 +100,10 @@
 	struct tmr follow_timer;
 	struct frm_conn *partners[2];
 	int gossip_round;
-	uint64_t hosts_hash; /* of the list that entries were told last */
+	int64_t hosts_version; /* of the platform's list */
+	int hosts_round;
+	GHashTable *order_turns;       /* model -> endpoint that its orderer looks at next */
+	struct conf_state *order_conf; /* at the orderer's last round */
 	bool log_ok;
 	int64_t log_ok_us;
 	int64_t heard_higher_us;
@@ -116,6 +120,7 @@
 
 /* control.c: drops all that hangs on a connection that ends. */
 void control_conn_forget(struct control *c, struct frm_conn *conn);
+struct frm_limits control_limits_of(const struct control *c);
 
 /* control_log.c: the configuration's stream. */
 void control_log_start(struct control *c);
@@ -128,6 +133,7 @@
 /* control_hosts.c: the host list, gossip, what entries are told. */
 void control_hosts_start(struct control *c);
 void control_hosts_register(struct control *c);
+void control_hosts_on_conf(struct control *c);
 void control_push(struct control *c, struct control_conn *conn);
 void control_push_all(struct control *c);
 int control_on_revision(struct control *c, struct frm_conn *conn, const uint8_t *body, size_t len);
--- a/prog/control_hosts.c
+++ b/prog/control_hosts.c
@@ -14,7 +14,8 @@
  */
 enum {
 	CONTROL_HOSTS_MAX = 4096,
-	CONTROL_GOSSIP_ROUNDS = 10, /* before new partners are drawn */
+	CONTROL_REGISTER_ROUNDS = 2, /* looks at the list for each word of its own */
+	CONTROL_GOSSIP_ROUNDS = 10,  /* before new partners are drawn */
 	CONTROL_HIGHER_US = USEC_PER_SEC
 };
 
@@ -80,7 +81,8 @@
 static void control_poll_hosts(void *ctx, int64_t now_us)
 {
 	struct control *c = ctx;
-	char *url = g_strdup_printf("http://%s/hosts", c->settings.platform);
+	char *url = g_strdup_printf("http://%s/hosts?version=%" G_GINT64_FORMAT,
+				    c->settings.platform, c->hosts_version);
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
@@ -89,7 +91,8 @@
 	};
 
 	(void)now_us;
-	control_hosts_register(c);
+	if (c->hosts_round++ % CONTROL_REGISTER_ROUNDS == 0)
+		control_hosts_register(c);
 	hc_start(c->hc, &request, &control_hosts_ops, c);
 	g_free(url);
 	loop_after(&c->loop, &c->hosts_timer, c->settings.hosts_ms * USEC_PER_MSEC,
@@ -114,10 +117,15 @@
 	control_copy(host->operator_addr, sizeof(host->operator_addr), json, "operators");
 	control_copy(host->peer_addr, sizeof(host->peer_addr), json, "peer");
 	control_copy(state, sizeof(state), json, "state");
-	host->leaving = strcmp(state, "leaving") == 0 || control_is_draining(c, host->name);
+	host->listed_leaving = strcmp(state, "leaving") == 0;
+	host->leaving = host->listed_leaving || control_is_draining(c, host->name);
 }
 
-/* When the platform does not answer, the last list stays in use. */
+/*
+ * When the platform does not answer, or the list is still the same, the last list stays in use. It
+ * is asked for by its version: sent whole to every host each second it would be far more than all
+ * other control traffic.
+ */
 static void control_on_hosts(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -126,7 +134,6 @@
 	json_t *list = json_object_get(json, "hosts");
 	size_t n = MIN(json_array_size(list), (size_t)CONTROL_HOSTS_MAX);
 	struct host *items;
-	uint64_t hash;
 
 	(void)err;
 	(void)sent;
@@ -134,6 +141,11 @@
 		met_add(met_counter("bg_hosts_failures_total", ""), 1);
 		return;
 	}
+	c->hosts_version = json_integer_value(json_object_get(json, "version"));
+	if (!list) {
+		json_decref(json);
+		return;
+	}
 	items = g_new(struct host, n + 1);
 	for (size_t i = 0; i < n; i++)
 		control_host_of(c, json_array_get(list, i), &items[i]);
@@ -141,10 +153,7 @@
 		host_on_list(&c->hosts, items, n);
 	g_free(items);
 	json_decref(json);
-	hash = str_hash(body, len, (uint64_t)c->clog.revision);
-	if (hash != c->hosts_hash)
-		control_push_all(c);
-	c->hosts_hash = hash;
+	control_push_all(c);
 }
 
 static void control_send_hosts(struct control *c, struct frm_conn *conn, bool only_self)
@@ -198,6 +207,19 @@
 	control_send_hosts(c, conn->conn, false);
 }
 
+/*
+ * Whether a host is draining is part of the configuration, so a change of that can change the hosts
+ * too, though the platform's list is the same.
+ */
+void control_hosts_on_conf(struct control *c)
+{
+	for (guint i = 0; i < c->hosts.hosts->len; i++) {
+		struct host *host = c->hosts.hosts->pdata[i];
+
+		host->leaving = host->listed_leaving || control_is_draining(c, host->name);
+	}
+}
+
 void control_push_all(struct control *c)
 {
 	GHashTableIter iter;
@@ -212,8 +234,7 @@
 static void control_gossip(void *ctx, int64_t now_us)
 {
 	struct control *c = ctx;
-	struct frm_limits limits = {c->settings.heartbeat_ms * USEC_PER_MSEC,
-				    c->settings.silent_ms * USEC_PER_MSEC};
+	struct frm_limits limits = control_limits_of(c);
 	Conf__Revision msg = CONF__REVISION__INIT;
 
 	(void)now_us;
--- a/prog/control_http.c
+++ b/prog/control_http.c
@@ -234,18 +234,24 @@
 	return kb;
 }
 
+/* Counters of what this daemon has cost so far; tools/slopes takes differences of them. */
 static void control_http_cost(struct control *c, struct hd_call *call, const char *who)
 {
+	static const char *const counters[] = {
+		"bg_frames_sent_total",		"bg_frames_received_total",
+		"bg_frame_bytes_sent_total",	"bg_frame_bytes_received_total",
+		"bg_frame_segments_sent_total", "bg_frame_segments_received_total",
+		"bg_http_calls_total",		"bg_http_bytes_sent_total",
+		"bg_http_bytes_received_total", "bg_load_polls_total",
+	};
+	json_t *json = json_pack("{s:s, s:I, s:I, s:i}", "host", c->settings.name, "up_us",
+				 (json_int_t)(tmr_now() - c->started_us), "cpu_us",
+				 (json_int_t)c->cpu_us, "resident_kb", (int)control_resident_kb());
+
 	(void)who;
-	prog_reply_json(
-		call, 200,
-		json_pack("{s:s, s:I, s:I, s:i, s:o, s:o, s:o, s:o}", "host", c->settings.name,
-			  "up_us", (json_int_t)(tmr_now() - c->started_us), "cpu_us",
-			  (json_int_t)c->cpu_us, "resident_kb", (int)control_resident_kb(),
-			  "frames_sent", control_counter("bg_frames_sent_total"), "bytes_sent",
-			  control_counter("bg_frame_bytes_sent_total"), "frames_received",
-			  control_counter("bg_frames_received_total"), "bytes_received",
-			  control_counter("bg_frame_bytes_received_total")));
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++)
+		json_object_set_new(json, counters[i], control_counter(counters[i]));
+	prog_reply_json(call, 200, json);
 }
 
 /*
--- a/prog/control_log.c
+++ b/prog/control_log.c
@@ -164,6 +164,7 @@
 void control_state_changed(struct control *c)
 {
 	met_add(met_counter("bg_config_changes_total", ""), 1);
+	control_hosts_on_conf(c);
 	control_pools_on_conf(c);
 	control_push_all(c);
 }
--- a/prog/control_order.c
+++ b/prog/control_order.c
@@ -12,7 +12,8 @@
  */
 enum {
 	CONTROL_ORDER_TICK_US = USEC_PER_SEC,
-	CONTROL_ORDER_RANKS = 2
+	CONTROL_ORDER_RANKS = 2,
+	CONTROL_ORDER_LOOKS = 5 /* endpoints that a holder looks at in one round */
 };
 
 /* One look at an endpoint, and the order that follows from it. */
@@ -25,6 +26,9 @@
 struct control_lease {
 	struct control *c;
 	char *model;
+	guint turn;  /* endpoint of the model to begin with in this round */
+	guint seen;  /* endpoints of the model so far in this round */
+	guint looks; /* of them, those that were looked at */
 };
 
 static void control_order_tick(void *ctx, int64_t now_us);
@@ -51,6 +55,7 @@
 	char *holder = g_strdup_printf("%s/%" G_GINT64_FORMAT, c->settings.name, g_get_real_time());
 
 	order_init(&c->order, holder, c->settings.lease_ms * USEC_PER_MSEC);
+	c->order_turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_free(holder);
 	loop_after(&c->loop, &c->order_timer, CONTROL_ORDER_TICK_US, control_order_tick, c);
 }
@@ -83,7 +88,7 @@
 static void control_order_tick(void *ctx, int64_t now_us)
 {
 	struct control *c = ctx;
-	struct control_lease any = {c, NULL};
+	struct control_lease any = {.c = c};
 	char *url;
 	struct hc_request request = {
 		.method = "GET",
@@ -104,6 +109,22 @@
 	g_free(url);
 }
 
+/*
+ * Only a few endpoints are looked at in each round, one after the other over the rounds: a model
+ * can have hundreds of them, and to ask them all each second would be many times the traffic that a
+ * node may cause. Endpoints just changed come first.
+ */
+static bool control_is_turn(struct control_lease *lease, const struct conf_obj *endpoint)
+{
+	struct control *c = lease->c;
+	bool changed = c->order_conf && !conf_obj_same(c->order_conf, endpoint);
+	bool turn = lease->seen++ >= lease->turn && lease->looks < CONTROL_ORDER_LOOKS;
+
+	if (turn)
+		lease->looks++;
+	return turn || changed;
+}
+
 static void control_look(void *ctx, const struct conf_obj *endpoint)
 {
 	struct control_lease *lease = ctx;
@@ -116,7 +137,8 @@
 		.total_ms = c->settings.load_timeout_ms,
 	};
 
-	if (strcmp(endpoint->text[ENDPOINT_MODEL], lease->model) != 0)
+	if (strcmp(endpoint->text[ENDPOINT_MODEL], lease->model) != 0 ||
+	    !control_is_turn(lease, endpoint))
 		return;
 	look = g_new0(struct control_order, 1);
 	look->c = c;
@@ -131,7 +153,7 @@
 static void control_order_model(void *ctx, const struct conf_obj *model)
 {
 	struct control *c = ctx;
-	struct control_lease lease = {c, model->name};
+	struct control_lease lease = {.c = c, .model = model->name};
 	int64_t now = tmr_now();
 	char *record;
 
@@ -157,8 +179,20 @@
 			free(record);
 		}
 	}
-	if (order_fence(&c->order, model->name, now) >= 0)
+	if (order_fence(&c->order, model->name, now) >= 0) {
+		lease.turn = GPOINTER_TO_UINT(g_hash_table_lookup(c->order_turns, model->name));
 		conf_each(c->clog.state, CONF_ENDPOINT, control_look, &lease);
+		lease.turn = lease.looks < CONTROL_ORDER_LOOKS ? 0 : lease.turn + lease.looks;
+		g_hash_table_replace(c->order_turns, g_strdup(model->name),
+				     GUINT_TO_POINTER(lease.turn));
+	}
+}
+
+static void control_order_round(struct control *c)
+{
+	conf_each(c->clog.state, CONF_MODEL, control_order_model, c);
+	conf_state_unref(c->order_conf);
+	c->order_conf = conf_state_ref(c->clog.state);
 }
 
 static void control_on_lease_read(void *ctx, int status, int err, bool sent, const char *body,
@@ -185,7 +219,7 @@
 	}
 	if (c->order.next >= json_integer_value(json_object_get(json, "end")) ||
 	    json_array_size(records) == 0)
-		conf_each(c->clog.state, CONF_MODEL, control_order_model, c);
+		control_order_round(c);
 	json_decref(json);
 }
 
--- a/prog/ctl_show.c
+++ b/prog/ctl_show.c
@@ -154,8 +154,11 @@
 	{
 		printf("%-12s %10lld %10lld %12lld %14lld %14lld\n", ctl_text(c, "host"),
 		       ctl_int(c, "up_us") / 1000000, ctl_int(c, "cpu_us") / 1000,
-		       ctl_int(c, "resident_kb"), ctl_int(c, "bytes_sent"),
-		       ctl_int(c, "bytes_received"));
+		       ctl_int(c, "resident_kb"),
+		       ctl_int(c, "bg_frame_bytes_sent_total") +
+			       ctl_int(c, "bg_http_bytes_sent_total"),
+		       ctl_int(c, "bg_frame_bytes_received_total") +
+			       ctl_int(c, "bg_http_bytes_received_total"));
 	}
 }
 
--- a/prog/entry.c
+++ b/prog/entry.c
@@ -27,6 +27,7 @@
 	{"entry", "keep_s", SET_INT, ENTRY_OFF(keep_s), "120", 1, 86400},
 	{"peers", "heartbeat_ms", SET_INT, ENTRY_OFF(heartbeat_ms), "300", 10, 600000},
 	{"peers", "silent_ms", SET_INT, ENTRY_OFF(silent_ms), "900", 10, 600000},
+	{"peers", "idle_ms", SET_INT, ENTRY_OFF(idle_ms), "5000", 10, 600000},
 	{"peers", "suspect_ms", SET_INT, ENTRY_OFF(suspect_ms), "2000", 10, 600000},
 	{"claims", "partitions", SET_INT, ENTRY_OFF(claim_partitions), "64", 1, 4096},
 	{"claims", "claim_ms", SET_INT, ENTRY_OFF(claim_ms), "4000", 1, 600000},
--- a/prog/entry.h
+++ b/prog/entry.h
@@ -36,6 +36,7 @@
 	int64_t keep_s;
 	int64_t heartbeat_ms;
 	int64_t silent_ms;
+	int64_t idle_ms;
 	int64_t suspect_ms;
 	int64_t claim_partitions;
 	int64_t claim_ms;
@@ -132,6 +133,7 @@
 	struct entry *entry;
 	char *host;
 	struct frm_conn *conn;
+	unsigned int waiting; /* asks and claims without an answer */
 };
 
 /* What the control thread knows of a pool. */
@@ -139,6 +141,8 @@
 	char *name;
 	char *model;
 	GHashTable *versions;
+	uint64_t preference;	/* of this host for it, by hashing */
+	unsigned int rank;	/* among the model's pools by that preference */
 	double capacity;	/* of its first stages, tokens a second */
 	int64_t wait_us;	/* as the last grant told */
 	int64_t avoid_until_us; /* it refused lately */
@@ -175,6 +179,7 @@
 	GHashTable *claims;  /* ask_id -> struct entry_pending_claim */
 	GHashTable *locals;  /* name -> struct pool: decided here when no home answers */
 	uint64_t last_id;
+	uint64_t seed;
 	GRand *rand;
 };
 
--- a/prog/entry_broker.c
+++ b/prog/entry_broker.c
@@ -17,6 +17,7 @@
 enum {
 	ENTRY_HOME_RANKS = 3, /* homes tried before the entry decides alone */
 	ENTRY_POOLS_TRIED = 2,
+	ENTRY_POOLS_NEAR = 4,	  /* of each model, that a host asks first */
 	ENTRY_ATTEMPTS_MAX = 128, /* above the settings' limit */
 	ENTRY_AVOID_US = USEC_PER_SEC,
 	ENTRY_LOCAL_FORGIVE_US = 2 * USEC_PER_SEC
@@ -40,6 +41,7 @@
 static void entry_local_probe(void *ctx, const struct pool_endpoint *endpoint);
 static void entry_refused(struct entry *e, struct entry_hold *hold, enum pool_refusal why,
 			  int64_t retry_us);
+static void entry_rank_pools(struct entry *e);
 
 static const struct frm_ops entry_home_ops = {entry_home_on_msg, entry_home_on_close};
 static const struct pool_ops entry_local_ops = {entry_local_grant, entry_local_refuse,
@@ -61,7 +63,8 @@
 struct frm_limits entry_limits(const struct entry *e)
 {
 	struct frm_limits limits = {e->settings.heartbeat_ms * USEC_PER_MSEC,
-				    e->settings.silent_ms * USEC_PER_MSEC};
+				    e->settings.silent_ms * USEC_PER_MSEC,
+				    e->settings.idle_ms * USEC_PER_MSEC};
 
 	return limits;
 }
@@ -138,6 +141,7 @@
 	uint64_t seed = (uint64_t)e->settings.seed ^
 			str_hash(e->settings.name, strlen(e->settings.name), 0);
 
+	b->seed = seed;
 	b->homes = g_hash_table_new(g_str_hash, g_str_equal);
 	b->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_pool_free);
 	b->holds = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, entry_hold_free);
@@ -186,6 +190,22 @@
 	return host ? g_hash_table_lookup(e->broker.homes, host) : NULL;
 }
 
+/* Only while something is waited for does the connection ask for signs of life often. */
+static void entry_home_waits(struct entry_home *home)
+{
+	home->waiting++;
+	frm_set_active(home->conn, true);
+}
+
+static void entry_home_answered(struct entry_home *home)
+{
+	if (!home || home->waiting == 0)
+		return;
+	home->waiting--;
+	if (home->waiting == 0)
+		frm_set_active(home->conn, false);
+}
+
 static int entry_home_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
 			     size_t len)
 {
@@ -281,6 +301,7 @@
 	if (!pool) {
 		pool = g_new0(struct entry_pool, 1);
 		pool->name = g_strdup(name);
+		pool->preference = str_hash(name, strlen(name), e->broker.seed);
 		pool->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 		g_hash_table_insert(e->broker.pools, pool->name, pool);
 	}
@@ -305,6 +326,7 @@
 		g_hash_table_remove_all(pool->versions);
 	}
 	conf_each(e->view.clog.state, CONF_ENDPOINT, entry_take_endpoint, e);
+	entry_rank_pools(e);
 	g_hash_table_iter_init(&iter, e->broker.locals);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		pool_on_conf(value, e->view.clog.state, tmr_now());
@@ -323,9 +345,44 @@
 	       g_hash_table_contains(pool->versions, hold->ask->version);
 }
 
+/*
+ * Pools of the model that come before this one in the order that hashing gives this host. Each
+ * entry host keeps to the first few pools of each model: if all asked all, every home would have a
+ * connection of every entry host, and their heartbeats alone would be over what a node may send.
+ */
+static unsigned int entry_pool_rank(const struct entry *e, const struct entry_pool *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned int rank = 0;
+
+	g_hash_table_iter_init(&iter, e->broker.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_pool *other = value;
+
+		rank += other->capacity > 0 && strcmp(other->model, pool->model) == 0 &&
+			other->preference > pool->preference;
+	}
+	return rank;
+}
+
+static void entry_rank_pools(struct entry *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->broker.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_pool *pool = value;
+
+		pool->rank = entry_pool_rank(e, pool);
+	}
+}
+
 /* Two random choices by capacity; the one with the shorter wait by what the last grants told. */
 static struct entry_pool *entry_choose_pool(struct entry *e, const struct entry_hold *hold,
-					    const struct entry_pool *not_this, bool avoid)
+					    const struct entry_pool *not_this, bool avoid,
+					    bool near)
 {
 	struct entry_pool *best = NULL;
 	int64_t now = tmr_now();
@@ -344,6 +401,8 @@
 				continue;
 			if (avoid && pool->avoid_until_us > now)
 				continue;
+			if (near && pool->rank >= ENTRY_POOLS_NEAR)
+				continue;
 			sum += pool->capacity;
 			if (g_rand_double(e->broker.rand) * sum < pool->capacity)
 				drawn = pool;
@@ -373,6 +432,7 @@
 	msg.exclude = ask->exclude;
 	msg.n_exclude = ask->exclude ? g_strv_length(ask->exclude) : 0;
 	frm_send(home->conn, MSG_POOL_ASK, &msg.base);
+	entry_home_waits(home);
 }
 
 /* Asks the pool's home, or decides here when the homes in rendezvous order all seem lost. */
@@ -413,9 +473,11 @@
 	hold->call_key = entry_call_key(ask->call_id, ask->attempt);
 	g_hash_table_insert(e->broker.holds, &hold->ask_id, hold);
 	g_hash_table_insert(e->broker.by_call, &hold->call_key, hold);
-	hold->pool = entry_choose_pool(e, hold, NULL, true);
+	hold->pool = entry_choose_pool(e, hold, NULL, true, true);
+	if (!hold->pool)
+		hold->pool = entry_choose_pool(e, hold, NULL, true, false);
 	if (!hold->pool)
-		hold->pool = entry_choose_pool(e, hold, NULL, false);
+		hold->pool = entry_choose_pool(e, hold, NULL, false, false);
 	hold->pools_tried = 1;
 	if (hold->pool)
 		entry_place(e, hold);
@@ -459,6 +521,7 @@
 		msg.ask_id = hold->ask_id;
 		msg.pool = hold->pool->name;
 		frm_send(home->conn, MSG_POOL_WITHDRAW, &msg.base);
+		entry_home_answered(home);
 	} else if (hold && hold->pool) {
 		struct pool *local = g_hash_table_lookup(e->broker.locals, hold->pool->name);
 
@@ -573,6 +636,7 @@
 		return BASE_EFRAME;
 	hold = entry_hold_by_id(e, msg->ask_id);
 	if (hold && !hold->granted) {
+		entry_home_answered(entry_home_named(e, hold->home));
 		hold->pool->wait_us = (int64_t)msg->wait_us;
 		entry_granted(e, hold, msg->grant_id, msg->stages, msg->n_stages);
 	}
@@ -588,7 +652,7 @@
 
 	if (hold->pool) {
 		hold->pool->avoid_until_us = tmr_now() + MIN(retry_us, ENTRY_AVOID_US);
-		other = entry_choose_pool(e, hold, hold->pool, true);
+		other = entry_choose_pool(e, hold, hold->pool, true, false);
 		if (other && hold->pools_tried < ENTRY_POOLS_TRIED) {
 			hold->pools_tried++;
 			hold->pool = other;
@@ -615,8 +679,10 @@
 	if (!msg)
 		return BASE_EFRAME;
 	hold = entry_hold_by_id(e, msg->ask_id);
-	if (hold && !hold->granted && msg->why < POOL_REFUSE_COUNT)
+	if (hold && !hold->granted && msg->why < POOL_REFUSE_COUNT) {
+		entry_home_answered(entry_home_named(e, hold->home));
 		entry_refused(e, hold, (enum pool_refusal)msg->why, (int64_t)msg->retry_us);
+	}
 	pool__refuse__free_unpacked(msg, NULL);
 	return 0;
 }
@@ -665,6 +731,7 @@
 			msg.ask_id = hold->ask_id;
 			msg.pool = hold->pool->name;
 			frm_send(old->conn, MSG_POOL_WITHDRAW, &msg.base);
+			entry_home_answered(old);
 		}
 		if (hold->granted)
 			entry_rehome_grant(e, hold);
@@ -821,6 +888,7 @@
 	msg.digest = claim->digest;
 	msg.supersedes = claim->supersedes;
 	frm_send(home->conn, MSG_ONCE_CLAIM, &msg.base);
+	entry_home_waits(home);
 }
 
 void entry_post_claim(void *letter)
@@ -857,8 +925,10 @@
 	if (!msg)
 		return BASE_EFRAME;
 	pending = g_hash_table_lookup(e->broker.claims, &msg->ask_id);
-	if (pending)
+	if (pending) {
+		entry_home_answered(entry_home_named(e, pending->home));
 		entry_claim_news(e, pending, (int)msg->verdict, msg->winner);
+	}
 	once__verdict__free_unpacked(msg, NULL);
 	return 0;
 }
--- a/prog/entry_join.c
+++ b/prog/entry_join.c
@@ -237,6 +237,7 @@
 	msg.ask_id = call->id;
 	msg.claim = call->winner_id;
 	frm_send(join->conn, MSG_JOIN_ASK, &msg.base);
+	frm_set_active(join->conn, true);
 }
 
 void entry_join(struct entry_call *call)
@@ -264,6 +265,7 @@
 		return BASE_EFRAME;
 	}
 	g_hash_table_remove(join->waiting, &msg->ask_id);
+	frm_set_active(join->conn, g_hash_table_size(join->waiting) > 0);
 	call = entry_call_by_id(join->entry, msg->ask_id);
 	tokens = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	for (size_t i = 0; i < msg->n_tokens; i++)
--- a/prog/entry_view.c
+++ b/prog/entry_view.c
@@ -72,6 +72,7 @@
 		e->view.from_own = strcmp(addr, e->settings.control) == 0;
 	}
 	e->view.conn = frm_connect(&e->loop, addr, &entry_view_ops, &limits, e);
+	frm_set_active(e->view.conn, true);
 	entry_view_greet(e);
 }
 
