--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 TEST_SRC = $(foreach d,$(SLICES),$(wildcard $(d)/*_test.cc))
 TEST_OBJ = $(TEST_SRC:%.cc=$(BUILD)/%.o)
 C_FILES = $(foreach d,$(SLICES) prog fake,$(wildcard $(d)/*.[ch]))
-CC_FILES = $(TEST_SRC) $(wildcard regress/fuzz/*.c)
+CC_FILES = $(TEST_SRC) $(wildcard regress/fuzz/*.c regress/bench/*.c)
 
 all: deps
 	$(MAKE) programs
@@ -81,6 +81,11 @@
 		echo "ok   fuzz $$f: $(FUZZ_RUNS) inputs" || exit 1; \
 	done
 
+# Rendezvous hashing against what was weighed, for docs/DESIGN.md.
+bench-hash: $(LIB)
+	$(CC) $(CFLAGS) $(CPPFLAGS) -std=gnu11 -o $(BUILD)/bench-hash regress/bench/hash.c $(LIB) $(LIBS)
+	$(BUILD)/bench-hash
+
 # Regenerates the committed message code; not part of the build.
 proto:
 	cd msg && protoc-c --c_out=. *.proto
@@ -112,6 +117,6 @@
 clean:
 	rm -rf build build-*
 
-.PHONY: all programs deps unit proto run check fuzz guards matrix format lint clean
+.PHONY: all programs deps unit proto run check fuzz guards bench-hash matrix format lint clean
 -include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d) $(FAKE_OBJ:.o=.d) \
 	$(patsubst %.c,$(BUILD)/%.d,$(wildcard prog/*.c))
--- a/fake/sim.c
+++ b/fake/sim.c
@@ -56,19 +56,24 @@
 	g_ptr_array_add(sim->endpoints, e);
 }
 
-/* A token's activation occupies the link for activation/bandwidth seconds. */
 static void sim_add_link(void *ctx, const struct conf_obj *obj)
 {
 	struct sim *sim = ctx;
+	struct sim_link *link = g_new0(struct sim_link, 1);
 	char *key = g_strdup_printf("%s %s", obj->text[LINK_FROM], obj->text[LINK_TO]);
-	int64_t activation = 8192;
-	int64_t delay = activation * USEC_PER_SEC / MAX(obj->value[LINK_BANDWIDTH], 1);
 
-	g_hash_table_replace(sim->links, key, (gpointer)(intptr_t)delay);
+	link->token_us = sim->activation * USEC_PER_SEC / MAX(obj->value[LINK_BANDWIDTH], 1);
+	g_hash_table_replace(sim->links, key, link);
+}
+
+static void sim_take_model(void *ctx, const struct conf_obj *obj)
+{
+	((struct sim *)ctx)->activation = obj->value[MODEL_ACTIVATION];
 }
 
 void sim_load(struct sim *sim, const struct conf_state *conf)
 {
+	conf_each(conf, CONF_MODEL, sim_take_model, sim);
 	conf_each(conf, CONF_ENDPOINT, sim_add_endpoint, sim);
 	conf_each(conf, CONF_LINK, sim_add_link, sim);
 }
@@ -210,6 +215,20 @@
 	sim_begin_step(endpoint, sim);
 }
 
+/* How long the next token given to the link takes to arrive at its end. */
+static int64_t sim_link_delay(struct sim *sim, const struct sim_endpoint *from,
+			      const struct sim_endpoint *to)
+{
+	char *key = g_strdup_printf("%s %s", from->name, to->name);
+	struct sim_link *link = g_hash_table_lookup(sim->links, key);
+
+	g_free(key);
+	if (!link)
+		return 0;
+	link->free_us = MAX(link->free_us, sim->loop->now_us) + link->token_us;
+	return link->free_us - sim->loop->now_us;
+}
+
 /* The stage has run its layers on the token; the ledger notes any layer out of order. */
 static void sim_pass(struct sim_run *run)
 {
@@ -221,13 +240,9 @@
 	    stage->last > stage->endpoint->last)
 		entry->violations++;
 	run->layers_done = stage->last + 1;
-	if (run->stage + 1 < run->stage_count) {
-		char *key = g_strdup_printf("%s %s", stage->endpoint->name,
-					    run->stages[run->stage + 1].endpoint->name);
-
-		delay += (int64_t)(intptr_t)g_hash_table_lookup(run->sim->links, key);
-		g_free(key);
-	}
+	if (run->stage + 1 < run->stage_count)
+		delay += sim_link_delay(run->sim, stage->endpoint,
+					run->stages[run->stage + 1].endpoint);
 	tmr_set(&run->sim->loop->tmr, &run->hop, run->sim->loop->now_us + delay, sim_on_hop, run);
 }
 
--- a/fake/sim.h
+++ b/fake/sim.h
@@ -87,6 +87,12 @@
 	void *data; /* the owner's */
 };
 
+/* Tokens go over a link one after the other. */
+struct sim_link {
+	int64_t token_us; /* time that one token's activation occupies it */
+	int64_t free_us;  /* when it will have passed on all that it was given */
+};
+
 struct sim_ledger {
 	char *key;
 	char *request;
@@ -100,8 +106,9 @@
 	const struct sim_ops *ops;
 	void *ctx;
 	GPtrArray *endpoints;
-	GHashTable *links; /* "from to" -> delay in microseconds, as a pointer-sized number */
+	GHashTable *links; /* "from to" -> struct sim_link */
 	int64_t link_delay_us;
+	int64_t activation;	 /* bytes of a token on a link */
 	int64_t prefill_divisor; /* prompt tokens that weigh as much as one request in a step */
 	GHashTable *runs;	 /* id -> struct sim_run */
 	GHashTable *ledger;	 /* "key request" -> struct sim_ledger */
--- a/prog/script.c
+++ b/prog/script.c
@@ -33,8 +33,8 @@
 	char *platform;
 	char *target;
 	char *listen;
-	char *pools;
 	char *version;
+	int64_t pools; /* named p0, p1, ... */
 	int64_t hosts;
 	int64_t entries;
 	int64_t accounts;
@@ -89,7 +89,7 @@
 	{"script", "platform", SET_ADDR, SCRIPT_OFF(platform), NULL, 0, 0},
 	{"script", "target", SET_ADDR, SCRIPT_OFF(target), NULL, 0, 0},
 	{"script", "listen", SET_ADDR, SCRIPT_OFF(listen), NULL, 0, 0},
-	{"script", "pools", SET_TEXT, SCRIPT_OFF(pools), "p0", 1, 0},
+	{"script", "pools", SET_INT, SCRIPT_OFF(pools), "1", 1, 10000},
 	{"script", "version", SET_TEXT, SCRIPT_OFF(version), "v1", 1, 0},
 	{"script", "hosts", SET_INT, SCRIPT_OFF(hosts), "10", 0, 10000},
 	{"script", "entries", SET_INT, SCRIPT_OFF(entries), "1", 0, 1000},
@@ -313,11 +313,9 @@
 
 static void script_begin(struct script *s)
 {
-	gchar **pools = g_strsplit(s->settings.pools, ",", -1);
-
 	s->pools = g_ptr_array_new();
-	for (gchar **p = pools; *p; p++)
-		g_ptr_array_add(s->pools, *p);
+	for (int64_t i = 0; i < s->settings.pools; i++)
+		g_ptr_array_add(s->pools, g_strdup_printf("p%d", (int)i));
 	s->entries = g_ptr_array_new();
 	for (int64_t i = 0; i < s->settings.entries; i++)
 		g_ptr_array_add(s->entries, frm_connect(&s->loop, s->settings.target, &script_ops,
