The broker's duties in files of their own; smaller buffers a stream

Change: 4 KB parts, 16 KB a connection at the HTTP server, 4 and 16 KB at the client. entry_broker.c (934 lines) is split by duty: homes, pools, grants, deciding alone, claims.

--- a/base/hc.c
+++ b/base/hc.c
@@ -9,6 +9,8 @@
 enum {
 	HC_BODY_MAX = 16 << 20,
 	HC_IDLE_CONNS_MAX = 1024,
+	HC_RECEIVE_BUFFER = 4096, /* a stream brings a token at a time */
+	HC_SEND_BUFFER = 16384,
 	USEC_PER_MSEC = 1000
 };
 
@@ -255,6 +257,8 @@
 	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)HC_RECEIVE_BUFFER);
+	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)HC_SEND_BUFFER);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_ms);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->total_ms);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
--- a/base/hd.c
+++ b/base/hd.c
@@ -12,7 +12,9 @@
 #include <unistd.h>
 
 enum {
-	HD_BLOCK_LEN = 32768
+	HD_BLOCK_LEN = 4096, /* buffer of an answer in parts: a few tokens */
+	HD_CONNECTION_MEMORY = 16384,
+	HD_CONNECTIONS_MAX = 16384
 };
 
 struct hd {
@@ -80,8 +82,10 @@
 	hd->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED,
 		hd_on_completed, hd, MHD_OPTION_THREAD_POOL_SIZE,
-		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT, 16384U,
-		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
+		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)HD_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)HD_CONNECTION_MEMORY, fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END,
+		fd, MHD_OPTION_END);
 	if (!hd->daemon) {
 		if (fd >= 0)
 			close(fd);
--- /dev/null
+++ b/prog/entry_local.c
@@ -0,0 +1,128 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "msg/kind.h"
+#include "prog/entry_broker.h"
+
+#include <string.h>
+
+/*
+ * Deciding alone: when no home answers, an entry host grants by itself, from its last view of the
+ * configuration and within its part of each endpoint's slots.
+ */
+enum {
+	ENTRY_LOCAL_FORGIVE_US = 2 * USEC_PER_SEC
+};
+
+static void entry_local_grant(void *ctx, const struct pool_grant *grant, int64_t wait_us);
+static void entry_local_refuse(void *ctx, uint64_t entry, uint64_t ask_id, enum pool_refusal why,
+			       int64_t retry_us);
+static void entry_local_probe(void *ctx, const struct pool_endpoint *endpoint);
+
+static const struct pool_ops entry_local_ops = {entry_local_grant, entry_local_refuse,
+						entry_local_probe};
+
+void entry_local_free(gpointer data)
+{
+	pool_finish(data);
+	g_free(data);
+}
+
+void entry_locals_on_conf(struct entry *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->broker.locals);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_on_conf(value, e->view.clog.state, tmr_now());
+}
+
+static struct pool *entry_local(struct entry *e, const char *name)
+{
+	struct pool *pool = g_hash_table_lookup(e->broker.locals, name);
+	struct pool_settings settings = {POOL_POLICY_FLOW, MAX(host_live_count(&e->view.hosts), 1),
+					 ENTRY_LOCAL_FORGIVE_US};
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct pool, 1);
+	pool_init(pool, name, &settings, &entry_local_ops, e);
+	g_hash_table_insert(e->broker.locals, pool->name, pool);
+	pool_on_conf(pool, e->view.clog.state, tmr_now());
+	log_msg(LOG_WARNING, "deciding_alone pool=%s divisor=%u", name, settings.divisor);
+	return pool;
+}
+
+void entry_local_ask(struct entry *e, struct entry_hold *hold)
+{
+	const struct conf_obj *account =
+		conf_get(e->view.clog.state, CONF_ACCOUNT, hold->ask->account);
+	struct pool_ask ask = {
+		.ask_id = hold->ask_id,
+		.account = hold->ask->account,
+		.limits = {1, 1, 1},
+		.version = hold->ask->version,
+		.tokens = hold->ask->tokens,
+		.deadline_us = hold->ask->deadline_us,
+		.exclude = (const char *const *)hold->ask->exclude,
+	};
+
+	if (account) {
+		ask.limits.weight = (uint32_t)account->value[ACCOUNT_SHARE];
+		ask.limits.queue = (uint32_t)account->value[ACCOUNT_QUEUE];
+		ask.limits.inflight = (uint32_t)account->value[ACCOUNT_LIMIT];
+	}
+	met_add(met_counter("bg_grants_decided_alone_total", ""), 1);
+	pool_on_ask(entry_local(e, hold->pool->name), &ask, tmr_now());
+}
+
+static void entry_local_grant(void *ctx, const struct pool_grant *grant, int64_t wait_us)
+{
+	struct entry *e = ctx;
+	struct entry_hold *hold = entry_hold_by_id(e, grant->ask_id);
+	char *names[FLOW_STAGES_MAX];
+
+	(void)wait_us;
+	for (int s = 0; s < grant->count; s++)
+		names[s] = grant->stages[s]->name;
+	if (hold)
+		entry_granted(e, hold, grant->id, names, (size_t)grant->count);
+}
+
+static void entry_local_refuse(void *ctx, uint64_t entry, uint64_t ask_id, enum pool_refusal why,
+			       int64_t retry_us)
+{
+	struct entry *e = ctx;
+	struct entry_hold *hold = entry_hold_by_id(e, ask_id);
+
+	(void)entry;
+	if (hold)
+		entry_refused(e, hold, why, retry_us);
+}
+
+static void entry_local_probe(void *ctx, const struct pool_endpoint *endpoint)
+{
+	(void)ctx;
+	(void)endpoint;
+}
+
+/* Nobody polls endpoints for a pool that is decided here, so what failed is tried again in time. */
+void entry_locals_tick(struct entry *e, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->broker.locals);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool *pool = value;
+
+		for (guint i = 0; i < pool->endpoints->len; i++) {
+			struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
+
+			if (endpoint->down && now_us - endpoint->report_us > ENTRY_LOCAL_FORGIVE_US)
+				pool_on_load(pool, endpoint->name, 0, false, now_us);
+		}
+		pool_on_tick(pool, now_us);
+	}
+}
--- /dev/null
+++ b/prog/entry_pools.c
@@ -0,0 +1,144 @@
+#include "base/err.h"
+#include "base/log.h"
+#include "base/met.h"
+#include "msg/kind.h"
+#include "prog/entry_broker.h"
+
+#include <string.h>
+
+/* What the control thread knows of pools, and which of them it asks. */
+enum {
+	ENTRY_POOLS_NEAR = 4 /* of each model, that a host asks first */
+};
+
+static void entry_rank_pools(struct entry *e);
+
+void entry_pool_free(gpointer data)
+{
+	struct entry_pool *pool = data;
+
+	g_hash_table_destroy(pool->versions);
+	g_free(pool->name);
+	g_free(pool->model);
+	g_free(pool->home);
+	g_free(pool);
+}
+
+static void entry_take_endpoint(void *ctx, const struct conf_obj *obj)
+{
+	struct entry *e = ctx;
+	const char *name = obj->text[ENDPOINT_POOL];
+	struct entry_pool *pool = g_hash_table_lookup(e->broker.pools, name);
+
+	if (!pool) {
+		pool = g_new0(struct entry_pool, 1);
+		pool->name = g_strdup(name);
+		pool->preference = str_hash(name, strlen(name), e->broker.seed);
+		pool->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_insert(e->broker.pools, pool->name, pool);
+	}
+	g_free(pool->model);
+	pool->model = g_strdup(obj->text[ENDPOINT_MODEL]);
+	g_hash_table_add(pool->versions, g_strdup(obj->text[ENDPOINT_VERSION]));
+	if (obj->value[ENDPOINT_LAYERS] == 0)
+		pool->capacity += (double)obj->value[ENDPOINT_RATE];
+}
+
+/* Pools that are not declared any more stay while something holds on to them. */
+void entry_pools_on_conf(struct entry *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->broker.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_pool *pool = value;
+
+		pool->capacity = 0;
+		g_hash_table_remove_all(pool->versions);
+	}
+	conf_each(e->view.clog.state, CONF_ENDPOINT, entry_take_endpoint, e);
+	entry_rank_pools(e);
+}
+
+static double entry_pool_cost(const struct entry_pool *pool)
+{
+	return (double)(pool->wait_us + 1000) / MAX(pool->capacity, 1);
+}
+
+static bool entry_pool_fits(const struct entry_pool *pool, const struct entry_hold *hold,
+			    const struct entry_pool *not_this)
+{
+	return pool != not_this && pool->capacity > 0 &&
+	       strcmp(pool->model, hold->ask->model) == 0 &&
+	       g_hash_table_contains(pool->versions, hold->ask->version);
+}
+
+/*
+ * Pools of the model that come before this one in the order that hashing gives this host. Each
+ * entry host keeps to the first few pools of each model: if all asked all, every home would have a
+ * connection of every entry host, and their heartbeats alone would be over what a node may send.
+ */
+static unsigned int entry_pool_rank(const struct entry *e, const struct entry_pool *pool)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned int rank = 0;
+
+	g_hash_table_iter_init(&iter, e->broker.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct entry_pool *other = value;
+
+		rank += other->capacity > 0 && strcmp(other->model, pool->model) == 0 &&
+			other->preference > pool->preference;
+	}
+	return rank;
+}
+
+static void entry_rank_pools(struct entry *e)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, e->broker.pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct entry_pool *pool = value;
+
+		pool->rank = entry_pool_rank(e, pool);
+	}
+}
+
+/* Two random choices by capacity; the one with the shorter wait by what the last grants told. */
+struct entry_pool *entry_choose_pool(struct entry *e, const struct entry_hold *hold,
+				     const struct entry_pool *not_this, bool avoid, bool near)
+{
+	struct entry_pool *best = NULL;
+	int64_t now = tmr_now();
+
+	for (int draw = 0; draw < 2; draw++) {
+		struct entry_pool *drawn = NULL;
+		double sum = 0;
+		GHashTableIter iter;
+		gpointer value;
+
+		g_hash_table_iter_init(&iter, e->broker.pools);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct entry_pool *pool = value;
+
+			if (!entry_pool_fits(pool, hold, not_this))
+				continue;
+			if (avoid && pool->avoid_until_us > now)
+				continue;
+			if (near && pool->rank >= ENTRY_POOLS_NEAR)
+				continue;
+			sum += pool->capacity;
+			if (g_rand_double(e->broker.rand) * sum < pool->capacity)
+				drawn = pool;
+		}
+		if (!drawn)
+			break;
+		if (!best || entry_pool_cost(drawn) < entry_pool_cost(best))
+			best = drawn;
+	}
+	return best;
+}
