A non-idempotent request has a connection of its own; refusing endpoints are passed over

Change: a non-idempotent dispatch uses a fresh connection, on which the library does not do so. Cause (orders.sh, new part: 'not whole: null'): an engine that took a late order holds other layers than declared; each attempt was granted the same pipeline again until the retries were used up. Change: the endpoint that a refusal names is passed over by the next attempt, and an endpoint that reports another version or other layers than declared gets nothing until it does. Cause (new base/hd_test.cc): an answer in parts that is aborted at once lost what was written before; a caller that does not read was cut off only when its socket took more. Both changed.

--- a/base/hd.c
+++ b/base/hd.c
@@ -253,7 +253,7 @@
 	struct MHD_Response *resp;
 	enum MHD_Result result;
 
-	if (call->aborted)
+	if (call->aborted && call->pending->len == 0)
 		return MHD_NO;
 	if (call->streaming)
 		resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, HD_BLOCK_LEN, hd_on_read,
--- /dev/null
+++ b/base/hd_test.cc
@@ -0,0 +1,154 @@
+#include "base/hd.h"
+
+#include <arpa/inet.h>
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace
+{
+
+/* A server on a port that the kernel chooses, and the last call that came to it. */
+class HdTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		hd_config config{};
+		config.threads = 1;
+		config.body_max = 100;
+		config.pending_max = 10000;
+		config.too_large = "{}";
+		config.handler = [](void *ctx, hd_call *call) { ((HdTest *)ctx)->Take(call); };
+		config.ctx = this;
+		hd_ = hd_start(&config);
+		ASSERT_NE(hd_, nullptr);
+		listener_ = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in sin{};
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ASSERT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
+		ASSERT_EQ(listen(listener_, 4), 0);
+		socklen_t len = sizeof(sin);
+		getsockname(listener_, (sockaddr *)&sin, &len);
+		client_ = socket(AF_INET, SOCK_STREAM, 0);
+		int small = 1;
+		setsockopt(client_, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+		ASSERT_EQ(connect(client_, (sockaddr *)&sin, sizeof(sin)), 0);
+		int accepted = accept(listener_, nullptr, nullptr);
+		setsockopt(accepted, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
+		hd_adopt(hd_, accepted);
+	}
+	void TearDown() override
+	{
+		if (client_ >= 0)
+			close(client_);
+		close(listener_);
+		hd_stop(hd_);
+	}
+	void Take(hd_call *call)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+		call_ = call;
+		came_.notify_all();
+	}
+	hd_call *Send(const std::string &request)
+	{
+		send(client_, request.data(), request.size(), 0);
+		std::unique_lock<std::mutex> lock(mutex_);
+		came_.wait(lock, [this]() { return call_ != nullptr; });
+		return call_;
+	}
+	std::string ReadAll()
+	{
+		std::string all;
+		char buf[4096];
+		ssize_t n;
+		while ((n = recv(client_, buf, sizeof(buf), 0)) > 0)
+			all.append(buf, (size_t)n);
+		return all;
+	}
+	hd *hd_ = nullptr;
+	int listener_ = -1, client_ = -1;
+	std::mutex mutex_;
+	std::condition_variable came_;
+	hd_call *call_ = nullptr;
+};
+
+TEST_F(HdTest, AnswerInPartsArrivesWhole)
+{
+	hd_call *call = Send("GET /x?a=b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	EXPECT_STREQ(hd_path(call), "/x");
+	EXPECT_STREQ(hd_query(call, "a"), "b");
+	hd_begin(call, 200, "text/plain");
+	EXPECT_TRUE(hd_write(call, "one ", 4));
+	EXPECT_TRUE(hd_write(call, "two", 3));
+	hd_end(call);
+	hd_unref(call);
+	std::string answer = ReadAll();
+	EXPECT_NE(answer.find("200 OK"), std::string::npos);
+	EXPECT_NE(answer.find("one two"), std::string::npos);
+}
+
+TEST_F(HdTest, AbortedAnswerDoesNotLookWhole)
+{
+	/*
+	 * Symptom: a caller takes the first half of an answer for all of it.
+	 * Sequence: the answer breaks off after some parts were sent.
+	 * Cause: ending the stream as if it were whole. What was written before still arrives.
+	 */
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_begin(call, 200, "text/plain");
+	hd_write(call, "half", 4);
+	hd_abort(call);
+	hd_unref(call);
+	std::string answer = ReadAll();
+	EXPECT_NE(answer.find("half"), std::string::npos);
+	EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos) << "no last chunk";
+}
+
+TEST_F(HdTest, CallerThatDoesNotReadIsNoticed)
+{
+	/*
+	 * Symptom: the daemon's memory grows with each caller that stops reading.
+	 * Sequence: a caller opens a stream and takes nothing of it.
+	 * Cause: parts without a bound on what is not yet taken.
+	 */
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	std::string part(1000, 'x');
+	bool ok = true;
+	hd_begin(call, 200, "text/plain");
+	for (int i = 0; ok && i < 100000; i++)
+		ok = hd_write(call, part.data(), part.size());
+	EXPECT_FALSE(ok);
+	hd_abort(call);
+	hd_unref(call);
+}
+
+TEST_F(HdTest, CallerThatHangsUpIsNoticedWhileItWaits)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	EXPECT_FALSE(hd_gone(call));
+	close(client_);
+	client_ = -1;
+	while (!hd_gone(call))
+		usleep(1000);
+	hd_reply(call, 200, "text/plain", "", 0);
+	hd_unref(call);
+}
+
+TEST_F(HdTest, BodyOverTheLimitIsRefused)
+{
+	std::string body(101, 'x');
+	std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+			      "Content-Length: 101\r\n\r\n" +
+			      body;
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 413 "), std::string::npos);
+	EXPECT_EQ(call_, nullptr) << "the handler is not called";
+}
+
+} // namespace
--- a/prog/control_pool.c
+++ b/prog/control_pool.c
@@ -182,6 +182,20 @@
 		pool_on_endpoint_down(&poll->cp->pool, poll->endpoint, tmr_now());
 }
 
+/*
+ * Whether the endpoint reports the version and layers that are declared. Until it does (an order is
+ * under way, or a wrong one arrived late) requests that are sent there come back as not run.
+ */
+static bool control_holds(const struct control_poll *poll, const json_t *report)
+{
+	const struct pool_endpoint *e = pool_find(&poll->cp->pool, poll->endpoint);
+	const char *version = json_string_value(json_object_get(report, "version"));
+
+	return e && version && strcmp(version, e->version) == 0 &&
+	       json_integer_value(json_object_get(report, "first")) == e->first &&
+	       json_integer_value(json_object_get(report, "last")) == e->last;
+}
+
 static void control_on_load(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct control_poll *poll = ctx;
@@ -197,7 +211,9 @@
 		poll->failures = 0;
 		pool_on_load(&poll->cp->pool, poll->endpoint,
 			     (int)json_integer_value(json_object_get(json, "running")),
-			     json_is_true(json_object_get(json, "leaving")), tmr_now());
+			     json_is_true(json_object_get(json, "leaving")) ||
+				     !control_holds(poll, json),
+			     tmr_now());
 	} else {
 		control_poll_failed(poll, err < 0 ? err : BASE_EHTTP);
 		if (poll->failures < CONTROL_POLL_FAILURES)
--- a/prog/entry_answer.c
+++ b/prog/entry_answer.c
@@ -130,7 +130,7 @@
 	}
 	if (!entry_event(call, entry_object(call, entry_formats[call->kind].chunk_object,
 					    entry_choice(call, text, len, NULL))))
-		hd_abort(call->http);
+		call->too_slow = true;
 }
 
 static json_t *entry_usage(const struct entry_call *call)
--- a/prog/entry_call.c
+++ b/prog/entry_call.c
@@ -597,8 +597,11 @@
 	for (GList *l = calls; l; l = l->next) {
 		struct entry_call *call = l->data;
 
-		if (call->finished || !call->http || !hd_gone(call->http))
+		if (call->finished || !call->http)
 			continue;
+		if (!call->too_slow && !hd_gone(call->http))
+			continue;
+		hd_abort(call->http);
 		hd_unref(call->http);
 		call->http = NULL;
 		met_add(met_counter("bg_callers_gone_total", ""), 1);
--- a/prog/entry_call.h
+++ b/prog/entry_call.h
@@ -61,6 +61,7 @@
 	bool finished;
 	enum req_code code;
 	bool answer_begun;
+	bool too_slow;	    /* the caller does not take its answer */
 	GPtrArray *joiners; /* struct entry_joiner */
 	int64_t finished_us;
 };
--- a/prog/entry_stream.c
+++ b/prog/entry_stream.c
@@ -72,6 +72,11 @@
 	g_clear_pointer(&call->fault_at, g_free);
 }
 
+/*
+ * The HTTP library sends a request again by itself when a connection that was used before ends
+ * without any answer, although the engine may have run it: the ledger then shows two runs of one
+ * key. It does not do so on a new connection, so a non-idempotent request gets one of its own.
+ */
 void entry_stream_dispatch(struct entry_call *call, unsigned int attempt, uint64_t delivered)
 {
 	const struct entry_stage *first;
@@ -80,7 +85,7 @@
 	struct hc_request request = {
 		.method = "POST",
 		.connect_ms = ENTRY_CONNECT_MS,
-		.fresh = attempt > 1,
+		.fresh = attempt > 1 || !call->idempotent,
 	};
 
 	if (call->kind == ENTRY_SERVICE) {
@@ -217,41 +222,55 @@
  * What the end of a stream means. "Not run" counts only when the engine itself says so, or when no
  * connection was ever there; anything else may have run.
  */
-static enum req_break entry_break_of(int status, bool sent, const char *body, size_t len)
+static enum req_break entry_break_of(int status, bool sent, const json_t *answer)
 {
-	json_t *json = json_loadb(body, len, 0, NULL);
-	const char *ran = json_string_value(json_object_get(json, "ran"));
-	enum req_break why = REQ_BREAK_LOST;
+	const char *ran = json_string_value(json_object_get(answer, "ran"));
 
 	if (status == 404)
-		why = REQ_BREAK_MISSING;
-	else if (status >= 400 && ran && strcmp(ran, "no") == 0)
-		why = REQ_BREAK_NOT_RUN;
-	else if (status == 0 && !sent)
-		why = REQ_BREAK_NOT_SENT;
-	json_decref(json);
-	return why;
+		return REQ_BREAK_MISSING;
+	if (status >= 400 && ran && strcmp(ran, "no") == 0)
+		return REQ_BREAK_NOT_RUN;
+	if (status == 0 && !sent)
+		return REQ_BREAK_NOT_SENT;
+	return REQ_BREAK_LOST;
 }
 
-static void entry_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+/*
+ * The endpoint at fault: the one that the engine names, or the first, which the connection was to.
+ * The next attempt passes it over; without that it would get the same pipeline, and the same
+ * refusal, until its retries are used up.
+ */
+static const char *entry_fault_of(const struct entry_call *call, const json_t *answer)
 {
-	struct entry_call *call = ctx;
-	enum req_break why = entry_break_of(status, sent, body, len);
+	const char *named = json_string_value(json_object_get(answer, "endpoint"));
 	const struct entry_stage *first =
 		call->stages && call->stages->len > 0 ? call->stages->pdata[0] : NULL;
 
+	if (named && named[0])
+		return named;
+	return first ? first->name : NULL;
+}
+
+static void entry_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct entry_call *call = ctx;
+	json_t *answer = json_loadb(body, len, 0, NULL);
+	enum req_break why = entry_break_of(status, sent, answer);
+	const char *fault = entry_fault_of(call, answer);
+
 	call->hc = NULL;
-	if (call->ended_well || call->finished)
+	if (call->ended_well || call->finished) {
+		json_decref(answer);
 		return;
+	}
 	if (why == REQ_BREAK_NOT_SENT && call->req.state == REQ_RESUMING)
 		why = REQ_BREAK_LOST;
 	log_msg(LOG_INFO,
 		"attempt_broken request=%s attempt=%u endpoint=%s status=%d reason=\"%s\"",
-		call->request, call->req.attempt, first ? first->name : "", status,
-		base_strerror(err));
+		call->request, call->req.attempt, fault ? fault : "", status, base_strerror(err));
 	met_add(met_counter("bg_attempts_broken_total", ""), 1);
-	req_on_break(&call->req, call->req.attempt, why,
-		     first && why != REQ_BREAK_NOT_RUN ? first->name : NULL, tmr_now());
+	req_on_break(&call->req, call->req.attempt, why, fault, tmr_now());
+	json_decref(answer);
 }
 
 /* --- plain services --- */
--- a/prog/script.c
+++ b/prog/script.c
@@ -25,6 +25,9 @@
 	SCRIPT_CONNECT_MS = 1000,
 	SCRIPT_REGISTER_US = 2 * USEC_PER_SEC,
 	SCRIPT_GOSSIP_US = USEC_PER_SEC,
+	SCRIPT_HEARTBEAT_US = 300 * USEC_PER_MSEC,
+	SCRIPT_SILENT_US = 900 * USEC_PER_MSEC,
+	SCRIPT_IDLE_US = 5 * USEC_PER_SEC,
 	SCRIPT_GOSSIP_PEERS = 2, /* that gossip with one daemon at a time, on average */
 	SCRIPT_GOSSIP_ROUNDS = 10
 };
@@ -103,8 +106,8 @@
 };
 
 static const struct frm_ops script_ops = {script_on_msg, script_on_close};
-static const struct frm_limits script_limits = {300 * USEC_PER_MSEC, 900 * USEC_PER_MSEC,
-						5 * USEC_PER_SEC};
+static const struct frm_limits script_limits = {SCRIPT_HEARTBEAT_US, SCRIPT_SILENT_US,
+						SCRIPT_IDLE_US};
 static const struct hc_ops script_http_ops = {NULL, script_on_http};
 
 static void script_on_http(void *ctx, int status, int err, bool sent, const char *body, size_t len)
--- a/regress/proc/orders.sh
+++ b/regress/proc/orders.sh
@@ -38,3 +38,18 @@
 eventually "e2 was ordered by the next holder" reports e2 v2
 eventually "e3 was ordered by the next holder" reports e3 v2
 no_violations
+
+# An order of a holder that was paused arrives late at an engine that ignores fencing numbers: it
+# takes it. Requests are never run at wrong layers meanwhile, and the order is undone.
+address()
+{
+	bgctl export | sed -n "s/^endpoint $1 address \([^ ]*\).*/\1/p"
+}
+http -d '{"fence":0,"model":"m1","version":"v1","first":0,"last":3}' "http://$(address e0)/orders" \
+	>/dev/null
+for i in 1 2 3; do
+	complete "$ENTRY_1" 4 "late order $i" >"$dir/a"
+	whole "$(jq -r '.choices[0].text' "$dir/a")" 4
+done
+eventually "the late order is undone" reports e0 v2
+no_violations
