--- a/fake/engine_model.c
+++ b/fake/engine_model.c
@@ -170,6 +170,39 @@
 	return NULL;
 }
 
+static const char *engine_text(const json_t *json, const char *key)
+{
+	const char *text = json_string_value(json_object_get(json, key));
+
+	return text ? text : "";
+}
+
+static uint64_t engine_number(const json_t *json, const char *key)
+{
+	return (uint64_t)json_integer_value(json_object_get(json, key));
+}
+
+static void engine_run(struct engine *engine, struct engine_port *port, struct hd_call *call,
+		       const json_t *json, const struct sim_stage *stages, int count)
+{
+	const struct conf_obj *model =
+		conf_get(engine->conf, CONF_MODEL, engine_text(json, "model"));
+	const char *prompt = engine_text(json, "prompt");
+	struct sim_run_params params = {
+		.request = engine_text(json, "request_id"),
+		.key = engine_text(json, "key"),
+		.attempt = (unsigned int)engine_number(json, "attempt"),
+		.detached = json_is_true(json_object_get(json, "detached")),
+		.prompt_hash = str_hash(prompt, strlen(prompt), 0),
+		.prompt_tokens = (int64_t)strlen(prompt) / ENGINE_PROMPT_CHARS,
+		.first_index = engine_number(json, "resume"),
+		.max_tokens = engine_number(json, "max_tokens"),
+		.layer_total = model ? (int)model->value[MODEL_LAYERS] : 0,
+	};
+
+	engine_begin(port, sim_start(&engine->sim, &params, stages, count), call);
+}
+
 static void engine_complete(struct engine *engine, struct engine_port *port, struct hd_call *call,
 			    const char *rest)
 {
@@ -181,39 +214,19 @@
 	const char *at = NULL;
 	const char *refusal =
 		json ? engine_route_of(engine, json, stages, &count, &at) : "bad_body";
-	const char *prompt = json_string_value(json_object_get(json, "prompt"));
-	const char *id = json_string_value(json_object_get(json, "request_id"));
-	const char *key = json_string_value(json_object_get(json, "key"));
-	const struct conf_obj *model = NULL;
 
 	(void)rest;
-	if (!refusal && (!prompt || !id))
+	if (!refusal && (!json_is_string(json_object_get(json, "prompt")) ||
+			 !engine_text(json, "request_id")[0]))
 		refusal = "bad_body";
 	if (!refusal && stages[0].endpoint != port->endpoint)
 		refusal = "bad_route";
-	if (!refusal) {
-		struct sim_run_params params = {
-			.request = id,
-			.key = key ? key : "",
-			.attempt =
-				(unsigned int)json_integer_value(json_object_get(json, "attempt")),
-			.detached = json_is_true(json_object_get(json, "detached")),
-			.prompt_hash = str_hash(prompt, strlen(prompt), 0),
-			.prompt_tokens = (int64_t)strlen(prompt) / ENGINE_PROMPT_CHARS,
-			.first_index =
-				(uint64_t)json_integer_value(json_object_get(json, "resume")),
-			.max_tokens =
-				(uint64_t)json_integer_value(json_object_get(json, "max_tokens")),
-		};
-
-		model = conf_get(engine->conf, CONF_MODEL, port->endpoint->model);
-		params.layer_total = (int)model->value[MODEL_LAYERS];
-		engine_begin(port, sim_start(&engine->sim, &params, stages, count), call);
-	} else {
+	if (refusal)
 		prog_reply_json(call, 409,
 				json_pack("{s:s, s:s, s:s}", "ran", "no", "code", refusal,
 					  "endpoint", at ? at : ""));
-	}
+	else
+		engine_run(engine, port, call, json, stages, count);
 	json_decref(json);
 }
 
