--- a/fake/engine.c
+++ b/fake/engine.c
@@ -226,7 +226,9 @@
 
 int main(int argc, char **argv)
 {
-	struct engine engine = {.sampled_us = 0};
+	/* Not on the stack: the HTTP library's threads may still post a call while main() returns.
+	 */
+	static struct engine engine;
 	struct hd_config config = {
 		.threads = 4,
 		.body_max = ENGINE_BODY_MAX,
--- a/fake/platform.c
+++ b/fake/platform.c
@@ -451,7 +451,9 @@
 
 int main(int argc, char **argv)
 {
-	struct platform p = {.fault = PLATFORM_LOG_OK};
+	/* Not on the stack: the HTTP library's threads may still post a call while main() returns.
+	 */
+	static struct platform p;
 	struct hd_config config = {
 		.threads = 2,
 		.body_max = PLATFORM_BODY_MAX,
--- a/prog/load.c
+++ b/prog/load.c
@@ -39,7 +39,7 @@
 	{"load", "drain_ms", SET_INT, LOAD_OFF(drain_ms), "30000", 0, 3600000},
 	{"load", "deadline_ms", SET_INT, LOAD_OFF(deadline_ms), "60000", 1, 3600000},
 	{"load", "seed", SET_INT, LOAD_OFF(seed), "1", 0, INT32_MAX},
-	{"load", "retry", SET_INT, LOAD_OFF(retry), "0", 0, 1},
+	{"load", "retry", SET_INT, LOAD_OFF(retry), "0", 0, 100},
 };
 
 static const struct hc_ops load_ops = {load_on_data, load_on_done};
@@ -108,6 +108,7 @@
 	call->service = call->path == LOAD_ROUTER && load->settings.service[0] &&
 			load_chance(load, load->settings.service_percent);
 	call->want = (uint64_t)load_draw(load, account->least, account->most);
+	call->once = call->service || load_chance(load, load->settings.once_percent);
 	call->sse = g_string_new(NULL);
 	load->open++;
 	load_send(call);
@@ -193,7 +194,7 @@
 		url = g_strdup_printf("http://%s/svc/%s/load", address, load->settings.service);
 	else
 		url = g_strdup_printf("http://%s/v1/completions", address);
-	if (call->service || load_chance(load, load->settings.once_percent)) {
+	if (call->once) {
 		headers[2] = key;
 		headers[3] = "Bg-Idempotent: no";
 	}
@@ -292,8 +293,15 @@
 
 static void load_on_retry(void *ctx, int64_t now_us)
 {
+	struct load_call *call = ctx;
+
 	(void)now_us;
-	load_send(ctx);
+	call->got = 0;
+	call->done = false;
+	call->error = false;
+	call->first_us = 0;
+	g_string_truncate(call->sse, 0);
+	load_send(call);
 }
 
 static void load_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
@@ -317,7 +325,7 @@
 			       call->start_us - load->start_us, call->account->name,
 			       call->path == LOAD_DIRECT ? "direct" : "router", status, result,
 			       call->got, call->first_us, all);
-	if (result == LOAD_REFUSED && load->settings.retry && !load->ending) {
+	if (result != LOAD_OK && call->tries++ < load->settings.retry) {
 		loop_after(&load->loop, &call->retry, LOAD_RETRY_US, load_on_retry, call);
 		return;
 	}
--- a/prog/load.h
+++ b/prog/load.h
@@ -30,7 +30,8 @@
 	int64_t drain_ms;
 	int64_t deadline_ms;
 	int64_t seed;
-	int64_t retry; /* ask again after the time that a refusal tells */
+	int64_t retry; /* how often to ask again, at the next entry host, after anything but success
+			*/
 };
 
 enum load_path {
@@ -74,6 +75,8 @@
 	enum load_path path;
 	uint64_t id;
 	bool service;
+	bool once; /* non-idempotent, with a key that stays the same when it is asked again */
+	int tries;
 	uint64_t want;
 	uint64_t got;
 	int64_t start_us;
