--- a/base/hc.h
+++ b/base/hc.h
@@ -32,7 +32,11 @@
 	size_t body_len;
 	int64_t connect_ms; /* limit for the connection */
 	int64_t total_ms;   /* limit for the whole call; 0: none */
-	bool fresh;	    /* use a new connection */
+	/*
+	 * Use a new connection. Without it the library may send the request a second time by
+	 * itself, when a reused connection ends without an answer.
+	 */
+	bool fresh;
 };
 
 struct hc *hc_new(struct loop *loop);
--- a/base/loop.c
+++ b/base/loop.c
@@ -19,7 +19,7 @@
 
 /*
  * ThreadSanitizer does not see the fences of Concurrency Kit, which are written in assembler, and
- * would report every letter; these two tell it what the ring guarantees.
+ * would report every message; these two tell it what the ring guarantees.
  */
 #ifdef __SANITIZE_THREAD__
 void __tsan_acquire(void *addr);
@@ -75,7 +75,7 @@
 }
 
 /*
- * A full mailbox means that the loop's thread is far behind. The poster waits: dropping the letter
+ * A full mailbox means that the loop's thread is far behind. The poster waits: dropping the message
  * would leave a request without its next event, which shows as a request that never ends.
  */
 void loop_post(struct loop *loop, loop_post_fn fn, void *ctx)
--- a/pool/pool.c
+++ b/pool/pool.c
@@ -176,7 +176,7 @@
 }
 
 /* A pool without a pipeline may get one back when an endpoint answers again; not for long. */
-static bool pool_hopeless(const struct pool *pool, const char *version, int64_t now_us)
+static bool pool_is_unservable(const struct pool *pool, const char *version, int64_t now_us)
 {
 	if (pool_paths_exist(pool, version))
 		return false;
@@ -194,7 +194,7 @@
 	int64_t retry_us = 0;
 	int err;
 
-	if (pool_hopeless(pool, ask->version, now_us)) {
+	if (pool_is_unservable(pool, ask->version, now_us)) {
 		pool->ops->refuse(pool->ctx, ask->entry, ask->ask_id, POOL_REFUSE_NO_PATH,
 				  pool->settings.no_path_grace_us);
 		return;
@@ -317,8 +317,8 @@
 	pool_rebuild(pool, now_us);
 }
 
-static void pool_blame(struct pool *pool, const struct pool_grant *grant, enum pool_outcome outcome,
-		       const char *bad, int64_t now_us)
+static void pool_report_fault(struct pool *pool, const struct pool_grant *grant,
+			      enum pool_outcome outcome, const char *bad, int64_t now_us)
 {
 	struct pool_endpoint *endpoint = bad ? pool_find(pool, bad) : NULL;
 
@@ -343,7 +343,7 @@
 	g_hash_table_remove(pool->grants, &grant_id);
 	fair_done(&pool->fair, grant->account, grant->tokens, tokens);
 	if (outcome != POOL_OUTCOME_OK)
-		pool_blame(pool, grant, outcome, bad, now_us);
+		pool_report_fault(pool, grant, outcome, bad, now_us);
 	pool_release(pool, grant);
 	pool_schedule(pool, now_us);
 }
@@ -447,7 +447,7 @@
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		struct pool_wait *wait = value;
 
-		if (!pool_hopeless(pool, wait->version, now_us))
+		if (!pool_is_unservable(pool, wait->version, now_us))
 			continue;
 		fair_withdraw(&pool->fair, *(uint64_t *)key);
 		pool_refuse(pool, wait, POOL_REFUSE_NO_PATH, pool->settings.no_path_grace_us);
--- a/prog/entry.c
+++ b/prog/entry.c
@@ -73,7 +73,7 @@
 static void entry_stop(void *ctx)
 {
 	struct entry *e = ctx;
-	struct entry_news *news;
+	struct entry_event *event;
 
 	if (e->stopping)
 		return;
@@ -81,9 +81,9 @@
 	e->stop_us = tmr_now();
 	ck_pr_store_uint(&e->ready, 0);
 	log_msg(LOG_NOTICE, "stopping open_calls=%u", ck_pr_load_uint(&e->open_calls));
-	news = g_new0(struct entry_news, 1);
-	news->kind = ENTRY_NEWS_DRAIN;
-	entry_send_news(e, news);
+	event = g_new0(struct entry_event, 1);
+	event->kind = ENTRY_EVENT_DRAIN;
+	entry_send_event(e, event);
 	entry_on_drain_timer(e, e->stop_us);
 }
 
--- a/prog/entry.h
+++ b/prog/entry.h
@@ -12,7 +12,7 @@
 /*
  * bgentryd: the main thread holds control state (the view of the configuration, grants, claims);
  * one traffic thread holds the requests and their streams; the HTTP library's threads hold callers.
- * They hand each other letters through the loops' mailboxes and share no state but published,
+ * They send each other messages through the loops' mailboxes and share no state but published,
  * immutable configurations.
  */
 enum {
@@ -60,7 +60,7 @@
 	int last;
 };
 
-/* --- letters from the traffic thread to the control thread --- */
+/* --- messages from the traffic thread to the control thread --- */
 
 struct entry_ask {
 	struct entry *entry;
@@ -95,20 +95,20 @@
 	char *supersedes;
 };
 
-/* --- letters from the control thread to the traffic thread --- */
+/* --- messages from the control thread to the traffic thread --- */
 
-enum entry_news_kind {
-	ENTRY_NEWS_GRANTED,
-	ENTRY_NEWS_REFUSED,
-	ENTRY_NEWS_CLAIM,
-	ENTRY_NEWS_BREAK,
-	ENTRY_NEWS_VIEW,
-	ENTRY_NEWS_DRAIN
+enum entry_event_kind {
+	ENTRY_EVENT_GRANTED,
+	ENTRY_EVENT_REFUSED,
+	ENTRY_EVENT_CLAIM,
+	ENTRY_EVENT_BREAK,
+	ENTRY_EVENT_VIEW,
+	ENTRY_EVENT_DRAIN
 };
 
-struct entry_news {
+struct entry_event {
 	struct entry *entry;
-	enum entry_news_kind kind;
+	enum entry_event_kind kind;
 	uint64_t call_id;
 	unsigned int attempt;
 	GPtrArray *stages; /* struct entry_stage */
@@ -255,12 +255,12 @@
 void entry_post_claim(void *claim);
 void entry_post_release(void *claim);
 struct frm_limits entry_limits(const struct entry *e);
-void entry_send_news(struct entry *e, struct entry_news *news);
+void entry_send_event(struct entry *e, struct entry_event *event);
 void entry_stage_free(gpointer stage);
 
 /* entry_call.c */
 int entry_traffic_start(struct entry *e);
-void entry_on_news(void *news);
+void entry_on_event(void *event);
 
 /* entry_http.c */
 void entry_http_handler(void *ctx, struct hd_call *call);
--- a/prog/entry_act.c
+++ b/prog/entry_act.c
@@ -6,7 +6,7 @@
 #include <ck_pr.h>
 #include <string.h>
 
-/* What the pure life of a request asks for, done: letters to the control thread, streams, answers.
+/* What the pure life of a request asks for, done: messages to the control thread, streams, answers.
  */
 static void entry_act_ask(void *ctx, unsigned int attempt, char *const *exclude);
 static void entry_act_withdraw(void *ctx, unsigned int attempt);
@@ -50,12 +50,12 @@
 	struct entry_ask *ask;
 
 	if (call->kind == ENTRY_SERVICE) {
-		struct entry_news *news = g_new0(struct entry_news, 1);
+		struct entry_event *event = g_new0(struct entry_event, 1);
 
-		news->kind = ENTRY_NEWS_GRANTED;
-		news->call_id = call->id;
-		news->attempt = attempt;
-		entry_send_news(e, news);
+		event->kind = ENTRY_EVENT_GRANTED;
+		event->call_id = call->id;
+		event->attempt = attempt;
+		entry_send_event(e, event);
 		return;
 	}
 	ask = g_new0(struct entry_ask, 1);
@@ -156,13 +156,13 @@
 	char *id;
 
 	if (!call->key) {
-		struct entry_news *news = g_new0(struct entry_news, 1);
+		struct entry_event *event = g_new0(struct entry_event, 1);
 
-		news->kind = ENTRY_NEWS_CLAIM;
-		news->call_id = call->id;
-		news->attempt = attempt;
-		news->verdict = ONCE_WON;
-		entry_send_news(e, news);
+		event->kind = ENTRY_EVENT_CLAIM;
+		event->call_id = call->id;
+		event->attempt = attempt;
+		event->verdict = ONCE_WON;
+		entry_send_event(e, event);
 		return;
 	}
 	id = g_strdup_printf("%s/%u", call->request, attempt);
--- a/prog/entry_call.c
+++ b/prog/entry_call.c
@@ -9,7 +9,7 @@
 
 /*
  * Requests in the traffic thread: from what the HTTP side has read to the pure life of a request
- * (req/), news from the control thread, and housekeeping.
+ * (req/), events from the control thread, and housekeeping.
  */
 enum {
 	ENTRY_SWEEP_US = 200000
@@ -53,9 +53,9 @@
 	g_free(call);
 }
 
-void entry_post_call(void *letter)
+void entry_post_call(void *task)
 {
-	struct entry_call *call = letter;
+	struct entry_call *call = task;
 	struct entry *e = call->entry;
 
 	call->id = ++e->traffic.last_id;
@@ -188,35 +188,35 @@
 	req_start(&call->req, tmr_now());
 }
 
-static void entry_news_free(struct entry_news *news)
+static void entry_event_free(struct entry_event *event)
 {
-	if (news->stages)
-		g_ptr_array_free(news->stages, TRUE);
-	if (news->hosts)
-		g_ptr_array_free(news->hosts, TRUE);
-	conf_state_unref(news->conf);
-	g_free(news->winner_id);
-	g_free(news->winner_request);
-	g_free(news->winner_entry);
-	g_free(news->winner_endpoints);
-	g_free(news->winner_digest);
-	g_free(news);
+	if (event->stages)
+		g_ptr_array_free(event->stages, TRUE);
+	if (event->hosts)
+		g_ptr_array_free(event->hosts, TRUE);
+	conf_state_unref(event->conf);
+	g_free(event->winner_id);
+	g_free(event->winner_request);
+	g_free(event->winner_entry);
+	g_free(event->winner_endpoints);
+	g_free(event->winner_digest);
+	g_free(event);
 }
 
-static void entry_news_granted(struct entry_call *call, struct entry_news *news)
+static void entry_event_granted(struct entry_call *call, struct entry_event *event)
 {
-	guint n = news->stages ? news->stages->len : 0;
+	guint n = event->stages ? event->stages->len : 0;
 	char **names = g_new0(char *, n + 1);
 
 	for (guint i = 0; i < n; i++)
-		names[i] = ((struct entry_stage *)news->stages->pdata[i])->name;
-	if (call->req.state != REQ_DONE && call->req.attempt == news->attempt) {
+		names[i] = ((struct entry_stage *)event->stages->pdata[i])->name;
+	if (call->req.state != REQ_DONE && call->req.attempt == event->attempt) {
 		if (call->stages)
 			g_ptr_array_free(call->stages, TRUE);
-		call->stages = news->stages;
-		news->stages = NULL;
+		call->stages = event->stages;
+		event->stages = NULL;
 	}
-	req_on_granted(&call->req, news->attempt, names, tmr_now());
+	req_on_granted(&call->req, event->attempt, names, tmr_now());
 	g_free(names);
 }
 
@@ -229,62 +229,62 @@
 	return obj ? obj->text[ENDPOINT_ADDRESS] : NULL;
 }
 
-static void entry_news_claim(struct entry_call *call, struct entry_news *news)
+static void entry_event_claim(struct entry_call *call, struct entry_event *event)
 {
 	enum req_claim_verdict verdict = REQ_CLAIM_OUT;
 
-	if (news->verdict == ONCE_WON)
+	if (event->verdict == ONCE_WON)
 		verdict = REQ_CLAIM_WON;
-	if (news->verdict == ONCE_LOST && call->req.state == REQ_WAIT_CLAIM) {
-		verdict = strcmp(news->winner_digest, call->digest) == 0 ? REQ_CLAIM_LOST
-									 : REQ_CLAIM_REUSED;
+	if (event->verdict == ONCE_LOST && call->req.state == REQ_WAIT_CLAIM) {
+		verdict = strcmp(event->winner_digest, call->digest) == 0 ? REQ_CLAIM_LOST
+									  : REQ_CLAIM_REUSED;
 		g_free(call->winner_id);
 		g_free(call->winner_entry);
 		g_free(call->run_handle);
 		g_free(call->run_address);
-		call->winner_id = g_strdup(news->winner_id);
-		call->winner_entry = g_strdup(news->winner_entry);
-		call->run_handle = g_strdup(news->winner_request);
+		call->winner_id = g_strdup(event->winner_id);
+		call->winner_entry = g_strdup(event->winner_entry);
+		call->run_handle = g_strdup(event->winner_request);
 		call->run_address =
-			g_strdup(entry_stage_address(call->entry, news->winner_endpoints));
+			g_strdup(entry_stage_address(call->entry, event->winner_endpoints));
 	}
-	req_on_claim(&call->req, news->attempt, verdict, tmr_now());
+	req_on_claim(&call->req, event->attempt, verdict, tmr_now());
 }
 
-static void entry_news_view(struct entry *e, struct entry_news *news)
+static void entry_event_view(struct entry *e, struct entry_event *event)
 {
 	conf_state_unref(e->traffic.conf);
-	e->traffic.conf = news->conf;
-	news->conf = NULL;
+	e->traffic.conf = event->conf;
+	event->conf = NULL;
 	if (e->traffic.hosts)
 		g_ptr_array_free(e->traffic.hosts, TRUE);
-	e->traffic.hosts = news->hosts;
-	news->hosts = NULL;
-	ck_pr_store_64(&e->revision, (uint64_t)news->revision);
+	e->traffic.hosts = event->hosts;
+	event->hosts = NULL;
+	ck_pr_store_64(&e->revision, (uint64_t)event->revision);
 }
 
-void entry_on_news(void *letter)
+void entry_on_event(void *task)
 {
-	struct entry_news *news = letter;
-	struct entry *e = news->entry;
-	struct entry_call *call = g_hash_table_lookup(e->traffic.calls, &news->call_id);
+	struct entry_event *event = task;
+	struct entry *e = event->entry;
+	struct entry_call *call = g_hash_table_lookup(e->traffic.calls, &event->call_id);
 
-	if (news->kind == ENTRY_NEWS_VIEW) {
-		entry_news_view(e, news);
-	} else if (news->kind == ENTRY_NEWS_DRAIN) {
+	if (event->kind == ENTRY_EVENT_VIEW) {
+		entry_event_view(e, event);
+	} else if (event->kind == ENTRY_EVENT_DRAIN) {
 		e->traffic.draining = true;
 	} else if (call && !call->finished) {
-		if (news->kind == ENTRY_NEWS_GRANTED)
-			entry_news_granted(call, news);
-		else if (news->kind == ENTRY_NEWS_REFUSED)
-			req_on_refused(&call->req, news->attempt, news->refusal, news->retry_us,
+		if (event->kind == ENTRY_EVENT_GRANTED)
+			entry_event_granted(call, event);
+		else if (event->kind == ENTRY_EVENT_REFUSED)
+			req_on_refused(&call->req, event->attempt, event->refusal, event->retry_us,
 				       tmr_now());
-		else if (news->kind == ENTRY_NEWS_BREAK)
-			req_on_break(&call->req, news->attempt, news->why, NULL, tmr_now());
+		else if (event->kind == ENTRY_EVENT_BREAK)
+			req_on_break(&call->req, event->attempt, event->why, NULL, tmr_now());
 		else
-			entry_news_claim(call, news);
+			entry_event_claim(call, event);
 	}
-	entry_news_free(news);
+	entry_event_free(event);
 }
 
 static void entry_forget(struct entry *e, struct entry_call *call)
--- a/prog/entry_claim.c
+++ b/prog/entry_claim.c
@@ -35,24 +35,24 @@
 	g_free(pending);
 }
 
-static void entry_claim_news(struct entry *e, struct entry_pending_claim *pending, int verdict,
-			     const Once__Claim *winner)
+static void entry_send_verdict(struct entry *e, struct entry_pending_claim *pending, int verdict,
+			       const Once__Claim *winner)
 {
-	struct entry_news *news = g_new0(struct entry_news, 1);
+	struct entry_event *event = g_new0(struct entry_event, 1);
 
-	news->kind = ENTRY_NEWS_CLAIM;
-	news->call_id = pending->claim->call_id;
-	news->attempt = pending->claim->attempt;
-	news->verdict = verdict;
+	event->kind = ENTRY_EVENT_CLAIM;
+	event->call_id = pending->claim->call_id;
+	event->attempt = pending->claim->attempt;
+	event->verdict = verdict;
 	if (winner) {
-		news->winner_id = g_strdup(winner->id);
-		news->winner_request = g_strdup(winner->request);
-		news->winner_entry = g_strdup(winner->entry);
-		news->winner_endpoints = g_strdup(winner->endpoints);
-		news->winner_digest = g_strdup(winner->digest);
+		event->winner_id = g_strdup(winner->id);
+		event->winner_request = g_strdup(winner->request);
+		event->winner_entry = g_strdup(winner->entry);
+		event->winner_endpoints = g_strdup(winner->endpoints);
+		event->winner_digest = g_strdup(winner->digest);
 	}
 	g_hash_table_remove(e->broker.claims, &pending->ask_id);
-	entry_send_news(e, news);
+	entry_send_event(e, event);
 }
 
 static struct entry_home *entry_claims_home(struct entry *e, const char *key)
@@ -77,7 +77,7 @@
 	g_free(pending->home);
 	pending->home = home ? g_strdup(home->host) : NULL;
 	if (!home) {
-		entry_claim_news(e, pending, ONCE_OUT, NULL);
+		entry_send_verdict(e, pending, ONCE_OUT, NULL);
 		return;
 	}
 	msg.ask_id = pending->ask_id;
@@ -105,9 +105,9 @@
 	g_list_free(claims);
 }
 
-void entry_post_claim(void *letter)
+void entry_post_claim(void *task)
 {
-	struct entry_claim *claim = letter;
+	struct entry_claim *claim = task;
 	struct entry *e = claim->entry;
 	struct entry_pending_claim *pending = g_new0(struct entry_pending_claim, 1);
 
@@ -117,9 +117,9 @@
 	entry_place_claim(e, pending);
 }
 
-void entry_post_release(void *letter)
+void entry_post_release(void *task)
 {
-	struct entry_claim *claim = letter;
+	struct entry_claim *claim = task;
 	struct entry *e = claim->entry;
 	struct entry_home *home = entry_claims_home(e, claim->key);
 	Once__Release msg = ONCE__RELEASE__INIT;
@@ -141,7 +141,7 @@
 	pending = g_hash_table_lookup(e->broker.claims, &msg->ask_id);
 	if (pending) {
 		entry_home_answered(entry_home_named(e, pending->home));
-		entry_claim_news(e, pending, (int)msg->verdict, msg->winner);
+		entry_send_verdict(e, pending, (int)msg->verdict, msg->winner);
 	}
 	once__verdict__free_unpacked(msg, NULL);
 	return 0;
--- a/prog/entry_grant.c
+++ b/prog/entry_grant.c
@@ -125,9 +125,9 @@
 	return call_id * ENTRY_ATTEMPTS_MAX + attempt;
 }
 
-void entry_post_ask(void *letter)
+void entry_post_ask(void *task)
 {
-	struct entry_ask *ask = letter;
+	struct entry_ask *ask = task;
 	struct entry *e = ask->entry;
 	struct entry_hold *hold = g_new0(struct entry_hold, 1);
 
@@ -167,16 +167,16 @@
 	return g_hash_table_lookup(e->broker.holds, &ask_id);
 }
 
-void entry_post_withdraw(void *letter)
+void entry_post_withdraw(void *task)
 {
-	struct entry_ungrant *ungrant = letter;
+	struct entry_ungrant *ungrant = task;
 	struct entry *e = ungrant->entry;
 	struct entry_hold *hold = entry_hold_of(e, ungrant->call_id, ungrant->attempt);
 	struct entry_home *home = hold ? entry_home_named(e, hold->home) : NULL;
 
 	if (hold && hold->granted) {
 		/* The grant was on its way to the traffic thread. */
-		entry_post_ungrant(letter);
+		entry_post_ungrant(task);
 		return;
 	}
 	if (home) {
@@ -198,9 +198,9 @@
 	g_free(ungrant);
 }
 
-void entry_post_ungrant(void *letter)
+void entry_post_ungrant(void *task)
 {
-	struct entry_ungrant *ungrant = letter;
+	struct entry_ungrant *ungrant = task;
 	struct entry *e = ungrant->entry;
 	struct entry_hold *hold = entry_hold_of(e, ungrant->call_id, ungrant->attempt);
 	struct entry_home *home = hold ? entry_home_named(e, hold->home) : NULL;
@@ -263,16 +263,16 @@
 	return copy;
 }
 
-void entry_send_news(struct entry *e, struct entry_news *news)
+void entry_send_event(struct entry *e, struct entry_event *event)
 {
-	news->entry = e;
-	loop_post(&e->traffic.loop, entry_on_news, news);
+	event->entry = e;
+	loop_post(&e->traffic.loop, entry_on_event, event);
 }
 
 void entry_granted(struct entry *e, struct entry_hold *hold, uint64_t grant_id, char **names,
 		   size_t n)
 {
-	struct entry_news *news;
+	struct entry_event *event;
 
 	hold->stages = entry_stages(e, names, n);
 	hold->granted = true;
@@ -283,12 +283,12 @@
 		met_add(met_counter("bg_grants_of_unknown_endpoints_total", ""), 1);
 	}
 	met_observe(met_histogram("bg_step_us", "step=\"grant\""), tmr_now() - hold->asked_us);
-	news = g_new0(struct entry_news, 1);
-	news->kind = ENTRY_NEWS_GRANTED;
-	news->call_id = hold->ask->call_id;
-	news->attempt = hold->ask->attempt;
-	news->stages = g_ptr_array_copy(hold->stages, entry_stage_copy, NULL);
-	entry_send_news(e, news);
+	event = g_new0(struct entry_event, 1);
+	event->kind = ENTRY_EVENT_GRANTED;
+	event->call_id = hold->ask->call_id;
+	event->attempt = hold->ask->attempt;
+	event->stages = g_ptr_array_copy(hold->stages, entry_stage_copy, NULL);
+	entry_send_event(e, event);
 }
 
 int entry_on_grant(struct entry *e, const uint8_t *body, size_t len)
@@ -312,7 +312,7 @@
 		   int64_t retry_us)
 {
 	struct entry_pool *other;
-	struct entry_news *news;
+	struct entry_event *event;
 
 	if (hold->pool) {
 		hold->pool->avoid_until_us = tmr_now() + MIN(retry_us, ENTRY_AVOID_US);
@@ -325,14 +325,14 @@
 			return;
 		}
 	}
-	news = g_new0(struct entry_news, 1);
-	news->kind = ENTRY_NEWS_REFUSED;
-	news->call_id = hold->ask->call_id;
-	news->attempt = hold->ask->attempt;
-	news->refusal = entry_refusals[why];
-	news->retry_us = retry_us;
+	event = g_new0(struct entry_event, 1);
+	event->kind = ENTRY_EVENT_REFUSED;
+	event->call_id = hold->ask->call_id;
+	event->attempt = hold->ask->attempt;
+	event->refusal = entry_refusals[why];
+	event->retry_us = retry_us;
 	entry_hold_remove(e, hold);
-	entry_send_news(e, news);
+	entry_send_event(e, event);
 }
 
 int entry_on_refuse(struct entry *e, const uint8_t *body, size_t len)
--- a/prog/entry_http.c
+++ b/prog/entry_http.c
@@ -81,7 +81,7 @@
 }
 
 /* A call whose models are listed in the traffic thread, which owns the configuration. */
-struct entry_models_letter {
+struct entry_models_task {
 	struct entry *entry;
 	struct hd_call *http;
 };
@@ -94,22 +94,22 @@
 
 static void entry_models_now(void *ctx)
 {
-	struct entry_models_letter *letter = ctx;
+	struct entry_models_task *task = ctx;
 	json_t *list = json_array();
 
-	if (letter->entry->traffic.conf)
-		conf_each(letter->entry->traffic.conf, CONF_MODEL, entry_add_model, list);
-	prog_reply_json(letter->http, 200, json_pack("{s:s, s:o}", "object", "list", "data", list));
-	g_free(letter);
+	if (task->entry->traffic.conf)
+		conf_each(task->entry->traffic.conf, CONF_MODEL, entry_add_model, list);
+	prog_reply_json(task->http, 200, json_pack("{s:s, s:o}", "object", "list", "data", list));
+	g_free(task);
 }
 
 static void entry_http_models(struct entry *e, struct hd_call *http)
 {
-	struct entry_models_letter *letter = g_new(struct entry_models_letter, 1);
+	struct entry_models_task *task = g_new(struct entry_models_task, 1);
 
-	letter->entry = e;
-	letter->http = http;
-	loop_post(&e->traffic.loop, entry_models_now, letter);
+	task->entry = e;
+	task->http = http;
+	loop_post(&e->traffic.loop, entry_models_now, task);
 }
 
 /* --- requests --- */
--- a/prog/entry_join.c
+++ b/prog/entry_join.c
@@ -199,15 +199,15 @@
 	return join;
 }
 
-/* A letter to itself, since a request must not be called from inside its own action. */
-struct entry_join_letter {
+/* A message to itself, since a request must not be called from inside its own action. */
+struct entry_join_task {
 	struct entry *entry;
 	uint64_t call_id;
 };
 
-static void entry_join_now(void *letter)
+static void entry_join_now(void *task)
 {
-	struct entry_join_letter *l = letter;
+	struct entry_join_task *l = task;
 	struct entry *e = l->entry;
 	struct entry_call *call = entry_call_by_id(e, l->call_id);
 	struct entry_call *winner;
@@ -242,12 +242,12 @@
 
 void entry_join(struct entry_call *call)
 {
-	struct entry_join_letter *letter = g_new0(struct entry_join_letter, 1);
+	struct entry_join_task *task = g_new0(struct entry_join_task, 1);
 
-	letter->entry = call->entry;
-	letter->call_id = call->id;
+	task->entry = call->entry;
+	task->call_id = call->id;
 	met_add(met_counter("bg_joins_total", ""), 1);
-	loop_post(&call->entry->traffic.loop, entry_join_now, letter);
+	loop_post(&call->entry->traffic.loop, entry_join_now, task);
 }
 
 static int entry_join_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
--- a/prog/entry_local.c
+++ b/prog/entry_local.c
@@ -12,7 +12,7 @@
  */
 enum {
 	ENTRY_LOCAL_OVERLAP_PERCENT = 100, /* cautious: nobody counts for all */
-	ENTRY_LOCAL_FORGIVE_US = 2 * USEC_PER_SEC
+	ENTRY_LOCAL_RETRY_US = 2 * USEC_PER_SEC
 };
 
 static void entry_local_grant(void *ctx, const struct pool_grant *grant, int64_t wait_us);
@@ -44,7 +44,7 @@
 	struct pool *pool = g_hash_table_lookup(e->broker.locals, name);
 	struct pool_settings settings = {POOL_POLICY_FLOW, ENTRY_LOCAL_OVERLAP_PERCENT,
 					 MAX(host_live_count(&e->view.hosts), 1),
-					 ENTRY_LOCAL_FORGIVE_US};
+					 ENTRY_LOCAL_RETRY_US};
 
 	if (pool)
 		return pool;
@@ -122,7 +122,7 @@
 		for (guint i = 0; i < pool->endpoints->len; i++) {
 			struct pool_endpoint *endpoint = pool->endpoints->pdata[i];
 
-			if (endpoint->down && now_us - endpoint->report_us > ENTRY_LOCAL_FORGIVE_US)
+			if (endpoint->down && now_us - endpoint->report_us > ENTRY_LOCAL_RETRY_US)
 				pool_on_load(pool, endpoint->name, 0, false, now_us);
 		}
 		pool_on_tick(pool, now_us);
--- a/prog/entry_stream.c
+++ b/prog/entry_stream.c
@@ -52,13 +52,13 @@
 /* The request must not be called from inside its own action; it hears of this a moment later. */
 static void entry_post_break(struct entry_call *call, enum req_break why)
 {
-	struct entry_news *news = g_new0(struct entry_news, 1);
+	struct entry_event *event = g_new0(struct entry_event, 1);
 
-	news->kind = ENTRY_NEWS_BREAK;
-	news->call_id = call->id;
-	news->attempt = call->req.attempt;
-	news->why = why;
-	entry_send_news(call->entry, news);
+	event->kind = ENTRY_EVENT_BREAK;
+	event->call_id = call->id;
+	event->attempt = call->req.attempt;
+	event->why = why;
+	entry_send_event(call->entry, event);
 }
 
 /* An earlier stream of the call may still be open: the engine said that its run has failed. */
--- a/prog/entry_view.c
+++ b/prog/entry_view.c
@@ -130,16 +130,16 @@
 /* Hands the view to the traffic thread. */
 static void entry_view_publish(struct entry *e)
 {
-	struct entry_news *news = g_new0(struct entry_news, 1);
+	struct entry_event *event = g_new0(struct entry_event, 1);
 
-	news->kind = ENTRY_NEWS_VIEW;
-	news->conf = conf_state_ref(e->view.clog.state);
-	news->revision = e->view.clog.revision;
-	news->hosts = g_ptr_array_new_with_free_func(g_free);
+	event->kind = ENTRY_EVENT_VIEW;
+	event->conf = conf_state_ref(e->view.clog.state);
+	event->revision = e->view.clog.revision;
+	event->hosts = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; i < e->view.hosts.hosts->len; i++)
-		g_ptr_array_add(news->hosts,
+		g_ptr_array_add(event->hosts,
 				g_memdup2(e->view.hosts.hosts->pdata[i], sizeof(struct host)));
-	entry_send_news(e, news);
+	entry_send_event(e, event);
 }
 
 /* The list calls a host "leaving" also while only its control daemon restarts; that is no reason.
--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -91,6 +91,24 @@
 		"http://$entry/v1/completions"
 }
 
+# confirm ENTRY KEY MAX_TOKENS: a non-idempotent request under that key.
+confirm()
+{
+	complete "$1" "$3" "confirm $2" -H 'Bg-Idempotent: no' -H "Idempotency-Key: $2"
+}
+
+# The text of an answer in a file.
+text_of()
+{
+	jq -r '.choices[0].text' <"$1"
+}
+
+# running KEY: the run under the key has brought some tokens.
+running()
+{
+	[ "$(ledger --arg k "$1" '[.runs[] | select(.key == $k) | .tokens] | add // 0')" -ge 5 ]
+}
+
 # The text of a streamed answer in a file.
 stream_text()
 {
--- a/regress/proc/frozen.sh
+++ b/regress/proc/frozen.sh
@@ -5,26 +5,12 @@
 . "$(dirname "$0")/../lib.sh"
 stack --hosts 3 --endpoints 4
 
-ask()
-{
-	complete "$1" "$3" "confirm $2" -H 'Bg-Idempotent: no' -H "Idempotency-Key: $2"
-}
-
-text_of()
-{
-	jq -r '.choices[0].text' <"$1"
-}
-
 # The entry daemon is frozen mid answer; another host resumes the run from the engine.
-ask "$ENTRY_0" frozen 100 >"$dir/a" &
+confirm "$ENTRY_0" frozen 100 >"$dir/a" &
 a=$!
-running()
-{
-	[ "$(ledger --arg k "$1" '[.runs[] | select(.key == $k) | .tokens] | add // 0')" -ge 5 ]
-}
 eventually "the run has begun" running frozen
 kill -STOP "$PID_ENTRY_0"
-ask "$ENTRY_1" frozen 100 >"$dir/b"
+confirm "$ENTRY_1" frozen 100 >"$dir/b"
 whole "$(text_of "$dir/b")" 100
 kill -CONT "$PID_ENTRY_0"
 wait $a
@@ -37,7 +23,7 @@
 	for entry in $ENTRY_0 $ENTRY_1 $ENTRY_2; do
 		complete "$entry" 4 "while $pid is frozen" >"$dir/a"
 		whole "$(text_of "$dir/a")" 4
-		ask "$entry" "key-$pid-$entry" 4 >"$dir/a"
+		confirm "$entry" "key-$pid-$entry" 4 >"$dir/a"
 		whole "$(text_of "$dir/a")" 4
 		ran_once "key-$pid-$entry"
 	done
--- a/regress/proc/hosts.sh
+++ b/regress/proc/hosts.sh
@@ -5,11 +5,6 @@
 . "$(dirname "$0")/../lib.sh"
 stack --hosts 3 --endpoints 4
 
-text_of()
-{
-	jq -r '.choices[0].text' <"$1"
-}
-
 fault_platform '{"hosts_frozen":true}'
 complete_stream "$ENTRY_1" 80 "over a lost home" >"$dir/s" &
 pid=$!
--- a/regress/proc/once.sh
+++ b/regress/proc/once.sh
@@ -4,23 +4,11 @@
 . "$(dirname "$0")/../lib.sh"
 stack --hosts 3 --endpoints 4
 
-ask()
-{
-	local entry=$1 key=$2 tokens=$3
-
-	complete "$entry" "$tokens" "confirm $key" -H 'Bg-Idempotent: no' -H "Idempotency-Key: $key"
-}
-
-text_of()
-{
-	jq -r '.choices[0].text' <"$1"
-}
-
 # Both at the same moment, many times.
 for i in 1 2 3 4 5; do
-	ask "$ENTRY_0" "both-$i" 8 >"$dir/a" &
+	confirm "$ENTRY_0" "both-$i" 8 >"$dir/a" &
 	a=$!
-	ask "$ENTRY_1" "both-$i" 8 >"$dir/b" &
+	confirm "$ENTRY_1" "both-$i" 8 >"$dir/b" &
 	b=$!
 	wait $a $b
 	whole "$(text_of "$dir/a")" 8
@@ -29,16 +17,12 @@
 done
 
 # The first entry host dies mid answer: who asks again gets the whole answer, and nothing ran twice.
-ask "$ENTRY_0" dies 80 >"$dir/a" &
+confirm "$ENTRY_0" dies 80 >"$dir/a" &
 a=$!
-running()
-{
-	[ "$(ledger --arg k "$1" '[.runs[] | select(.key == $k) | .tokens] | add // 0')" -ge 5 ]
-}
 eventually "the run has begun" running dies
 kill -KILL "$PID_ENTRY_0"
 wait $a || true
-ask "$ENTRY_1" dies 80 >"$dir/b"
+confirm "$ENTRY_1" dies 80 >"$dir/b"
 whole "$(text_of "$dir/b")" 80
 ran_once dies
 
@@ -57,14 +41,14 @@
 
 # The answer of an append is lost.
 fault_platform '{"log":"lose"}'
-ask "$ENTRY_1" lost 4 >"$dir/a"
+confirm "$ENTRY_1" lost 4 >"$dir/a"
 whole "$(text_of "$dir/a")" 4
 fault_platform '{"log":"ok"}'
 ran_once lost
 
 # The log is out: refused at once, not run, with when to come back; later it runs.
 fault_platform '{"log":"out"}'
-ask "$ENTRY_1" out 4 >"$dir/a"
+confirm "$ENTRY_1" out 4 >"$dir/a"
 code=$(jq -r .error.code "$dir/a")
 [ "$code" = claim_failed ] || fail "log out: $(cat "$dir/a")"
 complete "$ENTRY_1" 4 "repeatable" >"$dir/b"
@@ -72,7 +56,7 @@
 fault_platform '{"log":"ok"}'
 asked_again()
 {
-	ask "$ENTRY_2" out 4 >"$dir/a" && [ "$(jq -r '.choices[0].text // empty' "$dir/a")" ]
+	confirm "$ENTRY_2" out 4 >"$dir/a" && [ "$(jq -r '.choices[0].text // empty' "$dir/a")" ]
 }
 eventually "the log is used again" asked_again
 whole "$(text_of "$dir/a")" 4
@@ -81,7 +65,7 @@
 # Every control daemon but one dies: claims go on at the one that is left.
 kill -KILL "$PID_CONTROL_0" "$PID_CONTROL_1"
 for i in 1 2 3 4; do
-	ask "$ENTRY_2" "home-$i" 4 >"$dir/a"
+	confirm "$ENTRY_2" "home-$i" 4 >"$dir/a"
 	whole "$(text_of "$dir/a")" 4
 	ran_once "home-$i"
 done
