--- /dev/null
+++ b/regress/proc/fencing.sh
@@ -0,0 +1,58 @@
+# Symptom: an engine goes back to an old version after a roll-out.
+# Sequence: the orderer is frozen past its lease; the next one orders a new version; an order of the
+# frozen one arrives late.
+# Cause: an engine that takes any order. One that keeps to fencing numbers refuses the late one.
+. "$(dirname "$0")/../lib.sh"
+stack --hosts 3 --endpoints 4 --fencing --set endpoints.lease_ms=1500
+
+address()
+{
+	bgctl export | sed -n "s/^endpoint $1 address \([^ ]*\).*/\1/p"
+}
+
+report()
+{
+	http "http://$(address e0)/load" | jq -r ".$1"
+}
+
+version_is()
+{
+	[ "$(report version)" = "$1" ]
+}
+
+lease()
+{
+	http "http://$PLATFORM/log/orders?from=0" | jq -r '.records[-1] | "\(.offset) \(.data | fromjson | .holder)"'
+}
+
+has_holder()
+{
+	[ -n "$(lease | sed -n 's/.*host-//p')" ]
+}
+eventually "somebody holds the lease" has_holder
+read -r old_fence holder <<<"$(lease)"
+n=${holder%%/*}
+n=${n#host-}
+frozen=PID_CONTROL_$n
+other=CONTROL_$(((n + 1) % 3))
+export BRONZEGAUGE_CONTROL=${!other}
+kill -STOP "${!frozen}"
+bgctl do "endpoint e0 version v2" >/dev/null
+eventually "the next holder orders v2" version_is v2
+[ "$(report fence)" -gt "$old_fence" ] || fail "the fencing number did not grow"
+code=$(http -o /dev/null -w '%{http_code}' \
+	-d "{\"fence\":$old_fence,\"model\":\"m1\",\"version\":\"v1\",\"first\":0,\"last\":15}" \
+	"http://$(address e0)/orders")
+[ "$code" = 409 ] || fail "a late order was taken: $code"
+version_is v2 || fail "the version went back"
+
+# The frozen one wakes: it neither orders the old version nor takes the lease back while it lasts.
+kill -CONT "${!frozen}"
+awake()
+{
+	address=CONTROL_$n
+	[ "$(http "http://${!address}/v1/status" | jq .revision)" = "$(http "http://${!other}/v1/status" | jq .revision)" ]
+}
+eventually "the woken host has the configuration" awake
+version_is v2 || fail "the woken holder undid the order"
+no_violations
