--- a/prog/entry_act.c
+++ b/prog/entry_act.c
@@ -36,6 +36,12 @@
 	.timer = entry_act_timer,
 };
 
+static const char *const entry_class_names[ENTRY_CALL_KIND_COUNT] = {
+	[ENTRY_COMPLETION] = "completion",
+	[ENTRY_CHAT] = "chat",
+	[ENTRY_SERVICE] = "service",
+};
+
 static const enum pool_outcome entry_outcomes[] = {
 	[REQ_GRANT_OK] = POOL_OUTCOME_OK,
 	[REQ_GRANT_REFUSED] = POOL_OUTCOME_REFUSED,
@@ -214,11 +220,18 @@
 	entry_join(ctx);
 }
 
+/* Histograms and counters of requests are kept for each client account and class. */
+static char *entry_labels(const struct entry_call *call)
+{
+	return g_strdup_printf("account=\"%s\",class=\"%s\"", call->account,
+			       entry_class_names[call->kind]);
+}
+
 static void entry_act_deliver(void *ctx, uint64_t index, const char *text, size_t len)
 {
 	struct entry_call *call = ctx;
 	int64_t now = tmr_now();
-	char *labels = g_strdup_printf("account=\"%s\"", call->account);
+	char *labels = entry_labels(call);
 
 	if (call->last_token_us == 0)
 		met_observe(met_histogram("bg_first_token_us", labels), now - call->began_us);
@@ -237,7 +250,7 @@
 
 	met_add(met_counter("bg_requests_total", labels), 1);
 	g_free(labels);
-	labels = g_strdup_printf("account=\"%s\"", call->account);
+	labels = entry_labels(call);
 	met_observe(met_histogram("bg_request_us", labels), tmr_now() - call->began_us);
 	met_add(met_counter("bg_tokens_total", labels), call->tokens->len);
 	g_free(labels);
--- a/regress/proc/path.sh
+++ b/regress/proc/path.sh
@@ -40,3 +40,7 @@
 	-d '{"model":"m1","prompt":"x"}' "http://$ENTRY_0/v1/completions")
 [ "$got" = 403 ] || fail "expected 403, got $got"
 [ "$(ledger '.runs | length')" = "$before" ] || fail "something ran that was refused"
+
+# Histograms for each client account and class.
+http "http://$ENTRY_0/metrics" | grep -q '^bg_first_token_us{account="farm",class="completion",quantile="0.95"}' ||
+	fail "no histogram of the account and class"
