Messages to homes and events to the traffic thread are built in one place each

Change: entry_send_done(), entry_send_withdraw(), entry_move(), entry_event_new(). Behaviour is as it was; no test was touched.

--- a/prog/entry.h
+++ b/prog/entry.h
@@ -255,6 +255,8 @@
 void entry_post_claim(void *claim);
 void entry_post_release(void *claim);
 struct frm_limits entry_limits(const struct entry *e);
+struct entry_event *entry_event_new(enum entry_event_kind kind, uint64_t call_id,
+				    unsigned int attempt);
 void entry_send_event(struct entry *e, struct entry_event *event);
 void entry_stage_free(gpointer stage);
 
--- a/prog/entry_act.c
+++ b/prog/entry_act.c
@@ -56,12 +56,7 @@
 	struct entry_ask *ask;
 
 	if (call->kind == ENTRY_SERVICE) {
-		struct entry_event *event = g_new0(struct entry_event, 1);
-
-		event->kind = ENTRY_EVENT_GRANTED;
-		event->call_id = call->id;
-		event->attempt = attempt;
-		entry_send_event(e, event);
+		entry_send_event(e, entry_event_new(ENTRY_EVENT_GRANTED, call->id, attempt));
 		return;
 	}
 	ask = g_new0(struct entry_ask, 1);
@@ -162,11 +157,8 @@
 	char *id;
 
 	if (!call->key) {
-		struct entry_event *event = g_new0(struct entry_event, 1);
+		struct entry_event *event = entry_event_new(ENTRY_EVENT_CLAIM, call->id, attempt);
 
-		event->kind = ENTRY_EVENT_CLAIM;
-		event->call_id = call->id;
-		event->attempt = attempt;
 		event->verdict = ONCE_WON;
 		entry_send_event(e, event);
 		return;
--- a/prog/entry_claim.c
+++ b/prog/entry_claim.c
@@ -38,11 +38,9 @@
 static void entry_send_verdict(struct entry *e, struct entry_pending_claim *pending, int verdict,
 			       const Once__Claim *winner)
 {
-	struct entry_event *event = g_new0(struct entry_event, 1);
+	struct entry_event *event = entry_event_new(ENTRY_EVENT_CLAIM, pending->claim->call_id,
+						    pending->claim->attempt);
 
-	event->kind = ENTRY_EVENT_CLAIM;
-	event->call_id = pending->claim->call_id;
-	event->attempt = pending->claim->attempt;
 	event->verdict = verdict;
 	if (winner) {
 		event->winner_id = g_strdup(winner->id);
--- a/prog/entry_grant.c
+++ b/prog/entry_grant.c
@@ -102,6 +102,30 @@
 	entry_home_waits(home);
 }
 
+static void entry_send_withdraw(struct entry_hold *hold, struct entry_home *home)
+{
+	Pool__Withdraw msg = POOL__WITHDRAW__INIT;
+
+	msg.ask_id = hold->ask_id;
+	msg.pool = hold->pool->name;
+	frm_send(home->conn, MSG_POOL_WITHDRAW, &msg.base);
+	entry_home_answered(home);
+}
+
+static void entry_send_done(struct entry_hold *hold, struct entry_home *home, uint64_t tokens,
+			    enum pool_outcome outcome, char *bad)
+{
+	Pool__Done msg = POOL__DONE__INIT;
+
+	msg.grant_id = hold->grant_id;
+	msg.pool = hold->pool->name;
+	msg.tokens = tokens;
+	msg.outcome = (uint32_t)outcome;
+	if (bad)
+		msg.bad = bad;
+	frm_send(home->conn, MSG_POOL_DONE, &msg.base);
+}
+
 /* Asks the pool's home, or decides here when the homes in rendezvous order all seem lost. */
 static void entry_place(struct entry *e, struct entry_hold *hold)
 {
@@ -180,12 +204,7 @@
 		return;
 	}
 	if (home) {
-		Pool__Withdraw msg = POOL__WITHDRAW__INIT;
-
-		msg.ask_id = hold->ask_id;
-		msg.pool = hold->pool->name;
-		frm_send(home->conn, MSG_POOL_WITHDRAW, &msg.base);
-		entry_home_answered(home);
+		entry_send_withdraw(hold, home);
 	} else if (hold && hold->pool) {
 		struct pool *local = g_hash_table_lookup(e->broker.locals, hold->pool->name);
 
@@ -206,14 +225,7 @@
 	struct entry_home *home = hold ? entry_home_named(e, hold->home) : NULL;
 
 	if (home && hold->grant_id != 0) {
-		Pool__Done msg = POOL__DONE__INIT;
-
-		msg.grant_id = hold->grant_id;
-		msg.pool = hold->pool->name;
-		msg.tokens = ungrant->tokens;
-		msg.outcome = (uint32_t)ungrant->outcome;
-		msg.bad = ungrant->bad ? ungrant->bad : (char *)"";
-		frm_send(home->conn, MSG_POOL_DONE, &msg.base);
+		entry_send_done(hold, home, ungrant->tokens, ungrant->outcome, ungrant->bad);
 	} else if (hold && !home) {
 		struct pool *local = g_hash_table_lookup(e->broker.locals, hold->pool->name);
 
@@ -263,6 +275,17 @@
 	return copy;
 }
 
+struct entry_event *entry_event_new(enum entry_event_kind kind, uint64_t call_id,
+				    unsigned int attempt)
+{
+	struct entry_event *event = g_new0(struct entry_event, 1);
+
+	event->kind = kind;
+	event->call_id = call_id;
+	event->attempt = attempt;
+	return event;
+}
+
 void entry_send_event(struct entry *e, struct entry_event *event)
 {
 	event->entry = e;
@@ -283,10 +306,7 @@
 		met_add(met_counter("bg_grants_of_unknown_endpoints_total", ""), 1);
 	}
 	met_observe(met_histogram("bg_step_us", "step=\"grant\""), tmr_now() - hold->asked_us);
-	event = g_new0(struct entry_event, 1);
-	event->kind = ENTRY_EVENT_GRANTED;
-	event->call_id = hold->ask->call_id;
-	event->attempt = hold->ask->attempt;
+	event = entry_event_new(ENTRY_EVENT_GRANTED, hold->ask->call_id, hold->ask->attempt);
 	event->stages = g_ptr_array_copy(hold->stages, entry_stage_copy, NULL);
 	entry_send_event(e, event);
 }
@@ -325,10 +345,7 @@
 			return;
 		}
 	}
-	event = g_new0(struct entry_event, 1);
-	event->kind = ENTRY_EVENT_REFUSED;
-	event->call_id = hold->ask->call_id;
-	event->attempt = hold->ask->attempt;
+	event = entry_event_new(ENTRY_EVENT_REFUSED, hold->ask->call_id, hold->ask->attempt);
 	event->refusal = entry_refusals[why];
 	event->retry_us = retry_us;
 	entry_hold_remove(e, hold);
@@ -365,6 +382,15 @@
 	return 0;
 }
 
+/* What was granted is told to the home of now; what waits is asked there. */
+static void entry_move(struct entry *e, struct entry_hold *hold)
+{
+	if (hold->granted)
+		entry_rehome_grant(e, hold);
+	else
+		entry_place(e, hold);
+}
+
 /* What a lost home had goes to the next one: what was granted, and what waits. */
 void entry_grants_home_lost(struct entry *e, const char *host)
 {
@@ -373,12 +399,8 @@
 	for (GList *l = holds; l; l = l->next) {
 		struct entry_hold *hold = l->data;
 
-		if (!hold->home || strcmp(hold->home, host) != 0)
-			continue;
-		if (hold->granted)
-			entry_rehome_grant(e, hold);
-		else
-			entry_place(e, hold);
+		if (hold->home && strcmp(hold->home, host) == 0)
+			entry_move(e, hold);
 	}
 	g_list_free(holds);
 }
@@ -400,25 +422,11 @@
 
 		if (!host || !hold->home || strcmp(host->name, hold->home) == 0)
 			continue;
-		if (hold->granted && old && hold->grant_id != 0) {
-			Pool__Done msg = POOL__DONE__INIT;
-
-			msg.grant_id = hold->grant_id;
-			msg.pool = hold->pool->name;
-			msg.tokens = hold->ask->tokens;
-			frm_send(old->conn, MSG_POOL_DONE, &msg.base);
-		} else if (old && !hold->granted) {
-			Pool__Withdraw msg = POOL__WITHDRAW__INIT;
-
-			msg.ask_id = hold->ask_id;
-			msg.pool = hold->pool->name;
-			frm_send(old->conn, MSG_POOL_WITHDRAW, &msg.base);
-			entry_home_answered(old);
-		}
-		if (hold->granted)
-			entry_rehome_grant(e, hold);
-		else
-			entry_place(e, hold);
+		if (hold->granted && old && hold->grant_id != 0)
+			entry_send_done(hold, old, hold->ask->tokens, POOL_OUTCOME_OK, NULL);
+		else if (old && !hold->granted)
+			entry_send_withdraw(hold, old);
+		entry_move(e, hold);
 	}
 	g_list_free(holds);
 }
--- a/prog/entry_stream.c
+++ b/prog/entry_stream.c
@@ -52,11 +52,8 @@
 /* The request must not be called from inside its own action; it hears of this a moment later. */
 static void entry_post_break(struct entry_call *call, enum req_break why)
 {
-	struct entry_event *event = g_new0(struct entry_event, 1);
+	struct entry_event *event = entry_event_new(ENTRY_EVENT_BREAK, call->id, call->req.attempt);
 
-	event->kind = ENTRY_EVENT_BREAK;
-	event->call_id = call->id;
-	event->attempt = call->req.attempt;
 	event->why = why;
 	entry_send_event(call->entry, event);
 }
