--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
 
-PROGRAMS = bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript
-SLICES = base conf host pool fair req once order
+PROGRAMS = bgrouterd bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript
+SLICES = base conf host pool fair req once order rt ep place path sse bud fwd seam platform router
 
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CPPFLAGS += -I. $(PKG_CFLAGS)
@@ -48,6 +48,7 @@
 	$(CXX) $(CFLAGS) $(CXXWARN) $(CPPFLAGS) -std=gnu++17 -MMD -MP -c -o $@ $<
 
 # Each program is prog/NAME.c, with the modules named for it beside it (NAME without "bg").
+$(BUILD)/bgrouterd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/router*.c prog/common*.c))
 $(BUILD)/bgentryd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/entry*.c prog/common*.c))
 $(BUILD)/bgcontrold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/control*.c prog/common*.c))
 $(BUILD)/bgctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/ctl*.c))
--- a/base/hc.c
+++ b/base/hc.c
@@ -18,6 +18,9 @@
 	struct loop *loop;
 	CURLM *multi;
 	struct tmr timer;
+	struct tmr starter;
+	GPtrArray *waiting; /* calls begun inside a callback of the library */
+	bool inside;	    /* a callback of the library is running */
 };
 
 struct hc_sock {
@@ -33,6 +36,8 @@
 	const struct hc_ops *ops;
 	void *ctx;
 	GString *body;
+	GPtrArray *head; /* header lines of the answer, once they are asked for */
+	bool head_given;
 	bool canceled; /* canceled inside its own callback; freed when that returns */
 	bool busy;
 };
@@ -42,6 +47,8 @@
 static void hc_on_event(void *ctx, uint32_t events);
 static void hc_on_timeout(void *ctx, int64_t now_us);
 static size_t hc_on_body(char *data, size_t size, size_t n, void *ctx);
+static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx);
+static void hc_on_starter(void *ctx, int64_t now_us);
 static void hc_reap(struct hc *hc);
 static void hc_finish_call(struct hc_call *call, CURLcode code);
 static void hc_call_free(struct hc_call *call);
@@ -57,12 +64,15 @@
 	curl_multi_setopt(hc->multi, CURLMOPT_TIMERFUNCTION, hc_on_timer);
 	curl_multi_setopt(hc->multi, CURLMOPT_TIMERDATA, hc);
 	curl_multi_setopt(hc->multi, CURLMOPT_MAXCONNECTS, (long)HC_IDLE_CONNS_MAX);
+	hc->waiting = g_ptr_array_new();
 	return hc;
 }
 
 void hc_free(struct hc *hc)
 {
 	tmr_cancel(&hc->loop->tmr, &hc->timer);
+	tmr_cancel(&hc->loop->tmr, &hc->starter);
+	g_ptr_array_unref(hc->waiting);
 	curl_multi_cleanup(hc->multi);
 	g_free(hc);
 }
@@ -134,6 +144,43 @@
 	hc_reap(hc);
 }
 
+/*
+ * Called for each line, the status line and the empty one at the end included. Interim answers (1xx)
+ * have lines and an end of their own; lines after the head are trailers.
+ */
+static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct hc_call *call = ctx;
+	size_t len = size * n;
+	size_t text = len;
+	long status = 0;
+	bool go_on;
+
+	if (call->head_given)
+		return len;
+	while (text > 0 && (data[text - 1] == '\n' || data[text - 1] == '\r'))
+		text--;
+	if (text > 0) {
+		if (strncmp(data, "HTTP/", strlen("HTTP/")) != 0)
+			g_ptr_array_add(call->head, g_strndup(data, text));
+		return len;
+	}
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status / 100 == 1) {
+		g_ptr_array_set_size(call->head, 0);
+		return len;
+	}
+	call->head_given = true;
+	call->busy = true;
+	call->hc->inside = true;
+	go_on = call->ops->on_head(call->ctx, (int)status, call->head);
+	call->hc->inside = false;
+	call->busy = false;
+	if (!go_on)
+		call->canceled = true;
+	return call->canceled ? 0 : len;
+}
+
 static size_t hc_on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct hc_call *call = ctx;
@@ -141,9 +188,11 @@
 	long status = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (call->ops->on_data && status / 100 == 2) {
+	if (call->ops->on_data && (call->ops->all_data || status / 100 == 2)) {
 		call->busy = true;
+		call->hc->inside = true;
 		call->ops->on_data(call->ctx, data, len);
+		call->hc->inside = false;
 		call->busy = false;
 		return call->canceled ? CURL_WRITEFUNC_ERROR : len;
 	}
@@ -229,9 +278,11 @@
 
 static void hc_call_free(struct hc_call *call)
 {
+	g_ptr_array_remove(call->hc->waiting, call);
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
+	g_clear_pointer(&call->head, g_ptr_array_unref);
 	g_string_free(call->body, TRUE);
 	g_free(call);
 }
@@ -265,14 +316,44 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, hc_on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request->close ? 1L : 0L);
+	if (request->target)
+		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
+	if (ops->on_head) {
+		call->head = g_ptr_array_new_with_free_func(g_free);
+		curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, hc_on_header);
+		curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	}
 	if (request->body) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body);
 	}
-	curl_multi_add_handle(hc->multi, easy);
+	if (hc->inside) {
+		g_ptr_array_add(hc->waiting, call);
+		loop_after(hc->loop, &hc->starter, 0, hc_on_starter, hc);
+	} else {
+		curl_multi_add_handle(hc->multi, easy);
+	}
 	return call;
 }
 
+/*
+ * The library refuses new calls inside its own callbacks, without a word to who ignores its result;
+ * such a call would never end. They are begun when the callback has returned.
+ */
+static void hc_on_starter(void *ctx, int64_t now_us)
+{
+	struct hc *hc = ctx;
+
+	(void)now_us;
+	for (guint i = 0; i < hc->waiting->len; i++) {
+		struct hc_call *call = hc->waiting->pdata[i];
+
+		curl_multi_add_handle(hc->multi, call->easy);
+	}
+	g_ptr_array_set_size(hc->waiting, 0);
+}
+
 /* Inside the call's own callback the library must not lose the handle; it ends the call itself. */
 void hc_cancel(struct hc_call *call)
 {
--- a/base/hc.h
+++ b/base/hc.h
@@ -13,9 +13,20 @@
 struct hc_call;
 
 struct hc_ops {
-	/* Part of the body of a 2xx answer; NULL: the body is collected and given to on_done(). */
+	/*
+	 * The status line and all header lines of the answer are there; may be NULL. headers are
+	 * lines "Name: value" without line ends. Returns false to end the call as hc_cancel() does.
+	 */
+	bool (*on_head)(void *ctx, int status, const GPtrArray *headers);
+
+	/*
+	 * Part of the body of a 2xx answer, or of any answer if all_data is set; NULL: the body is
+	 * collected and given to on_done().
+	 */
 	void (*on_data)(void *ctx, const char *data, size_t len);
 
+	bool all_data;
+
 	/*
 	 * The call has ended. status is the HTTP status, or 0 with err a negative base error.
 	 * sent tells whether the request may have left this process: false is certain.
@@ -37,6 +48,8 @@
 	 * itself, when a reused connection ends without an answer.
 	 */
 	bool fresh;
+	bool close;	    /* close the connection when the call has ended */
+	const char *target; /* request target to send instead of the one in url; may be NULL */
 };
 
 struct hc *hc_new(struct loop *loop);
--- a/base/hd.c
+++ b/base/hd.c
@@ -13,7 +13,8 @@
 
 enum {
 	HD_BLOCK_LEN = 4096, /* buffer of an answer in parts: a few tokens */
-	HD_CONNECTION_MEMORY = 16384,
+	HD_CONNECTION_MEMORY = 32768, /* holds the longest head of a request, 16 KiB, and buffers */
+	HD_IDLE_S = 0, /* never, until hd_set_limits() */
 	HD_CONNECTIONS_MAX = 16384
 };
 
@@ -21,7 +22,10 @@
 	struct MHD_Daemon *daemon;
 	struct hd_config config;
 	char *too_large;
-	unsigned int open; /* atomic */
+	unsigned int open;    /* atomic */
+	unsigned int idle_s;  /* atomic */
+	unsigned int closing; /* atomic: answers tell callers to close */
+	uint64_t body_max;    /* atomic */
 };
 
 struct hd_call {
@@ -29,7 +33,9 @@
 	struct MHD_Connection *conn;
 	char *method;
 	char *path;
+	char *target;
 	GString *body;
+	bool begun; /* the library has called for the head of the request */
 	bool too_large;
 	bool handed; /* the handler has been called */
 	int port;
@@ -57,8 +63,9 @@
 static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
 			    enum MHD_RequestTerminationCode code);
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max);
-static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *url,
-				   const char *method);
+static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn);
+static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target);
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method);
 static enum MHD_Result hd_queue(struct hd_call *call);
 static void hd_wake(struct hd_call *call);
 
@@ -70,6 +77,8 @@
 
 	hd->config = *config;
 	hd->too_large = g_strdup(config->too_large ? config->too_large : "{}");
+	hd->body_max = config->body_max;
+	hd->idle_s = HD_IDLE_S;
 	if (config->addr) {
 		fd = addr_listen(config->addr);
 		if (fd < 0) {
@@ -82,7 +91,8 @@
 	}
 	hd->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED,
-		hd_on_completed, hd, MHD_OPTION_THREAD_POOL_SIZE,
+		hd_on_completed, hd, MHD_OPTION_URI_LOG_CALLBACK, hd_on_target, hd,
+		MHD_OPTION_THREAD_POOL_SIZE,
 		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned int)HD_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)HD_CONNECTION_MEMORY, fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END,
@@ -123,8 +133,13 @@
 		met_add(met_counter("bg_http_adopt_failed_total", ""), 1);
 }
 
-static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *url,
-				   const char *method)
+/* The library hands on what this returns as the state of the request. */
+static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn)
+{
+	return hd_call_new(ctx, conn, target);
+}
+
+static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target)
 {
 	struct hd_call *call = g_new0(struct hd_call, 1);
 	const union MHD_ConnectionInfo *info;
@@ -133,8 +148,7 @@
 
 	call->hd = hd;
 	call->conn = conn;
-	call->method = g_strdup(method);
-	call->path = g_strdup(url);
+	call->target = g_strdup(target);
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
@@ -149,6 +163,36 @@
 	return call;
 }
 
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method)
+{
+	unsigned int idle_s = ck_pr_load_uint(&call->hd->idle_s);
+
+	call->begun = true;
+	call->method = g_strdup(method);
+	call->path = g_strdup(url);
+	if (idle_s > 0)
+		MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
+}
+
+void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s)
+{
+	ck_pr_store_64(&hd->body_max, body_max);
+	ck_pr_store_uint(&hd->idle_s, idle_s);
+}
+
+void hd_set_closing(struct hd *hd)
+{
+	ck_pr_store_uint(&hd->closing, 1);
+}
+
+void hd_quiesce(struct hd *hd)
+{
+	int fd = MHD_quiesce_daemon(hd->daemon);
+
+	if (fd >= 0)
+		close(fd);
+}
+
 void hd_unref(struct hd_call *call)
 {
 	if (ck_pr_faa_uint(&call->refs, (unsigned int)-1) != 1)
@@ -159,6 +203,7 @@
 	g_string_free(call->body, TRUE);
 	g_free(call->method);
 	g_free(call->path);
+	g_free(call->target);
 	g_free(call);
 }
 
@@ -184,12 +229,14 @@
 	enum MHD_Result result = MHD_YES;
 
 	(void)version;
-	if (!call) {
-		*state = hd_call_new(hd, conn, url, method);
+	if (!call)
+		return MHD_NO;
+	if (!call->begun) {
+		hd_call_begin(call, url, method);
 		return MHD_YES;
 	}
 	if (*len > 0) {
-		if (call->body->len + *len > hd->config.body_max)
+		if (call->body->len + *len > ck_pr_load_64(&hd->body_max))
 			call->too_large = true;
 		else
 			g_string_append_len(call->body, data, (gssize)*len);
@@ -269,7 +316,10 @@
 	else
 		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
 						       MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(resp, "Content-Type", call->type);
+	if (call->type)
+		MHD_add_response_header(resp, "Content-Type", call->type);
+	if (ck_pr_load_uint(&call->hd->closing))
+		MHD_add_response_header(resp, "Connection", "close");
 	for (guint i = 0; i + 1 < call->headers->len; i += 2)
 		MHD_add_response_header(resp, call->headers->pdata[i], call->headers->pdata[i + 1]);
 	call->queued = true;
@@ -370,6 +420,33 @@
 	return call->method;
 }
 
+const char *hd_target(const struct hd_call *call)
+{
+	return call->target;
+}
+
+struct hd_header_iter {
+	hd_header_fn fn;
+	void *ctx;
+};
+
+static enum MHD_Result hd_on_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+				    const char *value)
+{
+	struct hd_header_iter *iter = ctx;
+
+	(void)kind;
+	iter->fn(iter->ctx, name, value ? value : "");
+	return MHD_YES;
+}
+
+void hd_each_header(struct hd_call *call, hd_header_fn fn, void *ctx)
+{
+	struct hd_header_iter iter = {fn, ctx};
+
+	MHD_get_connection_values(call->conn, MHD_HEADER_KIND, hd_on_header, &iter);
+}
+
 const char *hd_path(const struct hd_call *call)
 {
 	return call->path;
--- a/base/hd.h
+++ b/base/hd.h
@@ -41,6 +41,25 @@
 /* Hands over a connected socket that somebody else accepted. */
 void hd_adopt(struct hd *hd, int fd);
 
+/*
+ * Largest request body, and seconds after which a silent connection is closed; for requests that
+ * begin from now on. Any thread may call this.
+ */
+void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s);
+
+/* Answers from now on tell the caller to close the connection. Any thread may call this. */
+void hd_set_closing(struct hd *hd);
+
+/* Takes no new connections from now on; those that are open stay. Any thread may call this. */
+void hd_quiesce(struct hd *hd);
+
+/* The request target exactly as the caller sent it. */
+const char *hd_target(const struct hd_call *call);
+
+/* Calls fn for each header of the request; until the answer is given. */
+typedef void (*hd_header_fn)(void *ctx, const char *name, const char *value);
+void hd_each_header(struct hd_call *call, hd_header_fn fn, void *ctx);
+
 const char *hd_method(const struct hd_call *call);
 const char *hd_path(const struct hd_call *call);
 const char *hd_header(struct hd_call *call, const char *name); /* until the answer is given */
@@ -51,7 +70,7 @@
 /* A header of the answer; before hd_reply() or hd_begin(). */
 void hd_set_header(struct hd_call *call, const char *name, const char *value);
 
-/* The whole answer. body is copied. */
+/* The whole answer. body is copied. type may be NULL. */
 void hd_reply(struct hd_call *call, int status, const char *type, const char *body, size_t len);
 
 /* An answer in parts: hd_begin(), hd_write() as often as needed, hd_end(). */
--- /dev/null
+++ b/base/jl.c
@@ -0,0 +1,133 @@
+#include "base/jl.h"
+#include "base/met.h"
+#include "base/tmr.h"
+
+#include <ck_pr.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+	JL_RATE_DEFAULT = 300, /* lines a second; a host takes some 60 requests at its peak */
+	JL_USEC_PER_SEC = 1000000,
+	JL_TAIL = 4 /* room for the end of a line */
+};
+
+struct jl_line {
+	char text[JL_LINE_MAX];
+	size_t len;
+	bool skip;
+};
+
+static char jl_host[128] = "-";
+static int64_t jl_rate = JL_RATE_DEFAULT;
+static uint64_t jl_second; /* of the count; atomic */
+static uint64_t jl_count;  /* lines written in that second; atomic */
+static uint64_t jl_lost;   /* lines left out since the last one written; atomic */
+static __thread struct jl_line jl;
+
+void jl_open(const char *host)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	g_strlcpy(jl_host, host, sizeof(jl_host));
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void jl_set_rate(int64_t lines_per_s)
+{
+	jl_rate = lines_per_s;
+}
+
+/* Threads may race for the first line of a second; a few lines more are no harm. */
+static bool jl_over_rate(int64_t now_us)
+{
+	uint64_t second = (uint64_t)(now_us / JL_USEC_PER_SEC);
+
+	if (ck_pr_load_64(&jl_second) != second) {
+		ck_pr_store_64(&jl_second, second);
+		ck_pr_store_64(&jl_count, 0);
+	}
+	return ck_pr_faa_64(&jl_count, 1) >= (uint64_t)jl_rate;
+}
+
+static void jl_leave_out(void)
+{
+	ck_pr_inc_64(&jl_lost);
+	met_add(met_counter("bg_log_left_out_total", ""), 1);
+}
+
+static void G_GNUC_PRINTF(1, 2) jl_put(const char *format, ...)
+{
+	size_t room = sizeof(jl.text) - JL_TAIL - jl.len;
+	va_list args;
+	int n;
+
+	va_start(args, format);
+	n = vsnprintf(jl.text + jl.len, room, format, args);
+	va_end(args);
+	if (n > 0)
+		jl.len += MIN((size_t)n, room - 1);
+}
+
+void jl_begin(enum jl_level level, const char *event)
+{
+	int64_t now_us = tmr_now();
+	uint64_t lost;
+
+	jl.len = 0;
+	jl.skip = level != JL_KEEP && jl_over_rate(now_us);
+	if (jl.skip) {
+		jl_leave_out();
+		return;
+	}
+	lost = ck_pr_fas_64(&jl_lost, 0);
+	jl_put("{\"t\":%.3f,\"up\":%.3f,\"host\":\"%s\",\"event\":\"%s\"",
+	       (double)g_get_real_time() / JL_USEC_PER_SEC, (double)now_us / JL_USEC_PER_SEC,
+	       jl_host, event);
+	if (lost > 0)
+		jl_int("left_out", (int64_t)lost);
+}
+
+/* A value may come from a caller: what could end the text or the line is escaped. */
+void jl_str(const char *name, const char *value)
+{
+	if (jl.skip || !value)
+		return;
+	jl_put(",\"%s\":\"", name);
+	for (const unsigned char *c = (const unsigned char *)value;
+	     *c && jl.len + 16 < sizeof(jl.text); c++) {
+		if (*c == '"' || *c == '\\')
+			jl_put("\\%c", *c);
+		else if (*c < ' ' || *c > '~')
+			jl_put("\\u%04x", *c);
+		else
+			jl.text[jl.len++] = (char)*c;
+	}
+	jl_put("\"");
+}
+
+void jl_int(const char *name, int64_t value)
+{
+	if (!jl.skip)
+		jl_put(",\"%s\":%" G_GINT64_FORMAT, name, value);
+}
+
+void jl_real(const char *name, double value)
+{
+	if (!jl.skip)
+		jl_put(",\"%s\":%.3f", name, value);
+}
+
+void jl_end(void)
+{
+	if (jl.skip)
+		return;
+	jl.text[jl.len++] = '}';
+	jl.text[jl.len++] = '\n';
+	if (write(STDOUT_FILENO, jl.text, jl.len) < 0)
+		jl_leave_out();
+}
--- a/base/set.c
+++ b/base/set.c
@@ -21,6 +21,7 @@
 static char *set_read_line(char *buf, int size, void *stream);
 static const char *set_store(const struct set_item *item, char *target, const char *value);
 static const char *set_store_int(const struct set_item *item, char *target, const char *value);
+static const char *set_store_real(const struct set_item *item, char *target, const char *value);
 static const struct set_item *set_find(const struct set_reader *r, const char *section,
 				       const char *name);
 
@@ -51,6 +52,23 @@
 	return problem;
 }
 
+static const char *set_store_real(const struct set_item *item, char *target, const char *value)
+{
+	static __thread char problem[128];
+	char *end;
+	double number = g_ascii_strtod(value, &end);
+
+	if (end != value && *end == '\0' && number >= (double)item->min &&
+	    number <= (double)item->max) {
+		*(double *)(void *)(target + item->offset) = number;
+		return NULL;
+	}
+	g_snprintf(problem, sizeof(problem),
+		   "expected a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, item->min,
+		   item->max);
+	return problem;
+}
+
 /* Returns NULL or what was expected. */
 static const char *set_store(const struct set_item *item, char *target, const char *value)
 {
@@ -59,6 +77,8 @@
 
 	if (item->type == SET_INT)
 		return set_store_int(item, target, value);
+	if (item->type == SET_REAL)
+		return set_store_real(item, target, value);
 	if (item->type == SET_ADDR && addr_parse(value, &sin) < 0)
 		return "expected an address IP:PORT";
 	if (item->type == SET_TEXT && item->min > 0 && value[0] == '\0')
@@ -131,7 +151,7 @@
 	for (size_t i = 0; i < n; i++) {
 		char **text = (char **)((char *)target + items[i].offset);
 
-		if (items[i].type != SET_INT)
+		if (items[i].type == SET_TEXT || items[i].type == SET_ADDR)
 			g_clear_pointer(text, g_free);
 	}
 }
--- a/base/set.h
+++ b/base/set.h
@@ -13,6 +13,7 @@
  */
 enum set_type {
 	SET_INT,  /* int64_t, within min..max */
+	SET_REAL, /* double, within min..max */
 	SET_TEXT, /* char *, g_free() by set_clear(); may be empty only if min is 0 */
 	SET_ADDR  /* char * of the form IP:PORT */
 };
--- /dev/null
+++ b/bud/bud.c
@@ -0,0 +1,60 @@
+#include "bud/bud.h"
+
+#include <string.h>
+
+/*
+ * The window that is judged may begin anywhere, so its edges may hold a part of ours more; and hosts
+ * may disagree on how many they are.
+ */
+static const double BUD_CAUTION = 0.8;
+
+void bud_init(struct bud *bud, const struct bud_limits *limits)
+{
+	memset(bud, 0, sizeof(*bud));
+	bud->limits = *limits;
+}
+
+void bud_set_limits(struct bud *bud, const struct bud_limits *limits)
+{
+	bud->limits = *limits;
+}
+
+static void bud_advance(struct bud *bud, int64_t now_us)
+{
+	int64_t slot = now_us / MAX(bud->limits.window_us / BUD_SLOTS, 1);
+
+	if (slot - bud->slot >= BUD_SLOTS) {
+		memset(bud->requests, 0, sizeof(bud->requests));
+		memset(bud->repeats, 0, sizeof(bud->repeats));
+	} else {
+		for (int64_t s = bud->slot + 1; s <= slot; s++) {
+			bud->requests[s % BUD_SLOTS] = 0;
+			bud->repeats[s % BUD_SLOTS] = 0;
+		}
+	}
+	bud->slot = MAX(bud->slot, slot);
+}
+
+void bud_on_request(struct bud *bud, int64_t now_us)
+{
+	bud_advance(bud, now_us);
+	bud->requests[bud->slot % BUD_SLOTS]++;
+}
+
+bool bud_take(struct bud *bud, int64_t now_us)
+{
+	double requests = 0;
+	double repeats = 0;
+	double allowed;
+
+	bud_advance(bud, now_us);
+	for (int i = 0; i < BUD_SLOTS; i++) {
+		requests += bud->requests[i];
+		repeats += bud->repeats[i];
+	}
+	allowed = bud->limits.ratio * requests + bud->limits.fixed / MAX(bud->limits.hosts, 1);
+	if (repeats + 1 > allowed * BUD_CAUTION)
+		return false;
+	bud->repeats[bud->slot % BUD_SLOTS]++;
+	return true;
+}
--- /dev/null
+++ b/bud/bud.h
@@ -0,0 +1,44 @@
+#ifndef BUD_BUD_H
+#define BUD_BUD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Budget of repeats for one service. All hosts together may send, in any window, a part of the
+ * requests plus a fixed number again. No host asks another before a repeat: each keeps to the part
+ * of its own requests and to an equal share of the fixed number. Pure.
+ */
+enum {
+	BUD_SLOTS = 20 /* parts into which the window is cut */
+};
+
+struct bud_limits {
+	double ratio;	    /* repeats allowed for each request */
+	double fixed;	    /* more of them, over all hosts */
+	int64_t window_us;
+	int hosts;	    /* that share the fixed number */
+};
+
+struct bud {
+	struct bud_limits limits;
+	int64_t slot;			/* number of the newest part */
+	uint32_t requests[BUD_SLOTS];
+	uint32_t repeats[BUD_SLOTS];
+};
+
+void bud_init(struct bud *bud, const struct bud_limits *limits);
+void bud_set_limits(struct bud *bud, const struct bud_limits *limits);
+
+/* A first sending of a request. */
+void bud_on_request(struct bud *bud, int64_t now_us);
+
+/* Takes one repeat from the budget. Returns false when it is spent. */
+bool bud_take(struct bud *bud, int64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/ep/ep.c
@@ -0,0 +1,199 @@
+#include "ep/ep.h"
+
+#include <string.h>
+
+enum {
+	/*
+	 * After the store's return, living endpoints are listed again within two seconds; what is
+	 * missing then is gone.
+	 */
+	EP_RETURN_US = 2000000,
+	/* Heartbeats that lapsed during an outage are dealt with by the store for a while after it. */
+	EP_TROUBLE_US = 6000000
+};
+
+static void ep_entry_free(gpointer data);
+static gint ep_by_id(gconstpointer a, gconstpointer b);
+
+struct ep_rec *ep_rec_new(const char *id)
+{
+	struct ep_rec *rec = g_new0(struct ep_rec, 1);
+
+	rec->id = g_strdup(id);
+	rec->refs = 1;
+	return rec;
+}
+
+struct ep_rec *ep_rec_ref(struct ep_rec *rec)
+{
+	g_atomic_int_inc(&rec->refs);
+	return rec;
+}
+
+void ep_rec_unref(struct ep_rec *rec)
+{
+	if (!g_atomic_int_dec_and_test(&rec->refs))
+		return;
+	g_free(rec->id);
+	g_free(rec->service);
+	g_free(rec->addr);
+	g_free(rec->zone);
+	g_free(rec->kind);
+	g_free(rec);
+}
+
+static void ep_entry_free(gpointer data)
+{
+	struct ep_entry *entry = data;
+
+	ep_rec_unref(entry->rec);
+	g_free(entry);
+}
+
+void ep_list_init(struct ep_list *list)
+{
+	memset(list, 0, sizeof(*list));
+	list->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ep_entry_free);
+	list->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	list->trouble_us = -1;
+}
+
+void ep_list_finish(struct ep_list *list)
+{
+	g_hash_table_destroy(list->entries);
+	g_hash_table_destroy(list->left);
+}
+
+static bool ep_in_trouble(const struct ep_list *list, int64_t now_us)
+{
+	return list->trouble_us >= 0 && now_us - list->trouble_us < EP_TROUBLE_US;
+}
+
+/*
+ * An endpoint that has said it is leaving never comes back under the same id. A list that is read
+ * late or anew may show it as ready once more; sending to it then would reach it after it has gone.
+ */
+static void ep_mark_left(struct ep_list *list, const char *id)
+{
+	g_hash_table_add(list->left, g_strdup(id));
+}
+
+static void ep_remove(struct ep_list *list, struct ep_entry *entry, int64_t now_us)
+{
+	if (entry->rec->state == EP_READY && ep_in_trouble(list, now_us)) {
+		if (entry->lapsed_us == 0)
+			entry->lapsed_us = now_us;
+		return;
+	}
+	g_hash_table_remove(list->entries, entry->rec->id);
+	list->changed = true;
+}
+
+void ep_on_record(struct ep_list *list, int64_t offset, const char *id, struct ep_rec *rec,
+		  int64_t now_us)
+{
+	struct ep_entry *entry = g_hash_table_lookup(list->entries, id);
+
+	if (offset >= list->next)
+		list->next = offset + 1;
+	if (entry && offset < entry->offset) {
+		entry->seen = true;
+		if (rec)
+			ep_rec_unref(rec);
+		return;
+	}
+	if (!rec) {
+		if (entry)
+			ep_remove(list, entry, now_us);
+		return;
+	}
+	if (rec->state == EP_DRAINING)
+		ep_mark_left(list, id);
+	else if (g_hash_table_contains(list->left, id))
+		rec->state = EP_DRAINING;
+	entry = g_new0(struct ep_entry, 1);
+	entry->rec = rec;
+	entry->offset = offset;
+	entry->seen = true;
+	g_hash_table_replace(list->entries, rec->id, entry);
+	list->changed = true;
+}
+
+void ep_on_listing(struct ep_list *list)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct ep_entry *)value)->seen = false;
+}
+
+void ep_on_listed(struct ep_list *list, int64_t end, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GPtrArray *missing = g_ptr_array_new();
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!((struct ep_entry *)value)->seen)
+			g_ptr_array_add(missing, value);
+	}
+	for (guint i = 0; i < missing->len; i++)
+		ep_remove(list, missing->pdata[i], now_us);
+	g_ptr_array_unref(missing);
+	list->next = end;
+}
+
+void ep_on_trouble(struct ep_list *list, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	list->trouble_us = now_us;
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct ep_entry *entry = value;
+
+		if (entry->lapsed_us != 0)
+			entry->lapsed_us = now_us;
+	}
+}
+
+void ep_on_time(struct ep_list *list, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct ep_entry *entry = value;
+
+		if (entry->lapsed_us == 0 || now_us - entry->lapsed_us < EP_RETURN_US)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		list->changed = true;
+	}
+}
+
+static gint ep_by_id(gconstpointer a, gconstpointer b)
+{
+	const struct ep_rec *ra = *(struct ep_rec *const *)a;
+	const struct ep_rec *rb = *(struct ep_rec *const *)b;
+
+	return strcmp(ra->id, rb->id);
+}
+
+GPtrArray *ep_snapshot(const struct ep_list *list)
+{
+	GPtrArray *snapshot = g_ptr_array_new_with_free_func((GDestroyNotify)ep_rec_unref);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(snapshot, ep_rec_ref(((struct ep_entry *)value)->rec));
+	g_ptr_array_sort(snapshot, ep_by_id);
+	return snapshot;
+}
--- /dev/null
+++ b/ep/ep.h
@@ -0,0 +1,80 @@
+#ifndef EP_EP_H
+#define EP_EP_H
+
+#include "base/str.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The list of endpoints as they register themselves in the store. An entry that vanishes counts as
+ * gone at once while the store is well; while it was away, entries lapse although their endpoints
+ * live, so a lapsed one is kept until the store has been back long enough for it to register again.
+ * Pure: records and the time go in.
+ */
+enum ep_state {
+	EP_READY,
+	EP_DRAINING
+};
+
+/* What an endpoint says of itself; immutable once it is in a list. */
+struct ep_rec {
+	char *id; /* of this incarnation of the endpoint */
+	char *service;
+	char *addr;
+	char *zone;
+	char *kind; /* of its accelerator; NULL for a plain service */
+	enum ep_state state;
+	int slots;
+	int layer_from;	   /* first layer that it holds */
+	int layer_to;	   /* one past the last; equal to layer_from: it holds none */
+	int64_t cold_ms;   /* how much longer it is slow after its start */
+	gint refs;
+};
+
+struct ep_rec *ep_rec_new(const char *id);
+struct ep_rec *ep_rec_ref(struct ep_rec *rec);
+void ep_rec_unref(struct ep_rec *rec);
+
+/* An entry of the list. */
+struct ep_entry {
+	struct ep_rec *rec;
+	int64_t offset;	   /* of the record in the store's log */
+	int64_t lapsed_us; /* when the entry was missed; 0: it is there */
+	bool seen;	   /* in the listing that is being read */
+};
+
+struct ep_list {
+	GHashTable *entries;	/* id -> struct ep_entry */
+	GHashTable *left;	/* id -> offset: said to be draining or gone; never forgotten */
+	int64_t trouble_us;	/* when the store was last found away; -1: never */
+	int64_t next;		/* offset of the next record to read */
+	bool changed;
+};
+
+void ep_list_init(struct ep_list *list);
+void ep_list_finish(struct ep_list *list);
+
+/* One record of the log: rec is taken over; NULL: the entry is removed. */
+void ep_on_record(struct ep_list *list, int64_t offset, const char *id, struct ep_rec *rec,
+		  int64_t now_us);
+
+/* A whole listing follows, entry by entry, with ep_on_record(); then ep_on_listed(). */
+void ep_on_listing(struct ep_list *list);
+void ep_on_listed(struct ep_list *list, int64_t end, int64_t now_us);
+
+/* A call to the store failed; entries that vanish soon may belong to endpoints that live. */
+void ep_on_trouble(struct ep_list *list, int64_t now_us);
+
+/* Drops lapsed entries whose time is over. */
+void ep_on_time(struct ep_list *list, int64_t now_us);
+
+/* New array of the entries (struct ep_rec with a reference each), sorted by id. */
+GPtrArray *ep_snapshot(const struct ep_list *list);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/fwd/fwd.c
@@ -0,0 +1,332 @@
+#include "fwd/fwd.h"
+
+#include <string.h>
+
+enum {
+	FWD_SENDS_MAX = 5,	     /* of one request; rejections come back within a few ms each */
+	FWD_KEEP_MAX = 256 << 10,    /* answers up to this size are kept until they are whole */
+	FWD_STATUS_BAD_GATEWAY = 502,
+	FWD_STATUS_UNAVAILABLE = 503,
+	FWD_STATUS_TIMEOUT = 504,
+	FWD_LEAST_LEFT_US = 20000    /* with less time left another attempt can't answer */
+};
+
+static const char *const fwd_cause_names[FWD_CAUSES] = {
+	[FWD_OK] = "ok",
+	[FWD_NO_ENDPOINT] = "no_endpoint",
+	[FWD_REJECTED] = "rejected",
+	[FWD_UNREACHED] = "unreached",
+	[FWD_BROKEN] = "broken",
+	[FWD_SILENT] = "silent",
+	[FWD_DEADLINE] = "deadline",
+	[FWD_CALLER_GONE] = "caller_gone",
+	[FWD_BUDGET] = "budget",
+	[FWD_FAILED] = "endpoint_failed",
+	[FWD_FULL] = "full",
+};
+
+static void fwd_end(struct fwd *fwd, enum fwd_cause cause);
+static void fwd_arm(struct fwd *fwd);
+static void fwd_send(struct fwd *fwd, int64_t now_us);
+static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us);
+static void fwd_close(struct fwd *fwd);
+static void fwd_on_event(void *ctx, const char *data, size_t len);
+
+const char *fwd_cause_name(enum fwd_cause cause)
+{
+	return cause < FWD_CAUSES ? fwd_cause_names[cause] : "unknown";
+}
+
+void fwd_init(struct fwd *fwd, const struct fwd_rules *rules, const struct fwd_ops *ops, void *ctx)
+{
+	memset(fwd, 0, sizeof(*fwd));
+	fwd->rules = *rules;
+	fwd->ops = ops;
+	fwd->ctx = ctx;
+	fwd->body = g_string_new(NULL);
+	sse_init(&fwd->sse);
+}
+
+void fwd_finish(struct fwd *fwd)
+{
+	sse_finish(&fwd->sse);
+	g_string_free(fwd->body, TRUE);
+}
+
+static void fwd_end(struct fwd *fwd, enum fwd_cause cause)
+{
+	fwd->state = FWD_ENDED;
+	fwd->ops->ended(fwd->ctx, cause);
+}
+
+static void fwd_arm(struct fwd *fwd)
+{
+	int64_t due = fwd->rules.deadline_us;
+	int64_t silence = fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
+
+	if (silence > 0 && (fwd->state == FWD_SENT || fwd->state == FWD_ANSWERING))
+		due = MIN(due, fwd->heard_us + silence);
+	fwd->ops->set_timer(fwd->ctx, due);
+}
+
+void fwd_start(struct fwd *fwd, int64_t now_us)
+{
+	fwd_send(fwd, now_us);
+}
+
+static void fwd_send(struct fwd *fwd, int64_t now_us)
+{
+	int err;
+
+	fwd->state = FWD_SENT;
+	fwd->events = false;
+	fwd->heard_us = now_us;
+	memset(&fwd->head, 0, sizeof(fwd->head));
+	g_string_truncate(fwd->body, 0);
+	sse_drop(&fwd->sse);
+	err = fwd->ops->send(fwd->ctx, fwd->sends, fwd->parts > 0 ? fwd->sse.last_id : NULL);
+	if (err < 0) {
+		if (fwd->sends == 0)
+			fwd->failure = err == FWD_EFULL ? FWD_FULL : FWD_NO_ENDPOINT;
+		fwd_close(fwd);
+		return;
+	}
+	fwd->sends++;
+	fwd_arm(fwd);
+}
+
+/* No attempt is left: the caller is told what is true of the request. */
+static void fwd_close(struct fwd *fwd)
+{
+	bool not_run = fwd->runs == 0;
+	int status = fwd->failure == FWD_SILENT || fwd->failure == FWD_DEADLINE
+			     ? FWD_STATUS_TIMEOUT
+			     : FWD_STATUS_BAD_GATEWAY;
+
+	if (fwd->begun)
+		fwd->ops->answer_abort(fwd->ctx);
+	else
+		fwd->ops->refuse(fwd->ctx, not_run ? FWD_STATUS_UNAVAILABLE : status, not_run);
+	fwd_end(fwd, fwd->failure);
+}
+
+/*
+ * Whether the request may be sent once more. A stream that the caller has a part of goes on from
+ * there; it needs the id of the last event for that.
+ */
+static bool fwd_may_send(struct fwd *fwd, int64_t now_us)
+{
+	if (fwd->sends >= FWD_SENDS_MAX || fwd->runs >= fwd->rules.runs_max)
+		return false;
+	if (fwd->runs > 0 && !fwd->rules.may_repeat)
+		return false;
+	if (fwd->begun && (fwd->parts == 0 || !fwd->sse.has_id))
+		return false;
+	return now_us + FWD_LEAST_LEFT_US < fwd->rules.deadline_us;
+}
+
+static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us)
+{
+	if (ran)
+		fwd->runs++;
+	if (!fwd_may_send(fwd, now_us)) {
+		fwd_close(fwd);
+		return;
+	}
+	if (!fwd->ops->may_send_again(fwd->ctx)) {
+		fwd->failure = FWD_BUDGET;
+		fwd_close(fwd);
+		return;
+	}
+	fwd_send(fwd, now_us);
+}
+
+/* Whether the answer is one that this request may be given. */
+static bool fwd_is_proper(const struct fwd_head *head)
+{
+	return head->ours && !head->encoded && head->sealed;
+}
+
+bool fwd_on_head(struct fwd *fwd, const struct fwd_head *head, int64_t now_us)
+{
+	fwd->head = *head;
+	fwd->heard_us = now_us;
+	if (!head->ours) {
+		fwd->failure = FWD_BROKEN;
+		fwd_attempt_failed(fwd, true, now_us);
+		return false;
+	}
+	if (fwd->rules.streaming && head->status / 100 == 2 && fwd_is_proper(head))
+		fwd->events = true;
+	fwd->state = FWD_ANSWERING;
+	fwd_arm(fwd);
+	return true;
+}
+
+static void fwd_on_event(void *ctx, const char *data, size_t len)
+{
+	struct fwd *fwd = ctx;
+
+	if (!fwd->begun) {
+		fwd->begun = true;
+		fwd->ops->answer_begin(fwd->ctx);
+	}
+	fwd->parts++;
+	fwd->ops->answer_data(fwd->ctx, data, len);
+}
+
+/* An answer too large to keep is handed on as it comes; it can't be replaced after that. */
+static void fwd_spill(struct fwd *fwd)
+{
+	if (!fwd_is_proper(&fwd->head) || fwd->begun)
+		return;
+	fwd->begun = true;
+	fwd->ops->answer_begin(fwd->ctx);
+	fwd->ops->answer_data(fwd->ctx, fwd->body->str, fwd->body->len);
+	g_string_truncate(fwd->body, 0);
+}
+
+void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
+{
+	uint64_t before = fwd->parts;
+
+	if (fwd->events) {
+		if (sse_feed(&fwd->sse, data, len, fwd_on_event, fwd) < 0) {
+			fwd->failure = FWD_BROKEN;
+			fwd->ops->cancel(fwd->ctx);
+			fwd_attempt_failed(fwd, true, now_us);
+			return;
+		}
+		if (fwd->parts > before)
+			fwd->heard_us = now_us;
+		fwd_arm(fwd);
+		return;
+	}
+	fwd->heard_us = now_us;
+	if (fwd->begun) {
+		fwd->ops->answer_data(fwd->ctx, data, len);
+		return;
+	}
+	g_string_append_len(fwd->body, data, (gssize)len);
+	if (fwd->body->len > FWD_KEEP_MAX)
+		fwd_spill(fwd);
+}
+
+/* A failure that the endpoint itself reports, whole: handed on unless it may run elsewhere. */
+static void fwd_on_failure_answer(struct fwd *fwd, int64_t now_us)
+{
+	bool again = fwd->head.status >= 500 && fwd->rules.may_repeat;
+
+	fwd->failure = FWD_FAILED;
+	fwd->runs++;
+	if (again && fwd_may_send(fwd, now_us) && fwd->ops->may_send_again(fwd->ctx)) {
+		fwd_send(fwd, now_us);
+		return;
+	}
+	if (fwd->begun) {
+		fwd->ops->answer_abort(fwd->ctx);
+	} else if (!fwd_is_proper(&fwd->head)) {
+		fwd_close(fwd);
+		return;
+	} else {
+		fwd->ops->answer_whole(fwd->ctx, fwd->body->str, fwd->body->len);
+	}
+	fwd_end(fwd, FWD_FAILED);
+}
+
+static void fwd_on_whole(struct fwd *fwd, int64_t now_us)
+{
+	if (!fwd_is_proper(&fwd->head)) {
+		fwd->failure = FWD_BROKEN;
+		fwd_attempt_failed(fwd, true, now_us);
+		return;
+	}
+	if (fwd->events && (sse_pending(&fwd->sse) > 0 || !fwd->begun)) {
+		fwd->failure = FWD_BROKEN;
+		fwd_attempt_failed(fwd, true, now_us);
+		return;
+	}
+	if (fwd->begun)
+		fwd->ops->answer_end(fwd->ctx);
+	else
+		fwd->ops->answer_whole(fwd->ctx, fwd->body->str, fwd->body->len);
+	fwd_end(fwd, FWD_OK);
+}
+
+void fwd_on_done(struct fwd *fwd, bool whole, bool sent, int64_t now_us)
+{
+	bool headed = fwd->state == FWD_ANSWERING;
+
+	if (fwd->state == FWD_ENDED)
+		return;
+	if (!sent) {
+		fwd->failure = FWD_UNREACHED;
+		fwd_attempt_failed(fwd, false, now_us);
+		return;
+	}
+	if (headed && fwd->head.not_run) {
+		fwd->failure = FWD_REJECTED;
+		fwd_attempt_failed(fwd, false, now_us);
+		return;
+	}
+	if (!whole || !headed) {
+		fwd->failure = FWD_BROKEN;
+		fwd_attempt_failed(fwd, true, now_us);
+		return;
+	}
+	if (fwd->head.status / 100 == 2)
+		fwd_on_whole(fwd, now_us);
+	else
+		fwd_on_failure_answer(fwd, now_us);
+}
+
+void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us)
+{
+	if (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING)
+		return;
+	fwd->failure = FWD_SILENT;
+	fwd->ops->cancel(fwd->ctx);
+	fwd_attempt_failed(fwd, true, now_us);
+}
+
+void fwd_on_caller_gone(struct fwd *fwd)
+{
+	if (fwd->state == FWD_ENDED)
+		return;
+	fwd->ops->cancel(fwd->ctx);
+	fwd->ops->answer_abort(fwd->ctx);
+	fwd_end(fwd, FWD_CALLER_GONE);
+}
+
+/* Nothing more can be done in time; what is known of the request's run goes to the caller. */
+static void fwd_on_deadline(struct fwd *fwd)
+{
+	fwd->failure = FWD_DEADLINE;
+	fwd->ops->cancel(fwd->ctx);
+	if (fwd->state == FWD_SENT || fwd->state == FWD_ANSWERING)
+		fwd->runs++;
+	fwd_close(fwd);
+}
+
+void fwd_on_time(struct fwd *fwd, int64_t now_us)
+{
+	int64_t silence = fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
+
+	if (fwd->state == FWD_ENDED)
+		return;
+	if (now_us >= fwd->rules.deadline_us) {
+		fwd_on_deadline(fwd);
+		return;
+	}
+	if (silence <= 0 || now_us < fwd->heard_us + silence) {
+		fwd_arm(fwd);
+		return;
+	}
+	fwd->heard_us = now_us;
+	if (!fwd->rules.may_repeat || fwd->runs + 1 >= fwd->rules.runs_max ||
+	    fwd->ops->on_silent(fwd->ctx)) {
+		fwd_arm(fwd);
+		return;
+	}
+	fwd_give_up_attempt(fwd, now_us);
+}
--- /dev/null
+++ b/fwd/fwd.h
@@ -0,0 +1,149 @@
+#ifndef FWD_FWD_H
+#define FWD_FWD_H
+
+#include "sse/sse.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * The life of one request on its way to an endpoint and of its answer back: what may be sent again,
+ * what the caller is told, and when. Pure: events and the time go in, actions come out through
+ * callbacks; every request ends by exactly one of answer_whole(), answer_end(), answer_abort() and
+ * refuse().
+ *
+ *   waiting --send--> sent --head--> answering --end--> ended
+ *      ^                |                |
+ *      +-- not run, or may run again ----+
+ */
+enum fwd_err {
+	FWD_ENOENDPOINT = -900, /* no usable endpoint at present */
+	FWD_EBUDGET = -901,	/* the budget of repeats is spent */
+	FWD_EFULL = -902	/* the endpoints are full */
+};
+
+/* Why a request ended as it did; also the text in the log. */
+enum fwd_cause {
+	FWD_OK,
+	FWD_NO_ENDPOINT, /* nobody to send it to */
+	FWD_REJECTED,	 /* endpoints said that they did not run it */
+	FWD_UNREACHED,	 /* no connection to an endpoint came about */
+	FWD_BROKEN,	 /* the answer broke off or was not an answer to this request */
+	FWD_SILENT,	 /* the endpoint sent nothing for too long */
+	FWD_DEADLINE,	 /* the caller's or the route's time is over */
+	FWD_CALLER_GONE,
+	FWD_BUDGET,	 /* it might have been sent again, but for the budget */
+	FWD_FAILED,	 /* the endpoint's own failure was handed on */
+	FWD_FULL,	 /* refused before it was sent: no room */
+	FWD_CAUSES
+};
+
+const char *fwd_cause_name(enum fwd_cause cause);
+
+struct fwd_rules {
+	bool may_repeat; /* may run more than once */
+	bool streaming;
+	int runs_max;	     /* endpoints that may run it */
+	int64_t deadline_us; /* of the caller and of the route, whichever is first */
+	int64_t first_us;    /* silence allowed before the first byte or event */
+	int64_t gap_us;	     /* silence allowed between events */
+};
+
+/* What the head of an endpoint's answer says. */
+struct fwd_head {
+	int status;
+	bool not_run; /* the endpoint states that it did not run the request */
+	bool sealed;  /* bears the endpoint's proof */
+	bool ours;    /* bears the id of this request */
+	bool encoded; /* the body is not the endpoint's own */
+};
+
+struct fwd_ops {
+	/*
+	 * Chooses endpoints and sends the request; resume_after is the id of the last event that
+	 * the caller has, or NULL. Returns 0 or a negative FWD_E.
+	 */
+	int (*send)(void *ctx, int attempt, const char *resume_after);
+
+	/* Whether the budget allows one more sending; takes it. */
+	bool (*may_send_again)(void *ctx);
+
+	/* Ends the attempt under way, without on_done. */
+	void (*cancel)(void *ctx);
+
+	/*
+	 * The attempt under way is silent. Returns true when something is being done about it that
+	 * keeps the attempt, so that silence is allowed once more.
+	 */
+	bool (*on_silent)(void *ctx);
+
+	/* The whole answer of the endpoint, unchanged. */
+	void (*answer_whole)(void *ctx, const char *body, size_t len);
+
+	/* The endpoint's answer in parts. */
+	void (*answer_begin)(void *ctx);
+	void (*answer_data)(void *ctx, const char *data, size_t len);
+	void (*answer_end)(void *ctx);
+
+	/* Breaks an answer off so that it can't look complete. */
+	void (*answer_abort)(void *ctx);
+
+	/* An answer of our own; not_run: the request has not run and never will. */
+	void (*refuse)(void *ctx, int status, bool not_run);
+
+	/* Asks for fwd_on_time() at due_us; replaces what was asked before. */
+	void (*set_timer)(void *ctx, int64_t due_us);
+
+	/* The request has ended; nothing is called after this. */
+	void (*ended)(void *ctx, enum fwd_cause cause);
+};
+
+enum fwd_state {
+	FWD_WAITING,
+	FWD_SENT,
+	FWD_ANSWERING,
+	FWD_ENDED
+};
+
+struct fwd {
+	struct fwd_rules rules;
+	const struct fwd_ops *ops;
+	void *ctx;
+	enum fwd_state state;
+	struct fwd_head head;
+	struct sse sse;
+	GString *body;	 /* of an answer that is kept until it is whole */
+	int sends;	 /* attempts that were sent */
+	int runs;	 /* of these, those that may have run */
+	bool begun;	 /* the caller has the head of an answer */
+	bool events;	 /* the answer under way is handed on as it comes */
+	uint64_t parts;	 /* events handed on */
+	int64_t heard_us; /* when the endpoint was last heard of */
+	enum fwd_cause failure; /* of the last attempt */
+};
+
+void fwd_init(struct fwd *fwd, const struct fwd_rules *rules, const struct fwd_ops *ops, void *ctx);
+void fwd_finish(struct fwd *fwd);
+
+/* Sends the request for the first time. resume_after: id that the caller itself goes on from. */
+void fwd_start(struct fwd *fwd, int64_t now_us);
+
+/* Events of the attempt under way. on_head returns false if the attempt is to be given up. */
+bool fwd_on_head(struct fwd *fwd, const struct fwd_head *head, int64_t now_us);
+void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us);
+
+/* The attempt has ended; whole: its answer is complete; sent: the endpoint may have got it. */
+void fwd_on_done(struct fwd *fwd, bool whole, bool sent, int64_t now_us);
+
+/* Gives the attempt under way up for a reason found elsewhere, as if it had been silent. */
+void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us);
+
+void fwd_on_caller_gone(struct fwd *fwd);
+void fwd_on_time(struct fwd *fwd, int64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/path/path.h
@@ -0,0 +1,67 @@
+#ifndef PATH_PATH_H
+#define PATH_PATH_H
+
+#include "rt/rt.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Choice of a pipeline for one request: which endpoints, in order, so that every layer is run once,
+ * at the least expected time of a token. Pure; the caller gives a random number for breaking ties.
+ */
+enum {
+	PA_STAGES_MAX = 30 /* engines take up to 32 parts */
+};
+
+/* Errors. */
+enum pa_err {
+	PA_ENONE = -700 /* the usable endpoints do not hold every layer */
+};
+
+struct pa_node {
+	int zone; /* any number that is the same within an availability zone */
+	int from; /* layers held */
+	int to;
+	double pace;
+	double read_pace;
+	double slowness;  /* measured time as a multiple of what is usual; 1: as usual */
+	double room;	  /* tokens of context that it has memory for */
+	double in_flight; /* requests passing through it now, as far as is known */
+	double tokens;	  /* their tokens of context */
+	bool usable;
+};
+
+struct pa_stage {
+	int node;
+	int from;
+	int to;
+};
+
+struct pa_path {
+	struct pa_stage stages[PA_STAGES_MAX];
+	int count;
+	double cost_ms; /* expected time of a token */
+};
+
+/* What the request needs, and from where it is sent. */
+struct pa_ask {
+	int zone;	 /* of the host that sends */
+	double prompt;	 /* tokens to read */
+	double answer;	 /* tokens expected */
+	double cross_ms; /* of a hop to another availability zone, besides the delay of the network */
+	uint32_t seed;	 /* for spreading requests of like cost */
+};
+
+typedef double (*pa_delay_fn)(void *ctx, int zone_a, int zone_b);
+
+/* Returns 0 or PA_ENONE. */
+int pa_choose(const struct rt_engine *engine, const struct pa_node *nodes, int n,
+	      const struct pa_ask *ask, pa_delay_fn delay, void *ctx, struct pa_path *path);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/place/place.h
@@ -0,0 +1,66 @@
+#ifndef PLACE_PLACE_H
+#define PLACE_PLACE_H
+
+#include "rt/rt.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Which layers of a model each of its endpoints should hold. Pure: the same view gives the same
+ * plan, so a new placer wants what the last one wanted.
+ *
+ * The model is cut into segments of equal length, small enough that the endpoint with the least
+ * memory holds one and keeps a part of its memory for requests. An endpoint holds as many segments
+ * side by side as its own memory allows. Common cut points let any holder of a segment follow any
+ * holder of the one before it, in any availability zone.
+ */
+struct pl_node {
+	const char *id;
+	const char *zone;
+	double memory_mb;
+	double pace;
+	int from; /* layers held now, from..to-1; equal: none */
+	int to;
+	bool usable; /* ready, and not busy with an order */
+};
+
+/* One order of the plan. */
+struct pl_move {
+	int node; /* index of the node */
+	int from;
+	int to;
+};
+
+/* What a plan is worth, for operators and for comparing plans. */
+struct pl_figures {
+	int segments;
+	int unit;		 /* layers of a segment */
+	int copies_min;		 /* endpoints of the layer that has the fewest */
+	int zones_whole;	 /* availability zones that hold every layer by themselves */
+	double copies_mean;
+	double tokens_min;	 /* tokens of context that the weakest layer has memory for */
+	double tokens_after_loss; /* the same after the loss of the one endpoint that costs most */
+};
+
+/* Layers of one segment, or 0 when the nodes can't hold the model. */
+int pl_unit(const struct rt_engine *engine, const struct pl_node *nodes, int n);
+
+/*
+ * Appends to moves (struct pl_move) what has to be ordered now. Nodes that hold layers keep them,
+ * unless a segment would otherwise have no holder at all.
+ */
+void pl_plan(const struct rt_engine *engine, const struct pl_node *nodes, int n, GArray *moves);
+
+/* Figures of what the nodes hold. */
+void pl_measure(const struct rt_engine *engine, const struct pl_node *nodes, int n,
+		struct pl_figures *figures);
+
+/* Tokens of context that a node has memory for, over the layers that it holds. */
+double pl_token_room(const struct rt_engine *engine, double memory_mb, int layers_held);
+
+G_END_DECLS
+
+#endif
--- a/prog/common.c
+++ b/prog/common.c
@@ -39,6 +39,8 @@
 {
 	GString *errors = g_string_new(NULL);
 
+	if (!prog_config)
+		prog_config = g_strdup(g_getenv("BRONZEGAUGE_CONFIG"));
 	if (!prog_config)
 		prog_fail(program, "--config FILE is missing");
 	if (set_load(prog_config, items, n, settings, errors) < 0) {
@@ -52,6 +54,11 @@
 	}
 }
 
+const char *prog_config_path(void)
+{
+	return prog_config;
+}
+
 void prog_start(int *argc, char ***argv, const char *summary, const struct set_item *items,
 		size_t n, void *settings)
 {
@@ -86,17 +93,12 @@
 		stop->fn(stop->ctx);
 }
 
-void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx)
+static void prog_watch(struct loop *loop, const sigset_t *set, void (*fn)(void *ctx), void *ctx)
 {
 	struct prog_stop *stop = g_new0(struct prog_stop, 1);
-	sigset_t set;
 
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	stop->lfd.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	stop->lfd.fd = signalfd(-1, set, SFD_NONBLOCK | SFD_CLOEXEC);
 	stop->lfd.fn = prog_on_signal;
 	stop->lfd.ctx = stop;
 	stop->fn = fn;
@@ -104,6 +106,26 @@
 	loop_fd_add(loop, &stop->lfd, EPOLLIN);
 }
 
+void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	prog_watch(loop, &set, fn, ctx);
+}
+
+void prog_on_reload(struct loop *loop, void (*fn)(void *ctx), void *ctx)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGHUP);
+	prog_watch(loop, &set, fn, ctx);
+}
+
 void prog_reply_json(struct hd_call *call, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
--- a/prog/common.h
+++ b/prog/common.h
@@ -17,12 +17,18 @@
 };
 
 /*
- * Common start of a daemon: command line (--config FILE, --check, --log-level, --version, --help)
+ * Common start of a daemon: command line (--config FILE, else from BRONZEGAUGE_CONFIG, --check, --log-level, --version, --help)
  * and settings. Exits by itself on an error, --check or --version.
  */
 void prog_start(int *argc, char ***argv, const char *summary, const struct set_item *items,
 		size_t n, void *settings);
 
+/* The settings file: --config, else what BRONZEGAUGE_CONFIG names. After prog_start(). */
+const char *prog_config_path(void);
+
+/* Calls fn(ctx) in the loop on SIGHUP. Call it before any thread is made. */
+void prog_on_reload(struct loop *loop, void (*fn)(void *ctx), void *ctx);
+
 /* Calls fn(ctx) in the loop on SIGTERM and SIGINT. Call it before any thread is made. */
 void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx);
 
--- /dev/null
+++ b/prog/router.c
@@ -0,0 +1,219 @@
+#include "base/jl.h"
+#include "base/met.h"
+#include "platform/pf.h"
+#include "prog/common.h"
+#include "router/router.h"
+
+#include <ck_pr.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	USEC_PER_SEC = 1000000,
+	/*
+	 * After the host has become unready the balancer still sends new connections for two looks,
+	 * a second apart; it serves them until then.
+	 */
+	ROUTER_LINGER_MS = 3000,
+	ROUTER_POLL_MS = 100,
+	ROUTER_QUIET_POLLS = 4,	  /* looks without a request before the end */
+	ROUTER_END_MS = 400,	  /* of the grace time, left for the end itself */
+	ROUTER_SETTINGS_MS = 2000, /* between looks whether the settings file has changed */
+	ROUTER_PENDING_MAX = 4 << 20,
+	ROUTER_BODY_MAX = 4 << 20,
+	ROUTER_THREADS = 1
+};
+
+#define ITEM(section, key, type, field, initial, min, max)                                         \
+	{section, key, type, offsetof(struct router_settings, field), initial, min, max}
+
+const struct set_item router_items[] = {
+	ITEM("host", "name", SET_TEXT, name, NULL, 1, 0),
+	ITEM("host", "zone", SET_TEXT, zone, NULL, 1, 0),
+	ITEM("listen", "front", SET_ADDR, front, NULL, 0, 0),
+	ITEM("listen", "ready", SET_ADDR, ready, NULL, 0, 0),
+	ITEM("listen", "metrics", SET_ADDR, metrics, NULL, 0, 0),
+	ITEM("listen", "control", SET_ADDR, control, NULL, 0, 0),
+	ITEM("hosts", "seeds", SET_TEXT, seeds, "", 0, 0),
+	ITEM("store", "address", SET_ADDR, store, NULL, 0, 0),
+	ITEM("endpoints", "heartbeat_ms", SET_INT, heartbeat_ms, "1000", 10, 600000),
+	ITEM("endpoints", "drain_ms", SET_INT, drain_ms, "2000", 10, 600000),
+	ITEM("endpoints", "stall_ms", SET_INT, stall_ms, "3000", 10, 600000),
+	ITEM("repeats", "ratio", SET_REAL, repeat_ratio, "0.2", 0, 1000),
+	ITEM("repeats", "window_s", SET_REAL, repeat_window_s, "10", 1, 3600),
+	ITEM("repeats", "fixed", SET_REAL, repeat_fixed, "10", 0, 1000000),
+	ITEM("stop", "grace_s", SET_INT, grace_s, "8", 1, 3600),
+	ITEM("log", "lines_per_s", SET_INT, log_lines, "300", 0, 1000000),
+};
+const size_t router_items_n = G_N_ELEMENTS(router_items);
+
+struct router_main {
+	struct router router;
+	struct loop loop;
+	struct tmr stop_timer;
+	struct tmr settings_timer;
+	int64_t stop_us;
+	int quiet;
+	time_t settings_time;
+};
+
+static struct router_main router_main;
+
+static void router_on_ready_call(void *ctx, struct hd_call *call)
+{
+	struct router *router = ctx;
+	bool ready = g_atomic_int_get(&router->is_ready) && !g_atomic_int_get(&router->stopping);
+	const char *path = router->seam->wire.ready_path();
+
+	if (strcmp(hd_path(call), path) != 0)
+		hd_reply(call, 404, "text/plain", "", 0);
+	else
+		hd_reply(call, ready ? 200 : 503, "text/plain", "", 0);
+	hd_unref(call);
+}
+
+static void router_on_metrics_call(void *ctx, struct hd_call *call)
+{
+	GString *text = g_string_new(NULL);
+
+	(void)ctx;
+	met_write(text);
+	hd_reply(call, 200, "text/plain", text->str, text->len);
+	g_string_free(text, TRUE);
+	hd_unref(call);
+}
+
+static struct hd *router_listen(const char *addr, hd_handler handler, struct router *router)
+{
+	struct hd_config config = {
+		.addr = addr,
+		.threads = ROUTER_THREADS,
+		.body_max = ROUTER_BODY_MAX,
+		.pending_max = ROUTER_PENDING_MAX,
+		.handler = handler,
+		.ctx = router,
+	};
+	struct hd *hd = hd_start(&config);
+
+	if (hd)
+		return hd;
+	jl_begin(JL_KEEP, "listen_failed");
+	jl_str("addr", addr);
+	jl_end();
+	exit(PROG_EXIT_FAILED);
+}
+
+static void router_log(const char *event, const char *detail)
+{
+	const struct router_settings *s = &router_main.router.settings;
+
+	jl_begin(JL_KEEP, event);
+	jl_str("zone", s->zone);
+	jl_str("front", s->front);
+	jl_str("store", s->store);
+	jl_str("detail", detail);
+	jl_end();
+}
+
+/* Settings that can change while the program runs; the others need a restart. */
+static void router_reload(void *ctx)
+{
+	struct router_main *m = ctx;
+	struct router_settings fresh;
+	GString *errors = g_string_new(NULL);
+
+	memset(&fresh, 0, sizeof(fresh));
+	if (set_load(prog_config_path(), router_items, router_items_n, &fresh, errors) < 0) {
+		g_strdelimit(errors->str, "\n", ' ');
+		router_log("reload_failed", errors->str);
+	} else {
+		jl_set_rate(fresh.log_lines);
+		m->router.settings.grace_s = fresh.grace_s;
+		router_log("reload", NULL);
+	}
+	set_clear(router_items, router_items_n, &fresh);
+	g_string_free(errors, TRUE);
+}
+
+static time_t router_settings_time(void)
+{
+	struct stat st;
+
+	return stat(prog_config_path(), &st) == 0 ? st.st_mtime : 0;
+}
+
+static void router_on_settings_time(void *ctx, int64_t now_us)
+{
+	struct router_main *m = ctx;
+	time_t changed = router_settings_time();
+
+	(void)now_us;
+	if (changed != m->settings_time)
+		router_reload(m);
+	m->settings_time = changed;
+	loop_after(&m->loop, &m->settings_timer, ROUTER_SETTINGS_MS * USEC_PER_MSEC,
+		   router_on_settings_time, m);
+}
+
+/*
+ * The process ends when no request has been open for a few looks in a row and the balancer has had
+ * its time, or just before it would be killed.
+ */
+static void router_on_stop_time(void *ctx, int64_t now_us)
+{
+	struct router_main *m = ctx;
+	int64_t since_ms = (now_us - m->stop_us) / USEC_PER_MSEC;
+	bool open = tf_open(m->router.tf) > 0 || hd_open(m->router.front) > 0;
+
+	m->quiet = open ? 0 : m->quiet + 1;
+	if ((since_ms >= ROUTER_LINGER_MS && m->quiet >= ROUTER_QUIET_POLLS) ||
+	    since_ms >= m->router.settings.grace_s * 1000 - ROUTER_END_MS) {
+		loop_stop(&m->loop);
+		return;
+	}
+	loop_after(&m->loop, &m->stop_timer, ROUTER_POLL_MS * USEC_PER_MSEC, router_on_stop_time,
+		   m);
+}
+
+static void router_on_stop(void *ctx)
+{
+	struct router_main *m = ctx;
+
+	if (m->stop_us > 0)
+		return;
+	m->stop_us = tmr_now();
+	router_log("stopping", NULL);
+	g_atomic_int_set(&m->router.stopping, 1);
+	hd_set_closing(m->router.front);
+	ctl_stop(m->router.ctl);
+	loop_after(&m->loop, &m->stop_timer, 0, router_on_stop_time, m);
+}
+
+int main(int argc, char **argv)
+{
+	struct router_main *m = &router_main;
+	struct router *router = &m->router;
+
+	prog_start(&argc, &argv, "Routes requests to endpoints and pipelines of engines.",
+		   router_items, router_items_n, &router->settings);
+	jl_open(router->settings.name);
+	jl_set_rate(router->settings.log_lines);
+	loop_init(&m->loop);
+	prog_on_stop(&m->loop, router_on_stop, m);
+	prog_on_reload(&m->loop, router_reload, m);
+	router->seam = &pf_seam;
+	router->tf = tf_start(router);
+	router->front = router_listen(router->settings.front, tf_on_call, router);
+	router->ready_hd = router_listen(router->settings.ready, router_on_ready_call, router);
+	router->metrics_hd = router_listen(router->settings.metrics, router_on_metrics_call, router);
+	router->ctl = ctl_start(router, &m->loop);
+	m->settings_time = router_settings_time();
+	loop_after(&m->loop, &m->settings_timer, ROUTER_SETTINGS_MS * USEC_PER_MSEC,
+		   router_on_settings_time, m);
+	router_log("start", PROG_VERSION);
+	loop_run(&m->loop);
+	router_log("stop", NULL);
+	_Exit(PROG_EXIT_OK);
+}
--- /dev/null
+++ b/router/pick.c
@@ -0,0 +1,203 @@
+#include "base/tmr.h"
+#include "fwd/fwd.h"
+#include "router/tf.h"
+
+#include <string.h>
+
+/*
+ * Cost of a hop to another availability zone besides the network's delay, in ms a token: the links
+ * between zones are shared by all, and a prompt of 800 tokens takes 11 ms on one of 26 Gbit/s.
+ */
+static const double PICK_CROSS_MS = 3.0;
+
+/* Tokens of a prompt and of an answer where neither the caller nor the configuration tells. */
+static const double PICK_PROMPT_DEFAULT = 500;
+static const double PICK_ANSWER_DEFAULT = 200;
+
+struct pick_delays {
+	struct tf *tf;
+	const struct rt_service *service;
+};
+
+static bool pick_usable(const struct tf_ep *ep, const struct rt_service *service, int64_t now_us)
+{
+	return ep->listed && ep->rec->state == EP_READY && ep->suspect_us <= now_us &&
+	       strcmp(ep->rec->service, service->name) == 0;
+}
+
+static bool pick_avoided(const struct tf_target *avoid, const struct tf_ep *ep)
+{
+	for (int i = 0; avoid && i < avoid->count; i++) {
+		if (avoid->eps[i] == ep)
+			return true;
+	}
+	return false;
+}
+
+void tf_target_hold(struct tf_target *target)
+{
+	for (int i = 0; i < target->count; i++) {
+		target->eps[i]->refs++;
+		target->eps[i]->in_flight++;
+		target->eps[i]->tokens += target->tokens;
+	}
+}
+
+void tf_target_clear(struct tf_target *target)
+{
+	for (int i = 0; i < target->count; i++) {
+		target->eps[i]->in_flight--;
+		target->eps[i]->tokens -= target->tokens;
+		tf_ep_unref(target->eps[i]);
+	}
+	memset(target, 0, sizeof(*target));
+}
+
+static double pick_delay(void *ctx, int zone_a, int zone_b)
+{
+	const struct pick_delays *d = ctx;
+
+	return rt_delay_ms(d->service, d->tf->zone_names->pdata[zone_a - 1],
+			   d->tf->zone_names->pdata[zone_b - 1]);
+}
+
+static double pick_prompt(const struct rt_service *service, const struct seam_request *request)
+{
+	if (request->prompt > 0)
+		return request->prompt;
+	return service->engine.usual_prompt > 0 ? service->engine.usual_prompt
+						: PICK_PROMPT_DEFAULT;
+}
+
+static double pick_answer(const struct rt_service *service, const struct seam_request *request)
+{
+	double answer = request->hint > 0 ? request->hint : request->answer;
+
+	if (answer > 0)
+		return answer;
+	return service->engine.usual_answer > 0 ? service->engine.usual_answer
+						: PICK_ANSWER_DEFAULT;
+}
+
+/*
+ * Each host knows only its own requests. Callers are spread over hosts by a hash, so the others are
+ * taken to have as many.
+ */
+static void pick_node(struct tf *tf, const struct rt_service *service, const struct tf_ep *ep,
+		      bool usable, struct pa_node *node)
+{
+	const struct rt_kind *kind = rt_kind_of(service, ep->rec->kind);
+	int held = ep->rec->layer_to - ep->rec->layer_from;
+
+	memset(node, 0, sizeof(*node));
+	node->zone = tf_zone(tf, ep->rec->zone);
+	node->from = ep->rec->layer_from;
+	node->to = ep->rec->layer_to;
+	node->pace = kind ? kind->pace : 1;
+	node->read_pace = kind ? kind->read_pace : 1;
+	node->slowness = 1;
+	node->in_flight = (double)ep->in_flight * tf->view->hosts;
+	node->tokens = ep->tokens * tf->view->hosts;
+	node->usable = usable;
+	if (kind && held > 0 && service->engine.kv_bytes > 0)
+		node->room = (kind->memory_mb - held * service->engine.layer_mb) * 1e6 /
+			     (service->engine.kv_bytes * held / service->engine.layers);
+}
+
+static int pick_pipeline(struct tf *tf, const struct rt_service *service,
+			 const struct seam_request *request, const struct tf_target *avoid,
+			 struct tf_target *target)
+{
+	guint n = g_hash_table_size(tf->eps);
+	struct pa_node *nodes = g_new0(struct pa_node, n + 1);
+	struct tf_ep **eps = g_new0(struct tf_ep *, n + 1);
+	struct pick_delays delays = {tf, service};
+	struct pa_ask ask = {tf_zone(tf, tf->router->settings.zone), pick_prompt(service, request),
+			     pick_answer(service, request), PICK_CROSS_MS, tf->seed};
+	struct pa_path path;
+	GHashTableIter iter;
+	gpointer value;
+	int64_t now_us = tmr_now();
+	int count = 0;
+	int err;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!pick_usable(value, service, now_us) || pick_avoided(avoid, value))
+			continue;
+		eps[count] = value;
+		pick_node(tf, service, value, true, &nodes[count++]);
+	}
+	tf->seed = tf->seed * 1664525U + 1013904223U;
+	err = pa_choose(&service->engine, nodes, count, &ask, pick_delay, &delays, &path);
+	if (err == 0) {
+		target->count = path.count;
+		target->layered = true;
+		target->tokens = ask.prompt + ask.answer / 2;
+		for (int i = 0; i < path.count; i++) {
+			target->eps[i] = eps[path.stages[i].node];
+			target->stages[i].addr = target->eps[i]->rec->addr;
+			target->stages[i].from = path.stages[i].from;
+			target->stages[i].to = path.stages[i].to;
+		}
+	}
+	g_free(nodes);
+	g_free(eps);
+	return err == 0 ? 0 : FWD_ENOENDPOINT;
+}
+
+/* Fewest requests under way for its places, failing ones last; nearest zone where alike. */
+static double pick_plain_cost(struct tf *tf, struct tf_ep *ep, int64_t now_us)
+{
+	double load = (double)(ep->in_flight + 1) / MAX(ep->rec->slots, 1);
+
+	tf->seed = tf->seed * 1664525U + 1013904223U;
+	load *= 1 + 4 * tf_ep_failures(ep, now_us);
+	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
+		load *= 1.1;
+	return load * (1 + 0.2 * (double)(tf->seed >> 8) / (1 << 24));
+}
+
+static int pick_plain(struct tf *tf, const struct rt_service *service,
+		      const struct tf_target *avoid, struct tf_target *target)
+{
+	struct tf_ep *best = NULL;
+	double best_cost = 0;
+	GHashTableIter iter;
+	gpointer value;
+	int64_t now_us = tmr_now();
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		double cost;
+
+		if (!pick_usable(value, service, now_us) || pick_avoided(avoid, value))
+			continue;
+		cost = pick_plain_cost(tf, value, now_us);
+		if (!best || cost < best_cost) {
+			best = value;
+			best_cost = cost;
+		}
+	}
+	if (!best)
+		return FWD_ENOENDPOINT;
+	target->eps[0] = best;
+	target->stages[0].addr = best->rec->addr;
+	target->count = 1;
+	return 0;
+}
+
+int tf_pick(struct tf *tf, const struct rt_service *service, const struct seam_request *request,
+	    const struct tf_target *avoid, struct tf_target *target)
+{
+	int err;
+
+	memset(target, 0, sizeof(*target));
+	if (rt_is_layered(service))
+		err = pick_pipeline(tf, service, request, avoid, target);
+	else
+		err = pick_plain(tf, service, avoid, target);
+	if (err == 0)
+		tf_target_hold(target);
+	return err;
+}
--- /dev/null
+++ b/router/placer.c
@@ -0,0 +1,288 @@
+#include "base/err.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "place/place.h"
+#include "router/ctl.h"
+
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	/*
+	 * Endpoints register over some seconds after a start. A plan made from the first ones would
+	 * be worse than one made from all; so the placer waits until none has come for this long.
+	 */
+	PLACER_SETTLE_US = 700000,
+	PLACER_SETTLE_MAX_US = 4000000,
+	PLACER_CALL_MS = 1000,
+	PLACER_CONNECT_MS = 500,
+	/* An order without an effect in the endpoint's entry is given again after this time. */
+	PLACER_PATIENCE_US = 4000000,
+	HTTP_OK = 200,
+	HTTP_ACCEPTED = 202,
+	HTTP_CONFLICT = 409,
+	HTTP_FENCED = 412
+};
+
+/* An order under way, by endpoint. */
+struct placer_order {
+	struct placer *placer;
+	char *id;
+	char *addr;
+	int from;
+	int to;
+	int64_t given_us;
+	struct hc_call *call;
+};
+
+struct placer {
+	struct ctl *ctl;
+	GHashTable *orders; /* endpoint id -> struct placer_order */
+	int64_t seen_us;    /* when the first endpoint was seen */
+	int64_t grown_us;   /* when a new one was last seen */
+	guint known;
+	int64_t fenced; /* fencing number that was refused; -1: none */
+};
+
+static void placer_on_done(void *ctx, int status, int err, bool sent, const char *body,
+			   size_t len);
+static void placer_on_report(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len);
+static void placer_send(struct placer_order *order, int64_t expect);
+static void placer_plan(struct placer *placer, const struct rt_service *service, int64_t now_us);
+static void placer_order(struct placer *placer, const struct ep_rec *rec,
+			 const struct pl_move *move, int64_t now_us);
+
+static const struct hc_ops placer_ops = {.on_done = placer_on_done};
+static const struct hc_ops placer_report_ops = {.on_done = placer_on_report};
+
+static void placer_order_free(gpointer data)
+{
+	struct placer_order *order = data;
+
+	if (order->call)
+		hc_cancel(order->call);
+	g_free(order->id);
+	g_free(order->addr);
+	g_free(order);
+}
+
+struct placer *placer_new(struct ctl *ctl)
+{
+	struct placer *placer = g_new0(struct placer, 1);
+
+	placer->ctl = ctl;
+	placer->fenced = -1;
+	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placer_order_free);
+	return placer;
+}
+
+void placer_free(struct placer *placer)
+{
+	g_hash_table_destroy(placer->orders);
+	g_free(placer);
+}
+
+static bool placer_settled(struct placer *placer, int64_t now_us)
+{
+	guint known = g_hash_table_size(placer->ctl->endpoints.entries);
+
+	if (known > 0 && placer->seen_us == 0)
+		placer->seen_us = now_us;
+	if (known > placer->known)
+		placer->grown_us = now_us;
+	placer->known = known;
+	if (placer->seen_us == 0)
+		return false;
+	return now_us - placer->grown_us >= PLACER_SETTLE_US ||
+	       now_us - placer->seen_us >= PLACER_SETTLE_MAX_US;
+}
+
+void placer_on_tick(struct placer *placer, int64_t now_us)
+{
+	struct ctl *ctl = placer->ctl;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!placer_settled(placer, now_us) || !ctl->conf || !ctl_may_order(ctl) ||
+	    ctl->generation <= placer->fenced)
+		return;
+	g_hash_table_iter_init(&iter, ctl->conf->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (rt_is_layered(value))
+			placer_plan(placer, value, now_us);
+	}
+}
+
+/* An order whose effect shows, or that has had its time, no longer counts. */
+static void placer_settle_order(struct placer *placer, const struct ep_rec *rec, int64_t now_us)
+{
+	struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
+
+	if (!order)
+		return;
+	if ((rec->layer_from == order->from && rec->layer_to == order->to) ||
+	    now_us - order->given_us >= PLACER_PATIENCE_US)
+		g_hash_table_remove(placer->orders, rec->id);
+}
+
+static void placer_node(struct placer *placer, const struct rt_service *service,
+			const struct ep_rec *rec, struct pl_node *node)
+{
+	const struct rt_kind *kind = rt_kind_of(service, rec->kind);
+	const struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
+
+	memset(node, 0, sizeof(*node));
+	node->id = rec->id;
+	node->zone = rec->zone;
+	node->memory_mb = kind ? kind->memory_mb : 0;
+	node->pace = kind ? kind->pace : 1;
+	node->from = order ? order->from : rec->layer_from;
+	node->to = order ? order->to : rec->layer_to;
+	node->usable = kind && !order && rec->state == EP_READY;
+}
+
+static void placer_plan(struct placer *placer, const struct rt_service *service, int64_t now_us)
+{
+	GPtrArray *recs = ep_snapshot(&placer->ctl->endpoints);
+	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct pl_node));
+	GPtrArray *of_nodes = g_ptr_array_new();
+	GArray *moves = g_array_new(FALSE, TRUE, sizeof(struct pl_move));
+
+	for (guint i = 0; i < recs->len; i++) {
+		struct ep_rec *rec = recs->pdata[i];
+		struct pl_node node;
+
+		if (strcmp(rec->service, service->name) != 0 || rec->state != EP_READY)
+			continue;
+		placer_settle_order(placer, rec, now_us);
+		placer_node(placer, service, rec, &node);
+		g_array_append_val(nodes, node);
+		g_ptr_array_add(of_nodes, rec);
+	}
+	pl_plan(&service->engine, (const struct pl_node *)(void *)nodes->data, (int)nodes->len,
+		moves);
+	for (guint i = 0; i < moves->len; i++) {
+		const struct pl_move *move = &g_array_index(moves, struct pl_move, i);
+
+		placer_order(placer, of_nodes->pdata[move->node], move, now_us);
+	}
+	g_array_unref(moves);
+	g_ptr_array_unref(of_nodes);
+	g_array_unref(nodes);
+	g_ptr_array_unref(recs);
+}
+
+/*
+ * The endpoint's report comes first: it tells how many orders the endpoint has begun. An order names
+ * that number, so one that is carried out late, after another, has no effect.
+ */
+static void placer_order(struct placer *placer, const struct ep_rec *rec,
+			 const struct pl_move *move, int64_t now_us)
+{
+	struct ctl *ctl = placer->ctl;
+	struct placer_order *order = g_new0(struct placer_order, 1);
+	char *url = g_strdup_printf("http://%s%s", rec->addr,
+				    ctl->router->seam->engine.report_path());
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = PLACER_CONNECT_MS,
+		.total_ms = PLACER_CALL_MS,
+		.fresh = true,
+		.close = true,
+	};
+
+	order->placer = placer;
+	order->id = g_strdup(rec->id);
+	order->addr = g_strdup(rec->addr);
+	order->from = move->from;
+	order->to = move->to;
+	order->given_us = now_us;
+	g_hash_table_replace(placer->orders, order->id, order);
+	jl_begin(JL_KEEP, "place");
+	jl_str("endpoint", rec->id);
+	jl_str("addr", rec->addr);
+	jl_str("kind", rec->kind);
+	jl_str("zone", rec->zone);
+	jl_int("from", move->from);
+	jl_int("to", move->to);
+	jl_int("held_from", rec->layer_from);
+	jl_int("held_to", rec->layer_to);
+	jl_int("fence", ctl->generation);
+	jl_end();
+	order->call = hc_start(ctl->hc, &request, &placer_report_ops, order);
+	g_free(url);
+}
+
+static void placer_on_report(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len)
+{
+	struct placer_order *order = ctx;
+	struct placer *placer = order->placer;
+	const struct seam_engine *engine = &placer->ctl->router->seam->engine;
+	struct seam_report report;
+	int64_t expect;
+	bool busy;
+
+	order->call = NULL;
+	if (status != HTTP_OK || engine->parse_report(str_make(body, len), &report) < 0) {
+		placer_on_done(order, status, err, sent, body, len);
+		return;
+	}
+	busy = report.busy;
+	expect = report.sequence;
+	seam_report_finish(&report);
+	if (!busy && ctl_may_order(placer->ctl))
+		placer_send(order, expect);
+}
+
+static void placer_send(struct placer_order *order, int64_t expect)
+{
+	struct ctl *ctl = order->placer->ctl;
+	const struct seam_engine *engine = &ctl->router->seam->engine;
+	char *url = g_strdup_printf("http://%s%s", order->addr, engine->order_path());
+	char *body = engine->make_place(order->from, order->to, ctl->generation, expect);
+	const char *headers[] = {"Content-Type: application/json", NULL};
+	struct hc_request request = {
+		.method = "POST",
+		.url = url,
+		.headers = headers,
+		.body = body,
+		.body_len = strlen(body),
+		.connect_ms = PLACER_CONNECT_MS,
+		.total_ms = PLACER_CALL_MS,
+		.fresh = true,
+		.close = true,
+	};
+
+	met_add(met_counter("bg_orders_total", "order=\"place\""), 1);
+	order->call = hc_start(ctl->hc, &request, &placer_ops, order);
+	g_free(url);
+	g_free(body);
+}
+
+/*
+ * An order that gets no answer may have been taken, or be carried out later; its effect is looked
+ * for in the endpoint's entry, and only after a while the order is given again.
+ */
+static void placer_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct placer_order *order = ctx;
+	struct placer *placer = order->placer;
+
+	order->call = NULL;
+	if (status == HTTP_OK || status == HTTP_ACCEPTED)
+		return;
+	jl_begin(JL_KEEP, "place_failed");
+	jl_str("endpoint", order->id);
+	jl_int("status", status);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	if (len > 0 && len < 200)
+		jl_str("answer", body);
+	jl_end();
+	if (status == HTTP_FENCED)
+		placer->fenced = placer->ctl->generation;
+	if (!sent || status == HTTP_CONFLICT || status == HTTP_FENCED)
+		order->given_us -= PLACER_PATIENCE_US * 3 / 4;
+}
--- /dev/null
+++ b/router/router.h
@@ -0,0 +1,90 @@
+#ifndef ROUTER_ROUTER_H
+#define ROUTER_ROUTER_H
+
+#include "base/hc.h"
+#include "base/hd.h"
+#include "base/loop.h"
+#include "base/set.h"
+#include "bud/bud.h"
+#include "ep/ep.h"
+#include "rt/rt.h"
+#include "seam/seam.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * bgrouterd: one process a host. The control thread follows the store, talks to the other hosts and
+ * places layers; the traffic thread takes callers' requests to endpoints. They share nothing that
+ * changes: the control thread posts views, the traffic thread posts what it finds out.
+ */
+struct router_settings {
+	char *name;
+	char *zone;
+	char *front;
+	char *ready;
+	char *metrics;
+	char *control;
+	char *seeds;
+	char *store;
+	int64_t heartbeat_ms;
+	int64_t drain_ms;
+	int64_t grace_s;
+	double repeat_ratio;
+	double repeat_window_s;
+	double repeat_fixed;
+	int64_t stall_ms;
+	int64_t log_lines;
+};
+
+/* What the control thread knows, as the traffic thread uses it. Immutable once posted. */
+struct router_view {
+	struct rt_conf *conf; /* NULL: none yet */
+	GPtrArray *endpoints; /* struct ep_rec */
+	int hosts;	      /* of this system, this one included */
+	int64_t fence;	      /* number that orders to engines carry; -1: none */
+	bool listed;	      /* the endpoints have been read once */
+};
+
+void router_view_free(struct router_view *view);
+
+struct ctl;
+struct tf;
+
+struct router {
+	struct router_settings settings;
+	const struct seam *seam;
+	struct ctl *ctl;
+	struct tf *tf;
+	struct hd *front;
+	struct hd *ready_hd;
+	struct hd *metrics_hd;
+	guint is_ready; /* atomic */
+	guint stopping; /* atomic */
+};
+
+extern const struct set_item router_items[];
+extern const size_t router_items_n;
+
+/* Control thread: ctl.c, and below it store_follow.c, placer.c, peers.c. */
+struct ctl *ctl_start(struct router *router, struct loop *loop);
+void ctl_finish(struct ctl *ctl);
+
+/* The host is stopping: it gives up what it leads and leaves the list of hosts. */
+void ctl_stop(struct ctl *ctl);
+
+/* Traffic thread: tf.c, and below it req.c and pick.c. */
+struct tf *tf_start(struct router *router);
+
+/* Takes a view; from the control thread. */
+void tf_post_view(struct tf *tf, struct router_view *view);
+
+/* Requests that have not ended. Any thread. */
+unsigned int tf_open(const struct tf *tf);
+
+/* A request; from a thread of the HTTP library. */
+void tf_on_call(void *ctx, struct hd_call *call);
+
+#endif
--- /dev/null
+++ b/router/rq.c
@@ -0,0 +1,517 @@
+#include "base/err.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "router/tf.h"
+
+#include <ck_pr.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	USEC_PER_SEC = 1000000,
+	RQ_CONNECT_MS = 300,	/* a connection to a live endpoint takes a few ms */
+	RQ_DEADLINE_DEFAULT_MS = 60000,
+	RQ_FIRST_MIN_MS = 700, /* silence before the first event or byte that is borne */
+	RQ_GAP_MIN_MS = 600,	/* the same between events; three times the longest usual gap */
+	RQ_SUSPECT_US = 3000000,
+	/* When to come back to a host that knows nothing yet, or has nobody to send to. */
+	RQ_RETRY_US = 400000,
+	STATUS_UNAUTHORIZED = 401,
+	STATUS_NOT_FOUND = 404,
+	STATUS_UNAVAILABLE = 503
+};
+
+struct rq {
+	struct tf *tf;
+	struct hd_call *call;
+	struct seam_request request;
+	const struct rt_route *route;	  /* of conf */
+	const struct rt_service *service; /* of conf */
+	const struct rt_account *account; /* of conf */
+	struct rt_conf *conf;
+	struct fwd fwd;
+	struct tmr timer;
+	struct hc_call *attempt;
+	struct tf_target target;  /* of the attempt under way */
+	struct tf_target avoid;	  /* those that failed this request; no references to requests */
+	struct seam_answer answer; /* head of the attempt's answer */
+	int64_t began_us;
+	int64_t first_us; /* when the first part went to the caller */
+	int64_t caller_deadline_us;
+	char *body;
+	size_t body_len;
+	const char *code; /* what the caller was told by us; NULL: the endpoint's answer */
+	int status;
+};
+
+static int rq_send(void *ctx, int attempt, const char *resume_after);
+static bool rq_may_send_again(void *ctx);
+static void rq_cancel(void *ctx);
+static bool rq_on_silent(void *ctx);
+static void rq_answer_whole(void *ctx, const char *body, size_t len);
+static void rq_answer_begin(void *ctx);
+static void rq_answer_data(void *ctx, const char *data, size_t len);
+static void rq_answer_end(void *ctx);
+static void rq_answer_abort(void *ctx);
+static void rq_refuse(void *ctx, int status, bool not_run);
+static void rq_set_timer(void *ctx, int64_t due_us);
+static void rq_ended(void *ctx, enum fwd_cause cause);
+static bool rq_on_head(void *ctx, int status, const GPtrArray *headers);
+static void rq_on_data(void *ctx, const char *data, size_t len);
+static void rq_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void rq_tell(struct rq *rq, int status, const char *code, int64_t retry_us);
+
+static const struct fwd_ops rq_fwd_ops = {
+	.send = rq_send,
+	.may_send_again = rq_may_send_again,
+	.cancel = rq_cancel,
+	.on_silent = rq_on_silent,
+	.answer_whole = rq_answer_whole,
+	.answer_begin = rq_answer_begin,
+	.answer_data = rq_answer_data,
+	.answer_end = rq_answer_end,
+	.answer_abort = rq_answer_abort,
+	.refuse = rq_refuse,
+	.set_timer = rq_set_timer,
+	.ended = rq_ended,
+};
+
+static const struct hc_ops rq_hc_ops = {
+	.on_head = rq_on_head,
+	.on_data = rq_on_data,
+	.all_data = true,
+	.on_done = rq_on_done,
+};
+
+static void rq_on_header(void *ctx, const char *name, const char *value)
+{
+	struct rq *rq = ctx;
+
+	rq->tf->router->seam->wire.read_header(&rq->request, name, value);
+}
+
+static void rq_avoid_clear(struct rq *rq)
+{
+	for (int i = 0; i < rq->avoid.count; i++)
+		tf_ep_unref(rq->avoid.eps[i]);
+	rq->avoid.count = 0;
+}
+
+static void rq_avoid(struct rq *rq, struct tf_ep *ep)
+{
+	if (rq->avoid.count == TF_STAGES_MAX)
+		return;
+	ep->refs++;
+	rq->avoid.eps[rq->avoid.count++] = ep;
+}
+
+static void rq_free(struct rq *rq)
+{
+	struct tf *tf = rq->tf;
+
+	tmr_cancel(&tf->loop.tmr, &rq->timer);
+	tf_target_clear(&rq->target);
+	rq_avoid_clear(rq);
+	seam_answer_finish(&rq->answer);
+	seam_request_finish(&rq->request);
+	fwd_finish(&rq->fwd);
+	rt_conf_unref(rq->conf);
+	hd_unref(rq->call);
+	g_ptr_array_remove_fast(tf->reqs, rq);
+	ck_pr_dec_uint(&tf->open);
+	g_free(rq);
+}
+
+/* An answer of the router's own; the request ends. */
+static void rq_tell(struct rq *rq, int status, const char *code, int64_t retry_us)
+{
+	char body[128];
+	int len = snprintf(body, sizeof(body), "{\"error\":{\"code\":\"%s\"}}", code);
+
+	if (retry_us > 0) {
+		const struct seam_wire *wire = &rq->tf->router->seam->wire;
+		char *value = wire->retry_value(retry_us);
+
+		hd_set_header(rq->call, wire->retry_name(), value);
+		g_free(value);
+	}
+	rq->status = status;
+	rq->code = code;
+	hd_reply(rq->call, status, "application/json", body, (size_t)len);
+}
+
+/* One line for each request that the router refuses without sending it. */
+static void rq_deny(struct rq *rq, int status, const char *code, int64_t retry_us)
+{
+	const struct router_view *view = rq->tf->view;
+
+	rq_tell(rq, status, code, retry_us);
+	jl_begin(JL_KEEP, "denied");
+	jl_str("id", rq->request.id);
+	jl_int("status", status);
+	jl_str("code", code);
+	jl_str("asked_host", rq->request.host);
+	jl_str("target", hd_target(rq->call));
+	jl_int("version", view && view->conf ? view->conf->version : -1);
+	jl_end();
+	met_add(met_counter("bg_denied_total", ""), 1);
+	rq_free(rq);
+}
+
+static void rq_rules(struct rq *rq, struct fwd_rules *rules)
+{
+	const struct rt_route *route = rq->route;
+	int64_t deadline_ms = rq->request.deadline_ms;
+
+	if (deadline_ms < 0)
+		deadline_ms = RQ_DEADLINE_DEFAULT_MS;
+	rq->caller_deadline_us = rq->began_us + deadline_ms * USEC_PER_MSEC;
+	if (route->timeout_ms > 0)
+		deadline_ms = MIN(deadline_ms, route->timeout_ms);
+	memset(rules, 0, sizeof(*rules));
+	rules->may_repeat = rt_may_repeat(route);
+	rules->streaming = route->type == RT_STREAMING;
+	rules->runs_max = (int)route->attempts;
+	rules->deadline_us = rq->began_us + deadline_ms * USEC_PER_MSEC;
+	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms * 3 / 2) * USEC_PER_MSEC;
+	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 3) * USEC_PER_MSEC;
+}
+
+/* Finds route, account and service. Returns false when the request was denied. */
+static bool rq_admit(struct rq *rq)
+{
+	const struct router_view *view = rq->tf->view;
+
+	if (!view || !view->conf) {
+		rq_deny(rq, STATUS_UNAVAILABLE, "no_configuration", RQ_RETRY_US);
+		return false;
+	}
+	rq->conf = rt_conf_ref(view->conf);
+	rq->route = rt_match(rq->conf, rq->request.host, hd_target(rq->call));
+	if (!rq->route) {
+		rq_deny(rq, STATUS_NOT_FOUND, "no_route", 0);
+		return false;
+	}
+	rq->account = rt_account_of(rq->conf, rq->request.key);
+	if (!rq->account && !rq->route->public_access && rq->conf->accounts->len > 0) {
+		rq_deny(rq, STATUS_UNAUTHORIZED, "unknown_key", 0);
+		return false;
+	}
+	rq->service = rt_service_of(rq->conf, rq->route, rq->request.id ? rq->request.id : "");
+	if (!rq->service) {
+		rq_deny(rq, STATUS_UNAVAILABLE, "no_service", RQ_RETRY_US);
+		return false;
+	}
+	return true;
+}
+
+void rq_start(struct tf *tf, struct hd_call *call)
+{
+	struct rq *rq = g_new0(struct rq, 1);
+	struct fwd_rules rules;
+	size_t len;
+
+	rq->tf = tf;
+	rq->call = call;
+	rq->began_us = tmr_now();
+	memset(&rules, 0, sizeof(rules));
+	fwd_init(&rq->fwd, &rules, &rq_fwd_ops, rq);
+	seam_request_init(&rq->request);
+	hd_each_header(call, rq_on_header, rq);
+	g_ptr_array_add(tf->reqs, rq);
+	if (!rq_admit(rq))
+		return;
+	rq_rules(rq, &rq->fwd.rules);
+	rq->body = (char *)hd_body(call, &len);
+	rq->body_len = len;
+	bud_on_request(tf_budget(tf, rq->service->name), rq->began_us);
+	fwd_start(&rq->fwd, rq->began_us);
+}
+
+static int64_t rq_left_ms(const struct rq *rq, int64_t now_us)
+{
+	return MAX((rq->fwd.rules.deadline_us - now_us) / USEC_PER_MSEC, 1);
+}
+
+static void rq_log_sent(const struct rq *rq, int attempt, const char *pipeline,
+			 const char *resume_after)
+{
+	jl_begin(JL_INFO, "sent");
+	jl_str("id", rq->request.id);
+	jl_str("route", rq->route->name);
+	jl_str("account", rq->account ? rq->account->name : NULL);
+	jl_int("attempt", attempt);
+	jl_str("endpoint", rq->target.eps[0]->rec->id);
+	jl_str("addr", rq->target.eps[0]->rec->addr);
+	jl_str("pipeline", pipeline);
+	jl_str("resume_after", resume_after);
+	jl_int("left_ms", rq_left_ms(rq, tmr_now()));
+	jl_int("version", rq->conf->version);
+	jl_int("view_age_ms", (tmr_now() - rq->tf->view_us) / USEC_PER_MSEC);
+	jl_end();
+}
+
+static int rq_send(void *ctx, int attempt, const char *resume_after)
+{
+	struct rq *rq = ctx;
+	struct tf *tf = rq->tf;
+	const struct seam_wire *wire = &tf->router->seam->wire;
+	struct seam_forward forward = {.urgency = -1};
+	struct hc_request request = {.connect_ms = RQ_CONNECT_MS, .fresh = true, .close = true};
+	GPtrArray *headers;
+	char *pipeline = NULL;
+	char *url;
+	int err;
+
+	tf_target_clear(&rq->target);
+	err = tf_pick(tf, rq->service, &rq->request, &rq->avoid, &rq->target);
+	if (err < 0)
+		return err;
+	if (rq->target.layered)
+		pipeline = wire->pipeline(rq->target.stages, rq->target.count);
+	forward.deadline_ms = rq_left_ms(rq, tmr_now());
+	forward.instance = rq->target.eps[0]->rec->id;
+	forward.account = rq->account ? rq->account->name : NULL;
+	forward.pipeline = pipeline;
+	forward.resume_after = resume_after;
+	headers = wire->make_headers(&rq->request, &forward);
+	url = g_strdup_printf("http://%s/", rq->target.eps[0]->rec->addr);
+	request.method = hd_method(rq->call);
+	request.url = url;
+	request.target = hd_target(rq->call);
+	request.headers = (const char *const *)headers->pdata;
+	if (rq->body_len > 0 || strcmp(request.method, "POST") == 0) {
+		request.body = rq->body;
+		request.body_len = rq->body_len;
+	}
+	rq_log_sent(rq, attempt, pipeline, resume_after);
+	rq->attempt = hc_start(tf->hc, &request, &rq_hc_ops, rq);
+	g_ptr_array_unref(headers);
+	g_free(url);
+	g_free(pipeline);
+	return 0;
+}
+
+static bool rq_may_send_again(void *ctx)
+{
+	struct rq *rq = ctx;
+
+	return bud_take(tf_budget(rq->tf, rq->service->name), tmr_now());
+}
+
+static void rq_cancel(void *ctx)
+{
+	struct rq *rq = ctx;
+
+	if (rq->attempt)
+		hc_cancel(rq->attempt);
+	rq->attempt = NULL;
+}
+
+/*
+ * A pipeline has gone silent, and nobody says at which stage. Those through which another request
+ * has got something since are well; the others are passed over for a while.
+ */
+static bool rq_on_silent(void *ctx)
+{
+	struct rq *rq = ctx;
+	int64_t now_us = tmr_now();
+	int64_t silence = rq->fwd.parts > 0 ? rq->fwd.rules.gap_us : rq->fwd.rules.first_us;
+
+	for (int i = 0; i < rq->target.count; i++) {
+		struct tf_ep *ep = rq->target.eps[i];
+
+		if (ep->progress_us > now_us - silence)
+			continue;
+		rq_avoid(rq, ep);
+		tf_suspect(ep, now_us + RQ_SUSPECT_US, "silent", rq->request.id);
+	}
+	return false;
+}
+
+/* What the end of an attempt tells about its endpoints. */
+static void rq_learn(struct rq *rq, int err, bool sent)
+{
+	int64_t now_us = tmr_now();
+	struct tf_ep *first = rq->target.count > 0 ? rq->target.eps[0] : NULL;
+	struct tf_ep *culprit = NULL;
+
+	if (rq->answer.culprit)
+		culprit = g_hash_table_lookup(rq->tf->by_addr, rq->answer.culprit);
+	if (culprit) {
+		rq_avoid(rq, culprit);
+		tf_suspect(culprit, now_us + RQ_SUSPECT_US / 4, "named_at_fault", rq->request.id);
+		return;
+	}
+	if (!first || err == 0)
+		return;
+	rq_avoid(rq, first);
+	tf_ep_failed(first, now_us);
+	if (!sent)
+		tf_suspect(first, now_us + RQ_SUSPECT_US, "unreachable", rq->request.id);
+}
+
+static void rq_progress(struct rq *rq)
+{
+	int64_t now_us = tmr_now();
+
+	for (int i = 0; i < rq->target.count; i++)
+		rq->target.eps[i]->progress_us = now_us;
+}
+
+static bool rq_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	struct rq *rq = ctx;
+	bool go_on;
+
+	seam_answer_finish(&rq->answer);
+	rq->tf->router->seam->wire.read_answer(status, headers, rq->request.id, &rq->answer);
+	go_on = fwd_on_head(&rq->fwd, &rq->answer.head, tmr_now());
+	return go_on;
+}
+
+static void rq_on_data(void *ctx, const char *data, size_t len)
+{
+	struct rq *rq = ctx;
+
+	if (rq->answer.head.status / 100 == 2)
+		rq_progress(rq);
+	fwd_on_data(&rq->fwd, data, len, tmr_now());
+}
+
+static void rq_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct rq *rq = ctx;
+	bool failed = err < 0 || status >= 500 || rq->answer.head.not_run;
+
+	(void)body;
+	(void)len;
+	rq->attempt = NULL;
+	if (failed) {
+		jl_begin(JL_KEEP, "attempt_failed");
+		jl_str("id", rq->request.id);
+		jl_str("endpoint", rq->target.count > 0 ? rq->target.eps[0]->rec->id : NULL);
+		jl_int("status", rq->answer.head.status);
+		jl_int("not_run", rq->answer.head.not_run || !sent);
+		jl_str("error", err < 0 ? base_strerror(err) : NULL);
+		jl_str("culprit", rq->answer.culprit);
+		jl_int("parts", (int64_t)rq->fwd.parts);
+		jl_end();
+		rq_learn(rq, err < 0 ? err : -1, sent);
+	}
+	fwd_on_done(&rq->fwd, err == 0, sent, tmr_now());
+}
+
+static void rq_put_headers(struct rq *rq)
+{
+	const GPtrArray *keep = rq->answer.keep;
+
+	for (guint i = 0; keep && i + 1 < keep->len; i += 2)
+		hd_set_header(rq->call, keep->pdata[i], keep->pdata[i + 1]);
+	rq->status = rq->answer.head.status;
+	rq->first_us = tmr_now();
+}
+
+static void rq_answer_whole(void *ctx, const char *body, size_t len)
+{
+	struct rq *rq = ctx;
+
+	rq_put_headers(rq);
+	hd_reply(rq->call, rq->status, rq->answer.type, body, len);
+}
+
+static void rq_answer_begin(void *ctx)
+{
+	struct rq *rq = ctx;
+
+	rq_put_headers(rq);
+	hd_begin(rq->call, rq->status, rq->answer.type);
+}
+
+static void rq_answer_data(void *ctx, const char *data, size_t len)
+{
+	struct rq *rq = ctx;
+
+	hd_write(rq->call, data, len);
+}
+
+static void rq_answer_end(void *ctx)
+{
+	hd_end(((struct rq *)ctx)->call);
+}
+
+static void rq_answer_abort(void *ctx)
+{
+	hd_abort(((struct rq *)ctx)->call);
+}
+
+static void rq_refuse(void *ctx, int status, bool not_run)
+{
+	struct rq *rq = ctx;
+
+	rq_tell(rq, status, fwd_cause_name(rq->fwd.failure), not_run ? RQ_RETRY_US : 0);
+}
+
+static void rq_on_timer(void *ctx, int64_t now_us)
+{
+	struct rq *rq = ctx;
+
+	fwd_on_time(&rq->fwd, now_us);
+}
+
+static void rq_set_timer(void *ctx, int64_t due_us)
+{
+	struct rq *rq = ctx;
+
+	tmr_set(&rq->tf->loop.tmr, &rq->timer, due_us, rq_on_timer, rq);
+}
+
+void rq_on_sweep(struct rq *rq)
+{
+	if (hd_gone(rq->call))
+		fwd_on_caller_gone(&rq->fwd);
+}
+
+static void rq_observe(const struct rq *rq, int64_t now_us)
+{
+	char *labels = g_strdup_printf("account=\"%s\",class=\"%s\"",
+				       rq->account ? rq->account->name : "", rq->route->name);
+
+	if (rq->first_us > 0)
+		met_observe(met_histogram("bg_first_us", labels), rq->first_us - rq->began_us);
+	met_observe(met_histogram("bg_whole_us", labels), now_us - rq->began_us);
+	g_free(labels);
+}
+
+static void rq_on_free(void *ctx, int64_t now_us)
+{
+	(void)now_us;
+	rq_free(ctx);
+}
+
+/* The request may be inside a callback of its own attempt, so it is freed from the loop. */
+static void rq_ended(void *ctx, enum fwd_cause cause)
+{
+	struct rq *rq = ctx;
+	int64_t now_us = tmr_now();
+	bool bad = cause != FWD_OK && cause != FWD_CALLER_GONE;
+	char labels[64];
+
+	jl_begin(bad ? JL_KEEP : JL_INFO, "ended");
+	jl_str("id", rq->request.id);
+	jl_str("cause", fwd_cause_name(cause));
+	jl_int("status", rq->status);
+	jl_str("route", rq->route->name);
+	jl_str("account", rq->account ? rq->account->name : NULL);
+	jl_int("sends", rq->fwd.sends);
+	jl_int("runs", rq->fwd.runs);
+	jl_int("parts", (int64_t)rq->fwd.parts);
+	jl_int("first_ms", rq->first_us > 0 ? (rq->first_us - rq->began_us) / USEC_PER_MSEC : -1);
+	jl_int("whole_ms", (now_us - rq->began_us) / USEC_PER_MSEC);
+	jl_end();
+	snprintf(labels, sizeof(labels), "cause=\"%s\"", fwd_cause_name(cause));
+	met_add(met_counter("bg_requests_total", labels), 1);
+	rq_observe(rq, now_us);
+	loop_after(&rq->tf->loop, &rq->timer, 0, rq_on_free, rq);
+}
--- /dev/null
+++ b/router/store_follow.c
@@ -0,0 +1,276 @@
+#include "base/err.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "router/ctl.h"
+
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	/*
+	 * How long the store may hold a read of the configuration. An open connection may go silent
+	 * for good; a change must be in force within two seconds, so silence is found within this
+	 * time and the next.
+	 */
+	SF_CONF_WAIT_MS = 1000,
+	SF_MARGIN_MS = 700,	    /* for the answer itself */
+	SF_CALL_MS = 1000,	    /* for a call that the store does not hold */
+	SF_CONNECT_MS = 500,
+	/* Reads of endpoints: an endpoint that is leaving gets no requests after two seconds. */
+	SF_ENDPOINTS_PAUSE_MS = 600,
+	SF_HOSTS_PAUSE_MS = 5000,
+	SF_RETRY_MS = 250,	    /* after a failure; doubles */
+	SF_RETRY_MAX_MS = 1000,
+	HTTP_OK = 200,
+	HTTP_GONE = 410
+};
+
+static void sf_ask(struct sf_topic *t);
+static void sf_on_timer(void *ctx, int64_t now_us);
+static void sf_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value);
+
+static const struct hc_ops sf_ops = {.on_done = sf_on_done};
+
+static const char *const sf_names[] = {
+	[SEAM_CONF] = "configuration",
+	[SEAM_ENDPOINTS] = "endpoints",
+	[SEAM_HOSTS] = "hosts",
+};
+
+static const struct {
+	int64_t wait_ms;
+	int64_t pause_ms;
+} sf_pace[] = {
+	[SEAM_CONF] = {SF_CONF_WAIT_MS, 0},
+	[SEAM_ENDPOINTS] = {0, SF_ENDPOINTS_PAUSE_MS},
+	[SEAM_HOSTS] = {0, SF_HOSTS_PAUSE_MS},
+};
+
+void sf_start(struct ctl *ctl)
+{
+	for (int i = 0; i <= SEAM_HOSTS; i++) {
+		struct sf_topic *t = &ctl->topics[i];
+
+		t->ctl = ctl;
+		t->topic = i;
+		t->next = -1;
+		t->wait_ms = sf_pace[i].wait_ms;
+		t->pause_us = sf_pace[i].pause_ms * USEC_PER_MSEC;
+		sf_ask(t);
+	}
+}
+
+void sf_stop(struct ctl *ctl)
+{
+	for (int i = 0; i <= SEAM_HOSTS; i++) {
+		struct sf_topic *t = &ctl->topics[i];
+
+		tmr_cancel(&ctl->loop->tmr, &t->timer);
+		if (t->call)
+			hc_cancel(t->call);
+		t->call = NULL;
+		g_clear_pointer(&t->after, g_free);
+	}
+}
+
+bool sf_is_away(const struct ctl *ctl)
+{
+	return ctl->topics[SEAM_CONF].failures > 0;
+}
+
+static void sf_ask(struct sf_topic *t)
+{
+	const struct seam_store *store = &t->ctl->router->seam->store;
+	bool listing = t->next < 0;
+	char *path = listing ? store->newest_path(t->topic, t->after)
+			     : store->read_path(t->topic, t->next, t->wait_ms);
+	char *url = ctl_url(t->ctl, path);
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = SF_CONNECT_MS,
+		.total_ms = listing ? SF_CALL_MS : MAX(t->wait_ms + SF_MARGIN_MS, SF_CALL_MS),
+		.fresh = t->failures > 0,
+	};
+
+	t->call = hc_start(t->ctl->hc, &request, &sf_ops, t);
+	g_free(url);
+}
+
+static void sf_on_timer(void *ctx, int64_t now_us)
+{
+	(void)now_us;
+	sf_ask(ctx);
+}
+
+static void sf_again(struct sf_topic *t, int64_t delay_us)
+{
+	if (!t->ctl->stopping || t->topic != SEAM_HOSTS)
+		loop_after(t->ctl->loop, &t->timer, delay_us, sf_on_timer, t);
+}
+
+void sf_take_conf(struct ctl *ctl, struct str text, const char *from)
+{
+	char *error = NULL;
+	struct rt_conf *conf = ctl->router->seam->decl.read_conf(text, &error);
+	int64_t before = ctl->conf ? ctl->conf->version : -1;
+
+	if (!conf) {
+		jl_begin(JL_KEEP, "configuration_unreadable");
+		jl_str("from", from);
+		jl_str("error", error);
+		jl_end();
+		g_free(error);
+		return;
+	}
+	if (conf->version <= before) {
+		rt_conf_unref(conf);
+		return;
+	}
+	jl_begin(JL_KEEP, "configuration");
+	jl_int("version", conf->version);
+	jl_int("before", before);
+	jl_str("from", from);
+	jl_int("routes", conf->routes->len);
+	jl_int("accounts", conf->accounts->len);
+	jl_end();
+	rt_conf_unref(ctl->conf);
+	ctl->conf = conf;
+	ctl_view_due(ctl);
+}
+
+static void sf_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str value)
+{
+	char *error = NULL;
+	struct ep_rec *rec = NULL;
+
+	if (value.data) {
+		rec = ctl->router->seam->decl.read_endpoint(id, value, &error);
+		if (!rec) {
+			jl_begin(JL_KEEP, "endpoint_unreadable");
+			jl_str("endpoint", id);
+			jl_str("error", error);
+			jl_end();
+			g_free(error);
+			return;
+		}
+	}
+	ep_on_record(&ctl->endpoints, offset, id, rec, tmr_now());
+}
+
+static void sf_take_host(struct ctl *ctl, const char *name, struct str value)
+{
+	if (!value.data)
+		g_hash_table_remove(ctl->hosts, name);
+	else
+		g_hash_table_replace(ctl->hosts, g_strdup(name), str_dup(value));
+	ctl_view_due(ctl);
+}
+
+static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value)
+{
+	struct sf_topic *t = ctx;
+	char *name = str_dup(key);
+
+	if (t->topic == SEAM_CONF && value.data)
+		sf_take_conf(t->ctl, value, "store");
+	else if (t->topic == SEAM_ENDPOINTS)
+		sf_take_endpoint(t->ctl, offset, name, value);
+	else if (t->topic == SEAM_HOSTS)
+		sf_take_host(t->ctl, name, value);
+	g_free(name);
+}
+
+static void sf_failed(struct sf_topic *t, int status, int err)
+{
+	int64_t delay_ms = MIN(SF_RETRY_MS << MIN(t->failures, 4), SF_RETRY_MAX_MS);
+
+	if (t->failures++ == 0) {
+		jl_begin(JL_KEEP, "store_lost");
+		jl_str("topic", sf_names[t->topic]);
+		jl_int("status", status);
+		jl_str("error", err < 0 ? base_strerror(err) : NULL);
+		jl_end();
+	}
+	met_add(met_counter("bg_store_failures_total", ""), 1);
+	if (t->topic == SEAM_ENDPOINTS)
+		ep_on_trouble(&t->ctl->endpoints, tmr_now());
+	sf_again(t, delay_ms * USEC_PER_MSEC);
+}
+
+static void sf_recovered(struct sf_topic *t)
+{
+	if (t->failures == 0)
+		return;
+	jl_begin(JL_KEEP, "store_regained");
+	jl_str("topic", sf_names[t->topic]);
+	jl_int("failures", t->failures);
+	jl_end();
+	t->failures = 0;
+}
+
+/* One page of the listing; the reading of records begins where the first page ended. */
+static bool sf_on_listing(struct sf_topic *t, struct str body)
+{
+	struct seam_read read;
+	bool first = t->after == NULL;
+
+	if (first && t->topic == SEAM_ENDPOINTS)
+		ep_on_listing(&t->ctl->endpoints);
+	if (t->ctl->router->seam->store.parse_newest(body, sf_on_record, t, &read) < 0)
+		return false;
+	g_clear_pointer(&t->after, g_free);
+	if (read.more) {
+		t->after = read.last;
+		sf_ask(t);
+		return true;
+	}
+	g_free(read.last);
+	t->next = read.end;
+	if (t->topic == SEAM_ENDPOINTS) {
+		ep_on_listed(&t->ctl->endpoints, read.end, tmr_now());
+		t->ctl->endpoints.changed = true;
+	}
+	sf_again(t, t->pause_us);
+	return true;
+}
+
+static bool sf_on_reading(struct sf_topic *t, struct str body)
+{
+	struct seam_read read;
+
+	if (t->ctl->router->seam->store.parse_read(body, t->next, sf_on_record, t, &read) < 0)
+		return false;
+	/* A store that has less than was read before has been rewound; its listing tells what holds. */
+	t->next = read.end < t->next ? -1 : read.next;
+	sf_again(t, t->pause_us);
+	return true;
+}
+
+static void sf_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct sf_topic *t = ctx;
+	bool good;
+
+	(void)sent;
+	t->call = NULL;
+	if (status == HTTP_GONE) {
+		t->next = -1;
+		g_clear_pointer(&t->after, g_free);
+		sf_ask(t);
+		return;
+	}
+	if (status != HTTP_OK) {
+		sf_failed(t, status, err);
+		return;
+	}
+	sf_recovered(t);
+	t->read_us = tmr_now();
+	good = t->next < 0 ? sf_on_listing(t, str_make(body, len))
+			   : sf_on_reading(t, str_make(body, len));
+	if (!good)
+		sf_failed(t, status, BASE_EHTTP);
+	if (t->ctl->endpoints.changed)
+		ctl_view_due(t->ctl);
+}
--- /dev/null
+++ b/router/tf.c
@@ -0,0 +1,266 @@
+#include "router/tf.h"
+#include "base/jl.h"
+#include "base/met.h"
+
+#include <ck_pr.h>
+#include <math.h>
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	USEC_PER_SEC = 1000000,
+	/*
+	 * A caller that has left is noticed within this time, so that its endpoint stops work for it
+	 * well within half a second.
+	 */
+	TF_SWEEP_MS = 150,
+	TF_SEED = 12345
+};
+
+/* Failures of an endpoint count half after this time. */
+static const double TF_FADE_S = 4.0;
+
+struct tf_view_msg {
+	struct tf *tf;
+	struct router_view *view;
+};
+
+struct tf_call_msg {
+	struct tf *tf;
+	struct hd_call *call;
+};
+
+static void *tf_main(void *ctx);
+static void tf_on_sweep(void *ctx, int64_t now_us);
+static void tf_take_view(void *ctx);
+static void tf_take_call(void *ctx);
+
+struct tf *tf_start(struct router *router)
+{
+	struct tf *tf = g_new0(struct tf, 1);
+
+	tf->router = router;
+	tf->seed = TF_SEED ^ (uint32_t)g_str_hash(router->settings.name);
+	tf->eps = g_hash_table_new(g_str_hash, g_str_equal);
+	tf->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
+	tf->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	tf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	tf->zone_names = g_ptr_array_new();
+	tf->reqs = g_ptr_array_new();
+	loop_init(&tf->loop);
+	tf->hc = hc_new(&tf->loop);
+	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
+	pthread_create(&tf->thread, NULL, tf_main, tf);
+	return tf;
+}
+
+static void *tf_main(void *ctx)
+{
+	struct tf *tf = ctx;
+
+	loop_run(&tf->loop);
+	return NULL;
+}
+
+unsigned int tf_open(const struct tf *tf)
+{
+	return ck_pr_load_uint(&tf->open);
+}
+
+static void tf_on_sweep(void *ctx, int64_t now_us)
+{
+	struct tf *tf = ctx;
+
+	(void)now_us;
+	for (guint i = tf->reqs->len; i > 0; i--)
+		rq_on_sweep(tf->reqs->pdata[i - 1]);
+	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
+}
+
+void router_view_free(struct router_view *view)
+{
+	if (!view)
+		return;
+	rt_conf_unref(view->conf);
+	g_ptr_array_unref(view->endpoints);
+	g_free(view);
+}
+
+void tf_post_view(struct tf *tf, struct router_view *view)
+{
+	struct tf_view_msg *msg = g_new0(struct tf_view_msg, 1);
+
+	msg->tf = tf;
+	msg->view = view;
+	loop_post(&tf->loop, tf_take_view, msg);
+}
+
+void tf_ep_unref(struct tf_ep *ep)
+{
+	if (--ep->refs > 0)
+		return;
+	ep_rec_unref(ep->rec);
+	g_free(ep);
+}
+
+static void tf_take_endpoint(struct tf *tf, struct ep_rec *rec)
+{
+	struct tf_ep *ep = g_hash_table_lookup(tf->eps, rec->id);
+
+	if (!ep) {
+		ep = g_new0(struct tf_ep, 1);
+		ep->refs = 1;
+		ep->rec = ep_rec_ref(rec);
+		g_hash_table_insert(tf->eps, ep->rec->id, ep);
+	} else if (ep->rec != rec) {
+		struct ep_rec *old = ep->rec;
+
+		ep->rec = ep_rec_ref(rec);
+		g_hash_table_replace(tf->eps, ep->rec->id, ep);
+		ep_rec_unref(old);
+	}
+	ep->listed = true;
+	g_hash_table_replace(tf->by_addr, ep->rec->addr, ep);
+}
+
+static void tf_drop_unlisted(struct tf *tf)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tf_ep *ep = value;
+
+		if (ep->listed)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		tf_ep_unref(ep);
+	}
+}
+
+static void tf_mark_unlisted(gpointer key, gpointer value, gpointer ctx)
+{
+	(void)key;
+	(void)ctx;
+	((struct tf_ep *)value)->listed = false;
+}
+
+static void tf_update_budgets(struct tf *tf)
+{
+	const struct router_settings *s = &tf->router->settings;
+	const struct bud_limits limits = {s->repeat_ratio, s->repeat_fixed,
+					  (int64_t)(s->repeat_window_s * USEC_PER_SEC),
+					  tf->view->hosts};
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->budgets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		bud_set_limits(value, &limits);
+}
+
+struct bud *tf_budget(struct tf *tf, const char *service)
+{
+	const struct router_settings *s = &tf->router->settings;
+	struct bud *bud = g_hash_table_lookup(tf->budgets, service);
+	const struct bud_limits limits = {s->repeat_ratio, s->repeat_fixed,
+					  (int64_t)(s->repeat_window_s * USEC_PER_SEC),
+					  tf->view->hosts};
+
+	if (!bud) {
+		bud = g_new0(struct bud, 1);
+		bud_init(bud, &limits);
+		g_hash_table_insert(tf->budgets, g_strdup(service), bud);
+	}
+	return bud;
+}
+
+static void tf_apply_limits(struct tf *tf)
+{
+	const struct rt_limits *limits = &tf->view->conf->limits;
+
+	hd_set_limits(tf->router->front, (size_t)limits->body_bytes,
+		      (unsigned int)((limits->idle_ms + 999) / 1000));
+}
+
+static void tf_take_view(void *ctx)
+{
+	struct tf_view_msg *msg = ctx;
+	struct tf *tf = msg->tf;
+	struct router_view *view = msg->view;
+
+	g_free(msg);
+	g_hash_table_remove_all(tf->by_addr);
+	g_hash_table_foreach(tf->eps, tf_mark_unlisted, NULL);
+	for (guint i = 0; i < view->endpoints->len; i++)
+		tf_take_endpoint(tf, view->endpoints->pdata[i]);
+	tf_drop_unlisted(tf);
+	router_view_free(tf->view);
+	tf->view = view;
+	tf->view_us = tmr_now();
+	tf_update_budgets(tf);
+	if (view->conf)
+		tf_apply_limits(tf);
+	g_atomic_int_set(&tf->router->is_ready, view->conf && view->listed);
+}
+
+void tf_on_call(void *ctx, struct hd_call *call)
+{
+	struct router *router = ctx;
+	struct tf_call_msg *msg = g_new0(struct tf_call_msg, 1);
+
+	msg->tf = router->tf;
+	msg->call = call;
+	ck_pr_inc_uint(&router->tf->open);
+	loop_post(&router->tf->loop, tf_take_call, msg);
+}
+
+static void tf_take_call(void *ctx)
+{
+	struct tf_call_msg *msg = ctx;
+
+	rq_start(msg->tf, msg->call);
+	g_free(msg);
+}
+
+double tf_ep_failures(struct tf_ep *ep, int64_t now_us)
+{
+	double age_s = (double)(now_us - ep->failed_us) / USEC_PER_SEC;
+
+	return ep->failures * exp2(-age_s / TF_FADE_S);
+}
+
+void tf_ep_failed(struct tf_ep *ep, int64_t now_us)
+{
+	ep->failures = tf_ep_failures(ep, now_us) + 1;
+	ep->failed_us = now_us;
+}
+
+void tf_suspect(struct tf_ep *ep, int64_t until_us, const char *why, const char *request)
+{
+	if (ep->suspect_us >= until_us)
+		return;
+	ep->suspect_us = until_us;
+	jl_begin(JL_KEEP, "endpoint_suspected");
+	jl_str("endpoint", ep->rec->id);
+	jl_str("addr", ep->rec->addr);
+	jl_str("why", why);
+	jl_str("id", request);
+	jl_end();
+	met_add(met_counter("bg_endpoint_suspected_total", ""), 1);
+}
+
+int tf_zone(struct tf *tf, const char *name)
+{
+	gpointer number = g_hash_table_lookup(tf->zones, name);
+
+	if (!number) {
+		char *copy = g_strdup(name);
+
+		g_ptr_array_add(tf->zone_names, copy);
+		number = GINT_TO_POINTER(tf->zone_names->len);
+		g_hash_table_insert(tf->zones, copy, number);
+	}
+	return GPOINTER_TO_INT(number);
+}
--- /dev/null
+++ b/router/tf.h
@@ -0,0 +1,77 @@
+#ifndef ROUTER_TF_H
+#define ROUTER_TF_H
+
+#include "path/path.h"
+#include "router/router.h"
+
+/*
+ * An endpoint as the traffic thread sees it: its record, and what this host has found out itself.
+ * Requests hold references, so it outlives its entry in the list.
+ */
+struct tf_ep {
+	struct ep_rec *rec;
+	int refs;
+	bool listed;	       /* in the present view */
+	int in_flight;	       /* requests of this host that pass through it */
+	double tokens;	       /* their tokens of context */
+	int64_t suspect_us;    /* it is passed over until then */
+	int64_t progress_us;   /* when a request that passes through it last got something */
+	double failures;       /* recent ones, fading; see tf_ep_failed() */
+	int64_t failed_us;     /* when failures was last brought up to date */
+};
+
+enum {
+	TF_STAGES_MAX = PA_STAGES_MAX
+};
+
+/* Where one attempt goes. */
+struct tf_target {
+	struct tf_ep *eps[TF_STAGES_MAX];
+	struct seam_stage stages[TF_STAGES_MAX];
+	int count;
+	bool layered;
+	double tokens; /* of context, as estimated */
+};
+
+struct tf {
+	struct router *router;
+	struct loop loop;
+	pthread_t thread;
+	struct hc *hc;
+	struct router_view *view;
+	GHashTable *eps;     /* id -> struct tf_ep */
+	GHashTable *by_addr; /* address -> struct tf_ep; of those that are listed */
+	GHashTable *budgets; /* service -> struct bud */
+	GHashTable *zones;   /* name -> number, from 1 */
+	GPtrArray *zone_names;
+	GPtrArray *reqs;     /* struct rq */
+	struct tmr sweep;
+	uint32_t seed;
+	unsigned int open; /* atomic: requests that have not ended */
+	int64_t view_us;   /* when the view was taken */
+};
+
+/* pick.c: 0, or a negative FWD_E. The target holds references until tf_target_clear(). */
+int tf_pick(struct tf *tf, const struct rt_service *service, const struct seam_request *request,
+	    const struct tf_target *avoid, struct tf_target *target);
+void tf_target_hold(struct tf_target *target);
+void tf_target_clear(struct tf_target *target);
+
+/* tf.c */
+struct bud *tf_budget(struct tf *tf, const char *service);
+void tf_ep_unref(struct tf_ep *ep);
+
+/* The endpoint failed or answered a request; fades with time. */
+void tf_ep_failed(struct tf_ep *ep, int64_t now_us);
+double tf_ep_failures(struct tf_ep *ep, int64_t now_us);
+void tf_suspect(struct tf_ep *ep, int64_t until_us, const char *why, const char *request);
+int tf_zone(struct tf *tf, const char *name);
+
+/* rq.c */
+struct rq;
+void rq_start(struct tf *tf, struct hd_call *call);
+
+/* Looks whether the caller has gone. */
+void rq_on_sweep(struct rq *rq);
+
+#endif
