A host that stops refuses what it could not end

Ruled out: new connections (the balancer had long stopped sending them). Change: from 3 s after SIGTERM on, requests are answered 503 (not run, true) with when to come back.

--- a/prog/router.c
+++ b/prog/router.c
@@ -54,7 +54,6 @@
 	struct loop loop;
 	struct tmr stop_timer;
 	struct tmr settings_timer;
-	int64_t stop_us;
 	int quiet;
 	time_t settings_time;
 };
@@ -164,7 +163,7 @@
 static void router_on_stop_time(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
-	int64_t since_ms = (now_us - m->stop_us) / USEC_PER_MSEC;
+	int64_t since_ms = (now_us - m->router.stop_us) / USEC_PER_MSEC;
 	bool open = tf_open(m->router.tf) > 0 || hd_open(m->router.front) > 0;
 
 	m->quiet = open ? 0 : m->quiet + 1;
@@ -181,9 +180,9 @@
 {
 	struct router_main *m = ctx;
 
-	if (m->stop_us > 0)
+	if (m->router.stop_us > 0)
 		return;
-	m->stop_us = tmr_now();
+	m->router.stop_us = tmr_now();
 	router_log("stopping", NULL);
 	g_atomic_int_set(&m->router.stopping, 1);
 	hd_set_closing(m->router.front);
--- a/router/router.h
+++ b/router/router.h
@@ -63,6 +63,7 @@
 	struct hd *metrics_hd;
 	guint is_ready; /* atomic */
 	guint stopping; /* atomic */
+	gint64 stop_us; /* when the stop was asked for; set before stopping */
 };
 
 extern const struct set_item router_items[];
--- a/router/rq.c
+++ b/router/rq.c
@@ -17,6 +17,13 @@
 	RQ_SUSPECT_US = 3000000,
 	/* When to come back to a host that knows nothing yet, or has nobody to send to. */
 	RQ_RETRY_US = 400000,
+	/*
+	 * A host that stops takes streams for this long; one that began later would not end in the
+	 * grace time. Callers with open connections still send, so they are told to come back to
+	 * another host at once.
+	 */
+	RQ_STOP_TAKE_US = 3000000,
+	RQ_STOP_RETRY_US = 50000,
 	STATUS_UNAUTHORIZED = 401,
 	STATUS_NOT_FOUND = 404,
 	STATUS_UNAVAILABLE = 503
@@ -178,11 +185,23 @@
 	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 3) * USEC_PER_MSEC;
 }
 
+static bool rq_stops_too_soon(const struct rq *rq)
+{
+	const struct router *router = rq->tf->router;
+
+	return g_atomic_int_get(&router->stopping) &&
+	       rq->began_us - router->stop_us > RQ_STOP_TAKE_US;
+}
+
 /* Finds route, account and service. Returns false when the request was denied. */
 static bool rq_admit(struct rq *rq)
 {
 	const struct router_view *view = rq->tf->view;
 
+	if (rq_stops_too_soon(rq)) {
+		rq_deny(rq, STATUS_UNAVAILABLE, "stopping", RQ_STOP_RETRY_US);
+		return false;
+	}
 	if (!view || !view->conf) {
 		rq_deny(rq, STATUS_UNAVAILABLE, "no_configuration", RQ_RETRY_US);
 		return false;
