Requests wait for the first view instead of being refused

Ruled out: slow reads (the configuration is there 14 to 75 ms after the start); the view waited for a tick of 100 ms. Change: requests wait up to 1 s for the first view, which is posted as soon as it is whole; after that the caller is told to come back after 2 s.

--- a/router/ctl.c
+++ b/router/ctl.c
@@ -92,6 +92,17 @@
 	ctl->view_due = true;
 }
 
+static bool ctl_is_listed(const struct ctl *ctl)
+{
+	return ctl->topics[SEAM_ENDPOINTS].read_us > 0;
+}
+
+void ctl_first_view(struct ctl *ctl)
+{
+	if (!ctl->view_whole && ctl->conf && ctl_is_listed(ctl))
+		ctl_post_view(ctl);
+}
+
 static void ctl_on_tick(void *ctx, int64_t now_us)
 {
 	struct ctl *ctl = ctx;
@@ -114,7 +125,8 @@
 	view->endpoints = ep_snapshot(&ctl->endpoints);
 	view->hosts = MAX((int)g_hash_table_size(ctl->hosts), 1);
 	view->fence = ctl->generation;
-	view->listed = ctl->topics[SEAM_ENDPOINTS].read_us > 0 || view->endpoints->len > 0;
+	view->listed = ctl_is_listed(ctl);
+	ctl->view_whole = view->conf && view->listed;
 	tf_post_view(ctl->router->tf, view);
 }
 
--- a/router/ctl.h
+++ b/router/ctl.h
@@ -34,6 +34,7 @@
 	struct placer *placer;
 	struct peers *peers;
 	bool view_due;
+	bool view_whole; /* a view with configuration and endpoints has been posted */
 	bool stopping;
 };
 
@@ -51,6 +52,9 @@
 char *ctl_url(const struct ctl *ctl, char *path);
 void ctl_view_due(struct ctl *ctl);
 
+/* Posts the view at once if it is the first one that requests can be served by. */
+void ctl_first_view(struct ctl *ctl);
+
 /* Time since boot that goes on while the machine is suspended, in microseconds. */
 int64_t ctl_boot_us(void);
 
--- a/router/rq.c
+++ b/router/rq.c
@@ -15,8 +15,12 @@
 	RQ_FIRST_MIN_MS = 700, /* silence before the first event or byte that is borne */
 	RQ_GAP_MIN_MS = 600,	/* the same between events; three times the longest usual gap */
 	RQ_SUSPECT_US = 3000000,
-	/* When to come back to a host that knows nothing yet, or has nobody to send to. */
-	RQ_RETRY_US = 400000,
+	RQ_RETRY_US = 400000, /* when to come back where nobody can be sent to at present */
+	/*
+	 * When to come back to a host that has learnt nothing while the request waited: outages of
+	 * the store last seconds, and a caller comes back only once.
+	 */
+	RQ_RETRY_UNKNOWN_US = 2000000,
 	/*
 	 * A host that stops takes streams for this long; one that began later would not end in the
 	 * grace time. Callers with open connections still send, so they are told to come back to
@@ -202,8 +206,8 @@
 		rq_deny(rq, STATUS_UNAVAILABLE, "stopping", RQ_STOP_RETRY_US);
 		return false;
 	}
-	if (!view || !view->conf) {
-		rq_deny(rq, STATUS_UNAVAILABLE, "no_configuration", RQ_RETRY_US);
+	if (!tf_knows(rq->tf)) {
+		rq_deny(rq, STATUS_UNAVAILABLE, "no_configuration", RQ_RETRY_UNKNOWN_US);
 		return false;
 	}
 	rq->conf = rt_conf_ref(view->conf);
@@ -225,7 +229,7 @@
 	return true;
 }
 
-void rq_start(struct tf *tf, struct hd_call *call)
+void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us)
 {
 	struct rq *rq = g_new0(struct rq, 1);
 	struct fwd_rules rules;
@@ -233,7 +237,7 @@
 
 	rq->tf = tf;
 	rq->call = call;
-	rq->began_us = tmr_now();
+	rq->began_us = came_us;
 	memset(&rules, 0, sizeof(rules));
 	fwd_init(&rq->fwd, &rules, &rq_fwd_ops, rq);
 	seam_request_init(&rq->request);
@@ -245,7 +249,7 @@
 	rq->body = (char *)hd_body(call, &len);
 	rq->body_len = len;
 	bud_on_request(tf_budget(tf, rq->service->name), rq->began_us);
-	fwd_start(&rq->fwd, rq->began_us);
+	fwd_start(&rq->fwd, tmr_now());
 }
 
 static int64_t rq_left_ms(const struct rq *rq, int64_t now_us)
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -275,4 +275,5 @@
 		sf_failed(t, status, BASE_EHTTP);
 	if (t->ctl->endpoints.changed)
 		ctl_view_due(t->ctl);
+	ctl_first_view(t->ctl);
 }
--- a/router/tf.c
+++ b/router/tf.c
@@ -14,6 +14,12 @@
 	 * well within half a second.
 	 */
 	TF_SWEEP_MS = 150,
+	/*
+	 * A host that starts has the configuration within some 50 ms; requests that come before wait
+	 * for it this long. Callers have one retry, and would come back to another host that starts,
+	 * too. After this time the store is away, and nobody knows for how long.
+	 */
+	TF_PARK_MS = 1000,
 	TF_SEED = 12345
 };
 
@@ -25,6 +31,11 @@
 	struct router_view *view;
 };
 
+struct tf_parked {
+	struct hd_call *call;
+	int64_t came_us;
+};
+
 struct tf_call_msg {
 	struct tf *tf;
 	struct hd_call *call;
@@ -34,6 +45,8 @@
 static void tf_on_sweep(void *ctx, int64_t now_us);
 static void tf_take_view(void *ctx);
 static void tf_take_call(void *ctx);
+static void tf_sweep_parked(struct tf *tf, int64_t now_us);
+static void tf_unpark(struct tf *tf);
 
 struct tf *tf_start(struct router *router)
 {
@@ -47,6 +60,7 @@
 	tf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tf->zone_names = g_ptr_array_new();
 	tf->reqs = g_ptr_array_new();
+	tf->parked = g_queue_new();
 	loop_init(&tf->loop);
 	tf->hc = hc_new(&tf->loop);
 	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
@@ -71,7 +85,7 @@
 {
 	struct tf *tf = ctx;
 
-	(void)now_us;
+	tf_sweep_parked(tf, now_us);
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_sweep(tf->reqs->pdata[i - 1]);
 	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
@@ -202,7 +216,43 @@
 	tf_update_budgets(tf);
 	if (view->conf)
 		tf_apply_limits(tf);
-	g_atomic_int_set(&tf->router->is_ready, view->conf && view->listed);
+	g_atomic_int_set(&tf->router->is_ready, tf_knows(tf));
+	if (tf_knows(tf))
+		tf_unpark(tf);
+}
+
+bool tf_knows(const struct tf *tf)
+{
+	return tf->view && tf->view->conf && tf->view->listed;
+}
+
+static void tf_unpark(struct tf *tf)
+{
+	struct tf_parked *parked;
+
+	while ((parked = g_queue_pop_head(tf->parked))) {
+		rq_start(tf, parked->call, parked->came_us);
+		g_free(parked);
+	}
+}
+
+/* Those whose time is over are refused; those whose callers have left end quietly. */
+static void tf_sweep_parked(struct tf *tf, int64_t now_us)
+{
+	const int64_t oldest_us = now_us - (int64_t)TF_PARK_MS * USEC_PER_MSEC;
+	GList *link = tf->parked->head;
+
+	while (link) {
+		GList *next = link->next;
+		struct tf_parked *parked = link->data;
+
+		if (parked->came_us <= oldest_us || hd_gone(parked->call)) {
+			g_queue_delete_link(tf->parked, link);
+			rq_start(tf, parked->call, parked->came_us);
+			g_free(parked);
+		}
+		link = next;
+	}
 }
 
 void tf_on_call(void *ctx, struct hd_call *call)
@@ -220,7 +270,15 @@
 {
 	struct tf_call_msg *msg = ctx;
 
-	rq_start(msg->tf, msg->call);
+	if (tf_knows(msg->tf)) {
+		rq_start(msg->tf, msg->call, tmr_now());
+	} else {
+		struct tf_parked *parked = g_new0(struct tf_parked, 1);
+
+		parked->call = msg->call;
+		parked->came_us = tmr_now();
+		g_queue_push_tail(msg->tf->parked, parked);
+	}
 	g_free(msg);
 }
 
--- a/router/tf.h
+++ b/router/tf.h
@@ -45,6 +45,7 @@
 	GHashTable *zones;   /* name -> number, from 1 */
 	GPtrArray *zone_names;
 	GPtrArray *reqs;     /* struct rq */
+	GQueue *parked;	     /* struct tf_parked: requests that came before the first view */
 	struct tmr sweep;
 	uint32_t seed;
 	unsigned int open; /* atomic: requests that have not ended */
@@ -67,9 +68,14 @@
 void tf_suspect(struct tf_ep *ep, int64_t until_us, const char *why, const char *request);
 int tf_zone(struct tf *tf, const char *name);
 
+/* Whether the configuration and the endpoints are known. */
+bool tf_knows(const struct tf *tf);
+
 /* rq.c */
 struct rq;
-void rq_start(struct tf *tf, struct hd_call *call);
+
+/* came_us: when the whole request was there. */
+void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us);
 
 /* Looks whether the caller has gone. */
 void rq_on_sweep(struct rq *rq);
