--- a/base/frm.c
+++ b/base/frm.c
@@ -31,6 +31,7 @@
 	GByteArray *in;
 	GByteArray *out;
 	int64_t heard_us;
+	int64_t sent_us;
 	int64_t active_us; /* since when it is active */
 	bool active;
 	bool connecting;
@@ -127,6 +128,7 @@
 	conn->in = g_byte_array_new();
 	conn->out = g_byte_array_new();
 	conn->heard_us = tmr_now();
+	conn->sent_us = conn->heard_us;
 	frm_set_timer(conn);
 	return conn;
 }
@@ -234,6 +236,7 @@
 
 	memcpy(head, &n, sizeof(n));
 	memcpy(head + sizeof(n), &k, sizeof(k));
+	conn->sent_us = tmr_now();
 	g_byte_array_append(conn->out, head, sizeof(head));
 	if (len > 0)
 		g_byte_array_append(conn->out, body, (guint)len);
@@ -309,6 +312,15 @@
 	return now_us - conn->heard_us > FRM_IDLE_ROUNDS * conn->limits.idle_us;
 }
 
+/*
+ * Either direction may be the quiet one: a peer that sends much and hears nothing would give up a
+ * healthy connection just like one that sends nothing.
+ */
+static bool frm_is_quiet(const struct frm_conn *conn, int64_t now_us)
+{
+	return now_us - MIN(conn->heard_us, conn->sent_us) >= frm_interval(conn);
+}
+
 /*
  * A connection can go silent for good while new ones work: something between the two ends has lost
  * track of it, and TCP alone would not tell for many minutes. The side that connected therefore
@@ -325,7 +337,7 @@
 		frm_fail(conn, BASE_ESILENT);
 		return;
 	}
-	if (!conn->server && !conn->connecting && now_us - conn->heard_us >= frm_interval(conn)) {
+	if (!conn->server && !conn->connecting && frm_is_quiet(conn, now_us)) {
 		frm_append(conn, FRM_KIND_HEARTBEAT, NULL, 0);
 		frm_flush(conn);
 	}
--- a/ep/ep.c
+++ b/ep/ep.c
@@ -37,6 +37,7 @@
 	g_free(rec->addr);
 	g_free(rec->zone);
 	g_free(rec->kind);
+	g_free(rec->text);
 	g_free(rec);
 }
 
@@ -158,20 +159,23 @@
 	list->away = false;
 }
 
-void ep_on_time(struct ep_list *list, int64_t now_us)
+bool ep_on_time(struct ep_list *list, int64_t now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool dropped = false;
 
 	if (ep_is_returning(list, now_us))
-		return;
+		return false;
 	g_hash_table_iter_init(&iter, list->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (!((const struct ep_entry *)value)->lapsed)
 			continue;
 		g_hash_table_iter_remove(&iter);
-		list->changed = true;
+		dropped = true;
 	}
+	list->changed = list->changed || dropped;
+	return dropped;
 }
 
 static gint ep_by_id(gconstpointer a, gconstpointer b)
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -32,6 +32,7 @@
 	int layer_from;	   /* first layer that it holds */
 	int layer_to;	   /* one past the last; equal to layer_from: it holds none */
 	int64_t cold_ms;   /* how much longer it is slow after its start */
+	char *text;	   /* the record as it was read, for handing it on; NULL: not kept */
 	gint refs;
 };
 
@@ -73,8 +74,8 @@
 /* A call to the store succeeded. Before the records that it brought are given. */
 void ep_on_reached(struct ep_list *list, int64_t now_us);
 
-/* Drops lapsed entries whose time is over. */
-void ep_on_time(struct ep_list *list, int64_t now_us);
+/* Drops lapsed entries whose time is over. Returns whether there were any. */
+bool ep_on_time(struct ep_list *list, int64_t now_us);
 
 /* New array of the entries (struct ep_rec with a reference each), sorted by id. */
 GPtrArray *ep_snapshot(const struct ep_list *list);
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -114,11 +114,11 @@
  * Whether the request may be sent once more. A stream that the caller has a part of goes on from
  * there; it needs the id of the last event for that.
  */
-static bool fwd_may_send(struct fwd *fwd, int64_t now_us)
+static bool fwd_may_send(const struct fwd *fwd, int runs, int64_t now_us)
 {
-	if (fwd->sends >= FWD_SENDS_MAX || fwd->runs >= fwd->rules.runs_max)
+	if (fwd->sends >= FWD_SENDS_MAX || runs >= fwd->rules.runs_max)
 		return false;
-	if (fwd->runs > 0 && !fwd->rules.may_repeat)
+	if (runs > 0 && !fwd->rules.may_repeat)
 		return false;
 	if (fwd->begun && (fwd->parts == 0 || !fwd->sse.has_id))
 		return false;
@@ -129,7 +129,7 @@
 {
 	if (ran)
 		fwd->runs++;
-	if (!fwd_may_send(fwd, now_us)) {
+	if (!fwd_may_send(fwd, fwd->runs, now_us)) {
 		fwd_close(fwd);
 		return;
 	}
@@ -219,7 +219,7 @@
 
 	fwd->failure = FWD_FAILED;
 	fwd->runs++;
-	if (again && fwd_may_send(fwd, now_us) && fwd->ops->may_send_again(fwd->ctx)) {
+	if (again && fwd_may_send(fwd, fwd->runs, now_us) && fwd->ops->may_send_again(fwd->ctx)) {
 		fwd_send(fwd, now_us);
 		return;
 	}
@@ -280,6 +280,19 @@
 		fwd_on_failure_answer(fwd, now_us);
 }
 
+void fwd_on_sign(struct fwd *fwd, int64_t now_us)
+{
+	if (fwd->state == FWD_ENDED)
+		return;
+	fwd->heard_us = now_us;
+	fwd_arm(fwd);
+}
+
+bool fwd_may_give_up(const struct fwd *fwd, int64_t now_us)
+{
+	return fwd_may_send(fwd, fwd->runs + 1, now_us);
+}
+
 void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us)
 {
 	if (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING)
@@ -323,8 +336,7 @@
 		return;
 	}
 	fwd->heard_us = now_us;
-	if (!fwd->rules.may_repeat || fwd->runs + 1 >= fwd->rules.runs_max ||
-	    fwd->ops->on_silent(fwd->ctx)) {
+	if (fwd->ops->on_silent(fwd->ctx) || !fwd_may_give_up(fwd, now_us)) {
 		fwd_arm(fwd);
 		return;
 	}
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -75,8 +75,8 @@
 	void (*cancel)(void *ctx);
 
 	/*
-	 * The attempt under way is silent. Returns true when something is being done about it that
-	 * keeps the attempt, so that silence is allowed once more.
+	 * The attempt under way is silent. Returns true when it is to be kept, so that silence is
+	 * allowed once more; else it is given up, if the request may be sent again.
 	 */
 	bool (*on_silent)(void *ctx);
 
@@ -138,6 +138,12 @@
 /* The attempt has ended; whole: its answer is complete; sent: the endpoint may have got it. */
 void fwd_on_done(struct fwd *fwd, bool whole, bool sent, int64_t now_us);
 
+/* Whether the request could be sent again if the attempt under way, which may run, is given up. */
+bool fwd_may_give_up(const struct fwd *fwd, int64_t now_us);
+
+/* Something else was heard of the attempt: silence counts from now. */
+void fwd_on_sign(struct fwd *fwd, int64_t now_us);
+
 /* Gives the attempt under way up for a reason found elsewhere, as if it had been silent. */
 void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us);
 
--- a/path/path.c
+++ b/path/path.c
@@ -82,6 +82,12 @@
 	return count;
 }
 
+/* The layer up to which this request uses the node. */
+static int pa_end(const struct pa_search *s, const struct pa_node *node)
+{
+	return MIN(node->to, s->ask->to);
+}
+
 /* The best way to reach the end of node i: from the start of the model, or after another node. */
 static void pa_reach(struct pa_search *s, int rank)
 {
@@ -90,19 +96,20 @@
 
 	s->best[i] = INFINITY;
 	s->before[i] = -1;
-	if (node->from == 0) {
-		s->best[i] = pa_hop_ms(s, s->ask->zone, node->zone) + s->layer_ms[i] * node->to;
-		s->from[i] = 0;
+	if (node->from <= s->ask->from && s->ask->from < node->to) {
+		s->best[i] = pa_hop_ms(s, s->ask->zone, node->zone) +
+			     s->layer_ms[i] * (pa_end(s, node) - s->ask->from);
+		s->from[i] = s->ask->from;
 	}
 	for (int k = 0; k < rank; k++) {
 		int j = s->order[k];
 		int at = s->nodes[j].to;
 		double cost;
 
-		if (at < node->from || at >= node->to || isinf(s->best[j]))
+		if (at < node->from || at >= pa_end(s, node) || isinf(s->best[j]))
 			continue;
 		cost = s->best[j] + pa_hop_ms(s, s->nodes[j].zone, node->zone) +
-		       s->layer_ms[i] * (node->to - at);
+		       s->layer_ms[i] * (pa_end(s, node) - at);
 		if (cost < s->best[i]) {
 			s->best[i] = cost;
 			s->from[i] = at;
@@ -122,7 +129,7 @@
 	path->count = count;
 	path->cost_ms = s->best[last];
 	for (int i = last; i >= 0; i = s->before[i]) {
-		struct pa_stage stage = {i, s->from[i], s->nodes[i].to};
+		struct pa_stage stage = {i, s->from[i], pa_end(s, &s->nodes[i])};
 
 		path->stages[--count] = stage;
 	}
@@ -149,7 +156,7 @@
 
 		s->layer_ms[i] = pa_layer_ms(s, &nodes[i]);
 		pa_reach(s, rank);
-		if (nodes[i].to == engine->layers && !isinf(s->best[i]) &&
+		if (nodes[i].to >= ask->to && !isinf(s->best[i]) &&
 		    (last < 0 || s->best[i] < s->best[last]))
 			last = i;
 	}
--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -46,7 +46,7 @@
 Choice Choose(const std::vector<pa_node> &nodes, uint32_t seed = 1, int zone = 1)
 {
 	rt_engine engine = Engine();
-	pa_ask ask = {zone, 800, 200, 3.0, seed};
+	pa_ask ask = {0, 80, zone, 800, 200, 3.0, seed};
 	Choice c{};
 	c.err = pa_choose(&engine, nodes.data(), (int)nodes.size(), &ask, Delay, nullptr, &c.path);
 	return c;
@@ -78,6 +78,21 @@
 	EXPECT_EQ(Choose({Node(1, 0, 40), unusable}).err, PA_ENONE);
 }
 
+TEST(PathTest, PartOfTheLayersOnly)
+{
+	const std::vector<pa_node> nodes = {Node(1, 0, 40), Node(1, 8, 24), Node(1, 24, 40),
+					    Node(1, 40, 80)};
+	rt_engine engine = Engine();
+	pa_ask ask = {16, 32, 1, 800, 200, 3.0, 1};
+	pa_path path;
+
+	ASSERT_EQ(pa_choose(&engine, nodes.data(), 4, &ask, Delay, nullptr, &path), 0);
+	EXPECT_EQ(Text(path), "0:16-32 ");
+	ASSERT_EQ(pa_choose(&engine, nodes.data() + 1, 3, &ask, Delay, nullptr, &path), 0);
+	EXPECT_EQ(Text(path), "0:16-24 1:24-32 ");
+	EXPECT_EQ(pa_choose(&engine, nodes.data() + 2, 2, &ask, Delay, nullptr, &path), PA_ENONE);
+}
+
 TEST(PathTest, StaysInTheZoneOfTheHost)
 {
 	const std::vector<pa_node> nodes = {Node(1, 0, 40), Node(1, 40, 80), Node(2, 0, 40),
--- a/router/ctl.c
+++ b/router/ctl.c
@@ -18,6 +18,9 @@
 	CTL_JOIN_MS = 1200,
 	CTL_CALL_MS = 1000,
 	CTL_CONNECT_MS = 500,
+	CTL_LIST_RETRY_MS = 2000,
+	CTL_NEWS_MS = 500,
+	CTL_HOPS_MAX = 5, /* follower, its reader, the other readers, their followers */
 	HTTP_OK = 200
 };
 
@@ -25,10 +28,14 @@
 static void ctl_join(void *ctx, int64_t now_us);
 static void ctl_on_joined(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void ctl_on_listed(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void ctl_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void ctl_post_view(struct ctl *ctl);
 static void ctl_list_self(struct ctl *ctl, const char *addr);
+static void ctl_list_again(void *ctx, int64_t now_us);
+static void ctl_leave(struct ctl *ctl);
 
 static const struct hc_ops ctl_join_ops = {.on_done = ctl_on_joined};
+static const struct hc_ops ctl_leave_ops = {.on_done = ctl_on_left};
 static const struct hc_ops ctl_list_ops = {.on_done = ctl_on_listed};
 
 int64_t ctl_boot_us(void)
@@ -57,25 +64,30 @@
 	ctl->generation = -1;
 	ctl->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ep_list_init(&ctl->endpoints);
+	ctl->conf_text = g_string_new(NULL);
+	ctl->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctl->placer = placer_new(ctl);
-	ctl->peers = peers_new(ctl);
-	sf_start(ctl);
+	ctl->feed = feed_new(ctl);
+	ctl->follow = follow_new(ctl);
+	ctl_set_direct(ctl, true);
 	ctl_list_self(ctl, router->settings.control);
 	loop_after(loop, &ctl->ticker, CTL_TICK_MS * USEC_PER_MSEC, ctl_on_tick, ctl);
-	loop_after(loop, &ctl->join_timer, 0, ctl_join, ctl);
 	return ctl;
 }
 
 void ctl_finish(struct ctl *ctl)
 {
-	sf_stop(ctl);
+	ctl_set_direct(ctl, false);
 	tmr_cancel(&ctl->loop->tmr, &ctl->ticker);
-	tmr_cancel(&ctl->loop->tmr, &ctl->join_timer);
-	peers_free(ctl->peers);
+	tmr_cancel(&ctl->loop->tmr, &ctl->list_timer);
+	follow_free(ctl->follow);
+	feed_free(ctl->feed);
 	placer_free(ctl->placer);
 	hc_free(ctl->hc);
 	ep_list_finish(&ctl->endpoints);
 	g_hash_table_destroy(ctl->hosts);
+	g_hash_table_destroy(ctl->seen);
+	g_string_free(ctl->conf_text, TRUE);
 	rt_conf_unref(ctl->conf);
 	g_free(ctl);
 }
@@ -84,6 +96,7 @@
 {
 	ctl->stopping = true;
 	ctl->leader = false;
+	ctl_leave(ctl);
 	ctl_list_self(ctl, NULL);
 }
 
@@ -92,26 +105,174 @@
 	ctl->view_due = true;
 }
 
-static bool ctl_is_listed(const struct ctl *ctl)
+void ctl_first_view(struct ctl *ctl)
 {
-	return ctl->topics[SEAM_ENDPOINTS].read_us > 0;
+	if (!ctl->view_whole && ctl->conf && ctl->listed)
+		ctl_post_view(ctl);
 }
 
-void ctl_first_view(struct ctl *ctl)
+/* A host that is fed neither reads the store nor leads; its place in the group lapses. */
+void ctl_set_direct(struct ctl *ctl, bool direct)
 {
-	if (!ctl->view_whole && ctl->conf && ctl_is_listed(ctl))
-		ctl_post_view(ctl);
+	if (direct == ctl->direct)
+		return;
+	ctl->direct = direct;
+	if (direct) {
+		sf_start(ctl);
+		loop_after(ctl->loop, &ctl->join_timer, 0, ctl_join, ctl);
+		return;
+	}
+	sf_stop(ctl);
+	tmr_cancel(&ctl->loop->tmr, &ctl->join_timer);
+	if (ctl->join)
+		hc_cancel(ctl->join);
+	ctl->join = NULL;
+	ctl->leader = false;
+	ctl_leave(ctl);
+}
+
+static void ctl_log_conf(const struct rt_conf *conf, int64_t before, const char *from)
+{
+	jl_begin(JL_KEEP, "configuration");
+	jl_int("version", conf->version);
+	jl_int("before", before);
+	jl_str("from", from);
+	jl_int("routes", conf->routes->len);
+	jl_int("accounts", conf->accounts->len);
+	jl_end();
+}
+
+void ctl_take_conf(struct ctl *ctl, struct str text, const char *from)
+{
+	char *error = NULL;
+	struct rt_conf *conf = ctl->router->seam->decl.read_conf(text, &error);
+	int64_t before = ctl->conf ? ctl->conf->version : -1;
+
+	if (!conf) {
+		jl_begin(JL_KEEP, "configuration_unreadable");
+		jl_str("from", from);
+		jl_str("error", error);
+		jl_end();
+		g_free(error);
+		return;
+	}
+	if (conf->version <= before) {
+		rt_conf_unref(conf);
+		return;
+	}
+	ctl_log_conf(conf, before, from);
+	rt_conf_unref(ctl->conf);
+	ctl->conf = conf;
+	g_string_truncate(ctl->conf_text, 0);
+	g_string_append_len(ctl->conf_text, text.data, (gssize)text.len);
+	ctl_view_due(ctl);
+}
+
+void ctl_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str text)
+{
+	char *error = NULL;
+	struct ep_rec *rec = NULL;
+
+	if (text.data) {
+		rec = ctl->router->seam->decl.read_endpoint(id, text, &error);
+		if (!rec) {
+			jl_begin(JL_KEEP, "endpoint_unreadable");
+			jl_str("endpoint", id);
+			jl_str("error", error);
+			jl_end();
+			g_free(error);
+			return;
+		}
+		rec->text = str_dup(text);
+	}
+	feed_on_record(ctl->feed, offset, id, text);
+	ep_on_record(&ctl->endpoints, offset, id, rec, tmr_now());
+}
+
+void ctl_take_host(struct ctl *ctl, const char *name, struct str addr)
+{
+	const char *before = g_hash_table_lookup(ctl->hosts, name);
+
+	if (before ? addr.data && str_is(addr, before) : !addr.data)
+		return;
+	if (!addr.data)
+		g_hash_table_remove(ctl->hosts, name);
+	else
+		g_hash_table_replace(ctl->hosts, g_strdup(name), str_dup(addr));
+	ctl->hosts_version++;
+	follow_on_hosts(ctl->follow);
+	ctl_view_due(ctl);
+}
+
+struct ctl_suspect_msg {
+	struct ctl *ctl;
+	char *endpoint;
+	char *why;
+	int64_t for_ms;
+};
+
+static void ctl_take_own_suspect(void *ctx)
+{
+	struct ctl_suspect_msg *msg = ctx;
+	struct ctl_suspect suspect = {msg->endpoint, msg->for_ms, msg->why, 0};
+
+	ctl_on_suspect(msg->ctl, &suspect, NULL);
+	g_free(msg->endpoint);
+	g_free(msg->why);
+	g_free(msg);
+}
+
+void ctl_post_suspect(struct ctl *ctl, const char *endpoint, int64_t for_ms, const char *why)
+{
+	struct ctl_suspect_msg *msg = g_new0(struct ctl_suspect_msg, 1);
+
+	msg->ctl = ctl;
+	msg->endpoint = g_strdup(endpoint);
+	msg->why = g_strdup(why);
+	msg->for_ms = for_ms;
+	loop_post(ctl->loop, ctl_take_own_suspect, msg);
+}
+
+/* The same news may come by two ways; each is passed on once in a while. */
+static bool ctl_is_news(struct ctl *ctl, const char *endpoint, int64_t now_us)
+{
+	int64_t *last = g_hash_table_lookup(ctl->seen, endpoint);
+
+	if (last && now_us - *last < CTL_NEWS_MS * USEC_PER_MSEC)
+		return false;
+	if (!last) {
+		last = g_new0(int64_t, 1);
+		g_hash_table_insert(ctl->seen, g_strdup(endpoint), last);
+	}
+	*last = now_us;
+	return true;
+}
+
+void ctl_on_suspect(struct ctl *ctl, const struct ctl_suspect *suspect, const void *source)
+{
+	struct ctl_suspect passed = *suspect;
+
+	if (!ctl_is_news(ctl, suspect->endpoint, tmr_now()))
+		return;
+	if (source)
+		tf_post_suspect(ctl->router->tf, suspect->endpoint, suspect->for_ms, suspect->why);
+	if (++passed.hops > CTL_HOPS_MAX)
+		return;
+	feed_send_suspect(ctl->feed, &passed, source);
+	follow_send_suspect(ctl->follow, &passed, source);
 }
 
 static void ctl_on_tick(void *ctx, int64_t now_us)
 {
 	struct ctl *ctl = ctx;
 
-	ep_on_time(&ctl->endpoints, now_us);
-	peers_on_tick(ctl->peers, now_us);
+	if (ep_on_time(&ctl->endpoints, now_us))
+		feed_on_listing(ctl->feed);
+	follow_on_tick(ctl->follow, now_us);
 	placer_on_tick(ctl->placer, now_us);
 	if (ctl->view_due || ctl->endpoints.changed)
 		ctl_post_view(ctl);
+	feed_flush(ctl->feed);
 	loop_after(ctl->loop, &ctl->ticker, CTL_TICK_MS * USEC_PER_MSEC, ctl_on_tick, ctl);
 }
 
@@ -125,32 +286,58 @@
 	view->endpoints = ep_snapshot(&ctl->endpoints);
 	view->hosts = MAX((int)g_hash_table_size(ctl->hosts), 1);
 	view->fence = ctl->generation;
-	view->listed = ctl_is_listed(ctl);
+	view->listed = ctl->listed;
 	ctl->view_whole = view->conf && view->listed;
 	tf_post_view(ctl->router->tf, view);
 }
 
-/* Puts this host into the store's list of hosts, or with addr NULL out of it. */
-static void ctl_list_self(struct ctl *ctl, const char *addr)
+/* A call to the store with a body; path and body are taken over. */
+static struct hc_call *ctl_post(struct ctl *ctl, char *path, char *body, size_t len,
+				const struct hc_ops *ops)
 {
-	const struct seam_store *store = &ctl->router->seam->store;
-	GString *record = store->make_record(ctl->router->settings.name, addr);
-	char *url = ctl_url(ctl, store->append_path(SEAM_HOSTS));
+	const char *headers[] = {"Content-Type: application/json", NULL};
+	char *url = ctl_url(ctl, path);
 	struct hc_request request = {
 		.method = "POST",
 		.url = url,
-		.body = record->str,
-		.body_len = record->len,
+		.headers = headers,
+		.body = body,
+		.body_len = len,
 		.connect_ms = CTL_CONNECT_MS,
 		.total_ms = CTL_CALL_MS,
 	};
+	struct hc_call *call = hc_start(ctl->hc, &request, ops, ctl);
 
-	hc_start(ctl->hc, &request, &ctl_list_ops, ctl);
-	g_string_free(record, TRUE);
 	g_free(url);
+	g_free(body);
+	return call;
 }
 
-static void ctl_on_listed(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+/* Puts this host into the store's list of hosts, or with addr NULL out of it. */
+static void ctl_list_self(struct ctl *ctl, const char *addr)
+{
+	const struct seam_store *store = &ctl->router->seam->store;
+	GString *record = store->make_record(ctl->router->settings.name, addr);
+	size_t len = record->len;
+
+	ctl_post(ctl, store->append_path(SEAM_HOSTS), g_string_free(record, FALSE), len,
+		 &ctl_list_ops);
+}
+
+/* A lead that nobody uses would stay with this host until its place lapses. */
+static void ctl_leave(struct ctl *ctl)
+{
+	const struct seam_store *store = &ctl->router->seam->store;
+	char *body = store->make_leave(ctl->router->settings.name);
+
+	if (ctl->joined_us > 0)
+		ctl_post(ctl, store->leave_path(), body, strlen(body), &ctl_leave_ops);
+	else
+		g_free(body);
+	ctl->joined_us = 0;
+}
+
+static void ctl_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	(void)ctx;
 	(void)sent;
@@ -158,36 +345,52 @@
 	(void)len;
 	if (status == HTTP_OK)
 		return;
+	jl_begin(JL_KEEP, "group_not_left");
+	jl_int("status", status);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_end();
+}
+
+static void ctl_on_listed(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct ctl *ctl = ctx;
+
+	(void)sent;
+	(void)body;
+	(void)len;
+	if (status == HTTP_OK)
+		return;
+	if (!ctl->stopping)
+		loop_after(ctl->loop, &ctl->list_timer, CTL_LIST_RETRY_MS * USEC_PER_MSEC,
+			   ctl_list_again, ctl);
 	jl_begin(JL_KEEP, "host_not_listed");
 	jl_int("status", status);
 	jl_str("error", err < 0 ? base_strerror(err) : NULL);
 	jl_end();
 }
 
+static void ctl_list_again(void *ctx, int64_t now_us)
+{
+	struct ctl *ctl = ctx;
+
+	(void)now_us;
+	ctl_list_self(ctl, ctl->router->settings.control);
+}
+
 /* Joins the group of hosts, or stays in it; the store says whether this host leads. */
 static void ctl_join(void *ctx, int64_t now_us)
 {
 	struct ctl *ctl = ctx;
 	const struct seam_store *store = &ctl->router->seam->store;
-	char *body = store->make_join(ctl->router->settings.name, CTL_GROUP_TTL_MS,
-				      MAX(ctl->generation, 0));
-	char *url = ctl_url(ctl, store->join_path());
-	const char *headers[] = {"Content-Type: application/json", NULL};
-	struct hc_request request = {
-		.method = "POST",
-		.url = url,
-		.headers = headers,
-		.body = body,
-		.body_len = strlen(body),
-		.connect_ms = CTL_CONNECT_MS,
-		.total_ms = CTL_CALL_MS,
-	};
+	char *body;
 
 	(void)now_us;
-	if (!ctl->stopping)
-		ctl->join = hc_start(ctl->hc, &request, &ctl_join_ops, ctl);
-	g_free(body);
-	g_free(url);
+	if (ctl->stopping)
+		return;
+	body = store->make_join(ctl->router->settings.name, CTL_GROUP_TTL_MS,
+				MAX(ctl->generation, 0));
+	ctl->join_began_us = ctl_boot_us();
+	ctl->join = ctl_post(ctl, store->join_path(), body, strlen(body), &ctl_join_ops);
 }
 
 static void ctl_on_joined(void *ctx, int status, int err, bool sent, const char *body, size_t len)
@@ -212,7 +415,7 @@
 	}
 	ctl->generation = generation;
 	ctl->leader = leader;
-	ctl->joined_us = ctl_boot_us();
+	ctl->joined_us = ctl->join_began_us;
 }
 
 /*
--- a/router/ctl.h
+++ b/router/ctl.h
@@ -1,20 +1,28 @@
 #ifndef ROUTER_CTL_H
 #define ROUTER_CTL_H
 
+#include "host/host.h"
 #include "router/router.h"
 
+/*
+ * The control thread. What the store holds reaches a host in one of two ways: a few hosts, the
+ * readers, read it themselves (store_follow.c); all others follow a reader (follow.c), which feeds
+ * them (feed.c). Each host has a feed from one reader, readers too, so a host that the store turns
+ * away goes on with that; a host without a good feed reads by itself.
+ */
+
 /* One topic of the store as it is followed. */
 struct sf_topic {
 	struct ctl *ctl;
 	enum seam_topic topic;
-	int64_t next;	     /* offset to read from; -1: the whole listing is read next */
-	int64_t wait_ms;     /* that the store may hold a read until a record comes; 0: none */
-	int64_t pause_us;    /* between two reads */
+	int64_t next;	  /* offset to read from; -1: the whole listing is read next */
+	int64_t wait_ms;  /* that the store may hold a read until a record comes; 0: none */
+	int64_t pause_us; /* between two reads */
 	struct hc_call *call;
 	struct tmr timer;
-	char *after;	     /* key after which a listing goes on */
-	int failures;	     /* in a row */
-	int64_t read_us;     /* when it was last read with success; 0: never */
+	char *after;	 /* key after which a listing goes on */
+	int failures;	 /* in a row */
+	int64_t read_us; /* when it was last read with success; 0: never */
 };
 
 struct ctl {
@@ -22,31 +30,36 @@
 	struct loop *loop;
 	struct hc *hc;
 	struct rt_conf *conf;
+	GString *conf_text; /* as it was read, for handing it on */
 	struct ep_list endpoints;
+	bool listed;	   /* the endpoints have been read whole once */
 	GHashTable *hosts; /* name -> address of the control thread */
+	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
+	bool direct; /* this host reads the store itself */
 	struct tmr ticker;
+	struct tmr list_timer;
 	int64_t generation; /* of the group of hosts; orders carry it as fencing number */
 	bool leader;	    /* this host places layers */
+	int64_t join_began_us;
 	int64_t joined_us;  /* when the last successful join was begun, on the clock that counts sleep */
 	struct hc_call *join;
 	struct tmr join_timer;
 	struct placer *placer;
-	struct peers *peers;
+	struct feed *feed;
+	struct follow *follow;
+	GHashTable *seen; /* endpoint -> when it was last passed on as suspect, int64_t */
 	bool view_due;
 	bool view_whole; /* a view with configuration and endpoints has been posted */
 	bool stopping;
 };
 
-/* store_follow.c */
+/* store_follow.c: reading the store. */
 void sf_start(struct ctl *ctl);
 void sf_stop(struct ctl *ctl);
 
-/* Whether the store has not answered reads of the configuration lately. */
-bool sf_is_away(const struct ctl *ctl);
-
-/* Takes a configuration or endpoint record, from the store or from another host. */
-void sf_take_conf(struct ctl *ctl, struct str text, const char *from);
+/* Whether the last read of configuration and endpoints succeeded. */
+bool sf_is_reached(const struct ctl *ctl);
 
 /* ctl.c */
 char *ctl_url(const struct ctl *ctl, char *path);
@@ -61,14 +74,56 @@
 /* Whether this host may give orders now. */
 bool ctl_may_order(const struct ctl *ctl);
 
+/* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
+void ctl_take_conf(struct ctl *ctl, struct str text, const char *from);
+void ctl_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str text);
+void ctl_take_host(struct ctl *ctl, const char *name, struct str addr);
+
+/* Reads the store from now on, or leaves that to the feed. */
+void ctl_set_direct(struct ctl *ctl, bool direct);
+
+/* An endpoint that was found at fault; hops: hosts that passed it on. */
+struct ctl_suspect {
+	const char *endpoint;
+	int64_t for_ms;
+	const char *why;
+	int hops;
+};
+
+/* From this host's traffic thread. Any thread. */
+void ctl_post_suspect(struct ctl *ctl, const char *endpoint, int64_t for_ms, const char *why);
+
+/* From another host: to the traffic thread, and on to the other hosts. */
+void ctl_on_suspect(struct ctl *ctl, const struct ctl_suspect *suspect, const void *source);
+
 /* placer.c */
 struct placer *placer_new(struct ctl *ctl);
 void placer_free(struct placer *placer);
 void placer_on_tick(struct placer *placer, int64_t now_us);
 
-/* peers.c */
-struct peers *peers_new(struct ctl *ctl);
-void peers_free(struct peers *peers);
-void peers_on_tick(struct peers *peers, int64_t now_us);
+/* feed.c: feeding other hosts. */
+struct feed *feed_new(struct ctl *ctl);
+void feed_free(struct feed *feed);
+void feed_on_record(struct feed *feed, int64_t offset, const char *id, struct str text);
+
+/* The whole list has been read anew, or changed without a record. */
+void feed_on_listing(struct feed *feed);
+
+/* Sends every follower what it does not have yet. */
+void feed_flush(struct feed *feed);
+
+/* To all followers but the connection it came from. */
+void feed_send_suspect(struct feed *feed, const struct ctl_suspect *suspect, const void *source);
+
+/* follow.c: being fed by another host. */
+struct follow *follow_new(struct ctl *ctl);
+void follow_free(struct follow *follow);
+void follow_on_tick(struct follow *follow, int64_t now_us);
+void follow_on_hosts(struct follow *follow);
+
+/* Whether the feed brings what the store holds now. */
+bool follow_is_fed(const struct follow *follow);
+void follow_send_suspect(struct follow *follow, const struct ctl_suspect *suspect,
+			 const void *source);
 
 #endif
--- /dev/null
+++ b/router/feed.c
@@ -0,0 +1,363 @@
+#include "base/err.h"
+#include "base/frm.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "msg/feed.pb-c.h"
+#include "msg/kind.h"
+#include "router/ctl.h"
+
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	FEED_RECORDS_MAX = 512, /* of the latest, for followers that come back after a moment */
+	/* Followers send at least each 400 ms; they find out about silence, this side needn't soon. */
+	FEED_HEARTBEAT_MS = 2000,
+	FEED_SILENT_MS = 6000,
+	FEED_NOTHING = -1
+};
+
+/* A record of an endpoint, as the store's log has it. */
+struct feed_record {
+	int64_t offset;
+	char *id;
+	char *text; /* NULL: removed */
+};
+
+/* A host that is fed, and what it has got. */
+struct feed_follower {
+	struct frm_conn *conn;
+	char *host;
+	bool asked;
+	int64_t conf_version;
+	int64_t endpoints_next;
+	guint listing; /* number of the listing that it has */
+	guint hosts_version;
+	int64_t generation;
+	bool away;
+	bool greeted; /* it has got a first update */
+};
+
+struct feed {
+	struct ctl *ctl;
+	struct frm_server server;
+	bool listening;
+	GPtrArray *followers; /* struct feed_follower */
+	GQueue *records;      /* struct feed_record, oldest first, without gaps */
+	int64_t records_from; /* followers that want an older one get the whole list */
+	guint listing;
+};
+
+static int feed_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+		       size_t len);
+static void feed_on_close(void *ctx, struct frm_conn *conn, int err);
+static void feed_update(struct feed *feed, struct feed_follower *follower);
+
+static const struct frm_ops feed_ops = {feed_on_msg, feed_on_close};
+
+static void feed_record_free(gpointer data)
+{
+	struct feed_record *record = data;
+
+	g_free(record->id);
+	g_free(record->text);
+	g_free(record);
+}
+
+static void feed_follower_free(gpointer data)
+{
+	struct feed_follower *follower = data;
+
+	g_free(follower->host);
+	g_free(follower);
+}
+
+struct feed *feed_new(struct ctl *ctl)
+{
+	const struct frm_limits limits = {FEED_HEARTBEAT_MS * USEC_PER_MSEC,
+					  FEED_SILENT_MS * USEC_PER_MSEC,
+					  FEED_HEARTBEAT_MS * USEC_PER_MSEC};
+	struct feed *feed = g_new0(struct feed, 1);
+	int err;
+
+	feed->ctl = ctl;
+	feed->followers = g_ptr_array_new_with_free_func(feed_follower_free);
+	feed->records = g_queue_new();
+	feed->listing = 1;
+	err = frm_listen(&feed->server, ctl->loop, ctl->router->settings.control, &feed_ops,
+			 &limits, feed);
+	feed->listening = err == 0;
+	if (err < 0) {
+		jl_begin(JL_KEEP, "feed_not_listening");
+		jl_str("addr", ctl->router->settings.control);
+		jl_str("error", base_strerror(err));
+		jl_end();
+	}
+	return feed;
+}
+
+void feed_free(struct feed *feed)
+{
+	if (feed->listening)
+		frm_server_finish(&feed->server);
+	g_ptr_array_unref(feed->followers);
+	g_queue_free_full(feed->records, feed_record_free);
+	g_free(feed);
+}
+
+void feed_on_record(struct feed *feed, int64_t offset, const char *id, struct str text)
+{
+	struct feed_record *record;
+
+	if (offset < feed->records_from)
+		return;
+	record = g_new0(struct feed_record, 1);
+	record->offset = offset;
+	record->id = g_strdup(id);
+	record->text = text.data ? str_dup(text) : NULL;
+	g_queue_push_tail(feed->records, record);
+	if (feed->records->length > FEED_RECORDS_MAX) {
+		struct feed_record *oldest = g_queue_pop_head(feed->records);
+
+		feed->records_from = oldest->offset + 1;
+		feed_record_free(oldest);
+	}
+}
+
+void feed_on_listing(struct feed *feed)
+{
+	g_queue_clear_full(feed->records, feed_record_free);
+	feed->records_from = feed->ctl->endpoints.next;
+	feed->listing++;
+}
+
+static struct feed_follower *feed_follower_of(struct feed *feed, struct frm_conn *conn)
+{
+	struct feed_follower *follower = frm_data(conn);
+
+	if (!follower) {
+		follower = g_new0(struct feed_follower, 1);
+		follower->conn = conn;
+		frm_set_data(conn, follower);
+		g_ptr_array_add(feed->followers, follower);
+	}
+	return follower;
+}
+
+static int feed_on_ask(struct feed *feed, struct frm_conn *conn, const uint8_t *body, size_t len)
+{
+	struct feed_follower *follower = feed_follower_of(feed, conn);
+	Feed__Ask *ask = feed__ask__unpack(NULL, len, body);
+
+	if (!ask)
+		return BASE_EFRAME;
+	follower->asked = true;
+	g_free(follower->host);
+	follower->host = g_strdup(ask->host);
+	follower->conf_version = ask->conf_version;
+	follower->endpoints_next = ask->endpoints_next;
+	follower->listing = ask->endpoints_next < 0 ? 0 : feed->listing;
+	follower->generation = FEED_NOTHING;
+	follower->hosts_version = 0;
+	feed__ask__free_unpacked(ask, NULL);
+	feed_update(feed, follower);
+	return 0;
+}
+
+static int feed_on_suspect(struct feed *feed, struct frm_conn *conn, const uint8_t *body,
+			   size_t len)
+{
+	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
+	struct ctl_suspect suspect;
+
+	if (!msg)
+		return BASE_EFRAME;
+	suspect = (struct ctl_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
+	ctl_on_suspect(feed->ctl, &suspect, conn);
+	feed__suspect__free_unpacked(msg, NULL);
+	return 0;
+}
+
+static int feed_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+		       size_t len)
+{
+	switch (kind) {
+	case MSG_FEED_ASK:
+		return feed_on_ask(ctx, conn, body, len);
+	case MSG_FEED_SUSPECT:
+		return feed_on_suspect(ctx, conn, body, len);
+	default:
+		return BASE_EFRAME;
+	}
+}
+
+static void feed_on_close(void *ctx, struct frm_conn *conn, int err)
+{
+	struct feed *feed = ctx;
+	struct feed_follower *follower = frm_data(conn);
+
+	(void)err;
+	if (follower)
+		g_ptr_array_remove_fast(feed->followers, follower);
+}
+
+/* Endpoints that a message carries; the texts belong to the list or the records. */
+struct feed_batch {
+	Feed__Endpoint *items;
+	Feed__Endpoint **refs;
+	size_t n;
+};
+
+static void feed_batch_add(struct feed_batch *batch, int64_t offset, char *id, char *text)
+{
+	Feed__Endpoint *item = &batch->items[batch->n];
+
+	feed__endpoint__init(item);
+	item->offset = offset;
+	item->id = id;
+	item->text.data = (uint8_t *)text;
+	item->text.len = text ? strlen(text) : 0;
+	batch->refs[batch->n++] = item;
+}
+
+static void feed_batch_list(struct feed_batch *batch, const struct ep_list *list)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct ep_entry *entry = value;
+
+		if (entry->rec->text)
+			feed_batch_add(batch, entry->offset, entry->rec->id, entry->rec->text);
+	}
+}
+
+static void feed_batch_records(struct feed_batch *batch, const struct feed *feed, int64_t from)
+{
+	for (GList *link = feed->records->head; link; link = link->next) {
+		const struct feed_record *record = link->data;
+
+		if (record->offset >= from)
+			feed_batch_add(batch, record->offset, record->id, record->text);
+	}
+}
+
+static void feed_put_endpoints(struct feed *feed, struct feed_follower *follower,
+			       struct feed_batch *batch, Feed__Update *msg)
+{
+	const struct ep_list *list = &feed->ctl->endpoints;
+
+	msg->endpoints_next = feed->ctl->listed ? list->next : FEED_NOTHING;
+	if (!feed->ctl->listed)
+		return;
+	msg->listing = follower->listing != feed->listing ||
+		       follower->endpoints_next < feed->records_from;
+	if (msg->listing)
+		feed_batch_list(batch, list);
+	else if (follower->endpoints_next < list->next)
+		feed_batch_records(batch, feed, follower->endpoints_next);
+	msg->endpoints = batch->refs;
+	msg->n_endpoints = batch->n;
+	follower->listing = feed->listing;
+	follower->endpoints_next = MAX(follower->endpoints_next, list->next);
+}
+
+static void feed_put_conf(const struct feed *feed, struct feed_follower *follower,
+			  Feed__Update *msg)
+{
+	const struct ctl *ctl = feed->ctl;
+
+	if (!ctl->conf || ctl->conf->version <= follower->conf_version)
+		return;
+	msg->conf.data = (uint8_t *)ctl->conf_text->str;
+	msg->conf.len = ctl->conf_text->len;
+	follower->conf_version = ctl->conf->version;
+}
+
+static bool feed_is_due(const struct feed *feed, const struct feed_follower *follower)
+{
+	const struct ctl *ctl = feed->ctl;
+
+	if (!follower->greeted || follower->away == sf_is_reached(ctl) ||
+	    follower->generation != ctl->generation || follower->hosts_version != ctl->hosts_version)
+		return true;
+	if (ctl->conf && ctl->conf->version > follower->conf_version)
+		return true;
+	return ctl->listed && (follower->listing != feed->listing ||
+			       follower->endpoints_next < ctl->endpoints.next);
+}
+
+static void feed_put_hosts(const struct ctl *ctl, Feed__Update *msg, GArray *hosts,
+			   GPtrArray *refs)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer addr;
+
+	g_hash_table_iter_init(&iter, ctl->hosts);
+	while (g_hash_table_iter_next(&iter, &name, &addr)) {
+		Feed__Host host = FEED__HOST__INIT;
+
+		host.name = name;
+		host.addr = addr;
+		g_array_append_val(hosts, host);
+	}
+	for (guint i = 0; i < hosts->len; i++)
+		g_ptr_array_add(refs, &g_array_index(hosts, Feed__Host, i));
+	msg->hosts = (Feed__Host **)refs->pdata;
+	msg->n_hosts = refs->len;
+}
+
+static void feed_update(struct feed *feed, struct feed_follower *follower)
+{
+	struct ctl *ctl = feed->ctl;
+	size_t room = g_hash_table_size(ctl->endpoints.entries) + feed->records->length + 1;
+	struct feed_batch batch = {g_new0(Feed__Endpoint, room), g_new0(Feed__Endpoint *, room), 0};
+	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(Feed__Host));
+	GPtrArray *refs = g_ptr_array_new();
+	Feed__Update msg = FEED__UPDATE__INIT;
+
+	follower->away = !sf_is_reached(ctl);
+	msg.away = follower->away;
+	msg.generation = ctl->generation;
+	feed_put_conf(feed, follower, &msg);
+	feed_put_endpoints(feed, follower, &batch, &msg);
+	if (follower->hosts_version != ctl->hosts_version)
+		feed_put_hosts(ctl, &msg, hosts, refs);
+	follower->hosts_version = ctl->hosts_version;
+	follower->generation = ctl->generation;
+	follower->greeted = true;
+	frm_send(follower->conn, MSG_FEED_UPDATE, &msg.base);
+	g_array_unref(hosts);
+	g_ptr_array_unref(refs);
+	g_free(batch.items);
+	g_free(batch.refs);
+}
+
+void feed_flush(struct feed *feed)
+{
+	for (guint i = 0; i < feed->followers->len; i++) {
+		struct feed_follower *follower = feed->followers->pdata[i];
+
+		if (follower->asked && feed_is_due(feed, follower))
+			feed_update(feed, follower);
+	}
+}
+
+void feed_send_suspect(struct feed *feed, const struct ctl_suspect *suspect, const void *source)
+{
+	Feed__Suspect msg = FEED__SUSPECT__INIT;
+
+	msg.endpoint = (char *)suspect->endpoint;
+	msg.for_ms = suspect->for_ms;
+	msg.why = (char *)suspect->why;
+	msg.hops = suspect->hops;
+	for (guint i = 0; i < feed->followers->len; i++) {
+		const struct feed_follower *follower = feed->followers->pdata[i];
+
+		if (follower->asked && follower->conn != source)
+			frm_send(follower->conn, MSG_FEED_SUSPECT, &msg.base);
+	}
+}
--- /dev/null
+++ b/router/follow.c
@@ -0,0 +1,322 @@
+#include "base/err.h"
+#include "base/frm.h"
+#include "base/jl.h"
+#include "msg/feed.pb-c.h"
+#include "msg/kind.h"
+#include "router/ctl.h"
+
+#include <string.h>
+
+enum {
+	USEC_PER_MSEC = 1000,
+	/*
+	 * Hosts that read the store. Each costs some three calls a second; two bear the loss of one,
+	 * and with a third a rack of hosts can go without all others reading at once.
+	 */
+	FOLLOW_READERS_FEW = 2,
+	FOLLOW_READERS = 3,
+	FOLLOW_FEW_HOSTS = 10,
+	FOLLOW_HEARTBEAT_MS = 400,
+	/*
+	 * A feed that is silent for so long is given up and the store is read. A change must be in
+	 * force two seconds after it was accepted.
+	 */
+	FOLLOW_SILENT_MS = 1000,
+	FOLLOW_SUSPECT_MS = 4000, /* a host that did not answer is passed over for this time */
+	FOLLOW_RETRY_MS = 300,
+	/* Hosts start together and learn of each other over this time; until then each reads. */
+	FOLLOW_SETTLE_MS = 1500
+};
+
+static const char FOLLOW_KEY[] = "readers of the store";
+
+struct follow {
+	struct ctl *ctl;
+	struct host_table table;
+	struct frm_conn *conn;
+	char *host; /* that feeds this one; a seed's address while no host is known */
+	bool fed;   /* it has sent an update and reaches the store */
+	int64_t next_try_us;
+	int64_t settled_us;
+	guint seed; /* of the seeds, the one to ask next */
+};
+
+static int follow_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+			 size_t len);
+static void follow_on_close(void *ctx, struct frm_conn *conn, int err);
+
+static const struct frm_ops follow_ops = {follow_on_msg, follow_on_close};
+
+struct follow *follow_new(struct ctl *ctl)
+{
+	struct follow *follow = g_new0(struct follow, 1);
+
+	follow->ctl = ctl;
+	follow->settled_us = tmr_now() + FOLLOW_SETTLE_MS * USEC_PER_MSEC;
+	host_table_init(&follow->table, FOLLOW_SUSPECT_MS * USEC_PER_MSEC);
+	return follow;
+}
+
+void follow_free(struct follow *follow)
+{
+	if (follow->conn)
+		frm_close(follow->conn);
+	host_table_finish(&follow->table);
+	g_free(follow->host);
+	g_free(follow);
+}
+
+bool follow_is_fed(const struct follow *follow)
+{
+	return follow->fed;
+}
+
+void follow_on_hosts(struct follow *follow)
+{
+	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct host));
+	GHashTableIter iter;
+	gpointer name;
+	gpointer addr;
+
+	g_hash_table_iter_init(&iter, follow->ctl->hosts);
+	while (g_hash_table_iter_next(&iter, &name, &addr)) {
+		struct host host;
+
+		memset(&host, 0, sizeof(host));
+		g_strlcpy(host.name, name, sizeof(host.name));
+		g_strlcpy(host.control_addr, addr, sizeof(host.control_addr));
+		g_array_append_val(hosts, host);
+	}
+	host_on_list(&follow->table, (const struct host *)(void *)hosts->data, hosts->len);
+	g_array_unref(hosts);
+}
+
+static bool follow_is_self(const struct follow *follow, const struct host *host)
+{
+	return strcmp(host->name, follow->ctl->router->settings.name) == 0;
+}
+
+/* The readers of the store in order of rank; returns their number. */
+static unsigned int follow_readers(const struct follow *follow, const struct host **readers,
+				   int64_t now_us)
+{
+	unsigned int most = follow->table.hosts->len <= FOLLOW_FEW_HOSTS ? FOLLOW_READERS_FEW
+									 : FOLLOW_READERS;
+	unsigned int n = 0;
+
+	while (n < most) {
+		const struct host *host = host_home(&follow->table, FOLLOW_KEY, n, now_us);
+
+		if (!host)
+			break;
+		readers[n++] = host;
+	}
+	return n;
+}
+
+/* Readers follow each other too, so that a reader that the store turns away has a feed. */
+static const struct host *follow_choose(const struct follow *follow, bool *is_reader,
+					int64_t now_us)
+{
+	const struct host *readers[FOLLOW_READERS];
+	unsigned int n = follow_readers(follow, readers, now_us);
+	unsigned int start = g_str_hash(follow->ctl->router->settings.name);
+
+	*is_reader = false;
+	for (unsigned int i = 0; i < n; i++) {
+		if (!follow_is_self(follow, readers[i]))
+			continue;
+		*is_reader = true;
+		start = i + 1;
+	}
+	for (unsigned int i = 0; i < n; i++) {
+		const struct host *host = readers[(start + i) % n];
+
+		if (!follow_is_self(follow, host))
+			return host;
+	}
+	return NULL;
+}
+
+static void follow_drop(struct follow *follow)
+{
+	follow->conn = NULL;
+	follow->fed = false;
+	g_clear_pointer(&follow->host, g_free);
+}
+
+static void follow_connect(struct follow *follow, const char *name, const char *addr)
+{
+	const struct frm_limits limits = {FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC,
+					  FOLLOW_SILENT_MS * USEC_PER_MSEC,
+					  FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC};
+	struct ctl *ctl = follow->ctl;
+	Feed__Ask ask = FEED__ASK__INIT;
+
+	follow->conn = frm_connect(ctl->loop, addr, &follow_ops, &limits, follow);
+	if (!follow->conn)
+		return;
+	follow->host = g_strdup(name);
+	frm_set_active(follow->conn, true);
+	ask.host = ctl->router->settings.name;
+	ask.conf_version = ctl->conf ? ctl->conf->version : -1;
+	ask.endpoints_next = ctl->listed ? ctl->endpoints.next : -1;
+	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
+}
+
+/* While no host is known, the seeds are asked in turn. */
+static void follow_connect_seed(struct follow *follow)
+{
+	const struct router_settings *s = &follow->ctl->router->settings;
+	char **seeds = g_strsplit(s->seeds, ",", -1);
+	guint n = g_strv_length(seeds);
+
+	for (guint i = 0; i < n && !follow->conn; i++) {
+		const char *addr = g_strstrip(seeds[follow->seed++ % n]);
+
+		if (*addr && strcmp(addr, s->control) != 0)
+			follow_connect(follow, addr, addr);
+	}
+	g_strfreev(seeds);
+}
+
+void follow_on_tick(struct follow *follow, int64_t now_us)
+{
+	struct ctl *ctl = follow->ctl;
+	bool is_reader;
+	const struct host *host = follow_choose(follow, &is_reader, now_us);
+
+	if (follow->conn && host && strcmp(follow->host, host->name) != 0 && !follow->fed) {
+		frm_close(follow->conn);
+		follow_drop(follow);
+	}
+	if (!follow->conn && now_us >= follow->next_try_us) {
+		follow->next_try_us = now_us + FOLLOW_RETRY_MS * USEC_PER_MSEC;
+		if (host)
+			follow_connect(follow, host->name, host->control_addr);
+		else if (follow->table.hosts->len == 0 && !sf_is_reached(ctl))
+			follow_connect_seed(follow);
+	}
+	ctl_set_direct(ctl, is_reader || !follow->fed || now_us < follow->settled_us);
+}
+
+static void follow_take_endpoints(struct follow *follow, const Feed__Update *msg)
+{
+	struct ctl *ctl = follow->ctl;
+
+	if (msg->endpoints_next < 0 || (ctl->listed && msg->endpoints_next < ctl->endpoints.next))
+		return;
+	if (msg->listing)
+		ep_on_listing(&ctl->endpoints);
+	for (size_t i = 0; i < msg->n_endpoints; i++) {
+		const Feed__Endpoint *e = msg->endpoints[i];
+		const char *text = e->text.len > 0 ? (const char *)e->text.data : NULL;
+
+		ctl_take_endpoint(ctl, e->offset, e->id, str_make(text, e->text.len));
+	}
+	if (msg->listing) {
+		ep_on_listed(&ctl->endpoints, msg->endpoints_next, tmr_now());
+		ctl->listed = true;
+		feed_on_listing(ctl->feed);
+	}
+	ctl->endpoints.next = MAX(ctl->endpoints.next, msg->endpoints_next);
+}
+
+static void follow_take_hosts(struct follow *follow, const Feed__Update *msg)
+{
+	struct ctl *ctl = follow->ctl;
+
+	if (msg->n_hosts == 0)
+		return;
+	for (size_t i = 0; i < msg->n_hosts; i++)
+		ctl_take_host(ctl, msg->hosts[i]->name, str_of(msg->hosts[i]->addr));
+}
+
+static void follow_log(const struct follow *follow, const char *event, const char *error)
+{
+	jl_begin(JL_KEEP, event);
+	jl_str("feeder", follow->host);
+	jl_str("error", error);
+	jl_end();
+}
+
+static int follow_on_update(struct follow *follow, const uint8_t *body, size_t len)
+{
+	struct ctl *ctl = follow->ctl;
+	Feed__Update *msg = feed__update__unpack(NULL, len, body);
+
+	if (!msg)
+		return BASE_EFRAME;
+	if (follow->fed == msg->away)
+		follow_log(follow, msg->away ? "feed_stale" : "feed_good", NULL);
+	follow->fed = !msg->away;
+	host_on_evidence(&follow->table, follow->host, HOST_HEARD, tmr_now());
+	if (follow->fed)
+		ep_on_reached(&ctl->endpoints, tmr_now());
+	if (msg->conf.len > 0)
+		ctl_take_conf(ctl, str_make((const char *)msg->conf.data, msg->conf.len),
+			      follow->host);
+	follow_take_endpoints(follow, msg);
+	follow_take_hosts(follow, msg);
+	if (!ctl->direct && msg->generation != ctl->generation) {
+		ctl->generation = MAX(ctl->generation, msg->generation);
+		ctl_view_due(ctl);
+	}
+	feed__update__free_unpacked(msg, NULL);
+	ctl_first_view(ctl);
+	return 0;
+}
+
+static int follow_on_suspect(struct follow *follow, struct frm_conn *conn, const uint8_t *body,
+			     size_t len)
+{
+	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
+	struct ctl_suspect suspect;
+
+	if (!msg)
+		return BASE_EFRAME;
+	suspect = (struct ctl_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
+	ctl_on_suspect(follow->ctl, &suspect, conn);
+	feed__suspect__free_unpacked(msg, NULL);
+	return 0;
+}
+
+static int follow_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
+			 size_t len)
+{
+	switch (kind) {
+	case MSG_FEED_UPDATE:
+		return follow_on_update(ctx, body, len);
+	case MSG_FEED_SUSPECT:
+		return follow_on_suspect(ctx, conn, body, len);
+	default:
+		return BASE_EFRAME;
+	}
+}
+
+static void follow_on_close(void *ctx, struct frm_conn *conn, int err)
+{
+	struct follow *follow = ctx;
+	enum host_evidence evidence = err == BASE_ESILENT ? HOST_SILENT : HOST_REFUSED;
+
+	(void)conn;
+	if (follow->fed)
+		follow_log(follow, "feed_lost", base_strerror(err));
+	host_on_evidence(&follow->table, follow->host, evidence, tmr_now());
+	follow_drop(follow);
+	follow_on_tick(follow, tmr_now());
+}
+
+void follow_send_suspect(struct follow *follow, const struct ctl_suspect *suspect,
+			 const void *source)
+{
+	Feed__Suspect msg = FEED__SUSPECT__INIT;
+
+	if (!follow->conn || follow->conn == source)
+		return;
+	msg.endpoint = (char *)suspect->endpoint;
+	msg.for_ms = suspect->for_ms;
+	msg.why = (char *)suspect->why;
+	msg.hops = suspect->hops;
+	frm_send(follow->conn, MSG_FEED_SUSPECT, &msg.base);
+}
--- a/router/pick.c
+++ b/router/pick.c
@@ -104,46 +104,121 @@
 			     (service->engine.kv_bytes * held / service->engine.layers);
 }
 
-static int pick_pipeline(struct tf *tf, const struct rt_service *service,
-			 const struct seam_request *request, const struct tf_target *avoid,
-			 struct tf_target *target)
+/* What a search for stages works on. */
+struct pick {
+	struct pa_node *nodes;
+	struct tf_ep **eps;
+	int n;
+	struct pa_ask ask;
+	struct pa_path path;
+};
+
+static void pick_finish(struct pick *pick)
+{
+	g_free(pick->nodes);
+	g_free(pick->eps);
+}
+
+/* Endpoints of the service that may be used, without those to be avoided. */
+static void pick_init(struct pick *pick, struct tf *tf, const struct rt_service *service,
+		      const struct seam_request *request, const struct tf_target *avoid)
 {
 	guint n = g_hash_table_size(tf->eps);
-	struct pa_node *nodes = g_new0(struct pa_node, n + 1);
-	struct tf_ep **eps = g_new0(struct tf_ep *, n + 1);
-	struct pick_delays delays = {tf, service};
-	struct pa_ask ask = {tf_zone(tf, tf->router->settings.zone), pick_prompt(service, request),
-			     pick_answer(service, request), PICK_CROSS_MS, tf->seed};
-	struct pa_path path;
 	GHashTableIter iter;
 	gpointer value;
 	int64_t now_us = tmr_now();
-	int count = 0;
-	int err;
 
+	memset(pick, 0, sizeof(*pick));
+	pick->nodes = g_new0(struct pa_node, n + 1);
+	pick->eps = g_new0(struct tf_ep *, n + 1);
+	pick->ask.to = service->engine.layers;
+	pick->ask.zone = tf_zone(tf, tf->router->settings.zone);
+	pick->ask.prompt = pick_prompt(service, request);
+	pick->ask.answer = pick_answer(service, request);
+	pick->ask.cross_ms = PICK_CROSS_MS;
+	pick->ask.seed = tf->seed;
+	tf->seed = tf->seed * 1664525U + 1013904223U;
 	g_hash_table_iter_init(&iter, tf->eps);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (!pick_usable(value, service, now_us) || pick_avoided(avoid, value))
 			continue;
-		eps[count] = value;
-		pick_node(tf, service, value, true, &nodes[count++]);
+		pick->eps[pick->n] = value;
+		pick_node(tf, service, value, true, &pick->nodes[pick->n++]);
 	}
-	tf->seed = tf->seed * 1664525U + 1013904223U;
-	err = pa_choose(&service->engine, nodes, count, &ask, pick_delay, &delays, &path);
+}
+
+static int pick_search(struct pick *pick, struct tf *tf, const struct rt_service *service)
+{
+	struct pick_delays delays = {tf, service};
+	int err = pa_choose(&service->engine, pick->nodes, pick->n, &pick->ask, pick_delay, &delays,
+			    &pick->path);
+
+	return err == 0 ? 0 : FWD_ENOENDPOINT;
+}
+
+static void pick_add_stage(struct tf_target *target, struct tf_ep *ep, int from, int to)
+{
+	target->eps[target->count] = ep;
+	target->stages[target->count].addr = ep->rec->addr;
+	target->stages[target->count].from = from;
+	target->stages[target->count].to = to;
+	target->count++;
+}
+
+static void pick_add_path(struct tf_target *target, const struct pick *pick)
+{
+	for (int i = 0; i < pick->path.count; i++) {
+		const struct pa_stage *stage = &pick->path.stages[i];
+
+		pick_add_stage(target, pick->eps[stage->node], stage->from, stage->to);
+	}
+}
+
+static int pick_pipeline(struct tf *tf, const struct rt_service *service,
+			 const struct seam_request *request, const struct tf_target *avoid,
+			 struct tf_target *target)
+{
+	struct pick pick;
+	int err;
+
+	pick_init(&pick, tf, service, request, avoid);
+	err = pick_search(&pick, tf, service);
 	if (err == 0) {
-		target->count = path.count;
 		target->layered = true;
-		target->tokens = ask.prompt + ask.answer / 2;
-		for (int i = 0; i < path.count; i++) {
-			target->eps[i] = eps[path.stages[i].node];
-			target->stages[i].addr = target->eps[i]->rec->addr;
-			target->stages[i].from = path.stages[i].from;
-			target->stages[i].to = path.stages[i].to;
-		}
+		target->tokens = pick.ask.prompt + pick.ask.answer / 2;
+		pick_add_path(target, &pick);
 	}
-	g_free(nodes);
-	g_free(eps);
-	return err == 0 ? 0 : FWD_ENOENDPOINT;
+	pick_finish(&pick);
+	return err;
+}
+
+int tf_pick_repair(struct tf *tf, const struct rt_service *service,
+		   const struct seam_request *request, const struct tf_target *now, int lost,
+		   struct tf_target *target)
+{
+	struct pick pick;
+	int err;
+
+	memset(target, 0, sizeof(*target));
+	pick_init(&pick, tf, service, request, now);
+	pick.ask.from = now->stages[lost].from;
+	pick.ask.to = now->stages[lost].to;
+	pick.ask.zone = tf_zone(tf, now->eps[lost - 1]->rec->zone);
+	err = pick_search(&pick, tf, service);
+	if (err == 0 && now->count - 1 + pick.path.count > TF_STAGES_MAX)
+		err = FWD_ENOENDPOINT;
+	if (err == 0) {
+		target->layered = true;
+		target->tokens = now->tokens;
+		for (int i = 0; i < lost; i++)
+			pick_add_stage(target, now->eps[i], now->stages[i].from, now->stages[i].to);
+		pick_add_path(target, &pick);
+		for (int i = lost + 1; i < now->count; i++)
+			pick_add_stage(target, now->eps[i], now->stages[i].from, now->stages[i].to);
+		tf_target_hold(target);
+	}
+	pick_finish(&pick);
+	return err;
 }
 
 /* Fewest requests under way for its places, failing ones last; nearest zone where alike. */
--- a/router/router.h
+++ b/router/router.h
@@ -69,19 +69,22 @@
 extern const struct set_item router_items[];
 extern const size_t router_items_n;
 
-/* Control thread: ctl.c, and below it store_follow.c, placer.c, peers.c. */
+/* Control thread: ctl.c, and below it store_follow.c, feed.c, follow.c, placer.c. */
 struct ctl *ctl_start(struct router *router, struct loop *loop);
 void ctl_finish(struct ctl *ctl);
 
 /* The host is stopping: it gives up what it leads and leaves the list of hosts. */
 void ctl_stop(struct ctl *ctl);
 
-/* Traffic thread: tf.c, and below it req.c and pick.c. */
+/* Traffic thread: tf.c, and below it rq.c and pick.c. */
 struct tf *tf_start(struct router *router);
 
 /* Takes a view; from the control thread. */
 void tf_post_view(struct tf *tf, struct router_view *view);
 
+/* Another host found the endpoint at fault; from the control thread. */
+void tf_post_suspect(struct tf *tf, const char *endpoint, int64_t for_ms, const char *why);
+
 /* Requests that have not ended. Any thread. */
 unsigned int tf_open(const struct tf *tf);
 
--- a/router/rq.c
+++ b/router/rq.c
@@ -12,8 +12,17 @@
 	USEC_PER_SEC = 1000000,
 	RQ_CONNECT_MS = 300,	/* a connection to a live endpoint takes a few ms */
 	RQ_DEADLINE_DEFAULT_MS = 60000,
-	RQ_FIRST_MIN_MS = 700, /* silence before the first event or byte that is borne */
-	RQ_GAP_MIN_MS = 600,	/* the same between events; three times the longest usual gap */
+	/*
+	 * Silence before the first event, and between events, after which the first stage is asked
+	 * what it waits for. Usual are 120 ms and 70 ms; callers leave after 2 s.
+	 */
+	RQ_FIRST_MIN_MS = 250,
+	RQ_GAP_MIN_MS = 120,
+	RQ_BEAR_US = 1300000, /* silence after which the stream is taken elsewhere in any case */
+	RQ_REPORT_MS = 250,   /* an endpoint that lives answers within some ms */
+	RQ_ORDER_MS = 700,
+	RQ_ACTIVE_US = 80000, /* a stream that brought something since then is not stalled */
+	RQ_LOGGED_MAX = 200,  /* bytes of an endpoint's refusal that go into the log */
 	RQ_SUSPECT_US = 3000000,
 	RQ_RETRY_US = 400000, /* when to come back where nobody can be sent to at present */
 	/*
@@ -28,6 +37,8 @@
 	 */
 	RQ_STOP_TAKE_US = 3000000,
 	RQ_STOP_RETRY_US = 50000,
+	STATUS_OK = 200,
+	STATUS_ACCEPTED = 202,
 	STATUS_UNAUTHORIZED = 401,
 	STATUS_NOT_FOUND = 404,
 	STATUS_UNAVAILABLE = 503
@@ -44,7 +55,13 @@
 	struct fwd fwd;
 	struct tmr timer;
 	struct hc_call *attempt;
-	struct tf_target target;  /* of the attempt under way */
+	struct hc_call *report; /* of the first stage, asked for since the attempt is silent */
+	struct hc_call *order;	/* that replaces a stage of the running pipeline */
+	struct tf_target target; /* of the attempt under way */
+	struct tf_target repair; /* that the order asks for */
+	int lost;		 /* stage that it replaces */
+	int64_t order_us;	 /* when it was given */
+	int64_t part_us;	 /* when the attempt was sent, or last brought something */
 	struct tf_target avoid;	  /* those that failed this request; no references to requests */
 	struct seam_answer answer; /* head of the attempt's answer */
 	int64_t began_us;
@@ -68,6 +85,9 @@
 static void rq_refuse(void *ctx, int status, bool not_run);
 static void rq_set_timer(void *ctx, int64_t due_us);
 static void rq_ended(void *ctx, enum fwd_cause cause);
+static void rq_on_report(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void rq_recover(struct rq *rq, int lost);
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers);
 static void rq_on_data(void *ctx, const char *data, size_t len);
 static void rq_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
@@ -88,6 +108,9 @@
 	.ended = rq_ended,
 };
 
+static const struct hc_ops rq_report_ops = {.on_done = rq_on_report};
+static const struct hc_ops rq_order_ops = {.on_done = rq_on_ordered};
+
 static const struct hc_ops rq_hc_ops = {
 	.on_head = rq_on_head,
 	.on_data = rq_on_data,
@@ -122,6 +145,7 @@
 	struct tf *tf = rq->tf;
 
 	tmr_cancel(&tf->loop.tmr, &rq->timer);
+	rq_cancel(rq);
 	tf_target_clear(&rq->target);
 	rq_avoid_clear(rq);
 	seam_answer_finish(&rq->answer);
@@ -185,8 +209,8 @@
 	rules->streaming = route->type == RT_STREAMING;
 	rules->runs_max = (int)route->attempts;
 	rules->deadline_us = rq->began_us + deadline_ms * USEC_PER_MSEC;
-	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms * 3 / 2) * USEC_PER_MSEC;
-	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 3) * USEC_PER_MSEC;
+	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms / 2) * USEC_PER_MSEC;
+	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 6 / 10) * USEC_PER_MSEC;
 }
 
 static bool rq_stops_too_soon(const struct rq *rq)
@@ -308,6 +332,7 @@
 		request.body = rq->body;
 		request.body_len = rq->body_len;
 	}
+	rq->part_us = tmr_now();
 	rq_log_sent(rq, attempt, pipeline, resume_after);
 	rq->attempt = hc_start(tf->hc, &request, &rq_hc_ops, rq);
 	g_ptr_array_unref(headers);
@@ -323,34 +348,230 @@
 	return bud_take(tf_budget(rq->tf, rq->service->name), tmr_now());
 }
 
+static void rq_drop(struct hc_call **call)
+{
+	if (*call)
+		hc_cancel(*call);
+	*call = NULL;
+}
+
 static void rq_cancel(void *ctx)
 {
 	struct rq *rq = ctx;
 
-	if (rq->attempt)
-		hc_cancel(rq->attempt);
-	rq->attempt = NULL;
+	rq_drop(&rq->attempt);
+	rq_drop(&rq->report);
+	rq_drop(&rq->order);
+	tf_target_clear(&rq->repair);
+}
+
+/* The stage of the present pipeline that is at the address, or -1. */
+static int rq_stage_at(const struct rq *rq, const char *addr)
+{
+	for (int i = 0; addr && i < rq->target.count; i++) {
+		if (strcmp(rq->target.stages[i].addr, addr) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/* The first stage that is known to be at fault, or -1. */
+static int rq_suspected_stage(const struct rq *rq)
+{
+	int64_t now_us = tmr_now();
+
+	for (int i = 0; i < rq->target.count; i++) {
+		if (rq->target.eps[i]->suspect_us > now_us)
+			return i;
+	}
+	return -1;
+}
+
+static void rq_log_silent(const struct rq *rq, const char *finding, const char *culprit)
+{
+	jl_begin(JL_KEEP, "silent");
+	jl_str("id", rq->request.id);
+	jl_str("finding", finding);
+	jl_str("culprit", culprit);
+	jl_int("silent_ms", (tmr_now() - rq->part_us) / USEC_PER_MSEC);
+	jl_int("parts", (int64_t)rq->fwd.parts);
+	jl_end();
 }
 
 /*
- * A pipeline has gone silent, and nobody says at which stage. Those through which another request
- * has got something since are well; the others are passed over for a while.
+ * A pipeline that goes silent does not say which stage is at fault. Its first stage does, in its
+ * report, so that one is asked; a guess would blame sound endpoints.
  */
 static bool rq_on_silent(void *ctx)
 {
 	struct rq *rq = ctx;
+	const struct seam_engine *engine = &rq->tf->router->seam->engine;
+	struct hc_request request = {.method = "GET",
+				     .connect_ms = RQ_REPORT_MS,
+				     .total_ms = RQ_REPORT_MS,
+				     .fresh = true,
+				     .close = true};
+	char *url;
+	int lost;
+
+	if (!rq->target.layered) {
+		rq_avoid(rq, rq->target.eps[0]);
+		tf_ep_failed(rq->target.eps[0], tmr_now());
+		return false;
+	}
+	if (tmr_now() - rq->part_us > RQ_BEAR_US) {
+		rq_log_silent(rq, "borne_too_long", NULL);
+		return false;
+	}
+	if (rq->report || rq->order)
+		return true;
+	lost = rq_suspected_stage(rq);
+	if (lost >= 0) {
+		rq_recover(rq, lost);
+		return true;
+	}
+	url = g_strdup_printf("http://%s%s", rq->target.eps[0]->rec->addr, engine->report_path());
+	request.url = url;
+	rq->report = hc_start(rq->tf->hc, &request, &rq_report_ops, rq);
+	g_free(url);
+	return true;
+}
+
+/* The culprit that a report names for this request; "" when it names none. */
+static char *rq_find_culprit(const struct rq *rq, const struct seam_report *report)
+{
+	for (guint i = 0; i < report->stalled->len; i++) {
+		const struct seam_stalled *stalled = report->stalled->pdata[i];
+
+		if (g_strcmp0(stalled->request, rq->request.id) == 0)
+			return g_strdup(stalled->culprit);
+	}
+	return NULL;
+}
+
+static void rq_on_report(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct rq *rq = ctx;
+	struct seam_report report;
+	struct tf_ep *ep;
+	char *culprit;
+
+	(void)err;
+	(void)sent;
+	rq->report = NULL;
+	if (status != STATUS_OK ||
+	    rq->tf->router->seam->engine.parse_report(str_make(body, len), &report) < 0) {
+		rq_log_silent(rq, "first_stage_gone", rq->target.stages[0].addr);
+		tf_suspect(rq->tf, rq->target.eps[0], RQ_SUSPECT_US, "no_report", rq->request.id);
+		return;
+	}
+	culprit = rq_find_culprit(rq, &report);
+	seam_report_finish(&report);
+	rq_log_silent(rq, culprit ? "stalled" : "slow", culprit);
+	ep = culprit ? g_hash_table_lookup(rq->tf->by_addr, culprit) : NULL;
+	if (ep)
+		tf_suspect(rq->tf, ep, RQ_SUSPECT_US, "stalled", rq->request.id);
+	if (culprit)
+		rq_recover(rq, rq_stage_at(rq, culprit));
+	g_free(culprit);
+}
+
+/* Sends the request again from what the caller has, elsewhere. */
+static void rq_resume(struct rq *rq, int lost)
+{
 	int64_t now_us = tmr_now();
-	int64_t silence = rq->fwd.parts > 0 ? rq->fwd.rules.gap_us : rq->fwd.rules.first_us;
 
-	for (int i = 0; i < rq->target.count; i++) {
-		struct tf_ep *ep = rq->target.eps[i];
+	if (lost >= 0)
+		rq_avoid(rq, rq->target.eps[lost]);
+	if (fwd_may_give_up(&rq->fwd, now_us))
+		fwd_give_up_attempt(&rq->fwd, now_us);
+}
+
+/*
+ * A stage after the first is replaced within the running pipeline: the other stages keep what they
+ * have read, no attempt and no repeat is spent, and the stream goes on where it stands.
+ */
+static void rq_recover(struct rq *rq, int lost)
+{
+	const struct seam *seam = rq->tf->router->seam;
+	const char *headers[] = {"Content-Type: application/json", NULL};
+	struct hc_request request = {.method = "POST",
+				     .headers = headers,
+				     .connect_ms = RQ_REPORT_MS,
+				     .total_ms = RQ_ORDER_MS,
+				     .fresh = true,
+				     .close = true};
+	char *pipeline;
+	char *body;
+	char *url;
 
-		if (ep->progress_us > now_us - silence)
-			continue;
-		rq_avoid(rq, ep);
-		tf_suspect(ep, now_us + RQ_SUSPECT_US, "silent", rq->request.id);
+	if (rq->order)
+		return;
+	if (lost <= 0 || rq->attempt == NULL ||
+	    tf_pick_repair(rq->tf, rq->service, &rq->request, &rq->target, lost, &rq->repair) < 0) {
+		rq_resume(rq, lost);
+		return;
+	}
+	pipeline = seam->wire.pipeline(rq->repair.stages, rq->repair.count);
+	body = seam->engine.make_repath(rq->request.id, pipeline, rq->tf->view->fence);
+	url = g_strdup_printf("http://%s%s", rq->target.eps[0]->rec->addr,
+			      seam->engine.order_path());
+	request.url = url;
+	request.body = body;
+	request.body_len = strlen(body);
+	rq->order_us = tmr_now();
+	rq->lost = lost;
+	jl_begin(JL_INFO, "repair");
+	jl_str("id", rq->request.id);
+	jl_str("lost", rq->target.stages[lost].addr);
+	jl_str("pipeline", pipeline);
+	jl_int("fence", rq->tf->view->fence);
+	jl_end();
+	met_add(met_counter("bg_orders_total", "order=\"repair\""), 1);
+	rq->order = hc_start(rq->tf->hc, &request, &rq_order_ops, rq);
+	g_free(pipeline);
+	g_free(body);
+	g_free(url);
+}
+
+static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct rq *rq = ctx;
+	bool done = status == STATUS_OK || status == STATUS_ACCEPTED;
+
+	(void)sent;
+	rq->order = NULL;
+	jl_begin(JL_KEEP, "repaired");
+	jl_str("id", rq->request.id);
+	jl_int("status", status);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	if (!done && len > 0 && len < RQ_LOGGED_MAX)
+		jl_str("answer", body);
+	jl_int("took_ms", (tmr_now() - rq->order_us) / USEC_PER_MSEC);
+	jl_end();
+	if (!done) {
+		tf_target_clear(&rq->repair);
+		rq_resume(rq, rq->lost);
+		return;
+	}
+	tf_target_clear(&rq->target);
+	rq->target = rq->repair;
+	memset(&rq->repair, 0, sizeof(rq->repair));
+	fwd_on_sign(&rq->fwd, tmr_now());
+}
+
+void rq_on_suspect(struct rq *rq, const struct tf_ep *ep)
+{
+	int64_t now_us = tmr_now();
+
+	if (!rq->target.layered || !rq->attempt || now_us - rq->part_us < RQ_ACTIVE_US)
+		return;
+	for (int i = 0; i < rq->target.count; i++) {
+		if (rq->target.eps[i] == ep) {
+			rq_recover(rq, i);
+			return;
+		}
 	}
-	return false;
 }
 
 /* What the end of an attempt tells about its endpoints. */
@@ -364,7 +585,7 @@
 		culprit = g_hash_table_lookup(rq->tf->by_addr, rq->answer.culprit);
 	if (culprit) {
 		rq_avoid(rq, culprit);
-		tf_suspect(culprit, now_us + RQ_SUSPECT_US / 4, "named_at_fault", rq->request.id);
+		tf_suspect(rq->tf, culprit, RQ_SUSPECT_US / 4, "named_at_fault", rq->request.id);
 		return;
 	}
 	if (!first || err == 0)
@@ -372,15 +593,7 @@
 	rq_avoid(rq, first);
 	tf_ep_failed(first, now_us);
 	if (!sent)
-		tf_suspect(first, now_us + RQ_SUSPECT_US, "unreachable", rq->request.id);
-}
-
-static void rq_progress(struct rq *rq)
-{
-	int64_t now_us = tmr_now();
-
-	for (int i = 0; i < rq->target.count; i++)
-		rq->target.eps[i]->progress_us = now_us;
+		tf_suspect(rq->tf, first, RQ_SUSPECT_US, "unreachable", rq->request.id);
 }
 
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers)
@@ -398,8 +611,7 @@
 {
 	struct rq *rq = ctx;
 
-	if (rq->answer.head.status / 100 == 2)
-		rq_progress(rq);
+	rq->part_us = tmr_now();
 	fwd_on_data(&rq->fwd, data, len, tmr_now());
 }
 
@@ -411,6 +623,7 @@
 	(void)body;
 	(void)len;
 	rq->attempt = NULL;
+	rq_cancel(rq);
 	if (failed) {
 		jl_begin(JL_KEEP, "attempt_failed");
 		jl_str("id", rq->request.id);
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -54,7 +54,9 @@
 
 		t->ctl = ctl;
 		t->topic = i;
-		t->next = -1;
+		t->next = i == SEAM_ENDPOINTS && ctl->listed ? ctl->endpoints.next : -1;
+		t->read_us = 0;
+		t->failures = 0;
 		t->wait_ms = sf_pace[i].wait_ms;
 		t->pause_us = sf_pace[i].pause_ms * USEC_PER_MSEC;
 		sf_ask(t);
@@ -74,9 +76,13 @@
 	}
 }
 
-bool sf_is_away(const struct ctl *ctl)
+bool sf_is_reached(const struct ctl *ctl)
 {
-	return ctl->topics[SEAM_CONF].failures > 0;
+	const struct sf_topic *conf = &ctl->topics[SEAM_CONF];
+	const struct sf_topic *endpoints = &ctl->topics[SEAM_ENDPOINTS];
+
+	return ctl->direct && conf->read_us > 0 && endpoints->read_us > 0 && conf->failures == 0 &&
+	       endpoints->failures == 0;
 }
 
 static void sf_ask(struct sf_topic *t)
@@ -110,75 +116,17 @@
 		loop_after(t->ctl->loop, &t->timer, delay_us, sf_on_timer, t);
 }
 
-void sf_take_conf(struct ctl *ctl, struct str text, const char *from)
-{
-	char *error = NULL;
-	struct rt_conf *conf = ctl->router->seam->decl.read_conf(text, &error);
-	int64_t before = ctl->conf ? ctl->conf->version : -1;
-
-	if (!conf) {
-		jl_begin(JL_KEEP, "configuration_unreadable");
-		jl_str("from", from);
-		jl_str("error", error);
-		jl_end();
-		g_free(error);
-		return;
-	}
-	if (conf->version <= before) {
-		rt_conf_unref(conf);
-		return;
-	}
-	jl_begin(JL_KEEP, "configuration");
-	jl_int("version", conf->version);
-	jl_int("before", before);
-	jl_str("from", from);
-	jl_int("routes", conf->routes->len);
-	jl_int("accounts", conf->accounts->len);
-	jl_end();
-	rt_conf_unref(ctl->conf);
-	ctl->conf = conf;
-	ctl_view_due(ctl);
-}
-
-static void sf_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str value)
-{
-	char *error = NULL;
-	struct ep_rec *rec = NULL;
-
-	if (value.data) {
-		rec = ctl->router->seam->decl.read_endpoint(id, value, &error);
-		if (!rec) {
-			jl_begin(JL_KEEP, "endpoint_unreadable");
-			jl_str("endpoint", id);
-			jl_str("error", error);
-			jl_end();
-			g_free(error);
-			return;
-		}
-	}
-	ep_on_record(&ctl->endpoints, offset, id, rec, tmr_now());
-}
-
-static void sf_take_host(struct ctl *ctl, const char *name, struct str value)
-{
-	if (!value.data)
-		g_hash_table_remove(ctl->hosts, name);
-	else
-		g_hash_table_replace(ctl->hosts, g_strdup(name), str_dup(value));
-	ctl_view_due(ctl);
-}
-
 static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value)
 {
 	struct sf_topic *t = ctx;
 	char *name = str_dup(key);
 
 	if (t->topic == SEAM_CONF && value.data)
-		sf_take_conf(t->ctl, value, "store");
+		ctl_take_conf(t->ctl, value, "store");
 	else if (t->topic == SEAM_ENDPOINTS)
-		sf_take_endpoint(t->ctl, offset, name, value);
+		ctl_take_endpoint(t->ctl, offset, name, value);
 	else if (t->topic == SEAM_HOSTS)
-		sf_take_host(t->ctl, name, value);
+		ctl_take_host(t->ctl, name, value);
 	g_free(name);
 }
 
@@ -194,8 +142,9 @@
 		jl_end();
 	}
 	met_add(met_counter("bg_store_failures_total", ""), 1);
-	if (t->topic == SEAM_ENDPOINTS)
+	if (t->topic == SEAM_ENDPOINTS && !follow_is_fed(t->ctl->follow))
 		ep_on_away(&t->ctl->endpoints);
+	feed_flush(t->ctl->feed);
 	sf_again(t, delay_ms * USEC_PER_MSEC);
 }
 
@@ -231,6 +180,8 @@
 	if (t->topic == SEAM_ENDPOINTS) {
 		ep_on_listed(&t->ctl->endpoints, read.end, tmr_now());
 		t->ctl->endpoints.changed = true;
+		t->ctl->listed = true;
+		feed_on_listing(t->ctl->feed);
 	}
 	sf_again(t, t->pause_us);
 	return true;
@@ -276,4 +227,5 @@
 	if (t->ctl->endpoints.changed)
 		ctl_view_due(t->ctl);
 	ctl_first_view(t->ctl);
+	feed_flush(t->ctl->feed);
 }
--- a/router/tf.c
+++ b/router/tf.c
@@ -1,6 +1,7 @@
 #include "router/tf.h"
 #include "base/jl.h"
 #include "base/met.h"
+#include "router/ctl.h"
 
 #include <ck_pr.h>
 #include <math.h>
@@ -20,6 +21,7 @@
 	 * too. After this time the store is away, and nobody knows for how long.
 	 */
 	TF_PARK_MS = 1000,
+	TF_SUSPECT_STEP_US = 500000, /* a suspicion that lasts little longer is no news */
 	TF_SEED = 12345
 };
 
@@ -295,11 +297,9 @@
 	ep->failed_us = now_us;
 }
 
-void tf_suspect(struct tf_ep *ep, int64_t until_us, const char *why, const char *request)
+static void tf_pass_over(struct tf *tf, struct tf_ep *ep, int64_t until_us, const char *why, const char *request)
 {
-	if (ep->suspect_us >= until_us)
-		return;
-	ep->suspect_us = until_us;
+	ep->suspect_us = MAX(ep->suspect_us, until_us);
 	jl_begin(JL_KEEP, "endpoint_suspected");
 	jl_str("endpoint", ep->rec->id);
 	jl_str("addr", ep->rec->addr);
@@ -307,6 +307,49 @@
 	jl_str("id", request);
 	jl_end();
 	met_add(met_counter("bg_endpoint_suspected_total", ""), 1);
+	for (guint i = tf->reqs->len; i > 0; i--)
+		rq_on_suspect(tf->reqs->pdata[i - 1], ep);
+}
+
+void tf_suspect(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
+		const char *request)
+{
+	int64_t until_us = tmr_now() + for_us;
+
+	if (ep->suspect_us + TF_SUSPECT_STEP_US >= until_us)
+		return;
+	tf_pass_over(tf, ep, until_us, why, request);
+	ctl_post_suspect(tf->router->ctl, ep->rec->id, for_us / USEC_PER_MSEC, why);
+}
+
+struct tf_suspect_msg {
+	struct tf *tf;
+	char *endpoint;
+	char *why;
+	int64_t until_us;
+};
+
+static void tf_take_suspect(void *ctx)
+{
+	struct tf_suspect_msg *msg = ctx;
+	struct tf_ep *ep = g_hash_table_lookup(msg->tf->eps, msg->endpoint);
+
+	if (ep)
+		tf_pass_over(msg->tf, ep, msg->until_us, msg->why, NULL);
+	g_free(msg->endpoint);
+	g_free(msg->why);
+	g_free(msg);
+}
+
+void tf_post_suspect(struct tf *tf, const char *endpoint, int64_t for_ms, const char *why)
+{
+	struct tf_suspect_msg *msg = g_new0(struct tf_suspect_msg, 1);
+
+	msg->tf = tf;
+	msg->endpoint = g_strdup(endpoint);
+	msg->why = g_strdup(why);
+	msg->until_us = tmr_now() + for_ms * USEC_PER_MSEC;
+	loop_post(&tf->loop, tf_take_suspect, msg);
 }
 
 int tf_zone(struct tf *tf, const char *name)
--- a/router/tf.h
+++ b/router/tf.h
@@ -15,7 +15,6 @@
 	int in_flight;	       /* requests of this host that pass through it */
 	double tokens;	       /* their tokens of context */
 	int64_t suspect_us;    /* it is passed over until then */
-	int64_t progress_us;   /* when a request that passes through it last got something */
 	double failures;       /* recent ones, fading; see tf_ep_failed() */
 	int64_t failed_us;     /* when failures was last brought up to date */
 };
@@ -55,6 +54,14 @@
 /* pick.c: 0, or a negative FWD_E. The target holds references until tf_target_clear(). */
 int tf_pick(struct tf *tf, const struct rt_service *service, const struct seam_request *request,
 	    const struct tf_target *avoid, struct tf_target *target);
+
+/*
+ * The same pipeline with the layers of stage "lost" at other endpoints; the first stage can't be
+ * replaced. Returns 0 or a negative FWD_E.
+ */
+int tf_pick_repair(struct tf *tf, const struct rt_service *service,
+		   const struct seam_request *request, const struct tf_target *now, int lost,
+		   struct tf_target *target);
 void tf_target_hold(struct tf_target *target);
 void tf_target_clear(struct tf_target *target);
 
@@ -65,7 +72,12 @@
 /* The endpoint failed or answered a request; fades with time. */
 void tf_ep_failed(struct tf_ep *ep, int64_t now_us);
 double tf_ep_failures(struct tf_ep *ep, int64_t now_us);
-void tf_suspect(struct tf_ep *ep, int64_t until_us, const char *why, const char *request);
+/*
+ * Passes the endpoint over for that time, on all hosts. Only for what is certain: a host that only
+ * guesses which stage of a pipeline is at fault would take sound endpoints from everybody.
+ */
+void tf_suspect(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
+		const char *request);
 int tf_zone(struct tf *tf, const char *name);
 
 /* Whether the configuration and the endpoints are known. */
@@ -77,6 +89,9 @@
 /* came_us: when the whole request was there. */
 void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us);
 
+/* The endpoint was found at fault: if the request waits for it, it is taken elsewhere. */
+void rq_on_suspect(struct rq *rq, const struct tf_ep *ep);
+
 /* Looks whether the caller has gone. */
 void rq_on_sweep(struct rq *rq);
 
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -141,6 +141,10 @@
 	/* Joining the group whose one leader is the placer. */
 	char *(*make_join)(const char *host, int64_t ttl_ms, int64_t generation);
 	int (*parse_join)(struct str body, int64_t *generation, bool *leader);
+
+	/* Leaving it, so that another one leads at once. */
+	char *(*leave_path)(void);
+	char *(*make_leave)(const char *host);
 };
 
 struct seam_engine {
