Streams move from leaving endpoints; a running attempt is kept unless another can be made; packed configuration from capable readers

Change: configuration deflated with zlib, readers among hosts with at least half of the strongest one's link x cores; the budget is asked first; streams are moved in the middle of the time for draining.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Builds with plain make. "make run" and "make check" do everything on a fresh machine.
 BUILD ?= build
 CFLAGS ?= -O2 -g
-PKGS = glib-2.0 libprotobuf-c libmicrohttpd libcurl jansson libxxhash inih
+PKGS = glib-2.0 zlib libprotobuf-c libmicrohttpd libcurl jansson libxxhash inih
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
 
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -293,13 +293,22 @@
 	return fwd_may_send(fwd, fwd->runs + 1, now_us);
 }
 
+/*
+ * An attempt that may still bring something is only given up for one that can be made: to cancel it
+ * first and then find the budget spent would cut a stream that was merely slow.
+ */
 void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us)
 {
 	if (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING)
 		return;
+	if (!fwd_may_give_up(fwd, now_us) || !fwd->ops->may_send_again(fwd->ctx)) {
+		fwd_arm(fwd);
+		return;
+	}
 	fwd->failure = FWD_SILENT;
 	fwd->ops->cancel(fwd->ctx);
-	fwd_attempt_failed(fwd, true, now_us);
+	fwd->runs++;
+	fwd_send(fwd, now_us);
 }
 
 void fwd_on_caller_gone(struct fwd *fwd)
@@ -336,9 +345,8 @@
 		return;
 	}
 	fwd->heard_us = now_us;
-	if (fwd->ops->on_silent(fwd->ctx) || !fwd_may_give_up(fwd, now_us)) {
+	if (fwd->ops->on_silent(fwd->ctx))
 		fwd_arm(fwd);
-		return;
-	}
-	fwd_give_up_attempt(fwd, now_us);
+	else
+		fwd_give_up_attempt(fwd, now_us);
 }
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -144,7 +144,7 @@
 /* Something else was heard of the attempt: silence counts from now. */
 void fwd_on_sign(struct fwd *fwd, int64_t now_us);
 
-/* Gives the attempt under way up for a reason found elsewhere, as if it had been silent. */
+/* Gives the attempt under way up and sends again, if that is possible; else the attempt goes on. */
 void fwd_give_up_attempt(struct fwd *fwd, int64_t now_us);
 
 void fwd_on_caller_gone(struct fwd *fwd);
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -405,7 +405,7 @@
   (ProtobufCMessageInit) feed__endpoint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__host__field_descriptors[2] =
+static const ProtobufCFieldDescriptor feed__host__field_descriptors[3] =
 {
   {
     "name",
@@ -431,15 +431,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Host, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__host__field_indices_by_name[] = {
   1,   /* field[1] = addr */
+  2,   /* field[2] = capacity */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange feed__host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor feed__host__descriptor =
 {
@@ -449,7 +462,7 @@
   "Feed__Host",
   "feed",
   sizeof(Feed__Host),
-  2,
+  3,
   feed__host__field_descriptors,
   feed__host__field_indices_by_name,
   1,  feed__host__number_ranges,
@@ -533,7 +546,7 @@
   (ProtobufCMessageInit) feed__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__update__field_descriptors[8] =
+static const ProtobufCFieldDescriptor feed__update__field_descriptors[9] =
 {
   {
     "away",
@@ -631,10 +644,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_len",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Update, conf_len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__update__field_indices_by_name[] = {
   0,   /* field[0] = away */
   1,   /* field[1] = conf */
+  8,   /* field[8] = conf_len */
   3,   /* field[3] = endpoints */
   4,   /* field[4] = endpoints_next */
   6,   /* field[6] = generation */
@@ -645,7 +671,7 @@
 static const ProtobufCIntRange feed__update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor feed__update__descriptor =
 {
@@ -655,7 +681,7 @@
   "Feed__Update",
   "feed",
   sizeof(Feed__Update),
-  8,
+  9,
   feed__update__field_descriptors,
   feed__update__field_indices_by_name,
   1,  feed__update__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -69,10 +69,14 @@
   ProtobufCMessage base;
   char *name;
   char *addr;
+  /*
+   * Mbit/s of its link x cores
+   */
+  double capacity;
 };
 #define FEED__HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__host__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -108,9 +112,13 @@
    */
   protobuf_c_boolean away;
   /*
-   * newest configuration; empty: no change
+   * newest configuration, deflated; empty: no change
    */
   ProtobufCBinaryData conf;
+  /*
+   * its length before that
+   */
+  int64_t conf_len;
   /*
    * endpoints holds all of them
    */
@@ -138,7 +146,7 @@
 };
 #define FEED__UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__update__descriptor) \
-    , 0, {0,NULL}, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/prog/router.c
+++ b/prog/router.c
@@ -32,6 +32,8 @@
 const struct set_item router_items[] = {
 	ITEM("host", "name", SET_TEXT, name, NULL, 1, 0),
 	ITEM("host", "zone", SET_TEXT, zone, NULL, 1, 0),
+	ITEM("host", "link_mbps", SET_REAL, link_mbps, "1000", 0, 1000000),
+	ITEM("host", "cores", SET_REAL, cores, "1", 0, 1024),
 	ITEM("listen", "front", SET_ADDR, front, NULL, 0, 0),
 	ITEM("listen", "ready", SET_ADDR, ready, NULL, 0, 0),
 	ITEM("listen", "metrics", SET_ADDR, metrics, NULL, 0, 0),
--- a/router/ctl.c
+++ b/router/ctl.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 #include <time.h>
+#include <zlib.h>
 
 enum {
 	USEC_PER_MSEC = 1000,
@@ -30,7 +31,8 @@
 static void ctl_on_listed(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void ctl_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void ctl_post_view(struct ctl *ctl);
-static void ctl_list_self(struct ctl *ctl, const char *addr);
+static void ctl_list_self(struct ctl *ctl, bool listed);
+static void ctl_host_free(gpointer data);
 static void ctl_list_again(void *ctx, int64_t now_us);
 static void ctl_leave(struct ctl *ctl);
 
@@ -62,9 +64,9 @@
 	ctl->loop = loop;
 	ctl->hc = hc_new(loop);
 	ctl->generation = -1;
-	ctl->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	ctl->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ctl_host_free);
 	ep_list_init(&ctl->endpoints);
-	ctl->conf_text = g_string_new(NULL);
+	ctl->conf_packed = g_byte_array_new();
 	ctl->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctl->loads = ctl_loads_new();
 	ctl->placer = placer_new(ctl);
@@ -72,7 +74,7 @@
 	ctl->feed = feed_new(ctl);
 	ctl->follow = follow_new(ctl);
 	ctl_set_direct(ctl, true);
-	ctl_list_self(ctl, router->settings.control);
+	ctl_list_self(ctl, true);
 	loop_after(loop, &ctl->ticker, CTL_TICK_MS * USEC_PER_MSEC, ctl_on_tick, ctl);
 	return ctl;
 }
@@ -91,7 +93,7 @@
 	ep_list_finish(&ctl->endpoints);
 	g_hash_table_destroy(ctl->hosts);
 	g_hash_table_destroy(ctl->seen);
-	g_string_free(ctl->conf_text, TRUE);
+	g_byte_array_unref(ctl->conf_packed);
 	rt_conf_unref(ctl->conf);
 	g_free(ctl);
 }
@@ -101,7 +103,7 @@
 	ctl->stopping = true;
 	ctl->leader = false;
 	ctl_leave(ctl);
-	ctl_list_self(ctl, NULL);
+	ctl_list_self(ctl, false);
 }
 
 void ctl_view_due(struct ctl *ctl)
@@ -146,6 +148,22 @@
 	jl_end();
 }
 
+/*
+ * A reader hands the configuration to a third of all hosts, over a link of perhaps 20 Mbit/s: 1,500
+ * routes are 400 KB, which took seconds as they are.
+ */
+static void ctl_pack_conf(struct ctl *ctl, struct str text)
+{
+	uLongf len = compressBound(text.len);
+
+	g_byte_array_set_size(ctl->conf_packed, (guint)len);
+	if (compress2(ctl->conf_packed->data, &len, (const Bytef *)text.data, text.len,
+		      Z_BEST_SPEED) != Z_OK)
+		len = 0;
+	g_byte_array_set_size(ctl->conf_packed, (guint)len);
+	ctl->conf_len = text.len;
+}
+
 void ctl_take_conf(struct ctl *ctl, struct str text, const char *from)
 {
 	char *error = NULL;
@@ -167,8 +185,7 @@
 	ctl_log_conf(conf, before, from);
 	rt_conf_unref(ctl->conf);
 	ctl->conf = conf;
-	g_string_truncate(ctl->conf_text, 0);
-	g_string_append_len(ctl->conf_text, text.data, (gssize)text.len);
+	ctl_pack_conf(ctl, text);
 	ctl_view_due(ctl);
 }
 
@@ -193,16 +210,38 @@
 	ep_on_record(&ctl->endpoints, offset, id, rec, tmr_now());
 }
 
-void ctl_take_host(struct ctl *ctl, const char *name, struct str addr)
+static void ctl_host_free(gpointer data)
 {
-	const char *before = g_hash_table_lookup(ctl->hosts, name);
+	struct ctl_host *host = data;
 
-	if (before ? addr.data && str_is(addr, before) : !addr.data)
-		return;
-	if (!addr.data)
-		g_hash_table_remove(ctl->hosts, name);
-	else
-		g_hash_table_replace(ctl->hosts, g_strdup(name), str_dup(addr));
+	g_free(host->addr);
+	g_free(host);
+}
+
+/* The text is "ADDRESS CAPACITY". */
+void ctl_take_host(struct ctl *ctl, const char *name, struct str text)
+{
+	const struct ctl_host *before = g_hash_table_lookup(ctl->hosts, name);
+	char *copy = text.data ? str_dup(text) : NULL;
+	char **words = copy ? g_strsplit(copy, " ", 2) : NULL;
+	struct ctl_host *host;
+
+	g_free(copy);
+	if (!words || !words[0]) {
+		g_strfreev(words);
+		if (!g_hash_table_remove(ctl->hosts, name))
+			return;
+	} else {
+		host = g_new0(struct ctl_host, 1);
+		host->addr = g_strdup(words[0]);
+		host->capacity = words[1] ? g_ascii_strtod(words[1], NULL) : 0;
+		g_strfreev(words);
+		if (before && strcmp(before->addr, host->addr) == 0) {
+			ctl_host_free(host);
+			return;
+		}
+		g_hash_table_replace(ctl->hosts, g_strdup(name), host);
+	}
 	ctl->hosts_version++;
 	follow_on_hosts(ctl->follow);
 	ctl_view_due(ctl);
@@ -340,13 +379,16 @@
 	return call;
 }
 
-/* Puts this host into the store's list of hosts, or with addr NULL out of it. */
-static void ctl_list_self(struct ctl *ctl, const char *addr)
+/* Puts this host into the store's list of hosts, or out of it. */
+static void ctl_list_self(struct ctl *ctl, bool listed)
 {
+	const struct router_settings *s = &ctl->router->settings;
 	const struct seam_store *store = &ctl->router->seam->store;
-	GString *record = store->make_record(ctl->router->settings.name, addr);
+	char *text = g_strdup_printf("%s %.3f", s->control, s->link_mbps * s->cores);
+	GString *record = store->make_record(s->name, listed ? text : NULL);
 	size_t len = record->len;
 
+	g_free(text);
 	ctl_post(ctl, store->append_path(SEAM_HOSTS), g_string_free(record, FALSE), len,
 		 &ctl_list_ops);
 }
@@ -401,7 +443,7 @@
 	struct ctl *ctl = ctx;
 
 	(void)now_us;
-	ctl_list_self(ctl, ctl->router->settings.control);
+	ctl_list_self(ctl, true);
 }
 
 /* Joins the group of hosts, or stays in it; the store says whether this host leads. */
--- a/router/ctl.h
+++ b/router/ctl.h
@@ -25,15 +25,22 @@
 	int64_t read_us; /* when it was last read with success; 0: never */
 };
 
+/* A host of this system, as it lists itself in the store. */
+struct ctl_host {
+	char *addr;	  /* of its control thread */
+	double capacity;  /* Mbit/s of its link x cores; hosts differ tenfold */
+};
+
 struct ctl {
 	struct router *router;
 	struct loop *loop;
 	struct hc *hc;
 	struct rt_conf *conf;
-	GString *conf_text; /* as it was read, for handing it on */
+	GByteArray *conf_packed; /* its text, deflated, for handing it on */
+	gsize conf_len;		 /* of the text */
 	struct ep_list endpoints;
 	bool listed;	   /* the endpoints have been read whole once */
-	GHashTable *hosts; /* name -> address of the control thread */
+	GHashTable *hosts; /* name -> struct ctl_host */
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
 	bool direct; /* this host reads the store itself */
@@ -80,7 +87,7 @@
 /* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
 void ctl_take_conf(struct ctl *ctl, struct str text, const char *from);
 void ctl_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str text);
-void ctl_take_host(struct ctl *ctl, const char *name, struct str addr);
+void ctl_take_host(struct ctl *ctl, const char *name, struct str text);
 
 /* Takes the newest loads (struct router_load); the array is taken over. */
 void ctl_take_loads(struct ctl *ctl, GArray *loads);
--- a/router/feed.c
+++ b/router/feed.c
@@ -273,8 +273,9 @@
 
 	if (!ctl->conf || ctl->conf->version <= follower->conf_version)
 		return;
-	msg->conf.data = (uint8_t *)ctl->conf_text->str;
-	msg->conf.len = ctl->conf_text->len;
+	msg->conf.data = ctl->conf_packed->data;
+	msg->conf.len = ctl->conf_packed->len;
+	msg->conf_len = (int64_t)ctl->conf_len;
 	follower->conf_version = ctl->conf->version;
 }
 
@@ -298,14 +299,16 @@
 {
 	GHashTableIter iter;
 	gpointer name;
-	gpointer addr;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, ctl->hosts);
-	while (g_hash_table_iter_next(&iter, &name, &addr)) {
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct ctl_host *from = value;
 		Feed__Host host = FEED__HOST__INIT;
 
 		host.name = name;
-		host.addr = addr;
+		host.addr = from->addr;
+		host.capacity = from->capacity;
 		g_array_append_val(hosts, host);
 	}
 	for (guint i = 0; i < hosts->len; i++)
--- a/router/follow.c
+++ b/router/follow.c
@@ -6,6 +6,7 @@
 #include "router/ctl.h"
 
 #include <string.h>
+#include <zlib.h>
 
 enum {
 	USEC_PER_MSEC = 1000,
@@ -24,6 +25,7 @@
 	FOLLOW_SILENT_MS = 1000,
 	FOLLOW_SUSPECT_MS = 4000, /* a host that did not answer is passed over for this time */
 	FOLLOW_RETRY_MS = 300,
+	FOLLOW_CONF_MAX = 64 << 20, /* bytes; 370 hosts' deployments have some MB */
 	/* Hosts start together and learn of each other over this time; until then each reads. */
 	FOLLOW_SETTLE_MS = 1500
 };
@@ -71,20 +73,37 @@
 	return follow->fed;
 }
 
+/* Hosts that may be readers: those with at least half of what the strongest has. */
+static double follow_least_capacity(const struct ctl *ctl)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double most = 0;
+
+	g_hash_table_iter_init(&iter, ctl->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		most = MAX(most, ((const struct ctl_host *)value)->capacity);
+	return most / 2;
+}
+
 void follow_on_hosts(struct follow *follow)
 {
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct host));
+	double least = follow_least_capacity(follow->ctl);
 	GHashTableIter iter;
 	gpointer name;
-	gpointer addr;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, follow->ctl->hosts);
-	while (g_hash_table_iter_next(&iter, &name, &addr)) {
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct ctl_host *from = value;
 		struct host host;
 
+		if (from->capacity < least)
+			continue;
 		memset(&host, 0, sizeof(host));
 		g_strlcpy(host.name, name, sizeof(host.name));
-		g_strlcpy(host.control_addr, addr, sizeof(host.control_addr));
+		g_strlcpy(host.control_addr, from->addr, sizeof(host.control_addr));
 		g_array_append_val(hosts, host);
 	}
 	host_on_list(&follow->table, (const struct host *)(void *)hosts->data, hosts->len);
@@ -200,6 +219,14 @@
 	ctl_set_direct(ctl, is_reader || !follow->fed || now_us < follow->settled_us);
 }
 
+static void follow_log(const struct follow *follow, const char *event, const char *error)
+{
+	jl_begin(JL_KEEP, event);
+	jl_str("feeder", follow->host);
+	jl_str("error", error);
+	jl_end();
+}
+
 static void follow_take_endpoints(struct follow *follow, const Feed__Update *msg)
 {
 	struct ctl *ctl = follow->ctl;
@@ -228,10 +255,31 @@
 
 	if (msg->n_hosts == 0)
 		return;
-	for (size_t i = 0; i < msg->n_hosts; i++)
-		ctl_take_host(ctl, msg->hosts[i]->name, str_of(msg->hosts[i]->addr));
+	for (size_t i = 0; i < msg->n_hosts; i++) {
+		const Feed__Host *host = msg->hosts[i];
+		char *text = g_strdup_printf("%s %.3f", host->addr, host->capacity);
+
+		ctl_take_host(ctl, host->name, str_of(text));
+		g_free(text);
+	}
+}
+
+static void follow_take_conf(struct follow *follow, const Feed__Update *msg)
+{
+	uLongf len = (uLongf)MAX(msg->conf_len, 0);
+	char *text;
+
+	if (msg->conf.len == 0 || len > FOLLOW_CONF_MAX)
+		return;
+	text = g_malloc(len + 1);
+	if (uncompress((Bytef *)text, &len, msg->conf.data, msg->conf.len) == Z_OK)
+		ctl_take_conf(follow->ctl, str_make(text, len), follow->host);
+	else
+		follow_log(follow, "feed_unreadable", "configuration");
+	g_free(text);
 }
 
+
 /* The leader polls by itself; what comes back to it by way of others is older. */
 static void follow_take_loads(struct follow *follow, const Feed__Update *msg)
 {
@@ -250,14 +298,6 @@
 	ctl_take_loads(follow->ctl, loads);
 }
 
-static void follow_log(const struct follow *follow, const char *event, const char *error)
-{
-	jl_begin(JL_KEEP, event);
-	jl_str("feeder", follow->host);
-	jl_str("error", error);
-	jl_end();
-}
-
 static int follow_on_update(struct follow *follow, const uint8_t *body, size_t len)
 {
 	struct ctl *ctl = follow->ctl;
@@ -271,9 +311,7 @@
 	host_on_evidence(&follow->table, follow->host, HOST_HEARD, tmr_now());
 	if (follow->fed)
 		ep_on_reached(&ctl->endpoints, tmr_now());
-	if (msg->conf.len > 0)
-		ctl_take_conf(ctl, str_make((const char *)msg->conf.data, msg->conf.len),
-			      follow->host);
+	follow_take_conf(follow, msg);
 	follow_take_endpoints(follow, msg);
 	follow_take_hosts(follow, msg);
 	follow_take_loads(follow, msg);
--- a/router/pick.c
+++ b/router/pick.c
@@ -229,7 +229,7 @@
 {
 	const struct tf_ep *ep = now->eps[stage];
 
-	return pick_avoided(avoid, ep) || ep->suspect_us > now_us || !ep->listed;
+	return pick_avoided(avoid, ep) || !tf_ep_is_good(ep, now_us);
 }
 
 /* Replaces stages bad..next-1. */
@@ -263,14 +263,14 @@
 	int err = 0;
 
 	memset(target, 0, sizeof(*target));
-	if (pick_is_bad(now, 0, avoid, now_us))
+	if (pick_avoided(avoid, now->eps[0]) || now->eps[0]->suspect_us > now_us)
 		return FWD_ENOENDPOINT;
 	pick_without(now, avoid, &without);
 	pick_init(&pick, tf, service, request, &without);
 	for (int i = 0; err == 0 && i < now->count;) {
 		int next = i;
 
-		while (next < now->count && pick_is_bad(now, next, avoid, now_us))
+		while (i > 0 && next < now->count && pick_is_bad(now, next, avoid, now_us))
 			next++;
 		if (next > i)
 			err = pick_replace(&pick, tf, service, now, i, next, target);
--- a/router/router.h
+++ b/router/router.h
@@ -37,6 +37,8 @@
 	double repeat_fixed;
 	int64_t stall_ms;
 	int64_t log_lines;
+	double link_mbps;
+	double cores;
 };
 
 /* What the control thread knows, as the traffic thread uses it. Immutable once posted. */
--- a/router/rq.c
+++ b/router/rq.c
@@ -24,6 +24,9 @@
 	RQ_DOUBT_US = 700000,	  /* that an endpoint is passed over for what may have other causes */
 	RQ_UNREACHED_US = 1500000, /* between two failures to reach it that count together */
 	RQ_REPAIRS_MAX = 6,
+	/* Parts of the time for which a leaving endpoint goes on, in hundredths. */
+	RQ_MOVE_PART = 40,
+	RQ_MOVE_FIRST_PART = 80,
 	RQ_ACTIVE_US = 80000, /* a stream that brought something since then is not stalled */
 	RQ_LOGGED_MAX = 200,  /* bytes of an endpoint's refusal that go into the log */
 	RQ_SUSPECT_US = 3000000,
@@ -489,10 +492,7 @@
 /* Sends the request again from what the caller has, elsewhere. */
 static void rq_resume(struct rq *rq)
 {
-	int64_t now_us = tmr_now();
-
-	if (fwd_may_give_up(&rq->fwd, now_us))
-		fwd_give_up_attempt(&rq->fwd, now_us);
+	fwd_give_up_attempt(&rq->fwd, tmr_now());
 }
 
 /* Whether a stage after the first can be replaced; fills rq->repair. */
@@ -735,10 +735,45 @@
 	tmr_set(&rq->tf->loop.tmr, &rq->timer, due_us, rq_on_timer, rq);
 }
 
-void rq_on_sweep(struct rq *rq)
+/* How long the stage has been leaving; 0: it is not. */
+static int64_t rq_leaving_us(const struct tf_ep *ep, int64_t now_us)
+{
+	return ep->left_us > 0 ? now_us - ep->left_us : 0;
+}
+
+/*
+ * An endpoint that leaves goes on for a while and then cuts what it still runs. Streams that are
+ * still there in the middle of that time are moved; from a first stage, which costs a repeat, only
+ * shortly before its end.
+ */
+static void rq_leave_stages(struct rq *rq, int64_t now_us)
+{
+	int64_t drain_us = rq->tf->router->settings.drain_ms * USEC_PER_MSEC;
+
+	if (!rq->target.layered || !rq->attempt || rq->order || !rq->fwd.begun)
+		return;
+	if (rq_leaving_us(rq->target.eps[0], now_us) > drain_us * RQ_MOVE_FIRST_PART / 100) {
+		rq_avoid(rq, rq->target.eps[0]);
+		rq_resume(rq);
+		return;
+	}
+	for (int i = 1; i < rq->target.count; i++) {
+		if (rq_leaving_us(rq->target.eps[i], now_us) > drain_us * RQ_MOVE_PART / 100 &&
+		    rq->repairs < RQ_REPAIRS_MAX) {
+			rq_recover(rq);
+			return;
+		}
+	}
+}
+
+void rq_on_sweep(struct rq *rq, int64_t now_us)
 {
+	if (rq->fwd.state == FWD_ENDED)
+		return;
 	if (hd_gone(rq->call))
 		fwd_on_caller_gone(&rq->fwd);
+	else
+		rq_leave_stages(rq, now_us);
 }
 
 static void rq_observe(const struct rq *rq, int64_t now_us)
--- a/router/tf.h
+++ b/router/tf.h
@@ -12,6 +12,7 @@
 	struct ep_rec *rec;
 	int refs;
 	bool listed;	       /* in the present view */
+	int64_t left_us;       /* when it was first seen to be leaving; 0: it is not */
 	int in_flight;	       /* requests of this host that pass through it */
 	double tokens;	       /* their tokens of context */
 	double pace;	       /* as it reported last; 1: as usual */
@@ -105,7 +106,7 @@
 /* The endpoint was found at fault: if the request waits for it, it is taken elsewhere. */
 void rq_on_suspect(struct rq *rq, const struct tf_ep *ep);
 
-/* Looks whether the caller has gone. */
-void rq_on_sweep(struct rq *rq);
+/* Looks whether the caller has gone, and moves the request from endpoints that leave. */
+void rq_on_sweep(struct rq *rq, int64_t now_us);
 
 #endif
