--- /dev/null
+++ b/base/jl_test.cc
@@ -0,0 +1,100 @@
+#include "base/jl.h"
+#include "base/met.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <string>
+#include <unistd.h>
+
+namespace
+{
+
+/* Standard output is a pipe while a test runs. */
+class JlTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		fflush(stdout);
+		saved_ = dup(STDOUT_FILENO);
+		ASSERT_EQ(pipe(pipe_), 0);
+		dup2(pipe_[1], STDOUT_FILENO);
+		jl_open("h1");
+		jl_set_rate(1000000);
+	}
+	void TearDown() override
+	{
+		if (saved_ >= 0)
+			Restore();
+		close(pipe_[0]);
+		close(pipe_[1]);
+	}
+	void Restore()
+	{
+		dup2(saved_, STDOUT_FILENO);
+		close(saved_);
+		saved_ = -1;
+	}
+	std::string Read()
+	{
+		char buf[1 << 17];
+		fcntl(pipe_[0], F_SETFL, O_NONBLOCK);
+		ssize_t n = read(pipe_[0], buf, sizeof(buf));
+		return n > 0 ? std::string(buf, (size_t)n) : "";
+	}
+	int saved_ = -1;
+	int pipe_[2];
+};
+
+void Line(const char *text = "x", jl_level level = JL_INFO)
+{
+	jl_begin(level, "event");
+	jl_str("text", text);
+	jl_int("n", 5);
+	jl_end();
+}
+
+TEST_F(JlTest, OneJsonObjectALineWhateverACallerSends)
+{
+	const std::string huge(10000, 'y');
+	for (const char *text : {"plain", "quote\" back\\ line\nend\r", "\x01\x7f\xff", huge.c_str()}) {
+		Line(text);
+		std::string line = Read();
+		ASSERT_FALSE(line.empty());
+		EXPECT_EQ(line.find('\n'), line.size() - 1);
+		json_t *json = json_loads(line.c_str(), 0, nullptr);
+		EXPECT_NE(json, nullptr) << line;
+		EXPECT_STREQ(json_string_value(json_object_get(json, "event")), "event");
+		EXPECT_EQ(json_integer_value(json_object_get(json, "n")), 5);
+		json_decref(json);
+	}
+}
+
+/*
+ * Symptom: a host stopped serving because nobody read its log.
+ * Sequence: the pipe is full; a line is written.
+ * Cause: the write waited for the reader.
+ */
+TEST_F(JlTest, AFullPipeLeavesLinesOutAndNeverWaits)
+{
+	uint64_t before = met_get(met_counter("bg_log_left_out_total", ""));
+	for (int i = 0; i < 5000; i++)
+		Line("some text of a line", JL_KEEP);
+	EXPECT_GT(met_get(met_counter("bg_log_left_out_total", "")), before);
+	while (!Read().empty())
+		;
+	Line("after", JL_KEEP);
+	EXPECT_NE(Read().find("left_out"), std::string::npos);
+}
+
+TEST_F(JlTest, TooManyLinesASecondAreLeftOutButForTheImportant)
+{
+	jl_set_rate(0);
+	Line("ordinary");
+	EXPECT_EQ(Read(), "");
+	Line("bad ending", JL_KEEP);
+	EXPECT_NE(Read().find("bad ending"), std::string::npos);
+}
+
+} // namespace
--- /dev/null
+++ b/fwd/fwd_test.cc
@@ -0,0 +1,402 @@
+#include "fwd/fwd.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+const int64_t MS = 1000;
+
+/* Plays a request against scripted endpoints and writes down what it does, a word an action. */
+class FwdTest : public ::testing::Test
+{
+      protected:
+	void Start(bool may_repeat, bool streaming, int runs_max = 2)
+	{
+		fwd_rules rules{};
+		rules.may_repeat = may_repeat;
+		rules.streaming = streaming;
+		rules.runs_max = runs_max;
+		rules.deadline_us = 10000 * MS;
+		rules.first_us = 300 * MS;
+		rules.gap_us = 100 * MS;
+		fwd_init(&fwd_, &rules, &ops_, this);
+		live_ = true;
+		fwd_start(&fwd_, now_);
+	}
+	void TearDown() override
+	{
+		if (live_)
+			fwd_finish(&fwd_);
+	}
+	void Head(int status, bool sealed = true, bool ours = true, bool not_run = false,
+		  bool encoded = false)
+	{
+		fwd_head head{status, not_run, sealed, ours, encoded};
+		fwd_on_head(&fwd_, &head, now_);
+	}
+	void Data(const std::string &data) { fwd_on_data(&fwd_, data.data(), data.size(), now_); }
+	void Done(bool whole, bool sent = true) { fwd_on_done(&fwd_, whole, sent, now_); }
+	void Wait(int64_t us)
+	{
+		now_ += us;
+		fwd_on_time(&fwd_, now_);
+	}
+	std::string Did()
+	{
+		std::string all;
+		for (const auto &d : did_)
+			all += (all.empty() ? "" : " ") + d;
+		did_.clear();
+		return all;
+	}
+	static FwdTest *Of(void *ctx) { return (FwdTest *)ctx; }
+	static void Say(void *ctx, const std::string &what) { Of(ctx)->did_.push_back(what); }
+
+	const fwd_ops ops_ = {
+		[](void *ctx, int, const char *resume_after) {
+			if (Of(ctx)->send_error_ == 0)
+				Say(ctx, resume_after ? std::string("send@") + resume_after : "send");
+			return Of(ctx)->send_error_;
+		},
+		[](void *ctx) { return Of(ctx)->budget_; },
+		[](void *ctx) { Say(ctx, "cancel"); },
+		[](void *ctx) {
+			Say(ctx, "silent");
+			return Of(ctx)->keep_silent_;
+		},
+		[](void *ctx, const char *body, size_t len) {
+			Say(ctx, "whole:" + std::string(body, len));
+		},
+		[](void *ctx) { Say(ctx, "begin"); },
+		[](void *ctx, const char *data, size_t len) {
+			Say(ctx, "data" + std::to_string(len));
+			Of(ctx)->got_ += std::string(data, len);
+		},
+		[](void *ctx) { Say(ctx, "end"); },
+		[](void *ctx) { Say(ctx, "abort"); },
+		[](void *ctx, int status, bool not_run) {
+			Say(ctx, "refuse" + std::to_string(status) + (not_run ? "!" : "?"));
+		},
+		[](void *, int64_t) {},
+		[](void *ctx, fwd_cause cause) { Say(ctx, fwd_cause_name(cause)); },
+	};
+	fwd fwd_;
+	bool live_ = false;
+	int64_t now_ = 1000 * MS;
+	int send_error_ = 0;
+	bool budget_ = true;
+	bool keep_silent_ = false;
+	std::vector<std::string> did_;
+	std::string got_;
+};
+
+TEST_F(FwdTest, AnswerIsHandedOnWhole)
+{
+	Start(false, false);
+	Head(200);
+	Data("ab");
+	Data("c");
+	Done(true);
+	EXPECT_EQ(Did(), "send whole:abc ok");
+}
+
+TEST_F(FwdTest, EventsAreHandedOnAsTheyCome)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\nda");
+	Data("ta: x\n\nid: 2\n\n");
+	Done(true);
+	EXPECT_EQ(Did(), "send begin data15 data7 end ok");
+}
+
+/*
+ * Symptom: a request that may run once ran twice.
+ * Sequence: it is sent, the connection breaks before the answer.
+ * Cause: no answer was taken for "not run".
+ */
+TEST_F(FwdTest, WhatMayHaveRunIsNotSentAgain)
+{
+	Start(false, false);
+	Done(false);
+	EXPECT_EQ(Did(), "send refuse502? broken");
+}
+
+/* A caller that is told 503 may send again elsewhere; that is right only if nothing ran. */
+TEST_F(FwdTest, NotRunIsSaidOnlyWhereItIsCertain)
+{
+	const struct {
+		bool sent, headed, not_run;
+		const char *did;
+	} cases[] = {
+		{false, false, false, "send refuse503! unreached"},
+		{true, false, false, "send refuse502? broken"},
+		{true, true, true, "send refuse503! rejected"},
+		{true, true, false, "send refuse502? broken"},
+	};
+	budget_ = false;
+	for (const auto &c : cases) {
+		Start(false, false, 1);
+		if (c.headed)
+			Head(503, false, true, c.not_run);
+		Done(false, c.sent);
+		std::string did = Did();
+		if (c.not_run || !c.sent)
+			EXPECT_TRUE(did == c.did || did == "send refuse503! budget") << did;
+		else
+			EXPECT_EQ(did, c.did);
+		fwd_finish(&fwd_);
+		live_ = false;
+	}
+}
+
+TEST_F(FwdTest, ARejectionIsTriedElsewhereAlsoWhereOneRunIsAllowed)
+{
+	Start(false, false, 1);
+	Head(503, false, true, true);
+	Done(true);
+	Head(200);
+	Data("x");
+	Done(true);
+	EXPECT_EQ(Did(), "send send whole:x ok");
+}
+
+TEST_F(FwdTest, AnIdempotentRequestRunsAgainAfterAFailure)
+{
+	Start(true, false);
+	Head(500);
+	Data("oops");
+	Done(true);
+	Head(200);
+	Data("x");
+	Done(true);
+	EXPECT_EQ(Did(), "send send whole:x ok");
+}
+
+TEST_F(FwdTest, TheLastFailureIsHandedOnUnchanged)
+{
+	Start(true, false);
+	Head(500);
+	Done(true);
+	Head(500);
+	Data("oops");
+	Done(true);
+	EXPECT_EQ(Did(), "send send whole:oops endpoint_failed");
+}
+
+TEST_F(FwdTest, ANonIdempotentFailureIsHandedOnAtOnce)
+{
+	Start(false, false);
+	Head(500);
+	Data("oops");
+	Done(true);
+	EXPECT_EQ(Did(), "send whole:oops endpoint_failed");
+}
+
+/*
+ * Symptom: a caller got the answer of another request.
+ * Sequence: an endpoint sends a second answer late; the next request's answer is read from it.
+ * Cause: the id in the answer was not looked at.
+ */
+TEST_F(FwdTest, AnAnswerToAnotherRequestIsNeverHandedOn)
+{
+	Start(false, false);
+	Head(200, true, false);
+	EXPECT_EQ(Did(), "send refuse502? broken");
+}
+
+TEST_F(FwdTest, AnAnswerWithoutProofOrWithAnEncodingIsNotHandedOn)
+{
+	Start(false, false);
+	Head(200, false);
+	Data("x");
+	Done(true);
+	EXPECT_EQ(Did(), "send refuse502? broken");
+	fwd_finish(&fwd_);
+	Start(false, false);
+	Head(200, true, true, false, true);
+	Data("x");
+	Done(true);
+	EXPECT_EQ(Did(), "send refuse502? broken");
+}
+
+/*
+ * Symptom: a stream had a piece twice, or half of one.
+ * Sequence: the endpoint breaks off in the middle of event 2.
+ * Cause: the half event had been handed on.
+ */
+TEST_F(FwdTest, AStreamGoesOnElsewhereFromTheLastWholeEvent)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\ndata: a\n\nid: 2\nda");
+	Done(false);
+	Head(200);
+	Data("id: 2\ndata: b\n\n");
+	Done(true);
+	EXPECT_EQ(Did(), "send begin data15 send@1 data15 end ok");
+	EXPECT_EQ(got_, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(FwdTest, AStreamThatMayNotBeResumedIsCut)
+{
+	Start(false, true);
+	Head(200);
+	Data("id: 1\n\n");
+	Done(false);
+	EXPECT_EQ(Did(), "send begin data7 abort broken");
+}
+
+TEST_F(FwdTest, AStreamThatEndsInsideAnEventIsNotComplete)
+{
+	Start(false, true);
+	Head(200);
+	Data("id: 1\n\nid: 2\n");
+	Done(true);
+	EXPECT_EQ(Did(), "send begin data7 abort broken");
+}
+
+TEST_F(FwdTest, RunsAreCounted)
+{
+	Start(true, true, 2);
+	Head(200);
+	Data("id: 1\n\n");
+	Done(false);
+	Head(200);
+	Data("id: 2\n\n");
+	Done(false);
+	EXPECT_EQ(Did(), "send begin data7 send@1 data7 abort broken");
+}
+
+TEST_F(FwdTest, TheBudgetIsAskedBeforeASecondSending)
+{
+	Start(true, false);
+	budget_ = false;
+	Done(false);
+	EXPECT_EQ(Did(), "send refuse502? budget");
+}
+
+/*
+ * Symptom: beside a change of the configuration, streams were cut that were merely slow.
+ * Sequence: a pipeline is silent for a moment, the budget of repeats is spent.
+ * Cause: the attempt was cancelled first, and the budget asked afterwards.
+ */
+TEST_F(FwdTest, ASilentAttemptIsKeptUnlessAnotherCanBeMade)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\n\n");
+	budget_ = false;
+	Wait(150 * MS);
+	Data("id: 2\n\n");
+	Done(true);
+	EXPECT_EQ(Did(), "send begin data7 silent data7 end ok");
+}
+
+TEST_F(FwdTest, ASilentAttemptIsGivenUpForAnother)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\n\n");
+	Wait(150 * MS);
+	EXPECT_EQ(Did(), "send begin data7 silent cancel send@1");
+}
+
+TEST_F(FwdTest, ASilentAttemptThatIsBeingRepairedIsKept)
+{
+	keep_silent_ = true;
+	Start(true, true);
+	Wait(350 * MS);
+	Wait(350 * MS);
+	EXPECT_EQ(Did(), "send silent silent");
+}
+
+TEST_F(FwdTest, ANonIdempotentRequestIsNeverGivenUpForSilence)
+{
+	Start(false, false);
+	Wait(350 * MS);
+	Head(200);
+	Data("x");
+	Done(true);
+	EXPECT_EQ(Did(), "send silent whole:x ok");
+}
+
+/* After the deadline the caller is told at once; what was sent may have run. */
+TEST_F(FwdTest, Deadline)
+{
+	Start(true, false, 1);
+	Wait(20000 * MS);
+	EXPECT_EQ(Did(), "send cancel refuse504? deadline");
+}
+
+TEST_F(FwdTest, NobodyToSendTo)
+{
+	send_error_ = FWD_ENOENDPOINT;
+	Start(true, false);
+	EXPECT_EQ(Did(), "refuse503! no_endpoint");
+}
+
+TEST_F(FwdTest, ACallerThatLeavesEndsTheAttempt)
+{
+	Start(true, true);
+	Head(200);
+	fwd_on_caller_gone(&fwd_);
+	EXPECT_EQ(Did(), "send cancel abort caller_gone");
+	Done(false);
+	Wait(20000 * MS);
+	EXPECT_EQ(Did(), "");
+}
+
+/* Any order of events ends a request exactly once, and nothing is done after that. */
+TEST_F(FwdTest, EveryRequestEndsOnce)
+{
+	unsigned int seed = 1;
+	auto draw = [&seed](unsigned int n) {
+		seed = seed * 1664525U + 1013904223U;
+		return (seed >> 16) % n;
+	};
+	for (int round = 0; round < 3000; round++) {
+		int ends = 0;
+		budget_ = draw(2);
+		keep_silent_ = draw(2);
+		Start(draw(2), draw(2), 1 + (int)draw(3));
+		for (int i = 0; i < 40; i++) {
+			bool waiting = fwd_.state == FWD_SENT;
+			switch (draw(6)) {
+			case 0:
+				if (waiting)
+					Head(draw(3) ? 200 : 503, draw(4), draw(8), draw(4) == 0);
+				break;
+			case 1:
+			case 2:
+				if (fwd_.state == FWD_ANSWERING)
+					Data(draw(2) ? "id: 1\n\n" : "id");
+				break;
+			case 3:
+				Done(draw(2), draw(4));
+				break;
+			case 4:
+				Wait(draw(400) * MS);
+				break;
+			default:
+				if (draw(10) == 0)
+					fwd_on_caller_gone(&fwd_);
+			}
+		}
+		Wait(30000 * MS);
+		for (const auto &d : did_) {
+			for (int c = 0; c < FWD_CAUSES; c++)
+				ends += d == fwd_cause_name((fwd_cause)c);
+		}
+		EXPECT_EQ(ends, 1) << Did();
+		EXPECT_EQ(fwd_.state, FWD_ENDED);
+		did_.clear();
+		fwd_finish(&fwd_);
+		live_ = false;
+	}
+}
+
+} // namespace
--- a/router/ctl.c
+++ b/router/ctl.c
@@ -82,6 +82,7 @@
 void ctl_finish(struct ctl *ctl)
 {
 	ctl_set_direct(ctl, false);
+	ctl_set_candidate(ctl, false);
 	tmr_cancel(&ctl->loop->tmr, &ctl->ticker);
 	tmr_cancel(&ctl->loop->tmr, &ctl->list_timer);
 	follow_free(ctl->follow);
@@ -117,18 +118,26 @@
 		ctl_post_view(ctl);
 }
 
-/* A host that is fed neither reads the store nor leads; its place in the group lapses. */
 void ctl_set_direct(struct ctl *ctl, bool direct)
 {
 	if (direct == ctl->direct)
 		return;
 	ctl->direct = direct;
-	if (direct) {
+	if (direct)
 		sf_start(ctl);
+	else
+		sf_stop(ctl);
+}
+
+void ctl_set_candidate(struct ctl *ctl, bool candidate)
+{
+	if (candidate == ctl->candidate)
+		return;
+	ctl->candidate = candidate;
+	if (candidate) {
 		loop_after(ctl->loop, &ctl->join_timer, 0, ctl_join, ctl);
 		return;
 	}
-	sf_stop(ctl);
 	tmr_cancel(&ctl->loop->tmr, &ctl->join_timer);
 	if (ctl->join)
 		hc_cancel(ctl->join);
--- a/router/ctl.h
+++ b/router/ctl.h
@@ -43,7 +43,9 @@
 	GHashTable *hosts; /* name -> struct ctl_host */
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
-	bool direct; /* this host reads the store itself */
+	bool direct;	/* this host reads the store itself */
+	bool candidate; /* it may lead: it is a reader, or has no feed */
+	bool first;	/* it is the first of the readers: it polls the engines */
 	struct tmr ticker;
 	struct tmr list_timer;
 	int64_t generation; /* of the group of hosts; orders carry it as fencing number */
@@ -96,6 +98,12 @@
 /* Reads the store from now on, or leaves that to the feed. */
 void ctl_set_direct(struct ctl *ctl, bool direct);
 
+/*
+ * Takes part in choosing a leader from now on, or not. A host that has just started and will follow
+ * another one soon does not: the lead would go to it and be lost with it.
+ */
+void ctl_set_candidate(struct ctl *ctl, bool candidate);
+
 /* An endpoint that was found at fault; hops: hosts that passed it on. */
 struct ctl_suspect {
 	const char *endpoint;
@@ -115,7 +123,7 @@
 void placer_free(struct placer *placer);
 void placer_on_tick(struct placer *placer, int64_t now_us);
 
-/* poll.c: the leader asks all engines for their load. */
+/* poll.c: one host asks all engines for their load. */
 struct poll *poll_new(struct ctl *ctl);
 void poll_free(struct poll *poll);
 void poll_on_tick(struct poll *poll, int64_t now_us);
--- a/router/follow.c
+++ b/router/follow.c
@@ -157,6 +157,13 @@
 	return NULL;
 }
 
+static bool follow_is_first(const struct follow *follow, int64_t now_us)
+{
+	const struct host *first = host_home(&follow->table, FOLLOW_KEY, 0, now_us);
+
+	return first && follow_is_self(follow, first);
+}
+
 static void follow_drop(struct follow *follow)
 {
 	follow->conn = NULL;
@@ -217,6 +224,8 @@
 			follow_connect_seed(follow);
 	}
 	ctl_set_direct(ctl, is_reader || !follow->fed || now_us < follow->settled_us);
+	ctl_set_candidate(ctl, is_reader || (!follow->fed && now_us >= follow->settled_us));
+	ctl->first = is_reader && follow_is_first(follow, now_us);
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -280,12 +289,12 @@
 }
 
 
-/* The leader polls by itself; what comes back to it by way of others is older. */
+/* The first reader polls by itself; what comes back to it by way of others is older. */
 static void follow_take_loads(struct follow *follow, const Feed__Update *msg)
 {
 	GArray *loads;
 
-	if (msg->n_loads == 0 || follow->ctl->leader)
+	if (msg->n_loads == 0 || follow->ctl->first)
 		return;
 	loads = ctl_loads_new();
 	for (size_t i = 0; i < msg->n_loads; i++) {
--- a/router/poll.c
+++ b/router/poll.c
@@ -112,14 +112,14 @@
 }
 
 /*
- * Only the leader asks; the others hear of it through the feed. A round that another leader began
- * before this host lost its lead is given up.
+ * Only the first reader asks; the others hear of it through the feed. Two that both believe they are
+ * the first cost some calls more.
  */
 void poll_on_tick(struct poll *poll, int64_t now_us)
 {
 	struct ctl *ctl = poll->ctl;
 
-	if (!ctl_may_order(ctl) || !ctl->conf) {
+	if (!ctl->first || ctl->stopping || !ctl->conf) {
 		g_ptr_array_set_size(poll->calls, 0);
 		g_clear_pointer(&poll->loads, g_array_unref);
 		return;
--- a/router/rq.c
+++ b/router/rq.c
@@ -19,10 +19,10 @@
 	RQ_FIRST_MIN_MS = 250,
 	RQ_GAP_MIN_MS = 120,
 	RQ_BEAR_US = 1300000, /* silence after which the stream is taken elsewhere in any case */
-	RQ_REPORT_MS = 250,   /* an endpoint that lives answers within some ms */
+	RQ_PROGRESS_US = 300000, /* an endpoint that brought something since then works */
+	RQ_ORDER_CONNECT_MS = 250,
 	RQ_ORDER_MS = 700,
 	RQ_DOUBT_US = 700000,	  /* that an endpoint is passed over for what may have other causes */
-	RQ_UNREACHED_US = 1500000, /* between two failures to reach it that count together */
 	RQ_REPAIRS_MAX = 6,
 	/* Parts of the time for which a leaving endpoint goes on, in hundredths. */
 	RQ_MOVE_PART = 40,
@@ -62,7 +62,6 @@
 	struct fwd fwd;
 	struct tmr timer;
 	struct hc_call *attempt;
-	struct hc_call *report; /* of the first stage, asked for since the attempt is silent */
 	struct hc_call *order;	/* that replaces a stage of the running pipeline */
 	struct tf_target target; /* of the attempt under way */
 	struct tf_target repair; /* that the order asks for */
@@ -92,7 +91,6 @@
 static void rq_refuse(void *ctx, int status, bool not_run);
 static void rq_set_timer(void *ctx, int64_t due_us);
 static void rq_ended(void *ctx, enum fwd_cause cause);
-static void rq_on_report(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void rq_recover(struct rq *rq);
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers);
@@ -115,7 +113,6 @@
 	.ended = rq_ended,
 };
 
-static const struct hc_ops rq_report_ops = {.on_done = rq_on_report};
 static const struct hc_ops rq_order_ops = {.on_done = rq_on_ordered};
 
 static const struct hc_ops rq_hc_ops = {
@@ -367,27 +364,10 @@
 	struct rq *rq = ctx;
 
 	rq_drop(&rq->attempt);
-	rq_drop(&rq->report);
 	rq_drop(&rq->order);
 	tf_target_clear(&rq->repair);
 }
 
-/*
- * One connection that does not come about may be this host's, or the endpoint's queue for
- * connections may be full; a second one within a moment is taken as proof, and told to all hosts.
- */
-static void rq_unreached(struct rq *rq, struct tf_ep *ep, const char *why)
-{
-	int64_t now_us = tmr_now();
-	bool again = ep->unreached_us > 0 && now_us - ep->unreached_us < RQ_UNREACHED_US;
-
-	ep->unreached_us = now_us;
-	if (again)
-		tf_suspect(rq->tf, ep, RQ_SUSPECT_US, why, rq->request.id);
-	else
-		tf_pass_over(rq->tf, ep, RQ_DOUBT_US, why, rq->request.id);
-}
-
 /* The first stage that is known to be at fault, or -1. */
 static int rq_suspected_stage(const struct rq *rq)
 {
@@ -412,81 +392,55 @@
 }
 
 /*
- * A pipeline that goes silent does not say which stage is at fault. Its first stage does, in its
- * report, so that one is asked; a guess would blame sound endpoints.
+ * A request that alone is silent, while others at the same first stage go on, hangs there. Where all
+ * are slow it waits: sent elsewhere it would be read anew, and make the rest slower still.
  */
+static bool rq_hangs_alone(const struct rq *rq, int64_t now_us)
+{
+	return now_us - rq->part_us > RQ_BEAR_US &&
+	       now_us - rq->target.eps[0]->progress_us < RQ_PROGRESS_US;
+}
+
 static bool rq_on_silent(void *ctx)
 {
 	struct rq *rq = ctx;
-	const struct seam_engine *engine = &rq->tf->router->seam->engine;
-	struct hc_request request = {.method = "GET",
-				     .connect_ms = RQ_REPORT_MS,
-				     .total_ms = RQ_REPORT_MS,
-				     .fresh = true,
-				     .close = true};
-	char *url;
+	int64_t now_us = tmr_now();
 
 	if (!rq->target.layered) {
 		rq_avoid(rq, rq->target.eps[0]);
-		tf_ep_failed(rq->target.eps[0], tmr_now());
+		tf_ep_failed(rq->target.eps[0], now_us);
 		return false;
 	}
-	if (tmr_now() - rq->part_us > RQ_BEAR_US) {
-		rq_log_silent(rq, "borne_too_long", NULL);
+	if (rq_hangs_alone(rq, now_us)) {
+		rq_log_silent(rq, "hangs_alone", NULL);
+		rq_avoid(rq, rq->target.eps[0]);
 		return false;
 	}
-	if (rq->report || rq->order)
+	if (rq->order)
 		return true;
-	if (rq_suspected_stage(rq) >= 0) {
+	if (rq_suspected_stage(rq) >= 0)
 		rq_recover(rq);
-		return true;
-	}
-	url = g_strdup_printf("http://%s%s", rq->target.eps[0]->rec->addr, engine->report_path());
-	request.url = url;
-	rq->report = hc_start(rq->tf->hc, &request, &rq_report_ops, rq);
-	g_free(url);
+	else
+		stall_ask(rq->tf, rq->target.eps[0]);
 	return true;
 }
 
-/* The culprit that a report names for this request; "" when it names none. */
-static char *rq_find_culprit(const struct rq *rq, const struct seam_report *report)
+bool rq_is(const struct rq *rq, const struct tf_ep *first, const char *id)
 {
-	for (guint i = 0; i < report->stalled->len; i++) {
-		const struct seam_stalled *stalled = report->stalled->pdata[i];
-
-		if (g_strcmp0(stalled->request, rq->request.id) == 0)
-			return g_strdup(stalled->culprit);
-	}
-	return NULL;
+	return rq->attempt && rq->target.count > 0 && rq->target.eps[0] == first &&
+	       g_strcmp0(rq->request.id, id) == 0;
 }
 
-static void rq_on_report(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+void rq_on_stalled(struct rq *rq, const char *culprit)
 {
-	struct rq *rq = ctx;
-	struct seam_report report;
-	struct tf_ep *ep;
-	char *culprit;
+	struct tf_ep *ep = culprit ? g_hash_table_lookup(rq->tf->by_addr, culprit) : NULL;
 
-	(void)err;
-	(void)sent;
-	rq->report = NULL;
-	if (status != STATUS_OK ||
-	    rq->tf->router->seam->engine.parse_report(str_make(body, len), &report) < 0) {
-		rq_log_silent(rq, "no_report", rq->target.stages[0].addr);
-		rq_unreached(rq, rq->target.eps[0], "no_report");
-		return;
-	}
-	culprit = rq_find_culprit(rq, &report);
-	seam_report_finish(&report);
-	rq_log_silent(rq, culprit ? "stalled" : "slow", culprit);
-	ep = culprit ? g_hash_table_lookup(rq->tf->by_addr, culprit) : NULL;
+	rq_log_silent(rq, "stalled", culprit);
 	if (ep) {
 		rq_avoid(rq, ep);
 		tf_suspect(rq->tf, ep, RQ_SUSPECT_US, "stalled", rq->request.id);
 	}
-	if (culprit)
-		rq_recover(rq);
-	g_free(culprit);
+	rq_recover(rq);
 }
 
 /* Sends the request again from what the caller has, elsewhere. */
@@ -504,6 +458,12 @@
 			      &rq->repair) == 0;
 }
 
+/* Whether a stage is known to be at fault; one that is only slow or leaving still serves. */
+static bool rq_is_lost(const struct rq *rq)
+{
+	return rq_suspected_stage(rq) >= 0;
+}
+
 /*
  * Stages after the first are replaced within the running pipeline: the other stages keep what they
  * have read, no attempt and no repeat is spent, and the stream goes on where it stands.
@@ -514,7 +474,7 @@
 	const char *headers[] = {"Content-Type: application/json", NULL};
 	struct hc_request request = {.method = "POST",
 				     .headers = headers,
-				     .connect_ms = RQ_REPORT_MS,
+				     .connect_ms = RQ_ORDER_CONNECT_MS,
 				     .total_ms = RQ_ORDER_MS,
 				     .fresh = true,
 				     .close = true};
@@ -525,7 +485,8 @@
 	if (rq->order)
 		return;
 	if (!rq_can_repair(rq)) {
-		rq_resume(rq);
+		if (rq_is_lost(rq))
+			rq_resume(rq);
 		return;
 	}
 	rq->repairs++;
@@ -625,7 +586,7 @@
 	rq_avoid(rq, first);
 	tf_ep_failed(first, now_us);
 	if (!sent)
-		rq_unreached(rq, first, "unreachable");
+		tf_unreached(rq->tf, first, "unreachable", rq->request.id);
 }
 
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers)
@@ -644,6 +605,8 @@
 	struct rq *rq = ctx;
 
 	rq->part_us = tmr_now();
+	if (rq->target.count > 0)
+		rq->target.eps[0]->progress_us = rq->part_us;
 	fwd_on_data(&rq->fwd, data, len, tmr_now());
 }
 
@@ -735,6 +698,19 @@
 	tmr_set(&rq->tf->loop.tmr, &rq->timer, due_us, rq_on_timer, rq);
 }
 
+void rq_on_slow(struct rq *rq, const struct tf_ep *ep)
+{
+	if (!rq->target.layered || !rq->attempt || !rq->fwd.begun || rq->repairs >= RQ_REPAIRS_MAX)
+		return;
+	for (int i = 1; i < rq->target.count; i++) {
+		if (rq->target.eps[i] == ep) {
+			rq_avoid(rq, rq->target.eps[i]);
+			rq_recover(rq);
+			return;
+		}
+	}
+}
+
 /* How long the stage has been leaving; 0: it is not. */
 static int64_t rq_leaving_us(const struct tf_ep *ep, int64_t now_us)
 {
--- a/router/tf.c
+++ b/router/tf.c
@@ -22,12 +22,21 @@
 	 */
 	TF_PARK_MS = 1000,
 	TF_SUSPECT_STEP_US = 500000, /* a suspicion that lasts little longer is no news */
+	TF_SUSPECT_US = 3000000,    /* for which an endpoint that is certainly at fault is passed over */
+	TF_DOUBT_US = 700000,	    /* the same for what may have other causes */
+	TF_UNREACHED_US = 1500000,  /* between two failures to reach it that count together */
 	TF_SEED = 12345
 };
 
 /* Failures of an endpoint count half after this time. */
 static const double TF_FADE_S = 4.0;
 
+/* Pace from which on an endpoint is called slow in the log. */
+static const double TF_SLOW = 1.5;
+
+/* Pace from which on running streams are moved; below it a move, some 100 ms, costs them more. */
+static const double TF_SLOW_MOVE = 2.5;
+
 struct tf_view_msg {
 	struct tf *tf;
 	struct router_view *view;
@@ -331,6 +340,18 @@
 	ctl_post_suspect(tf->router->ctl, ep->rec->id, for_us / USEC_PER_MSEC, why);
 }
 
+void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request)
+{
+	int64_t now_us = tmr_now();
+	bool again = ep->unreached_us > 0 && now_us - ep->unreached_us < TF_UNREACHED_US;
+
+	ep->unreached_us = now_us;
+	if (again)
+		tf_suspect(tf, ep, TF_SUSPECT_US, why, request);
+	else
+		tf_pass_over(tf, ep, TF_DOUBT_US, why, request);
+}
+
 struct tf_suspect_msg {
 	struct tf *tf;
 	char *endpoint;
@@ -361,11 +382,31 @@
 	loop_post(&tf->loop, tf_take_suspect, msg);
 }
 
+/* An endpoint that turns slow, or as fast as usual again. */
+static void tf_log_pace(const struct tf_ep *ep, double pace)
+{
+	if ((ep->pace >= TF_SLOW) == (pace >= TF_SLOW))
+		return;
+	jl_begin(JL_KEEP, pace >= TF_SLOW ? "endpoint_slow" : "endpoint_fast");
+	jl_str("endpoint", ep->rec->id);
+	jl_str("addr", ep->rec->addr);
+	jl_real("pace", pace);
+	jl_int("layer_from", ep->rec->layer_from);
+	jl_int("layer_to", ep->rec->layer_to);
+	jl_end();
+}
+
 struct tf_loads_msg {
 	struct tf *tf;
 	GArray *loads;
 };
 
+static void tf_tell_slow(struct tf *tf, const struct tf_ep *ep)
+{
+	for (guint i = tf->reqs->len; i > 0; i--)
+		rq_on_slow(tf->reqs->pdata[i - 1], ep);
+}
+
 static void tf_take_loads(void *ctx)
 {
 	struct tf_loads_msg *msg = ctx;
@@ -374,13 +415,17 @@
 	for (guint i = 0; i < msg->loads->len; i++) {
 		const struct router_load *load = &g_array_index(msg->loads, struct router_load, i);
 		struct tf_ep *ep = g_hash_table_lookup(msg->tf->eps, load->endpoint);
+		bool slowed;
 
 		if (!ep)
 			continue;
+		tf_log_pace(ep, load->pace);
+		slowed = ep->pace < TF_SLOW_MOVE && load->pace >= TF_SLOW_MOVE;
 		ep->pace = load->pace;
 		ep->kv_used = load->kv_used;
 		ep->load_us = now_us;
-		ep->load_in_flight = ep->in_flight;
+		if (slowed)
+			tf_tell_slow(msg->tf, ep);
 	}
 	g_array_unref(msg->loads);
 	g_free(msg);
--- a/router/tf.h
+++ b/router/tf.h
@@ -18,9 +18,11 @@
 	double pace;	       /* as it reported last; 1: as usual */
 	double kv_used;	       /* the same, tokens x layers */
 	int64_t load_us;       /* when that report came; 0: never */
-	int load_in_flight;    /* in_flight at that time */
 	int64_t suspect_us;    /* it is passed over until then */
 	int64_t unreached_us;  /* when this host last failed to reach it */
+	int64_t progress_us;   /* when a request sent to it last got something */
+	struct hc_call *report; /* being asked for */
+	int64_t report_us;	/* when it was last asked for */
 	double failures;       /* recent ones, fading; see tf_ep_failed() */
 	int64_t failed_us;     /* when failures was last brought up to date */
 };
@@ -75,6 +77,9 @@
 void tf_target_hold(struct tf_target *target);
 void tf_target_clear(struct tf_target *target);
 
+/* stall.c: asks the first stage of silent pipelines which stage they wait for. */
+void stall_ask(struct tf *tf, struct tf_ep *first);
+
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
 void tf_ep_unref(struct tf_ep *ep);
@@ -94,6 +99,12 @@
 		const char *request);
 int tf_zone(struct tf *tf, const char *name);
 
+/*
+ * The endpoint could not be reached. Once may be this host's fault, or the endpoint's queue for
+ * connections may be full; a second time within a moment is taken as proof, and told to all hosts.
+ */
+void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request);
+
 /* Whether the configuration and the endpoints are known. */
 bool tf_knows(const struct tf *tf);
 
@@ -106,6 +117,15 @@
 /* The endpoint was found at fault: if the request waits for it, it is taken elsewhere. */
 void rq_on_suspect(struct rq *rq, const struct tf_ep *ep);
 
+/* The endpoint has turned slow: the request is taken off it, unless that costs a repeat. */
+void rq_on_slow(struct rq *rq, const struct tf_ep *ep);
+
+/* The first stage says that the request waits for the stage at that address. */
+void rq_on_stalled(struct rq *rq, const char *culprit);
+
+/* The request of that id that was sent to first, or NULL. */
+bool rq_is(const struct rq *rq, const struct tf_ep *first, const char *id);
+
 /* Looks whether the caller has gone, and moves the request from endpoints that leave. */
 void rq_on_sweep(struct rq *rq, int64_t now_us);
 
