--- a/prog/control_hosts.c
+++ b/prog/control_hosts.c
@@ -27,8 +27,8 @@
 static void control_on_registered(void *ctx, int status, int err, bool sent, const char *body,
 				  size_t len);
 
-static const struct hc_ops control_hosts_ops = {NULL, control_on_hosts};
-static const struct hc_ops control_register_ops = {NULL, control_on_registered};
+static const struct hc_ops control_hosts_ops = {.on_done = control_on_hosts};
+static const struct hc_ops control_register_ops = {.on_done = control_on_registered};
 
 void control_hosts_start(struct control *c)
 {
--- a/prog/control_log.c
+++ b/prog/control_log.c
@@ -31,9 +31,9 @@
 static void control_answer(struct control_command *cmd, const struct clog_verdict *verdict);
 static void control_command_free(struct control_command *cmd);
 
-static const struct hc_ops control_read_ops = {NULL, control_on_read};
-static const struct hc_ops control_append_ops = {NULL, control_on_appended};
-static const struct hc_ops control_check_ops = {NULL, control_on_checked};
+static const struct hc_ops control_read_ops = {.on_done = control_on_read};
+static const struct hc_ops control_append_ops = {.on_done = control_on_appended};
+static const struct hc_ops control_check_ops = {.on_done = control_on_checked};
 
 void control_append(struct control *c, const char *stream, const char *record,
 		    const struct hc_ops *ops, void *ctx)
@@ -330,7 +330,7 @@
 		c->clog.revision);
 }
 
-static const struct hc_ops control_snapshot_ops = {NULL, control_on_snapshot};
+static const struct hc_ops control_snapshot_ops = {.on_done = control_on_snapshot};
 
 static void control_write_snapshot(struct control *c)
 {
--- a/prog/control_once.c
+++ b/prog/control_once.c
@@ -21,8 +21,8 @@
 static void control_on_part_read(void *ctx, int status, int err, bool sent, const char *body,
 				 size_t len);
 
-static const struct hc_ops control_part_append_ops = {NULL, control_on_part_appended};
-static const struct hc_ops control_part_read_ops = {NULL, control_on_part_read};
+static const struct hc_ops control_part_append_ops = {.on_done = control_on_part_appended};
+static const struct hc_ops control_part_read_ops = {.on_done = control_on_part_read};
 static const struct once_ops control_once_ops = {control_part_append, control_part_read,
 						 control_part_answer};
 
--- a/prog/control_order.c
+++ b/prog/control_order.c
@@ -41,10 +41,10 @@
 static void control_on_ordered(void *ctx, int status, int err, bool sent, const char *body,
 			       size_t len);
 
-static const struct hc_ops control_lease_read_ops = {NULL, control_on_lease_read};
-static const struct hc_ops control_lease_append_ops = {NULL, control_on_lease_appended};
-static const struct hc_ops control_report_ops = {NULL, control_on_report};
-static const struct hc_ops control_ordered_ops = {NULL, control_on_ordered};
+static const struct hc_ops control_lease_read_ops = {.on_done = control_on_lease_read};
+static const struct hc_ops control_lease_append_ops = {.on_done = control_on_lease_appended};
+static const struct hc_ops control_report_ops = {.on_done = control_on_report};
+static const struct hc_ops control_ordered_ops = {.on_done = control_on_ordered};
 
 /*
  * A restarted daemon must not take its former self's lease for its own: its clock and its memory of
--- a/prog/control_pool.c
+++ b/prog/control_pool.c
@@ -31,7 +31,7 @@
 			   int64_t retry_us);
 static void control_probe(void *ctx, const struct pool_endpoint *endpoint);
 
-static const struct hc_ops control_load_ops = {NULL, control_on_load};
+static const struct hc_ops control_load_ops = {.on_done = control_on_load};
 static const struct pool_ops control_pool_ops = {control_grant, control_refuse, control_probe};
 
 static void control_poll_free(gpointer data)
--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -15,6 +15,7 @@
 	const char *args;
 	const char *help;
 	ctl_fn fn;
+	gboolean local; /* needs no control daemon */
 };
 
 static int ctl_do(struct ctl *ctl, int argc, char **argv);
@@ -25,18 +26,21 @@
 static int ctl_watch(struct ctl *ctl, int argc, char **argv);
 static int ctl_wait_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_secret(struct ctl *ctl, int argc, char **argv);
+static int ctl_explain_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_wait(const struct ctl *ctl, gint64 revision);
 
 static const struct ctl_command ctl_commands[] = {
-	{"do", "[STATEMENT...]", "send statements (arguments, --file, or standard input)", ctl_do},
-	{"diff", "FILE", "what 'apply' would change", ctl_diff},
-	{"apply", "FILE", "make the configuration what the file declares", ctl_apply},
-	{"export", "", "print the configuration as declarations", ctl_export},
+	{"do", "[STATEMENT...]", "send statements (arguments, --file, or standard input)", ctl_do, FALSE},
+	{"diff", "FILE", "what 'apply' would change", ctl_diff, FALSE},
+	{"apply", "FILE", "make the configuration what the file declares", ctl_apply, FALSE},
+	{"export", "", "print the configuration as declarations", ctl_export, FALSE},
 	{"show", "WHAT", "status, hosts, endpoints, accounts, usage, bound, cost, config",
-	 ctl_show_command},
-	{"watch", "WHAT", "show it again every second", ctl_watch},
-	{"wait", "REVISION", "return when every live host has it in force", ctl_wait_command},
-	{"secret", "NAME", "make a token and its salted hash", ctl_secret},
+	 ctl_show_command, FALSE},
+	{"watch", "WHAT", "show it again every second", ctl_watch, FALSE},
+	{"wait", "REVISION", "return when every live host has it in force", ctl_wait_command, FALSE},
+	{"explain", "ID [FILE...]", "a request's story from hosts' logs (files, or standard input)",
+	 ctl_explain_command, TRUE},
+	{"secret", "NAME", "make a token and its salted hash", ctl_secret, TRUE},
 };
 
 enum {
@@ -395,6 +399,16 @@
 	return g_string_free(hex, FALSE);
 }
 
+static int ctl_explain_command(struct ctl *ctl, int argc, char **argv)
+{
+	(void)ctl;
+	if (argc < 1) {
+		fprintf(stderr, "bgctl: explain: an id is missing\n");
+		return CTL_USAGE;
+	}
+	return ctl_explain(argv[0], argc - 1, argv + 1);
+}
+
 static int ctl_secret(struct ctl *ctl, int argc, char **argv)
 {
 	char *secret;
@@ -429,6 +443,15 @@
 	return g_string_free(text, FALSE);
 }
 
+static gboolean ctl_is_local(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ctl_commands); i++) {
+		if (strcmp(name, ctl_commands[i].name) == 0)
+			return ctl_commands[i].local;
+	}
+	return FALSE;
+}
+
 static int ctl_run(struct ctl *ctl, int argc, char **argv)
 {
 	char *statement;
@@ -492,7 +515,7 @@
 		ctl.control = g_strdup(g_getenv("BRONZEGAUGE_CONTROL"));
 	if (!ctl.token)
 		ctl.token = g_strdup(g_getenv("BRONZEGAUGE_TOKEN"));
-	if (!ctl.control && strcmp(argv[1], "secret") != 0) {
+	if (!ctl.control && !ctl_is_local(argv[1])) {
 		fputs("bgctl: --control or BRONZEGAUGE_CONTROL is missing\n", stderr);
 		return CTL_USAGE;
 	}
--- a/prog/entry_stream.c
+++ b/prog/entry_stream.c
@@ -19,9 +19,9 @@
 			      size_t len);
 static void entry_service_dispatch(struct entry_call *call);
 
-static const struct hc_ops entry_stream_ops = {entry_on_data, entry_on_done};
-static const struct hc_ops entry_service_ops = {NULL, entry_on_service_done};
-static const struct hc_ops entry_cancel_ops = {NULL, entry_on_canceled};
+static const struct hc_ops entry_stream_ops = {.on_data = entry_on_data, .on_done = entry_on_done};
+static const struct hc_ops entry_service_ops = {.on_done = entry_on_service_done};
+static const struct hc_ops entry_cancel_ops = {.on_done = entry_on_canceled};
 
 /* --- the engine's stream --- */
 
--- a/prog/load.c
+++ b/prog/load.c
@@ -42,7 +42,7 @@
 	{"load", "retry", SET_INT, LOAD_OFF(retry), "0", 0, 100},
 };
 
-static const struct hc_ops load_ops = {load_on_data, load_on_done};
+static const struct hc_ops load_ops = {.on_data = load_on_data, .on_done = load_on_done};
 
 struct load_total *load_total(struct load *load, guint account, enum load_path path)
 {
--- a/prog/router.c
+++ b/prog/router.c
@@ -188,7 +188,7 @@
 	router_log("stopping", NULL);
 	g_atomic_int_set(&m->router.stopping, 1);
 	hd_set_closing(m->router.front);
-	ctl_stop(m->router.ctl);
+	rc_stop(m->router.rc);
 	loop_after(&m->loop, &m->stop_timer, 0, router_on_stop_time, m);
 }
 
@@ -209,7 +209,7 @@
 	router->front = router_listen(router->settings.front, tf_on_call, router);
 	router->ready_hd = router_listen(router->settings.ready, router_on_ready_call, router);
 	router->metrics_hd = router_listen(router->settings.metrics, router_on_metrics_call, router);
-	router->ctl = ctl_start(router, &m->loop);
+	router->rc = rc_start(router, &m->loop);
 	m->settings_time = router_settings_time();
 	loop_after(&m->loop, &m->settings_timer, ROUTER_SETTINGS_MS * USEC_PER_MSEC,
 		   router_on_settings_time, m);
--- a/prog/script.c
+++ b/prog/script.c
@@ -108,7 +108,7 @@
 static const struct frm_ops script_ops = {script_on_msg, script_on_close};
 static const struct frm_limits script_limits = {SCRIPT_HEARTBEAT_US, SCRIPT_SILENT_US,
 						SCRIPT_IDLE_US};
-static const struct hc_ops script_http_ops = {NULL, script_on_http};
+static const struct hc_ops script_http_ops = {.on_done = script_on_http};
 
 static void script_on_http(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
--- a/router/feed.c
+++ b/router/feed.c
@@ -4,7 +4,7 @@
 #include "base/met.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <string.h>
 
@@ -40,7 +40,7 @@
 };
 
 struct feed {
-	struct ctl *ctl;
+	struct rc *rc;
 	struct frm_server server;
 	bool listening;
 	GPtrArray *followers; /* struct feed_follower */
@@ -73,7 +73,7 @@
 	g_free(follower);
 }
 
-struct feed *feed_new(struct ctl *ctl)
+struct feed *feed_new(struct rc *rc)
 {
 	const struct frm_limits limits = {FEED_HEARTBEAT_MS * USEC_PER_MSEC,
 					  FEED_SILENT_MS * USEC_PER_MSEC,
@@ -81,16 +81,16 @@
 	struct feed *feed = g_new0(struct feed, 1);
 	int err;
 
-	feed->ctl = ctl;
+	feed->rc = rc;
 	feed->followers = g_ptr_array_new_with_free_func(feed_follower_free);
 	feed->records = g_queue_new();
 	feed->listing = 1;
-	err = frm_listen(&feed->server, ctl->loop, ctl->router->settings.control, &feed_ops,
+	err = frm_listen(&feed->server, rc->loop, rc->router->settings.control, &feed_ops,
 			 &limits, feed);
 	feed->listening = err == 0;
 	if (err < 0) {
 		jl_begin(JL_KEEP, "feed_not_listening");
-		jl_str("addr", ctl->router->settings.control);
+		jl_str("addr", rc->router->settings.control);
 		jl_str("error", base_strerror(err));
 		jl_end();
 	}
@@ -128,7 +128,7 @@
 void feed_on_listing(struct feed *feed)
 {
 	g_queue_clear_full(feed->records, feed_record_free);
-	feed->records_from = feed->ctl->endpoints.next;
+	feed->records_from = feed->rc->endpoints.next;
 	feed->listing++;
 }
 
@@ -170,12 +170,12 @@
 			   size_t len)
 {
 	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
-	struct ctl_suspect suspect;
+	struct rc_suspect suspect;
 
 	if (!msg)
 		return BASE_EFRAME;
-	suspect = (struct ctl_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	ctl_on_suspect(feed->ctl, &suspect, conn);
+	suspect = (struct rc_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
+	rc_on_suspect(feed->rc, &suspect, conn);
 	feed__suspect__free_unpacked(msg, NULL);
 	return 0;
 }
@@ -249,10 +249,10 @@
 static void feed_put_endpoints(struct feed *feed, struct feed_follower *follower,
 			       struct feed_batch *batch, Feed__Update *msg)
 {
-	const struct ep_list *list = &feed->ctl->endpoints;
+	const struct ep_list *list = &feed->rc->endpoints;
 
-	msg->endpoints_next = feed->ctl->listed ? list->next : FEED_NOTHING;
-	if (!feed->ctl->listed)
+	msg->endpoints_next = feed->rc->listed ? list->next : FEED_NOTHING;
+	if (!feed->rc->listed)
 		return;
 	msg->listing = follower->listing != feed->listing ||
 		       follower->endpoints_next < feed->records_from;
@@ -269,41 +269,41 @@
 static void feed_put_conf(const struct feed *feed, struct feed_follower *follower,
 			  Feed__Update *msg)
 {
-	const struct ctl *ctl = feed->ctl;
+	const struct rc *rc = feed->rc;
 
-	if (!ctl->conf || ctl->conf->version <= follower->conf_version)
+	if (!rc->conf || rc->conf->version <= follower->conf_version)
 		return;
-	msg->conf.data = ctl->conf_packed->data;
-	msg->conf.len = ctl->conf_packed->len;
-	msg->conf_len = (int64_t)ctl->conf_len;
-	follower->conf_version = ctl->conf->version;
+	msg->conf.data = rc->conf_packed->data;
+	msg->conf.len = rc->conf_packed->len;
+	msg->conf_len = (int64_t)rc->conf_len;
+	follower->conf_version = rc->conf->version;
 }
 
 static bool feed_is_due(const struct feed *feed, const struct feed_follower *follower)
 {
-	const struct ctl *ctl = feed->ctl;
+	const struct rc *rc = feed->rc;
 
-	if (!follower->greeted || follower->away == sf_is_reached(ctl) ||
-	    follower->generation != ctl->generation ||
-	    follower->hosts_version != ctl->hosts_version ||
-	    follower->loads_version != ctl->loads_version)
+	if (!follower->greeted || follower->away == sf_is_reached(rc) ||
+	    follower->generation != rc->generation ||
+	    follower->hosts_version != rc->hosts_version ||
+	    follower->loads_version != rc->loads_version)
 		return true;
-	if (ctl->conf && ctl->conf->version > follower->conf_version)
+	if (rc->conf && rc->conf->version > follower->conf_version)
 		return true;
-	return ctl->listed && (follower->listing != feed->listing ||
-			       follower->endpoints_next < ctl->endpoints.next);
+	return rc->listed && (follower->listing != feed->listing ||
+			       follower->endpoints_next < rc->endpoints.next);
 }
 
-static void feed_put_hosts(const struct ctl *ctl, Feed__Update *msg, GArray *hosts,
+static void feed_put_hosts(const struct rc *rc, Feed__Update *msg, GArray *hosts,
 			   GPtrArray *refs)
 {
 	GHashTableIter iter;
 	gpointer name;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, ctl->hosts);
+	g_hash_table_iter_init(&iter, rc->hosts);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct ctl_host *from = value;
+		const struct rc_host *from = value;
 		Feed__Host host = FEED__HOST__INIT;
 
 		host.name = name;
@@ -317,10 +317,10 @@
 	msg->n_hosts = refs->len;
 }
 
-static void feed_put_loads(const struct ctl *ctl, Feed__Update *msg, GArray *loads, GPtrArray *refs)
+static void feed_put_loads(const struct rc *rc, Feed__Update *msg, GArray *loads, GPtrArray *refs)
 {
-	for (guint i = 0; i < ctl->loads->len; i++) {
-		const struct router_load *from = &g_array_index(ctl->loads, struct router_load, i);
+	for (guint i = 0; i < rc->loads->len; i++) {
+		const struct router_load *from = &g_array_index(rc->loads, struct router_load, i);
 		Feed__Load load = FEED__LOAD__INIT;
 
 		load.endpoint = from->endpoint;
@@ -337,8 +337,8 @@
 
 static void feed_update(struct feed *feed, struct feed_follower *follower)
 {
-	struct ctl *ctl = feed->ctl;
-	size_t room = g_hash_table_size(ctl->endpoints.entries) + feed->records->length + 1;
+	struct rc *rc = feed->rc;
+	size_t room = g_hash_table_size(rc->endpoints.entries) + feed->records->length + 1;
 	struct feed_batch batch = {g_new0(Feed__Endpoint, room), g_new0(Feed__Endpoint *, room), 0};
 	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(Feed__Host));
 	GPtrArray *refs = g_ptr_array_new();
@@ -346,18 +346,18 @@
 	GPtrArray *load_refs = g_ptr_array_new();
 	Feed__Update msg = FEED__UPDATE__INIT;
 
-	follower->away = !sf_is_reached(ctl);
+	follower->away = !sf_is_reached(rc);
 	msg.away = follower->away;
-	msg.generation = ctl->generation;
+	msg.generation = rc->generation;
 	feed_put_conf(feed, follower, &msg);
 	feed_put_endpoints(feed, follower, &batch, &msg);
-	if (follower->hosts_version != ctl->hosts_version)
-		feed_put_hosts(ctl, &msg, hosts, refs);
-	if (follower->loads_version != ctl->loads_version)
-		feed_put_loads(ctl, &msg, loads, load_refs);
-	follower->loads_version = ctl->loads_version;
-	follower->hosts_version = ctl->hosts_version;
-	follower->generation = ctl->generation;
+	if (follower->hosts_version != rc->hosts_version)
+		feed_put_hosts(rc, &msg, hosts, refs);
+	if (follower->loads_version != rc->loads_version)
+		feed_put_loads(rc, &msg, loads, load_refs);
+	follower->loads_version = rc->loads_version;
+	follower->hosts_version = rc->hosts_version;
+	follower->generation = rc->generation;
 	follower->greeted = true;
 	frm_send(follower->conn, MSG_FEED_UPDATE, &msg.base);
 	g_array_unref(hosts);
@@ -378,7 +378,7 @@
 	}
 }
 
-void feed_send_suspect(struct feed *feed, const struct ctl_suspect *suspect, const void *source)
+void feed_send_suspect(struct feed *feed, const struct rc_suspect *suspect, const void *source)
 {
 	Feed__Suspect msg = FEED__SUSPECT__INIT;
 
--- a/router/follow.c
+++ b/router/follow.c
@@ -3,7 +3,7 @@
 #include "base/jl.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <string.h>
 #include <zlib.h>
@@ -33,7 +33,7 @@
 static const char FOLLOW_KEY[] = "readers of the store";
 
 struct follow {
-	struct ctl *ctl;
+	struct rc *rc;
 	struct host_table table;
 	struct frm_conn *conn;
 	char *host; /* that feeds this one; a seed's address while no host is known */
@@ -49,11 +49,11 @@
 
 static const struct frm_ops follow_ops = {follow_on_msg, follow_on_close};
 
-struct follow *follow_new(struct ctl *ctl)
+struct follow *follow_new(struct rc *rc)
 {
 	struct follow *follow = g_new0(struct follow, 1);
 
-	follow->ctl = ctl;
+	follow->rc = rc;
 	follow->settled_us = tmr_now() + FOLLOW_SETTLE_MS * USEC_PER_MSEC;
 	host_table_init(&follow->table, FOLLOW_SUSPECT_MS * USEC_PER_MSEC);
 	return follow;
@@ -74,29 +74,29 @@
 }
 
 /* Hosts that may be readers: those with at least half of what the strongest has. */
-static double follow_least_capacity(const struct ctl *ctl)
+static double follow_least_capacity(const struct rc *rc)
 {
 	GHashTableIter iter;
 	gpointer value;
 	double most = 0;
 
-	g_hash_table_iter_init(&iter, ctl->hosts);
+	g_hash_table_iter_init(&iter, rc->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		most = MAX(most, ((const struct ctl_host *)value)->capacity);
+		most = MAX(most, ((const struct rc_host *)value)->capacity);
 	return most / 2;
 }
 
 void follow_on_hosts(struct follow *follow)
 {
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct host));
-	double least = follow_least_capacity(follow->ctl);
+	double least = follow_least_capacity(follow->rc);
 	GHashTableIter iter;
 	gpointer name;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, follow->ctl->hosts);
+	g_hash_table_iter_init(&iter, follow->rc->hosts);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct ctl_host *from = value;
+		const struct rc_host *from = value;
 		struct host host;
 
 		if (from->capacity < least)
@@ -112,7 +112,7 @@
 
 static bool follow_is_self(const struct follow *follow, const struct host *host)
 {
-	return strcmp(host->name, follow->ctl->router->settings.name) == 0;
+	return strcmp(host->name, follow->rc->router->settings.name) == 0;
 }
 
 /* The readers of the store in order of rank; returns their number. */
@@ -139,7 +139,7 @@
 {
 	const struct host *readers[FOLLOW_READERS];
 	unsigned int n = follow_readers(follow, readers, now_us);
-	unsigned int start = g_str_hash(follow->ctl->router->settings.name);
+	unsigned int start = g_str_hash(follow->rc->router->settings.name);
 
 	*is_reader = false;
 	for (unsigned int i = 0; i < n; i++) {
@@ -176,24 +176,24 @@
 	const struct frm_limits limits = {FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC,
 					  FOLLOW_SILENT_MS * USEC_PER_MSEC,
 					  FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC};
-	struct ctl *ctl = follow->ctl;
+	struct rc *rc = follow->rc;
 	Feed__Ask ask = FEED__ASK__INIT;
 
-	follow->conn = frm_connect(ctl->loop, addr, &follow_ops, &limits, follow);
+	follow->conn = frm_connect(rc->loop, addr, &follow_ops, &limits, follow);
 	if (!follow->conn)
 		return;
 	follow->host = g_strdup(name);
 	frm_set_active(follow->conn, true);
-	ask.host = ctl->router->settings.name;
-	ask.conf_version = ctl->conf ? ctl->conf->version : -1;
-	ask.endpoints_next = ctl->listed ? ctl->endpoints.next : -1;
+	ask.host = rc->router->settings.name;
+	ask.conf_version = rc->conf ? rc->conf->version : -1;
+	ask.endpoints_next = rc->listed ? rc->endpoints.next : -1;
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
 }
 
 /* While no host is known, the seeds are asked in turn. */
 static void follow_connect_seed(struct follow *follow)
 {
-	const struct router_settings *s = &follow->ctl->router->settings;
+	const struct router_settings *s = &follow->rc->router->settings;
 	char **seeds = g_strsplit(s->seeds, ",", -1);
 	guint n = g_strv_length(seeds);
 
@@ -208,7 +208,7 @@
 
 void follow_on_tick(struct follow *follow, int64_t now_us)
 {
-	struct ctl *ctl = follow->ctl;
+	struct rc *rc = follow->rc;
 	bool is_reader;
 	const struct host *host = follow_choose(follow, &is_reader, now_us);
 
@@ -220,12 +220,12 @@
 		follow->next_try_us = now_us + FOLLOW_RETRY_MS * USEC_PER_MSEC;
 		if (host)
 			follow_connect(follow, host->name, host->control_addr);
-		else if (follow->table.hosts->len == 0 && !sf_is_reached(ctl))
+		else if (follow->table.hosts->len == 0 && !sf_is_reached(rc))
 			follow_connect_seed(follow);
 	}
-	ctl_set_direct(ctl, is_reader || !follow->fed || now_us < follow->settled_us);
-	ctl_set_candidate(ctl, is_reader || (!follow->fed && now_us >= follow->settled_us));
-	ctl->first = is_reader && follow_is_first(follow, now_us);
+	rc_set_direct(rc, is_reader || !follow->fed || now_us < follow->settled_us);
+	rc_set_candidate(rc, is_reader || (!follow->fed && now_us >= follow->settled_us));
+	rc->first = is_reader && follow_is_first(follow, now_us);
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -238,29 +238,29 @@
 
 static void follow_take_endpoints(struct follow *follow, const Feed__Update *msg)
 {
-	struct ctl *ctl = follow->ctl;
+	struct rc *rc = follow->rc;
 
-	if (msg->endpoints_next < 0 || (ctl->listed && msg->endpoints_next < ctl->endpoints.next))
+	if (msg->endpoints_next < 0 || (rc->listed && msg->endpoints_next < rc->endpoints.next))
 		return;
 	if (msg->listing)
-		ep_on_listing(&ctl->endpoints);
+		ep_on_listing(&rc->endpoints);
 	for (size_t i = 0; i < msg->n_endpoints; i++) {
 		const Feed__Endpoint *e = msg->endpoints[i];
 		const char *text = e->text.len > 0 ? (const char *)e->text.data : NULL;
 
-		ctl_take_endpoint(ctl, e->offset, e->id, str_make(text, e->text.len));
+		rc_take_endpoint(rc, e->offset, e->id, str_make(text, e->text.len));
 	}
 	if (msg->listing) {
-		ep_on_listed(&ctl->endpoints, msg->endpoints_next, tmr_now());
-		ctl->listed = true;
-		feed_on_listing(ctl->feed);
+		ep_on_listed(&rc->endpoints, msg->endpoints_next, tmr_now());
+		rc->listed = true;
+		feed_on_listing(rc->feed);
 	}
-	ctl->endpoints.next = MAX(ctl->endpoints.next, msg->endpoints_next);
+	rc->endpoints.next = MAX(rc->endpoints.next, msg->endpoints_next);
 }
 
 static void follow_take_hosts(struct follow *follow, const Feed__Update *msg)
 {
-	struct ctl *ctl = follow->ctl;
+	struct rc *rc = follow->rc;
 
 	if (msg->n_hosts == 0)
 		return;
@@ -268,7 +268,7 @@
 		const Feed__Host *host = msg->hosts[i];
 		char *text = g_strdup_printf("%s %.3f", host->addr, host->capacity);
 
-		ctl_take_host(ctl, host->name, str_of(text));
+		rc_take_host(rc, host->name, str_of(text));
 		g_free(text);
 	}
 }
@@ -282,7 +282,7 @@
 		return;
 	text = g_malloc(len + 1);
 	if (uncompress((Bytef *)text, &len, msg->conf.data, msg->conf.len) == Z_OK)
-		ctl_take_conf(follow->ctl, str_make(text, len), follow->host);
+		rc_take_conf(follow->rc, str_make(text, len), follow->host);
 	else
 		follow_log(follow, "feed_unreadable", "configuration");
 	g_free(text);
@@ -294,9 +294,9 @@
 {
 	GArray *loads;
 
-	if (msg->n_loads == 0 || follow->ctl->first)
+	if (msg->n_loads == 0 || follow->rc->first)
 		return;
-	loads = ctl_loads_new();
+	loads = rc_loads_new();
 	for (size_t i = 0; i < msg->n_loads; i++) {
 		const Feed__Load *from = msg->loads[i];
 		struct router_load load = {g_strdup(from->endpoint), from->pace, from->kv_used,
@@ -304,12 +304,12 @@
 
 		g_array_append_val(loads, load);
 	}
-	ctl_take_loads(follow->ctl, loads);
+	rc_take_loads(follow->rc, loads);
 }
 
 static int follow_on_update(struct follow *follow, const uint8_t *body, size_t len)
 {
-	struct ctl *ctl = follow->ctl;
+	struct rc *rc = follow->rc;
 	Feed__Update *msg = feed__update__unpack(NULL, len, body);
 
 	if (!msg)
@@ -319,17 +319,17 @@
 	follow->fed = !msg->away;
 	host_on_evidence(&follow->table, follow->host, HOST_HEARD, tmr_now());
 	if (follow->fed)
-		ep_on_reached(&ctl->endpoints, tmr_now());
+		ep_on_reached(&rc->endpoints, tmr_now());
 	follow_take_conf(follow, msg);
 	follow_take_endpoints(follow, msg);
 	follow_take_hosts(follow, msg);
 	follow_take_loads(follow, msg);
-	if (!ctl->direct && msg->generation != ctl->generation) {
-		ctl->generation = MAX(ctl->generation, msg->generation);
-		ctl_view_due(ctl);
+	if (!rc->direct && msg->generation != rc->generation) {
+		rc->generation = MAX(rc->generation, msg->generation);
+		rc_view_due(rc);
 	}
 	feed__update__free_unpacked(msg, NULL);
-	ctl_first_view(ctl);
+	rc_first_view(rc);
 	return 0;
 }
 
@@ -337,12 +337,12 @@
 			     size_t len)
 {
 	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
-	struct ctl_suspect suspect;
+	struct rc_suspect suspect;
 
 	if (!msg)
 		return BASE_EFRAME;
-	suspect = (struct ctl_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	ctl_on_suspect(follow->ctl, &suspect, conn);
+	suspect = (struct rc_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
+	rc_on_suspect(follow->rc, &suspect, conn);
 	feed__suspect__free_unpacked(msg, NULL);
 	return 0;
 }
@@ -373,7 +373,7 @@
 	follow_on_tick(follow, tmr_now());
 }
 
-void follow_send_suspect(struct follow *follow, const struct ctl_suspect *suspect,
+void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
 			 const void *source)
 {
 	Feed__Suspect msg = FEED__SUSPECT__INIT;
--- a/router/pick.c
+++ b/router/pick.c
@@ -123,7 +123,7 @@
 	node->room = kind ? pl_token_room(&service->engine, kind->memory_mb, node->to - node->from)
 			  : 0;
 	pick_load(tf, ep, now_us, node);
-	if (ep->suspect_us > now_us)
+	if (MAX(ep->suspect_us, ep->doubt_us) > now_us)
 		node->slowness *= PICK_SUSPECT_COST;
 }
 
@@ -296,7 +296,7 @@
 
 	tf->seed = tf->seed * 1664525U + 1013904223U;
 	load *= 1 + 4 * tf_ep_failures(ep, now_us);
-	if (ep->suspect_us > now_us)
+	if (MAX(ep->suspect_us, ep->doubt_us) > now_us)
 		load *= PICK_SUSPECT_COST;
 	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
 		load *= 1.1;
--- a/router/placer.c
+++ b/router/placer.c
@@ -2,7 +2,7 @@
 #include "base/jl.h"
 #include "base/met.h"
 #include "place/place.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <string.h>
 
@@ -36,7 +36,7 @@
 };
 
 struct placer {
-	struct ctl *ctl;
+	struct rc *rc;
 	GHashTable *orders; /* endpoint id -> struct placer_order */
 	int64_t seen_us;    /* when the first endpoint was seen */
 	int64_t grown_us;   /* when a new one was last seen */
@@ -67,11 +67,11 @@
 	g_free(order);
 }
 
-struct placer *placer_new(struct ctl *ctl)
+struct placer *placer_new(struct rc *rc)
 {
 	struct placer *placer = g_new0(struct placer, 1);
 
-	placer->ctl = ctl;
+	placer->rc = rc;
 	placer->fenced = -1;
 	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placer_order_free);
 	return placer;
@@ -85,7 +85,7 @@
 
 static bool placer_settled(struct placer *placer, int64_t now_us)
 {
-	guint known = g_hash_table_size(placer->ctl->endpoints.entries);
+	guint known = g_hash_table_size(placer->rc->endpoints.entries);
 
 	if (known > 0 && placer->seen_us == 0)
 		placer->seen_us = now_us;
@@ -100,14 +100,14 @@
 
 void placer_on_tick(struct placer *placer, int64_t now_us)
 {
-	struct ctl *ctl = placer->ctl;
+	struct rc *rc = placer->rc;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!placer_settled(placer, now_us) || !ctl->conf || !ctl_may_order(ctl) ||
-	    ctl->generation <= placer->fenced)
+	if (!placer_settled(placer, now_us) || !rc->conf || !rc_may_order(rc) ||
+	    rc->generation <= placer->fenced)
 		return;
-	g_hash_table_iter_init(&iter, ctl->conf->services);
+	g_hash_table_iter_init(&iter, rc->conf->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (rt_is_layered(value))
 			placer_plan(placer, value, now_us);
@@ -144,7 +144,7 @@
 
 static void placer_plan(struct placer *placer, const struct rt_service *service, int64_t now_us)
 {
-	GPtrArray *recs = ep_snapshot(&placer->ctl->endpoints);
+	GPtrArray *recs = ep_snapshot(&placer->rc->endpoints);
 	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct pl_node));
 	GPtrArray *of_nodes = g_ptr_array_new();
 	GArray *moves = g_array_new(FALSE, TRUE, sizeof(struct pl_move));
@@ -180,10 +180,10 @@
 static void placer_order(struct placer *placer, const struct ep_rec *rec,
 			 const struct pl_move *move, int64_t now_us)
 {
-	struct ctl *ctl = placer->ctl;
+	struct rc *rc = placer->rc;
 	struct placer_order *order = g_new0(struct placer_order, 1);
 	char *url = g_strdup_printf("http://%s%s", rec->addr,
-				    ctl->router->seam->engine.report_path());
+				    rc->router->seam->engine.report_path());
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
@@ -209,9 +209,9 @@
 	jl_int("to", move->to);
 	jl_int("held_from", rec->layer_from);
 	jl_int("held_to", rec->layer_to);
-	jl_int("fence", ctl->generation);
+	jl_int("fence", rc->generation);
 	jl_end();
-	order->call = hc_start(ctl->hc, &request, &placer_report_ops, order);
+	order->call = hc_start(rc->hc, &request, &placer_report_ops, order);
 	g_free(url);
 }
 
@@ -220,7 +220,7 @@
 {
 	struct placer_order *order = ctx;
 	struct placer *placer = order->placer;
-	const struct seam_engine *engine = &placer->ctl->router->seam->engine;
+	const struct seam_engine *engine = &placer->rc->router->seam->engine;
 	struct seam_report report;
 	int64_t expect;
 	bool busy;
@@ -233,16 +233,16 @@
 	busy = report.busy;
 	expect = report.sequence;
 	seam_report_finish(&report);
-	if (!busy && ctl_may_order(placer->ctl))
+	if (!busy && rc_may_order(placer->rc))
 		placer_send(order, expect);
 }
 
 static void placer_send(struct placer_order *order, int64_t expect)
 {
-	struct ctl *ctl = order->placer->ctl;
-	const struct seam_engine *engine = &ctl->router->seam->engine;
+	struct rc *rc = order->placer->rc;
+	const struct seam_engine *engine = &rc->router->seam->engine;
 	char *url = g_strdup_printf("http://%s%s", order->addr, engine->order_path());
-	char *body = engine->make_place(order->from, order->to, ctl->generation, expect);
+	char *body = engine->make_place(order->from, order->to, rc->generation, expect);
 	const char *headers[] = {"Content-Type: application/json", NULL};
 	struct hc_request request = {
 		.method = "POST",
@@ -257,7 +257,7 @@
 	};
 
 	met_add(met_counter("bg_orders_total", "order=\"place\""), 1);
-	order->call = hc_start(ctl->hc, &request, &placer_ops, order);
+	order->call = hc_start(rc->hc, &request, &placer_ops, order);
 	g_free(url);
 	g_free(body);
 }
@@ -282,7 +282,7 @@
 		jl_str("answer", body);
 	jl_end();
 	if (status == HTTP_FENCED)
-		placer->fenced = placer->ctl->generation;
+		placer->fenced = placer->rc->generation;
 	if (!sent || status == HTTP_CONFLICT || status == HTTP_FENCED)
 		order->given_us -= PLACER_PATIENCE_US * 3 / 4;
 }
--- a/router/poll.c
+++ b/router/poll.c
@@ -1,6 +1,6 @@
 #include "base/jl.h"
 #include "base/met.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <string.h>
 
@@ -23,7 +23,7 @@
 };
 
 struct poll {
-	struct ctl *ctl;
+	struct rc *rc;
 	GPtrArray *calls; /* struct poll_call */
 	GArray *loads;	  /* struct router_load, of the present round; NULL: between rounds */
 	int64_t next_us;
@@ -43,11 +43,11 @@
 	g_free(call);
 }
 
-struct poll *poll_new(struct ctl *ctl)
+struct poll *poll_new(struct rc *rc)
 {
 	struct poll *poll = g_new0(struct poll, 1);
 
-	poll->ctl = ctl;
+	poll->rc = rc;
 	poll->calls = g_ptr_array_new_with_free_func(poll_call_free);
 	return poll;
 }
@@ -61,10 +61,10 @@
 
 static void poll_ask(struct poll *poll, const struct ep_rec *rec)
 {
-	struct ctl *ctl = poll->ctl;
+	struct rc *rc = poll->rc;
 	struct poll_call *call = g_new0(struct poll_call, 1);
 	char *url = g_strdup_printf("http://%s%s", rec->addr,
-				    ctl->router->seam->engine.report_path());
+				    rc->router->seam->engine.report_path());
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
@@ -75,13 +75,13 @@
 	call->poll = poll;
 	call->endpoint = g_strdup(rec->id);
 	g_ptr_array_add(poll->calls, call);
-	call->call = hc_start(ctl->hc, &request, &poll_ops, call);
+	call->call = hc_start(rc->hc, &request, &poll_ops, call);
 	g_free(url);
 }
 
-static bool poll_is_engine(const struct ctl *ctl, const struct ep_rec *rec)
+static bool poll_is_engine(const struct rc *rc, const struct ep_rec *rec)
 {
-	const struct rt_service *service = g_hash_table_lookup(ctl->conf->services, rec->service);
+	const struct rt_service *service = g_hash_table_lookup(rc->conf->services, rec->service);
 
 	return service && rt_is_layered(service) && rec->layer_to > rec->layer_from;
 }
@@ -91,12 +91,12 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	poll->loads = ctl_loads_new();
-	g_hash_table_iter_init(&iter, poll->ctl->endpoints.entries);
+	poll->loads = rc_loads_new();
+	g_hash_table_iter_init(&iter, poll->rc->endpoints.entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct ep_entry *entry = value;
 
-		if (poll_is_engine(poll->ctl, entry->rec))
+		if (poll_is_engine(poll->rc, entry->rec))
 			poll_ask(poll, entry->rec);
 	}
 }
@@ -106,7 +106,7 @@
 	GArray *loads = g_steal_pointer(&poll->loads);
 
 	if (loads->len > 0)
-		ctl_take_loads(poll->ctl, loads);
+		rc_take_loads(poll->rc, loads);
 	else
 		g_array_unref(loads);
 }
@@ -117,9 +117,9 @@
  */
 void poll_on_tick(struct poll *poll, int64_t now_us)
 {
-	struct ctl *ctl = poll->ctl;
+	struct rc *rc = poll->rc;
 
-	if (!ctl->first || ctl->stopping || !ctl->conf) {
+	if (!rc->first || rc->stopping || !rc->conf) {
 		g_ptr_array_set_size(poll->calls, 0);
 		g_clear_pointer(&poll->loads, g_array_unref);
 		return;
@@ -142,7 +142,7 @@
 	(void)err;
 	(void)sent;
 	call->call = NULL;
-	if (status == HTTP_OK && poll->ctl->router->seam->engine.parse_report(
+	if (status == HTTP_OK && poll->rc->router->seam->engine.parse_report(
 					 str_make(body, len), &report) == 0) {
 		load = (struct router_load){g_strdup(call->endpoint), report.pace, report.kv_used,
 					    report.kv_total};
--- a/router/ctl.h
+++ b/router/rc.h
@@ -1,5 +1,5 @@
-#ifndef ROUTER_CTL_H
-#define ROUTER_CTL_H
+#ifndef ROUTER_RC_H
+#define ROUTER_RC_H
 
 #include "host/host.h"
 #include "router/router.h"
@@ -13,7 +13,7 @@
 
 /* One topic of the store as it is followed. */
 struct sf_topic {
-	struct ctl *ctl;
+	struct rc *rc;
 	enum seam_topic topic;
 	int64_t next;	  /* offset to read from; -1: the whole listing is read next */
 	int64_t wait_ms;  /* that the store may hold a read until a record comes; 0: none */
@@ -26,12 +26,12 @@
 };
 
 /* A host of this system, as it lists itself in the store. */
-struct ctl_host {
+struct rc_host {
 	char *addr;	  /* of its control thread */
 	double capacity;  /* Mbit/s of its link x cores; hosts differ tenfold */
 };
 
-struct ctl {
+struct rc {
 	struct router *router;
 	struct loop *loop;
 	struct hc *hc;
@@ -40,7 +40,7 @@
 	gsize conf_len;		 /* of the text */
 	struct ep_list endpoints;
 	bool listed;	   /* the endpoints have been read whole once */
-	GHashTable *hosts; /* name -> struct ctl_host */
+	GHashTable *hosts; /* name -> struct rc_host */
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
 	bool direct;	/* this host reads the store itself */
@@ -67,45 +67,45 @@
 };
 
 /* store_follow.c: reading the store. */
-void sf_start(struct ctl *ctl);
-void sf_stop(struct ctl *ctl);
+void sf_start(struct rc *rc);
+void sf_stop(struct rc *rc);
 
 /* Whether the last read of configuration and endpoints succeeded. */
-bool sf_is_reached(const struct ctl *ctl);
+bool sf_is_reached(const struct rc *rc);
 
-/* ctl.c */
-char *ctl_url(const struct ctl *ctl, char *path);
-void ctl_view_due(struct ctl *ctl);
+/* rc.c */
+char *rc_url(const struct rc *rc, char *path);
+void rc_view_due(struct rc *rc);
 
 /* Posts the view at once if it is the first one that requests can be served by. */
-void ctl_first_view(struct ctl *ctl);
+void rc_first_view(struct rc *rc);
 
 /* Time since boot that goes on while the machine is suspended, in microseconds. */
-int64_t ctl_boot_us(void);
+int64_t rc_boot_us(void);
 
 /* Whether this host may give orders now. */
-bool ctl_may_order(const struct ctl *ctl);
+bool rc_may_order(const struct rc *rc);
 
 /* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
-void ctl_take_conf(struct ctl *ctl, struct str text, const char *from);
-void ctl_take_endpoint(struct ctl *ctl, int64_t offset, const char *id, struct str text);
-void ctl_take_host(struct ctl *ctl, const char *name, struct str text);
+void rc_take_conf(struct rc *rc, struct str text, const char *from);
+void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
+void rc_take_host(struct rc *rc, const char *name, struct str text);
 
 /* Takes the newest loads (struct router_load); the array is taken over. */
-void ctl_take_loads(struct ctl *ctl, GArray *loads);
-GArray *ctl_loads_new(void);
+void rc_take_loads(struct rc *rc, GArray *loads);
+GArray *rc_loads_new(void);
 
 /* Reads the store from now on, or leaves that to the feed. */
-void ctl_set_direct(struct ctl *ctl, bool direct);
+void rc_set_direct(struct rc *rc, bool direct);
 
 /*
  * Takes part in choosing a leader from now on, or not. A host that has just started and will follow
  * another one soon does not: the lead would go to it and be lost with it.
  */
-void ctl_set_candidate(struct ctl *ctl, bool candidate);
+void rc_set_candidate(struct rc *rc, bool candidate);
 
 /* An endpoint that was found at fault; hops: hosts that passed it on. */
-struct ctl_suspect {
+struct rc_suspect {
 	const char *endpoint;
 	int64_t for_ms;
 	const char *why;
@@ -113,23 +113,23 @@
 };
 
 /* From this host's traffic thread. Any thread. */
-void ctl_post_suspect(struct ctl *ctl, const char *endpoint, int64_t for_ms, const char *why);
+void rc_post_suspect(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why);
 
 /* From another host: to the traffic thread, and on to the other hosts. */
-void ctl_on_suspect(struct ctl *ctl, const struct ctl_suspect *suspect, const void *source);
+void rc_on_suspect(struct rc *rc, const struct rc_suspect *suspect, const void *source);
 
 /* placer.c */
-struct placer *placer_new(struct ctl *ctl);
+struct placer *placer_new(struct rc *rc);
 void placer_free(struct placer *placer);
 void placer_on_tick(struct placer *placer, int64_t now_us);
 
 /* poll.c: one host asks all engines for their load. */
-struct poll *poll_new(struct ctl *ctl);
+struct poll *poll_new(struct rc *rc);
 void poll_free(struct poll *poll);
 void poll_on_tick(struct poll *poll, int64_t now_us);
 
 /* feed.c: feeding other hosts. */
-struct feed *feed_new(struct ctl *ctl);
+struct feed *feed_new(struct rc *rc);
 void feed_free(struct feed *feed);
 void feed_on_record(struct feed *feed, int64_t offset, const char *id, struct str text);
 
@@ -140,17 +140,17 @@
 void feed_flush(struct feed *feed);
 
 /* To all followers but the connection it came from. */
-void feed_send_suspect(struct feed *feed, const struct ctl_suspect *suspect, const void *source);
+void feed_send_suspect(struct feed *feed, const struct rc_suspect *suspect, const void *source);
 
 /* follow.c: being fed by another host. */
-struct follow *follow_new(struct ctl *ctl);
+struct follow *follow_new(struct rc *rc);
 void follow_free(struct follow *follow);
 void follow_on_tick(struct follow *follow, int64_t now_us);
 void follow_on_hosts(struct follow *follow);
 
 /* Whether the feed brings what the store holds now. */
 bool follow_is_fed(const struct follow *follow);
-void follow_send_suspect(struct follow *follow, const struct ctl_suspect *suspect,
+void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
 			 const void *source);
 
 #endif
--- a/router/router.h
+++ b/router/router.h
@@ -60,13 +60,13 @@
 	double kv_total; /* the same */
 };
 
-struct ctl;
+struct rc;
 struct tf;
 
 struct router {
 	struct router_settings settings;
 	const struct seam *seam;
-	struct ctl *ctl;
+	struct rc *rc;
 	struct tf *tf;
 	struct hd *front;
 	struct hd *ready_hd;
@@ -79,12 +79,12 @@
 extern const struct set_item router_items[];
 extern const size_t router_items_n;
 
-/* Control thread: ctl.c, and below it store_follow.c, feed.c, follow.c, placer.c. */
-struct ctl *ctl_start(struct router *router, struct loop *loop);
-void ctl_finish(struct ctl *ctl);
+/* Control thread: rc.c, and below it store_follow.c, feed.c, follow.c, placer.c. */
+struct rc *rc_start(struct router *router, struct loop *loop);
+void rc_finish(struct rc *rc);
 
 /* The host is stopping: it gives up what it leads and leaves the list of hosts. */
-void ctl_stop(struct ctl *ctl);
+void rc_stop(struct rc *rc);
 
 /* Traffic thread: tf.c, and below it rq.c and pick.c. */
 struct tf *tf_start(struct router *router);
--- a/router/rq.c
+++ b/router/rq.c
@@ -138,6 +138,10 @@
 
 static void rq_avoid(struct rq *rq, struct tf_ep *ep)
 {
+	for (int i = 0; i < rq->avoid.count; i++) {
+		if (rq->avoid.eps[i] == ep)
+			return;
+	}
 	if (rq->avoid.count == TF_STAGES_MAX)
 		return;
 	ep->refs++;
@@ -444,8 +448,14 @@
 }
 
 /* Sends the request again from what the caller has, elsewhere. */
-static void rq_resume(struct rq *rq)
+static void rq_resume(struct rq *rq, const char *why)
 {
+	jl_begin(JL_KEEP, "resume");
+	jl_str("id", rq->request.id);
+	jl_str("why", why);
+	jl_int("parts", (int64_t)rq->fwd.parts);
+	jl_int("silent_ms", (tmr_now() - rq->part_us) / USEC_PER_MSEC);
+	jl_end();
 	fwd_give_up_attempt(&rq->fwd, tmr_now());
 }
 
@@ -485,8 +495,10 @@
 	if (rq->order)
 		return;
 	if (!rq_can_repair(rq)) {
-		if (rq_is_lost(rq))
-			rq_resume(rq);
+		if (rq_is_lost(rq)) {
+			rq_avoid(rq, rq->target.eps[rq_suspected_stage(rq)]);
+			rq_resume(rq, "no_repair");
+		}
 		return;
 	}
 	rq->repairs++;
@@ -520,7 +532,7 @@
 	if (!ep)
 		return false;
 	rq_avoid(rq, ep);
-	tf_pass_over(rq->tf, ep, RQ_DOUBT_US, "refused_repair", rq->request.id);
+	tf_doubt(ep, RQ_DOUBT_US, "refused_repair", rq->request.id);
 	return true;
 }
 
@@ -544,7 +556,7 @@
 		if (status == STATUS_CONFLICT && rq_learn_refusal(rq, body, len))
 			rq_recover(rq);
 		else
-			rq_resume(rq);
+			rq_resume(rq, "repair_refused");
 		return;
 	}
 	tf_target_clear(&rq->target);
@@ -578,7 +590,7 @@
 		culprit = g_hash_table_lookup(rq->tf->by_addr, rq->answer.culprit);
 	if (culprit) {
 		rq_avoid(rq, culprit);
-		tf_pass_over(rq->tf, culprit, RQ_DOUBT_US, "named_at_fault", rq->request.id);
+		tf_doubt(culprit, RQ_DOUBT_US, "named_at_fault", rq->request.id);
 		return;
 	}
 	if (!first || err == 0)
@@ -730,7 +742,7 @@
 		return;
 	if (rq_leaving_us(rq->target.eps[0], now_us) > drain_us * RQ_MOVE_FIRST_PART / 100) {
 		rq_avoid(rq, rq->target.eps[0]);
-		rq_resume(rq);
+		rq_resume(rq, "first_stage_leaves");
 		return;
 	}
 	for (int i = 1; i < rq->target.count; i++) {
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -1,7 +1,7 @@
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/met.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <string.h>
 
@@ -47,14 +47,14 @@
 	[SEAM_HOSTS] = {0, SF_HOSTS_PAUSE_MS},
 };
 
-void sf_start(struct ctl *ctl)
+void sf_start(struct rc *rc)
 {
 	for (int i = 0; i <= SEAM_HOSTS; i++) {
-		struct sf_topic *t = &ctl->topics[i];
+		struct sf_topic *t = &rc->topics[i];
 
-		t->ctl = ctl;
+		t->rc = rc;
 		t->topic = i;
-		t->next = i == SEAM_ENDPOINTS && ctl->listed ? ctl->endpoints.next : -1;
+		t->next = i == SEAM_ENDPOINTS && rc->listed ? rc->endpoints.next : -1;
 		t->read_us = 0;
 		t->failures = 0;
 		t->wait_ms = sf_pace[i].wait_ms;
@@ -63,12 +63,12 @@
 	}
 }
 
-void sf_stop(struct ctl *ctl)
+void sf_stop(struct rc *rc)
 {
 	for (int i = 0; i <= SEAM_HOSTS; i++) {
-		struct sf_topic *t = &ctl->topics[i];
+		struct sf_topic *t = &rc->topics[i];
 
-		tmr_cancel(&ctl->loop->tmr, &t->timer);
+		tmr_cancel(&rc->loop->tmr, &t->timer);
 		if (t->call)
 			hc_cancel(t->call);
 		t->call = NULL;
@@ -76,22 +76,22 @@
 	}
 }
 
-bool sf_is_reached(const struct ctl *ctl)
+bool sf_is_reached(const struct rc *rc)
 {
-	const struct sf_topic *conf = &ctl->topics[SEAM_CONF];
-	const struct sf_topic *endpoints = &ctl->topics[SEAM_ENDPOINTS];
+	const struct sf_topic *conf = &rc->topics[SEAM_CONF];
+	const struct sf_topic *endpoints = &rc->topics[SEAM_ENDPOINTS];
 
-	return ctl->direct && conf->read_us > 0 && endpoints->read_us > 0 && conf->failures == 0 &&
+	return rc->direct && conf->read_us > 0 && endpoints->read_us > 0 && conf->failures == 0 &&
 	       endpoints->failures == 0;
 }
 
 static void sf_ask(struct sf_topic *t)
 {
-	const struct seam_store *store = &t->ctl->router->seam->store;
+	const struct seam_store *store = &t->rc->router->seam->store;
 	bool listing = t->next < 0;
 	char *path = listing ? store->newest_path(t->topic, t->after)
 			     : store->read_path(t->topic, t->next, t->wait_ms);
-	char *url = ctl_url(t->ctl, path);
+	char *url = rc_url(t->rc, path);
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
@@ -100,7 +100,7 @@
 		.fresh = t->failures > 0,
 	};
 
-	t->call = hc_start(t->ctl->hc, &request, &sf_ops, t);
+	t->call = hc_start(t->rc->hc, &request, &sf_ops, t);
 	g_free(url);
 }
 
@@ -112,8 +112,8 @@
 
 static void sf_again(struct sf_topic *t, int64_t delay_us)
 {
-	if (!t->ctl->stopping || t->topic != SEAM_HOSTS)
-		loop_after(t->ctl->loop, &t->timer, delay_us, sf_on_timer, t);
+	if (!t->rc->stopping || t->topic != SEAM_HOSTS)
+		loop_after(t->rc->loop, &t->timer, delay_us, sf_on_timer, t);
 }
 
 static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value)
@@ -122,11 +122,11 @@
 	char *name = str_dup(key);
 
 	if (t->topic == SEAM_CONF && value.data)
-		ctl_take_conf(t->ctl, value, "store");
+		rc_take_conf(t->rc, value, "store");
 	else if (t->topic == SEAM_ENDPOINTS)
-		ctl_take_endpoint(t->ctl, offset, name, value);
+		rc_take_endpoint(t->rc, offset, name, value);
 	else if (t->topic == SEAM_HOSTS)
-		ctl_take_host(t->ctl, name, value);
+		rc_take_host(t->rc, name, value);
 	g_free(name);
 }
 
@@ -142,9 +142,9 @@
 		jl_end();
 	}
 	met_add(met_counter("bg_store_failures_total", ""), 1);
-	if (t->topic == SEAM_ENDPOINTS && !follow_is_fed(t->ctl->follow))
-		ep_on_away(&t->ctl->endpoints);
-	feed_flush(t->ctl->feed);
+	if (t->topic == SEAM_ENDPOINTS && !follow_is_fed(t->rc->follow))
+		ep_on_away(&t->rc->endpoints);
+	feed_flush(t->rc->feed);
 	sf_again(t, delay_ms * USEC_PER_MSEC);
 }
 
@@ -166,8 +166,8 @@
 	bool first = t->after == NULL;
 
 	if (first && t->topic == SEAM_ENDPOINTS)
-		ep_on_listing(&t->ctl->endpoints);
-	if (t->ctl->router->seam->store.parse_newest(body, sf_on_record, t, &read) < 0)
+		ep_on_listing(&t->rc->endpoints);
+	if (t->rc->router->seam->store.parse_newest(body, sf_on_record, t, &read) < 0)
 		return false;
 	g_clear_pointer(&t->after, g_free);
 	if (read.more) {
@@ -178,10 +178,10 @@
 	g_free(read.last);
 	t->next = read.end;
 	if (t->topic == SEAM_ENDPOINTS) {
-		ep_on_listed(&t->ctl->endpoints, read.end, tmr_now());
-		t->ctl->endpoints.changed = true;
-		t->ctl->listed = true;
-		feed_on_listing(t->ctl->feed);
+		ep_on_listed(&t->rc->endpoints, read.end, tmr_now());
+		t->rc->endpoints.changed = true;
+		t->rc->listed = true;
+		feed_on_listing(t->rc->feed);
 	}
 	sf_again(t, t->pause_us);
 	return true;
@@ -191,7 +191,7 @@
 {
 	struct seam_read read;
 
-	if (t->ctl->router->seam->store.parse_read(body, t->next, sf_on_record, t, &read) < 0)
+	if (t->rc->router->seam->store.parse_read(body, t->next, sf_on_record, t, &read) < 0)
 		return false;
 	/* A store that has less than was read before has been rewound; its listing tells what holds. */
 	t->next = read.end < t->next ? -1 : read.next;
@@ -219,13 +219,13 @@
 	sf_recovered(t);
 	t->read_us = tmr_now();
 	if (t->topic == SEAM_ENDPOINTS)
-		ep_on_reached(&t->ctl->endpoints, t->read_us);
+		ep_on_reached(&t->rc->endpoints, t->read_us);
 	good = t->next < 0 ? sf_on_listing(t, str_make(body, len))
 			   : sf_on_reading(t, str_make(body, len));
 	if (!good)
 		sf_failed(t, status, BASE_EHTTP);
-	if (t->ctl->endpoints.changed)
-		ctl_view_due(t->ctl);
-	ctl_first_view(t->ctl);
-	feed_flush(t->ctl->feed);
+	if (t->rc->endpoints.changed)
+		rc_view_due(t->rc);
+	rc_first_view(t->rc);
+	feed_flush(t->rc->feed);
 }
--- a/router/tf.c
+++ b/router/tf.c
@@ -1,7 +1,7 @@
 #include "router/tf.h"
 #include "base/jl.h"
 #include "base/met.h"
-#include "router/ctl.h"
+#include "router/rc.h"
 
 #include <ck_pr.h>
 #include <math.h>
@@ -312,20 +312,34 @@
 	ep->failed_us = now_us;
 }
 
-void tf_pass_over(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
-		  const char *request)
+static void tf_log_suspect(const struct tf_ep *ep, const char *event, int64_t for_us,
+			   const char *why, const char *request)
 {
-	int64_t until_us = tmr_now() + for_us;
-
-	if (ep->suspect_us + TF_SUSPECT_STEP_US >= until_us)
-		return;
-	ep->suspect_us = until_us;
-	jl_begin(JL_KEEP, "endpoint_suspected");
+	jl_begin(JL_KEEP, event);
 	jl_str("endpoint", ep->rec->id);
 	jl_str("addr", ep->rec->addr);
 	jl_str("why", why);
+	jl_int("for_ms", for_us / USEC_PER_MSEC);
 	jl_str("id", request);
 	jl_end();
+}
+
+void tf_doubt(struct tf_ep *ep, int64_t for_us, const char *why, const char *request)
+{
+	int64_t until_us = tmr_now() + for_us;
+
+	if (ep->doubt_us + TF_SUSPECT_STEP_US >= until_us)
+		return;
+	ep->doubt_us = until_us;
+	tf_log_suspect(ep, "endpoint_doubted", for_us, why, request);
+}
+
+/* What waits for the endpoint on this host is taken elsewhere. */
+static void tf_leave(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
+		     const char *request)
+{
+	ep->suspect_us = MAX(ep->suspect_us, tmr_now() + for_us);
+	tf_log_suspect(ep, "endpoint_suspected", for_us, why, request);
 	met_add(met_counter("bg_endpoint_suspected_total", ""), 1);
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_suspect(tf->reqs->pdata[i - 1], ep);
@@ -336,8 +350,8 @@
 {
 	if (ep->suspect_us + TF_SUSPECT_STEP_US >= tmr_now() + for_us)
 		return;
-	tf_pass_over(tf, ep, for_us, why, request);
-	ctl_post_suspect(tf->router->ctl, ep->rec->id, for_us / USEC_PER_MSEC, why);
+	tf_leave(tf, ep, for_us, why, request);
+	rc_post_suspect(tf->router->rc, ep->rec->id, for_us / USEC_PER_MSEC, why);
 }
 
 void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request)
@@ -349,7 +363,7 @@
 	if (again)
 		tf_suspect(tf, ep, TF_SUSPECT_US, why, request);
 	else
-		tf_pass_over(tf, ep, TF_DOUBT_US, why, request);
+		tf_doubt(ep, TF_DOUBT_US, why, request);
 }
 
 struct tf_suspect_msg {
@@ -365,7 +379,7 @@
 	struct tf_ep *ep = g_hash_table_lookup(msg->tf->eps, msg->endpoint);
 
 	if (ep)
-		tf_pass_over(msg->tf, ep, msg->until_us - tmr_now(), msg->why, NULL);
+		tf_leave(msg->tf, ep, msg->until_us - tmr_now(), msg->why, NULL);
 	g_free(msg->endpoint);
 	g_free(msg->why);
 	g_free(msg);
--- a/router/tf.h
+++ b/router/tf.h
@@ -18,7 +18,8 @@
 	double pace;	       /* as it reported last; 1: as usual */
 	double kv_used;	       /* the same, tokens x layers */
 	int64_t load_us;       /* when that report came; 0: never */
-	int64_t suspect_us;    /* it is passed over until then */
+	int64_t suspect_us;    /* it is at fault until then: not chosen, and left by what runs there */
+	int64_t doubt_us;      /* it may be at fault until then: not chosen */
 	int64_t unreached_us;  /* when this host last failed to reach it */
 	int64_t progress_us;   /* when a request sent to it last got something */
 	struct hc_call *report; /* being asked for */
@@ -72,7 +73,7 @@
 		   const struct seam_request *request, const struct tf_target *now,
 		   const struct tf_target *avoid, struct tf_target *target);
 
-/* Whether the endpoint is listed as ready and not suspected. */
+/* Whether the endpoint is listed as ready and not known to be at fault. */
 bool tf_ep_is_good(const struct tf_ep *ep, int64_t now_us);
 void tf_target_hold(struct tf_target *target);
 void tf_target_clear(struct tf_target *target);
@@ -87,9 +88,8 @@
 /* The endpoint failed or answered a request; fades with time. */
 void tf_ep_failed(struct tf_ep *ep, int64_t now_us);
 double tf_ep_failures(struct tf_ep *ep, int64_t now_us);
-/* Passes the endpoint over for that time, on this host only: for what may have other causes. */
-void tf_pass_over(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
-		  const char *request);
+/* Does not choose the endpoint for that time, on this host only: for what may have other causes. */
+void tf_doubt(struct tf_ep *ep, int64_t for_us, const char *why, const char *request);
 
 /*
  * Passes the endpoint over for that time, on all hosts. Only for what is certain: a host that only
