The type of an answer is copied; stand-ins of the platform, cases and a fault soak with real processes

Ruled out: the engine stand-in (its answers were whole in the router's log), another request's answer. Test first: HdTest.TypeIsCopied failed, passes now.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
 
-PROGRAMS = bgrouterd bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript
+PROGRAMS = bgrouterd bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript bgstand-store bgstand-engine
 SLICES = base conf host pool fair req once order rt ep place path sse bud fwd seam platform router
 
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
@@ -14,7 +14,8 @@
 LIBS = $(PKG_LIBS) -lck -lpthread -lm
 
 PROTO_C = $(wildcard msg/*.pb-c.c)
-LIB_SRC = $(foreach d,$(SLICES),$(wildcard $(d)/*.c)) $(PROTO_C)
+STAND_SRC = $(wildcard platform/stand_*.c)
+LIB_SRC = $(filter-out $(STAND_SRC),$(foreach d,$(SLICES),$(wildcard $(d)/*.c))) $(PROTO_C)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libbronzegauge.a
 FAKE_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/*.c))
@@ -54,6 +55,10 @@
 $(BUILD)/bgctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/ctl*.c))
 $(BUILD)/bgload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/load*.c prog/common*.c))
 $(BUILD)/bgscript: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/script*.c prog/common*.c))
+# Stand-ins for the users' platform; they know its names, so they stand in its folder.
+$(BUILD)/bgstand-store: $(BUILD)/platform/stand_store.o $(BUILD)/prog/common.o
+$(BUILD)/bgstand-engine: $(BUILD)/platform/stand_engine.o $(BUILD)/prog/common.o
+
 $(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c prog/common*.c))
 $(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c prog/common*.c))
 
@@ -120,4 +125,4 @@
 
 .PHONY: all programs deps unit proto run check fuzz guards bench-hash matrix format lint clean
 -include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d) $(FAKE_OBJ:.o=.d) \
-	$(patsubst %.c,$(BUILD)/%.d,$(wildcard prog/*.c))
+	$(patsubst %.c,$(BUILD)/%.d,$(wildcard prog/*.c) $(STAND_SRC))
--- a/base/hd.c
+++ b/base/hd.c
@@ -46,7 +46,7 @@
 	pthread_mutex_t lock;
 	GString *pending; /* of the answer, not yet taken by the library */
 	GPtrArray *headers;
-	const char *type;
+	char *type;
 	int status;
 	bool streaming;
 	bool answered; /* status and headers are set */
@@ -204,6 +204,7 @@
 	g_free(call->method);
 	g_free(call->path);
 	g_free(call->target);
+	g_free(call->type);
 	g_free(call);
 }
 
@@ -349,7 +350,7 @@
 {
 	pthread_mutex_lock(&call->lock);
 	call->status = status;
-	call->type = type;
+	call->type = g_strdup(type);
 	g_string_append_len(call->pending, body, (gssize)len);
 	call->answered = true;
 	call->ended = true;
@@ -361,7 +362,7 @@
 {
 	pthread_mutex_lock(&call->lock);
 	call->status = status;
-	call->type = type;
+	call->type = g_strdup(type);
 	call->streaming = true;
 	call->answered = true;
 	hd_wake(call);
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <condition_variable>
+#include <cstring>
 #include <gtest/gtest.h>
 #include <mutex>
 #include <string>
@@ -51,6 +52,8 @@
 	}
 	void Take(hd_call *call)
 	{
+		if (in_handler_)
+			in_handler_(call);
 		std::lock_guard<std::mutex> lock(mutex_);
 		call_ = call;
 		came_.notify_all();
@@ -72,6 +75,7 @@
 		return all;
 	}
 	hd *hd_ = nullptr;
+	void (*in_handler_)(hd_call *call) = nullptr;
 	int listener_ = -1, client_ = -1;
 	std::mutex mutex_;
 	std::condition_variable came_;
@@ -158,6 +162,53 @@
 		usleep(1000);
 }
 
+/*
+ * Symptom: an answer arrived with a spoilt Content-Type and none of the headers after it.
+ * Sequence: the request is answered and its owner frees its memory before the library's thread has
+ * taken the answer (the handler below does both before it returns).
+ * Cause: the type was kept as a pointer into the owner's memory.
+ */
+TEST_F(HdTest, TypeIsCopied)
+{
+	in_handler_ = [](hd_call *call) {
+		char type[] = "text/plain";
+		hd_set_header(call, "X-After", "there");
+		hd_reply(call, 200, type, "body", 4);
+		memset(type, '\n', sizeof(type) - 1);
+	};
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_unref(call);
+	std::string answer = ReadAll();
+	EXPECT_NE(answer.find("Content-Type: text/plain\r\n"), std::string::npos) << answer;
+	EXPECT_NE(answer.find("X-After: there\r\n"), std::string::npos) << answer;
+}
+
+TEST_F(HdTest, TargetIsAsTheCallerSentIt)
+{
+	hd_call *call = Send("GET /a%20b/../c?x=1&y=%2F HTTP/1.1\r\nHost: h\r\n"
+			     "Connection: close\r\n\r\n");
+	EXPECT_STREQ(hd_target(call), "/a%20b/../c?x=1&y=%2F");
+	hd_reply(call, 200, nullptr, "", 0);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find(" 200 "), std::string::npos);
+}
+
+TEST_F(HdTest, LimitsCanChange)
+{
+	hd_set_limits(hd_, 200, 30);
+	std::string body(150, 'x');
+	hd_call *call = Send("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+			     "Content-Length: 150\r\n\r\n" +
+			     body);
+	size_t len = 0;
+	hd_body(call, &len);
+	EXPECT_EQ(len, 150u);
+	hd_set_closing(hd_);
+	hd_reply(call, 200, nullptr, "", 0);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find("Connection: close"), std::string::npos);
+}
+
 TEST_F(HdTest, BodyOverTheLimitIsRefused)
 {
 	std::string body(101, 'x');
--- /dev/null
+++ b/regress/proc/router.sh
@@ -0,0 +1,11 @@
+# The router on the users' platform, against stand-ins of its store and engines. Each case of
+# regress/soak/cases.py has a set of processes of its own.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+for case in path config store_away_at_start lost_stage stop drain once caller_leaves; do
+	python3 cases.py "$case" || {
+		echo "router.sh: case $case failed" >&2
+		exit 1
+	}
+done
--- /dev/null
+++ b/regress/proc/soak.sh
@@ -0,0 +1,11 @@
+# A short run of the fault soak with fixed seeds, and every seed that ever failed.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+python3 soak.py --seeds 1-2 --seconds 8 --keep
+while read -r seed _; do
+	case $seed in
+	'#'* | '') ;;
+	*) python3 soak.py --seeds "$seed" --seconds 12 --keep ;;
+	esac
+done <seeds.txt
--- /dev/null
+++ b/regress/soak/cases.py
@@ -0,0 +1,189 @@
+"""Cases with real processes: python3 regress/soak/cases.py NAME. Each opens with what went wrong."""
+import signal
+import sys
+import threading
+import time
+
+from stack import Failure, Stack, check_stream, eventually
+
+
+def expect(what, got, want):
+    if got != want:
+        raise Failure("%s: got %r, expected %r" % (what, got, want))
+
+
+def case_path(stack):
+    """The whole path: streams through pipelines, plain services, refusals with their reason."""
+    stack.up()
+    for host in stack.hosts:
+        status, headers, body = stack.ask(host, "/stream/a?b=c", "s-" + host)
+        expect("status", status, 200)
+        check_stream("s-" + host, body)
+        expect("proof", headers.get("Bronzegauge-Response-Seal"), "stand.s-" + host)
+        expect("once", stack.ask(host, "/once/a", "o-" + host)[0], 200)
+        expect("many", stack.ask(host, "/many/a", "m-" + host)[0], 200)
+        expect("no route", stack.ask(host, "/none/a", "n-" + host)[0], 404)
+        expect("bad key", stack.ask(host, "/many/a", "k-" + host, key="wrong")[0], 401)
+        expect("goes on", stack.ask(host, "/stream/a", "r-" + host, Last_Event_Id="5")[2][:6],
+               b"id: 6\n")
+    ledger = stack.ledger()
+    expect("violations", ledger["violations"], "")
+    for name in ("n-", "k-"):
+        for host in stack.hosts:
+            expect("ran", ledger["runs"].get(name + host, 0), 0)
+
+
+def case_config(stack):
+    """Symptom: a key that was taken away still worked on some hosts.
+    Sequence: the store turns hosts away while the configuration changes.
+    Cause: each host knew only what it read itself."""
+    stack.up()
+    stack.extra_routes.append("new")
+    stack.keys["farm"] = ["key-other"]
+    stack.put_config()
+    for host in stack.hosts:
+        eventually("the new route at " + host,
+                   lambda h=host: stack.ask(h, "/new/a", "c-" + h, key="key-other")[0] == 200)
+        expect("old key", stack.ask(host, "/many/a", "old-" + host)[0], 401)
+
+
+def case_store_away_at_start(stack):
+    """Symptom: a host that started while the store was away refused everything.
+    Sequence: all hosts run, the store goes silent, one host is killed and starts again.
+    Cause: nobody but the store was asked."""
+    stack.up()
+    stack.fault_store("busy")
+    stack.signal("host-2", signal.SIGKILL)
+    stack.procs["host-2"].wait()
+    stack.begin_host("host-2")
+    eventually("host-2 is ready", lambda: stack.is_ready("host-2"))
+    expect("served", stack.ask("host-2", "/many/a", "a1")[0], 200)
+
+
+def case_lost_stage(stack):
+    """Symptom: streams paused for seconds or were cut when an engine died.
+    Sequence: an engine in the middle of running pipelines falls silent.
+    Cause: nobody found out which stage it was, or the stream was begun anew."""
+    stack.up()
+    results = {}
+
+    def stream(i):
+        host = stack.hosts[i % len(stack.hosts)]
+        results[i] = stack.ask(host, "/stream/a", "l-%d" % i, Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in range(24)]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= 20)
+    stack.fault_engine("e1", "dark")
+    for thread in threads:
+        thread.join()
+    for i, (status, _, body) in results.items():
+        expect("status", status, 200)
+        check_stream("l-%d" % i, body, last=40)
+    expect("violations", stack.ledger()["violations"], "")
+    text = "".join(stack.log(h) for h in stack.hosts)
+    if '"event":"repaired"' not in text and '"event":"resume"' not in text:
+        raise Failure("no stream was repaired or resumed")
+
+
+def case_stop(stack):
+    """Symptom: a planned stop cut streams.
+    Sequence: SIGTERM while streams run and callers go on using open connections.
+    Cause: the process ended, or stopped serving, before its streams had ended."""
+    stack.up()
+    results = {}
+
+    def stream(i):
+        results[i] = stack.ask("host-1", "/stream/a", "t-%d" % i, Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in range(8)]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= 8)
+    stack.signal("host-1", signal.SIGTERM)
+    eventually("host-1 is not ready", lambda: not stack.is_ready("host-1"))
+    status, headers, _ = stack.ask("host-1", "/many/a", "late")
+    expect("still served", status, 200)
+    expect("told to close", headers.get("Connection", "").lower(), "close")
+    for thread in threads:
+        thread.join()
+    for i, (status, _, body) in results.items():
+        expect("status", status, 200)
+        check_stream("t-%d" % i, body, last=40)
+    expect("exit status", stack.procs["host-1"].wait(timeout=20), 0)
+
+
+def case_drain(stack):
+    """Symptom: requests reached an endpoint after it had left.
+    Sequence: an endpoint says that it is leaving; two seconds pass.
+    Cause: a host chose it from an old list."""
+    stack.up()
+    stack.fault_engine("p0", "drain")
+
+    def all_elsewhere():
+        answers = [stack.ask(h, "/many/a", "d-%s-%f" % (h, time.monotonic()))
+                   for h in stack.hosts for _ in range(5)]
+        return all(a[0] == 200 and a[2].endswith(b" p1") for a in answers)
+
+    eventually("nothing goes to the leaving endpoint", all_elsewhere)
+    for _ in range(30):
+        if not all_elsewhere():
+            raise Failure("a request went to an endpoint that is leaving")
+
+
+def case_once(stack):
+    """Symptom: a non-idempotent request ran twice, or was said not to have run though it had.
+    Sequence: an endpoint takes requests and never answers.
+    Cause: silence was taken for 'not run'."""
+    stack.up()
+    for name in ("p0", "p1"):
+        stack.fault_engine(name, "hang")
+    results = {}
+
+    def ask(i):
+        results[i] = stack.ask("host-0", "/once/a", "u-%d" % i, timeout=20,
+                               Bronzegauge_Deadline_Ms="1500")[0]
+
+    threads = [threading.Thread(target=ask, args=(i,)) for i in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    runs = stack.ledger()["runs"]
+    for i, status in results.items():
+        expect("status", status, 504)
+        expect("runs", runs.get("u-%d" % i), 1)
+
+
+def case_caller_leaves(stack):
+    """Symptom: engines went on with streams whose callers had left.
+    Sequence: a caller closes its connection in the middle of a stream.
+    Cause: a suspended connection is not watched by the HTTP library."""
+    stack.up()
+    try:
+        stack.ask("host-0", "/stream/a", "g-1", timeout=0.2, Bronzegauge_Token_Counts="50,40")
+    except OSError:
+        pass
+    eventually("no stream runs", lambda: stack.ledger()["streams"] == 0)
+
+
+CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
+
+
+def main():
+    name = sys.argv[1]
+    stack = Stack()
+    try:
+        CASES[name](stack)
+    except Exception:
+        for log in ("host-0", "host-1", "host-2", "engine", "store"):
+            if log in stack.procs:
+                sys.stderr.write("--- %s\n%s\n" % (log, stack.log(log)[-4000:]))
+        stack.down()
+        raise
+    stack.down()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/regress/soak/proxy.py
@@ -0,0 +1,95 @@
+"""A TCP proxy on loopback that can be told to misbehave."""
+import select
+import socket
+import threading
+import time
+
+MODES = ("pass", "delay", "refuse", "silent", "deaf", "reset")
+
+
+class Proxy:
+    """Forwards a port to another. Modes: pass; delay (each piece waits); refuse (new connections are
+    reset); silent (open connections carry nothing more, new ones neither); deaf (only what comes
+    back is dropped); reset (open connections are reset once, then pass)."""
+
+    DELAY_S = 0.3
+
+    def __init__(self, port, target):
+        self.target = target
+        self.mode = "pass"
+        self.pairs = set()
+        self.guard = threading.Lock()
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", port))
+        self.listener.listen(128)
+        self.open = True
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def set(self, mode):
+        self.mode = "pass" if mode == "reset" else mode
+        if mode in ("reset", "refuse"):
+            with self.guard:
+                pairs = list(self.pairs)
+            for pair in pairs:
+                for sock in pair:
+                    self.kill(sock)
+
+    @staticmethod
+    def kill(sock):
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def accept(self):
+        while self.open:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            if self.mode == "refuse":
+                near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                near.close()
+                continue
+            threading.Thread(target=self.carry, args=(near,), daemon=True).start()
+
+    def carry(self, near):
+        try:
+            far = socket.create_connection(("127.0.0.1", self.target), timeout=5)
+        except OSError:
+            near.close()
+            return
+        pair = (near, far)
+        with self.guard:
+            self.pairs.add(pair)
+        try:
+            self.pump(near, far)
+        except OSError:
+            pass
+        with self.guard:
+            self.pairs.discard(pair)
+        near.close()
+        far.close()
+
+    def pump(self, near, far):
+        while self.open:
+            ready, _, _ = select.select([near, far], [], [], 0.2)
+            for sock in ready:
+                if self.mode == "silent":
+                    time.sleep(0.05)
+                    continue
+                data = sock.recv(65536)
+                if not data:
+                    return
+                if self.mode == "deaf" and sock is far:
+                    continue
+                if self.mode == "delay":
+                    time.sleep(self.DELAY_S)
+                (far if sock is near else near).sendall(data)
+
+    def close(self):
+        self.open = False
+        self.kill(self.listener)
+        self.listener.close()
--- /dev/null
+++ b/regress/soak/soak.py
@@ -0,0 +1,333 @@
+"""A randomized fault soak of bgrouterd: real processes, faults from outside, promises checked.
+
+python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--keep]
+
+Each seed gives one run: callers send streams and plain requests over connections that they keep, while
+hosts are killed, stopped, paused and started, engines fall silent, slow, empty or leave, the store and
+the links to it fail, and configurations follow each other. What callers and engines see is checked:
+
+- a success is whole, in order, once, of this request, with the endpoint's proof
+- what was said not to have run has not run; a non-idempotent request ran at most once
+- no host goes back to an older configuration; new ones are in force on untroubled hosts
+- at the end, with all faults mended, every host serves everything
+"""
+import argparse
+import collections
+import http.client
+import random
+import signal
+import sys
+import threading
+import time
+
+from proxy import MODES, Proxy
+from stack import HOST_NAME, Failure, Stack, check_stream, eventually
+
+NOT_RUN = (408, 421, 429, 503)
+IN_FORCE_S = 3.0    # a change must be in force on a host that was left alone for so long
+CALLERS = 10
+FAULT_GAP_S = 0.5
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other over a connection that it keeps while it can."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.number = number
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.conn = None
+        self.host = None
+
+    def run(self):
+        n = 0
+        while not self.soak.done.is_set():
+            n += 1
+            kind = self.random.choice(("stream", "stream", "once", "many"))
+            request_id = "%s-%d-%d" % (kind, self.number, n)
+            try:
+                self.one(kind, request_id)
+            except Failure as failure:
+                self.soak.broken(str(failure))
+            except (OSError, http.client.HTTPException):
+                self.drop()
+                self.soak.count["cut " + kind] += 1
+
+    def drop(self):
+        if self.conn:
+            self.conn.close()
+        self.conn = None
+
+    def one(self, kind, request_id):
+        if not self.conn or self.random.random() < 0.1:
+            self.drop()
+            self.host = self.random.choice(self.soak.stack.hosts)
+            self.conn = http.client.HTTPConnection(
+                "127.0.0.1", self.soak.stack.port(self.host, "front"), timeout=10)
+        last = self.random.randint(1, 30)
+        headers = {"Host": HOST_NAME, "Bronzegauge-Request-Id": request_id,
+                   "Bronzegauge-Key": "key-farm", "Bronzegauge-Deadline-Ms": "6000",
+                   "Bronzegauge-Token-Counts": "50,%d" % last}
+        self.conn.request("POST", "/%s/x" % kind, body=b"{}", headers=headers)
+        answer = self.conn.getresponse()
+        body = answer.read()
+        self.check(kind, request_id, last, answer, body)
+        if answer.getheader("Connection", "").lower() == "close":
+            self.drop()
+
+    def check(self, kind, request_id, last, answer, body):
+        self.soak.count["%s %d" % (kind, answer.status)] += 1
+        if answer.status in NOT_RUN:
+            self.soak.not_run.append(request_id)
+            if self.random.random() < 0.8:
+                time.sleep(min(float(answer.getheader("Retry-After") or 0), 1.0))
+        elif answer.status in (401, 404):
+            raise Failure("%s denied with %d at %s" % (request_id, answer.status, self.host))
+        elif answer.status == 200:
+            if answer.getheader("Bronzegauge-Response-Seal") != "stand." + request_id:
+                raise Failure("%s: success without its proof: %r %r" % (
+                    request_id, answer.getheaders(), body[:80]))
+            if kind == "stream":
+                check_stream(request_id, body, last=last)
+            elif not body.startswith(request_id.encode() + b" at "):
+                raise Failure("%s: body of another request: %r" % (request_id, body[:60]))
+
+
+class Soak:
+    def __init__(self, seed, seconds, hosts):
+        self.seed = seed
+        self.seconds = seconds
+        self.random = random.Random(seed)
+        self.stack = Stack(hosts)
+        self.done = threading.Event()
+        self.count = collections.Counter()
+        self.not_run = []
+        self.failures = []
+        self.calm = {h: 0.0 for h in self.stack.hosts}   # since when nothing was done to the host
+        self.paused = {}                                  # process name -> when it goes on
+        self.dead = {}                                    # host -> when it is started again
+        self.faulty = {}                                  # engine -> when it is mended
+        self.store_until = 0.0
+        self.links = {}
+        self.link_until = {}
+        self.seen = {}                                    # host -> newest route seen there
+        for i, host in enumerate(self.stack.hosts):
+            port = self.stack.base + 80 + i
+            self.links[host] = Proxy(port, self.stack.store_port)
+            self.stack.store_via[host] = port
+
+    def broken(self, what):
+        self.failures.append("%.1f s: %s" % (time.monotonic() - self.began, what))
+
+    # Faults. Each marks the hosts that it troubles.
+
+    def touch(self, hosts, seconds):
+        until = time.monotonic() + seconds
+        for host in hosts:
+            self.calm[host] = max(self.calm[host], until)
+
+    def others_alive(self, host):
+        return any(h not in self.dead and h not in self.paused for h in self.stack.hosts
+                   if h != host)
+
+    def fault_kill(self):
+        host = self.random.choice(self.stack.hosts)
+        if host in self.dead or host in self.paused:
+            return
+        term = self.random.random() < 0.4
+        self.stack.signal(host, signal.SIGTERM if term else signal.SIGKILL)
+        self.dead[host] = time.monotonic() + self.random.uniform(0.1, 2.0)
+        self.seen.pop(host, None)
+        self.touch([host], 10.0)
+
+    def fault_pause(self):
+        name = self.random.choice(self.stack.hosts + ["store", "engine"])
+        if name in self.dead or name in self.paused:
+            return
+        seconds = self.random.uniform(0.2, 3.0)
+        self.stack.signal(name, signal.SIGSTOP)
+        self.paused[name] = time.monotonic() + seconds
+        self.touch([name] if name in self.calm else self.stack.hosts, seconds + 4.0)
+
+    def fault_engine(self):
+        name = self.random.choice(self.stack.points)[0]
+        if name in self.faulty:
+            return
+        kinds = ["dark", "slow", "reborn", "drain"] if name[0] == "e" else ["dark", "errors"]
+        kind = self.random.choice(kinds)
+        self.stack.fault_engine(name, kind)
+        self.faulty[name] = time.monotonic() + self.random.uniform(0.5, 4.0)
+
+    def fault_store(self):
+        seconds = self.random.uniform(0.3, 3.0)
+        self.stack.fault_store(self.random.choice(("busy", "many", "silent")))
+        self.store_until = time.monotonic() + seconds
+        self.touch(self.stack.hosts, seconds + 5.0)
+
+    def fault_link(self):
+        host = self.random.choice(self.stack.hosts)
+        seconds = self.random.uniform(0.3, 4.0)
+        self.links[host].set(self.random.choice(MODES))
+        self.link_until[host] = time.monotonic() + seconds
+        self.touch([host], seconds + 5.0)
+
+    def fault_config(self):
+        route = "r%d" % len(self.stack.extra_routes)
+        self.stack.extra_routes.append(route)
+        if self.random.random() < 0.3:
+            self.stack.keys["mill"] = ["key-mill-%d" % len(self.stack.extra_routes)]
+        self.stack.put_config()
+        threading.Thread(target=self.check_in_force, args=(route,), daemon=True).start()
+
+    def check_in_force(self, route):
+        """On hosts that were left alone all the while, the route must be there in time."""
+        put = time.monotonic()
+        time.sleep(IN_FORCE_S)
+        for host in self.stack.hosts:
+            if self.calm[host] >= put - 1.0 or self.done.is_set():
+                continue
+            try:
+                status = self.stack.ask(host, "/%s/x" % route, "force-%s-%s" % (route, host))[0]
+            except (OSError, http.client.HTTPException):
+                continue
+            if self.calm[host] < put - 1.0 and status == 404:
+                self.broken("%s is not in force at %s after %.1f s" % (route, host, IN_FORCE_S))
+
+    def check_no_way_back(self):
+        """A route that a host has once served is served by it for good."""
+        host = self.random.choice(self.stack.hosts)
+        routes = self.stack.extra_routes
+        if not routes or host in self.dead or host in self.paused:
+            return
+        proc = self.stack.procs[host]
+        route = self.random.choice(routes)
+        try:
+            status = self.stack.ask(host, "/%s/x" % route, "back-%s-%f" % (host, time.monotonic()),
+                                    timeout=3)[0]
+        except (OSError, http.client.HTTPException):
+            return
+        if proc is not self.stack.procs[host] or host in self.dead:
+            return
+        seen = self.seen.setdefault(host, set())
+        if status == 200:
+            seen.add(route)
+        elif status == 404 and route in seen:
+            self.broken("%s went back: %s is gone" % (host, route))
+
+    # Mending.
+
+    def mend(self, now):
+        for name in [n for n, until in self.paused.items() if now >= until]:
+            self.stack.signal(name, signal.SIGCONT)
+            del self.paused[name]
+        for host in [h for h, until in self.dead.items() if now >= until]:
+            if self.stack.procs[host].poll() is not None:
+                self.stack.begin_host(host)
+                del self.dead[host]
+        if "engine" not in self.paused:
+            for name in [n for n, until in self.faulty.items() if now >= until]:
+                self.stack.fault_engine(name, "ok")
+                del self.faulty[name]
+        if self.store_until and now >= self.store_until and "store" not in self.paused:
+            self.stack.fault_store("ok")
+            self.store_until = 0.0
+        for host in [h for h, until in self.link_until.items() if now >= until]:
+            self.links[host].set("pass")
+            del self.link_until[host]
+
+    def step(self):
+        weights = {"kill": 3, "pause": 3, "engine": 6, "store": 1, "link": 3, "config": 4}
+        names = [n for n in weights
+                 if not ("engine" in self.paused and n == "engine") and
+                 not ("store" in self.paused and n in ("store", "config")) and
+                 not (self.store_until and n == "store")]
+        name = self.random.choices(names, [weights[n] for n in names])[0]
+        getattr(self, "fault_" + name)()
+        self.count["fault " + name] += 1
+
+    def play(self):
+        self.began = time.monotonic()
+        self.stack.up()
+        callers = [Caller(self, i) for i in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            self.mend(time.monotonic())
+            self.step()
+            self.check_no_way_back()
+            time.sleep(self.random.uniform(0.2, 1.8) * FAULT_GAP_S)
+        self.recover()
+        self.done.set()
+        for caller in callers:
+            caller.join(timeout=30)
+        self.check_ledger()
+
+    def recover(self):
+        """Everything is mended; every host must serve everything."""
+        for until in (self.paused, self.dead, self.faulty, self.link_until):
+            for name in until:
+                until[name] = 0.0
+        self.store_until = self.store_until and 0.001
+
+        def mended():
+            self.mend(time.monotonic())
+            return not (self.paused or self.dead or self.faulty or self.link_until or
+                        self.store_until)
+
+        eventually("everything is mended", mended)
+        for host in self.stack.hosts:
+            for path in ("stream", "once", "many"):
+                eventually("%s serves %s again" % (host, path),
+                           lambda h=host, p=path: self.stack.ask(
+                               h, "/%s/x" % p, "end-%s-%f" % (h, time.monotonic()))[0] == 200)
+
+    def check_ledger(self):
+        ledger = self.stack.ledger()
+        if ledger["violations"]:
+            self.broken(ledger["violations"])
+        for request_id, runs in ledger["runs"].items():
+            if request_id.startswith("once-") and runs > 1:
+                self.broken("%s ran %d times" % (request_id, runs))
+        for request_id in self.not_run:
+            if ledger["runs"].get(request_id, 0) > 0:
+                self.broken("%s was said not to have run" % request_id)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", default="1-3")
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--hosts", type=int, default=3)
+    parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition("-")
+    bad = 0
+    for seed in range(int(first), int(last or first) + 1):
+        soak = Soak(seed, args.seconds, args.hosts)
+        try:
+            soak.play()
+        except Failure as failure:
+            soak.broken(str(failure))
+        failed = bool(soak.failures)
+        bad += failed
+        served = sum(n for k, n in soak.count.items() if k.endswith(" 200"))
+        faults = sum(n for k, n in soak.count.items() if k.startswith("fault "))
+        print("seed %d: %s, %d served, %d faults%s" % (
+            seed, "FAILED" if failed else "ok", served, faults,
+            ", logs in " + soak.stack.dir if failed and args.keep else ""))
+        for failure in soak.failures[:10]:
+            print("    " + failure)
+        if failed:
+            print("    " + ", ".join("%s: %d" % kv for kv in sorted(soak.count.items())))
+        soak.stack.down(keep=failed and args.keep)
+        for proxy in soak.links.values():
+            proxy.close()
+        sys.stdout.flush()
+    print("%d seeds failed" % bad)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/regress/soak/stack.py
@@ -0,0 +1,215 @@
+"""A local set for tests of bgrouterd: the stand-ins and some hosts, each a process of its own.
+
+Everything listens on 127.0.0.1, in a block of ports that is locked while the set lives. Only
+processes that the set itself began are ended, by their ids.
+"""
+import fcntl
+import http.client
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+HERE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BIN = os.environ.get("BUILD", os.path.join(HERE, "build"))
+PORTS_FIRST, PORTS_BLOCK, PORTS_BLOCKS = 10000, 100, 90
+LAYERS = 8
+HOST_NAME = "local.test"
+PATIENCE_S = 60  # a test waits for an event at most so long; no test passes by waiting
+
+
+class Failure(Exception):
+    """A promise was broken, or an event never came."""
+
+
+def lock_ports():
+    """Returns (first port, lock file); the lock ends with the process."""
+    folder = os.path.join(tempfile.gettempdir(), "bronzegauge-soak-ports")
+    os.makedirs(folder, exist_ok=True)
+    start = os.getpid() % PORTS_BLOCKS
+    for i in range(PORTS_BLOCKS):
+        number = (start + i) % PORTS_BLOCKS
+        lock = open(os.path.join(folder, str(number)), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        return PORTS_FIRST + number * PORTS_BLOCK, lock
+    raise Failure("no free block of ports")
+
+
+def call(port, method, path, body=None, headers=None, timeout=10):
+    """One HTTP call; returns (status, headers, body)."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        conn.request(method, path, body=body, headers=headers or {})
+        answer = conn.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        conn.close()
+
+
+def eventually(what, test, patience_s=PATIENCE_S):
+    """Tries until test() is true; an exception counts as false."""
+    end = time.monotonic() + patience_s
+    while time.monotonic() < end:
+        try:
+            if test():
+                return
+        except (OSError, http.client.HTTPException, ValueError):
+            pass
+        time.sleep(0.02)
+    raise Failure("never came true: " + what)
+
+
+class Stack:
+    """Store, engines and hosts. Engines: four of each of two kinds in two zones, and two services."""
+
+    def __init__(self, hosts=3):
+        self.dir = tempfile.mkdtemp(prefix="bgsoak.")
+        self.base, self.lock = lock_ports()
+        self.procs = {}
+        self.version = 0
+        self.keys = {"farm": ["key-farm"], "mill": ["key-mill"]}
+        self.extra_routes = []
+        self.store_port = self.base
+        self.engine_control = self.base + 1
+        self.hosts = ["host-%d" % i for i in range(hosts)]
+        self.store_via = {h: self.store_port for h in self.hosts}
+        self.points = []
+        for i in range(8):
+            kind = "big" if i % 2 else "small"
+            self.points.append(("e%d" % i, self.base + 10 + i, "llm", "z%d" % (i // 4), kind))
+        for i in range(2):
+            self.points.append(("p%d" % i, self.base + 20 + i, "plain", "z%d" % i, "-"))
+
+    def port(self, host, what):
+        return self.base + 30 + 5 * self.hosts.index(host) + ["front", "ready", "metrics",
+                                                               "control"].index(what)
+
+    def begin(self, name, args):
+        log = open(os.path.join(self.dir, name + ".log"), "ab")
+        proc = subprocess.Popen(args, stdout=log, stderr=log, cwd=self.dir)
+        log.close()
+        self.procs[name] = proc
+
+    def begin_host(self, host):
+        path = os.path.join(self.dir, host + ".ini")
+        seeds = ",".join("127.0.0.1:%d" % self.port(h, "control") for h in self.hosts[:3])
+        with open(path, "w") as ini:
+            ini.write("[host]\nname = %s\nzone = z%d\n" % (host, self.hosts.index(host) % 2))
+            ini.write("[listen]\n")
+            for what in ("front", "ready", "metrics", "control"):
+                ini.write("%s = 127.0.0.1:%d\n" % (what, self.port(host, what)))
+            ini.write("[hosts]\nseeds = %s\n" % seeds)
+            ini.write("[store]\naddress = 127.0.0.1:%d\n" % self.store_via[host])
+            ini.write("[repeats]\nfixed = 200\n[stop]\ngrace_s = 8\n")
+        self.begin(host, [os.path.join(BIN, "bgrouterd"), "--config", path])
+
+    def up(self, wait=True):
+        self.begin("store", [os.path.join(BIN, "bgstand-store"), "127.0.0.1:%d" % self.store_port])
+        eventually("the store answers", lambda: self.fault_store("ok") or True)
+        specs = ["%s,127.0.0.1:%d,%s,%s,%s" % p for p in self.points]
+        self.begin("engine", [os.path.join(BIN, "bgstand-engine"),
+                              "127.0.0.1:%d" % self.store_port,
+                              "127.0.0.1:%d" % self.engine_control, str(LAYERS)] + specs)
+        self.put_config()
+        for host in self.hosts:
+            self.begin_host(host)
+        if wait:
+            for host in self.hosts:
+                eventually(host + " is ready", lambda h=host: self.is_ready(h))
+                eventually(host + " serves a stream", lambda h=host: self.serves_stream(h))
+
+    def down(self, keep=False):
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.kill()
+        for proc in self.procs.values():
+            proc.wait()
+        self.lock.close()
+        if not keep:
+            shutil.rmtree(self.dir, ignore_errors=True)
+
+    def config(self):
+        def route(name, prefix, kind, service, **more):
+            return dict({"name": name, "hostname": HOST_NAME, "pathPrefix": prefix,
+                         "routeType": kind, "service": service, "timeoutMs": 8000,
+                         "targetLatencyMs": 500, "maxAttempts": 2, "priority": 1}, **more)
+
+        routes = [route("stream", "/stream/", "streaming", "llm", resumable=True, gapAimMs=200),
+                  route("once", "/once/", "non_idempotent", "plain", maxAttempts=1),
+                  route("many", "/many/", "idempotent", "plain")]
+        routes += [route(n, "/%s/" % n, "idempotent", "plain") for n in self.extra_routes]
+        engine = {"slots": 64, "kvTokenBytes": 1000, "linkMbps": 1000.0, "stride": 1,
+                  "models": [{"name": "m", "loadS": 1.0}], "step_ms": 1.0, "per_seq_ms": 0.01,
+                  "context_per_k": 0.01, "read_per_s": 100000.0,
+                  "usual": {"prompt": 50, "answer": 10}, "layers": LAYERS, "layerMb": 10.0,
+                  "actBytes": 100, "pipeMbps": 1000.0,
+                  "kinds": [{"name": "big", "sizeMb": 60.0, "pace": 2.0, "readX": 2.0},
+                            {"name": "small", "sizeMb": 30.0, "pace": 4.0, "readX": 4.0}]}
+        return {"version": self.version, "routes": routes,
+                "services": [{"name": "llm", "healthPath": "/health", "engine": engine},
+                             {"name": "plain", "healthPath": "/health"}],
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                "tenants": [{"name": n, "apiKeys": k} for n, k in self.keys.items()]}
+
+    def put_config(self):
+        """The operator's write; returns the version, which the store has when this returns."""
+        self.version += 3
+        status, _, _ = call(self.store_port, "POST", "/put?topic=keyed.op&key=config",
+                            json.dumps(self.config()))
+        if status != 200:
+            raise Failure("the store did not take a configuration")
+        return self.version
+
+    def fault_store(self, mode):
+        call(self.store_port, "POST", "/fault?mode=" + mode)
+
+    def fault_engine(self, name, kind):
+        call(self.engine_control, "POST", "/fault?endpoint=%s&kind=%s" % (name, kind))
+
+    def ledger(self):
+        return json.loads(call(self.engine_control, "GET", "/ledger")[2])
+
+    def is_ready(self, host):
+        return call(self.port(host, "ready"), "GET", "/-/ready", timeout=2)[0] == 200
+
+    def ask(self, host, path, request_id, key="key-farm", port=None, timeout=10, **headers):
+        """A request as a caller sends it; returns (status, headers, body)."""
+        sent = {"Host": HOST_NAME, "Bronzegauge-Request-Id": request_id,
+                "Bronzegauge-Deadline-Ms": "8000", "Bronzegauge-Key": key,
+                "Bronzegauge-Token-Counts": "50,12"}
+        sent.update({k.replace("_", "-"): v for k, v in headers.items()})
+        return call(port or self.port(host, "front"), "POST", path, body=b"{}", headers=sent,
+                    timeout=timeout)
+
+    def serves_stream(self, host):
+        return self.ask(host, "/stream/x", "probe-%s-%f" % (host, time.monotonic()))[0] == 200
+
+    def signal(self, name, number):
+        self.procs[name].send_signal(number)
+
+    def log(self, name):
+        with open(os.path.join(self.dir, name + ".log"), errors="replace") as log:
+            return log.read()
+
+
+def check_stream(request_id, body, first=1, last=12):
+    """The events first..last of that request, each whole, once, in order."""
+    want = "".join("id: %d\ndata: %s %d\n\n" % (i, request_id, i) for i in range(first, last + 1))
+    if body.decode() != want:
+        raise Failure("stream of %s is not whole: %r" % (request_id, body[-200:]))
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
