--- a/base/hc.c
+++ b/base/hc.c
@@ -145,8 +145,8 @@
 }
 
 /*
- * Called for each line, the status line and the empty one at the end included. Interim answers (1xx)
- * have lines and an end of their own; lines after the head are trailers.
+ * Called for each line, the status line and the empty one at the end included. Interim answers
+ * (1xx) have lines and an end of their own; lines after the head are trailers.
  */
 static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx)
 {
--- a/base/hd.c
+++ b/base/hd.c
@@ -12,9 +12,9 @@
 #include <unistd.h>
 
 enum {
-	HD_BLOCK_LEN = 4096, /* buffer of an answer in parts: a few tokens */
+	HD_BLOCK_LEN = 4096,	      /* buffer of an answer in parts: a few tokens */
 	HD_CONNECTION_MEMORY = 32768, /* holds the longest head of a request, 16 KiB, and buffers */
-	HD_IDLE_S = 0, /* never, until hd_set_limits() */
+	HD_IDLE_S = 0,		      /* never, until hd_set_limits() */
 	HD_CONNECTIONS_MAX = 16384
 };
 
@@ -92,11 +92,10 @@
 	hd->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED,
 		hd_on_completed, hd, MHD_OPTION_URI_LOG_CALLBACK, hd_on_target, hd,
-		MHD_OPTION_THREAD_POOL_SIZE,
-		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)HD_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)HD_CONNECTION_MEMORY, fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END,
-		fd, MHD_OPTION_END);
+		MHD_OPTION_THREAD_POOL_SIZE, config->threads > 1 ? config->threads : 0U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HD_CONNECTION_MEMORY,
+		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
 	if (!hd->daemon) {
 		if (fd >= 0)
 			close(fd);
--- a/base/jl.h
+++ b/base/jl.h
@@ -9,8 +9,8 @@
 
 /*
  * Structured log on standard output: one JSON object a line, with "t" (seconds of the time of day),
- * "up" (seconds of the monotonic clock), "host" and "event", then the event's own members. A line is
- * written whole or not at all and never waited for: a full pipe, or too many lines in a second,
+ * "up" (seconds of the monotonic clock), "host" and "event", then the event's own members. A line
+ * is written whole or not at all and never waited for: a full pipe, or too many lines in a second,
  * leaves lines out, which the counter bg_log_left_out_total and the next line's "left_out" tell.
  *
  *   jl_begin(JL_INFO, "sent");
@@ -21,7 +21,8 @@
  * Any thread may write lines; each has a line of its own under way.
  */
 enum jl_level {
-	JL_KEEP, /* ends a request badly, or start, stop, lost dependency: beyond the limit on lines */
+	JL_KEEP, /* ends a request badly, or start, stop, lost dependency: beyond the limit on lines
+		  */
 	JL_INFO
 };
 
--- a/base/jl_test.cc
+++ b/base/jl_test.cc
@@ -58,7 +58,8 @@
 TEST_F(JlTest, OneJsonObjectALineWhateverACallerSends)
 {
 	const std::string huge(10000, 'y');
-	for (const char *text : {"plain", "quote\" back\\ line\nend\r", "\x01\x7f\xff", huge.c_str()}) {
+	for (const char *text :
+	     {"plain", "quote\" back\\ line\nend\r", "\x01\x7f\xff", huge.c_str()}) {
 		Line(text);
 		std::string line = Read();
 		ASSERT_FALSE(line.empty());
--- a/base/tmr.h
+++ b/base/tmr.h
@@ -7,6 +7,22 @@
 
 G_BEGIN_DECLS
 
+enum {
+	TMR_US_PER_MS = 1000,
+	TMR_US_PER_S = 1000000
+};
+
+/* Times of constants and settings in the unit of timers. */
+static inline int64_t tmr_ms(int64_t ms)
+{
+	return ms * TMR_US_PER_MS;
+}
+
+static inline int64_t tmr_s(int64_t s)
+{
+	return s * TMR_US_PER_S;
+}
+
 /*
  * Timer service. Parts subscribe an entry that they own; the owner of the service calls tmr_run()
  * with the time. Times are microseconds of the monotonic clock (or of a test's own clock).
--- a/bud/bud.c
+++ b/bud/bud.c
@@ -3,10 +3,10 @@
 #include <string.h>
 
 /*
- * The window that is judged may begin anywhere, so its edges may hold a part of ours more; and hosts
- * may disagree on how many they are.
+ * The window that is judged may begin anywhere, so its edges may hold a part of ours more; and
+ * hosts may disagree on how many they are.
  */
-static const double BUD_CAUTION = 0.8;
+static const double bud_caution = 0.8;
 
 void bud_init(struct bud *bud, const struct bud_limits *limits)
 {
@@ -53,7 +53,7 @@
 		repeats += bud->repeats[i];
 	}
 	allowed = bud->limits.ratio * requests + bud->limits.fixed / MAX(bud->limits.hosts, 1);
-	if (repeats + 1 > allowed * BUD_CAUTION)
+	if (repeats + 1 > allowed * bud_caution)
 		return false;
 	bud->repeats[bud->slot % BUD_SLOTS]++;
 	return true;
--- a/bud/bud.h
+++ b/bud/bud.h
@@ -17,15 +17,15 @@
 };
 
 struct bud_limits {
-	double ratio;	    /* repeats allowed for each request */
-	double fixed;	    /* more of them, over all hosts */
+	double ratio; /* repeats allowed for each request */
+	double fixed; /* more of them, over all hosts */
 	int64_t window_us;
-	int hosts;	    /* that share the fixed number */
+	int hosts; /* that share the fixed number */
 };
 
 struct bud {
 	struct bud_limits limits;
-	int64_t slot;			/* number of the newest part */
+	int64_t slot; /* number of the newest part */
 	uint32_t requests[BUD_SLOTS];
 	uint32_t repeats[BUD_SLOTS];
 };
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -29,10 +29,10 @@
 	char *kind; /* of its accelerator; NULL for a plain service */
 	enum ep_state state;
 	int slots;
-	int layer_from;	   /* first layer that it holds */
-	int layer_to;	   /* one past the last; equal to layer_from: it holds none */
-	int64_t cold_ms;   /* how much longer it is slow after its start */
-	char *text;	   /* the record as it was read, for handing it on; NULL: not kept */
+	int layer_from;	 /* first layer that it holds */
+	int layer_to;	 /* one past the last; equal to layer_from: it holds none */
+	int64_t cold_ms; /* how much longer it is slow after its start */
+	char *text;	 /* the record as it was read, for handing it on; NULL: not kept */
 	gint refs;
 };
 
@@ -43,17 +43,17 @@
 /* An entry of the list. */
 struct ep_entry {
 	struct ep_rec *rec;
-	int64_t offset;	   /* of the record in the store's log */
-	bool lapsed;	   /* it was missed; kept until the time for coming back is over */
-	bool seen;	   /* in the listing that is being read */
+	int64_t offset; /* of the record in the store's log */
+	bool lapsed;	/* it was missed; kept until the time for coming back is over */
+	bool seen;	/* in the listing that is being read */
 };
 
 struct ep_list {
-	GHashTable *entries;	/* id -> struct ep_entry */
-	GHashTable *left;	/* id -> offset: said to be draining or gone; never forgotten */
-	bool away;		/* the last call to the store failed */
-	int64_t returned_us;	/* when it was reached again after that; -1: never away */
-	int64_t next;		/* offset of the next record to read */
+	GHashTable *entries; /* id -> struct ep_entry */
+	GHashTable *left;    /* id -> offset: said to be draining or gone; never forgotten */
+	bool away;	     /* the last call to the store failed */
+	int64_t returned_us; /* when it was reached again after that; -1: never away */
+	int64_t next;	     /* offset of the next record to read */
 	bool changed;
 };
 
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -11,8 +11,14 @@
 class EpTest : public ::testing::Test
 {
       protected:
-	void SetUp() override { ep_list_init(&list_); }
-	void TearDown() override { ep_list_finish(&list_); }
+	void SetUp() override
+	{
+		ep_list_init(&list_);
+	}
+	void TearDown() override
+	{
+		ep_list_finish(&list_);
+	}
 
 	ep_rec *Rec(const char *id, ep_state state = EP_READY)
 	{
@@ -27,7 +33,10 @@
 	{
 		ep_on_record(&list_, offset_++, id, Rec(id, state), now);
 	}
-	void Remove(const char *id, int64_t now) { ep_on_record(&list_, offset_++, id, nullptr, now); }
+	void Remove(const char *id, int64_t now)
+	{
+		ep_on_record(&list_, offset_++, id, nullptr, now);
+	}
 
 	/* Ids in the list, those that are leaving in brackets. */
 	std::string Ids()
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -3,12 +3,12 @@
 #include <string.h>
 
 enum {
-	FWD_SENDS_MAX = 5,	     /* of one request; rejections come back within a few ms each */
-	FWD_KEEP_MAX = 256 << 10,    /* answers up to this size are kept until they are whole */
+	FWD_SENDS_MAX = 5,	  /* of one request; rejections come back within a few ms each */
+	FWD_KEEP_MAX = 256 << 10, /* answers up to this size are kept until they are whole */
 	FWD_STATUS_BAD_GATEWAY = 502,
 	FWD_STATUS_UNAVAILABLE = 503,
 	FWD_STATUS_TIMEOUT = 504,
-	FWD_LEAST_LEFT_US = 20000    /* with less time left another attempt can't answer */
+	FWD_LEAST_LEFT_US = 20000 /* with less time left another attempt can't answer */
 };
 
 static const char *const fwd_cause_names[FWD_CAUSES] = {
@@ -80,6 +80,7 @@
 
 	fwd->state = FWD_SENT;
 	fwd->events = false;
+	fwd->spilled = false;
 	fwd->heard_us = now_us;
 	memset(&fwd->head, 0, sizeof(fwd->head));
 	g_string_truncate(fwd->body, 0);
@@ -178,9 +179,10 @@
 /* An answer too large to keep is handed on as it comes; it can't be replaced after that. */
 static void fwd_spill(struct fwd *fwd)
 {
-	if (!fwd_is_proper(&fwd->head) || fwd->begun)
+	if (fwd->begun)
 		return;
 	fwd->begun = true;
+	fwd->spilled = true;
 	fwd->ops->answer_begin(fwd->ctx);
 	fwd->ops->answer_data(fwd->ctx, fwd->body->str, fwd->body->len);
 	g_string_truncate(fwd->body, 0);
@@ -203,10 +205,12 @@
 		return;
 	}
 	fwd->heard_us = now_us;
-	if (fwd->begun) {
+	if (fwd->spilled) {
 		fwd->ops->answer_data(fwd->ctx, data, len);
 		return;
 	}
+	if (!fwd_is_proper(&fwd->head))
+		return; /* it will not be handed on */
 	g_string_append_len(fwd->body, data, (gssize)len);
 	if (fwd->body->len > FWD_KEEP_MAX)
 		fwd_spill(fwd);
@@ -223,7 +227,9 @@
 		fwd_send(fwd, now_us);
 		return;
 	}
-	if (fwd->begun) {
+	if (fwd->spilled) {
+		fwd->ops->answer_end(fwd->ctx);
+	} else if (fwd->begun) {
 		fwd->ops->answer_abort(fwd->ctx);
 	} else if (!fwd_is_proper(&fwd->head)) {
 		fwd_close(fwd);
@@ -241,7 +247,7 @@
 		fwd_attempt_failed(fwd, true, now_us);
 		return;
 	}
-	if (fwd->events && (sse_pending(&fwd->sse) > 0 || !fwd->begun)) {
+	if (fwd->begun != (fwd->events || fwd->spilled) || sse_pending(&fwd->sse) > 0) {
 		fwd->failure = FWD_BROKEN;
 		fwd_attempt_failed(fwd, true, now_us);
 		return;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -35,9 +35,9 @@
 	FWD_SILENT,	 /* the endpoint sent nothing for too long */
 	FWD_DEADLINE,	 /* the caller's or the route's time is over */
 	FWD_CALLER_GONE,
-	FWD_BUDGET,	 /* it might have been sent again, but for the budget */
-	FWD_FAILED,	 /* the endpoint's own failure was handed on */
-	FWD_FULL,	 /* refused before it was sent: no room */
+	FWD_BUDGET, /* it might have been sent again, but for the budget */
+	FWD_FAILED, /* the endpoint's own failure was handed on */
+	FWD_FULL,   /* refused before it was sent: no room */
 	FWD_CAUSES
 };
 
@@ -115,13 +115,14 @@
 	enum fwd_state state;
 	struct fwd_head head;
 	struct sse sse;
-	GString *body;	 /* of an answer that is kept until it is whole */
-	int sends;	 /* attempts that were sent */
-	int runs;	 /* of these, those that may have run */
-	bool begun;	 /* the caller has the head of an answer */
-	bool events;	 /* the answer under way is handed on as it comes */
-	uint64_t parts;	 /* events handed on */
-	int64_t heard_us; /* when the endpoint was last heard of */
+	GString *body; /* of an answer that is kept until it is whole */
+	int sends;     /* attempts that were sent */
+	int runs;      /* of these, those that may have run */
+	bool begun;    /* the caller has the head of an answer */
+	bool events;   /* the answer under way is a stream of events */
+	bool spilled;  /* the answer under way was too large to keep and is handed on as it comes */
+	uint64_t parts;		/* events handed on */
+	int64_t heard_us;	/* when the endpoint was last heard of */
 	enum fwd_cause failure; /* of the last attempt */
 };
 
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -37,8 +37,14 @@
 		fwd_head head{status, not_run, sealed, ours, encoded};
 		fwd_on_head(&fwd_, &head, now_);
 	}
-	void Data(const std::string &data) { fwd_on_data(&fwd_, data.data(), data.size(), now_); }
-	void Done(bool whole, bool sent = true) { fwd_on_done(&fwd_, whole, sent, now_); }
+	void Data(const std::string &data)
+	{
+		fwd_on_data(&fwd_, data.data(), data.size(), now_);
+	}
+	void Done(bool whole, bool sent = true)
+	{
+		fwd_on_done(&fwd_, whole, sent, now_);
+	}
 	void Wait(int64_t us)
 	{
 		now_ += us;
@@ -52,13 +58,20 @@
 		did_.clear();
 		return all;
 	}
-	static FwdTest *Of(void *ctx) { return (FwdTest *)ctx; }
-	static void Say(void *ctx, const std::string &what) { Of(ctx)->did_.push_back(what); }
+	static FwdTest *Of(void *ctx)
+	{
+		return (FwdTest *)ctx;
+	}
+	static void Say(void *ctx, const std::string &what)
+	{
+		Of(ctx)->did_.push_back(what);
+	}
 
 	const fwd_ops ops_ = {
 		[](void *ctx, int, const char *resume_after) {
 			if (Of(ctx)->send_error_ == 0)
-				Say(ctx, resume_after ? std::string("send@") + resume_after : "send");
+				Say(ctx,
+				    resume_after ? std::string("send@") + resume_after : "send");
 			return Of(ctx)->send_error_;
 		},
 		[](void *ctx) { return Of(ctx)->budget_; },
@@ -241,6 +254,47 @@
 	EXPECT_EQ(got_, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+/*
+ * Symptom: "{}" stood between two events of a stream.
+ * Sequence: a stream goes on elsewhere; the next endpoint says that it did not run it, with a body;
+ * a third one goes on.
+ * Cause: whatever came after the first event was handed on, of whatever answer.
+ */
+TEST_F(FwdTest, TheBodyOfARejectionDoesNotGetIntoAStream)
+{
+	Start(true, true, 3);
+	Head(200);
+	Data("id: 1\n\n");
+	Done(false);
+	Head(421, false, true, true);
+	Data("{}");
+	Done(true);
+	Head(200);
+	Data("id: 2\n\n");
+	Done(true);
+	EXPECT_EQ(got_, "id: 1\n\nid: 2\n\n");
+	EXPECT_EQ(Did(), "send begin data7 send@1 send@1 data7 end ok");
+}
+
+TEST_F(FwdTest, ALargeAnswerIsHandedOnBeforeItIsWhole)
+{
+	const std::string part(200 << 10, 'x');
+	Start(false, false);
+	Head(200);
+	Data(part);
+	Data(part);
+	Data("end");
+	Done(true);
+	EXPECT_EQ(Did(), "send begin data409600 data3 end ok");
+	fwd_finish(&fwd_);
+	Start(false, false);
+	Head(200);
+	Data(part);
+	Data(part);
+	Done(false);
+	EXPECT_EQ(Did(), "send begin data409600 abort broken");
+}
+
 TEST_F(FwdTest, AStreamThatMayNotBeResumedIsCut)
 {
 	Start(false, true);
--- a/path/path.c
+++ b/path/path.c
@@ -8,14 +8,14 @@
 };
 
 /* Time of one hop besides the network's delay: taking over and waiting for the next pass. */
-static const double PA_HOP_MS = 0.3;
+static const double pa_takeover_ms = 0.3;
 
 /* A part of the cost at random, so that hosts that see the same loads do not all choose alike. */
-static const double PA_SPREAD = 0.15;
+static const double pa_spread = 0.15;
 
 /* Memory in use at which an endpoint begins to look slower than it is; at 1 it has to preempt. */
-static const double PA_FULL_FROM = 0.6;
-static const double PA_FULL_COST = 8.0;
+static const double pa_full_from = 0.6;
+static const double pa_full_cost = 8.0;
 
 struct pa_search {
 	const struct rt_engine *engine;
@@ -48,15 +48,15 @@
 	double full = node->room > 0 ? tokens / node->room : 1;
 	double cost = step * node->pace + read * node->read_pace / MAX(s->ask->answer, 1);
 
-	if (full > PA_FULL_FROM)
-		cost *= 1 + PA_FULL_COST * (full - PA_FULL_FROM);
-	cost *= node->slowness * (1 + PA_SPREAD * pa_random(&s->seed));
+	if (full > pa_full_from)
+		cost *= 1 + pa_full_cost * (full - pa_full_from);
+	cost *= node->slowness * (1 + pa_spread * pa_random(&s->seed));
 	return cost / e->layers;
 }
 
 static double pa_hop_ms(const struct pa_search *s, int from_zone, int to_zone)
 {
-	double cost = PA_HOP_MS;
+	double cost = pa_takeover_ms;
 
 	if (from_zone != to_zone)
 		cost += s->ask->cross_ms + s->delay(s->ctx, from_zone, to_zone);
--- a/path/path.h
+++ b/path/path.h
@@ -49,12 +49,13 @@
 
 /* What the request needs, and from where it is sent. */
 struct pa_ask {
-	int from;	 /* layers to run: from..to-1 */
+	int from; /* layers to run: from..to-1 */
 	int to;
 	int zone;	 /* that the first stage is reached from */
 	double prompt;	 /* tokens to read */
 	double answer;	 /* tokens expected */
-	double cross_ms; /* of a hop to another availability zone, besides the delay of the network */
+	double cross_ms; /* of a hop to another availability zone, besides the delay of the network
+			  */
 	uint32_t seed;	 /* for spreading requests of like cost */
 };
 
--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -113,8 +113,8 @@
  */
 TEST(PathTest, SpreadsByWhatIsInFlight)
 {
-	std::vector<pa_node> nodes = {Node(1, 0, 40, 2.4), Node(1, 0, 40, 5.6), Node(1, 40, 80, 2.4),
-				      Node(1, 40, 80, 5.6)};
+	std::vector<pa_node> nodes = {Node(1, 0, 40, 2.4), Node(1, 0, 40, 5.6),
+				      Node(1, 40, 80, 2.4), Node(1, 40, 80, 5.6)};
 	for (uint32_t i = 0; i < 300; i++) {
 		Choice c = Choose(nodes, i * 7919 + 1);
 		ASSERT_EQ(c.err, 0);
--- a/place/place.c
+++ b/place/place.c
@@ -4,22 +4,23 @@
 #include <string.h>
 
 enum {
-	PL_PATH_MAX = 24,     /* stages that a pipeline may have; engines take up to 32 */
-	PL_ZONES_MAX = 32,    /* availability zones of one deployment */
+	PL_PATH_MAX = 24,  /* stages that a pipeline may have; engines take up to 32 */
+	PL_ZONES_MAX = 32, /* availability zones of one deployment */
 	PL_SEGMENTS_MAX = 256,
 	PL_COPIES_MIN = 2,    /* holders that every segment should have, so that one may fail */
 	PL_COPIES_TO_GIVE = 4 /* holders that a segment must have for one of them to be moved */
 };
 
-/* Part of an endpoint's memory for layers; the rest holds requests. See docs/DESIGN.md, "Placement". */
-static const double PL_LAYER_PART = 0.67;
+/* Part of an endpoint's memory for layers; the rest holds requests. See docs/DESIGN.md,
+ * "Placement". */
+static const double pl_layer_part = 0.67;
 
 /* Weight of a segment that nobody holds, against one endpoint of pace 1 with few layers. */
-static const double PL_EMPTY = 0.02;
+static const double pl_empty = 0.02;
 
 /* How much a whole copy in each zone counts against copies anywhere. */
-static const double PL_ZONE_PART = 1.0;
-static const double PL_ALL_PART = 2.0;
+static const double pl_zone_part = 1.0;
+static const double pl_all_part = 2.0;
 
 struct pl_board {
 	const struct rt_engine *engine;
@@ -42,7 +43,7 @@
 /* Segments that the node holds at most; 0: none. */
 static int pl_room(const struct rt_engine *engine, const struct pl_node *node, int unit)
 {
-	int layers = (int)(node->memory_mb * PL_LAYER_PART / engine->layer_mb);
+	int layers = (int)(node->memory_mb * pl_layer_part / engine->layer_mb);
 
 	return layers / unit;
 }
@@ -54,7 +55,7 @@
 	int segments;
 
 	for (int i = 0; i < n; i++) {
-		int layers = (int)(nodes[i].memory_mb * PL_LAYER_PART / engine->layer_mb);
+		int layers = (int)(nodes[i].memory_mb * pl_layer_part / engine->layer_mb);
 
 		if (layers >= shortest)
 			unit = MIN(unit, layers);
@@ -106,8 +107,8 @@
 	double sum = 0;
 
 	for (int s = 0; s < board->segments; s++)
-		sum += PL_ZONE_PART / (PL_EMPTY + board->weight[zone][s]) +
-		       PL_ALL_PART / (PL_EMPTY + board->all[s]);
+		sum += pl_zone_part / (pl_empty + board->weight[zone][s]) +
+		       pl_all_part / (pl_empty + board->all[s]);
 	return sum;
 }
 
@@ -208,8 +209,8 @@
 	board->engine = engine;
 	board->unit = pl_unit(engine, nodes, n);
 	if (board->unit > 0)
-		board->segments = MIN((engine->layers + board->unit - 1) / board->unit,
-				      (int)PL_SEGMENTS_MAX);
+		board->segments =
+			MIN((engine->layers + board->unit - 1) / board->unit, (int)PL_SEGMENTS_MAX);
 	for (int i = 0; board->segments > 0 && i < n; i++) {
 		if (nodes[i].to > nodes[i].from)
 			pl_add(board, &nodes[i], nodes[i].from, nodes[i].to, 1);
--- a/place/place.h
+++ b/place/place.h
@@ -37,11 +37,11 @@
 /* What a plan is worth, for operators and for comparing plans. */
 struct pl_figures {
 	int segments;
-	int unit;		 /* layers of a segment */
-	int copies_min;		 /* endpoints of the layer that has the fewest */
-	int zones_whole;	 /* availability zones that hold every layer by themselves */
+	int unit;	 /* layers of a segment */
+	int copies_min;	 /* endpoints of the layer that has the fewest */
+	int zones_whole; /* availability zones that hold every layer by themselves */
 	double copies_mean;
-	double tokens_min;	 /* tokens of context that the weakest layer has memory for */
+	double tokens_min;	  /* tokens of context that the weakest layer has memory for */
 	double tokens_after_loss; /* the same after the loss of the one endpoint that costs most */
 };
 
--- a/place/place_test.cc
+++ b/place/place_test.cc
@@ -94,7 +94,8 @@
 	}
 }
 
-/* Wanted of a deployment of today: every zone whole by itself, and the loss of any endpoint borne. */
+/* Wanted of a deployment of today: every zone whole by itself, and the loss of any endpoint borne.
+ */
 TEST(PlaceTest, EveryZoneHoldsTheWholeModelAndAnyLossIsBorne)
 {
 	Fleet f = Today();
--- a/prog/common.h
+++ b/prog/common.h
@@ -17,8 +17,8 @@
 };
 
 /*
- * Common start of a daemon: command line (--config FILE, else from BRONZEGAUGE_CONFIG, --check, --log-level, --version, --help)
- * and settings. Exits by itself on an error, --check or --version.
+ * Common start of a daemon: command line (--config FILE, else from BRONZEGAUGE_CONFIG, --check,
+ * --log-level, --version, --help) and settings. Exits by itself on an error, --check or --version.
  */
 void prog_start(int *argc, char ***argv, const char *summary, const struct set_item *items,
 		size_t n, void *settings);
--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -30,14 +30,16 @@
 static int ctl_wait(const struct ctl *ctl, gint64 revision);
 
 static const struct ctl_command ctl_commands[] = {
-	{"do", "[STATEMENT...]", "send statements (arguments, --file, or standard input)", ctl_do, FALSE},
+	{"do", "[STATEMENT...]", "send statements (arguments, --file, or standard input)", ctl_do,
+	 FALSE},
 	{"diff", "FILE", "what 'apply' would change", ctl_diff, FALSE},
 	{"apply", "FILE", "make the configuration what the file declares", ctl_apply, FALSE},
 	{"export", "", "print the configuration as declarations", ctl_export, FALSE},
 	{"show", "WHAT", "status, hosts, endpoints, accounts, usage, bound, cost, config",
 	 ctl_show_command, FALSE},
 	{"watch", "WHAT", "show it again every second", ctl_watch, FALSE},
-	{"wait", "REVISION", "return when every live host has it in force", ctl_wait_command, FALSE},
+	{"wait", "REVISION", "return when every live host has it in force", ctl_wait_command,
+	 FALSE},
 	{"explain", "ID [FILE...]", "a request's story from hosts' logs (files, or standard input)",
 	 ctl_explain_command, TRUE},
 	{"secret", "NAME", "make a token and its salted hash", ctl_secret, TRUE},
--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -25,13 +25,15 @@
 	{"ok", "It was answered."},
 	{"no_endpoint", "Refused, not run: no endpoint of its service was listed, or no pipeline "
 			"holds every layer. See 'place' lines and the endpoint list of that time."},
-	{"rejected", "Refused, not run: the endpoints it was sent to said that they did not run it."},
+	{"rejected",
+	 "Refused, not run: the endpoints it was sent to said that they did not run it."},
 	{"unreached", "Refused, not run: no connection to an endpoint came about."},
 	{"broken", "It may have run: the endpoint's answer broke off or was not an answer to it."},
 	{"silent", "It may have run: the endpoint sent nothing for too long."},
 	{"deadline", "Its time was over, the caller's or that of the route."},
 	{"caller_gone", "The caller left before the end."},
-	{"budget", "It failed at an endpoint and was not sent again: the budget of repeats was spent."},
+	{"budget",
+	 "It failed at an endpoint and was not sent again: the budget of repeats was spent."},
 	{"endpoint_failed", "The endpoint's own failure was handed on."},
 	{"full", "Refused, not run: no room."},
 	{"no_configuration", "Refused, not run: the host had no configuration yet."},
@@ -88,9 +90,8 @@
 	const char *name;
 	json_t *value;
 
-	printf("%+9.3f s  %-20s %-16s",
-	       json_number_value(json_object_get(line, "t")) - began, host ? host : "-",
-	       event ? event : "-");
+	printf("%+9.3f s  %-20s %-16s", json_number_value(json_object_get(line, "t")) - began,
+	       host ? host : "-", event ? event : "-");
 	json_object_foreach((json_t *)line, name, value)
 	{
 		char *text;
--- a/prog/router.c
+++ b/prog/router.c
@@ -10,16 +10,14 @@
 #include <sys/stat.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
-	USEC_PER_SEC = 1000000,
 	/*
 	 * After the host has become unready the balancer still sends new connections for two looks,
 	 * a second apart; it serves them until then.
 	 */
 	ROUTER_LINGER_MS = 3000,
 	ROUTER_POLL_MS = 100,
-	ROUTER_QUIET_POLLS = 4,	  /* looks without a request before the end */
-	ROUTER_END_MS = 400,	  /* of the grace time, left for the end itself */
+	ROUTER_QUIET_POLLS = 4,	   /* looks without a request before the end */
+	ROUTER_END_MS = 400,	   /* of the grace time, left for the end itself */
 	ROUTER_SETTINGS_MS = 2000, /* between looks whether the settings file has changed */
 	ROUTER_PENDING_MAX = 4 << 20,
 	ROUTER_BODY_MAX = 4 << 20,
@@ -27,7 +25,9 @@
 };
 
 #define ITEM(section, key, type, field, initial, min, max)                                         \
-	{section, key, type, offsetof(struct router_settings, field), initial, min, max}
+	{                                                                                          \
+		section, key, type, offsetof(struct router_settings, field), initial, min, max     \
+	}
 
 const struct set_item router_items[] = {
 	ITEM("host", "name", SET_TEXT, name, NULL, 1, 0),
@@ -154,7 +154,7 @@
 	if (changed != m->settings_time)
 		router_reload(m);
 	m->settings_time = changed;
-	loop_after(&m->loop, &m->settings_timer, ROUTER_SETTINGS_MS * USEC_PER_MSEC,
+	loop_after(&m->loop, &m->settings_timer, tmr_ms(ROUTER_SETTINGS_MS),
 		   router_on_settings_time, m);
 }
 
@@ -165,7 +165,7 @@
 static void router_on_stop_time(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
-	int64_t since_ms = (now_us - m->router.stop_us) / USEC_PER_MSEC;
+	int64_t since_ms = (now_us - m->router.stop_us) / TMR_US_PER_MS;
 	bool open = tf_open(m->router.tf) > 0 || hd_open(m->router.front) > 0;
 
 	m->quiet = open ? 0 : m->quiet + 1;
@@ -174,8 +174,7 @@
 		loop_stop(&m->loop);
 		return;
 	}
-	loop_after(&m->loop, &m->stop_timer, ROUTER_POLL_MS * USEC_PER_MSEC, router_on_stop_time,
-		   m);
+	loop_after(&m->loop, &m->stop_timer, tmr_ms(ROUTER_POLL_MS), router_on_stop_time, m);
 }
 
 static void router_on_stop(void *ctx)
@@ -208,10 +207,11 @@
 	router->tf = tf_start(router);
 	router->front = router_listen(router->settings.front, tf_on_call, router);
 	router->ready_hd = router_listen(router->settings.ready, router_on_ready_call, router);
-	router->metrics_hd = router_listen(router->settings.metrics, router_on_metrics_call, router);
+	router->metrics_hd =
+		router_listen(router->settings.metrics, router_on_metrics_call, router);
 	router->rc = rc_start(router, &m->loop);
 	m->settings_time = router_settings_time();
-	loop_after(&m->loop, &m->settings_timer, ROUTER_SETTINGS_MS * USEC_PER_MSEC,
+	loop_after(&m->loop, &m->settings_timer, tmr_ms(ROUTER_SETTINGS_MS),
 		   router_on_settings_time, m);
 	router_log("start", PROG_VERSION);
 	loop_run(&m->loop);
--- a/router/feed.c
+++ b/router/feed.c
@@ -9,9 +9,9 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
 	FEED_RECORDS_MAX = 512, /* of the latest, for followers that come back after a moment */
-	/* Followers send at least each 400 ms; they find out about silence, this side needn't soon. */
+	/* Followers send at least each 400 ms; they find out about silence, this side needn't soon.
+	 */
 	FEED_HEARTBEAT_MS = 2000,
 	FEED_SILENT_MS = 6000,
 	FEED_NOTHING = -1
@@ -75,9 +75,8 @@
 
 struct feed *feed_new(struct rc *rc)
 {
-	const struct frm_limits limits = {FEED_HEARTBEAT_MS * USEC_PER_MSEC,
-					  FEED_SILENT_MS * USEC_PER_MSEC,
-					  FEED_HEARTBEAT_MS * USEC_PER_MSEC};
+	const struct frm_limits limits = {tmr_ms(FEED_HEARTBEAT_MS), tmr_ms(FEED_SILENT_MS),
+					  tmr_ms(FEED_HEARTBEAT_MS)};
 	struct feed *feed = g_new0(struct feed, 1);
 	int err;
 
@@ -85,8 +84,8 @@
 	feed->followers = g_ptr_array_new_with_free_func(feed_follower_free);
 	feed->records = g_queue_new();
 	feed->listing = 1;
-	err = frm_listen(&feed->server, rc->loop, rc->router->settings.control, &feed_ops,
-			 &limits, feed);
+	err = frm_listen(&feed->server, rc->loop, rc->router->settings.control, &feed_ops, &limits,
+			 feed);
 	feed->listening = err == 0;
 	if (err < 0) {
 		jl_begin(JL_KEEP, "feed_not_listening");
@@ -254,8 +253,8 @@
 	msg->endpoints_next = feed->rc->listed ? list->next : FEED_NOTHING;
 	if (!feed->rc->listed)
 		return;
-	msg->listing = follower->listing != feed->listing ||
-		       follower->endpoints_next < feed->records_from;
+	msg->listing =
+		follower->listing != feed->listing || follower->endpoints_next < feed->records_from;
 	if (msg->listing)
 		feed_batch_list(batch, list);
 	else if (follower->endpoints_next < list->next)
@@ -291,11 +290,10 @@
 	if (rc->conf && rc->conf->version > follower->conf_version)
 		return true;
 	return rc->listed && (follower->listing != feed->listing ||
-			       follower->endpoints_next < rc->endpoints.next);
+			      follower->endpoints_next < rc->endpoints.next);
 }
 
-static void feed_put_hosts(const struct rc *rc, Feed__Update *msg, GArray *hosts,
-			   GPtrArray *refs)
+static void feed_put_hosts(const struct rc *rc, Feed__Update *msg, GArray *hosts, GPtrArray *refs)
 {
 	GHashTableIter iter;
 	gpointer name;
--- a/router/follow.c
+++ b/router/follow.c
@@ -9,10 +9,9 @@
 #include <zlib.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
 	/*
-	 * Hosts that read the store. Each costs some three calls a second; two bear the loss of one,
-	 * and with a third a rack of hosts can go without all others reading at once.
+	 * Hosts that read the store. Each costs some three calls a second; two bear the loss of
+	 * one, and with a third a rack of hosts can go without all others reading at once.
 	 */
 	FOLLOW_READERS_FEW = 2,
 	FOLLOW_READERS = 3,
@@ -30,7 +29,7 @@
 	FOLLOW_SETTLE_MS = 1500
 };
 
-static const char FOLLOW_KEY[] = "readers of the store";
+static const char follow_key[] = "readers of the store";
 
 struct follow {
 	struct rc *rc;
@@ -54,8 +53,8 @@
 	struct follow *follow = g_new0(struct follow, 1);
 
 	follow->rc = rc;
-	follow->settled_us = tmr_now() + FOLLOW_SETTLE_MS * USEC_PER_MSEC;
-	host_table_init(&follow->table, FOLLOW_SUSPECT_MS * USEC_PER_MSEC);
+	follow->settled_us = tmr_now() + tmr_ms(FOLLOW_SETTLE_MS);
+	host_table_init(&follow->table, tmr_ms(FOLLOW_SUSPECT_MS));
 	return follow;
 }
 
@@ -119,12 +118,12 @@
 static unsigned int follow_readers(const struct follow *follow, const struct host **readers,
 				   int64_t now_us)
 {
-	unsigned int most = follow->table.hosts->len <= FOLLOW_FEW_HOSTS ? FOLLOW_READERS_FEW
-									 : FOLLOW_READERS;
+	unsigned int most =
+		follow->table.hosts->len <= FOLLOW_FEW_HOSTS ? FOLLOW_READERS_FEW : FOLLOW_READERS;
 	unsigned int n = 0;
 
 	while (n < most) {
-		const struct host *host = host_home(&follow->table, FOLLOW_KEY, n, now_us);
+		const struct host *host = host_home(&follow->table, follow_key, n, now_us);
 
 		if (!host)
 			break;
@@ -159,7 +158,7 @@
 
 static bool follow_is_first(const struct follow *follow, int64_t now_us)
 {
-	const struct host *first = host_home(&follow->table, FOLLOW_KEY, 0, now_us);
+	const struct host *first = host_home(&follow->table, follow_key, 0, now_us);
 
 	return first && follow_is_self(follow, first);
 }
@@ -173,9 +172,8 @@
 
 static void follow_connect(struct follow *follow, const char *name, const char *addr)
 {
-	const struct frm_limits limits = {FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC,
-					  FOLLOW_SILENT_MS * USEC_PER_MSEC,
-					  FOLLOW_HEARTBEAT_MS * USEC_PER_MSEC};
+	const struct frm_limits limits = {tmr_ms(FOLLOW_HEARTBEAT_MS), tmr_ms(FOLLOW_SILENT_MS),
+					  tmr_ms(FOLLOW_HEARTBEAT_MS)};
 	struct rc *rc = follow->rc;
 	Feed__Ask ask = FEED__ASK__INIT;
 
@@ -217,7 +215,7 @@
 		follow_drop(follow);
 	}
 	if (!follow->conn && now_us >= follow->next_try_us) {
-		follow->next_try_us = now_us + FOLLOW_RETRY_MS * USEC_PER_MSEC;
+		follow->next_try_us = now_us + tmr_ms(FOLLOW_RETRY_MS);
 		if (host)
 			follow_connect(follow, host->name, host->control_addr);
 		else if (follow->table.hosts->len == 0 && !sf_is_reached(rc))
@@ -288,7 +286,6 @@
 	g_free(text);
 }
 
-
 /* The first reader polls by itself; what comes back to it by way of others is older. */
 static void follow_take_loads(struct follow *follow, const Feed__Update *msg)
 {
--- a/router/pick.c
+++ b/router/pick.c
@@ -9,17 +9,17 @@
  * Cost of a hop to another availability zone besides the network's delay, in ms a token: the links
  * between zones are shared by all, and a prompt of 800 tokens takes 11 ms on one of 26 Gbit/s.
  */
-static const double PICK_CROSS_MS = 3.0;
+static const double pick_cross_ms = 3.0;
 
 /* Cost of a suspected endpoint, as a multiple: more than any detour that avoids it. */
-static const double PICK_SUSPECT_COST = 30;
+static const double pick_suspect_cost = 30;
 
 /* A report counts for so long; rounds are a second apart. */
-static const int64_t PICK_LOAD_US = 3000000;
+static const int64_t pick_load_us = 3000000;
 
 /* Tokens of a prompt and of an answer where neither the caller nor the configuration tells. */
-static const double PICK_PROMPT_DEFAULT = 500;
-static const double PICK_ANSWER_DEFAULT = 200;
+static const double pick_prompt_default = 500;
+static const double pick_answer_default = 200;
 
 struct pick_delays {
 	struct tf *tf;
@@ -31,7 +31,8 @@
 	return ep->listed && ep->rec->state == EP_READY && ep->suspect_us <= now_us;
 }
 
-/* Suspected ones are used when there is nobody else: a suspicion may be wrong, a refusal is sure. */
+/* Suspected ones are used when there is nobody else: a suspicion may be wrong, a refusal is sure.
+ */
 static bool pick_usable(const struct tf_ep *ep, const struct rt_service *service)
 {
 	return ep->listed && ep->rec->state == EP_READY &&
@@ -79,7 +80,7 @@
 	if (request->prompt > 0)
 		return request->prompt;
 	return service->engine.usual_prompt > 0 ? service->engine.usual_prompt
-						: PICK_PROMPT_DEFAULT;
+						: pick_prompt_default;
 }
 
 static double pick_answer(const struct rt_service *service, const struct seam_request *request)
@@ -89,21 +90,21 @@
 	if (answer > 0)
 		return answer;
 	return service->engine.usual_answer > 0 ? service->engine.usual_answer
-						: PICK_ANSWER_DEFAULT;
+						: pick_answer_default;
 }
 
 /*
- * How much is in flight at the endpoint: this host's own requests, with the other hosts taken to have
- * as many. Reports a second old made all hosts send to the same endpoints at once (worth of the
- * heaviest day 0.48 instead of 0.81, measured on a deployment of 76 hosts), so of a report only the
- * pace counts.
+ * How much is in flight at the endpoint: this host's own requests, with the other hosts taken to
+ * have as many. Reports a second old made all hosts send to the same endpoints at once (worth of
+ * the heaviest day 0.48 instead of 0.81, measured on a deployment of 76 hosts), so of a report only
+ * the pace counts.
  */
 static void pick_load(const struct tf *tf, const struct tf_ep *ep, int64_t now_us,
 		      struct pa_node *node)
 {
 	node->in_flight = (double)ep->in_flight * tf->view->hosts;
 	node->tokens = ep->tokens * tf->view->hosts;
-	if (ep->load_us > 0 && now_us - ep->load_us < PICK_LOAD_US)
+	if (ep->load_us > 0 && now_us - ep->load_us < pick_load_us)
 		node->slowness = MAX(ep->pace, 1);
 }
 
@@ -120,11 +121,11 @@
 	node->read_pace = kind ? kind->read_pace : 1;
 	node->slowness = 1;
 	node->usable = true;
-	node->room = kind ? pl_token_room(&service->engine, kind->memory_mb, node->to - node->from)
-			  : 0;
+	node->room =
+		kind ? pl_token_room(&service->engine, kind->memory_mb, node->to - node->from) : 0;
 	pick_load(tf, ep, now_us, node);
 	if (MAX(ep->suspect_us, ep->doubt_us) > now_us)
-		node->slowness *= PICK_SUSPECT_COST;
+		node->slowness *= pick_suspect_cost;
 }
 
 /* What a search for stages works on. */
@@ -158,7 +159,7 @@
 	pick->ask.zone = tf_zone(tf, tf->router->settings.zone);
 	pick->ask.prompt = pick_prompt(service, request);
 	pick->ask.answer = pick_answer(service, request);
-	pick->ask.cross_ms = PICK_CROSS_MS;
+	pick->ask.cross_ms = pick_cross_ms;
 	pick->ask.seed = tf->seed;
 	tf->seed = tf->seed * 1664525U + 1013904223U;
 	g_hash_table_iter_init(&iter, tf->eps);
@@ -297,7 +298,7 @@
 	tf->seed = tf->seed * 1664525U + 1013904223U;
 	load *= 1 + 4 * tf_ep_failures(ep, now_us);
 	if (MAX(ep->suspect_us, ep->doubt_us) > now_us)
-		load *= PICK_SUSPECT_COST;
+		load *= pick_suspect_cost;
 	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
 		load *= 1.1;
 	return load * (1 + 0.2 * (double)(tf->seed >> 8) / (1 << 24));
--- a/router/placer.c
+++ b/router/placer.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
 	/*
 	 * Endpoints register over some seconds after a start. A plan made from the first ones would
 	 * be worse than one made from all; so the placer waits until none has come for this long.
@@ -44,8 +43,7 @@
 	int64_t fenced; /* fencing number that was refused; -1: none */
 };
 
-static void placer_on_done(void *ctx, int status, int err, bool sent, const char *body,
-			   size_t len);
+static void placer_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void placer_on_report(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len);
 static void placer_send(struct placer_order *order, int64_t expect);
@@ -174,16 +172,16 @@
 }
 
 /*
- * The endpoint's report comes first: it tells how many orders the endpoint has begun. An order names
- * that number, so one that is carried out late, after another, has no effect.
+ * The endpoint's report comes first: it tells how many orders the endpoint has begun. An order
+ * names that number, so one that is carried out late, after another, has no effect.
  */
 static void placer_order(struct placer *placer, const struct ep_rec *rec,
 			 const struct pl_move *move, int64_t now_us)
 {
 	struct rc *rc = placer->rc;
 	struct placer_order *order = g_new0(struct placer_order, 1);
-	char *url = g_strdup_printf("http://%s%s", rec->addr,
-				    rc->router->seam->engine.report_path());
+	char *url =
+		g_strdup_printf("http://%s%s", rec->addr, rc->router->seam->engine.report_path());
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
--- a/router/poll.c
+++ b/router/poll.c
@@ -5,10 +5,9 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
 	/*
-	 * Between two rounds. Each asks every engine once; engines report with a lag of some hundred
-	 * ms, so more often brings little.
+	 * Between two rounds. Each asks every engine once; engines report with a lag of some
+	 * hundred ms, so more often brings little.
 	 */
 	POLL_ROUND_MS = 1000,
 	POLL_CALL_MS = 600, /* what has not answered by then is left out of the round */
@@ -63,8 +62,8 @@
 {
 	struct rc *rc = poll->rc;
 	struct poll_call *call = g_new0(struct poll_call, 1);
-	char *url = g_strdup_printf("http://%s%s", rec->addr,
-				    rc->router->seam->engine.report_path());
+	char *url =
+		g_strdup_printf("http://%s%s", rec->addr, rc->router->seam->engine.report_path());
 	struct hc_request request = {
 		.method = "GET",
 		.url = url,
@@ -112,8 +111,8 @@
 }
 
 /*
- * Only the first reader asks; the others hear of it through the feed. Two that both believe they are
- * the first cost some calls more.
+ * Only the first reader asks; the others hear of it through the feed. Two that both believe they
+ * are the first cost some calls more.
  */
 void poll_on_tick(struct poll *poll, int64_t now_us)
 {
@@ -126,7 +125,7 @@
 	}
 	if (now_us < poll->next_us || poll->loads)
 		return;
-	poll->next_us = now_us + POLL_ROUND_MS * USEC_PER_MSEC;
+	poll->next_us = now_us + tmr_ms(POLL_ROUND_MS);
 	poll_begin(poll);
 	if (poll->calls->len == 0)
 		poll_end(poll);
@@ -142,8 +141,8 @@
 	(void)err;
 	(void)sent;
 	call->call = NULL;
-	if (status == HTTP_OK && poll->rc->router->seam->engine.parse_report(
-					 str_make(body, len), &report) == 0) {
+	if (status == HTTP_OK &&
+	    poll->rc->router->seam->engine.parse_report(str_make(body, len), &report) == 0) {
 		load = (struct router_load){g_strdup(call->endpoint), report.pace, report.kv_used,
 					    report.kv_total};
 		g_array_append_val(poll->loads, load);
--- a/router/rc.c
+++ b/router/rc.c
@@ -8,8 +8,6 @@
 #include <zlib.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
-	USEC_PER_SEC = 1000000,
 	RC_TICK_MS = 100,
 	/*
 	 * The group's member that is silent for so long loses what it leads. Three joins may be
@@ -45,7 +43,7 @@
 	struct timespec ts;
 
 	clock_gettime(CLOCK_BOOTTIME, &ts);
-	return (int64_t)ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+	return (int64_t)ts.tv_sec * TMR_US_PER_S + ts.tv_nsec / 1000;
 }
 
 char *rc_url(const struct rc *rc, char *path)
@@ -75,7 +73,7 @@
 	rc->follow = follow_new(rc);
 	rc_set_direct(rc, true);
 	rc_list_self(rc, true);
-	loop_after(loop, &rc->ticker, RC_TICK_MS * USEC_PER_MSEC, rc_on_tick, rc);
+	loop_after(loop, &rc->ticker, tmr_ms(RC_TICK_MS), rc_on_tick, rc);
 	return rc;
 }
 
@@ -312,7 +310,7 @@
 {
 	int64_t *last = g_hash_table_lookup(rc->seen, endpoint);
 
-	if (last && now_us - *last < RC_NEWS_MS * USEC_PER_MSEC)
+	if (last && now_us - *last < tmr_ms(RC_NEWS_MS))
 		return false;
 	if (!last) {
 		last = g_new0(int64_t, 1);
@@ -348,7 +346,7 @@
 	if (rc->view_due || rc->endpoints.changed)
 		rc_post_view(rc);
 	feed_flush(rc->feed);
-	loop_after(rc->loop, &rc->ticker, RC_TICK_MS * USEC_PER_MSEC, rc_on_tick, rc);
+	loop_after(rc->loop, &rc->ticker, tmr_ms(RC_TICK_MS), rc_on_tick, rc);
 }
 
 static void rc_post_view(struct rc *rc)
@@ -368,7 +366,7 @@
 
 /* A call to the store with a body; path and body are taken over. */
 static struct hc_call *rc_post(struct rc *rc, char *path, char *body, size_t len,
-				const struct hc_ops *ops)
+			       const struct hc_ops *ops)
 {
 	const char *headers[] = {"Content-Type: application/json", NULL};
 	char *url = rc_url(rc, path);
@@ -399,7 +397,7 @@
 
 	g_free(text);
 	rc_post(rc, store->append_path(SEAM_HOSTS), g_string_free(record, FALSE), len,
-		 &rc_list_ops);
+		&rc_list_ops);
 }
 
 /* A lead that nobody uses would stay with this host until its place lapses. */
@@ -439,8 +437,7 @@
 	if (status == HTTP_OK)
 		return;
 	if (!rc->stopping)
-		loop_after(rc->loop, &rc->list_timer, RC_LIST_RETRY_MS * USEC_PER_MSEC,
-			   rc_list_again, rc);
+		loop_after(rc->loop, &rc->list_timer, tmr_ms(RC_LIST_RETRY_MS), rc_list_again, rc);
 	jl_begin(JL_KEEP, "host_not_listed");
 	jl_int("status", status);
 	jl_str("error", err < 0 ? base_strerror(err) : NULL);
@@ -465,8 +462,7 @@
 	(void)now_us;
 	if (rc->stopping)
 		return;
-	body = store->make_join(rc->router->settings.name, RC_GROUP_TTL_MS,
-				MAX(rc->generation, 0));
+	body = store->make_join(rc->router->settings.name, RC_GROUP_TTL_MS, MAX(rc->generation, 0));
 	rc->join_began_us = rc_boot_us();
 	rc->join = rc_post(rc, store->join_path(), body, strlen(body), &rc_join_ops);
 }
@@ -480,7 +476,7 @@
 	(void)err;
 	(void)sent;
 	rc->join = NULL;
-	loop_after(rc->loop, &rc->join_timer, RC_JOIN_MS * USEC_PER_MSEC, rc_join, rc);
+	loop_after(rc->loop, &rc->join_timer, tmr_ms(RC_JOIN_MS), rc_join, rc);
 	if (status != HTTP_OK ||
 	    rc->router->seam->store.parse_join(str_make(body, len), &generation, &leader) < 0)
 		return;
@@ -503,5 +499,5 @@
 bool rc_may_order(const struct rc *rc)
 {
 	return rc->leader && !rc->stopping &&
-	       rc_boot_us() - rc->joined_us < (int64_t)RC_GROUP_TTL_MS * USEC_PER_MSEC;
+	       rc_boot_us() - rc->joined_us < tmr_ms(RC_GROUP_TTL_MS);
 }
--- a/router/rc.h
+++ b/router/rc.h
@@ -27,8 +27,8 @@
 
 /* A host of this system, as it lists itself in the store. */
 struct rc_host {
-	char *addr;	  /* of its control thread */
-	double capacity;  /* Mbit/s of its link x cores; hosts differ tenfold */
+	char *addr;	 /* of its control thread */
+	double capacity; /* Mbit/s of its link x cores; hosts differ tenfold */
 };
 
 struct rc {
@@ -51,7 +51,8 @@
 	int64_t generation; /* of the group of hosts; orders carry it as fencing number */
 	bool leader;	    /* this host places layers */
 	int64_t join_began_us;
-	int64_t joined_us;  /* when the last successful join was begun, on the clock that counts sleep */
+	int64_t joined_us; /* when the last successful join was begun, on the clock that counts
+			      sleep */
 	struct hc_call *join;
 	struct tmr join_timer;
 	struct placer *placer;
@@ -59,7 +60,7 @@
 	struct feed *feed;
 	struct follow *follow;
 	GHashTable *seen; /* endpoint -> when it was last passed on as suspect, int64_t */
-	GArray *loads;	      /* struct router_load, as last heard */
+	GArray *loads;	  /* struct router_load, as last heard */
 	guint loads_version;
 	bool view_due;
 	bool view_whole; /* a view with configuration and endpoints has been posted */
--- a/router/rq.c
+++ b/router/rq.c
@@ -8,9 +8,7 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
-	USEC_PER_SEC = 1000000,
-	RQ_CONNECT_MS = 300,	/* a connection to a live endpoint takes a few ms */
+	RQ_CONNECT_MS = 300, /* a connection to a live endpoint takes a few ms */
 	RQ_DEADLINE_DEFAULT_MS = 60000,
 	/*
 	 * Silence before the first event, and between events, after which the first stage is asked
@@ -18,11 +16,11 @@
 	 */
 	RQ_FIRST_MIN_MS = 250,
 	RQ_GAP_MIN_MS = 120,
-	RQ_BEAR_US = 1300000, /* silence after which the stream is taken elsewhere in any case */
+	RQ_BEAR_US = 1300000,	 /* silence after which the stream is taken elsewhere in any case */
 	RQ_PROGRESS_US = 300000, /* an endpoint that brought something since then works */
 	RQ_ORDER_CONNECT_MS = 250,
 	RQ_ORDER_MS = 700,
-	RQ_DOUBT_US = 700000,	  /* that an endpoint is passed over for what may have other causes */
+	RQ_DOUBT_US = 700000, /* that an endpoint is passed over for what may have other causes */
 	RQ_REPAIRS_MAX = 6,
 	/* Parts of the time for which a leaving endpoint goes on, in hundredths. */
 	RQ_MOVE_PART = 40,
@@ -62,13 +60,13 @@
 	struct fwd fwd;
 	struct tmr timer;
 	struct hc_call *attempt;
-	struct hc_call *order;	/* that replaces a stage of the running pipeline */
-	struct tf_target target; /* of the attempt under way */
-	struct tf_target repair; /* that the order asks for */
-	int repairs;		 /* orders given for this request */
-	int64_t order_us;	 /* when it was given */
-	int64_t part_us;	 /* when the attempt was sent, or last brought something */
-	struct tf_target avoid;	  /* those that failed this request; no references to requests */
+	struct hc_call *order;	   /* that replaces a stage of the running pipeline */
+	struct tf_target target;   /* of the attempt under way */
+	struct tf_target repair;   /* that the order asks for */
+	int repairs;		   /* orders given for this request */
+	int64_t order_us;	   /* when it was given */
+	int64_t part_us;	   /* when the attempt was sent, or last brought something */
+	struct tf_target avoid;	   /* those that failed this request; no references to requests */
 	struct seam_answer answer; /* head of the attempt's answer */
 	int64_t began_us;
 	int64_t first_us; /* when the first part went to the caller */
@@ -209,16 +207,16 @@
 
 	if (deadline_ms < 0)
 		deadline_ms = RQ_DEADLINE_DEFAULT_MS;
-	rq->caller_deadline_us = rq->began_us + deadline_ms * USEC_PER_MSEC;
+	rq->caller_deadline_us = rq->began_us + tmr_ms(deadline_ms);
 	if (route->timeout_ms > 0)
 		deadline_ms = MIN(deadline_ms, route->timeout_ms);
 	memset(rules, 0, sizeof(*rules));
 	rules->may_repeat = rt_may_repeat(route);
 	rules->streaming = route->type == RT_STREAMING;
 	rules->runs_max = (int)route->attempts;
-	rules->deadline_us = rq->began_us + deadline_ms * USEC_PER_MSEC;
-	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms / 2) * USEC_PER_MSEC;
-	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 6 / 10) * USEC_PER_MSEC;
+	rules->deadline_us = rq->began_us + tmr_ms(deadline_ms);
+	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms / 2) * TMR_US_PER_MS;
+	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 6 / 10) * TMR_US_PER_MS;
 }
 
 static bool rq_stops_too_soon(const struct rq *rq)
@@ -286,11 +284,11 @@
 
 static int64_t rq_left_ms(const struct rq *rq, int64_t now_us)
 {
-	return MAX((rq->fwd.rules.deadline_us - now_us) / USEC_PER_MSEC, 1);
+	return MAX((rq->fwd.rules.deadline_us - now_us) / TMR_US_PER_MS, 1);
 }
 
 static void rq_log_sent(const struct rq *rq, int attempt, const char *pipeline,
-			 const char *resume_after)
+			const char *resume_after)
 {
 	jl_begin(JL_INFO, "sent");
 	jl_str("id", rq->request.id);
@@ -303,7 +301,7 @@
 	jl_str("resume_after", resume_after);
 	jl_int("left_ms", rq_left_ms(rq, tmr_now()));
 	jl_int("version", rq->conf->version);
-	jl_int("view_age_ms", (tmr_now() - rq->tf->view_us) / USEC_PER_MSEC);
+	jl_int("view_age_ms", (tmr_now() - rq->tf->view_us) / TMR_US_PER_MS);
 	jl_end();
 }
 
@@ -390,14 +388,14 @@
 	jl_str("id", rq->request.id);
 	jl_str("finding", finding);
 	jl_str("culprit", culprit);
-	jl_int("silent_ms", (tmr_now() - rq->part_us) / USEC_PER_MSEC);
+	jl_int("silent_ms", (tmr_now() - rq->part_us) / TMR_US_PER_MS);
 	jl_int("parts", (int64_t)rq->fwd.parts);
 	jl_end();
 }
 
 /*
- * A request that alone is silent, while others at the same first stage go on, hangs there. Where all
- * are slow it waits: sent elsewhere it would be read anew, and make the rest slower still.
+ * A request that alone is silent, while others at the same first stage go on, hangs there. Where
+ * all are slow it waits: sent elsewhere it would be read anew, and make the rest slower still.
  */
 static bool rq_hangs_alone(const struct rq *rq, int64_t now_us)
 {
@@ -454,7 +452,7 @@
 	jl_str("id", rq->request.id);
 	jl_str("why", why);
 	jl_int("parts", (int64_t)rq->fwd.parts);
-	jl_int("silent_ms", (tmr_now() - rq->part_us) / USEC_PER_MSEC);
+	jl_int("silent_ms", (tmr_now() - rq->part_us) / TMR_US_PER_MS);
 	jl_end();
 	fwd_give_up_attempt(&rq->fwd, tmr_now());
 }
@@ -549,7 +547,7 @@
 	jl_str("error", err < 0 ? base_strerror(err) : NULL);
 	if (!done && len > 0 && len < RQ_LOGGED_MAX)
 		jl_str("answer", body);
-	jl_int("took_ms", (tmr_now() - rq->order_us) / USEC_PER_MSEC);
+	jl_int("took_ms", (tmr_now() - rq->order_us) / TMR_US_PER_MS);
 	jl_end();
 	if (!done) {
 		tf_target_clear(&rq->repair);
@@ -736,7 +734,7 @@
  */
 static void rq_leave_stages(struct rq *rq, int64_t now_us)
 {
-	int64_t drain_us = rq->tf->router->settings.drain_ms * USEC_PER_MSEC;
+	int64_t drain_us = tmr_ms(rq->tf->router->settings.drain_ms);
 
 	if (!rq->target.layered || !rq->attempt || rq->order || !rq->fwd.begun)
 		return;
@@ -798,8 +796,8 @@
 	jl_int("sends", rq->fwd.sends);
 	jl_int("runs", rq->fwd.runs);
 	jl_int("parts", (int64_t)rq->fwd.parts);
-	jl_int("first_ms", rq->first_us > 0 ? (rq->first_us - rq->began_us) / USEC_PER_MSEC : -1);
-	jl_int("whole_ms", (now_us - rq->began_us) / USEC_PER_MSEC);
+	jl_int("first_ms", rq->first_us > 0 ? (rq->first_us - rq->began_us) / TMR_US_PER_MS : -1);
+	jl_int("whole_ms", (now_us - rq->began_us) / TMR_US_PER_MS);
 	jl_end();
 	snprintf(labels, sizeof(labels), "cause=\"%s\"", fwd_cause_name(cause));
 	met_add(met_counter("bg_requests_total", labels), 1);
--- a/router/stall.c
+++ b/router/stall.c
@@ -61,8 +61,7 @@
 	}
 }
 
-static void stall_on_report(void *ctx, int status, int err, bool sent, const char *body,
-			    size_t len)
+static void stall_on_report(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct stall *stall = ctx;
 	const struct seam_engine *engine = &stall->tf->router->seam->engine;
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -6,20 +6,19 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
 	/*
 	 * How long the store may hold a read of the configuration. An open connection may go silent
 	 * for good; a change must be in force within two seconds, so silence is found within this
 	 * time and the next.
 	 */
 	SF_CONF_WAIT_MS = 1000,
-	SF_MARGIN_MS = 700,	    /* for the answer itself */
-	SF_CALL_MS = 1000,	    /* for a call that the store does not hold */
+	SF_MARGIN_MS = 700, /* for the answer itself */
+	SF_CALL_MS = 1000,  /* for a call that the store does not hold */
 	SF_CONNECT_MS = 500,
 	/* Reads of endpoints: an endpoint that is leaving gets no requests after two seconds. */
 	SF_ENDPOINTS_PAUSE_MS = 600,
 	SF_HOSTS_PAUSE_MS = 5000,
-	SF_RETRY_MS = 250,	    /* after a failure; doubles */
+	SF_RETRY_MS = 250, /* after a failure; doubles */
 	SF_RETRY_MAX_MS = 1000,
 	HTTP_OK = 200,
 	HTTP_GONE = 410
@@ -58,7 +57,7 @@
 		t->read_us = 0;
 		t->failures = 0;
 		t->wait_ms = sf_pace[i].wait_ms;
-		t->pause_us = sf_pace[i].pause_ms * USEC_PER_MSEC;
+		t->pause_us = tmr_ms(sf_pace[i].pause_ms);
 		sf_ask(t);
 	}
 }
@@ -145,7 +144,7 @@
 	if (t->topic == SEAM_ENDPOINTS && !follow_is_fed(t->rc->follow))
 		ep_on_away(&t->rc->endpoints);
 	feed_flush(t->rc->feed);
-	sf_again(t, delay_ms * USEC_PER_MSEC);
+	sf_again(t, tmr_ms(delay_ms));
 }
 
 static void sf_recovered(struct sf_topic *t)
@@ -193,7 +192,8 @@
 
 	if (t->rc->router->seam->store.parse_read(body, t->next, sf_on_record, t, &read) < 0)
 		return false;
-	/* A store that has less than was read before has been rewound; its listing tells what holds. */
+	/* A store that has less than was read before has been rewound; its listing tells what
+	 * holds. */
 	t->next = read.end < t->next ? -1 : read.next;
 	sf_again(t, t->pause_us);
 	return true;
--- a/router/tf.c
+++ b/router/tf.c
@@ -8,34 +8,33 @@
 #include <string.h>
 
 enum {
-	USEC_PER_MSEC = 1000,
-	USEC_PER_SEC = 1000000,
 	/*
-	 * A caller that has left is noticed within this time, so that its endpoint stops work for it
-	 * well within half a second.
+	 * A caller that has left is noticed within this time, so that its endpoint stops work for
+	 * it well within half a second.
 	 */
 	TF_SWEEP_MS = 150,
 	/*
-	 * A host that starts has the configuration within some 50 ms; requests that come before wait
-	 * for it this long. Callers have one retry, and would come back to another host that starts,
-	 * too. After this time the store is away, and nobody knows for how long.
+	 * A host that starts has the configuration within some 50 ms; requests that come before
+	 * wait for it this long. Callers have one retry, and would come back to another host that
+	 * starts, too. After this time the store is away, and nobody knows for how long.
 	 */
 	TF_PARK_MS = 1000,
 	TF_SUSPECT_STEP_US = 500000, /* a suspicion that lasts little longer is no news */
-	TF_SUSPECT_US = 3000000,    /* for which an endpoint that is certainly at fault is passed over */
-	TF_DOUBT_US = 700000,	    /* the same for what may have other causes */
-	TF_UNREACHED_US = 1500000,  /* between two failures to reach it that count together */
+	TF_SUSPECT_US =
+		3000000,      /* for which an endpoint that is certainly at fault is passed over */
+	TF_DOUBT_US = 700000, /* the same for what may have other causes */
+	TF_UNREACHED_US = 1500000, /* between two failures to reach it that count together */
 	TF_SEED = 12345
 };
 
 /* Failures of an endpoint count half after this time. */
-static const double TF_FADE_S = 4.0;
+static const double tf_fade_s = 4.0;
 
 /* Pace from which on an endpoint is called slow in the log. */
-static const double TF_SLOW = 1.5;
+static const double tf_slow = 1.5;
 
 /* Pace from which on running streams are moved; below it a move, some 100 ms, costs them more. */
-static const double TF_SLOW_MOVE = 2.5;
+static const double tf_slow_move = 2.5;
 
 struct tf_view_msg {
 	struct tf *tf;
@@ -74,7 +73,7 @@
 	tf->parked = g_queue_new();
 	loop_init(&tf->loop);
 	tf->hc = hc_new(&tf->loop);
-	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
+	loop_after(&tf->loop, &tf->sweep, tmr_ms(TF_SWEEP_MS), tf_on_sweep, tf);
 	pthread_create(&tf->thread, NULL, tf_main, tf);
 	return tf;
 }
@@ -99,7 +98,7 @@
 	tf_sweep_parked(tf, now_us);
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_sweep(tf->reqs->pdata[i - 1], now_us);
-	loop_after(&tf->loop, &tf->sweep, TF_SWEEP_MS * USEC_PER_MSEC, tf_on_sweep, tf);
+	loop_after(&tf->loop, &tf->sweep, tmr_ms(TF_SWEEP_MS), tf_on_sweep, tf);
 }
 
 void router_view_free(struct router_view *view)
@@ -181,7 +180,7 @@
 {
 	const struct router_settings *s = &tf->router->settings;
 	const struct bud_limits limits = {s->repeat_ratio, s->repeat_fixed,
-					  (int64_t)(s->repeat_window_s * USEC_PER_SEC),
+					  (int64_t)(s->repeat_window_s * TMR_US_PER_S),
 					  tf->view->hosts};
 	GHashTableIter iter;
 	gpointer value;
@@ -196,7 +195,7 @@
 	const struct router_settings *s = &tf->router->settings;
 	struct bud *bud = g_hash_table_lookup(tf->budgets, service);
 	const struct bud_limits limits = {s->repeat_ratio, s->repeat_fixed,
-					  (int64_t)(s->repeat_window_s * USEC_PER_SEC),
+					  (int64_t)(s->repeat_window_s * TMR_US_PER_S),
 					  tf->view->hosts};
 
 	if (!bud) {
@@ -256,7 +255,7 @@
 /* Those whose time is over are refused; those whose callers have left end quietly. */
 static void tf_sweep_parked(struct tf *tf, int64_t now_us)
 {
-	const int64_t oldest_us = now_us - (int64_t)TF_PARK_MS * USEC_PER_MSEC;
+	const int64_t oldest_us = now_us - tmr_ms(TF_PARK_MS);
 	GList *link = tf->parked->head;
 
 	while (link) {
@@ -301,9 +300,9 @@
 
 double tf_ep_failures(struct tf_ep *ep, int64_t now_us)
 {
-	double age_s = (double)(now_us - ep->failed_us) / USEC_PER_SEC;
+	double age_s = (double)(now_us - ep->failed_us) / TMR_US_PER_S;
 
-	return ep->failures * exp2(-age_s / TF_FADE_S);
+	return ep->failures * exp2(-age_s / tf_fade_s);
 }
 
 void tf_ep_failed(struct tf_ep *ep, int64_t now_us)
@@ -319,7 +318,7 @@
 	jl_str("endpoint", ep->rec->id);
 	jl_str("addr", ep->rec->addr);
 	jl_str("why", why);
-	jl_int("for_ms", for_us / USEC_PER_MSEC);
+	jl_int("for_ms", for_us / TMR_US_PER_MS);
 	jl_str("id", request);
 	jl_end();
 }
@@ -351,7 +350,7 @@
 	if (ep->suspect_us + TF_SUSPECT_STEP_US >= tmr_now() + for_us)
 		return;
 	tf_leave(tf, ep, for_us, why, request);
-	rc_post_suspect(tf->router->rc, ep->rec->id, for_us / USEC_PER_MSEC, why);
+	rc_post_suspect(tf->router->rc, ep->rec->id, for_us / TMR_US_PER_MS, why);
 }
 
 void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request)
@@ -392,16 +391,16 @@
 	msg->tf = tf;
 	msg->endpoint = g_strdup(endpoint);
 	msg->why = g_strdup(why);
-	msg->until_us = tmr_now() + for_ms * USEC_PER_MSEC;
+	msg->until_us = tmr_now() + tmr_ms(for_ms);
 	loop_post(&tf->loop, tf_take_suspect, msg);
 }
 
 /* An endpoint that turns slow, or as fast as usual again. */
 static void tf_log_pace(const struct tf_ep *ep, double pace)
 {
-	if ((ep->pace >= TF_SLOW) == (pace >= TF_SLOW))
+	if ((ep->pace >= tf_slow) == (pace >= tf_slow))
 		return;
-	jl_begin(JL_KEEP, pace >= TF_SLOW ? "endpoint_slow" : "endpoint_fast");
+	jl_begin(JL_KEEP, pace >= tf_slow ? "endpoint_slow" : "endpoint_fast");
 	jl_str("endpoint", ep->rec->id);
 	jl_str("addr", ep->rec->addr);
 	jl_real("pace", pace);
@@ -434,7 +433,7 @@
 		if (!ep)
 			continue;
 		tf_log_pace(ep, load->pace);
-		slowed = ep->pace < TF_SLOW_MOVE && load->pace >= TF_SLOW_MOVE;
+		slowed = ep->pace < tf_slow_move && load->pace >= tf_slow_move;
 		ep->pace = load->pace;
 		ep->kv_used = load->kv_used;
 		ep->load_us = now_us;
--- a/router/tf.h
+++ b/router/tf.h
@@ -11,21 +11,21 @@
 struct tf_ep {
 	struct ep_rec *rec;
 	int refs;
-	bool listed;	       /* in the present view */
-	int64_t left_us;       /* when it was first seen to be leaving; 0: it is not */
-	int in_flight;	       /* requests of this host that pass through it */
-	double tokens;	       /* their tokens of context */
-	double pace;	       /* as it reported last; 1: as usual */
-	double kv_used;	       /* the same, tokens x layers */
-	int64_t load_us;       /* when that report came; 0: never */
-	int64_t suspect_us;    /* it is at fault until then: not chosen, and left by what runs there */
-	int64_t doubt_us;      /* it may be at fault until then: not chosen */
-	int64_t unreached_us;  /* when this host last failed to reach it */
-	int64_t progress_us;   /* when a request sent to it last got something */
+	bool listed;	    /* in the present view */
+	int64_t left_us;    /* when it was first seen to be leaving; 0: it is not */
+	int in_flight;	    /* requests of this host that pass through it */
+	double tokens;	    /* their tokens of context */
+	double pace;	    /* as it reported last; 1: as usual */
+	double kv_used;	    /* the same, tokens x layers */
+	int64_t load_us;    /* when that report came; 0: never */
+	int64_t suspect_us; /* it is at fault until then: not chosen, and left by what runs there */
+	int64_t doubt_us;   /* it may be at fault until then: not chosen */
+	int64_t unreached_us;	/* when this host last failed to reach it */
+	int64_t progress_us;	/* when a request sent to it last got something */
 	struct hc_call *report; /* being asked for */
 	int64_t report_us;	/* when it was last asked for */
-	double failures;       /* recent ones, fading; see tf_ep_failed() */
-	int64_t failed_us;     /* when failures was last brought up to date */
+	double failures;	/* recent ones, fading; see tf_ep_failed() */
+	int64_t failed_us;	/* when failures was last brought up to date */
 };
 
 enum {
@@ -52,8 +52,8 @@
 	GHashTable *budgets; /* service -> struct bud */
 	GHashTable *zones;   /* name -> number, from 1 */
 	GPtrArray *zone_names;
-	GPtrArray *reqs;     /* struct rq */
-	GQueue *parked;	     /* struct tf_parked: requests that came before the first view */
+	GPtrArray *reqs; /* struct rq */
+	GQueue *parked;	 /* struct tf_parked: requests that came before the first view */
 	struct tmr sweep;
 	uint32_t seed;
 	unsigned int open; /* atomic: requests that have not ended */
--- a/rt/rt.h
+++ b/rt/rt.h
@@ -29,7 +29,7 @@
 	char *host;
 	char *prefix; /* of the path; begins and ends with a slash */
 	enum rt_type type;
-	GArray *splits;	   /* struct rt_split */
+	GArray *splits;	    /* struct rt_split */
 	int64_t timeout_ms; /* longest time that a caller may be kept waiting; 0: none */
 	int64_t target_ms;  /* time of the answer, or of the first event, that users aim at */
 	int64_t gap_ms;	    /* longest pause between events that users aim at; 0: not stated */
@@ -127,7 +127,8 @@
 /* Makes the look-up tables; after the last route has been added. */
 void rt_conf_seal(struct rt_conf *conf);
 
-/* The route of the host with the longest prefix of path, or NULL. A port in host is not looked at. */
+/* The route of the host with the longest prefix of path, or NULL. A port in host is not looked at.
+ */
 const struct rt_route *rt_match(const struct rt_conf *conf, const char *host, const char *path);
 
 /* The account that holds the key, or NULL. */
--- a/rt/rt_test.cc
+++ b/rt/rt_test.cc
@@ -10,8 +10,14 @@
 class RtTest : public ::testing::Test
 {
       protected:
-	void SetUp() override { conf_ = rt_conf_new(1); }
-	void TearDown() override { rt_conf_unref(conf_); }
+	void SetUp() override
+	{
+		conf_ = rt_conf_new(1);
+	}
+	void TearDown() override
+	{
+		rt_conf_unref(conf_);
+	}
 
 	void Route(const char *name, const char *host, const char *prefix)
 	{
@@ -90,8 +96,8 @@
 		rt_type type;
 		bool resumable, may_repeat;
 	} cases[] = {
-		{RT_IDEMPOTENT, false, true},  {RT_NON_IDEMPOTENT, false, false},
-		{RT_STREAMING, false, false},  {RT_STREAMING, true, true},
+		{RT_IDEMPOTENT, false, true},	  {RT_NON_IDEMPOTENT, false, false},
+		{RT_STREAMING, false, false},	  {RT_STREAMING, true, true},
 		{RT_NON_IDEMPOTENT, true, false},
 	};
 	for (const auto &c : cases) {
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -54,14 +54,14 @@
 
 /* What an engine reports of itself. */
 struct seam_report {
-	double pace;	   /* time of a step as a multiple of what is usual */
-	bool busy;	   /* with an order */
-	int64_t sequence;  /* orders that it has begun */
+	double pace;	  /* time of a step as a multiple of what is usual */
+	bool busy;	  /* with an order */
+	int64_t sequence; /* orders that it has begun */
 	int layer_from;
 	int layer_to;
 	int running;
 	int waiting;
-	double kv_used;	   /* tokens x layers */
+	double kv_used; /* tokens x layers */
 	double kv_total;
 	GPtrArray *stalled; /* struct seam_stalled */
 };
--- a/sse/sse.h
+++ b/sse/sse.h
@@ -22,7 +22,7 @@
 };
 
 struct sse {
-	GString *pending; /* of an event that is not whole */
+	GString *pending;	  /* of an event that is not whole */
 	char last_id[SSE_ID_MAX]; /* of the last whole event that had one */
 	bool has_id;
 };
--- a/sse/sse_test.cc
+++ b/sse/sse_test.cc
@@ -10,8 +10,14 @@
 class SseTest : public ::testing::Test
 {
       protected:
-	void SetUp() override { sse_init(&sse_); }
-	void TearDown() override { sse_finish(&sse_); }
+	void SetUp() override
+	{
+		sse_init(&sse_);
+	}
+	void TearDown() override
+	{
+		sse_finish(&sse_);
+	}
 	int Feed(const std::string &data)
 	{
 		return sse_feed(
@@ -27,7 +33,8 @@
 
 TEST_F(SseTest, BytesOfEventsAreUnchangedHoweverTheyArrive)
 {
-	const std::string stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+	const std::string stream =
+		"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
 
 	for (size_t step = 1; step <= stream.size(); step++) {
 		std::string all;
