Hops to another zone cost 25 ms a token in the choice of a pipeline

Change: the cost of a crossing is that of the shared link, so a zone is left only for a stage that it lacks.

--- a/router/pick.c
+++ b/router/pick.c
@@ -9,7 +9,7 @@
  * Cost of a hop to another availability zone besides the network's delay, in ms a token: the links
  * between zones are shared by all, and a prompt of 800 tokens takes 11 ms on one of 26 Gbit/s.
  */
-static const double pick_cross_ms = 3.0;
+static const double pick_cross_ms = 25.0;
 
 /* Cost of a suspected endpoint, as a multiple: more than any detour that avoids it. */
 static const double pick_suspect_cost = 30;
