Stages of silent pipelines are asked whether they answer; crossings cost by the load on the links; removals are not undone

Change: each other stage of a silent pipeline is asked, with 45 ms to answer, if another one has answered since; at most 100 checks a second over all hosts; crossing costs 3 ms times what the links would carry if all crossed; records older than a removal, or than another id at the address, are dropped. Tests first: EpTest.AnOlderRecordDoesNotUndoARemoval, ...ANewEndpointAtAnAddressReplacesTheOldOne failed.

--- a/bud/bud.c
+++ b/bud/bud.c
@@ -19,6 +19,9 @@
 	bud->limits = *limits;
 }
 
+/* A rate is not taken over less: two requests at once would look like a flood. */
+static const int64_t bud_least_span_us = 1000000;
+
 static void bud_advance(struct bud *bud, int64_t now_us)
 {
 	int64_t slot = now_us / MAX(bud->limits.window_us / BUD_SLOTS, 1);
@@ -38,9 +41,24 @@
 void bud_on_request(struct bud *bud, int64_t now_us)
 {
 	bud_advance(bud, now_us);
+	if (bud->first_us == 0)
+		bud->first_us = now_us;
 	bud->requests[bud->slot % BUD_SLOTS]++;
 }
 
+double bud_rate(struct bud *bud, int64_t now_us)
+{
+	int64_t span_us = MIN(now_us - bud->first_us, bud->limits.window_us);
+	double requests = 0;
+
+	if (bud->first_us == 0)
+		return 0;
+	bud_advance(bud, now_us);
+	for (int i = 0; i < BUD_SLOTS; i++)
+		requests += bud->requests[i];
+	return requests * 1e6 / (double)MAX(span_us, bud_least_span_us);
+}
+
 bool bud_take(struct bud *bud, int64_t now_us)
 {
 	double requests = 0;
--- a/bud/bud.h
+++ b/bud/bud.h
@@ -25,7 +25,8 @@
 
 struct bud {
 	struct bud_limits limits;
-	int64_t slot; /* number of the newest part */
+	int64_t first_us; /* when the first request came; 0: none has */
+	int64_t slot;	  /* number of the newest part */
 	uint32_t requests[BUD_SLOTS];
 	uint32_t repeats[BUD_SLOTS];
 };
@@ -36,6 +37,9 @@
 /* A first sending of a request. */
 void bud_on_request(struct bud *bud, int64_t now_us);
 
+/* Requests a second over the window, or since the first one if that is less. */
+double bud_rate(struct bud *bud, int64_t now_us);
+
 /* Takes one repeat from the budget. Returns false when it is spent. */
 bool bud_take(struct bud *bud, int64_t now_us);
 
--- a/bud/bud_test.cc
+++ b/bud/bud_test.cc
@@ -46,6 +46,18 @@
 	EXPECT_EQ(Take(&b, 1000, 12 * SEC), 16);
 }
 
+TEST(BudTest, Rate)
+{
+	bud b;
+	bud_limits limits = {0.2, 0, 10 * SEC, 1};
+	bud_init(&b, &limits);
+	EXPECT_DOUBLE_EQ(bud_rate(&b, SEC), 0);
+	for (int i = 0; i < 400; i++)
+		bud_on_request(&b, 5 * SEC + i * SEC / 20);
+	EXPECT_NEAR(bud_rate(&b, 25 * SEC), 20, 1.5);
+	EXPECT_DOUBLE_EQ(bud_rate(&b, 60 * SEC), 0);
+}
+
 /*
  * Load: every request of seven hosts fails for 30 s and each host tries each again.
  * The bound: in any 10 s, over all hosts, a fifth of the requests plus 198.
--- a/ep/ep.c
+++ b/ep/ep.c
@@ -54,6 +54,8 @@
 	memset(list, 0, sizeof(*list));
 	list->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ep_entry_free);
 	list->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	list->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	list->addrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	list->returned_us = -1;
 }
 
@@ -61,6 +63,8 @@
 {
 	g_hash_table_destroy(list->entries);
 	g_hash_table_destroy(list->left);
+	g_hash_table_destroy(list->removed);
+	g_hash_table_destroy(list->addrs);
 }
 
 /* The time in which entries that lapsed while the store was away may come back. */
@@ -90,6 +94,52 @@
 	list->changed = true;
 }
 
+static int64_t ep_offset_of(GHashTable *table, const char *key)
+{
+	const int64_t *offset = g_hash_table_lookup(table, key);
+
+	return offset ? *offset : -1;
+}
+
+static void ep_set_offset(GHashTable *table, const char *key, int64_t offset)
+{
+	int64_t *value;
+
+	if (offset <= ep_offset_of(table, key))
+		return;
+	value = g_new(int64_t, 1);
+	*value = offset;
+	g_hash_table_replace(table, g_strdup(key), value);
+}
+
+/*
+ * Records reach a host by two ways, from the store and from another host, so an older one may come
+ * after a newer one. One that is older than the removal of its id, or than a record of another id
+ * at the same address, is of an endpoint that is gone.
+ */
+static bool ep_is_outdated(const struct ep_list *list, int64_t offset, const struct ep_rec *rec)
+{
+	return offset < ep_offset_of(list->removed, rec->id) ||
+	       offset < ep_offset_of(list->addrs, rec->addr);
+}
+
+/* An address belongs to one endpoint; the older entry there is of one that has ended. */
+static void ep_clear_addr(struct ep_list *list, int64_t offset, const struct ep_rec *rec)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	ep_set_offset(list->addrs, rec->addr, offset);
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct ep_entry *entry = value;
+
+		if (strcmp(entry->rec->addr, rec->addr) == 0 &&
+		    strcmp(entry->rec->id, rec->id) != 0)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 void ep_on_record(struct ep_list *list, int64_t offset, const char *id, struct ep_rec *rec,
 		  int64_t now_us)
 {
@@ -104,10 +154,16 @@
 		return;
 	}
 	if (!rec) {
+		ep_set_offset(list->removed, id, offset);
 		if (entry)
 			ep_remove(list, entry, now_us);
 		return;
 	}
+	if (ep_is_outdated(list, offset, rec)) {
+		ep_rec_unref(rec);
+		return;
+	}
+	ep_clear_addr(list, offset, rec);
 	if (rec->state == EP_DRAINING)
 		ep_mark_left(list, id);
 	else if (g_hash_table_contains(list->left, id))
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -50,7 +50,9 @@
 
 struct ep_list {
 	GHashTable *entries; /* id -> struct ep_entry */
-	GHashTable *left;    /* id -> offset: said to be draining or gone; never forgotten */
+	GHashTable *left;    /* ids that said they are leaving; never forgotten */
+	GHashTable *removed; /* id -> offset of its removal, int64_t */
+	GHashTable *addrs;   /* address -> offset of the newest record there, int64_t */
 	bool away;	     /* the last call to the store failed */
 	int64_t returned_us; /* when it was reached again after that; -1: never away */
 	int64_t next;	     /* offset of the next record to read */
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -24,7 +24,7 @@
 	{
 		ep_rec *rec = ep_rec_new(id);
 		rec->service = g_strdup("s");
-		rec->addr = g_strdup("10.0.0.1:1");
+		rec->addr = g_strdup_printf("10.0.0.1:%d", same_addr_ ? 1 : id[0]);
 		rec->zone = g_strdup("z");
 		rec->state = state;
 		return rec;
@@ -53,6 +53,7 @@
 
 	ep_list list_;
 	int64_t offset_ = 0;
+	bool same_addr_ = false;
 };
 
 TEST_F(EpTest, FollowsRecords)
@@ -87,6 +88,40 @@
 	EXPECT_EQ(Ids(), "(a)");
 }
 
+/*
+ * Symptom: one host sent requests to an endpoint that was gone, for good.
+ * Sequence: a host hears of records from the store and from another host; the removal of an entry
+ * comes by one way, and after it an older record of the entry by the other. Cause: the older record
+ * put the entry back.
+ */
+TEST_F(EpTest, AnOlderRecordDoesNotUndoARemoval)
+{
+	ep_on_record(&list_, 5, "a", Rec("a"), SEC);
+	ep_on_record(&list_, 7, "a", nullptr, SEC);
+	ep_on_record(&list_, 5, "a", Rec("a"), SEC);
+	ep_on_record(&list_, 6, "a", Rec("a"), SEC);
+	EXPECT_EQ(Ids(), "");
+	ep_on_record(&list_, 8, "a", Rec("a"), SEC);
+	EXPECT_EQ(Ids(), "a") << "it has registered again";
+}
+
+/*
+ * Symptom: the same, with an entry whose removal never came.
+ * Sequence: an endpoint crashes and starts anew at its address, under a new id.
+ * Cause: both entries stood for the address.
+ */
+TEST_F(EpTest, ANewEndpointAtAnAddressReplacesTheOldOne)
+{
+	ep_rec *other = Rec("c");
+	same_addr_ = true;
+	ep_on_record(&list_, 4, "a", Rec("a"), SEC);
+	ep_on_record(&list_, 5, "c", other, SEC);
+	ep_on_record(&list_, 6, "b", Rec("b"), SEC);
+	EXPECT_EQ(Ids(), "bc");
+	ep_on_record(&list_, 4, "a", Rec("a"), SEC);
+	EXPECT_EQ(Ids(), "bc") << "the older entry does not come back";
+}
+
 TEST_F(EpTest, ListingRemovesWhatItDoesNotName)
 {
 	Put("a", SEC);
--- a/router/pick.c
+++ b/router/pick.c
@@ -6,10 +6,25 @@
 #include <string.h>
 
 /*
- * Cost of a hop to another availability zone besides the network's delay, in ms a token: the links
- * between zones are shared by all, and a prompt of 800 tokens takes 11 ms on one of 26 Gbit/s.
+ * Cost of a hop to another availability zone besides the network's delay, in ms a token, when the
+ * links between zones would be full if every pipeline crossed once. All share these links, so the
+ * cost grows with what is offered to them. At 88 requests/s and 26 Gbit/s, crossings at 3 ms
+ * balance the zones (worth of the heaviest day 0.68, at 11 ms 0.67); at 304 requests/s and 10.4
+ * Gbit/s they fill the links, and 25 ms is right (0.72, at 3 ms 0.64).
  */
-static const double pick_cross_ms = 25.0;
+static const double pick_full_link_ms = 3.0;
+
+static double pick_cross_ms(struct tf *tf, const struct rt_service *service, double prompt)
+{
+	const struct rt_engine *engine = &service->engine;
+	double rate = bud_rate(tf_budget(tf, service->name), tmr_now()) * tf->view->hosts;
+	double transfer_s;
+
+	if (engine->zone_link_mbps <= 0)
+		return 0;
+	transfer_s = prompt * engine->activation_bytes * 8 / (engine->zone_link_mbps * 1e6);
+	return pick_full_link_ms * rate * transfer_s;
+}
 
 /* Cost of a suspected endpoint, as a multiple: more than any detour that avoids it. */
 static const double pick_suspect_cost = 30;
@@ -128,6 +143,11 @@
 		node->slowness *= pick_suspect_cost;
 }
 
+static double pick_usual_prompt(const struct rt_service *service, double prompt)
+{
+	return service->engine.usual_prompt > 0 ? service->engine.usual_prompt : prompt;
+}
+
 /* What a search for stages works on. */
 struct pick {
 	struct pa_node *nodes;
@@ -159,7 +179,8 @@
 	pick->ask.zone = tf_zone(tf, tf->router->settings.zone);
 	pick->ask.prompt = pick_prompt(service, request);
 	pick->ask.answer = pick_answer(service, request);
-	pick->ask.cross_ms = pick_cross_ms;
+	pick->ask.cross_ms =
+		pick_cross_ms(tf, service, pick_usual_prompt(service, pick->ask.prompt));
 	pick->ask.seed = tf->seed;
 	tf->seed = tf->seed * 1664525U + 1013904223U;
 	g_hash_table_iter_init(&iter, tf->eps);
--- a/router/rq.c
+++ b/router/rq.c
@@ -16,7 +16,11 @@
 	 */
 	RQ_FIRST_MIN_MS = 250,
 	RQ_GAP_MIN_MS = 120,
-	RQ_BEAR_US = 1300000,	 /* silence after which the stream is taken elsewhere in any case */
+	RQ_GAP_LEAST_MS =
+		100,	      /* silence that is no sign of anything: a batch that reads a prompt */
+	RQ_GAP_SHARE = 4,     /* weight of the newest gap in the mean, as one part of so many */
+	RQ_GAP_X = 3,	      /* gaps of that mean after which a stream is silent */
+	RQ_BEAR_US = 1300000, /* silence after which the stream is taken elsewhere in any case */
 	RQ_PROGRESS_US = 300000, /* an endpoint that brought something since then works */
 	RQ_ORDER_CONNECT_MS = 250,
 	RQ_ORDER_MS = 700,
@@ -66,6 +70,7 @@
 	int repairs;		   /* orders given for this request */
 	int64_t order_us;	   /* when it was given */
 	int64_t part_us;	   /* when the attempt was sent, or last brought something */
+	int64_t gap_us;		   /* mean time between parts */
 	struct tf_target avoid;	   /* those that failed this request; no references to requests */
 	struct seam_answer answer; /* head of the attempt's answer */
 	int64_t began_us;
@@ -423,7 +428,7 @@
 	if (rq_suspected_stage(rq) >= 0)
 		rq_recover(rq);
 	else
-		stall_ask(rq->tf, rq->target.eps[0]);
+		stall_ask(rq->tf, &rq->target);
 	return true;
 }
 
@@ -610,10 +615,24 @@
 	return go_on;
 }
 
+/* The limit on silence follows what is usual for the stream, within what users bear. */
+static void rq_note_gap(struct rq *rq, int64_t now_us)
+{
+	int64_t most_us = tmr_ms(MAX(RQ_GAP_MIN_MS, rq->route->gap_ms * 6 / 10));
+	int64_t limit_us;
+
+	if (rq->fwd.parts < 1)
+		return;
+	rq->gap_us += (now_us - rq->part_us - rq->gap_us) / RQ_GAP_SHARE;
+	limit_us = rq->gap_us * RQ_GAP_X;
+	rq->fwd.rules.gap_us = CLAMP(limit_us, tmr_ms(RQ_GAP_LEAST_MS), most_us);
+}
+
 static void rq_on_data(void *ctx, const char *data, size_t len)
 {
 	struct rq *rq = ctx;
 
+	rq_note_gap(rq, tmr_now());
 	rq->part_us = tmr_now();
 	if (rq->target.count > 0)
 		rq->target.eps[0]->progress_us = rq->part_us;
@@ -708,6 +727,21 @@
 	tmr_set(&rq->tf->loop.tmr, &rq->timer, due_us, rq_on_timer, rq);
 }
 
+void rq_on_missing(struct rq *rq, struct tf_ep *ep)
+{
+	if (!rq->target.layered || !rq->attempt || rq->order || rq->repairs >= RQ_REPAIRS_MAX ||
+	    tmr_now() - rq->part_us < RQ_ACTIVE_US)
+		return;
+	for (int i = 1; i < rq->target.count; i++) {
+		if (rq->target.eps[i] == ep) {
+			rq_avoid(rq, ep);
+			rq_log_silent(rq, "missing", ep->rec->addr);
+			rq_recover(rq);
+			return;
+		}
+	}
+}
+
 void rq_on_slow(struct rq *rq, const struct tf_ep *ep)
 {
 	if (!rq->target.layered || !rq->attempt || !rq->fwd.begun || rq->repairs >= RQ_REPAIRS_MAX)
--- a/router/stall.c
+++ b/router/stall.c
@@ -4,49 +4,127 @@
 #include <string.h>
 
 enum {
-	STALL_CALL_MS = 250, /* an endpoint that lives answers within some ms */
+	STALL_CALL_MS = 250, /* for a report; an endpoint that lives answers within some ms */
+	/*
+	 * For the check whether a stage answers at all: ten times what a sound one takes, and short
+	 * enough for the stream to go on within the pause that users bear, 200 ms.
+	 */
+	STALL_CHECK_MS = 45,
+	STALL_CHECK_PAUSE_US = 150000,
 	/* One report tells about all requests of an endpoint, and is some 200 ms old anyhow. */
 	STALL_PAUSE_US = 100000,
+	STALL_DOUBT_US = 1000000, /* until the report of a first stage tells for sure */
 	HTTP_OK = 200
 };
 
-/* The asking of one endpoint. */
+/*
+ * Checks of stages a second, over all hosts, and at once on one host: two pipelines. In an overload
+ * every stream looks silent, and checks without a bound cost a tenth of a grown site's worth.
+ */
+static const double stall_checks_per_s = 100;
+static const double stall_checks_at_once = 14;
+
 struct stall {
 	struct tf *tf;
-	struct tf_ep *first;
+	struct tf_ep *first; /* that is asked; holds a reference */
+	int64_t began_us;
 };
 
 static void stall_on_report(void *ctx, int status, int err, bool sent, const char *body,
 			    size_t len);
 
+static void stall_on_checked(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len);
+
 static const struct hc_ops stall_ops = {.on_done = stall_on_report};
+static const struct hc_ops stall_check_ops = {.on_done = stall_on_checked};
 
-/*
- * A pipeline that goes silent does not say which stage is at fault. Its first stage does, in its
- * report, so that one is asked; a guess would blame sound endpoints.
- */
-void stall_ask(struct tf *tf, struct tf_ep *first)
+static struct hc_call *stall_call(struct tf *tf, struct tf_ep *ep, int64_t limit_ms,
+				  const struct hc_ops *ops)
 {
-	struct stall *stall;
+	struct stall *stall = g_new0(struct stall, 1);
 	struct hc_request request = {.method = "GET",
-				     .connect_ms = STALL_CALL_MS,
-				     .total_ms = STALL_CALL_MS,
+				     .connect_ms = limit_ms,
+				     .total_ms = limit_ms,
 				     .fresh = true,
 				     .close = true};
-	char *url;
+	char *url = g_strdup_printf("http://%s%s", ep->rec->addr,
+				    tf->router->seam->engine.report_path());
+	struct hc_call *call;
 
-	if (first->report || tmr_now() - first->report_us < STALL_PAUSE_US)
-		return;
-	stall = g_new0(struct stall, 1);
 	stall->tf = tf;
-	stall->first = first;
-	first->refs++;
-	first->report_us = tmr_now();
-	url = g_strdup_printf("http://%s%s", first->rec->addr,
-			      tf->router->seam->engine.report_path());
+	stall->first = ep;
+	stall->began_us = tmr_now();
+	ep->refs++;
 	request.url = url;
-	first->report = hc_start(tf->hc, &request, &stall_ops, stall);
+	call = hc_start(tf->hc, &request, ops, stall);
 	g_free(url);
+	return call;
+}
+
+static bool stall_may_check(struct tf *tf, int64_t now_us)
+{
+	double rate = stall_checks_per_s / MAX(tf->view->hosts, 1);
+	double age_s = (double)(now_us - tf->checks_us) / TMR_US_PER_S;
+
+	tf->checks = MIN(tf->checks + age_s * rate, stall_checks_at_once);
+	tf->checks_us = now_us;
+	if (tf->checks < 1)
+		return false;
+	tf->checks--;
+	return true;
+}
+
+/*
+ * A pipeline that goes silent does not say which stage is at fault. Its first stage does, in its
+ * report, which is some 200 ms old; a guess would blame sound endpoints. Faster, though less sure,
+ * is to ask each stage whether it answers at all: one that has died does not.
+ */
+void stall_ask(struct tf *tf, const struct tf_target *target)
+{
+	struct tf_ep *first = target->eps[0];
+	int64_t now_us = tmr_now();
+
+	if (!first->report && now_us - first->report_us >= STALL_PAUSE_US) {
+		first->report_us = now_us;
+		first->report = stall_call(tf, first, STALL_CALL_MS, &stall_ops);
+	}
+	for (int i = 1; i < target->count; i++) {
+		struct tf_ep *ep = target->eps[i];
+
+		if (ep->check || now_us - ep->check_us < STALL_CHECK_PAUSE_US ||
+		    !stall_may_check(tf, now_us))
+			continue;
+		ep->check_us = now_us;
+		ep->check = stall_call(tf, ep, STALL_CHECK_MS, &stall_check_ops);
+	}
+}
+
+/*
+ * Where no other stage has answered since, this host itself may be slow or cut off; then the check
+ * says nothing about the endpoint.
+ */
+static void stall_on_checked(void *ctx, int status, int err, bool sent, const char *body,
+			     size_t len)
+{
+	struct stall *stall = ctx;
+	struct tf *tf = stall->tf;
+	GPtrArray *reqs = tf->reqs;
+
+	(void)err;
+	(void)sent;
+	(void)body;
+	(void)len;
+	stall->first->check = NULL;
+	if (status == HTTP_OK) {
+		tf->check_ok_us = tmr_now();
+	} else if (tf->check_ok_us > stall->began_us) {
+		tf_doubt(stall->first, STALL_DOUBT_US, "no_answer", NULL);
+		for (guint i = reqs->len; i > 0; i--)
+			rq_on_missing(reqs->pdata[i - 1], stall->first);
+	}
+	tf_ep_unref(stall->first);
+	g_free(stall);
 }
 
 static void stall_tell(struct stall *stall, const struct seam_stalled *stalled)
--- a/router/tf.h
+++ b/router/tf.h
@@ -24,6 +24,8 @@
 	int64_t progress_us;	/* when a request sent to it last got something */
 	struct hc_call *report; /* being asked for */
 	int64_t report_us;	/* when it was last asked for */
+	struct hc_call *check;	/* whether it answers at all, being asked */
+	int64_t check_us;	/* when that was last asked */
 	double failures;	/* recent ones, fading; see tf_ep_failed() */
 	int64_t failed_us;	/* when failures was last brought up to date */
 };
@@ -56,8 +58,11 @@
 	GQueue *parked;	 /* struct tf_parked: requests that came before the first view */
 	struct tmr sweep;
 	uint32_t seed;
-	unsigned int open; /* atomic: requests that have not ended */
-	int64_t view_us;   /* when the view was taken */
+	double checks;	     /* of stages that may be made now; see stall.c */
+	int64_t checks_us;   /* when that was last brought up to date */
+	int64_t check_ok_us; /* when a stage of a silent pipeline last answered */
+	unsigned int open;   /* atomic: requests that have not ended */
+	int64_t view_us;     /* when the view was taken */
 };
 
 /* pick.c: 0, or a negative FWD_E. The target holds references until tf_target_clear(). */
@@ -78,8 +83,8 @@
 void tf_target_hold(struct tf_target *target);
 void tf_target_clear(struct tf_target *target);
 
-/* stall.c: asks the first stage of silent pipelines which stage they wait for. */
-void stall_ask(struct tf *tf, struct tf_ep *first);
+/* stall.c: finds out which stage a silent pipeline waits for. */
+void stall_ask(struct tf *tf, const struct tf_target *target);
 
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
@@ -117,6 +122,10 @@
 /* The endpoint was found at fault: if the request waits for it, it is taken elsewhere. */
 void rq_on_suspect(struct rq *rq, const struct tf_ep *ep);
 
+/* The endpoint does not answer: if the request is silent and passes through it, it is taken
+ * elsewhere. */
+void rq_on_missing(struct rq *rq, struct tf_ep *ep);
+
 /* The endpoint has turned slow: the request is taken off it, unless that costs a repeat. */
 void rq_on_slow(struct rq *rq, const struct tf_ep *ep);
 
