Feeders are tried by turns; endpoints are read with long reads; repair of a request in a file of its own

Cause: a host whose feeder the store turned away asked only that one; the readers read the endpoint list 1.7 times a second though it seldom changes; hosts without a feed each asked an absent store four times a second; router/rq.c held two jobs in 830 lines. Change: router/rank.c (pure, with its tests); reads of endpoints wait 1 s; hosts that are no readers try an absent store every 2.5 s; router/rq_repair.c.

--- a/router/follow.c
+++ b/router/follow.c
@@ -3,19 +3,13 @@
 #include "base/jl.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
+#include "router/rank.h"
 #include "router/rc.h"
 
 #include <string.h>
 #include <zlib.h>
 
 enum {
-	/*
-	 * Hosts that read the store. Each costs some three calls a second; two bear the loss of
-	 * one, and with a third a rack of hosts can go without all others reading at once.
-	 */
-	FOLLOW_READERS_FEW = 2,
-	FOLLOW_READERS = 3,
-	FOLLOW_FEW_HOSTS = 10,
 	FOLLOW_HEARTBEAT_MS = 400,
 	/*
 	 * A feed that is silent for so long is given up and the store is read. A change must be in
@@ -24,19 +18,20 @@
 	FOLLOW_SILENT_MS = 1000,
 	FOLLOW_SUSPECT_MS = 4000, /* a host that did not answer is passed over for this time */
 	FOLLOW_RETRY_MS = 300,
+	FOLLOW_STALE_MS = 400,	    /* for which a feeder that can't reach the store is kept */
 	FOLLOW_CONF_MAX = 64 << 20, /* bytes; 370 hosts' deployments have some MB */
 	/* Hosts start together and learn of each other over this time; until then each reads. */
 	FOLLOW_SETTLE_MS = 1500
 };
 
-static const char follow_key[] = "readers of the store";
-
 struct follow {
 	struct rc *rc;
 	struct host_table table;
 	struct frm_conn *conn;
-	char *host; /* that feeds this one; a seed's address while no host is known */
-	bool fed;   /* it has sent an update and reaches the store */
+	char *host;	   /* that feeds this one; a seed's address while no host is known */
+	bool fed;	   /* it has sent an update and reaches the store */
+	int64_t stale_us;  /* since when the feeder can't reach the store; 0: it can */
+	unsigned int turn; /* feeders that were of no use so far */
 	int64_t next_try_us;
 	int64_t settled_us;
 	guint seed; /* of the seeds, the one to ask next */
@@ -109,64 +104,11 @@
 	g_array_unref(hosts);
 }
 
-static bool follow_is_self(const struct follow *follow, const struct host *host)
-{
-	return strcmp(host->name, follow->rc->router->settings.name) == 0;
-}
-
-/* The readers of the store in order of rank; returns their number. */
-static unsigned int follow_readers(const struct follow *follow, const struct host **readers,
-				   int64_t now_us)
-{
-	unsigned int most =
-		follow->table.hosts->len <= FOLLOW_FEW_HOSTS ? FOLLOW_READERS_FEW : FOLLOW_READERS;
-	unsigned int n = 0;
-
-	while (n < most) {
-		const struct host *host = host_home(&follow->table, follow_key, n, now_us);
-
-		if (!host)
-			break;
-		readers[n++] = host;
-	}
-	return n;
-}
-
-/* Readers follow each other too, so that a reader that the store turns away has a feed. */
-static const struct host *follow_choose(const struct follow *follow, bool *is_reader,
-					int64_t now_us)
-{
-	const struct host *readers[FOLLOW_READERS];
-	unsigned int n = follow_readers(follow, readers, now_us);
-	unsigned int start = g_str_hash(follow->rc->router->settings.name);
-
-	*is_reader = false;
-	for (unsigned int i = 0; i < n; i++) {
-		if (!follow_is_self(follow, readers[i]))
-			continue;
-		*is_reader = true;
-		start = i + 1;
-	}
-	for (unsigned int i = 0; i < n; i++) {
-		const struct host *host = readers[(start + i) % n];
-
-		if (!follow_is_self(follow, host))
-			return host;
-	}
-	return NULL;
-}
-
-static bool follow_is_first(const struct follow *follow, int64_t now_us)
-{
-	const struct host *first = host_home(&follow->table, follow_key, 0, now_us);
-
-	return first && follow_is_self(follow, first);
-}
-
 static void follow_drop(struct follow *follow)
 {
 	follow->conn = NULL;
 	follow->fed = false;
+	follow->stale_us = 0;
 	g_clear_pointer(&follow->host, g_free);
 }
 
@@ -204,26 +146,51 @@
 	g_strfreev(seeds);
 }
 
-void follow_on_tick(struct follow *follow, int64_t now_us)
+/*
+ * A feeder that cannot reach the store itself is of no use for longer than a moment: the next one
+ * is asked. The store may turn away both this host and its feeder, and serve others.
+ */
+static bool follow_is_useless(const struct follow *follow, int64_t now_us)
 {
-	struct rc *rc = follow->rc;
-	bool is_reader;
-	const struct host *host = follow_choose(follow, &is_reader, now_us);
+	return follow->stale_us > 0 && now_us - follow->stale_us > tmr_ms(FOLLOW_STALE_MS);
+}
 
-	if (follow->conn && host && strcmp(follow->host, host->name) != 0 && !follow->fed) {
-		frm_close(follow->conn);
-		follow_drop(follow);
-	}
-	if (!follow->conn && now_us >= follow->next_try_us) {
-		follow->next_try_us = now_us + tmr_ms(FOLLOW_RETRY_MS);
-		if (host)
-			follow_connect(follow, host->name, host->control_addr);
-		else if (follow->table.hosts->len == 0 && !sf_is_reached(rc))
-			follow_connect_seed(follow);
+static void follow_leave(struct follow *follow)
+{
+	frm_close(follow->conn);
+	follow_drop(follow);
+}
+
+static void follow_reconnect(struct follow *follow, const struct host *feeder, int64_t now_us)
+{
+	if (follow->conn && !follow->fed && follow_is_useless(follow, now_us)) {
+		follow->turn++;
+		follow_leave(follow);
+		return;
 	}
-	rc_set_direct(rc, is_reader || !follow->fed || now_us < follow->settled_us);
-	rc_set_candidate(rc, is_reader || (!follow->fed && now_us >= follow->settled_us));
-	rc->first = is_reader && follow_is_first(follow, now_us);
+	if (follow->conn && feeder && strcmp(follow->host, feeder->name) != 0 && !follow->fed)
+		follow_leave(follow);
+	if (follow->conn || now_us < follow->next_try_us)
+		return;
+	follow->next_try_us = now_us + tmr_ms(FOLLOW_RETRY_MS);
+	if (feeder)
+		follow_connect(follow, feeder->name, feeder->control_addr);
+	else if (follow->table.hosts->len == 0 && !sf_is_reached(follow->rc))
+		follow_connect_seed(follow);
+}
+
+void follow_on_tick(struct follow *follow, int64_t now_us)
+{
+	struct rc *rc = follow->rc;
+	bool settled = now_us >= follow->settled_us;
+	struct rank rank;
+
+	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rank);
+	follow_reconnect(follow, rank.feeder, now_us);
+	rc->reader = rank.reader;
+	rc->first = rank.first;
+	rc_set_direct(rc, rank.reader || !follow->fed || !settled);
+	rc_set_candidate(rc, rank.reader || (!follow->fed && settled && sf_is_reached(rc)));
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -314,6 +281,9 @@
 	if (follow->fed == msg->away)
 		follow_log(follow, msg->away ? "feed_stale" : "feed_good", NULL);
 	follow->fed = !msg->away;
+	if (follow->fed)
+		follow->turn = 0;
+	follow->stale_us = follow->fed ? 0 : (follow->stale_us > 0 ? follow->stale_us : tmr_now());
 	host_on_evidence(&follow->table, follow->host, HOST_HEARD, tmr_now());
 	if (follow->fed)
 		ep_on_reached(&rc->endpoints, tmr_now());
--- /dev/null
+++ b/router/rank.c
@@ -0,0 +1,53 @@
+#include "router/rank.h"
+#include "base/str.h"
+
+#include <string.h>
+
+static const char rank_key[] = "readers of the store";
+
+static unsigned int rank_list(const struct host_table *table, const struct host **hosts,
+			      int64_t now_us)
+{
+	unsigned int n = 0;
+
+	while (n < RANK_FEEDERS) {
+		const struct host *host = host_home(table, rank_key, n, now_us);
+
+		if (!host)
+			break;
+		hosts[n++] = host;
+	}
+	return n;
+}
+
+/* Readers follow the next reader, so that one that the store turns away has a feed. */
+void rank_choose(const struct host_table *table, const char *self, unsigned int turn,
+		 int64_t now_us, struct rank *rank)
+{
+	const struct host *hosts[RANK_FEEDERS];
+	unsigned int n = rank_list(table, hosts, now_us);
+	unsigned int most = table->hosts->len <= RANK_FEW_HOSTS ? RANK_READERS_FEW : RANK_READERS;
+	unsigned int readers = MIN(n, most);
+	unsigned int start;
+
+	memset(rank, 0, sizeof(*rank));
+	if (n == 0)
+		return;
+	start = (unsigned int)(str_hash(self, strlen(self), 0) % MAX(readers, 1));
+	for (unsigned int i = 0; i < readers; i++) {
+		if (strcmp(hosts[i]->name, self) != 0)
+			continue;
+		rank->reader = true;
+		rank->first = i == 0;
+		start = (i + 1) % readers;
+	}
+	for (unsigned int i = 0; i < n && !rank->feeder; i++) {
+		unsigned int at = i + turn;
+		/* The readers come first, from this host's own one on; the others follow. */
+		const struct host *host =
+			at % n < readers ? hosts[(start + at % n) % readers] : hosts[at % n];
+
+		if (strcmp(host->name, self) != 0)
+			rank->feeder = host;
+	}
+}
--- /dev/null
+++ b/router/rank.h
@@ -0,0 +1,39 @@
+#ifndef ROUTER_RANK_H
+#define ROUTER_RANK_H
+
+#include "host/host.h"
+
+G_BEGIN_DECLS
+
+/*
+ * Which hosts read the store, and which of them feeds this one. All hosts rank the hosts of a table
+ * alike, by rendezvous hashing, but for those that they have found silent themselves. Pure.
+ */
+enum {
+	/*
+	 * Hosts that read the store. Each costs some two calls a second; two bear the loss of one,
+	 * and with a third a rack of hosts can go without all others reading at once.
+	 */
+	RANK_READERS_FEW = 2,
+	RANK_READERS = 3,
+	RANK_FEW_HOSTS = 10,
+	/*
+	 * Hosts that are asked for a feed, one after the other. Beyond the readers: when the store
+	 * turns these away, the next ones have no feed, read by themselves, and can feed others.
+	 */
+	RANK_FEEDERS = 6
+};
+
+struct rank {
+	bool reader;		   /* this host reads the store */
+	bool first;		   /* it is the first of the readers */
+	const struct host *feeder; /* that this host should follow; NULL: nobody else */
+};
+
+/* turn: how many feeders have proved to be of no use so far. */
+void rank_choose(const struct host_table *table, const char *self, unsigned int turn,
+		 int64_t now_us, struct rank *rank);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/router/rank_test.cc
@@ -0,0 +1,105 @@
+#include "router/rank.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+class RankTest : public ::testing::Test
+{
+      protected:
+	void Hosts(int n)
+	{
+		std::vector<host> hosts((size_t)n);
+		for (int i = 0; i < n; i++)
+			snprintf(hosts[(size_t)i].name, sizeof(hosts[0].name), "host-%d", i);
+		host_table_init(&table_, 1000);
+		host_on_list(&table_, hosts.data(), hosts.size());
+		n_ = n;
+	}
+	void TearDown() override
+	{
+		host_table_finish(&table_);
+	}
+	rank Choose(int self, unsigned int turn = 0, int64_t now = 0)
+	{
+		rank r;
+		rank_choose(&table_, ("host-" + std::to_string(self)).c_str(), turn, now, &r);
+		return r;
+	}
+	host_table table_;
+	int n_ = 0;
+};
+
+TEST_F(RankTest, FewReadersAndOneFirst)
+{
+	const struct {
+		int hosts, readers;
+	} cases[] = {{1, 1}, {2, 2}, {7, 2}, {66, 3}, {370, 3}};
+	for (const auto &c : cases) {
+		int readers = 0, first = 0;
+		Hosts(c.hosts);
+		for (int i = 0; i < c.hosts; i++) {
+			rank r = Choose(i);
+			readers += r.reader;
+			first += r.first;
+			EXPECT_EQ(r.feeder == nullptr, c.hosts == 1);
+		}
+		EXPECT_EQ(readers, c.readers);
+		EXPECT_EQ(first, 1);
+		if (c.hosts != cases[4].hosts)
+			host_table_finish(&table_);
+	}
+}
+
+TEST_F(RankTest, ReadersShareTheOthers)
+{
+	std::map<std::string, int> followers;
+	Hosts(370);
+	for (int i = 0; i < 370; i++)
+		followers[Choose(i).feeder->name]++;
+	EXPECT_EQ(followers.size(), 3u);
+	for (const auto &f : followers)
+		EXPECT_NEAR(f.second, 123, 30) << f.first;
+}
+
+/*
+ * Symptom: some hosts did not hear of a change for as long as an outage lasted.
+ * Sequence: the store turns away the readers and some others; one of the others follows a reader.
+ * Cause: it went on asking that reader for a feed.
+ */
+TEST_F(RankTest, TurnsLeadToOtherFeedersBeyondTheReaders)
+{
+	Hosts(7);
+	for (int i = 0; i < 7; i++) {
+		std::set<std::string> asked;
+		for (unsigned int turn = 0; turn < RANK_FEEDERS; turn++)
+			asked.insert(Choose(i, turn).feeder->name);
+		EXPECT_GE(asked.size(), 5u);
+		EXPECT_EQ(asked.count("host-" + std::to_string(i)), 0u);
+	}
+}
+
+TEST_F(RankTest, ASilentReaderIsReplaced)
+{
+	Hosts(7);
+	std::string first;
+	for (int i = 0; i < 7; i++) {
+		if (Choose(i).first)
+			first = "host-" + std::to_string(i);
+	}
+	host_on_evidence(&table_, first.c_str(), HOST_SILENT, 10);
+	for (int i = 0; i < 7; i++) {
+		rank r = Choose(i, 0, 20);
+		if ("host-" + std::to_string(i) != first) {
+			EXPECT_NE(std::string(r.feeder->name), first);
+		}
+		EXPECT_FALSE(r.first && "host-" + std::to_string(i) == first);
+	}
+}
+
+} // namespace
--- a/router/rc.h
+++ b/router/rc.h
@@ -45,6 +45,7 @@
 	struct sf_topic topics[SEAM_HOSTS + 1];
 	bool direct;	/* this host reads the store itself */
 	bool candidate; /* it may lead: it is a reader, or has no feed */
+	bool reader;	/* it is one of the readers */
 	bool first;	/* it is the first of the readers: it polls the engines */
 	struct tmr ticker;
 	struct tmr list_timer;
--- a/router/router.h
+++ b/router/router.h
@@ -29,13 +29,11 @@
 	char *control;
 	char *seeds;
 	char *store;
-	int64_t heartbeat_ms;
 	int64_t drain_ms;
 	int64_t grace_s;
 	double repeat_ratio;
 	double repeat_window_s;
 	double repeat_fixed;
-	int64_t stall_ms;
 	int64_t log_lines;
 	double link_mbps;
 	double cores;
--- a/router/rq.c
+++ b/router/rq.c
@@ -1,7 +1,7 @@
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/met.h"
-#include "router/tf.h"
+#include "router/rq_int.h"
 
 #include <ck_pr.h>
 #include <stdio.h>
@@ -20,18 +20,6 @@
 		100,	      /* silence that is no sign of anything: a batch that reads a prompt */
 	RQ_GAP_SHARE = 4,     /* weight of the newest gap in the mean, as one part of so many */
 	RQ_GAP_X = 3,	      /* gaps of that mean after which a stream is silent */
-	RQ_BEAR_US = 1300000, /* silence after which the stream is taken elsewhere in any case */
-	RQ_PROGRESS_US = 300000, /* an endpoint that brought something since then works */
-	RQ_ORDER_CONNECT_MS = 250,
-	RQ_ORDER_MS = 700,
-	RQ_DOUBT_US = 700000, /* that an endpoint is passed over for what may have other causes */
-	RQ_REPAIRS_MAX = 6,
-	/* Parts of the time for which a leaving endpoint goes on, in hundredths. */
-	RQ_MOVE_PART = 40,
-	RQ_MOVE_FIRST_PART = 80,
-	RQ_ACTIVE_US = 80000, /* a stream that brought something since then is not stalled */
-	RQ_LOGGED_MAX = 200,  /* bytes of an endpoint's refusal that go into the log */
-	RQ_SUSPECT_US = 3000000,
 	RQ_RETRY_US = 400000, /* when to come back where nobody can be sent to at present */
 	/*
 	 * When to come back to a host that has learnt nothing while the request waited: outages of
@@ -45,47 +33,14 @@
 	 */
 	RQ_STOP_TAKE_US = 3000000,
 	RQ_STOP_RETRY_US = 50000,
-	STATUS_OK = 200,
-	STATUS_ACCEPTED = 202,
 	STATUS_UNAUTHORIZED = 401,
 	STATUS_NOT_FOUND = 404,
-	STATUS_CONFLICT = 409,
 	STATUS_UNAVAILABLE = 503
 };
 
-struct rq {
-	struct tf *tf;
-	struct hd_call *call;
-	struct seam_request request;
-	const struct rt_route *route;	  /* of conf */
-	const struct rt_service *service; /* of conf */
-	const struct rt_account *account; /* of conf */
-	struct rt_conf *conf;
-	struct fwd fwd;
-	struct tmr timer;
-	struct hc_call *attempt;
-	struct hc_call *order;	   /* that replaces a stage of the running pipeline */
-	struct tf_target target;   /* of the attempt under way */
-	struct tf_target repair;   /* that the order asks for */
-	int repairs;		   /* orders given for this request */
-	int64_t order_us;	   /* when it was given */
-	int64_t part_us;	   /* when the attempt was sent, or last brought something */
-	int64_t gap_us;		   /* mean time between parts */
-	struct tf_target avoid;	   /* those that failed this request; no references to requests */
-	struct seam_answer answer; /* head of the attempt's answer */
-	int64_t began_us;
-	int64_t first_us; /* when the first part went to the caller */
-	int64_t caller_deadline_us;
-	char *body;
-	size_t body_len;
-	const char *code; /* what the caller was told by us; NULL: the endpoint's answer */
-	int status;
-};
-
 static int rq_send(void *ctx, int attempt, const char *resume_after);
 static bool rq_may_send_again(void *ctx);
 static void rq_cancel(void *ctx);
-static bool rq_on_silent(void *ctx);
 static void rq_answer_whole(void *ctx, const char *body, size_t len);
 static void rq_answer_begin(void *ctx);
 static void rq_answer_data(void *ctx, const char *data, size_t len);
@@ -94,8 +49,6 @@
 static void rq_refuse(void *ctx, int status, bool not_run);
 static void rq_set_timer(void *ctx, int64_t due_us);
 static void rq_ended(void *ctx, enum fwd_cause cause);
-static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len);
-static void rq_recover(struct rq *rq);
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers);
 static void rq_on_data(void *ctx, const char *data, size_t len);
 static void rq_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
@@ -116,8 +69,6 @@
 	.ended = rq_ended,
 };
 
-static const struct hc_ops rq_order_ops = {.on_done = rq_on_ordered};
-
 static const struct hc_ops rq_hc_ops = {
 	.on_head = rq_on_head,
 	.on_data = rq_on_data,
@@ -139,7 +90,7 @@
 	rq->avoid.count = 0;
 }
 
-static void rq_avoid(struct rq *rq, struct tf_ep *ep)
+void rq_avoid(struct rq *rq, struct tf_ep *ep)
 {
 	for (int i = 0; i < rq->avoid.count; i++) {
 		if (rq->avoid.eps[i] == ep)
@@ -212,7 +163,6 @@
 
 	if (deadline_ms < 0)
 		deadline_ms = RQ_DEADLINE_DEFAULT_MS;
-	rq->caller_deadline_us = rq->began_us + tmr_ms(deadline_ms);
 	if (route->timeout_ms > 0)
 		deadline_ms = MIN(deadline_ms, route->timeout_ms);
 	memset(rules, 0, sizeof(*rules));
@@ -371,215 +321,7 @@
 	struct rq *rq = ctx;
 
 	rq_drop(&rq->attempt);
-	rq_drop(&rq->order);
-	tf_target_clear(&rq->repair);
-}
-
-/* The first stage that is known to be at fault, or -1. */
-static int rq_suspected_stage(const struct rq *rq)
-{
-	int64_t now_us = tmr_now();
-
-	for (int i = 0; i < rq->target.count; i++) {
-		if (rq->target.eps[i]->suspect_us > now_us)
-			return i;
-	}
-	return -1;
-}
-
-static void rq_log_silent(const struct rq *rq, const char *finding, const char *culprit)
-{
-	jl_begin(JL_KEEP, "silent");
-	jl_str("id", rq->request.id);
-	jl_str("finding", finding);
-	jl_str("culprit", culprit);
-	jl_int("silent_ms", (tmr_now() - rq->part_us) / TMR_US_PER_MS);
-	jl_int("parts", (int64_t)rq->fwd.parts);
-	jl_end();
-}
-
-/*
- * A request that alone is silent, while others at the same first stage go on, hangs there. Where
- * all are slow it waits: sent elsewhere it would be read anew, and make the rest slower still.
- */
-static bool rq_hangs_alone(const struct rq *rq, int64_t now_us)
-{
-	return now_us - rq->part_us > RQ_BEAR_US &&
-	       now_us - rq->target.eps[0]->progress_us < RQ_PROGRESS_US;
-}
-
-static bool rq_on_silent(void *ctx)
-{
-	struct rq *rq = ctx;
-	int64_t now_us = tmr_now();
-
-	if (!rq->target.layered) {
-		rq_avoid(rq, rq->target.eps[0]);
-		tf_ep_failed(rq->target.eps[0], now_us);
-		return false;
-	}
-	if (rq_hangs_alone(rq, now_us)) {
-		rq_log_silent(rq, "hangs_alone", NULL);
-		rq_avoid(rq, rq->target.eps[0]);
-		return false;
-	}
-	if (rq->order)
-		return true;
-	if (rq_suspected_stage(rq) >= 0)
-		rq_recover(rq);
-	else
-		stall_ask(rq->tf, &rq->target);
-	return true;
-}
-
-bool rq_is(const struct rq *rq, const struct tf_ep *first, const char *id)
-{
-	return rq->attempt && rq->target.count > 0 && rq->target.eps[0] == first &&
-	       g_strcmp0(rq->request.id, id) == 0;
-}
-
-void rq_on_stalled(struct rq *rq, const char *culprit)
-{
-	struct tf_ep *ep = culprit ? g_hash_table_lookup(rq->tf->by_addr, culprit) : NULL;
-
-	rq_log_silent(rq, "stalled", culprit);
-	if (ep) {
-		rq_avoid(rq, ep);
-		tf_suspect(rq->tf, ep, RQ_SUSPECT_US, "stalled", rq->request.id);
-	}
-	rq_recover(rq);
-}
-
-/* Sends the request again from what the caller has, elsewhere. */
-static void rq_resume(struct rq *rq, const char *why)
-{
-	jl_begin(JL_KEEP, "resume");
-	jl_str("id", rq->request.id);
-	jl_str("why", why);
-	jl_int("parts", (int64_t)rq->fwd.parts);
-	jl_int("silent_ms", (tmr_now() - rq->part_us) / TMR_US_PER_MS);
-	jl_end();
-	fwd_give_up_attempt(&rq->fwd, tmr_now());
-}
-
-/* Whether a stage after the first can be replaced; fills rq->repair. */
-static bool rq_can_repair(struct rq *rq)
-{
-	if (!rq->attempt || rq->repairs >= RQ_REPAIRS_MAX)
-		return false;
-	return tf_pick_repair(rq->tf, rq->service, &rq->request, &rq->target, &rq->avoid,
-			      &rq->repair) == 0;
-}
-
-/* Whether a stage is known to be at fault; one that is only slow or leaving still serves. */
-static bool rq_is_lost(const struct rq *rq)
-{
-	return rq_suspected_stage(rq) >= 0;
-}
-
-/*
- * Stages after the first are replaced within the running pipeline: the other stages keep what they
- * have read, no attempt and no repeat is spent, and the stream goes on where it stands.
- */
-static void rq_recover(struct rq *rq)
-{
-	const struct seam *seam = rq->tf->router->seam;
-	const char *headers[] = {"Content-Type: application/json", NULL};
-	struct hc_request request = {.method = "POST",
-				     .headers = headers,
-				     .connect_ms = RQ_ORDER_CONNECT_MS,
-				     .total_ms = RQ_ORDER_MS,
-				     .fresh = true,
-				     .close = true};
-	char *pipeline;
-	char *body;
-	char *url;
-
-	if (rq->order)
-		return;
-	if (!rq_can_repair(rq)) {
-		if (rq_is_lost(rq)) {
-			rq_avoid(rq, rq->target.eps[rq_suspected_stage(rq)]);
-			rq_resume(rq, "no_repair");
-		}
-		return;
-	}
-	rq->repairs++;
-	pipeline = seam->wire.pipeline(rq->repair.stages, rq->repair.count);
-	body = seam->engine.make_repath(rq->request.id, pipeline, rq->tf->view->fence);
-	url = g_strdup_printf("http://%s%s", rq->target.eps[0]->rec->addr,
-			      seam->engine.order_path());
-	request.url = url;
-	request.body = body;
-	request.body_len = strlen(body);
-	rq->order_us = tmr_now();
-	jl_begin(JL_INFO, "repair");
-	jl_str("id", rq->request.id);
-	jl_str("pipeline", pipeline);
-	jl_int("fence", rq->tf->view->fence);
-	jl_end();
-	met_add(met_counter("bg_orders_total", "order=\"repair\""), 1);
-	rq->order = hc_start(rq->tf->hc, &request, &rq_order_ops, rq);
-	g_free(pipeline);
-	g_free(body);
-	g_free(url);
-}
-
-/* A refused repair may name a stage that is not there or has no room; the next one goes without. */
-static bool rq_learn_refusal(struct rq *rq, const char *body, size_t len)
-{
-	char *addr = rq->tf->router->seam->engine.parse_refusal(str_make(body, len));
-	struct tf_ep *ep = addr ? g_hash_table_lookup(rq->tf->by_addr, addr) : NULL;
-
-	g_free(addr);
-	if (!ep)
-		return false;
-	rq_avoid(rq, ep);
-	tf_doubt(ep, RQ_DOUBT_US, "refused_repair", rq->request.id);
-	return true;
-}
-
-static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len)
-{
-	struct rq *rq = ctx;
-	bool done = status == STATUS_OK || status == STATUS_ACCEPTED;
-
-	(void)sent;
-	rq->order = NULL;
-	jl_begin(JL_KEEP, "repaired");
-	jl_str("id", rq->request.id);
-	jl_int("status", status);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
-	if (!done && len > 0 && len < RQ_LOGGED_MAX)
-		jl_str("answer", body);
-	jl_int("took_ms", (tmr_now() - rq->order_us) / TMR_US_PER_MS);
-	jl_end();
-	if (!done) {
-		tf_target_clear(&rq->repair);
-		if (status == STATUS_CONFLICT && rq_learn_refusal(rq, body, len))
-			rq_recover(rq);
-		else
-			rq_resume(rq, "repair_refused");
-		return;
-	}
-	tf_target_clear(&rq->target);
-	rq->target = rq->repair;
-	memset(&rq->repair, 0, sizeof(rq->repair));
-	fwd_on_sign(&rq->fwd, tmr_now());
-}
-
-void rq_on_suspect(struct rq *rq, const struct tf_ep *ep)
-{
-	int64_t now_us = tmr_now();
-
-	if (!rq->target.layered || !rq->attempt || now_us - rq->part_us < RQ_ACTIVE_US)
-		return;
-	for (int i = 0; i < rq->target.count; i++) {
-		if (rq->target.eps[i] == ep) {
-			rq_recover(rq);
-			return;
-		}
-	}
+	rq_drop_order(rq);
 }
 
 /* What the end of an attempt tells about its endpoints. */
@@ -727,65 +469,6 @@
 	tmr_set(&rq->tf->loop.tmr, &rq->timer, due_us, rq_on_timer, rq);
 }
 
-void rq_on_missing(struct rq *rq, struct tf_ep *ep)
-{
-	if (!rq->target.layered || !rq->attempt || rq->order || rq->repairs >= RQ_REPAIRS_MAX ||
-	    tmr_now() - rq->part_us < RQ_ACTIVE_US)
-		return;
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq->target.eps[i] == ep) {
-			rq_avoid(rq, ep);
-			rq_log_silent(rq, "missing", ep->rec->addr);
-			rq_recover(rq);
-			return;
-		}
-	}
-}
-
-void rq_on_slow(struct rq *rq, const struct tf_ep *ep)
-{
-	if (!rq->target.layered || !rq->attempt || !rq->fwd.begun || rq->repairs >= RQ_REPAIRS_MAX)
-		return;
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq->target.eps[i] == ep) {
-			rq_avoid(rq, rq->target.eps[i]);
-			rq_recover(rq);
-			return;
-		}
-	}
-}
-
-/* How long the stage has been leaving; 0: it is not. */
-static int64_t rq_leaving_us(const struct tf_ep *ep, int64_t now_us)
-{
-	return ep->left_us > 0 ? now_us - ep->left_us : 0;
-}
-
-/*
- * An endpoint that leaves goes on for a while and then cuts what it still runs. Streams that are
- * still there in the middle of that time are moved; from a first stage, which costs a repeat, only
- * shortly before its end.
- */
-static void rq_leave_stages(struct rq *rq, int64_t now_us)
-{
-	int64_t drain_us = tmr_ms(rq->tf->router->settings.drain_ms);
-
-	if (!rq->target.layered || !rq->attempt || rq->order || !rq->fwd.begun)
-		return;
-	if (rq_leaving_us(rq->target.eps[0], now_us) > drain_us * RQ_MOVE_FIRST_PART / 100) {
-		rq_avoid(rq, rq->target.eps[0]);
-		rq_resume(rq, "first_stage_leaves");
-		return;
-	}
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq_leaving_us(rq->target.eps[i], now_us) > drain_us * RQ_MOVE_PART / 100 &&
-		    rq->repairs < RQ_REPAIRS_MAX) {
-			rq_recover(rq);
-			return;
-		}
-	}
-}
-
 void rq_on_sweep(struct rq *rq, int64_t now_us)
 {
 	if (rq->fwd.state == FWD_ENDED)
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -15,11 +15,17 @@
 	SF_MARGIN_MS = 700, /* for the answer itself */
 	SF_CALL_MS = 1000,  /* for a call that the store does not hold */
 	SF_CONNECT_MS = 500,
-	/* Reads of endpoints: an endpoint that is leaving gets no requests after two seconds. */
-	SF_ENDPOINTS_PAUSE_MS = 600,
+	/*
+	 * Reads of endpoints: one that is leaving gets no requests after two seconds. Their records
+	 * come in groups, so a read is not made at once after another.
+	 */
+	SF_ENDPOINTS_WAIT_MS = 1000,
+	SF_ENDPOINTS_PAUSE_MS = 150,
 	SF_HOSTS_PAUSE_MS = 5000,
 	SF_RETRY_MS = 250, /* after a failure; doubles */
 	SF_RETRY_MAX_MS = 1000,
+	/* Hosts that are no readers hear of the store's return through the feed. */
+	SF_RETRY_OTHERS_MS = 2500,
 	HTTP_OK = 200,
 	HTTP_GONE = 410
 };
@@ -42,7 +48,7 @@
 	int64_t pause_ms;
 } sf_pace[] = {
 	[SEAM_CONF] = {SF_CONF_WAIT_MS, 0},
-	[SEAM_ENDPOINTS] = {0, SF_ENDPOINTS_PAUSE_MS},
+	[SEAM_ENDPOINTS] = {SF_ENDPOINTS_WAIT_MS, SF_ENDPOINTS_PAUSE_MS},
 	[SEAM_HOSTS] = {0, SF_HOSTS_PAUSE_MS},
 };
 
@@ -131,7 +137,8 @@
 
 static void sf_failed(struct sf_topic *t, int status, int err)
 {
-	int64_t delay_ms = MIN(SF_RETRY_MS << MIN(t->failures, 4), SF_RETRY_MAX_MS);
+	int64_t most_ms = t->rc->reader ? SF_RETRY_MAX_MS : SF_RETRY_OTHERS_MS;
+	int64_t delay_ms = MIN(SF_RETRY_MS << MIN(t->failures, 4), most_ms);
 
 	if (t->failures++ == 0) {
 		jl_begin(JL_KEEP, "store_lost");
