Client accounts that use several times an equal part stand back at full engines

Cause: on the platform engines queue by themselves and the router gave no order, so a flood of one client account delayed all. Change: share/ (pure): tokens by account, fading; urgency 3 to 5 by priority, up to 4 steps later for an account over twice and four times an equal part.

--- a/router/rq.c
+++ b/router/rq.c
@@ -214,6 +214,20 @@
 	return true;
 }
 
+/* Engines admit by urgency; plain services know none. */
+static void rq_charge(struct rq *rq)
+{
+	int64_t priority = rq->route->priority;
+
+	rq->urgency = -1;
+	if (!rt_is_layered(rq->service) || !rq->account)
+		return;
+	if (rq->account->priority != RT_NO_PRIORITY)
+		priority = rq->account->priority;
+	rq->urgency = sh_charge(&rq->tf->share, rq->account->name,
+				rq->request.prompt + rq->request.answer, priority, rq->began_us);
+}
+
 void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us)
 {
 	struct rq *rq = g_new0(struct rq, 1);
@@ -234,6 +248,7 @@
 	rq->body = (char *)hd_body(call, &len);
 	rq->body_len = len;
 	bud_on_request(tf_budget(tf, rq->service->name), rq->began_us);
+	rq_charge(rq);
 	fwd_start(&rq->fwd, tmr_now());
 }
 
@@ -265,7 +280,7 @@
 	struct rq *rq = ctx;
 	struct tf *tf = rq->tf;
 	const struct seam_wire *wire = &tf->router->seam->wire;
-	struct seam_forward forward = {.urgency = -1};
+	struct seam_forward forward = {.urgency = rq->urgency};
 	struct hc_request request = {.connect_ms = RQ_CONNECT_MS, .fresh = true, .close = true};
 	GPtrArray *headers;
 	char *pipeline = NULL;
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -33,6 +33,7 @@
 	int64_t gap_us;		   /* mean time between parts */
 	struct tf_target avoid;	   /* those that failed this request; no references to requests */
 	struct seam_answer answer; /* head of the attempt's answer */
+	int urgency;		   /* for engines; -1: not stated */
 	int64_t began_us;
 	int64_t first_us; /* when the first part went to the caller */
 	char *body;
--- a/router/tf.c
+++ b/router/tf.c
@@ -66,6 +66,7 @@
 	tf->seed = TF_SEED ^ (uint32_t)g_str_hash(router->settings.name);
 	tf->eps = g_hash_table_new(g_str_hash, g_str_equal);
 	tf->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
+	sh_init(&tf->share);
 	tf->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	tf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tf->zone_names = g_ptr_array_new();
--- a/router/tf.h
+++ b/router/tf.h
@@ -3,6 +3,7 @@
 
 #include "path/path.h"
 #include "router/router.h"
+#include "share/share.h"
 
 /*
  * An endpoint as the traffic thread sees it: its record, and what this host has found out itself.
@@ -51,6 +52,7 @@
 	struct router_view *view;
 	GHashTable *eps;     /* id -> struct tf_ep */
 	GHashTable *by_addr; /* address -> struct tf_ep; of those that are listed */
+	struct sh share;     /* what client accounts have used */
 	GHashTable *budgets; /* service -> struct bud */
 	GHashTable *zones;   /* name -> number, from 1 */
 	GPtrArray *zone_names;
