Loads are handed on when they change; the message on endpoints at fault stands once

Cause: each round of reports went to all hosts, the most of what a feed carries (27 KB/s at the size two years out); the same message was packed and unpacked in feed.c and follow.c.

--- a/router/feed.c
+++ b/router/feed.c
@@ -165,20 +165,6 @@
 	return 0;
 }
 
-static int feed_on_suspect(struct feed *feed, struct frm_conn *conn, const uint8_t *body,
-			   size_t len)
-{
-	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
-	struct rc_suspect suspect;
-
-	if (!msg)
-		return BASE_EFRAME;
-	suspect = (struct rc_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	rc_on_suspect(feed->rc, &suspect, conn);
-	feed__suspect__free_unpacked(msg, NULL);
-	return 0;
-}
-
 static int feed_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
 		       size_t len)
 {
@@ -186,7 +172,7 @@
 	case MSG_FEED_ASK:
 		return feed_on_ask(ctx, conn, body, len);
 	case MSG_FEED_SUSPECT:
-		return feed_on_suspect(ctx, conn, body, len);
+		return suspect_on_msg(((struct feed *)ctx)->rc, conn, body, len);
 	default:
 		return BASE_EFRAME;
 	}
@@ -378,16 +364,10 @@
 
 void feed_send_suspect(struct feed *feed, const struct rc_suspect *suspect, const void *source)
 {
-	Feed__Suspect msg = FEED__SUSPECT__INIT;
-
-	msg.endpoint = (char *)suspect->endpoint;
-	msg.for_ms = suspect->for_ms;
-	msg.why = (char *)suspect->why;
-	msg.hops = suspect->hops;
 	for (guint i = 0; i < feed->followers->len; i++) {
 		const struct feed_follower *follower = feed->followers->pdata[i];
 
 		if (follower->asked && follower->conn != source)
-			frm_send(follower->conn, MSG_FEED_SUSPECT, &msg.base);
+			suspect_send(follower->conn, suspect);
 	}
 }
--- a/router/follow.c
+++ b/router/follow.c
@@ -300,20 +300,6 @@
 	return 0;
 }
 
-static int follow_on_suspect(struct follow *follow, struct frm_conn *conn, const uint8_t *body,
-			     size_t len)
-{
-	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
-	struct rc_suspect suspect;
-
-	if (!msg)
-		return BASE_EFRAME;
-	suspect = (struct rc_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	rc_on_suspect(follow->rc, &suspect, conn);
-	feed__suspect__free_unpacked(msg, NULL);
-	return 0;
-}
-
 static int follow_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
 			 size_t len)
 {
@@ -321,7 +307,7 @@
 	case MSG_FEED_UPDATE:
 		return follow_on_update(ctx, body, len);
 	case MSG_FEED_SUSPECT:
-		return follow_on_suspect(ctx, conn, body, len);
+		return suspect_on_msg(((struct follow *)ctx)->rc, conn, body, len);
 	default:
 		return BASE_EFRAME;
 	}
@@ -343,13 +329,6 @@
 void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
 			 const void *source)
 {
-	Feed__Suspect msg = FEED__SUSPECT__INIT;
-
-	if (!follow->conn || follow->conn == source)
-		return;
-	msg.endpoint = (char *)suspect->endpoint;
-	msg.for_ms = suspect->for_ms;
-	msg.why = (char *)suspect->why;
-	msg.hops = suspect->hops;
-	frm_send(follow->conn, MSG_FEED_SUSPECT, &msg.base);
+	if (follow->conn && follow->conn != source)
+		suspect_send(follow->conn, suspect);
 }
--- a/router/pick.c
+++ b/router/pick.c
@@ -29,8 +29,8 @@
 /* Cost of a suspected endpoint, as a multiple: more than any detour that avoids it. */
 static const double pick_suspect_cost = 30;
 
-/* A report counts for so long; rounds are a second apart. */
-static const int64_t pick_load_us = 3000000;
+/* A report counts for so long; they are handed on every 5 s, and when they change. */
+static const int64_t pick_load_us = 11000000;
 
 /* Tokens of a prompt and of an answer where neither the caller nor the configuration tells. */
 static const double pick_prompt_default = 500;
--- a/router/poll.c
+++ b/router/poll.c
@@ -105,7 +105,7 @@
 	GArray *loads = g_steal_pointer(&poll->loads);
 
 	if (loads->len > 0)
-		rc_take_loads(poll->rc, loads);
+		rc_take_round(poll->rc, loads);
 	else
 		g_array_unref(loads);
 }
--- a/router/rc.c
+++ b/router/rc.c
@@ -18,6 +18,7 @@
 	RC_CALL_MS = 1000,
 	RC_CONNECT_MS = 500,
 	RC_LIST_RETRY_MS = 2000,
+	RC_LOADS_MS = 5000, /* after which loads are handed on though nothing has changed */
 	RC_NEWS_MS = 500,
 	RC_HOPS_MAX = 5, /* follower, its reader, the other readers, their followers */
 	HTTP_OK = 200
@@ -272,10 +273,48 @@
 	g_array_unref(rc->loads);
 	rc->loads = loads;
 	rc->loads_version++;
+	rc->loads_us = tmr_now();
 	tf_post_loads(rc->router->tf, loads);
 	feed_flush(rc->feed);
 }
 
+static const struct router_load *rc_load_of(const struct rc *rc, const char *endpoint)
+{
+	for (guint i = 0; i < rc->loads->len; i++) {
+		const struct router_load *load = &g_array_index(rc->loads, struct router_load, i);
+
+		if (strcmp(load->endpoint, endpoint) == 0)
+			return load;
+	}
+	return NULL;
+}
+
+/*
+ * Engines hardly ever change their pace, and nothing else of a report is used by other hosts. Each
+ * round handed on to all would be the most of what a feed carries.
+ */
+static bool rc_is_new_round(const struct rc *rc, const GArray *loads)
+{
+	if (loads->len != rc->loads->len || tmr_now() - rc->loads_us >= tmr_ms(RC_LOADS_MS))
+		return true;
+	for (guint i = 0; i < loads->len; i++) {
+		const struct router_load *load = &g_array_index(loads, struct router_load, i);
+		const struct router_load *before = rc_load_of(rc, load->endpoint);
+
+		if (!before || before->pace != load->pace)
+			return true;
+	}
+	return false;
+}
+
+void rc_take_round(struct rc *rc, GArray *loads)
+{
+	if (rc_is_new_round(rc, loads))
+		rc_take_loads(rc, loads);
+	else
+		g_array_unref(loads);
+}
+
 struct rc_suspect_msg {
 	struct rc *rc;
 	char *endpoint;
--- a/router/rc.h
+++ b/router/rc.h
@@ -1,6 +1,7 @@
 #ifndef ROUTER_RC_H
 #define ROUTER_RC_H
 
+#include "base/frm.h"
 #include "host/host.h"
 #include "router/router.h"
 
@@ -63,6 +64,7 @@
 	GHashTable *seen; /* endpoint -> when it was last passed on as suspect, int64_t */
 	GArray *loads;	  /* struct router_load, as last heard */
 	guint loads_version;
+	int64_t loads_us; /* when they were last handed on */
 	bool view_due;
 	bool view_whole; /* a view with configuration and endpoints has been posted */
 	bool stopping;
@@ -93,8 +95,11 @@
 void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
 void rc_take_host(struct rc *rc, const char *name, struct str text);
 
-/* Takes the newest loads (struct router_load); the array is taken over. */
+/* Takes the newest loads (struct router_load) and hands them on; the array is taken over. */
 void rc_take_loads(struct rc *rc, GArray *loads);
+
+/* The same for a round of this host's own, which is handed on only if it brings anything new. */
+void rc_take_round(struct rc *rc, GArray *loads);
 GArray *rc_loads_new(void);
 
 /* Reads the store from now on, or leaves that to the feed. */
@@ -120,6 +125,10 @@
 /* From another host: to the traffic thread, and on to the other hosts. */
 void rc_on_suspect(struct rc *rc, const struct rc_suspect *suspect, const void *source);
 
+/* suspect.c: 0 or BASE_EFRAME. */
+int suspect_on_msg(struct rc *rc, struct frm_conn *conn, const uint8_t *body, size_t len);
+void suspect_send(struct frm_conn *conn, const struct rc_suspect *suspect);
+
 /* placer.c */
 struct placer *placer_new(struct rc *rc);
 void placer_free(struct placer *placer);
