A host that knows no other one asks the seeds; hosts are listed sooner after a start

Cause: case_feed (new): with the store answering one host only, another one never heard of a change. Its list of hosts held itself alone, since it is read every 5 s and the others had listed themselves after the first read; the seeds were asked only while the list was empty. Ruled out: turns among feeders (they work once the list is whole).

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from proxy import Proxy
 from stack import Failure, Stack, check_stream, eventually
 
 
@@ -114,6 +115,64 @@
     expect("exit status", stack.procs["host-1"].wait(timeout=20), 0)
 
 
+def case_stop_refuses(stack):
+    """Symptom: a stream was cut by the end of the grace time of a planned stop.
+    Sequence: SIGTERM; a caller with an open connection asks for a stream some seconds later.
+    Cause: the host took what it could not end."""
+    stack.up()
+    for point in stack.points:
+        if point[0].startswith("e"):
+            stack.fault_engine(point[0], "slow")
+    results = {}
+
+    def stream():
+        results["long"] = stack.ask("host-1", "/stream/a", "f-1", Bronzegauge_Token_Counts="50,30")
+
+    thread = threading.Thread(target=stream)
+    thread.start()
+    eventually("the stream runs", lambda: stack.ledger()["streams"] >= 1)
+    stack.signal("host-1", signal.SIGTERM)
+    refused = []
+
+    def is_refused():
+        request_id = "f-late-%f" % time.monotonic()
+        status, headers, body = stack.ask("host-1", "/many/a", request_id)
+        if status == 503:
+            refused.append((request_id, headers, body))
+        return bool(refused)
+
+    eventually("a late request is refused", is_refused)
+    request_id, headers, body = refused[0]
+    if b"stopping" not in body or "Retry-After" not in headers:
+        raise Failure("the refusal does not say why and when to come back: %r" % body)
+    thread.join()
+    expect("status of the running stream", results["long"][0], 200)
+    check_stream("f-1", results["long"][2], last=30)
+    expect("runs of the refused request", stack.ledger()["runs"].get(request_id, 0), 0)
+
+
+def case_feed(stack):
+    """Symptom: hosts that the store turned away did not hear of a change.
+    Sequence: the store answers nobody but one host; the configuration changes.
+    Cause: a host knew only what it read itself, or asked only one other host."""
+    proxies = {}
+    for i, host in enumerate(stack.hosts):
+        port = stack.base + 80 + i
+        proxies[host] = Proxy(port, stack.store_port)
+        stack.store_via[host] = port
+    stack.up()
+    for served in stack.hosts:
+        for host in stack.hosts:
+            proxies[host].set("pass" if host == served else "refuse")
+        route = "only-" + served
+        stack.extra_routes.append(route)
+        stack.put_config()
+        for host in stack.hosts:
+            eventually("%s at %s" % (route, host),
+                       lambda h=host, r=route: stack.ask(
+                           h, "/%s/a" % r, "q-%s-%f" % (h, time.monotonic()))[0] == 200)
+
+
 def case_drain(stack):
     """Symptom: requests reached an endpoint after it had left.
     Sequence: an endpoint says that it is leaving; two seconds pass.
--- a/router/follow.c
+++ b/router/follow.c
@@ -130,7 +130,7 @@
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
 }
 
-/* While no host is known, the seeds are asked in turn. */
+/* While no other host is known, the seeds are asked in turn. */
 static void follow_connect_seed(struct follow *follow)
 {
 	const struct router_settings *s = &follow->rc->router->settings;
@@ -175,7 +175,7 @@
 	follow->next_try_us = now_us + tmr_ms(FOLLOW_RETRY_MS);
 	if (feeder)
 		follow_connect(follow, feeder->name, feeder->control_addr);
-	else if (follow->table.hosts->len == 0 && !sf_is_reached(follow->rc))
+	else if (!sf_is_reached(follow->rc))
 		follow_connect_seed(follow);
 }
 
--- a/router/rc.h
+++ b/router/rc.h
@@ -22,6 +22,7 @@
 	struct hc_call *call;
 	struct tmr timer;
 	char *after;	 /* key after which a listing goes on */
+	int reads;	 /* after the listing */
 	int failures;	 /* in a row */
 	int64_t read_us; /* when it was last read with success; 0: never */
 };
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -22,6 +22,10 @@
 	SF_ENDPOINTS_WAIT_MS = 1000,
 	SF_ENDPOINTS_PAUSE_MS = 150,
 	SF_HOSTS_PAUSE_MS = 5000,
+	/* Hosts that start together list themselves within a second; the first reads come sooner.
+	 */
+	SF_HOSTS_EARLY_MS = 700,
+	SF_HOSTS_EARLY_READS = 4,
 	SF_RETRY_MS = 250, /* after a failure; doubles */
 	SF_RETRY_MAX_MS = 1000,
 	/* Hosts that are no readers hear of the store's return through the feed. */
@@ -165,6 +169,13 @@
 	t->failures = 0;
 }
 
+static int64_t sf_pause_us(struct sf_topic *t)
+{
+	if (t->topic == SEAM_HOSTS && t->reads < SF_HOSTS_EARLY_READS)
+		return tmr_ms(SF_HOSTS_EARLY_MS);
+	return t->pause_us;
+}
+
 /* One page of the listing; the reading of records begins where the first page ended. */
 static bool sf_on_listing(struct sf_topic *t, struct str body)
 {
@@ -189,7 +200,7 @@
 		t->rc->listed = true;
 		feed_on_listing(t->rc->feed);
 	}
-	sf_again(t, t->pause_us);
+	sf_again(t, sf_pause_us(t));
 	return true;
 }
 
@@ -202,7 +213,8 @@
 	/* A store that has less than was read before has been rewound; its listing tells what
 	 * holds. */
 	t->next = read.end < t->next ? -1 : read.next;
-	sf_again(t, t->pause_us);
+	t->reads++;
+	sf_again(t, sf_pause_us(t));
 	return true;
 }
 
