A refused repair of a stage that is only leaving keeps the running stream

Test first: case_repair_refused failed 3 times in 3, passes 3 times in 3. Change: only a stage known to be at fault gives a stream up; a first stage that leaves is kept to its end.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -88,6 +88,34 @@
         raise Failure("no stream was repaired or resumed")
 
 
+def case_repair_refused(stack):
+    """Symptom: streams that ran well were cut while an engine was leaving.
+    Sequence: a stage of running pipelines leaves; the first stage refuses to have it replaced.
+    Cause: the stream was given up and begun elsewhere, though the leaving stage still served it."""
+    stack.drain_ms = 100
+    stack.up()
+    for name in ("e0", "e1", "e4", "e5"):
+        stack.fault_engine(name, "stubborn")
+    results = {}
+
+    def stream(i):
+        results[i] = stack.ask(stack.hosts[i % 3], "/stream/a", "v-%d" % i,
+                               Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in range(12)]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= 12)
+    for name in ("e3", "e7"):
+        stack.fault_engine(name, "drain")
+    for thread in threads:
+        thread.join()
+    for i, (status, _, body) in results.items():
+        expect("status", status, 200)
+        check_stream("v-%d" % i, body, last=40)
+        expect("runs", stack.ledger()["runs"].get("v-%d" % i), 1)
+
+
 def case_stop(stack):
     """Symptom: a planned stop cut streams.
     Sequence: SIGTERM while streams run and callers go on using open connections.
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -77,6 +77,7 @@
         self.version = 0
         self.keys = {"farm": ["key-farm"], "mill": ["key-mill"]}
         self.extra_routes = []
+        self.drain_ms = 2000
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -108,6 +109,7 @@
                 ini.write("%s = 127.0.0.1:%d\n" % (what, self.port(host, what)))
             ini.write("[hosts]\nseeds = %s\n" % seeds)
             ini.write("[store]\naddress = 127.0.0.1:%d\n" % self.store_via[host])
+            ini.write("[endpoints]\ndrain_ms = %d\n" % self.drain_ms)
             ini.write("[repeats]\nfixed = 200\n[stop]\ngrace_s = 8\n")
         self.begin(host, [os.path.join(BIN, "bgrouterd"), "--config", path])
 
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -11,9 +11,7 @@
 	RQ_ORDER_CONNECT_MS = 250,
 	RQ_ORDER_MS = 700,
 	RQ_REPAIRS_MAX = 6,
-	/* Parts of the time for which a leaving endpoint goes on, in hundredths. */
-	RQ_MOVE_PART = 40,
-	RQ_MOVE_FIRST_PART = 80,
+	RQ_MOVE_PART = 40,    /* hundredths of the time for which a leaving endpoint goes on */
 	RQ_ACTIVE_US = 80000, /* a stream that brought something since then is not stalled */
 	STATUS_ACCEPTED = 202,
 	STATUS_CONFLICT = 409,
@@ -209,7 +207,7 @@
 		tf_target_clear(&rq->repair);
 		if (status == STATUS_CONFLICT && rq_learn_refusal(rq, body, len))
 			rq_recover(rq);
-		else
+		else if (rq_is_lost(rq))
 			rq_resume(rq, "repair_refused");
 		return;
 	}
@@ -269,8 +267,8 @@
 
 /*
  * An endpoint that leaves goes on for a while and then cuts what it still runs. Streams that are
- * still there in the middle of that time are moved; from a first stage, which costs a repeat, only
- * shortly before its end.
+ * still there in the middle of that time get another stage in its place. A first stage can't be
+ * replaced; it is kept to its end, since beginning anew elsewhere then costs no more than now.
  */
 void rq_leave_stages(struct rq *rq, int64_t now_us)
 {
@@ -278,11 +276,6 @@
 
 	if (!rq->target.layered || !rq->attempt || rq->order || !rq->fwd.begun)
 		return;
-	if (rq_leaving_us(rq->target.eps[0], now_us) > drain_us * RQ_MOVE_FIRST_PART / 100) {
-		rq_avoid(rq, rq->target.eps[0]);
-		rq_resume(rq, "first_stage_leaves");
-		return;
-	}
 	for (int i = 1; i < rq->target.count; i++) {
 		if (rq_leaving_us(rq->target.eps[i], now_us) > drain_us * RQ_MOVE_PART / 100 &&
 		    rq->repairs < RQ_REPAIRS_MAX) {
