--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -552,7 +552,7 @@
   (ProtobufCMessageInit) feed__host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor feed__load__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -578,15 +578,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Load, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__load__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  2,   /* field[2] = full */
   1,   /* field[1] = pace */
 };
-static const ProtobufCIntRange feed__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange feed__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 5, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor feed__load__descriptor =
 {
@@ -596,10 +610,10 @@
   "Feed__Load",
   "feed",
   sizeof(Feed__Load),
-  2,
+  3,
   feed__load__field_descriptors,
   feed__load__field_indices_by_name,
-  1,  feed__load__number_ranges,
+  2,  feed__load__number_ranges,
   (ProtobufCMessageInit) feed__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -105,10 +105,14 @@
    * time of a step as a multiple of what is usual
    */
   double pace;
+  /*
+   * eighths of its memory for requests that are taken
+   */
+  int32_t full;
 };
 #define FEED__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/path/path.c
+++ b/path/path.c
@@ -34,6 +34,7 @@
 	int *before;	  /* by node: the one before it, or -1 */
 	int *order;	  /* nodes by the end of their range */
 	GArray *exits;	  /* struct pa_exit, by at */
+	bool with_spare;
 };
 
 static void pa_search_init(struct pa_search *s, int n)
@@ -64,7 +65,7 @@
 	double tokens = node->tokens + s->ask->prompt;
 	double step = e->step_ms + e->step_ms_per_seq * n + e->step_ms_per_kctx * tokens / 1000;
 	double read = e->read_per_ms > 0 ? s->ask->prompt / e->read_per_ms : 0;
-	double full = node->room > 0 ? tokens / node->room : 1;
+	double full = MAX(node->room > 0 ? tokens / node->room : 1, node->full);
 	double cost = step * node->pace + read * node->read_pace / MAX(s->ask->answer, 1);
 
 	if (full > pa_full_from)
@@ -94,7 +95,8 @@
 	int count = 0;
 
 	for (int i = 0; i < n; i++) {
-		if (s->nodes[i].usable && s->nodes[i].to > s->nodes[i].from)
+		if (s->nodes[i].usable && s->nodes[i].to > s->nodes[i].from &&
+		    (s->with_spare || !s->nodes[i].spare))
 			s->order[count++] = i;
 	}
 	g_qsort_with_data(s->order, count, sizeof(s->order[0]), pa_by_end, (gpointer)s->nodes);
@@ -183,6 +185,26 @@
 	return 0;
 }
 
+static int pa_search_run(struct pa_search *s, int n, struct pa_path *path)
+{
+	const struct pa_node *nodes = s->nodes;
+	int count = pa_sort(s, n);
+	int last = -1;
+
+	g_array_set_size(s->exits, 0);
+	for (int rank = 0; rank < count; rank++) {
+		int i = s->order[rank];
+
+		s->layer_ms[i] = pa_layer_ms(s, &nodes[i]);
+		pa_reach(s, i);
+		pa_note_exit(s, i);
+		if (nodes[i].to >= s->ask->to && !isinf(s->best[i]) &&
+		    (last < 0 || s->best[i] < s->best[last]))
+			last = i;
+	}
+	return last >= 0 ? pa_unwind(s, last, path) : PA_ENONE;
+}
+
 int pa_choose(const struct rt_engine *engine, const struct pa_node *nodes, int n,
 	      const struct pa_ask *ask, pa_delay_fn delay, void *ctx, struct pa_path *path)
 {
@@ -192,24 +214,14 @@
 			      .delay = delay,
 			      .ctx = ctx,
 			      .seed = ask->seed};
-	int last = -1;
-	int count;
-	int err = PA_ENONE;
+	int err;
 
 	pa_search_init(&s, n);
-	count = pa_sort(&s, n);
-	for (int rank = 0; rank < count; rank++) {
-		int i = s.order[rank];
-
-		s.layer_ms[i] = pa_layer_ms(&s, &nodes[i]);
-		pa_reach(&s, i);
-		pa_note_exit(&s, i);
-		if (nodes[i].to >= ask->to && !isinf(s.best[i]) &&
-		    (last < 0 || s.best[i] < s.best[last]))
-			last = i;
+	err = pa_search_run(&s, n, path);
+	if (err < 0) {
+		s.with_spare = true;
+		err = pa_search_run(&s, n, path);
 	}
-	if (last >= 0)
-		err = pa_unwind(&s, last, path);
 	pa_search_finish(&s);
 	return err;
 }
--- a/path/path.h
+++ b/path/path.h
@@ -32,7 +32,9 @@
 	double room;	  /* tokens of context that it has memory for */
 	double in_flight; /* requests passing through it now, as far as is known */
 	double tokens;	  /* their tokens of context */
+	double full;	  /* part of its memory that is taken, as it reported; 0: not known */
 	bool usable;
+	bool spare; /* for paths that cannot be had without it: it is thought to be at fault */
 };
 
 struct pa_stage {
@@ -61,7 +63,10 @@
 
 typedef double (*pa_delay_fn)(void *ctx, int zone_a, int zone_b);
 
-/* Returns 0 or PA_ENONE. */
+/*
+ * Returns 0 or PA_ENONE. Spare nodes are used only where no path can be had without them, however
+ * full the others are: a full one may take the request, one at fault will not.
+ */
 int pa_choose(const struct rt_engine *engine, const struct pa_node *nodes, int n,
 	      const struct pa_ask *ask, pa_delay_fn delay, void *ctx, struct pa_path *path);
 
--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -202,4 +202,27 @@
 	}
 }
 
+/*
+ * Symptom: one in ten requests was refused; the budget of repeats was spent.
+ * Sequence: an engine dies while its entry stays listed; the other holder of its layers fills up.
+ * Cause: being at fault counted as thirty times the cost, and a nearly full engine cost more.
+ */
+TEST(PathTest, OneAtFaultIsNotUsedHoweverFullTheOthersAre)
+{
+	pa_node dead = Node(1, 40, 80, 1);
+	dead.spare = true;
+	pa_node full = Node(1, 40, 80, 16);
+	full.in_flight = 300;
+	full.tokens = 300000;
+	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead, full}).path), "0:0-40 2:40-80 ");
+}
+
+/* A guess that an engine is at fault may be wrong; a refusal is sure. */
+TEST(PathTest, OneAtFaultIsUsedWhereNobodyElseHoldsItsLayers)
+{
+	pa_node dead = Node(1, 40, 80);
+	dead.spare = true;
+	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead}).path), "0:0-40 1:40-80 ");
+}
+
 } // namespace
--- a/router/feed.c
+++ b/router/feed.c
@@ -230,6 +230,7 @@
 
 		load.endpoint = from->endpoint;
 		load.pace = from->pace;
+		load.full = from->full;
 		g_array_append_val(loads, load);
 	}
 	for (guint i = 0; i < loads->len; i++)
--- a/router/follow.c
+++ b/router/follow.c
@@ -289,7 +289,7 @@
 	loads = rc_loads_new();
 	for (size_t i = 0; i < msg->n_loads; i++) {
 		const Feed__Load *from = msg->loads[i];
-		struct router_load load = {g_strdup(from->endpoint), from->pace};
+		struct router_load load = {g_strdup(from->endpoint), from->pace, from->full};
 
 		g_array_append_val(loads, load);
 	}
--- a/router/pick.c
+++ b/router/pick.c
@@ -27,9 +27,6 @@
 	return pick_full_link_ms * rate * transfer_s;
 }
 
-/* Cost of a suspected endpoint, as a multiple: more than any detour that avoids it. */
-static const double pick_suspect_cost = 30;
-
 /* A report counts for so long; they are handed on every 5 s, and when they change. */
 static const int64_t pick_load_us = 11000000;
 
@@ -57,7 +54,7 @@
 
 static bool pick_is_passed_over(const struct tf_ep *ep, int64_t now_us)
 {
-	return MAX(ep->suspect_us, ep->doubt_us) > now_us;
+	return ep->suspect_us > now_us || dbt_is_set(&ep->doubt, now_us);
 }
 
 static bool pick_avoided(const struct tf_target *avoid, const struct tf_ep *ep)
@@ -146,6 +143,8 @@
 	node->tokens = ep->tokens * tf->view->hosts;
 	if (ep->load_us > 0 && now_us - ep->load_us < pick_load_us)
 		node->slowness = MAX(ep->pace, 1);
+	if (ep->load_us > 0 && now_us - ep->load_us < pick_load_us)
+		node->full = ep->full;
 }
 
 static void pick_node(struct tf *tf, const struct rt_service *service, const struct tf_ep *ep,
@@ -164,8 +163,7 @@
 	node->room =
 		kind ? pl_token_room(&service->engine, kind->memory_mb, node->to - node->from) : 0;
 	pick_load(tf, ep, now_us, node);
-	if (pick_is_passed_over(ep, now_us))
-		node->slowness *= pick_suspect_cost;
+	node->spare = pick_is_passed_over(ep, now_us);
 }
 
 /* What a search for stages works on. */
@@ -342,8 +340,6 @@
 	double load = (double)(ep->in_flight + 1) / MAX(ep->rec->slots, 1);
 
 	load *= 1 + pick_plain_failure * tf_ep_failures(ep, now_us);
-	if (pick_is_passed_over(ep, now_us))
-		load *= pick_suspect_cost;
 	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
 		load *= pick_plain_far;
 	return load * (1 + pick_plain_spread * rnd_unit(&tf->seed));
@@ -353,6 +349,7 @@
 		      const struct tf_target *avoid, struct tf_target *target)
 {
 	struct tf_ep *best = NULL;
+	bool best_spare = false;
 	double best_cost = 0;
 	GHashTableIter iter;
 	gpointer value;
@@ -360,13 +357,15 @@
 
 	g_hash_table_iter_init(&iter, tf->eps);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bool spare = pick_is_passed_over(value, now_us);
 		double cost;
 
 		if (!pick_usable(value, service) || pick_avoided(avoid, value))
 			continue;
 		cost = pick_plain_cost(tf, value, now_us);
-		if (!best || cost < best_cost) {
+		if (!best || spare < best_spare || (spare == best_spare && cost < best_cost)) {
 			best = value;
+			best_spare = spare;
 			best_cost = cost;
 		}
 	}
--- a/router/placer.c
+++ b/router/placer.c
@@ -160,8 +160,9 @@
 		g_hash_table_remove(placer->orders, rec->id);
 }
 
+/* One that is dead, though it is still listed, holds nothing. */
 static void placer_node(struct placer *placer, const struct rt_service *service,
-			const struct ep_rec *rec, struct pl_node *node)
+			const struct ep_rec *rec, int64_t now_us, struct pl_node *node)
 {
 	const struct rt_kind *kind = rt_kind_of(service, rec->kind);
 	const struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
@@ -174,6 +175,10 @@
 	node->from = order ? order->from : rec->layer_from;
 	node->to = order ? order->to : rec->layer_to;
 	node->usable = kind && !order && rec->state == EP_READY;
+	if (rc_is_dead(placer->rc, rec->id, now_us)) {
+		node->to = node->from;
+		node->usable = false;
+	}
 }
 
 static void placer_plan(struct placer *placer, const struct rt_service *service, int64_t now_us)
@@ -191,7 +196,7 @@
 		if (strcmp(rec->service, service->name) != 0 || rec->state != EP_READY)
 			continue;
 		placer_settle_order(placer, rec, now_us);
-		placer_node(placer, service, rec, &node);
+		placer_node(placer, service, rec, now_us, &node);
 		g_array_append_val(nodes, node);
 		g_ptr_array_add(of_nodes, rec);
 	}
--- a/router/poll.c
+++ b/router/poll.c
@@ -13,6 +13,13 @@
 	/* Reports a second at most: one costs some 250 us, so these 4 % of a core. */
 	POLL_PER_S = 150,
 	POLL_CALL_MS = 600, /* what has not answered by then is left out of the round */
+	/*
+	 * Rounds in a row without an answer after which an engine is taken to be dead, on all
+	 * hosts. While the store is away its list does not shrink: in an outage of 11 s, two dead
+	 * engines that stayed listed rejected 800 requests. One round may miss for a full queue.
+	 */
+	POLL_MISSES = 2,
+	POLL_DEAD_MS = 2500, /* for which that holds; the next round renews it */
 	HTTP_OK = 200
 };
 
@@ -25,8 +32,10 @@
 
 struct poll {
 	struct rc *rc;
-	GPtrArray *calls; /* struct poll_call */
-	GArray *loads;	  /* struct router_load, of the present round; NULL: between rounds */
+	GPtrArray *calls;   /* struct poll_call */
+	GArray *loads;	    /* struct router_load, of the present round; NULL: between rounds */
+	guint asked;	    /* engines in the present round */
+	GHashTable *missed; /* engine -> rounds in a row without an answer */
 	int64_t next_us;
 };
 
@@ -50,12 +59,14 @@
 
 	poll->rc = rc;
 	poll->calls = g_ptr_array_new_with_free_func(poll_call_free);
+	poll->missed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return poll;
 }
 
 void poll_free(struct poll *poll)
 {
 	g_ptr_array_unref(poll->calls);
+	g_hash_table_destroy(poll->missed);
 	g_clear_pointer(&poll->loads, g_array_unref);
 	g_free(poll);
 }
@@ -102,10 +113,34 @@
 	}
 }
 
+/*
+ * Where most engines of a round did not answer, this host itself is slow or cut off, and says
+ * nothing about them.
+ */
+static void poll_tell_dead(struct poll *poll, guint answered)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer missed;
+
+	if (answered * 2 < poll->asked)
+		return;
+	g_hash_table_iter_init(&iter, poll->missed);
+	while (g_hash_table_iter_next(&iter, &id, &missed)) {
+		const struct rc_suspect suspect = {id, POLL_DEAD_MS, RC_NO_REPORT, 0};
+
+		if (!g_hash_table_contains(poll->rc->endpoints.entries, id))
+			g_hash_table_iter_remove(&iter);
+		else if (GPOINTER_TO_INT(missed) >= POLL_MISSES)
+			rc_on_suspect(poll->rc, &suspect, poll);
+	}
+}
+
 static void poll_end(struct poll *poll)
 {
 	GArray *loads = g_steal_pointer(&poll->loads);
 
+	poll_tell_dead(poll, loads->len);
 	if (loads->len > 0)
 		rc_take_round(poll->rc, loads);
 	else
@@ -128,11 +163,28 @@
 	if (now_us < poll->next_us || poll->loads)
 		return;
 	poll_begin(poll);
+	poll->asked = poll->calls->len;
 	poll->next_us = now_us + MAX(tmr_ms(POLL_ROUND_MS), tmr_s(poll->calls->len) / POLL_PER_S);
 	if (poll->calls->len == 0)
 		poll_end(poll);
 }
 
+/* In eighths, so that not every report is news to the other hosts. */
+static int poll_eighths(const struct seam_report *report)
+{
+	double part = report->kv_total > 0 ? report->kv_used / report->kv_total : 0;
+
+	return (int)(CLAMP(part, 0, 1) * ROUTER_FULL + 0.5);
+}
+
+static void poll_note_miss(struct poll *poll, const char *endpoint)
+{
+	gpointer missed = g_hash_table_lookup(poll->missed, endpoint);
+
+	g_hash_table_replace(poll->missed, g_strdup(endpoint),
+			     GINT_TO_POINTER(GPOINTER_TO_INT(missed) + 1));
+}
+
 static void poll_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct poll_call *call = ctx;
@@ -145,11 +197,14 @@
 	call->call = NULL;
 	if (status == HTTP_OK &&
 	    poll->rc->router->seam->engine.parse_report(str_make(body, len), &report) == 0) {
-		load = (struct router_load){g_strdup(call->endpoint), report.pace};
+		load = (struct router_load){g_strdup(call->endpoint), report.pace,
+					    poll_eighths(&report)};
 		g_array_append_val(poll->loads, load);
+		g_hash_table_remove(poll->missed, call->endpoint);
 		seam_report_finish(&report);
 	} else {
 		met_add(met_counter("bg_reports_missed_total", ""), 1);
+		poll_note_miss(poll, call->endpoint);
 	}
 	g_ptr_array_remove_fast(poll->calls, call);
 	if (poll->calls->len == 0)
--- a/router/rc.c
+++ b/router/rc.c
@@ -67,6 +67,7 @@
 	ep_list_init(&rc->endpoints);
 	rc->conf_packed = g_byte_array_new();
 	rc->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rc->dead = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->loads = rc_loads_new();
 	rc->polled = rc_loads_new();
 	rc->placer = placer_new(rc);
@@ -95,6 +96,7 @@
 	ep_list_finish(&rc->endpoints);
 	g_hash_table_destroy(rc->hosts);
 	g_hash_table_destroy(rc->seen);
+	g_hash_table_destroy(rc->dead);
 	g_byte_array_unref(rc->conf_packed);
 	rt_conf_unref(rc->conf);
 	g_free(rc);
@@ -286,8 +288,16 @@
 	return index;
 }
 
-/* What the others should hear: paces that have changed, and after a while again those not as usual.
- */
+/* old: NULL is an engine that nothing was heard of, which is taken to be as usual. */
+static bool rc_load_differs(const struct router_load *old, const struct router_load *load)
+{
+	int full = MAX(load->full, (int)ROUTER_FULL_NEWS);
+	int old_full = old ? MAX(old->full, (int)ROUTER_FULL_NEWS) : ROUTER_FULL_NEWS;
+
+	return (old ? old->pace : 1) != load->pace || old_full != full;
+}
+
+/* What the others should hear: what has changed, and after a while again what is not as usual. */
 static GArray *rc_news_of_round(const struct rc *rc, const GArray *loads, bool again, bool *changed)
 {
 	GHashTable *before = rc_index_loads(rc->polled);
@@ -297,10 +307,10 @@
 	for (guint i = 0; i < loads->len; i++) {
 		const struct router_load *load = &g_array_index(loads, struct router_load, i);
 		const struct router_load *old = g_hash_table_lookup(before, load->endpoint);
-		bool differs = (old ? old->pace : 1) != load->pace;
+		bool differs = rc_load_differs(old, load);
 		struct router_load copy = *load;
 
-		if (!differs && !(again && load->pace != 1))
+		if (!differs && !(again && rc_load_differs(NULL, load)))
 			continue;
 		*changed = *changed || differs;
 		copy.endpoint = g_strdup(load->endpoint);
@@ -358,27 +368,45 @@
 	loop_post(rc->loop, rc_take_own_suspect, msg);
 }
 
+static void rc_set_time(GHashTable *table, const char *endpoint, int64_t time_us)
+{
+	int64_t *value = g_hash_table_lookup(table, endpoint);
+
+	if (!value) {
+		value = g_new0(int64_t, 1);
+		g_hash_table_insert(table, g_strdup(endpoint), value);
+	}
+	*value = time_us;
+}
+
 /* The same news may come by two ways; each is passed on once in a while. */
 static bool rc_is_news(struct rc *rc, const char *endpoint, int64_t now_us)
 {
-	int64_t *last = g_hash_table_lookup(rc->seen, endpoint);
+	const int64_t *last = g_hash_table_lookup(rc->seen, endpoint);
 
 	if (last && now_us - *last < tmr_ms(RC_NEWS_MS))
 		return false;
-	if (!last) {
-		last = g_new0(int64_t, 1);
-		g_hash_table_insert(rc->seen, g_strdup(endpoint), last);
-	}
-	*last = now_us;
+	rc_set_time(rc->seen, endpoint, now_us);
 	return true;
 }
 
+bool rc_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us)
+{
+	const int64_t *until = g_hash_table_lookup(rc->dead, endpoint);
+
+	return until && now_us < *until;
+}
+
 void rc_on_suspect(struct rc *rc, const struct rc_suspect *suspect, const void *source)
 {
 	struct rc_suspect passed = *suspect;
 
 	if (!rc_is_news(rc, suspect->endpoint, tmr_now()))
 		return;
+	if (strcmp(suspect->why, RC_NO_REPORT) == 0) {
+		rc_set_time(rc->dead, suspect->endpoint, tmr_now() + tmr_ms(suspect->for_ms));
+		placer_on_change(rc->placer);
+	}
 	if (source)
 		tf_post_suspect(rc->router->tf, suspect->endpoint, suspect->for_ms, suspect->why);
 	if (++passed.hops > RC_HOPS_MAX)
--- a/router/rc.h
+++ b/router/rc.h
@@ -63,6 +63,7 @@
 	struct feed *feed;
 	struct follow *follow;
 	GHashTable *seen; /* endpoint -> when it was last passed on as suspect, int64_t */
+	GHashTable *dead; /* endpoint -> until when it is taken to be dead, int64_t */
 	GArray *loads;	  /* struct router_load, as last heard */
 	guint loads_version;
 	int64_t loads_us; /* when they were last handed on */
@@ -113,6 +114,9 @@
  */
 void rc_set_candidate(struct rc *rc, bool candidate);
 
+/* Why an engine is at fault that the first reader got no report from. */
+#define RC_NO_REPORT "no_report_to_reader"
+
 /* An endpoint that was found at fault; hops: hosts that passed it on. */
 struct rc_suspect {
 	const char *endpoint;
@@ -124,7 +128,10 @@
 /* From this host's traffic thread. Any thread. */
 void rc_post_suspect(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why);
 
-/* From another host: to the traffic thread, and on to the other hosts. */
+/* Whether no reader could reach the endpoint lately. */
+bool rc_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us);
+
+/* From another host, or from the polling: to the traffic thread, and on to the other hosts. */
 void rc_on_suspect(struct rc *rc, const struct rc_suspect *suspect, const void *source);
 
 /* suspect.c: 0 or BASE_EFRAME. */
--- a/router/router.h
+++ b/router/router.h
@@ -50,10 +50,16 @@
 
 void router_view_free(struct router_view *view);
 
+enum {
+	ROUTER_FULL = 8,      /* parts in which the use of an engine's memory is told */
+	ROUTER_FULL_NEWS = 4, /* from which on it is told; below, memory does not bind */
+};
+
 /* What an engine reported to the host that asks all of them. */
 struct router_load {
 	char *endpoint;
 	double pace; /* time of a step as a multiple of what is usual */
+	int full;    /* eighths of its memory for requests that are taken */
 };
 
 struct rc;
--- a/router/rq.c
+++ b/router/rq.c
@@ -349,7 +349,7 @@
 		culprit = g_hash_table_lookup(rq->tf->by_addr, rq->answer.culprit);
 	if (culprit) {
 		rq_avoid(rq, culprit);
-		tf_doubt(culprit, RQ_DOUBT_US, "named_at_fault", rq->request.id);
+		tf_on_named(culprit, "named_at_fault", rq->request.id);
 		return;
 	}
 	if (!first || err == 0)
@@ -360,6 +360,13 @@
 		tf_unreached(rq->tf, first, "unreachable", rq->request.id);
 }
 
+/* The head comes with the first event, so all stages have done their part. */
+static void rq_note_served(struct rq *rq)
+{
+	for (int i = 0; i < rq->target.count; i++)
+		dbt_on_served(&rq->target.stages[i].ep->doubt, rq->part_us);
+}
+
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers)
 {
 	struct rq *rq = ctx;
@@ -367,6 +374,8 @@
 
 	seam_answer_finish(&rq->answer);
 	rq->tf->router->seam->wire.read_answer(status, headers, rq->request.id, &rq->answer);
+	if (status / 100 == 2)
+		rq_note_served(rq);
 	go_on = fwd_on_head(&rq->fwd, &rq->answer.head, tmr_now());
 	return go_on;
 }
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -9,8 +9,7 @@
  * decided in fwd/fwd.c.
  */
 enum {
-	RQ_DOUBT_US = 700000, /* that an endpoint is not chosen for what may have other causes */
-	RQ_LOGGED_MAX = 200   /* bytes of an endpoint's refusal that go into the log */
+	RQ_LOGGED_MAX = 200 /* bytes of an endpoint's refusal that go into the log */
 };
 
 struct rq {
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -184,7 +184,7 @@
 	if (!ep)
 		return false;
 	rq_avoid(rq, ep);
-	tf_doubt(ep, RQ_DOUBT_US, "refused_repair", rq->request.id);
+	tf_on_named(ep, "refused_repair", rq->request.id);
 	return true;
 }
 
@@ -231,6 +231,17 @@
 	}
 }
 
+bool rq_proves(const struct rq *rq, const struct tf_ep *ep, int64_t now_us)
+{
+	if (!rq->attempt || rq->fwd.parts == 0 || now_us - rq->part_us >= RQ_ACTIVE_US)
+		return false;
+	for (int i = 0; i < rq->target.count; i++) {
+		if (rq->target.stages[i].ep == ep)
+			return true;
+	}
+	return false;
+}
+
 void rq_on_missing(struct rq *rq, struct tf_ep *ep)
 {
 	if (!rq->target.layered || !rq->attempt || rq->order || rq->repairs >= RQ_REPAIRS_MAX ||
--- a/router/tf.c
+++ b/router/tf.c
@@ -329,21 +329,29 @@
 
 void tf_doubt(struct tf_ep *ep, int64_t for_us, const char *why, const char *request)
 {
-	int64_t until_us = tmr_now() + for_us;
+	if (dbt_set(&ep->doubt, for_us, tmr_now()))
+		tf_log_suspect(ep, "endpoint_doubted", for_us, why, request);
+}
 
-	if (ep->doubt_us + TF_SUSPECT_STEP_US >= until_us)
-		return;
-	ep->doubt_us = until_us;
-	tf_log_suspect(ep, "endpoint_doubted", for_us, why, request);
+void tf_on_named(struct tf_ep *ep, const char *why, const char *request)
+{
+	int64_t for_us = dbt_on_fault(&ep->doubt, tmr_now());
+
+	if (for_us > 0)
+		tf_log_suspect(ep, "endpoint_doubted", for_us, why, request);
 }
 
 /* What waits for the endpoint on this host is taken elsewhere. */
 static void tf_leave(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
 		     const char *request)
 {
+	bool known = ep->suspect_us > tmr_now();
+
 	ep->suspect_us = MAX(ep->suspect_us, tmr_now() + for_us);
-	tf_log_suspect(ep, "endpoint_suspected", for_us, why, request);
-	met_add(met_counter("bg_endpoint_suspected_total", ""), 1);
+	if (!known) {
+		tf_log_suspect(ep, "endpoint_suspected", for_us, why, request);
+		met_add(met_counter("bg_endpoint_suspected_total", ""), 1);
+	}
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_suspect(tf->reqs->pdata[i - 1], ep);
 }
@@ -376,12 +384,24 @@
 	int64_t until_us;
 };
 
+/* A stream that goes on through an endpoint proves more than what other hosts say of it. */
+static bool tf_serves(const struct tf *tf, const struct tf_ep *ep)
+{
+	int64_t now_us = tmr_now();
+
+	for (guint i = 0; i < tf->reqs->len; i++) {
+		if (rq_proves(tf->reqs->pdata[i], ep, now_us))
+			return true;
+	}
+	return false;
+}
+
 static void tf_take_suspect(void *ctx)
 {
 	struct tf_suspect_msg *msg = ctx;
 	struct tf_ep *ep = g_hash_table_lookup(msg->tf->eps, msg->endpoint);
 
-	if (ep)
+	if (ep && !tf_serves(msg->tf, ep))
 		tf_leave(msg->tf, ep, msg->until_us - tmr_now(), msg->why, NULL);
 	g_free(msg->endpoint);
 	g_free(msg->why);
@@ -439,6 +459,7 @@
 		tf_log_pace(ep, load->pace);
 		slowed = ep->pace < tf_slow_move && load->pace >= tf_slow_move;
 		ep->pace = load->pace;
+		ep->full = (double)load->full / ROUTER_FULL;
 		ep->load_us = now_us;
 		if (slowed)
 			tf_tell_slow(msg->tf, ep);
--- a/router/tf.h
+++ b/router/tf.h
@@ -1,6 +1,7 @@
 #ifndef ROUTER_TF_H
 #define ROUTER_TF_H
 
+#include "ep/doubt.h"
 #include "path/path.h"
 #include "router/router.h"
 #include "share/share.h"
@@ -17,9 +18,10 @@
 	int in_flight;	    /* requests of this host that pass through it */
 	double tokens;	    /* their tokens of context */
 	double pace;	    /* as it reported last; 1: as usual */
+	double full;	    /* part of its memory for requests that was taken then */
 	int64_t load_us;    /* when that report came; 0: never */
 	int64_t suspect_us; /* it is at fault until then: not chosen, and left by what runs there */
-	int64_t doubt_us;   /* it may be at fault until then: not chosen */
+	struct dbt doubt;   /* it may be at fault: not chosen */
 	int64_t unreached_us;	/* when this host last failed to reach it */
 	int64_t progress_us;	/* when a request sent to it last got something */
 	struct hc_call *report; /* being asked for */
@@ -106,6 +108,9 @@
 /* Does not choose the endpoint for that time, on this host only: for what may have other causes. */
 void tf_doubt(struct tf_ep *ep, int64_t for_us, const char *why, const char *request);
 
+/* The same where an engine named the endpoint; the longer, the more often that happens in a row. */
+void tf_on_named(struct tf_ep *ep, const char *why, const char *request);
+
 /*
  * Passes the endpoint over for that time, on all hosts. Only for what is certain: a host that only
  * guesses which stage of a pipeline is at fault would take sound endpoints from everybody.
@@ -136,6 +141,9 @@
  * elsewhere. */
 void rq_on_missing(struct rq *rq, struct tf_ep *ep);
 
+/* Whether the request has just got something that came through the endpoint. */
+bool rq_proves(const struct rq *rq, const struct tf_ep *ep, int64_t now_us);
+
 /* The endpoint has turned slow: the request is taken off it, unless that costs a repeat. */
 void rq_on_slow(struct rq *rq, const struct tf_ep *ep);
 
