Who is refused for want of room comes back when there may be room; readers stand in for each other

(1) Refused callers were told to come back after 0.4 s, were refused again, and callers come back once. (2) Only the first reader asked engines for reports, and another one that was fed by a third host did not notice that it had died. (3) In an outage of the store every host went from one feeder to the next, 0.4 s each, and missed what the others found out. (4) With a full engine in doubt and a dead one left, both counted alike. Change: back/back.c tells when to come back by what was served lately; rounds of reports have numbers, and a reader that hears of none makes them (router/rank.c); after six feeders without the store a host keeps one; three degrees of trust in path/path.c.

--- /dev/null
+++ b/back/back.h
@@ -0,0 +1,30 @@
+#ifndef BACK_BACK_H
+#define BACK_BACK_H
+
+#include <glib.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * When a caller that is refused for want of room should come back (Retry-After). Pure.
+ *
+ * A caller comes back once. Where most requests are served, a refusal is bad luck, and coming back
+ * soon may still be in time. Where most are refused, the endpoints have no room, and whoever comes
+ * back soon is refused for good; those callers are spread over the next seconds.
+ */
+struct bk {
+	double served;	/* recent ones, fading */
+	double refused; /* the same */
+	int64_t at_us;	/* when these were last brought up to date */
+};
+
+void bk_on_served(struct bk *bk, int64_t now_us);
+void bk_on_refused(struct bk *bk, int64_t now_us);
+
+/* How long to wait, of the time that the caller has left. seed: for spreading. */
+int64_t bk_delay_us(struct bk *bk, int64_t left_us, int64_t now_us, uint32_t *seed);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/back/back_test.cc
@@ -0,0 +1,104 @@
+#include "back/back.h"
+#include "base/rnd.h"
+
+#include <gtest/gtest.h>
+#include <queue>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t MS = 1000;
+constexpr int64_t SEC = 1000 * MS;
+
+TEST(BackTest, BadLuckComesBackSoon)
+{
+	bk b{};
+	uint32_t seed = 1;
+	for (int i = 0; i < 10; i++)
+		bk_on_served(&b, i * 100 * MS);
+	bk_on_refused(&b, SEC);
+	EXPECT_EQ(bk_delay_us(&b, 20 * SEC, SEC, &seed), 300 * MS);
+}
+
+TEST(BackTest, WithoutRoomCallersAreSpread)
+{
+	bk b{};
+	uint32_t seed = 1;
+	int64_t least = 20 * SEC, most = 0;
+	for (int i = 0; i < 200; i++) {
+		bk_on_refused(&b, i * 10 * MS);
+		int64_t delay = bk_delay_us(&b, 20 * SEC, i * 10 * MS, &seed);
+		least = std::min(least, delay);
+		most = std::max(most, delay);
+	}
+	EXPECT_GE(least, SEC);
+	EXPECT_LT(least, SEC + 200 * MS);
+	EXPECT_GT(most, 5800 * MS);
+	EXPECT_LE(most, 6 * SEC);
+}
+
+/* Callers do not heed a time of more than a third of what they have left. */
+TEST(BackTest, NeverLaterThanCallersHeed)
+{
+	bk b{};
+	uint32_t seed = 1;
+	for (int i = 0; i < 20; i++)
+		bk_on_refused(&b, 0);
+	for (int64_t left : {300 * MS, 900 * MS, 4 * SEC, 10 * SEC})
+		EXPECT_LE(bk_delay_us(&b, left, 0, &seed), left / 3);
+}
+
+/*
+ * The load: 85 requests a second; for six seconds there is room for a third of them, as when two
+ * engines of a thin range of layers are lost at once. Each caller that is refused comes back once.
+ */
+int Served(bool adaptive)
+{
+	struct Visit {
+		int64_t at;
+		bool again;
+		bool operator<(const Visit &v) const
+		{
+			return at > v.at;
+		}
+	};
+	bk b{};
+	uint32_t seed = 7;
+	int served = 0;
+	double room = 0;
+	int64_t last = 0;
+	std::priority_queue<Visit> visits;
+	for (int i = 0; i < 85 * 12; i++)
+		visits.push({i * SEC / 85, false});
+	while (!visits.empty()) {
+		Visit v = visits.top();
+		visits.pop();
+		double per_s = v.at < 6 * SEC ? 28 : 110;
+		room = std::min(room + per_s * (double)(v.at - last) / 1e6, 5.0);
+		last = v.at;
+		if (room >= 1) {
+			room--;
+			served++;
+			bk_on_served(&b, v.at);
+			continue;
+		}
+		bk_on_refused(&b, v.at);
+		if (!v.again) {
+			int64_t wait = adaptive ? bk_delay_us(&b, 20 * SEC, v.at, &seed) : 400 * MS;
+			visits.push({v.at + wait, true});
+		}
+	}
+	return served;
+}
+
+TEST(BackTest, MoreAreServedAfterALossOfRoom)
+{
+	int before = Served(false), now = Served(true);
+	RecordProperty("at_once", before);
+	RecordProperty("spread", now);
+	printf("served of 1,020: coming back after 0.4 s %d, spread %d\n", before, now);
+	EXPECT_GT(now, before + 80);
+}
+
+} // namespace
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -617,7 +617,7 @@
   (ProtobufCMessageInit) feed__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__update__field_descriptors[10] =
+static const ProtobufCFieldDescriptor feed__update__field_descriptors[11] =
 {
   {
     "away",
@@ -739,6 +739,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "round",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Update, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__update__field_indices_by_name[] = {
   0,   /* field[0] = away */
@@ -751,12 +763,13 @@
   4,   /* field[4] = hosts */
   2,   /* field[2] = listing */
   6,   /* field[6] = loads */
+  10,   /* field[10] = round */
 };
 static const ProtobufCIntRange feed__update__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor feed__update__descriptor =
 {
@@ -766,7 +779,7 @@
   "Feed__Update",
   "feed",
   sizeof(Feed__Update),
-  10,
+  11,
   feed__update__field_descriptors,
   feed__update__field_indices_by_name,
   2,  feed__update__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -158,6 +158,10 @@
    * of the group, for orders
    */
   int64_t generation;
+  /*
+   * newest round of reports that the sender knows of
+   */
+  int64_t round;
   /*
    * all that are known; none: no change
    */
@@ -166,7 +170,7 @@
 };
 #define FEED__UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__update__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0,NULL }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- a/path/path.c
+++ b/path/path.c
@@ -21,6 +21,9 @@
 	int node; /* that ends there */
 };
 
+/* Cost of a node that is not trusted, as a multiple: a path has as few of them as it can. */
+static const double pa_untrusted_cost = 30;
+
 struct pa_search {
 	const struct rt_engine *engine;
 	const struct pa_node *nodes;
@@ -28,13 +31,13 @@
 	pa_delay_fn delay;
 	void *ctx;
 	uint32_t seed;
-	double *layer_ms; /* by node: cost of one layer there */
-	double *best;	  /* by node: of a path that ends with it */
-	int *from;	  /* by node: layer at which that path enters it */
-	int *before;	  /* by node: the one before it, or -1 */
-	int *order;	  /* nodes by the end of their range */
-	GArray *exits;	  /* struct pa_exit, by at */
-	bool with_spare;
+	double *layer_ms;    /* by node: cost of one layer there */
+	double *best;	     /* by node: of a path that ends with it */
+	int *from;	     /* by node: layer at which that path enters it */
+	int *before;	     /* by node: the one before it, or -1 */
+	int *order;	     /* nodes by the end of their range */
+	GArray *exits;	     /* struct pa_exit, by at */
+	enum pa_trust trust; /* the least that a node needs */
 };
 
 static void pa_search_init(struct pa_search *s, int n)
@@ -70,6 +73,8 @@
 
 	if (full > pa_full_from)
 		cost *= 1 + pa_full_cost * (full - pa_full_from);
+	if (node->trust != PA_GOOD)
+		cost *= pa_untrusted_cost;
 	cost *= node->slowness * (1 + pa_spread * rnd_unit(&s->seed));
 	return cost / e->layers;
 }
@@ -96,7 +101,7 @@
 
 	for (int i = 0; i < n; i++) {
 		if (s->nodes[i].usable && s->nodes[i].to > s->nodes[i].from &&
-		    (s->with_spare || !s->nodes[i].spare))
+		    s->nodes[i].trust <= s->trust)
 			s->order[count++] = i;
 	}
 	g_qsort_with_data(s->order, count, sizeof(s->order[0]), pa_by_end, (gpointer)s->nodes);
@@ -214,12 +219,11 @@
 			      .delay = delay,
 			      .ctx = ctx,
 			      .seed = ask->seed};
-	int err;
+	int err = PA_ENONE;
 
 	pa_search_init(&s, n);
-	err = pa_search_run(&s, n, path);
-	if (err < 0) {
-		s.with_spare = true;
+	for (int trust = PA_GOOD; err < 0 && trust < PA_TRUSTS; trust++) {
+		s.trust = trust;
 		err = pa_search_run(&s, n, path);
 	}
 	pa_search_finish(&s);
--- a/path/path.h
+++ b/path/path.h
@@ -22,6 +22,14 @@
 	PA_ENONE = -700 /* the usable endpoints do not hold every layer */
 };
 
+/* Nodes of the later kinds are used only where no path can be had without them. */
+enum pa_trust {
+	PA_GOOD,
+	PA_DOUBTED, /* it has rejected or failed a request; its memory may be full for a moment */
+	PA_FAULTY,  /* it does not answer */
+	PA_TRUSTS
+};
+
 struct pa_node {
 	int zone; /* any number that is the same within an availability zone */
 	int from; /* layers held */
@@ -34,7 +42,7 @@
 	double tokens;	  /* their tokens of context */
 	double full;	  /* part of its memory that is taken, as it reported; 0: not known */
 	bool usable;
-	bool spare; /* for paths that cannot be had without it: it is thought to be at fault */
+	enum pa_trust trust;
 };
 
 struct pa_stage {
@@ -64,8 +72,8 @@
 typedef double (*pa_delay_fn)(void *ctx, int zone_a, int zone_b);
 
 /*
- * Returns 0 or PA_ENONE. Spare nodes are used only where no path can be had without them, however
- * full the others are: a full one may take the request, one at fault will not.
+ * Returns 0 or PA_ENONE. A node that is not trusted is used only where no path can be had without
+ * it, however full the others are: a full one may take the request, one at fault will not.
  */
 int pa_choose(const struct rt_engine *engine, const struct pa_node *nodes, int n,
 	      const struct pa_ask *ask, pa_delay_fn delay, void *ctx, struct pa_path *path);
--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -210,7 +210,7 @@
 TEST(PathTest, OneAtFaultIsNotUsedHoweverFullTheOthersAre)
 {
 	pa_node dead = Node(1, 40, 80, 1);
-	dead.spare = true;
+	dead.trust = PA_FAULTY;
 	pa_node full = Node(1, 40, 80, 16);
 	full.in_flight = 300;
 	full.tokens = 300000;
@@ -221,8 +221,19 @@
 TEST(PathTest, OneAtFaultIsUsedWhereNobodyElseHoldsItsLayers)
 {
 	pa_node dead = Node(1, 40, 80);
-	dead.spare = true;
+	dead.trust = PA_FAULTY;
 	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead}).path), "0:0-40 1:40-80 ");
 }
 
+/* Both holders are out of favour: the one that may only be full for a moment is tried. */
+TEST(PathTest, ADoubtedOneGoesBeforeAFaultyOne)
+{
+	pa_node dead = Node(1, 40, 80, 1);
+	dead.trust = PA_FAULTY;
+	pa_node full = Node(1, 40, 80, 16);
+	full.trust = PA_DOUBTED;
+	full.tokens = 300000;
+	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead, full}).path), "0:0-40 2:40-80 ");
+}
+
 } // namespace
--- a/router/feed.c
+++ b/router/feed.c
@@ -27,6 +27,7 @@
 	guint listing; /* number of the listing that it has */
 	guint hosts_version;
 	guint loads_version;
+	int64_t round;
 	int64_t generation;
 	bool away;
 	bool greeted; /* it has got a first update */
@@ -192,7 +193,7 @@
 	if (!follower->greeted || follower->away == sf_is_reached(rc) ||
 	    follower->generation != rc->generation ||
 	    follower->hosts_version != rc->hosts_version ||
-	    follower->loads_version != rc->loads_version)
+	    follower->loads_version != rc->loads_version || follower->round != rc->round.number)
 		return true;
 	if (rc->conf && rc->conf->version > follower->conf_version)
 		return true;
@@ -257,6 +258,8 @@
 		feed_put_hosts(rc, &msg, hosts, refs);
 	if (follower->loads_version != rc->loads_version)
 		feed_put_loads(rc, &msg, loads, load_refs);
+	msg.round = rc->round.number;
+	follower->round = rc->round.number;
 	follower->loads_version = rc->loads_version;
 	follower->hosts_version = rc->hosts_version;
 	follower->generation = rc->generation;
--- a/router/follow.c
+++ b/router/follow.c
@@ -19,6 +19,11 @@
 	FOLLOW_SUSPECT_MS = 4000, /* a host that did not answer is passed over for this time */
 	FOLLOW_RETRY_MS = 300,
 	FOLLOW_STALE_MS = 400, /* for which a feeder that can't reach the store is kept */
+	/*
+	 * The same when no feeder reaches it. Hosts that went from one to the next all through an
+	 * outage missed what others found out about endpoints.
+	 */
+	FOLLOW_OUTAGE_MS = 4000,
 	/* Hosts start together and learn of each other over this time; until then each reads. */
 	FOLLOW_SETTLE_MS = 1500
 };
@@ -147,11 +152,14 @@
 
 /*
  * A feeder that cannot reach the store itself is of no use for longer than a moment: the next one
- * is asked. The store may turn away both this host and its feeder, and serve others.
+ * is asked. The store may turn away both this host and its feeder, and serve others; when all have
+ * been asked, it is away.
  */
 static bool follow_is_useless(const struct follow *follow, int64_t now_us)
 {
-	return follow->stale_us > 0 && now_us - follow->stale_us > tmr_ms(FOLLOW_STALE_MS);
+	int64_t bear_ms = follow->turn < RANK_FEEDERS ? FOLLOW_STALE_MS : FOLLOW_OUTAGE_MS;
+
+	return follow->stale_us > 0 && now_us - follow->stale_us > tmr_ms(bear_ms);
 }
 
 static void follow_leave(struct follow *follow)
@@ -182,14 +190,12 @@
 {
 	struct rc *rc = follow->rc;
 	bool settled = now_us >= follow->settled_us;
-	struct rank rank;
-
-	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rank);
-	follow_reconnect(follow, rank.feeder, now_us);
-	rc->reader = rank.reader;
-	rc->first = rank.first;
-	rc_set_direct(rc, rank.reader || !follow->fed || !settled);
-	rc_set_candidate(rc, rank.reader || (!follow->fed && settled && sf_is_reached(rc)));
+	const struct rank *rank = &rc->rank;
+
+	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
+	follow_reconnect(follow, rank->feeder, now_us);
+	rc_set_direct(rc, rank->reader || !follow->fed || !settled);
+	rc_set_candidate(rc, rank->reader || (!follow->fed && settled && sf_is_reached(rc)));
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -279,12 +285,12 @@
 	return 0;
 }
 
-/* The first reader polls by itself; what comes back to it by way of others is older. */
+/* Who polls by itself takes no loads that come back to it by way of others: they are older. */
 static void follow_take_loads(struct follow *follow, const Feed__Update *msg)
 {
 	GArray *loads;
 
-	if (msg->n_loads == 0 || follow->rc->first)
+	if (msg->n_loads == 0 || rc_polls(follow->rc))
 		return;
 	loads = rc_loads_new();
 	for (size_t i = 0; i < msg->n_loads; i++) {
@@ -319,6 +325,7 @@
 	}
 	follow_take_hosts(follow, msg);
 	follow_take_loads(follow, msg);
+	rank_round_heard(&rc->round, msg->round, tmr_now());
 	if (!rc->direct && msg->generation != rc->generation) {
 		rc->generation = MAX(rc->generation, msg->generation);
 		rc_view_due(rc);
--- a/router/pick.c
+++ b/router/pick.c
@@ -52,9 +52,11 @@
 	       strcmp(ep->rec->service, service->name) == 0;
 }
 
-static bool pick_is_passed_over(const struct tf_ep *ep, int64_t now_us)
+static enum pa_trust pick_trust(const struct tf_ep *ep, int64_t now_us)
 {
-	return ep->suspect_us > now_us || dbt_is_set(&ep->doubt, now_us);
+	if (ep->suspect_us > now_us)
+		return PA_FAULTY;
+	return dbt_is_set(&ep->doubt, now_us) ? PA_DOUBTED : PA_GOOD;
 }
 
 static bool pick_avoided(const struct tf_target *avoid, const struct tf_ep *ep)
@@ -163,7 +165,7 @@
 	node->room =
 		kind ? pl_token_room(&service->engine, kind->memory_mb, node->to - node->from) : 0;
 	pick_load(tf, ep, now_us, node);
-	node->spare = pick_is_passed_over(ep, now_us);
+	node->trust = pick_trust(ep, now_us);
 }
 
 /* What a search for stages works on. */
@@ -349,7 +351,7 @@
 		      const struct tf_target *avoid, struct tf_target *target)
 {
 	struct tf_ep *best = NULL;
-	bool best_spare = false;
+	enum pa_trust best_trust = PA_FAULTY;
 	double best_cost = 0;
 	GHashTableIter iter;
 	gpointer value;
@@ -357,15 +359,15 @@
 
 	g_hash_table_iter_init(&iter, tf->eps);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		bool spare = pick_is_passed_over(value, now_us);
+		enum pa_trust trust = pick_trust(value, now_us);
 		double cost;
 
 		if (!pick_usable(value, service) || pick_avoided(avoid, value))
 			continue;
 		cost = pick_plain_cost(tf, value, now_us);
-		if (!best || spare < best_spare || (spare == best_spare && cost < best_cost)) {
+		if (!best || trust < best_trust || (trust == best_trust && cost < best_cost)) {
 			best = value;
-			best_spare = spare;
+			best_trust = trust;
 			best_cost = cost;
 		}
 	}
--- a/router/poll.c
+++ b/router/poll.c
@@ -35,6 +35,7 @@
 	GPtrArray *calls;   /* struct poll_call */
 	GArray *loads;	    /* struct router_load, of the present round; NULL: between rounds */
 	guint asked;	    /* engines in the present round */
+	guint misses;	    /* of the last round that was logged */
 	GHashTable *missed; /* engine -> rounds in a row without an answer */
 	int64_t next_us;
 };
@@ -136,11 +137,25 @@
 	}
 }
 
+/* A line when the number of silent engines changes. */
+static void poll_log_round(const struct poll *poll, guint answered)
+{
+	if (poll->misses == g_hash_table_size(poll->missed))
+		return;
+	jl_begin(JL_KEEP, "reports");
+	jl_int("asked", poll->asked);
+	jl_int("answered", answered);
+	jl_int("silent", g_hash_table_size(poll->missed));
+	jl_end();
+}
+
 static void poll_end(struct poll *poll)
 {
 	GArray *loads = g_steal_pointer(&poll->loads);
 
 	poll_tell_dead(poll, loads->len);
+	poll_log_round(poll, loads->len);
+	poll->misses = g_hash_table_size(poll->missed);
 	if (loads->len > 0)
 		rc_take_round(poll->rc, loads);
 	else
@@ -148,14 +163,14 @@
 }
 
 /*
- * Only the first reader asks; the others hear of it through the feed. Two that both believe they
- * are the first cost some calls more.
+ * One reader asks; the others hear of it through the feed. Two that both believe that it is for
+ * them cost some calls more.
  */
 void poll_on_tick(struct poll *poll, int64_t now_us)
 {
 	struct rc *rc = poll->rc;
 
-	if (!rc->first || rc->stopping || !rc->conf) {
+	if (!rc_polls(rc) || rc->stopping || !rc->conf) {
 		g_ptr_array_set_size(poll->calls, 0);
 		g_clear_pointer(&poll->loads, g_array_unref);
 		return;
--- a/router/rank.c
+++ b/router/rank.c
@@ -5,6 +5,9 @@
 
 static const char rank_key[] = "readers of the store";
 
+/* Three rounds that were not heard of; one may be late, as a feed that has to be changed may be. */
+static const int64_t rank_silent_us = 3000000;
+
 static unsigned int rank_list(const struct host_table *table, const struct host **hosts,
 			      int64_t now_us)
 {
@@ -51,3 +54,24 @@
 			rank->feeder = host;
 	}
 }
+
+bool rank_round_heard(struct rank_round *round, int64_t number, int64_t now_us)
+{
+	bool news = number > round->number;
+
+	if (number >= round->number)
+		round->heard_us = now_us;
+	if (news)
+		round->number = number;
+	return news;
+}
+
+int64_t rank_round_done(struct rank_round *round)
+{
+	return ++round->number;
+}
+
+bool rank_round_is_ours(const struct rank_round *round, const struct rank *rank, int64_t now_us)
+{
+	return rank->first || (rank->reader && now_us - round->heard_us > rank_silent_us);
+}
--- a/router/rank.h
+++ b/router/rank.h
@@ -34,6 +34,27 @@
 void rank_choose(const struct host_table *table, const char *self, unsigned int turn,
 		 int64_t now_us, struct rank *rank);
 
+/*
+ * Who asks all engines for their reports: the first reader, in rounds of a second. Each round has a
+ * number, which the feeds hand on. A reader that has heard of no round for a while makes them
+ * itself: hosts know of each other's death only by what they try themselves, and one that is fed
+ * by another does not try the first one. In an outage of the store nobody asked for ten seconds,
+ * and two dead engines were sent to all the while.
+ */
+struct rank_round {
+	int64_t number;	  /* of the newest round that is known */
+	int64_t heard_us; /* when another host's round was last heard of */
+};
+
+/* Another host's round. Returns whether it is news to hand on. */
+bool rank_round_heard(struct rank_round *round, int64_t number, int64_t now_us);
+
+/* A round of this host's own has ended; its number is returned. */
+int64_t rank_round_done(struct rank_round *round);
+
+/* Whether this host should make rounds. */
+bool rank_round_is_ours(const struct rank_round *round, const struct rank *rank, int64_t now_us);
+
 G_END_DECLS
 
 #endif
--- a/router/rank_test.cc
+++ b/router/rank_test.cc
@@ -102,4 +102,44 @@
 	}
 }
 
+/*
+ * Symptom: in an outage of the store, engines that had died were sent to for ten seconds.
+ * Sequence: the first reader dies; the second, fed by a third host, forgets after 4 s that it found
+ * the first one silent. Cause: only the first reader asked engines for their reports.
+ */
+TEST(RankRoundTest, ASecondReaderTakesOver)
+{
+	const int64_t s = 1000000;
+	rank first{}, second{}, other{};
+	rank_round round{};
+	first.reader = first.first = second.reader = true;
+	EXPECT_TRUE(rank_round_heard(&round, 7, 10 * s));
+	EXPECT_TRUE(rank_round_is_ours(&round, &first, 10 * s));
+	EXPECT_FALSE(rank_round_is_ours(&round, &second, 13 * s));
+	EXPECT_TRUE(rank_round_is_ours(&round, &second, 13 * s + 1));
+	EXPECT_FALSE(rank_round_is_ours(&round, &other, 60 * s)) << "no reader";
+}
+
+/* Two that make rounds at once: the second one hears of the first and stops, also in lockstep. */
+TEST(RankRoundTest, TheSecondOneStopsWhenTheFirstIsBack)
+{
+	const int64_t s = 1000000;
+	rank second{};
+	rank_round round{};
+	second.reader = true;
+	EXPECT_EQ(rank_round_done(&round), 1);
+	EXPECT_FALSE(rank_round_heard(&round, 1, 20 * s)) << "known already, so not handed on";
+	EXPECT_FALSE(rank_round_is_ours(&round, &second, 21 * s));
+}
+
+/* A host that has just started counts from nothing; older rounds are not handed on in a ring. */
+TEST(RankRoundTest, OldRoundsAreNoNews)
+{
+	rank_round round{};
+	EXPECT_TRUE(rank_round_heard(&round, 500, 1));
+	EXPECT_FALSE(rank_round_heard(&round, 1, 2));
+	EXPECT_EQ(round.heard_us, 1);
+	EXPECT_EQ(rank_round_done(&round), 501);
+}
+
 } // namespace
--- a/router/rc.c
+++ b/router/rc.c
@@ -63,6 +63,7 @@
 	rc->loop = loop;
 	rc->hc = hc_new(loop);
 	rc->generation = -1;
+	rc->round.heard_us = tmr_now();
 	rc->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rc_host_free);
 	ep_list_init(&rc->endpoints);
 	rc->conf_packed = g_byte_array_new();
@@ -331,6 +332,7 @@
 	bool changed;
 	GArray *news = rc_news_of_round(rc, loads, again, &changed);
 
+	rank_round_done(&rc->round);
 	g_array_unref(rc->polled);
 	rc->polled = loads;
 	if (news->len > 0 && (changed || again))
@@ -390,6 +392,11 @@
 	return true;
 }
 
+bool rc_polls(const struct rc *rc)
+{
+	return rank_round_is_ours(&rc->round, &rc->rank, tmr_now());
+}
+
 bool rc_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us)
 {
 	const int64_t *until = g_hash_table_lookup(rc->dead, endpoint);
--- a/router/rc.h
+++ b/router/rc.h
@@ -2,7 +2,7 @@
 #define ROUTER_RC_H
 
 #include "base/frm.h"
-#include "host/host.h"
+#include "router/rank.h"
 #include "router/router.h"
 
 /*
@@ -45,10 +45,10 @@
 	GHashTable *hosts; /* name -> struct rc_host */
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
-	bool direct;	/* this host reads the store itself */
-	bool candidate; /* it may lead: it is a reader, or has no feed */
-	bool reader;	/* it is one of the readers */
-	bool first;	/* it is the first of the readers: it polls the engines */
+	bool direct;	  /* this host reads the store itself */
+	bool candidate;	  /* it may lead: it is a reader, or has no feed */
+	struct rank rank; /* as of the last tick */
+	struct rank_round round;
 	struct tmr ticker;
 	struct tmr list_timer;
 	int64_t generation; /* of the group of hosts; orders carry it as fencing number */
@@ -128,6 +128,9 @@
 /* From this host's traffic thread. Any thread. */
 void rc_post_suspect(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why);
 
+/* Whether this host asks all engines for their reports. */
+bool rc_polls(const struct rc *rc);
+
 /* Whether no reader could reach the endpoint lately. */
 bool rc_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us);
 
--- a/router/rq.c
+++ b/router/rq.c
@@ -374,8 +374,10 @@
 
 	seam_answer_finish(&rq->answer);
 	rq->tf->router->seam->wire.read_answer(status, headers, rq->request.id, &rq->answer);
-	if (status / 100 == 2)
+	if (status / 100 == 2) {
 		rq_note_served(rq);
+		bk_on_served(tf_back(rq->tf, rq->service->name), tmr_now());
+	}
 	go_on = fwd_on_head(&rq->fwd, &rq->answer.head, tmr_now());
 	return go_on;
 }
@@ -475,7 +477,17 @@
 {
 	struct rq *rq = ctx;
 
-	rq_tell(rq, status, fwd_cause_name(rq->fwd.failure), not_run ? RQ_RETRY_US : 0);
+	int64_t now_us = tmr_now();
+	int64_t back_us = 0;
+
+	if (not_run) {
+		struct bk *back = tf_back(rq->tf, rq->service->name);
+
+		bk_on_refused(back, now_us);
+		back_us = bk_delay_us(back, rq->fwd.rules.deadline_us - now_us, now_us,
+				      &rq->tf->seed);
+	}
+	rq_tell(rq, status, fwd_cause_name(rq->fwd.failure), back_us);
 }
 
 static void rq_on_timer(void *ctx, int64_t now_us)
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -141,7 +141,7 @@
 
 static void sf_failed(struct sf_topic *t, int status, int err)
 {
-	int64_t most_ms = t->rc->reader ? SF_RETRY_MAX_MS : SF_RETRY_OTHERS_MS;
+	int64_t most_ms = t->rc->rank.reader ? SF_RETRY_MAX_MS : SF_RETRY_OTHERS_MS;
 	int64_t delay_ms = MIN(SF_RETRY_MS << MIN(t->failures, 4), most_ms);
 
 	if (t->failures++ == 0) {
--- a/router/tf.c
+++ b/router/tf.c
@@ -68,6 +68,7 @@
 	tf->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
 	sh_init(&tf->share);
 	tf->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	tf->backs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	tf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tf->zone_names = g_ptr_array_new();
 	tf->reqs = g_ptr_array_new();
@@ -210,6 +211,17 @@
 	return bud;
 }
 
+struct bk *tf_back(struct tf *tf, const char *service)
+{
+	struct bk *back = g_hash_table_lookup(tf->backs, service);
+
+	if (!back) {
+		back = g_new0(struct bk, 1);
+		g_hash_table_insert(tf->backs, g_strdup(service), back);
+	}
+	return back;
+}
+
 static void tf_apply_limits(struct tf *tf)
 {
 	const struct rt_limits *limits = &tf->view->conf->limits;
--- a/router/tf.h
+++ b/router/tf.h
@@ -1,6 +1,7 @@
 #ifndef ROUTER_TF_H
 #define ROUTER_TF_H
 
+#include "back/back.h"
 #include "ep/doubt.h"
 #include "path/path.h"
 #include "router/router.h"
@@ -61,6 +62,7 @@
 	GHashTable *by_addr; /* address -> struct tf_ep; of those that are listed */
 	struct sh share;     /* what client accounts have used */
 	GHashTable *budgets; /* service -> struct bud */
+	GHashTable *backs;   /* service -> struct bk */
 	GHashTable *zones;   /* name -> number, from 1 */
 	GPtrArray *zone_names;
 	GPtrArray *reqs; /* struct rq */
@@ -100,6 +102,7 @@
 
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
+struct bk *tf_back(struct tf *tf, const char *service);
 void tf_ep_unref(struct tf_ep *ep);
 
 /* The endpoint failed or answered a request; fades with time. */
