A rejected request is sent again only to endpoints that answer

Cause: with the holders of some layers full, what was left for the second and third sending was an engine known to be dead; each such sending was rejected and counted as a repeat. Change: fwd asks for a repeat with a reason when there is none; the choice of a pipeline takes the least trust that an endpoint needs, and repeats and repairs need more than a first sending. Test: FwdTest.ARejectedRequestEndsWhereNobodyIsLeft, PathTest.OneAtFaultIsUsedWhereNobodyElseHoldsItsLayers.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -127,14 +127,18 @@
 
 static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us)
 {
+	int err;
+
 	if (ran)
 		fwd->runs++;
 	if (!fwd_may_send(fwd, fwd->runs, now_us)) {
 		fwd_close(fwd);
 		return;
 	}
-	if (!fwd->ops->may_send_again(fwd->ctx)) {
-		fwd->failure = FWD_BUDGET;
+	err = fwd->ops->take_repeat(fwd->ctx);
+	if (err < 0) {
+		if (err == FWD_EBUDGET)
+			fwd->failure = FWD_BUDGET;
 		fwd_close(fwd);
 		return;
 	}
@@ -222,7 +226,7 @@
 
 	fwd->failure = FWD_FAILED;
 	fwd->runs++;
-	if (again && fwd_may_send(fwd, fwd->runs, now_us) && fwd->ops->may_send_again(fwd->ctx)) {
+	if (again && fwd_may_send(fwd, fwd->runs, now_us) && fwd->ops->take_repeat(fwd->ctx) == 0) {
 		fwd_send(fwd, now_us);
 		return;
 	}
@@ -306,7 +310,7 @@
 {
 	if (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING)
 		return;
-	if (!fwd_may_give_up(fwd, now_us) || !fwd->ops->may_send_again(fwd->ctx)) {
+	if (!fwd_may_give_up(fwd, now_us) || fwd->ops->take_repeat(fwd->ctx) < 0) {
 		fwd_arm(fwd);
 		return;
 	}
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -20,7 +20,8 @@
  *      +-- not run, or may run again ----+
  */
 enum fwd_err {
-	FWD_ENOENDPOINT = -900 /* no usable endpoint at present */
+	FWD_ENOENDPOINT = -900, /* no usable endpoint at present */
+	FWD_EBUDGET = -901	/* the budget of repeats is spent */
 };
 
 /* Why a request ended as it did; also the text in the log. */
@@ -65,8 +66,8 @@
 	 */
 	int (*send)(void *ctx, int attempt, const char *resume_after);
 
-	/* Whether the budget allows one more sending; takes it. */
-	bool (*may_send_again)(void *ctx);
+	/* Takes one more sending from the budget. Returns 0 or a negative FWD_E. */
+	int (*take_repeat)(void *ctx);
 
 	/* Ends the attempt under way, without on_done. */
 	void (*cancel)(void *ctx);
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -74,7 +74,7 @@
 				    resume_after ? std::string("send@") + resume_after : "send");
 			return Of(ctx)->send_error_;
 		},
-		[](void *ctx) { return Of(ctx)->budget_; },
+		[](void *ctx) { return Of(ctx)->repeat_error_; },
 		[](void *ctx) { Say(ctx, "cancel"); },
 		[](void *ctx) {
 			Say(ctx, "silent");
@@ -100,7 +100,7 @@
 	bool live_ = false;
 	int64_t now_ = 1000 * MS;
 	int send_error_ = 0;
-	bool budget_ = true;
+	int repeat_error_ = 0;
 	bool keep_silent_ = false;
 	std::vector<std::string> did_;
 	std::string got_;
@@ -150,7 +150,7 @@
 		{true, true, true, "send refuse503! rejected"},
 		{true, true, false, "send refuse502? broken"},
 	};
-	budget_ = false;
+	repeat_error_ = FWD_EBUDGET;
 	for (const auto &c : cases) {
 		Start(false, false, 1);
 		if (c.headed)
@@ -325,10 +325,24 @@
 	EXPECT_EQ(Did(), "send begin data7 send@1 data7 abort broken");
 }
 
+/*
+ * Symptom: the budget of repeats was spent while requests that could be served were refused.
+ * Sequence: engines reject requests; nobody is left to send them to but engines that are dead.
+ * Cause: they were sent there, rejected again, and each time counted as a repeat.
+ */
+TEST_F(FwdTest, ARejectedRequestEndsWhereNobodyIsLeft)
+{
+	Start(true, false);
+	repeat_error_ = FWD_ENOENDPOINT;
+	Head(503, false, true, true);
+	Done(true);
+	EXPECT_EQ(Did(), "send refuse503! rejected");
+}
+
 TEST_F(FwdTest, TheBudgetIsAskedBeforeASecondSending)
 {
 	Start(true, false);
-	budget_ = false;
+	repeat_error_ = FWD_EBUDGET;
 	Done(false);
 	EXPECT_EQ(Did(), "send refuse502? budget");
 }
@@ -343,7 +357,7 @@
 	Start(true, true);
 	Head(200);
 	Data("id: 1\n\n");
-	budget_ = false;
+	repeat_error_ = FWD_EBUDGET;
 	Wait(150 * MS);
 	Data("id: 2\n\n");
 	Done(true);
@@ -414,7 +428,7 @@
 	};
 	for (int round = 0; round < 3000; round++) {
 		int ends = 0;
-		budget_ = draw(2);
+		repeat_error_ = draw(2) ? 0 : FWD_EBUDGET;
 		keep_silent_ = draw(2);
 		Start(draw(2), draw(2), 1 + (int)draw(3));
 		for (int i = 0; i < 40; i++) {
--- a/path/path.c
+++ b/path/path.c
@@ -222,7 +222,7 @@
 	int err = PA_ENONE;
 
 	pa_search_init(&s, n);
-	for (int trust = PA_GOOD; err < 0 && trust < PA_TRUSTS; trust++) {
+	for (int trust = PA_GOOD; err < 0 && trust <= (int)ask->trust; trust++) {
 		s.trust = trust;
 		err = pa_search_run(&s, n, path);
 	}
--- a/path/path.h
+++ b/path/path.h
@@ -26,8 +26,7 @@
 enum pa_trust {
 	PA_GOOD,
 	PA_DOUBTED, /* it has rejected or failed a request; its memory may be full for a moment */
-	PA_FAULTY,  /* it does not answer */
-	PA_TRUSTS
+	PA_FAULTY   /* it does not answer */
 };
 
 struct pa_node {
@@ -66,7 +65,8 @@
 	double answer;	 /* tokens expected */
 	double cross_ms; /* of a hop to another availability zone, besides the delay of the network
 			  */
-	uint32_t seed;	 /* for spreading requests of like cost */
+	enum pa_trust trust; /* nodes that are trusted less are not used at all */
+	uint32_t seed;	     /* for spreading requests of like cost */
 };
 
 typedef double (*pa_delay_fn)(void *ctx, int zone_a, int zone_b);
--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -46,10 +46,11 @@
 	pa_path path;
 };
 
-Choice Choose(const std::vector<pa_node> &nodes, uint32_t seed = 1, int zone = 1)
+Choice Choose(const std::vector<pa_node> &nodes, uint32_t seed = 1, int zone = 1,
+	      pa_trust trust = PA_FAULTY)
 {
 	rt_engine engine = Engine();
-	pa_ask ask = {0, 80, zone, 800, 200, 3.0, seed};
+	pa_ask ask = {0, 80, zone, 800, 200, 3.0, trust, seed};
 	Choice c{};
 	c.err = pa_choose(&engine, nodes.data(), (int)nodes.size(), &ask, Delay, nullptr, &c.path);
 	return c;
@@ -86,7 +87,7 @@
 	const std::vector<pa_node> nodes = {Node(1, 0, 40), Node(1, 8, 24), Node(1, 24, 40),
 					    Node(1, 40, 80)};
 	rt_engine engine = Engine();
-	pa_ask ask = {16, 32, 1, 800, 200, 3.0, 1};
+	pa_ask ask = {16, 32, 1, 800, 200, 3.0, PA_FAULTY, 1};
 	pa_path path;
 
 	ASSERT_EQ(pa_choose(&engine, nodes.data(), 4, &ask, Delay, nullptr, &path), 0);
@@ -223,6 +224,8 @@
 	pa_node dead = Node(1, 40, 80);
 	dead.trust = PA_FAULTY;
 	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead}).path), "0:0-40 1:40-80 ");
+	EXPECT_EQ(Choose({Node(1, 0, 40), dead}, 1, 1, PA_DOUBTED).err, PA_ENONE)
+		<< "nor there, where the request has been rejected before";
 }
 
 /* Both holders are out of favour: the one that may only be full for a moment is tried. */
--- a/router/pick.c
+++ b/router/pick.c
@@ -237,12 +237,13 @@
 
 static int pick_pipeline(struct tf *tf, const struct rt_service *service,
 			 const struct seam_request *request, const struct tf_target *avoid,
-			 struct tf_target *target)
+			 enum pa_trust trust, struct tf_target *target)
 {
 	struct pick pick;
 	int err;
 
 	pick_init(&pick, tf, service, request, avoid);
+	pick.ask.trust = trust;
 	err = pick_search(&pick, tf, service);
 	if (err == 0) {
 		target->layered = true;
@@ -305,6 +306,7 @@
 		return FWD_ENOENDPOINT;
 	pick_without(now, avoid, &without);
 	pick_init(&pick, tf, service, request, &without);
+	pick.ask.trust = PA_DOUBTED;
 	for (int i = 0; err == 0 && i < now->count;) {
 		int next = i;
 
@@ -348,7 +350,7 @@
 }
 
 static int pick_plain(struct tf *tf, const struct rt_service *service,
-		      const struct tf_target *avoid, struct tf_target *target)
+		      const struct tf_target *avoid, enum pa_trust least, struct tf_target *target)
 {
 	struct tf_ep *best = NULL;
 	enum pa_trust best_trust = PA_FAULTY;
@@ -362,7 +364,7 @@
 		enum pa_trust trust = pick_trust(value, now_us);
 		double cost;
 
-		if (!pick_usable(value, service) || pick_avoided(avoid, value))
+		if (!pick_usable(value, service) || pick_avoided(avoid, value) || trust > least)
 			continue;
 		cost = pick_plain_cost(tf, value, now_us);
 		if (!best || trust < best_trust || (trust == best_trust && cost < best_cost)) {
@@ -378,15 +380,15 @@
 }
 
 int tf_pick(struct tf *tf, const struct rt_service *service, const struct seam_request *request,
-	    const struct tf_target *avoid, struct tf_target *target)
+	    const struct tf_target *avoid, enum pa_trust trust, struct tf_target *target)
 {
 	int err;
 
 	memset(target, 0, sizeof(*target));
 	if (rt_is_layered(service))
-		err = pick_pipeline(tf, service, request, avoid, target);
+		err = pick_pipeline(tf, service, request, avoid, trust, target);
 	else
-		err = pick_plain(tf, service, avoid, target);
+		err = pick_plain(tf, service, avoid, trust, target);
 	if (err == 0)
 		tf_target_hold(target);
 	return err;
--- a/router/rq.c
+++ b/router/rq.c
@@ -39,7 +39,7 @@
 };
 
 static int rq_send(void *ctx, int attempt, const char *resume_after);
-static bool rq_may_send_again(void *ctx);
+static int rq_take_repeat(void *ctx);
 static void rq_cancel(void *ctx);
 static void rq_answer_whole(void *ctx, const char *body, size_t len);
 static void rq_answer_begin(void *ctx);
@@ -56,7 +56,7 @@
 
 static const struct fwd_ops rq_fwd_ops = {
 	.send = rq_send,
-	.may_send_again = rq_may_send_again,
+	.take_repeat = rq_take_repeat,
 	.cancel = rq_cancel,
 	.on_silent = rq_on_silent,
 	.answer_whole = rq_answer_whole,
@@ -287,7 +287,8 @@
 	int err;
 
 	tf_target_clear(&rq->target);
-	err = tf_pick(tf, rq->service, &rq->request, &rq->avoid, &rq->target);
+	err = tf_pick(tf, rq->service, &rq->request, &rq->avoid,
+		      attempt > 0 ? PA_DOUBTED : PA_FAULTY, &rq->target);
 	if (err < 0)
 		return err;
 	if (rq->target.layered)
@@ -316,11 +317,19 @@
 	return 0;
 }
 
-static bool rq_may_send_again(void *ctx)
+/*
+ * Nothing is taken from the budget where only endpoints are left that do not answer: they would
+ * reject the request once more, and the budget is for those that can be served.
+ */
+static int rq_take_repeat(void *ctx)
 {
 	struct rq *rq = ctx;
+	struct tf_target target;
 
-	return bud_take(tf_budget(rq->tf, rq->service->name), tmr_now());
+	if (tf_pick(rq->tf, rq->service, &rq->request, &rq->avoid, PA_DOUBTED, &target) < 0)
+		return FWD_ENOENDPOINT;
+	tf_target_clear(&target);
+	return bud_take(tf_budget(rq->tf, rq->service->name), tmr_now()) ? 0 : FWD_EBUDGET;
 }
 
 static void rq_drop(struct hc_call **call)
--- a/router/tf.h
+++ b/router/tf.h
@@ -76,9 +76,12 @@
 	int64_t view_us;     /* when the view was taken */
 };
 
-/* pick.c: 0, or a negative FWD_E. The target holds references until tf_target_clear(). */
+/*
+ * pick.c: 0, or a negative FWD_E. Endpoints are trusted as little as that at the least. The target
+ * holds references until tf_target_clear().
+ */
 int tf_pick(struct tf *tf, const struct rt_service *service, const struct seam_request *request,
-	    const struct tf_target *avoid, struct tf_target *target);
+	    const struct tf_target *avoid, enum pa_trust trust, struct tf_target *target);
 
 /*
  * The same pipeline with the layers of its bad stages at other endpoints. Bad are those that are to
