Operators can ask a host what it believes; ages, budget and placement are in the metrics

Cause: what a host believes (who feeds it, which endpoints it passes over and how long yet, what accounts have used, repeats left) was only to be had by reading logs from the start on. Change: GET /state on the metrics address, each thread writing down its own; bgctl state [hosts|endpoints|faults|accounts|budgets]; gauges for the version and age of the configuration, feeds, the budget left, copies of the thinnest range of layers and its memory. The figure after a loss is a function of its own now, since it costs O(nodes^2 x layers).

--- a/base/met.c
+++ b/base/met.c
@@ -60,6 +60,16 @@
 	return &met_item(MET_COUNTER, name, labels)->u.ctr;
 }
 
+struct met_ctr *met_gauge(const char *name, const char *labels)
+{
+	return met_counter(name, labels);
+}
+
+void met_set(struct met_ctr *ctr, uint64_t value)
+{
+	ck_pr_store_64(&ctr->value, value);
+}
+
 void met_add(struct met_ctr *ctr, uint64_t n)
 {
 	ck_pr_add_64(&ctr->value, n);
--- a/base/met.h
+++ b/base/met.h
@@ -7,7 +7,7 @@
 G_BEGIN_DECLS
 
 /*
- * Counters and histograms by name and labels, written out in the Prometheus text format.
+ * Counters, gauges and histograms by name and labels, written out in the Prometheus text format.
  * A counter is one atomic word. A histogram is log-linear: 8 parts to each power of two, so a
  * bucket is at most 12.5 % wide. All functions may be called from any thread.
  */
@@ -34,6 +34,10 @@
 void met_add(struct met_ctr *ctr, uint64_t n);
 uint64_t met_get(const struct met_ctr *ctr);
 
+/* As met_counter(), for a value that goes up and down. */
+struct met_ctr *met_gauge(const char *name, const char *labels);
+void met_set(struct met_ctr *ctr, uint64_t value);
+
 /* As met_counter(); values are microseconds. */
 struct met_hist *met_histogram(const char *name, const char *labels);
 void met_observe(struct met_hist *hist, int64_t value_us);
--- a/bud/bud.c
+++ b/bud/bud.c
@@ -59,7 +59,7 @@
 	return requests * 1e6 / (double)MAX(span_us, bud_least_span_us);
 }
 
-bool bud_take(struct bud *bud, int64_t now_us)
+double bud_left(struct bud *bud, int64_t now_us)
 {
 	double requests = 0;
 	double repeats = 0;
@@ -71,7 +71,12 @@
 		repeats += bud->repeats[i];
 	}
 	allowed = bud->limits.ratio * requests + bud->limits.fixed / MAX(bud->limits.hosts, 1);
-	if (repeats + 1 > allowed * bud_caution)
+	return MAX(allowed * bud_caution - repeats, 0);
+}
+
+bool bud_take(struct bud *bud, int64_t now_us)
+{
+	if (bud_left(bud, now_us) < 1)
 		return false;
 	bud->repeats[bud->slot % BUD_SLOTS]++;
 	return true;
--- a/bud/bud.h
+++ b/bud/bud.h
@@ -40,6 +40,9 @@
 /* Requests a second over the window, or since the first one if that is less. */
 double bud_rate(struct bud *bud, int64_t now_us);
 
+/* Repeats that may be taken now. */
+double bud_left(struct bud *bud, int64_t now_us);
+
 /* Takes one repeat from the budget. Returns false when it is spent. */
 bool bud_take(struct bud *bud, int64_t now_us);
 
--- a/place/place.c
+++ b/place/place.c
@@ -425,9 +425,14 @@
 		held += nodes[i].to - nodes[i].from;
 	figures->copies_mean = engine->layers > 0 ? (double)held / engine->layers : 0;
 	figures->tokens_min = pl_weakest(engine, nodes, n, -1);
-	figures->tokens_after_loss = figures->tokens_min;
-	for (int i = 0; i < n; i++)
-		figures->tokens_after_loss =
-			MIN(figures->tokens_after_loss, pl_weakest(engine, nodes, n, i));
 	g_free(board);
 }
+
+double pl_after_loss(const struct rt_engine *engine, const struct pl_node *nodes, int n)
+{
+	double least = pl_weakest(engine, nodes, n, -1);
+
+	for (int i = 0; i < n; i++)
+		least = MIN(least, pl_weakest(engine, nodes, n, i));
+	return least;
+}
--- a/place/place.h
+++ b/place/place.h
@@ -41,8 +41,7 @@
 	int copies_min;	 /* endpoints of the layer that has the fewest */
 	int zones_whole; /* availability zones that hold every layer by themselves */
 	double copies_mean;
-	double tokens_min;	  /* tokens of context that the weakest layer has memory for */
-	double tokens_after_loss; /* the same after the loss of the one endpoint that costs most */
+	double tokens_min; /* tokens of context that the weakest layer has memory for */
 };
 
 /* Layers of one segment, or 0 when the nodes can't hold the model. */
@@ -65,6 +64,9 @@
 void pl_measure(const struct rt_engine *engine, const struct pl_node *nodes, int n,
 		struct pl_figures *figures);
 
+/* Figures' tokens_min after the loss of the one node that costs most; O(nodes^2 x layers). */
+double pl_after_loss(const struct rt_engine *engine, const struct pl_node *nodes, int n);
+
 /* Tokens of context that a node has memory for, over the layers that it holds. */
 double pl_token_room(const struct rt_engine *engine, double memory_mb, int layers_held);
 
--- a/place/place_test.cc
+++ b/place/place_test.cc
@@ -67,6 +67,11 @@
 			nodes[m.node].to = m.to;
 		}
 	}
+	double AfterLoss()
+	{
+		rt_engine engine = Engine();
+		return pl_after_loss(&engine, nodes.data(), (int)nodes.size());
+	}
 	pl_figures Measure()
 	{
 		rt_engine engine = Engine();
@@ -112,7 +117,7 @@
 	EXPECT_EQ(figures.zones_whole, 3);
 	EXPECT_GE(figures.copies_min, 4);
 	/* 300 requests in flight of 1,000 tokens fit, also after the worst loss. */
-	EXPECT_GT(figures.tokens_after_loss, 270000);
+	EXPECT_GT(f.AfterLoss(), 270000);
 }
 
 TEST(PlaceTest, CutPointsAreCommon)
@@ -213,18 +218,20 @@
 	const struct {
 		const char *name;
 		pl_figures figures;
-	} plans[] = {
-		{"plan", plan.Measure()}, {"round", round.Measure()}, {"full", full.Measure()}};
+		double after_loss;
+	} plans[] = {{"plan", plan.Measure(), plan.AfterLoss()},
+		     {"round", round.Measure(), round.AfterLoss()},
+		     {"full", full.Measure(), full.AfterLoss()}};
 	for (const auto &p : plans)
 		printf("%-6s zones whole %d, fewest copies %d, copies %.1f, tokens %.0f, after the worst "
 		       "loss %.0f\n",
 		       p.name, p.figures.zones_whole, p.figures.copies_min, p.figures.copies_mean,
-		       p.figures.tokens_min, p.figures.tokens_after_loss);
+		       p.figures.tokens_min, p.after_loss);
 	/* "round" has more room after a loss, but two zones can't serve a request by themselves. */
 	for (const auto &p : plans)
 		EXPECT_GE(plans[0].figures.zones_whole, p.figures.zones_whole) << p.name;
-	EXPECT_GT(plans[0].figures.tokens_after_loss, 270000);
-	EXPECT_LT(plans[2].figures.tokens_after_loss, 270000);
+	EXPECT_GT(plans[0].after_loss, 270000);
+	EXPECT_LT(plans[2].after_loss, 270000);
 }
 
 TEST(PlaceTest, TooLittleMemoryMakesNoPlan)
--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -27,6 +27,7 @@
 static int ctl_wait_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_secret(struct ctl *ctl, int argc, char **argv);
 static int ctl_explain_command(struct ctl *ctl, int argc, char **argv);
+static int ctl_state_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_wait(const struct ctl *ctl, gint64 revision);
 
 static const struct ctl_command ctl_commands[] = {
@@ -42,6 +43,10 @@
 	 FALSE},
 	{"explain", "ID [FILE...]", "a request's story from hosts' logs (files, or standard input)",
 	 ctl_explain_command, TRUE},
+	{"state", "[WHAT]",
+	 "what a bgrouterd believes (--control: its metrics address): hosts, endpoints, faults, "
+	 "accounts, budgets",
+	 ctl_state_command, FALSE},
 	{"secret", "NAME", "make a token and its salted hash", ctl_secret, TRUE},
 };
 
@@ -401,6 +406,13 @@
 	return g_string_free(hex, FALSE);
 }
 
+static int ctl_state_command(struct ctl *ctl, int argc, char **argv)
+{
+	if (argc > 1)
+		return CTL_USAGE;
+	return ctl_state(ctl, argc == 1 ? argv[0] : NULL);
+}
+
 static int ctl_explain_command(struct ctl *ctl, int argc, char **argv)
 {
 	(void)ctl;
--- a/prog/ctl.h
+++ b/prog/ctl.h
@@ -31,6 +31,10 @@
 int ctl_fail(const char *what, long status, json_t *body);
 
 int ctl_show(const struct ctl *ctl, const char *what);
+
+/* What a bgrouterd believes; what: a table, NULL: the single values. */
+int ctl_state(const struct ctl *ctl, const char *what);
+
 /* The story of a request from logs; files: number of paths, 0: standard input. */
 int ctl_explain(const char *id, int files, char **paths);
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -49,6 +49,8 @@
 };
 const size_t router_items_n = G_N_ELEMENTS(router_items);
 
+#define ROUTER_STATE_PATH "/state"
+
 struct router_main {
 	struct router router;
 	struct loop loop;
@@ -75,9 +77,13 @@
 
 static void router_on_metrics_call(void *ctx, struct hd_call *call)
 {
-	GString *text = g_string_new(NULL);
+	GString *text;
 
-	(void)ctx;
+	if (strcmp(hd_path(call), ROUTER_STATE_PATH) == 0) {
+		state_answer(ctx, call);
+		return;
+	}
+	text = g_string_new(NULL);
 	met_write(text);
 	hd_reply(call, 200, "text/plain", text->str, text->len);
 	g_string_free(text, TRUE);
--- a/router/follow.c
+++ b/router/follow.c
@@ -71,6 +71,11 @@
 	return follow->fed;
 }
 
+const char *follow_feeder(const struct follow *follow)
+{
+	return follow->conn ? follow->host : NULL;
+}
+
 /* Hosts that may be readers: those with at least half of what the strongest has. */
 static double follow_least_capacity(const struct rc *rc)
 {
--- a/router/placer.c
+++ b/router/placer.c
@@ -181,6 +181,18 @@
 	}
 }
 
+static void placer_gauges(const struct rt_service *service, const GArray *nodes)
+{
+	char *labels = g_strdup_printf("service=\"%s\"", service->name);
+	struct pl_figures figures;
+
+	pl_measure(&service->engine, (const struct pl_node *)(void *)nodes->data, (int)nodes->len,
+		   &figures);
+	met_set(met_gauge("bg_layer_copies_least", labels), (uint64_t)MAX(figures.copies_min, 0));
+	met_set(met_gauge("bg_layer_tokens_least", labels), (uint64_t)figures.tokens_min);
+	g_free(labels);
+}
+
 static void placer_plan(struct placer *placer, const struct rt_service *service, int64_t now_us)
 {
 	GPtrArray *recs = ep_snapshot(&placer->rc->endpoints);
@@ -205,6 +217,7 @@
 	if (moves->len == 0 && g_hash_table_size(placer->orders) == 0)
 		pl_balance(&service->engine, (const struct pl_node *)(void *)nodes->data,
 			   (int)nodes->len, moves);
+	placer_gauges(service, nodes);
 	room = PLACER_AT_ONCE - MIN(placer_waiting(placer), PLACER_AT_ONCE);
 	for (guint i = 0; i < MIN(moves->len, room); i++) {
 		const struct pl_move *move = &g_array_index(moves, struct pl_move, i);
--- a/router/rc.c
+++ b/router/rc.c
@@ -434,6 +434,7 @@
 	if (rc->view_due || rc->endpoints.changed)
 		rc_post_view(rc);
 	feed_flush(rc->feed);
+	state_gauges(rc, now_us);
 	loop_after(rc->loop, &rc->ticker, tmr_ms(RC_TICK_MS), rc_on_tick, rc);
 }
 
--- a/router/rc.h
+++ b/router/rc.h
@@ -141,6 +141,9 @@
 int suspect_on_msg(struct rc *rc, struct frm_conn *conn, const uint8_t *body, size_t len);
 void suspect_send(struct frm_conn *conn, const struct rc_suspect *suspect);
 
+/* state.c: counts of the control thread for the metrics. */
+void state_gauges(const struct rc *rc, int64_t now_us);
+
 /* placer.c */
 struct placer *placer_new(struct rc *rc);
 void placer_free(struct placer *placer);
@@ -176,6 +179,8 @@
 
 /* Whether the feed brings what the store holds now. */
 bool follow_is_fed(const struct follow *follow);
+/* The host that feeds this one, or NULL. */
+const char *follow_feeder(const struct follow *follow);
 void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
 			 const void *source);
 
--- a/router/router.h
+++ b/router/router.h
@@ -88,6 +88,12 @@
 /* The host is stopping: it gives up what it leads and leaves the list of hosts. */
 void rc_stop(struct rc *rc);
 
+/*
+ * state.c: answers with what this host believes, as JSON: "hosts", "endpoints", "accounts",
+ * "budgets" and single values. Any thread.
+ */
+void state_answer(struct router *router, struct hd_call *call);
+
 /* Traffic thread: tf.c, and below it rq.c and pick.c. */
 struct tf *tf_start(struct router *router);
 
--- /dev/null
+++ b/router/state.c
@@ -0,0 +1,170 @@
+#include "base/jl.h"
+#include "base/met.h"
+#include "router/rc.h"
+#include "router/tf.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/*
+ * What a host believes, for operators. Each thread writes down what it knows itself: the control
+ * thread begins, the traffic thread adds its part and answers.
+ */
+struct state {
+	struct router *router;
+	struct hd_call *call;
+	json_t *json;
+};
+
+static void state_from_control(void *ctx);
+static void state_from_traffic(void *ctx);
+
+static const char *const state_names[] = {
+	[EP_READY] = "ready",
+	[EP_DRAINING] = "draining",
+};
+
+void state_answer(struct router *router, struct hd_call *call)
+{
+	struct state *state = g_new0(struct state, 1);
+
+	state->router = router;
+	state->call = call;
+	loop_post(router->rc->loop, state_from_control, state);
+}
+
+static json_t *state_hosts(const struct rc *rc)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rc->hosts);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct rc_host *host = value;
+
+		json_array_append_new(list, json_pack("{s:s, s:s, s:f}", "name", name, "addr",
+						      host->addr, "capacity", host->capacity));
+	}
+	return list;
+}
+
+/* Since the store, or a host that reaches it, was last heard of; -1: never. */
+static int64_t state_age_ms(const struct rc *rc, int64_t now_us)
+{
+	const struct sf_topic *conf = &rc->topics[SEAM_CONF];
+
+	if (follow_is_fed(rc->follow))
+		return 0;
+	return conf->read_us > 0 ? (now_us - conf->read_us) / TMR_US_PER_MS : -1;
+}
+
+static void state_from_control(void *ctx)
+{
+	struct state *state = ctx;
+	const struct rc *rc = state->router->rc;
+
+	state->json = json_pack("{s:s, s:I, s:I, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
+				state->router->settings.name, "configuration",
+				(json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
+				(json_int_t)rc->generation, "reads_store", rc->direct,
+				"asks_engines", rc_polls(rc), "places_layers", rc_may_order(rc),
+				"feeder", follow_feeder(rc->follow), "fed",
+				follow_is_fed(rc->follow), "store_age_ms",
+				(json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
+	loop_post(&state->router->tf->loop, state_from_traffic, state);
+}
+
+static int64_t state_left_ms(int64_t until_us, int64_t now_us)
+{
+	return MAX(until_us - now_us, 0) / TMR_US_PER_MS;
+}
+
+static json_t *state_endpoint(const struct tf_ep *ep, int64_t now_us)
+{
+	const struct ep_rec *rec = ep->rec;
+
+	return json_pack("{s:s, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I}", "id",
+			 rec->id, "service", rec->service, "addr", rec->addr, "zone", rec->zone,
+			 "kind", rec->kind, "state", state_names[rec->state], "from",
+			 rec->layer_from, "to", rec->layer_to, "in_flight", ep->in_flight, "pace",
+			 ep->load_us > 0 ? ep->pace : 1.0, "full", ep->full, "doubted_ms",
+			 (json_int_t)state_left_ms(ep->doubt.until_us, now_us), "suspected_ms",
+			 (json_int_t)state_left_ms(ep->suspect_us, now_us));
+}
+
+static json_t *state_endpoints(const struct tf *tf, int64_t now_us)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(list, state_endpoint(value, now_us));
+	return list;
+}
+
+static json_t *state_accounts(const struct tf *tf, int64_t now_us)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->share.accounts);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		json_array_append_new(list, json_pack("{s:s, s:f}", "name", name, "tokens",
+						      sh_used(value, now_us)));
+	return list;
+}
+
+static json_t *state_budgets(const struct tf *tf, int64_t now_us)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->budgets);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		json_array_append_new(list, json_pack("{s:s, s:f, s:f}", "service", name, "left",
+						      bud_left(value, now_us), "requests_per_s",
+						      bud_rate(value, now_us)));
+	return list;
+}
+
+static void state_from_traffic(void *ctx)
+{
+	struct state *state = ctx;
+	const struct tf *tf = state->router->tf;
+	int64_t now_us = tmr_now();
+	char *text;
+
+	json_object_set_new(state->json, "requests", json_integer(tf->reqs->len));
+	json_object_set_new(state->json, "endpoints", state_endpoints(tf, now_us));
+	json_object_set_new(state->json, "accounts", state_accounts(tf, now_us));
+	json_object_set_new(state->json, "budgets", state_budgets(tf, now_us));
+	text = json_dumps(state->json, JSON_COMPACT | JSON_REAL_PRECISION(4));
+	if (text)
+		hd_reply(state->call, 200, "application/json", text, strlen(text));
+	else
+		hd_reply(state->call, 500, "text/plain", "", 0);
+	free(text);
+	hd_unref(state->call);
+	json_decref(state->json);
+	g_free(state);
+}
+
+void state_gauges(const struct rc *rc, int64_t now_us)
+{
+	met_set(met_gauge("bg_configuration_version", ""),
+		(uint64_t)(rc->conf ? rc->conf->version : 0));
+	met_set(met_gauge("bg_store_age_ms", ""), (uint64_t)MAX(state_age_ms(rc, now_us), 0));
+	met_set(met_gauge("bg_reads_store", ""), rc->direct);
+	met_set(met_gauge("bg_fed", ""), follow_is_fed(rc->follow));
+	met_set(met_gauge("bg_places_layers", ""), rc_may_order(rc));
+	met_set(met_gauge("bg_hosts", ""), g_hash_table_size(rc->hosts));
+	met_set(met_gauge("bg_endpoints", ""), g_hash_table_size(rc->endpoints.entries));
+}
--- a/router/tf.c
+++ b/router/tf.c
@@ -93,11 +93,28 @@
 	return ck_pr_load_uint(&tf->open);
 }
 
+static void tf_gauges(const struct tf *tf, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	met_set(met_gauge("bg_requests_open", ""), tf->reqs->len);
+	g_hash_table_iter_init(&iter, tf->budgets);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		char *labels = g_strdup_printf("service=\"%s\"", (const char *)name);
+
+		met_set(met_gauge("bg_repeats_left", labels), (uint64_t)bud_left(value, now_us));
+		g_free(labels);
+	}
+}
+
 static void tf_on_sweep(void *ctx, int64_t now_us)
 {
 	struct tf *tf = ctx;
 
 	tf_sweep_parked(tf, now_us);
+	tf_gauges(tf, now_us);
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_sweep(tf->reqs->pdata[i - 1], now_us);
 	loop_after(&tf->loop, &tf->sweep, tmr_ms(TF_SWEEP_MS), tf_on_sweep, tf);
--- a/share/share.c
+++ b/share/share.c
@@ -27,11 +27,16 @@
 	g_hash_table_destroy(sh->accounts);
 }
 
-static void sh_fade(struct sh_account *account, int64_t now_us)
+double sh_used(const struct sh_account *account, int64_t now_us)
 {
 	double age_s = (double)(now_us - account->used_us) / 1e6;
 
-	account->used *= exp2(-age_s / sh_fade_s);
+	return account->used * exp2(-age_s / sh_fade_s);
+}
+
+static void sh_fade(struct sh_account *account, int64_t now_us)
+{
+	account->used = sh_used(account, now_us);
 	account->used_us = now_us;
 }
 
--- a/share/share.h
+++ b/share/share.h
@@ -37,6 +37,9 @@
  */
 int sh_charge(struct sh *sh, const char *account, double tokens, int64_t priority, int64_t now_us);
 
+/* What the account has used, faded to now. */
+double sh_used(const struct sh_account *account, int64_t now_us);
+
 G_END_DECLS
 
 #endif
