The lease for orders is a pure module, searched over all courses of two hosts and the store

Cause: who may order engines was spread over rc.c and placer.c, with no test without the bench; and a host took the newest generation for its fencing number, also one that it had only heard of, under which another may lead. Change: lead/lead.c. An order carries the generation under which the lease was given; a newer one that is heard of ends the right to order until the next join, which is then made at once. An order keeps its fencing number from when it was decided. A refusal concerns that number.

--- a/router/feed.c
+++ b/router/feed.c
@@ -191,7 +191,7 @@
 	const struct rc *rc = feed->rc;
 
 	if (!follower->greeted || follower->away == sf_is_reached(rc) ||
-	    follower->generation != rc->generation ||
+	    follower->generation != rc->lead.newest ||
 	    follower->hosts_version != rc->hosts_version ||
 	    follower->loads_version != rc->loads_version || follower->round != rc->round.number)
 		return true;
@@ -251,7 +251,7 @@
 
 	follower->away = !sf_is_reached(rc);
 	msg.away = follower->away;
-	msg.generation = rc->generation;
+	msg.generation = rc->lead.newest;
 	feed_put_conf(feed, follower, &msg);
 	feed_put_endpoints(feed, follower, &msg);
 	if (follower->hosts_version != rc->hosts_version)
@@ -262,7 +262,7 @@
 	follower->round = rc->round.number;
 	follower->loads_version = rc->loads_version;
 	follower->hosts_version = rc->hosts_version;
-	follower->generation = rc->generation;
+	follower->generation = rc->lead.newest;
 	follower->greeted = true;
 	frm_send(follower->conn, MSG_FEED_UPDATE, &msg.base);
 	g_array_unref(hosts);
--- a/router/follow.c
+++ b/router/follow.c
@@ -331,9 +331,8 @@
 	follow_take_hosts(follow, msg);
 	follow_take_loads(follow, msg);
 	rank_round_heard(&rc->round, msg->round, tmr_now());
-	if (!rc->direct && msg->generation != rc->generation) {
-		rc->generation = MAX(rc->generation, msg->generation);
-		rc_view_due(rc);
+	if (msg->generation > rc->lead.newest) {
+		rc_take_generation(rc, msg->generation);
 	}
 	feed__update__free_unpacked(msg, NULL);
 	rc_first_view(rc);
--- a/router/placer.c
+++ b/router/placer.c
@@ -43,6 +43,7 @@
 	int from;
 	int to;
 	int64_t given_us;
+	int64_t fence;
 	struct hc_call *call;
 };
 
@@ -52,7 +53,6 @@
 	int64_t seen_us;    /* when the first endpoint was seen */
 	int64_t grown_us;   /* when a new one was last seen */
 	guint known;
-	int64_t fenced;	 /* fencing number that was refused; -1: none */
 	bool due;	 /* what a plan depends on has changed */
 	int64_t next_us; /* when a plan is made without a change */
 };
@@ -84,7 +84,6 @@
 	struct placer *placer = g_new0(struct placer, 1);
 
 	placer->rc = rc;
-	placer->fenced = -1;
 	placer->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, placer_order_free);
 	return placer;
 }
@@ -121,8 +120,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!placer_settled(placer, now_us) || !rc->conf || !rc_may_order(rc) ||
-	    rc->generation <= placer->fenced)
+	if (!placer_settled(placer, now_us) || !rc->conf || !rc_may_order(rc))
 		return;
 	if (!placer->due && now_us < placer->next_us)
 		return;
@@ -258,6 +256,7 @@
 	order->from = move->from;
 	order->to = move->to;
 	order->given_us = now_us;
+	order->fence = rc->lead.generation;
 	g_hash_table_replace(placer->orders, order->id, order);
 	jl_begin(JL_KEEP, "place");
 	jl_str("endpoint", rec->id);
@@ -268,7 +267,7 @@
 	jl_int("to", move->to);
 	jl_int("held_from", rec->layer_from);
 	jl_int("held_to", rec->layer_to);
-	jl_int("fence", rc->generation);
+	jl_int("fence", rc->lead.generation);
 	jl_end();
 	order->call = hc_start(rc->hc, &request, &placer_report_ops, order);
 	g_free(url);
@@ -301,7 +300,7 @@
 	struct rc *rc = order->placer->rc;
 	const struct seam_engine *engine = &rc->router->seam->engine;
 	char *url = g_strdup_printf("http://%s%s", order->addr, engine->order_path());
-	char *body = engine->make_place(order->from, order->to, rc->generation, expect);
+	char *body = engine->make_place(order->from, order->to, order->fence, expect);
 	const char *headers[] = {"Content-Type: application/json", NULL};
 	struct hc_request request = {
 		.method = "POST",
@@ -341,7 +340,7 @@
 		jl_str("answer", body);
 	jl_end();
 	if (status == HTTP_FENCED)
-		placer->fenced = placer->rc->generation;
+		lead_on_refused(&placer->rc->lead, order->fence);
 	if (!sent || status == HTTP_CONFLICT || status == HTTP_FENCED)
 		order->given_us -= PLACER_PATIENCE_US * 3 / 4;
 }
--- a/router/rc.c
+++ b/router/rc.c
@@ -62,7 +62,7 @@
 	rc->router = router;
 	rc->loop = loop;
 	rc->hc = hc_new(loop);
-	rc->generation = -1;
+	lead_init(&rc->lead, tmr_ms(RC_GROUP_TTL_MS));
 	rc->round.heard_us = tmr_now();
 	rc->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rc_host_free);
 	ep_list_init(&rc->endpoints);
@@ -106,7 +106,6 @@
 void rc_stop(struct rc *rc)
 {
 	rc->stopping = true;
-	rc->leader = false;
 	rc_leave(rc);
 	rc_list_self(rc, false);
 }
@@ -146,7 +145,6 @@
 	if (rc->join)
 		hc_cancel(rc->join);
 	rc->join = NULL;
-	rc->leader = false;
 	rc_leave(rc);
 }
 
@@ -447,7 +445,7 @@
 	view->conf = rc->conf ? rt_conf_ref(rc->conf) : NULL;
 	view->endpoints = ep_snapshot(&rc->endpoints);
 	view->hosts = MAX((int)g_hash_table_size(rc->hosts), 1);
-	view->fence = rc->generation;
+	view->fence = rc->lead.newest;
 	view->listed = rc->listed;
 	rc->view_whole = view->conf && view->listed;
 	placer_on_change(rc->placer);
@@ -496,11 +494,11 @@
 	const struct seam_store *store = &rc->router->seam->store;
 	char *body = store->make_leave(rc->router->settings.name);
 
-	if (rc->joined_us > 0)
+	if (rc->lead.joined_us > 0)
 		rc_post(rc, store->leave_path(), body, strlen(body), &rc_leave_ops);
 	else
 		g_free(body);
-	rc->joined_us = 0;
+	lead_on_left(&rc->lead);
 }
 
 static void rc_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len)
@@ -552,15 +550,16 @@
 	(void)now_us;
 	if (rc->stopping)
 		return;
-	body = store->make_join(rc->router->settings.name, RC_GROUP_TTL_MS, MAX(rc->generation, 0));
-	rc->join_began_us = rc_boot_us();
+	body = store->make_join(rc->router->settings.name, RC_GROUP_TTL_MS,
+				MAX(rc->lead.newest, 0));
+	lead_on_join(&rc->lead, rc_boot_us());
 	rc->join = rc_post(rc, store->join_path(), body, strlen(body), &rc_join_ops);
 }
 
 static void rc_on_joined(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct rc *rc = ctx;
-	int64_t generation = rc->generation;
+	int64_t generation = rc->lead.newest;
 	bool leader = false;
 
 	(void)err;
@@ -570,24 +569,25 @@
 	if (status != HTTP_OK ||
 	    rc->router->seam->store.parse_join(str_make(body, len), &generation, &leader) < 0)
 		return;
-	if (leader != rc->leader || generation != rc->generation) {
+	if (lead_on_joined(&rc->lead, generation, leader)) {
 		jl_begin(JL_KEEP, "group");
 		jl_int("generation", generation);
 		jl_int("leader", leader);
 		jl_end();
 		rc_view_due(rc);
 	}
-	rc->generation = generation;
-	rc->leader = leader;
-	rc->joined_us = rc->join_began_us;
 }
 
-/*
- * A host that was suspended wakes and still believes that it leads. The clock used here goes on
- * meanwhile, so its right has lapsed by the time at which the store may have given it to another.
- */
+void rc_take_generation(struct rc *rc, int64_t generation)
+{
+	lead_on_heard(&rc->lead, generation);
+	rc_view_due(rc);
+	if (rc->candidate && !rc->join)
+		loop_after(rc->loop, &rc->join_timer, 0, rc_join, rc);
+}
+
+/* The clock goes on while the machine is suspended. */
 bool rc_may_order(const struct rc *rc)
 {
-	return rc->leader && !rc->stopping &&
-	       rc_boot_us() - rc->joined_us < tmr_ms(RC_GROUP_TTL_MS);
+	return !rc->stopping && lead_may_order(&rc->lead, rc_boot_us());
 }
--- a/router/rc.h
+++ b/router/rc.h
@@ -2,6 +2,7 @@
 #define ROUTER_RC_H
 
 #include "base/frm.h"
+#include "lead/lead.h"
 #include "router/rank.h"
 #include "router/router.h"
 
@@ -51,11 +52,8 @@
 	struct rank_round round;
 	struct tmr ticker;
 	struct tmr list_timer;
-	int64_t generation; /* of the group of hosts; orders carry it as fencing number */
-	bool leader;	    /* this host places layers */
-	int64_t join_began_us;
-	int64_t joined_us; /* when the last successful join was begun, on the clock that counts
-			      sleep */
+	struct lead
+		lead; /* whether this host places layers; its generation is the fencing number */
 	struct hc_call *join;
 	struct tmr join_timer;
 	struct placer *placer;
@@ -98,6 +96,9 @@
 void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
 void rc_take_host(struct rc *rc, const char *name, struct str text);
 
+/* Another host knows that generation of the group; this one asks whether it still leads. */
+void rc_take_generation(struct rc *rc, int64_t generation);
+
 /* Takes the newest loads (struct router_load) and hands them on; the array is taken over. */
 void rc_take_loads(struct rc *rc, GArray *loads);
 
--- a/router/state.c
+++ b/router/state.c
@@ -68,7 +68,7 @@
 	state->json = json_pack("{s:s, s:I, s:I, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
 				state->router->settings.name, "configuration",
 				(json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
-				(json_int_t)rc->generation, "reads_store", rc->direct,
+				(json_int_t)rc->lead.newest, "reads_store", rc->direct,
 				"asks_engines", rc_polls(rc), "places_layers", rc_may_order(rc),
 				"feeder", follow_feeder(rc->follow), "fed",
 				follow_is_fed(rc->follow), "store_age_ms",
