The fault soak also troubles the ways to endpoints and between hosts

Cause: its proxies stood before the store only; ways to engines and between hosts, which carry streams, repairs and feeds, were never cut, delayed, reset or made deaf. Change: endpoints of the stand-in and hosts register under the address of a proxy (a host by the new setting control_known_as, which also serves hosts behind an address translation). One more fault, "way".

--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -112,10 +112,18 @@
         self.links = {}
         self.link_until = {}
         self.seen = {}                                    # host -> newest route seen there
+        base = self.stack.base
         for i, host in enumerate(self.stack.hosts):
-            port = self.stack.base + 80 + i
-            self.links[host] = Proxy(port, self.stack.store_port)
-            self.stack.store_via[host] = port
+            self.links[host] = Proxy(base + 80 + i, self.stack.store_port)
+            self.stack.store_via[host] = base + 80 + i
+            self.add_link(host, base + 85 + i, self.stack.port(host, "control"))
+        for i, point in enumerate(self.stack.points):
+            self.add_link(point[0], base + 60 + i, point[1])
+
+    def add_link(self, name, port, target):
+        """What reaches a host's control port, or an endpoint, passes through a proxy."""
+        self.links["to " + name] = Proxy(port, target)
+        self.stack.known_as[name] = port
 
     def broken(self, what):
         self.failures.append("%.1f s: %s" % (time.monotonic() - self.began, what))
@@ -172,6 +180,15 @@
         self.link_until[host] = time.monotonic() + seconds
         self.touch([host], seconds + 5.0)
 
+    def fault_way(self):
+        """The way to one host's control port, or to one endpoint, for everybody."""
+        name = self.random.choice([n for n in self.links if n.startswith("to ")])
+        seconds = self.random.uniform(0.3, 3.0)
+        self.links[name].set(self.random.choice(MODES))
+        self.link_until[name] = time.monotonic() + seconds
+        if name[3:] in self.calm:
+            self.touch(self.stack.hosts, seconds + 5.0)
+
     def fault_config(self):
         route = "r%d" % len(self.stack.extra_routes)
         self.stack.extra_routes.append(route)
@@ -237,7 +254,8 @@
             del self.link_until[host]
 
     def step(self):
-        weights = {"kill": 3, "pause": 3, "engine": 6, "store": 1, "link": 3, "config": 4}
+        weights = {"kill": 3, "pause": 3, "engine": 6, "store": 1, "link": 3, "way": 4,
+                   "config": 4}
         names = [n for n in weights
                  if not ("engine" in self.paused and n == "engine") and
                  not ("store" in self.paused and n in ("store", "config")) and
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -82,6 +82,7 @@
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
         self.store_via = {h: self.store_port for h in self.hosts}
+        self.known_as = {}      # host or endpoint -> port that others reach it at, if not its own
         self.points = []
         for i in range(8):
             kind = "big" if i % 2 else "small"
@@ -107,6 +108,8 @@
             ini.write("[listen]\n")
             for what in ("front", "ready", "metrics", "control"):
                 ini.write("%s = 127.0.0.1:%d\n" % (what, self.port(host, what)))
+            if host in self.known_as:
+                ini.write("control_known_as = 127.0.0.1:%d\n" % self.known_as[host])
             ini.write("[hosts]\nseeds = %s\n" % seeds)
             ini.write("[store]\naddress = 127.0.0.1:%d\n" % self.store_via[host])
             ini.write("[endpoints]\ndrain_ms = %d\n" % self.drain_ms)
@@ -116,7 +119,9 @@
     def up(self, wait=True):
         self.begin("store", [os.path.join(BIN, "bgstand-store"), "127.0.0.1:%d" % self.store_port])
         eventually("the store answers", lambda: self.fault_store("ok") or True)
-        specs = ["%s,127.0.0.1:%d,%s,%s,%s" % p for p in self.points]
+        specs = ["%s,127.0.0.1:%d,%s,%s,%s" % p + (
+            ",127.0.0.1:%d" % self.known_as[p[0]] if p[0] in self.known_as else "")
+                 for p in self.points]
         self.begin("engine", [os.path.join(BIN, "bgstand-engine"),
                               "127.0.0.1:%d" % self.store_port,
                               "127.0.0.1:%d" % self.engine_control, str(LAYERS)] + specs)
--- a/router/rc.c
+++ b/router/rc.c
@@ -479,7 +479,8 @@
 {
 	const struct router_settings *s = &rc->router->settings;
 	const struct seam_store *store = &rc->router->seam->store;
-	char *text = g_strdup_printf("%s %.3f", s->control, s->link_mbps * s->cores);
+	const char *addr = s->control_known_as[0] ? s->control_known_as : s->control;
+	char *text = g_strdup_printf("%s %.3f", addr, s->link_mbps * s->cores);
 	GString *record = store->make_record(s->name, listed ? text : NULL);
 	size_t len = record->len;
 
--- a/router/router.h
+++ b/router/router.h
@@ -27,6 +27,7 @@
 	char *ready;
 	char *metrics;
 	char *control;
+	char *control_known_as; /* that other hosts reach it at; "": the same */
 	char *seeds;
 	char *store;
 	int64_t drain_ms;
