--- a/base/set.c
+++ b/base/set.c
@@ -79,7 +79,8 @@
 		return set_store_int(item, target, value);
 	if (item->type == SET_REAL)
 		return set_store_real(item, target, value);
-	if (item->type == SET_ADDR && addr_parse(value, &sin) < 0)
+	if (item->type == SET_ADDR && (value[0] != '\0' || !item->initial) &&
+	    addr_parse(value, &sin) < 0)
 		return "expected an address IP:PORT";
 	if (item->type == SET_TEXT && item->min > 0 && value[0] == '\0')
 		return "expected a text that is not empty";
--- a/prog/router.c
+++ b/prog/router.c
@@ -38,7 +38,7 @@
 	ITEM("listen", "ready", SET_ADDR, ready, NULL, 0, 0),
 	ITEM("listen", "metrics", SET_ADDR, metrics, NULL, 0, 0),
 	ITEM("listen", "control", SET_ADDR, control, NULL, 0, 0),
-	ITEM("listen", "control_known_as", SET_TEXT, control_known_as, "", 0, 0),
+	ITEM("listen", "control_known_as", SET_ADDR, control_known_as, "", 0, 0),
 	ITEM("hosts", "seeds", SET_TEXT, seeds, "", 0, 0),
 	ITEM("store", "address", SET_ADDR, store, NULL, 0, 0),
 	ITEM("endpoints", "drain_ms", SET_INT, drain_ms, "2000", 10, 600000),
