--- a/router/feed.c
+++ b/router/feed.c
@@ -281,7 +281,7 @@
 	}
 }
 
-void feed_send_suspect(struct feed *feed, const struct rc_suspect *suspect, const void *source)
+void feed_send_suspect(struct feed *feed, const struct suspect *suspect, const void *source)
 {
 	for (guint i = 0; i < feed->followers->len; i++) {
 		const struct feed_follower *follower = feed->followers->pdata[i];
--- a/router/follow.c
+++ b/router/follow.c
@@ -200,7 +200,7 @@
 	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
 	rc_set_direct(rc, rank->reader || !follow->fed || !settled);
-	rc_set_candidate(rc, rank->reader || (!follow->fed && settled && sf_is_reached(rc)));
+	member_set_candidate(rc, rank->reader || (!follow->fed && settled && sf_is_reached(rc)));
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -297,14 +297,14 @@
 
 	if (msg->n_loads == 0 || rc_polls(follow->rc))
 		return;
-	loads = rc_loads_new();
+	loads = loads_new();
 	for (size_t i = 0; i < msg->n_loads; i++) {
 		const Feed__Load *from = msg->loads[i];
 		struct router_load load = {g_strdup(from->endpoint), from->pace, from->full};
 
 		g_array_append_val(loads, load);
 	}
-	rc_take_loads(follow->rc, loads);
+	loads_take(follow->rc, loads);
 }
 
 static int follow_on_update(struct follow *follow, const uint8_t *body, size_t len)
@@ -332,7 +332,7 @@
 	follow_take_loads(follow, msg);
 	rank_round_heard(&rc->round, msg->round, tmr_now());
 	if (msg->generation > rc->lead.newest) {
-		rc_take_generation(rc, msg->generation);
+		member_on_generation(rc, msg->generation);
 	}
 	feed__update__free_unpacked(msg, NULL);
 	rc_first_view(rc);
@@ -365,8 +365,7 @@
 	follow_on_tick(follow, tmr_now());
 }
 
-void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
-			 const void *source)
+void follow_send_suspect(struct follow *follow, const struct suspect *suspect, const void *source)
 {
 	if (follow->conn && follow->conn != source)
 		suspect_send(follow->conn, suspect);
--- a/router/placer.c
+++ b/router/placer.c
@@ -120,7 +120,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!placer_settled(placer, now_us) || !rc->conf || !rc_may_order(rc))
+	if (!placer_settled(placer, now_us) || !rc->conf || !member_may_order(rc))
 		return;
 	if (!placer->due && now_us < placer->next_us)
 		return;
@@ -173,7 +173,7 @@
 	node->from = order ? order->from : rec->layer_from;
 	node->to = order ? order->to : rec->layer_to;
 	node->usable = kind && !order && rec->state == EP_READY;
-	if (rc_is_dead(placer->rc, rec->id, now_us)) {
+	if (suspect_is_dead(placer->rc, rec->id, now_us)) {
 		node->to = node->from;
 		node->usable = false;
 	}
@@ -291,7 +291,7 @@
 	busy = report.busy;
 	expect = report.sequence;
 	seam_report_finish(&report);
-	if (!busy && rc_may_order(placer->rc))
+	if (!busy && member_may_order(placer->rc))
 		placer_send(order, expect);
 }
 
--- a/router/poll.c
+++ b/router/poll.c
@@ -104,7 +104,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	poll->loads = rc_loads_new();
+	poll->loads = loads_new();
 	g_hash_table_iter_init(&iter, poll->rc->endpoints.entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct ep_entry *entry = value;
@@ -128,12 +128,12 @@
 		return;
 	g_hash_table_iter_init(&iter, poll->missed);
 	while (g_hash_table_iter_next(&iter, &id, &missed)) {
-		const struct rc_suspect suspect = {id, POLL_DEAD_MS, RC_NO_REPORT, 0};
+		const struct suspect suspect = {id, POLL_DEAD_MS, SUSPECT_NO_REPORT, 0};
 
 		if (!g_hash_table_contains(poll->rc->endpoints.entries, id))
 			g_hash_table_iter_remove(&iter);
 		else if (GPOINTER_TO_INT(missed) >= POLL_MISSES)
-			rc_on_suspect(poll->rc, &suspect, poll);
+			suspect_on_news(poll->rc, &suspect, poll);
 	}
 }
 
@@ -157,7 +157,7 @@
 	poll_log_round(poll, loads->len);
 	poll->misses = g_hash_table_size(poll->missed);
 	if (loads->len > 0)
-		rc_take_round(poll->rc, loads);
+		loads_take_round(poll->rc, loads);
 	else
 		g_array_unref(loads);
 }
--- a/router/rc.h
+++ b/router/rc.h
@@ -85,62 +85,66 @@
 /* Posts the view at once if it is the first one that requests can be served by. */
 void rc_first_view(struct rc *rc);
 
-/* Time since boot that goes on while the machine is suspended, in microseconds. */
-int64_t rc_boot_us(void);
-
-/* Whether this host may give orders now. */
-bool rc_may_order(const struct rc *rc);
-
 /* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
 void rc_take_conf(struct rc *rc, struct str text, const char *from);
 void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
 void rc_take_host(struct rc *rc, const char *name, struct str text);
 
-/* Another host knows that generation of the group; this one asks whether it still leads. */
-void rc_take_generation(struct rc *rc, int64_t generation);
+/* Reads the store from now on, or leaves that to the feed. */
+void rc_set_direct(struct rc *rc, bool direct);
 
-/* Takes the newest loads (struct router_load) and hands them on; the array is taken over. */
-void rc_take_loads(struct rc *rc, GArray *loads);
+/* Whether this host asks all engines for their reports. */
+bool rc_polls(const struct rc *rc);
 
-/* The same for a round of this host's own, of which only what is new is handed on. */
-void rc_take_round(struct rc *rc, GArray *loads);
-GArray *rc_loads_new(void);
+/* member.c: this host in the store's list of hosts, and in the group that has a leader. */
+void member_start(struct rc *rc);
+void member_stop(struct rc *rc);
 
-/* Reads the store from now on, or leaves that to the feed. */
-void rc_set_direct(struct rc *rc, bool direct);
+/* Whether this host may give orders now. */
+bool member_may_order(const struct rc *rc);
+
+/* Another host knows that generation of the group; this one asks whether it still leads. */
+void member_on_generation(struct rc *rc, int64_t generation);
 
 /*
  * Takes part in choosing a leader from now on, or not. A host that has just started and will follow
  * another one soon does not: the lead would go to it and be lost with it.
  */
-void rc_set_candidate(struct rc *rc, bool candidate);
+void member_set_candidate(struct rc *rc, bool candidate);
+
+/* loads.c: what engines reported, from this host's polling or from another host. */
+GArray *loads_new(void);
+
+/* Takes the newest loads (struct router_load) and hands them on; the array is taken over. */
+void loads_take(struct rc *rc, GArray *loads);
+
+/* The same for a round of this host's own, of which only what is new is handed on. */
+void loads_take_round(struct rc *rc, GArray *loads);
+
+/* suspect.c: endpoints at fault, told from host to host; feeds carry that both ways. */
 
-/* Why an engine is at fault that the first reader got no report from. */
-#define RC_NO_REPORT "no_report_to_reader"
+/* Why an engine is at fault that the polling reader got no report from. */
+#define SUSPECT_NO_REPORT "no_report_to_reader"
 
-/* An endpoint that was found at fault; hops: hosts that passed it on. */
-struct rc_suspect {
+struct suspect {
 	const char *endpoint;
 	int64_t for_ms;
 	const char *why;
-	int hops;
+	int hops; /* hosts that passed it on */
 };
 
 /* From this host's traffic thread. Any thread. */
-void rc_post_suspect(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why);
+void suspect_post(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why);
 
-/* Whether this host asks all engines for their reports. */
-bool rc_polls(const struct rc *rc);
+/* From another host, or from the polling: to the traffic thread, and on to the other hosts. */
+void suspect_on_news(struct rc *rc, const struct suspect *suspect, const void *source);
 
 /* Whether no reader could reach the endpoint lately. */
-bool rc_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us);
+bool suspect_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us);
 
-/* From another host, or from the polling: to the traffic thread, and on to the other hosts. */
-void rc_on_suspect(struct rc *rc, const struct rc_suspect *suspect, const void *source);
-
-/* suspect.c: 0 or BASE_EFRAME. */
+/* The message; 0 or BASE_EFRAME. */
 int suspect_on_msg(struct rc *rc, struct frm_conn *conn, const uint8_t *body, size_t len);
-void suspect_send(struct frm_conn *conn, const struct rc_suspect *suspect);
+void suspect_send(struct frm_conn *conn, const struct suspect *suspect);
 
 /* state.c: counts of the control thread for the metrics. */
 void state_gauges(const struct rc *rc, int64_t now_us);
@@ -170,7 +174,7 @@
 void feed_flush(struct feed *feed);
 
 /* To all followers but the connection it came from. */
-void feed_send_suspect(struct feed *feed, const struct rc_suspect *suspect, const void *source);
+void feed_send_suspect(struct feed *feed, const struct suspect *suspect, const void *source);
 
 /* follow.c: being fed by another host. */
 struct follow *follow_new(struct rc *rc);
@@ -180,9 +184,9 @@
 
 /* Whether the feed brings what the store holds now. */
 bool follow_is_fed(const struct follow *follow);
+
 /* The host that feeds this one, or NULL. */
 const char *follow_feeder(const struct follow *follow);
-void follow_send_suspect(struct follow *follow, const struct rc_suspect *suspect,
-			 const void *source);
+void follow_send_suspect(struct follow *follow, const struct suspect *suspect, const void *source);
 
 #endif
--- a/router/state.c
+++ b/router/state.c
@@ -69,7 +69,7 @@
 				state->router->settings.name, "configuration",
 				(json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
 				(json_int_t)rc->lead.newest, "reads_store", rc->direct,
-				"asks_engines", rc_polls(rc), "places_layers", rc_may_order(rc),
+				"asks_engines", rc_polls(rc), "places_layers", member_may_order(rc),
 				"feeder", follow_feeder(rc->follow), "fed",
 				follow_is_fed(rc->follow), "store_age_ms",
 				(json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
@@ -164,7 +164,7 @@
 	met_set(met_gauge("bg_store_age_ms", ""), (uint64_t)MAX(state_age_ms(rc, now_us), 0));
 	met_set(met_gauge("bg_reads_store", ""), rc->direct);
 	met_set(met_gauge("bg_fed", ""), follow_is_fed(rc->follow));
-	met_set(met_gauge("bg_places_layers", ""), rc_may_order(rc));
+	met_set(met_gauge("bg_places_layers", ""), member_may_order(rc));
 	met_set(met_gauge("bg_hosts", ""), g_hash_table_size(rc->hosts));
 	met_set(met_gauge("bg_endpoints", ""), g_hash_table_size(rc->endpoints.entries));
 }
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -3,21 +3,105 @@
 #include "msg/kind.h"
 #include "router/rc.h"
 
+#include <string.h>
+
+enum {
+	SUSPECT_NEWS_MS = 500, /* in which the same news is passed on once */
+	SUSPECT_HOPS_MAX = 5   /* follower, its reader, the other readers, their followers */
+};
+
+/* From the traffic thread to the control thread. */
+struct suspect_msg {
+	struct rc *rc;
+	char *endpoint;
+	char *why;
+	int64_t for_ms;
+};
+
+static void suspect_take_own(void *ctx)
+{
+	struct suspect_msg *msg = ctx;
+	struct suspect suspect = {msg->endpoint, msg->for_ms, msg->why, 0};
+
+	suspect_on_news(msg->rc, &suspect, NULL);
+	g_free(msg->endpoint);
+	g_free(msg->why);
+	g_free(msg);
+}
+
+void suspect_post(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why)
+{
+	struct suspect_msg *msg = g_new0(struct suspect_msg, 1);
+
+	msg->rc = rc;
+	msg->endpoint = g_strdup(endpoint);
+	msg->why = g_strdup(why);
+	msg->for_ms = for_ms;
+	loop_post(rc->loop, suspect_take_own, msg);
+}
+
+static void suspect_set_time(GHashTable *table, const char *endpoint, int64_t time_us)
+{
+	int64_t *value = g_hash_table_lookup(table, endpoint);
+
+	if (!value) {
+		value = g_new0(int64_t, 1);
+		g_hash_table_insert(table, g_strdup(endpoint), value);
+	}
+	*value = time_us;
+}
+
+/* The same news may come by two ways; each is passed on once in a while. */
+static bool suspect_is_news(struct rc *rc, const char *endpoint, int64_t now_us)
+{
+	const int64_t *last = g_hash_table_lookup(rc->seen, endpoint);
+
+	if (last && now_us - *last < tmr_ms(SUSPECT_NEWS_MS))
+		return false;
+	suspect_set_time(rc->seen, endpoint, now_us);
+	return true;
+}
+
+bool suspect_is_dead(const struct rc *rc, const char *endpoint, int64_t now_us)
+{
+	const int64_t *until = g_hash_table_lookup(rc->dead, endpoint);
+
+	return until && now_us < *until;
+}
+
+void suspect_on_news(struct rc *rc, const struct suspect *suspect, const void *source)
+{
+	struct suspect passed = *suspect;
+
+	if (!suspect_is_news(rc, suspect->endpoint, tmr_now()))
+		return;
+	if (strcmp(suspect->why, SUSPECT_NO_REPORT) == 0) {
+		suspect_set_time(rc->dead, suspect->endpoint, tmr_now() + tmr_ms(suspect->for_ms));
+		placer_on_change(rc->placer);
+	}
+	if (source)
+		tf_post_suspect(rc->router->tf, suspect->endpoint, suspect->for_ms, suspect->why);
+	if (++passed.hops > SUSPECT_HOPS_MAX)
+		return;
+	feed_send_suspect(rc->feed, &passed, source);
+	follow_send_suspect(rc->follow, &passed, source);
+}
+
 /* The message by which hosts tell each other of endpoints at fault; feeds carry it both ways. */
 int suspect_on_msg(struct rc *rc, struct frm_conn *conn, const uint8_t *body, size_t len)
 {
 	Feed__Suspect *msg = feed__suspect__unpack(NULL, len, body);
-	struct rc_suspect suspect;
+	struct suspect suspect;
 
 	if (!msg)
 		return BASE_EFRAME;
-	suspect = (struct rc_suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	rc_on_suspect(rc, &suspect, conn);
+	suspect = (struct suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
+	suspect_on_news(rc, &suspect, conn);
 	feed__suspect__free_unpacked(msg, NULL);
 	return 0;
 }
 
-void suspect_send(struct frm_conn *conn, const struct rc_suspect *suspect)
+void suspect_send(struct frm_conn *conn, const struct suspect *suspect)
 {
 	Feed__Suspect msg = FEED__SUSPECT__INIT;
 
--- a/router/tf.c
+++ b/router/tf.c
@@ -391,7 +391,7 @@
 	if (ep->suspect_us + TF_SUSPECT_STEP_US >= tmr_now() + for_us)
 		return;
 	tf_leave(tf, ep, for_us, why, request);
-	rc_post_suspect(tf->router->rc, ep->rec->id, for_us / TMR_US_PER_MS, why);
+	suspect_post(tf->router->rc, ep->rec->id, for_us / TMR_US_PER_MS, why);
 }
 
 void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request)
