What is remembered of endpoints that are gone is bounded

Change: notes older than ten minutes, of endpoints that are not listed, are dropped once there are more than 1,024; those of suspicions after a minute. Test: EpTest.WhatIsRememberedOfTheGoneIsBounded, seen failing on the code before (20,000 endpoints in turn: 19,999 removals, 10,000 leavings, 20,000 addresses).

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -7,7 +7,14 @@
 	 * After the store's return, living endpoints are listed again within two seconds; what is
 	 * missing then is gone.
 	 */
-	EP_RETURN_US = 2000000
+	EP_RETURN_US = 2000000,
+	/*
+	 * Notes on endpoints that are gone. They are for records that come late by another way,
+	 * which takes seconds; at 310 restarts a day they would else grow for as long as the
+	 * process runs.
+	 */
+	EP_NOTES_MAX = 1024, /* from which on old ones are dropped */
+	EP_NOTE_US = 600000000
 };
 
 static void ep_entry_free(gpointer data);
@@ -62,7 +69,7 @@
 {
 	memset(list, 0, sizeof(*list));
 	list->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, ep_entry_free);
-	list->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	list->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	list->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	list->addrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ep_holder_free);
 	list->returned_us = -1;
@@ -84,13 +91,22 @@
 	return list->returned_us >= 0 && now_us - list->returned_us < EP_RETURN_US;
 }
 
+static void ep_note(GHashTable *notes, const char *id, int64_t offset, int64_t now_us)
+{
+	struct ep_note *note = g_new(struct ep_note, 1);
+
+	note->offset = offset;
+	note->at_us = now_us;
+	g_hash_table_replace(notes, g_strdup(id), note);
+}
+
 /*
  * An endpoint that has said it is leaving never comes back under the same id. A list that is read
  * late or anew may show it as ready once more; sending to it then would reach it after it has gone.
  */
-static void ep_mark_left(struct ep_list *list, const char *id)
+static void ep_mark_left(struct ep_list *list, const char *id, int64_t now_us)
 {
-	g_hash_table_add(list->left, g_strdup(id));
+	ep_note(list->left, id, 0, now_us);
 }
 
 static void ep_remove(struct ep_list *list, struct ep_entry *entry, int64_t now_us)
@@ -105,20 +121,15 @@
 
 static int64_t ep_removed_at(const struct ep_list *list, const char *id)
 {
-	const int64_t *offset = g_hash_table_lookup(list->removed, id);
+	const struct ep_note *note = g_hash_table_lookup(list->removed, id);
 
-	return offset ? *offset : -1;
+	return note ? note->offset : -1;
 }
 
-static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset)
+static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset, int64_t now_us)
 {
-	int64_t *value;
-
-	if (offset <= ep_removed_at(list, id))
-		return;
-	value = g_new(int64_t, 1);
-	*value = offset;
-	g_hash_table_replace(list->removed, g_strdup(id), value);
+	if (offset > ep_removed_at(list, id))
+		ep_note(list->removed, id, offset, now_us);
 }
 
 /*
@@ -134,7 +145,8 @@
 }
 
 /* An address belongs to one endpoint; the older entry there is of one that has ended. */
-static void ep_take_addr(struct ep_list *list, int64_t offset, const struct ep_rec *rec)
+static void ep_take_addr(struct ep_list *list, int64_t offset, const struct ep_rec *rec,
+			 int64_t now_us)
 {
 	struct ep_holder *holder = g_hash_table_lookup(list->addrs, rec->addr);
 	const struct ep_entry *before = NULL;
@@ -150,6 +162,7 @@
 	g_free(holder->id);
 	holder->id = g_strdup(rec->id);
 	holder->offset = offset;
+	holder->at_us = now_us;
 }
 
 void ep_on_record(struct ep_list *list, int64_t offset, const char *id, struct ep_rec *rec,
@@ -166,7 +179,7 @@
 		return;
 	}
 	if (!rec) {
-		ep_note_removal(list, id, offset);
+		ep_note_removal(list, id, offset, now_us);
 		if (entry)
 			ep_remove(list, entry, now_us);
 		return;
@@ -175,9 +188,9 @@
 		ep_rec_unref(rec);
 		return;
 	}
-	ep_take_addr(list, offset, rec);
+	ep_take_addr(list, offset, rec, now_us);
 	if (rec->state == EP_DRAINING)
-		ep_mark_left(list, id);
+		ep_mark_left(list, id, now_us);
 	else if (g_hash_table_contains(list->left, id))
 		rec->state = EP_DRAINING;
 	entry = g_new0(struct ep_entry, 1);
@@ -227,12 +240,49 @@
 	list->away = false;
 }
 
+static void ep_forget_notes(const struct ep_list *list, GHashTable *notes, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	if (g_hash_table_size(notes) <= EP_NOTES_MAX)
+		return;
+	g_hash_table_iter_init(&iter, notes);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const struct ep_note *note = value;
+
+		if (now_us - note->at_us > EP_NOTE_US && !g_hash_table_contains(list->entries, id))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void ep_forget_holders(struct ep_list *list, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (g_hash_table_size(list->addrs) <= g_hash_table_size(list->entries) + EP_NOTES_MAX)
+		return;
+	g_hash_table_iter_init(&iter, list->addrs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct ep_holder *holder = value;
+
+		if (now_us - holder->at_us > EP_NOTE_US &&
+		    !g_hash_table_contains(list->entries, holder->id))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 bool ep_on_time(struct ep_list *list, int64_t now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
 	bool dropped = false;
 
+	ep_forget_notes(list, list->left, now_us);
+	ep_forget_notes(list, list->removed, now_us);
+	ep_forget_holders(list, now_us);
 	if (ep_is_returning(list, now_us))
 		return false;
 	g_hash_table_iter_init(&iter, list->entries);
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -52,12 +52,19 @@
 struct ep_holder {
 	char *id;
 	int64_t offset; /* of that record */
+	int64_t at_us;	/* when it was heard of */
+};
+
+/* What is remembered of an endpoint that is not in the list any more. */
+struct ep_note {
+	int64_t offset; /* of its removal */
+	int64_t at_us;	/* when it was heard of */
 };
 
 struct ep_list {
 	GHashTable *entries; /* id -> struct ep_entry */
-	GHashTable *left;    /* ids that said they are leaving; never forgotten */
-	GHashTable *removed; /* id -> offset of its removal, int64_t */
+	GHashTable *left;    /* id that said it is leaving -> struct ep_note */
+	GHashTable *removed; /* id -> struct ep_note */
 	GHashTable *addrs;   /* address -> struct ep_holder */
 	bool away;	     /* the last call to the store failed */
 	int64_t returned_us; /* when it was reached again after that; -1: never away */
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -178,4 +178,31 @@
 	EXPECT_EQ(Ids(), "");
 }
 
+/*
+ * Symptom: the memory of a host grew for as long as it ran.
+ * Sequence: endpoints are replaced, hundreds a day. Cause: what is remembered of those that are
+ * gone was never dropped.
+ */
+TEST_F(EpTest, WhatIsRememberedOfTheGoneIsBounded)
+{
+	int64_t now = SEC;
+	for (int i = 0; i < 20000; i++) {
+		std::string id = "i-" + std::to_string(i);
+		ep_rec *rec = ep_rec_new(id.c_str());
+		rec->service = g_strdup("s");
+		rec->zone = g_strdup("z");
+		rec->addr = g_strdup((id + ":80").c_str());
+		rec->state = i % 2 ? EP_DRAINING : EP_READY;
+		ep_on_record(&list_, 2 * i, id.c_str(), rec, now);
+		if (i != 7) /* it stays, and stays known as leaving */
+			ep_on_record(&list_, 2 * i + 1, id.c_str(), nullptr, now);
+		now += SEC;
+		ep_on_time(&list_, now);
+	}
+	EXPECT_LE(g_hash_table_size(list_.removed), 1100u);
+	EXPECT_LE(g_hash_table_size(list_.left), 1100u);
+	EXPECT_LE(g_hash_table_size(list_.addrs), 1100u);
+	EXPECT_TRUE(g_hash_table_contains(list_.left, "i-7"));
+}
+
 } // namespace
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -6,8 +6,10 @@
 #include <string.h>
 
 enum {
-	SUSPECT_NEWS_MS = 500, /* in which the same news is passed on once */
-	SUSPECT_HOPS_MAX = 5   /* follower, its reader, the other readers, their followers */
+	SUSPECT_NEWS_MS = 500,	 /* in which the same news is passed on once */
+	SUSPECT_MANY = 1024,	 /* endpoints from which on those of long ago are dropped */
+	SUSPECT_KEPT_MS = 60000, /* what "long ago" is; more than anything here lasts */
+	SUSPECT_HOPS_MAX = 5	 /* follower, its reader, the other readers, their followers */
 };
 
 /* From the traffic thread to the control thread. */
@@ -40,10 +42,19 @@
 	loop_post(rc->loop, suspect_take_own, msg);
 }
 
+static gboolean suspect_is_old(gpointer endpoint, gpointer value, gpointer before_us)
+{
+	(void)endpoint;
+	return *(const int64_t *)value < *(const int64_t *)before_us;
+}
+
 static void suspect_set_time(GHashTable *table, const char *endpoint, int64_t time_us)
 {
 	int64_t *value = g_hash_table_lookup(table, endpoint);
+	int64_t before_us = tmr_now() - tmr_ms(SUSPECT_KEPT_MS);
 
+	if (g_hash_table_size(table) > SUSPECT_MANY)
+		g_hash_table_foreach_remove(table, suspect_is_old, &before_us);
 	if (!value) {
 		value = g_new0(int64_t, 1);
 		g_hash_table_insert(table, g_strdup(endpoint), value);
