Hosts that start read the endpoints once; in an outage one call tells for three

Change: between its start and its feed a host that is no reader waits 1.5 s between reads of endpoints; while the configuration can't be read, hosts that are no readers do not try the others. One message for suspicions between the two threads instead of two alike. Ruled out: fewer readers (three at this size make some 6 calls a second together).

--- a/router/follow.c
+++ b/router/follow.c
@@ -194,13 +194,14 @@
 void follow_on_tick(struct follow *follow, int64_t now_us)
 {
 	struct rc *rc = follow->rc;
-	bool settled = now_us >= follow->settled_us;
 	const struct rank *rank = &rc->rank;
 
+	rc->settled = now_us >= follow->settled_us;
 	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
-	rc_set_direct(rc, rank->reader || !follow->fed || !settled);
-	member_set_candidate(rc, rank->reader || (!follow->fed && settled && sf_is_reached(rc)));
+	rc_set_direct(rc, rank->reader || !follow->fed || !rc->settled);
+	member_set_candidate(rc,
+			     rank->reader || (!follow->fed && rc->settled && sf_is_reached(rc)));
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
--- a/router/rc.h
+++ b/router/rc.h
@@ -47,6 +47,7 @@
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1];
 	bool direct;	  /* this host reads the store itself */
+	bool settled;	  /* it has had the time to find a host that feeds it */
 	bool candidate;	  /* it may lead: it is a reader, or has no feed */
 	struct rank rank; /* as of the last tick */
 	struct rank_round round;
--- a/router/router.h
+++ b/router/router.h
@@ -63,6 +63,19 @@
 	int full;    /* eighths of its memory for requests that are taken */
 };
 
+/* An endpoint that was found at fault, on its way from one of the two threads to the other. */
+struct router_suspect {
+	void *to; /* struct rc or struct tf */
+	char *endpoint;
+	char *why;
+	int64_t until_us;
+};
+
+/* The texts are copied. */
+struct router_suspect *router_suspect_new(void *to, const char *endpoint, int64_t for_ms,
+					  const char *why);
+void router_suspect_free(struct router_suspect *suspect);
+
 struct rc;
 struct tf;
 
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -21,6 +21,11 @@
 	 */
 	SF_ENDPOINTS_WAIT_MS = 1000,
 	SF_ENDPOINTS_PAUSE_MS = 150,
+	/*
+	 * The same between a host's start and its feed, after which it reads no more: 66 hosts that
+	 * start together made most of the 1,000 calls of a quiet day in that second.
+	 */
+	SF_ENDPOINTS_PAUSE_START_MS = 1500,
 	SF_HOSTS_PAUSE_MS = 5000,
 	/* Hosts that start together list themselves within a second; the first reads come sooner.
 	 */
@@ -30,12 +35,14 @@
 	SF_RETRY_MAX_MS = 1000,
 	/* Hosts that are no readers hear of the store's return through the feed. */
 	SF_RETRY_OTHERS_MS = 2500,
+	SF_WAIT_MS = 100, /* between looks whether the configuration could be read again */
 	HTTP_OK = 200,
 	HTTP_GONE = 410
 };
 
 static void sf_ask(struct sf_topic *t);
 static void sf_on_timer(void *ctx, int64_t now_us);
+static void sf_again(struct sf_topic *t, int64_t delay_us);
 static void sf_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value);
 
@@ -113,10 +120,25 @@
 	g_free(url);
 }
 
+/*
+ * While the store does not answer, a host that is no reader tries with the configuration alone: in
+ * an outage each call of each host is refused, and one tells as much as three.
+ */
+static bool sf_waits_for_conf(const struct sf_topic *t)
+{
+	return t->topic != SEAM_CONF && !t->rc->rank.reader && t->failures > 0 &&
+	       t->rc->topics[SEAM_CONF].failures > 0;
+}
+
 static void sf_on_timer(void *ctx, int64_t now_us)
 {
+	struct sf_topic *t = ctx;
+
 	(void)now_us;
-	sf_ask(ctx);
+	if (sf_waits_for_conf(t))
+		sf_again(t, tmr_ms(SF_WAIT_MS));
+	else
+		sf_ask(t);
 }
 
 static void sf_again(struct sf_topic *t, int64_t delay_us)
@@ -173,6 +195,8 @@
 {
 	if (t->topic == SEAM_HOSTS && t->reads < SF_HOSTS_EARLY_READS)
 		return tmr_ms(SF_HOSTS_EARLY_MS);
+	if (t->topic == SEAM_ENDPOINTS && !t->rc->rank.reader && !t->rc->settled)
+		return tmr_ms(SF_ENDPOINTS_PAUSE_START_MS);
 	return t->pause_us;
 }
 
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -12,34 +12,38 @@
 	SUSPECT_HOPS_MAX = 5	 /* follower, its reader, the other readers, their followers */
 };
 
-/* From the traffic thread to the control thread. */
-struct suspect_msg {
-	struct rc *rc;
-	char *endpoint;
-	char *why;
-	int64_t for_ms;
-};
+struct router_suspect *router_suspect_new(void *to, const char *endpoint, int64_t for_ms,
+					  const char *why)
+{
+	struct router_suspect *suspect = g_new0(struct router_suspect, 1);
+
+	suspect->to = to;
+	suspect->endpoint = g_strdup(endpoint);
+	suspect->why = g_strdup(why);
+	suspect->until_us = tmr_now() + tmr_ms(for_ms);
+	return suspect;
+}
+
+void router_suspect_free(struct router_suspect *suspect)
+{
+	g_free(suspect->endpoint);
+	g_free(suspect->why);
+	g_free(suspect);
+}
 
 static void suspect_take_own(void *ctx)
 {
-	struct suspect_msg *msg = ctx;
-	struct suspect suspect = {msg->endpoint, msg->for_ms, msg->why, 0};
+	struct router_suspect *own = ctx;
+	int64_t for_ms = (own->until_us - tmr_now()) / TMR_US_PER_MS;
+	const struct suspect suspect = {own->endpoint, for_ms, own->why, 0};
 
-	suspect_on_news(msg->rc, &suspect, NULL);
-	g_free(msg->endpoint);
-	g_free(msg->why);
-	g_free(msg);
+	suspect_on_news(own->to, &suspect, NULL);
+	router_suspect_free(own);
 }
 
 void suspect_post(struct rc *rc, const char *endpoint, int64_t for_ms, const char *why)
 {
-	struct suspect_msg *msg = g_new0(struct suspect_msg, 1);
-
-	msg->rc = rc;
-	msg->endpoint = g_strdup(endpoint);
-	msg->why = g_strdup(why);
-	msg->for_ms = for_ms;
-	loop_post(rc->loop, suspect_take_own, msg);
+	loop_post(rc->loop, suspect_take_own, router_suspect_new(rc, endpoint, for_ms, why));
 }
 
 static gboolean suspect_is_old(gpointer endpoint, gpointer value, gpointer before_us)
--- a/router/tf.c
+++ b/router/tf.c
@@ -406,13 +406,6 @@
 		tf_doubt(ep, TF_DOUBT_US, why, request);
 }
 
-struct tf_suspect_msg {
-	struct tf *tf;
-	char *endpoint;
-	char *why;
-	int64_t until_us;
-};
-
 /* A stream that goes on through an endpoint proves more than what other hosts say of it. */
 static bool tf_serves(const struct tf *tf, const struct tf_ep *ep)
 {
@@ -427,25 +420,18 @@
 
 static void tf_take_suspect(void *ctx)
 {
-	struct tf_suspect_msg *msg = ctx;
-	struct tf_ep *ep = g_hash_table_lookup(msg->tf->eps, msg->endpoint);
+	struct router_suspect *suspect = ctx;
+	struct tf *tf = suspect->to;
+	struct tf_ep *ep = g_hash_table_lookup(tf->eps, suspect->endpoint);
 
-	if (ep && !tf_serves(msg->tf, ep))
-		tf_leave(msg->tf, ep, msg->until_us - tmr_now(), msg->why, NULL);
-	g_free(msg->endpoint);
-	g_free(msg->why);
-	g_free(msg);
+	if (ep && !tf_serves(tf, ep))
+		tf_leave(tf, ep, suspect->until_us - tmr_now(), suspect->why, NULL);
+	router_suspect_free(suspect);
 }
 
 void tf_post_suspect(struct tf *tf, const char *endpoint, int64_t for_ms, const char *why)
 {
-	struct tf_suspect_msg *msg = g_new0(struct tf_suspect_msg, 1);
-
-	msg->tf = tf;
-	msg->endpoint = g_strdup(endpoint);
-	msg->why = g_strdup(why);
-	msg->until_us = tmr_now() + tmr_ms(for_ms);
-	loop_post(&tf->loop, tf_take_suspect, msg);
+	loop_post(&tf->loop, tf_take_suspect, router_suspect_new(tf, endpoint, for_ms, why));
 }
 
 /* An endpoint that turns slow, or as fast as usual again. */
