Cases of what a host believes, and of an engine that dies while the store is away

Cause: state and metrics had no test, and what spreads from host to host in an outage had none with real processes. Change: case_state, case_dead_in_outage. The first one failed as it was written: a host that had never read the store itself showed an age of 0 for good; the age counts from when the store was last reached by it or its feeder.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -243,6 +243,64 @@
         expect("runs", runs.get("u-%d" % i), 1)
 
 
+def believed(stack, host, addr):
+    """What the host believes of the endpoint at that address."""
+    state = stack.state(host)
+    return next(e for e in state["endpoints"] if e["addr"] == addr)
+
+
+def case_dead_in_outage(stack):
+    """Symptom: engines that had died rejected requests all through an outage of the store.
+    Sequence: the store is away, so its list does not shrink; an engine falls silent.
+    Cause: nobody asked engines for reports, or hosts that changed their feeder all the time did not
+    hear what was found."""
+    stack.up()
+    stack.fault_store("busy")
+    stack.fault_engine("e3", "dark")
+    addr = next("127.0.0.1:%d" % p[1] for p in stack.points if p[0] == "e3")
+    for host in stack.hosts:
+        eventually("%s passes the dead engine over" % host,
+                   lambda h=host: believed(stack, h, addr)["suspected_ms"] > 0)
+        status, _, body = stack.ask(host, "/stream/a", "dead-" + host)
+        expect("status", status, 200)
+        check_stream("dead-" + host, body)
+    stack.fault_engine("e3", "ok")
+    for host in stack.hosts:
+        eventually("%s uses it again" % host,
+                   lambda h=host: believed(stack, h, addr)["suspected_ms"] == 0)
+
+
+def case_state(stack):
+    """What operators see of a host: one leader, every endpoint, what accounts used; and the age of
+    what it knows, while the store and all that could feed it are away."""
+    stack.up()
+    for host in stack.hosts:
+        expect("served", stack.ask(host, "/stream/a", "w-" + host)[0], 200)
+    eventually("one host places layers",
+               lambda: sum(stack.state(h)["places_layers"] for h in stack.hosts) == 1)
+    for host in stack.hosts:
+        state = stack.state(host)
+        expect("host", state["host"], host)
+        expect("endpoints", len(state["endpoints"]), len(stack.points))
+        eventually("all hosts are known", lambda h=host: len(stack.state(h)["hosts"]) == 3)
+        if not any(a["name"] == "farm" and a["tokens"] > 0 for a in state["accounts"]):
+            raise Failure("%s does not know what farm used: %r" % (host, state["accounts"]))
+        shown = stack.bgctl(host, "state", "endpoints")
+        for point in stack.points:
+            if "127.0.0.1:%d " % point[1] not in shown:
+                raise Failure("bgctl does not show %s: %s" % (point[0], shown))
+        if "configuration" not in stack.bgctl(host, "state"):
+            raise Failure("bgctl shows no version")
+    stack.fault_store("busy")
+    for host in stack.hosts:
+        eventually("%s knows that its view ages" % host,
+                   lambda h=host: stack.metric(h, "bg_store_age_ms{}") > 500)
+    stack.fault_store("ok")
+    for host in stack.hosts:
+        eventually("%s is up to date again" % host,
+                   lambda h=host: stack.metric(h, "bg_store_age_ms{}") < 500)
+
+
 def case_caller_leaves(stack):
     """Symptom: engines went on with streams whose callers had left.
     Sequence: a caller closes its connection in the middle of a stream.
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -186,6 +186,19 @@
     def ledger(self):
         return json.loads(call(self.engine_control, "GET", "/ledger")[2])
 
+    def state(self, host):
+        return json.loads(call(self.port(host, "metrics"), "GET", "/state", timeout=5)[2])
+
+    def metric(self, host, name):
+        text = call(self.port(host, "metrics"), "GET", "/metrics", timeout=5)[2].decode()
+        return float(next(line.split()[-1] for line in text.splitlines()
+                          if line.startswith(name + " ")))
+
+    def bgctl(self, host, *words):
+        addr = "127.0.0.1:%d" % self.port(host, "metrics")
+        return subprocess.run([os.path.join(BIN, "bgctl"), "--control", addr] + list(words),
+                              check=True, capture_output=True, timeout=30).stdout.decode()
+
     def is_ready(self, host):
         return call(self.port(host, "ready"), "GET", "/-/ready", timeout=2)[0] == 200
 
--- a/router/rc.c
+++ b/router/rc.c
@@ -207,6 +207,8 @@
 	if (ep_on_time(&rc->endpoints, now_us))
 		feed_on_listing(rc->feed);
 	follow_on_tick(rc->follow, now_us);
+	if (follow_is_fed(rc->follow) || sf_is_reached(rc))
+		rc->fresh_us = now_us;
 	placer_on_tick(rc->placer, now_us);
 	poll_on_tick(rc->poll, now_us);
 	if (rc->view_due || rc->endpoints.changed)
--- a/router/state.c
+++ b/router/state.c
@@ -50,14 +50,10 @@
 	return list;
 }
 
-/* Since the store, or a host that reaches it, was last heard of; -1: never. */
+/* Since the store was last reached, by this host or by the one that feeds it; -1: never. */
 static int64_t state_age_ms(const struct rc *rc, int64_t now_us)
 {
-	const struct sf_topic *conf = &rc->topics[SEAM_CONF];
-
-	if (follow_is_fed(rc->follow))
-		return 0;
-	return conf->read_us > 0 ? (now_us - conf->read_us) / TMR_US_PER_MS : -1;
+	return rc->fresh_us > 0 ? (now_us - rc->fresh_us) / TMR_US_PER_MS : -1;
 }
 
 static void state_from_control(void *ctx)
