Callers are no longer told to use a connection for 2 s only

Callers that open connections more often meet hosts that are cut off or have just been killed before the balancer has noticed, and lose their one retry there.

--- a/base/hd.c
+++ b/base/hd.c
@@ -320,8 +320,6 @@
 		MHD_add_response_header(resp, "Content-Type", call->type);
 	if (ck_pr_load_uint(&call->hd->closing))
 		MHD_add_response_header(resp, "Connection", "close");
-	else if (call->hd->config.keep_alive)
-		MHD_add_response_header(resp, "Keep-Alive", call->hd->config.keep_alive);
 	for (guint i = 0; i + 1 < call->headers->len; i += 2)
 		MHD_add_response_header(resp, call->headers->pdata[i], call->headers->pdata[i + 1]);
 	call->queued = true;
--- a/base/hd.h
+++ b/base/hd.h
@@ -24,11 +24,6 @@
 	size_t body_max;       /* a larger request body is answered 413 */
 	size_t pending_max;    /* unsent bytes of an answer at which a caller counts as too slow */
 	const char *too_large; /* body of the 413 answer, JSON */
-	/*
-	 * Value of Keep-Alive, which tells callers for how long they may use the connection again;
-	 * NULL: not sent. A server that stops can't refuse who has gone by then.
-	 */
-	const char *keep_alive;
 	hd_handler handler;
 	void *ctx;
 };
--- a/prog/router.c
+++ b/prog/router.c
@@ -52,12 +52,6 @@
 
 #define ROUTER_STATE_PATH "/state"
 
-/*
- * Shorter than a host that stops takes requests (RQ_STOP_TAKE_US): callers that were idle do not
- * come back on their old connections when it refuses them already.
- */
-#define ROUTER_KEEP_ALIVE "timeout=2"
-
 struct router_main {
 	struct router router;
 	struct loop loop;
@@ -103,7 +97,6 @@
 		.addr = addr,
 		.threads = ROUTER_THREADS,
 		.body_max = ROUTER_BODY_MAX,
-		.keep_alive = ROUTER_KEEP_ALIVE,
 		.pending_max = ROUTER_PENDING_MAX,
 		.handler = handler,
 		.ctx = router,
