Orders to endpoints that vanished no longer stop the balancing; a dead engine is renewed each round

An order was forgotten when its endpoint's entry showed its effect or after 4 s, but only for endpoints that were listed; one that had vanished stayed, and thin ranges are helped only when no order is under way. And a dead engine counted as such for 2.5 s, while a round takes longer than that from some 300 engines on. Change: every order is forgotten after its time; what a round finds holds until 1.5 s after the next one.

--- a/router/placer.c
+++ b/router/placer.c
@@ -146,18 +146,25 @@
 	return n;
 }
 
-/* An order whose effect shows, or that has had its time, no longer counts. */
-static void placer_settle_order(struct placer *placer, const struct ep_rec *rec, int64_t now_us)
+/* An order whose effect shows no longer counts. */
+static void placer_settle_order(struct placer *placer, const struct ep_rec *rec)
 {
 	struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
 
 	if (!order)
 		return;
-	if ((rec->layer_from == order->from && rec->layer_to == order->to) ||
-	    now_us - order->given_us >= PLACER_PATIENCE_US)
+	if (rec->layer_from == order->from && rec->layer_to == order->to)
 		g_hash_table_remove(placer->orders, rec->id);
 }
 
+static gboolean placer_is_over(gpointer id, gpointer value, gpointer now_us)
+{
+	const struct placer_order *order = value;
+
+	(void)id;
+	return *(const int64_t *)now_us - order->given_us >= PLACER_PATIENCE_US;
+}
+
 /* One that is dead, though it is still listed, holds nothing. */
 static void placer_node(struct placer *placer, const struct rt_service *service,
 			const struct ep_rec *rec, int64_t now_us, struct pl_node *node)
@@ -199,13 +206,15 @@
 	GArray *moves = g_array_new(FALSE, TRUE, sizeof(struct pl_move));
 	guint room;
 
+	/* Endpoints may vanish before an order to them shows any effect. */
+	g_hash_table_foreach_remove(placer->orders, placer_is_over, &now_us);
 	for (guint i = 0; i < recs->len; i++) {
 		struct ep_rec *rec = recs->pdata[i];
 		struct pl_node node;
 
 		if (strcmp(rec->service, service->name) != 0 || rec->state != EP_READY)
 			continue;
-		placer_settle_order(placer, rec, now_us);
+		placer_settle_order(placer, rec);
 		placer_node(placer, service, rec, now_us, &node);
 		g_array_append_val(nodes, node);
 		g_ptr_array_add(of_nodes, rec);
--- a/router/poll.c
+++ b/router/poll.c
@@ -19,7 +19,7 @@
 	 * engines that stayed listed rejected 800 requests. One round may miss for a full queue.
 	 */
 	POLL_MISSES = 2,
-	POLL_DEAD_MS = 2500, /* for which that holds; the next round renews it */
+	POLL_DEAD_MS = 1500, /* for which that holds beyond the next round, which renews it */
 	HTTP_OK = 200
 };
 
@@ -114,6 +114,12 @@
 	}
 }
 
+/* Between the beginnings of two rounds. */
+static int64_t poll_interval_us(const struct poll *poll)
+{
+	return MAX(tmr_ms(POLL_ROUND_MS), tmr_s(poll->asked) / POLL_PER_S);
+}
+
 /*
  * Where most engines of a round did not answer, this host itself is slow or cut off, and says
  * nothing about them.
@@ -123,12 +129,13 @@
 	GHashTableIter iter;
 	gpointer id;
 	gpointer missed;
+	int64_t for_ms = POLL_DEAD_MS + poll_interval_us(poll) / TMR_US_PER_MS;
 
 	if (answered * 2 < poll->asked)
 		return;
 	g_hash_table_iter_init(&iter, poll->missed);
 	while (g_hash_table_iter_next(&iter, &id, &missed)) {
-		const struct suspect suspect = {id, POLL_DEAD_MS, SUSPECT_NO_REPORT, 0};
+		const struct suspect suspect = {id, for_ms, SUSPECT_NO_REPORT, 0};
 
 		if (!g_hash_table_contains(poll->rc->endpoints.entries, id))
 			g_hash_table_iter_remove(&iter);
@@ -179,7 +186,7 @@
 		return;
 	poll_begin(poll);
 	poll->asked = poll->calls->len;
-	poll->next_us = now_us + MAX(tmr_ms(POLL_ROUND_MS), tmr_s(poll->calls->len) / POLL_PER_S);
+	poll->next_us = now_us + poll_interval_us(poll);
 	if (poll->calls->len == 0)
 		poll_end(poll);
 }
