--- a/back/back.c
+++ b/back/back.c
@@ -22,9 +22,9 @@
 
 /*
  * Part of a caller's time for which it may wait for a configuration, and the most: callers leave a
- * stream that brings nothing for 2 s. On a day on which all hosts and the store were down together
- * 0.040 of the requests were refused when all waited 1 s, 0.010 now, and worth went from 0.54 to
- * 0.57 (two runs each); with 2.5 s callers left instead.
+ * stream that brings nothing for 2 s. With all hosts and the store down together 0.040 of a
+ * minute's requests were refused when all waited 1 s, 0.010 now (three runs); with 2.5 s callers
+ * left instead.
  */
 static const int64_t bk_park_part = 8;
 static const int64_t bk_park_most_us = 1500000;
--- a/router/pick.c
+++ b/router/pick.c
@@ -10,8 +10,9 @@
  * Cost of a hop to another availability zone besides the network's delay, in ms a token, when the
  * links between zones would be full if every pipeline crossed once. All share these links, so the
  * cost grows with what is offered to them. At 88 requests/s and 26 Gbit/s, crossings at 3 ms
- * balance the zones (worth of the heaviest day 0.68, at 11 ms 0.67); at 304 requests/s and 10.4
- * Gbit/s they fill the links, and 25 ms is right (0.72, at 3 ms 0.64).
+ * balance the zones (part of the answers' value that is earned in time under faults 0.68, at 11 ms
+ * 0.67); at 304 requests/s and 10.4 Gbit/s they fill the links, and 25 ms is right (0.72, at 3 ms
+ * 0.64).
  */
 static const double pick_full_link_ms = 3.0;
 
@@ -134,9 +135,10 @@
 
 /*
  * How much is in flight at the endpoint: this host's own requests, with the other hosts taken to
- * have as many. Reports a second old made all hosts send to the same endpoints at once (worth of
- * the heaviest day 0.48 instead of 0.81, measured on a deployment of 76 hosts), so of a report only
- * the pace counts.
+ * have as many. Reports a second old, taken for how many requests an engine runs, made all hosts
+ * send to the same endpoints at once (part of the answers' value that was earned 0.48 instead of
+ * 0.81, with 76 hosts). So of a report only the pace counts, and how full the memory is, where that
+ * is more than this host knows of.
  */
 static void pick_load(const struct tf *tf, const struct tf_ep *ep, int64_t now_us,
 		      struct pa_node *node)
--- a/router/stall.c
+++ b/router/stall.c
@@ -19,7 +19,7 @@
 
 /*
  * Checks of stages a second, over all hosts, and at once on one host: two pipelines. In an overload
- * every stream looks silent, and checks without a bound cost a tenth of a grown site's worth.
+ * every stream looks silent, and checks without a bound cost more than they saved.
  */
 static const double stall_checks_per_s = 100;
 static const double stall_checks_at_once = 14;
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -23,7 +23,7 @@
 	SF_ENDPOINTS_PAUSE_MS = 150,
 	/*
 	 * The same between a host's start and its feed, after which it reads no more: 66 hosts that
-	 * start together made most of the 1,000 calls of a quiet day in that second.
+	 * start together made most of the 1,000 calls of a calm minute in that second.
 	 */
 	SF_ENDPOINTS_PAUSE_START_MS = 1500,
 	SF_HOSTS_PAUSE_MS = 5000,
