A version whose endpoint is down for a moment is not refused while another version is served

One attempt had been made and refused; the home marked the endpoint as down until its next report; and the grace for that was counted from when the pool had no pipeline of any version, so with the old version still served the new one was refused at once. Change: the grace is each endpoint's own. Test: PoolTest.AVersionThatIsDownForAMomentIsNotRefused, failing before. Not shown: that the refused attempt was a connection that timed out; the log does not say.

--- a/pool/pool.c
+++ b/pool/pool.c
@@ -175,10 +175,26 @@
 	pool->ops->refuse(pool->ctx, wait->entry, wait->ask_id, why, retry_us);
 }
 
-/* A pool without a pipeline may get one back when an endpoint answers again; not for long. */
+/* Whether an endpoint of the version has been down for a moment only. */
+static bool pool_may_be_back(const struct pool *pool, const char *version, int64_t now_us)
+{
+	for (guint i = 0; i < pool->endpoints->len; i++) {
+		const struct pool_endpoint *e = pool->endpoints->pdata[i];
+
+		if (e->down && e->declared && strcmp(e->version, version) == 0 &&
+		    now_us - e->down_us < pool->settings.no_path_grace_us)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A pool without a pipeline, or a version of it, may get one back when an endpoint answers again;
+ * not for long.
+ */
 static bool pool_is_unservable(const struct pool *pool, const char *version, int64_t now_us)
 {
-	if (pool_paths_exist(pool, version))
+	if (pool_paths_exist(pool, version) || pool_may_be_back(pool, version, now_us))
 		return false;
 	if (pool->no_path_since_us == 0)
 		return true;
@@ -314,6 +330,7 @@
 	if (endpoint->down)
 		return;
 	endpoint->down = true;
+	endpoint->down_us = now_us;
 	pool_rebuild(pool, now_us);
 }
 
--- a/pool/pool_test.cc
+++ b/pool/pool_test.cc
@@ -109,10 +109,10 @@
 		pool_on_conf(&pool_, conf_, now_);
 	}
 	Answer Ask(uint64_t id, std::vector<const char *> exclude = {}, const char *account = "acc",
-		   uint64_t entry = 1)
+		   uint64_t entry = 1, const char *version = "v1")
 	{
 		exclude.push_back(nullptr);
-		pool_ask ask = {entry, id,	    account, {1, 10, 100},  "v1",
+		pool_ask ask = {entry, id,	    account, {1, 10, 100},  version,
 				10,    now_ + kFar, 0,	     exclude.data()};
 		size_t before = answers_.size();
 		pool_on_ask(&pool_, &ask, now_);
@@ -207,6 +207,29 @@
 	EXPECT_GT(answers_.back().retry, 0);
 }
 
+/*
+ * Symptom: the first request of a new version was refused with no_pipeline though both endpoints of
+ * it lived. Sequence: one of them refuses a connection on a busy machine; its next report is a
+ * moment away; the other version still has a pipeline. Cause: the moment of grace was counted from
+ * when the pool had no pipeline of any version.
+ */
+TEST_F(PoolTest, AVersionThatIsDownForAMomentIsNotRefused)
+{
+	Conf("endpoint a2 version v2\nendpoint b2 version v2\nmodel m version v2\n");
+	Answer first = Ask(1, {}, "acc", 1, "v2");
+	EXPECT_EQ(first.stages, "a2,b2");
+	pool_on_done(&pool_, first.grant, 0, POOL_OUTCOME_REFUSED, "a2", now_);
+	EXPECT_EQ(Ask(2, {}, "acc", 1, "v2").ask, 0u) << "it waits for the report";
+	pool_on_tick(&pool_, now_ + kSecond);
+	EXPECT_EQ(answers_.size(), 1u);
+	pool_on_load(&pool_, "a2", 0, false, now_ + kSecond);
+	EXPECT_EQ(answers_.back().stages, "a2,b2");
+	pool_on_endpoint_down(&pool_, "a2", now_ + kSecond);
+	now_ += 3 * kSecond;
+	EXPECT_EQ(Ask(3, {}, "acc", 1, "v2").refusal, POOL_REFUSE_NO_PATH) << "not for long";
+	EXPECT_EQ(Ask(4, {}, "acc", 1, "v3").refusal, POOL_REFUSE_NO_PATH) << "nobody holds it";
+}
+
 TEST_F(PoolTest, LostPipelineDoesNotInflateTheWait)
 {
 	/*
