A local set does not take a block of ports in which somebody listens

A bgstand-store of a soak that had been ended by hand at 21:50 still listened there (its pid was 26 minutes old); the block's lock had gone with the soak. Measured: with a listener in the first block the next one is taken; case path passes.

--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -26,6 +26,18 @@
     """A promise was broken, or an event never came."""
 
 
+def is_free(first):
+    """Whether nobody listens in the block: a process of a set that was killed may live on."""
+    for port in range(first, first + PORTS_BLOCK):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def lock_ports():
     """Returns (first port, lock file); the lock ends with the process."""
     folder = os.path.join(tempfile.gettempdir(), "bronzegauge-soak-ports")
@@ -39,7 +51,10 @@
         except OSError:
             lock.close()
             continue
-        return PORTS_FIRST + number * PORTS_BLOCK, lock
+        first = PORTS_FIRST + number * PORTS_BLOCK
+        if is_free(first):
+            return first, lock
+        lock.close()
     raise Failure("no free block of ports")
 
 
