--- a/lead/lead.h
+++ b/lead/lead.h
@@ -10,7 +10,7 @@
 /*
  * Whether this host may give orders to engines: the lease that the store's group of hosts gives to
  * one member, and the fencing number that goes with it (the group's generation). Pure; times are
- * of a clock that goes on while the machine is suspended.
+ * of a clock that goes on while the host is suspended.
  *
  * Two hosts that order at once would undo each other's placements and load weights for nothing.
  * The store gives the lease to another host when a member has been silent for its time to live
--- a/router/member.c
+++ b/router/member.c
@@ -34,7 +34,7 @@
 static const struct hc_ops member_leave_ops = {.on_done = member_on_left};
 static const struct hc_ops member_list_ops = {.on_done = member_on_listed};
 
-/* Time since boot that goes on while the machine is suspended, in microseconds. */
+/* Time since boot that goes on while the host is suspended, in microseconds. */
 static int64_t member_boot_us(void)
 {
 	struct timespec ts;
@@ -180,7 +180,7 @@
 		loop_after(rc->loop, &rc->join_timer, 0, member_join, rc);
 }
 
-/* The clock goes on while the machine is suspended. */
+/* The clock goes on while the host is suspended. */
 bool member_may_order(const struct rc *rc)
 {
 	return !rc->stopping && lead_may_order(&rc->lead, member_boot_us());
