A comment on what other hosts hear of reports names the memory, too

Found in reading the diff: since the use of engines' memory is handed on, the pace is not all that counts. No code is changed; bgrouterd is the same without its debug information; 202 unit tests pass.

--- a/router/loads.c
+++ b/router/loads.c
@@ -72,9 +72,10 @@
 }
 
 /*
- * Engines hardly ever change their pace, and nothing else of a report is used by other hosts. Whole
- * rounds were the most of what a feed carried: 16 MB a second at a reader of 300 hosts with 3,000
- * engines, and changes of the configuration waited behind them for 5 s.
+ * Engines hardly ever change their pace, and how full their memory is counts only from one half on;
+ * nothing else of a report is used by other hosts. Whole rounds were the most of what a feed
+ * carried: 16 MB a second at a reader of 300 hosts with 3,000 engines, and changes of the
+ * configuration waited behind them for 5 s.
  */
 void loads_take_round(struct rc *rc, GArray *loads)
 {
