An endpoint that starts again is another one; entries by other writers name nobody

Cause: an endpoint may start again under the id that it had. The list, the traffic thread, the placer, the polling and the news of endpoints at fault all kept what they knew under the id, so layers, doubts, orders and reports of before the start were taken to hold for the new incarnation; one that had said it was leaving could never come back. And an entry with fields missing or of another type was read with defaults, an unknown state as "draining"; an entry that could not be read left the one before it in use for good.

Ruled out: keeping the id as the key and clearing each memory at a new start. There are eleven of them in two threads and over all hosts, and news of the old incarnation come late.

Change: a record, a report and an order carry the start; what is learnt is kept under id and start in one (ep_rec.incarnation). A report of another incarnation than the list knows says at once that the old one is dead.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -21,11 +21,13 @@
 static void ep_holder_free(gpointer data);
 static gint ep_by_id(gconstpointer a, gconstpointer b);
 
-struct ep_rec *ep_rec_new(const char *id)
+struct ep_rec *ep_rec_new(const char *id, int64_t born_ms)
 {
 	struct ep_rec *rec = g_new0(struct ep_rec, 1);
 
 	rec->id = g_strdup(id);
+	rec->born_ms = born_ms;
+	rec->incarnation = g_strdup_printf("%s@%" G_GINT64_FORMAT, id, born_ms);
 	rec->refs = 1;
 	return rec;
 }
@@ -41,6 +43,7 @@
 	if (!g_atomic_int_dec_and_test(&rec->refs))
 		return;
 	g_free(rec->id);
+	g_free(rec->incarnation);
 	g_free(rec->service);
 	g_free(rec->addr);
 	g_free(rec->zone);
@@ -91,22 +94,32 @@
 	return list->returned_us >= 0 && now_us - list->returned_us < EP_RETURN_US;
 }
 
-static void ep_note(GHashTable *notes, const char *id, int64_t offset, int64_t now_us)
+static void ep_note(GHashTable *notes, const char *id, int64_t offset, int64_t born_ms,
+		    int64_t now_us)
 {
 	struct ep_note *note = g_new(struct ep_note, 1);
 
 	note->offset = offset;
+	note->born_ms = born_ms;
 	note->at_us = now_us;
 	g_hash_table_replace(notes, g_strdup(id), note);
 }
 
 /*
- * An endpoint that has said it is leaving never comes back under the same id. A list that is read
- * late or anew may show it as ready once more; sending to it then would reach it after it has gone.
+ * An endpoint that has said it is leaving comes back only as a new incarnation. A list that is read
+ * late or anew may show the old one as ready once more; sending to it then would reach it after it
+ * has gone.
  */
-static void ep_mark_left(struct ep_list *list, const char *id, int64_t now_us)
+static void ep_mark_left(struct ep_list *list, const struct ep_rec *rec, int64_t now_us)
 {
-	ep_note(list->left, id, 0, now_us);
+	ep_note(list->left, rec->id, 0, rec->born_ms, now_us);
+}
+
+static bool ep_has_left(const struct ep_list *list, const struct ep_rec *rec)
+{
+	const struct ep_note *note = g_hash_table_lookup(list->left, rec->id);
+
+	return note && rec->born_ms <= note->born_ms;
 }
 
 static void ep_remove(struct ep_list *list, struct ep_entry *entry, int64_t now_us)
@@ -119,17 +132,16 @@
 	list->changed = true;
 }
 
-static int64_t ep_removed_at(const struct ep_list *list, const char *id)
+static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset,
+			    const struct ep_entry *entry, int64_t now_us)
 {
-	const struct ep_note *note = g_hash_table_lookup(list->removed, id);
+	const struct ep_note *before = g_hash_table_lookup(list->removed, id);
+	int64_t born_ms = before ? before->born_ms : 0;
 
-	return note ? note->offset : -1;
-}
-
-static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset, int64_t now_us)
-{
-	if (offset > ep_removed_at(list, id))
-		ep_note(list->removed, id, offset, now_us);
+	if (entry)
+		born_ms = MAX(born_ms, entry->rec->born_ms);
+	if (!before || offset > before->offset)
+		ep_note(list->removed, id, offset, born_ms, now_us);
 }
 
 /*
@@ -140,8 +152,21 @@
 static bool ep_is_outdated(const struct ep_list *list, int64_t offset, const struct ep_rec *rec)
 {
 	const struct ep_holder *holder = g_hash_table_lookup(list->addrs, rec->addr);
+	const struct ep_note *removed = g_hash_table_lookup(list->removed, rec->id);
 
-	return offset < ep_removed_at(list, rec->id) || (holder && offset < holder->offset);
+	if (removed && (offset < removed->offset || rec->born_ms < removed->born_ms))
+		return true;
+	return holder && offset < holder->offset;
+}
+
+/*
+ * A heartbeat that an endpoint sent before its restart may be written after the first one of its
+ * new incarnation. Taken for news it would list layers that nobody holds: requests to them are
+ * rejected until the next heartbeat.
+ */
+static bool ep_is_of_earlier(const struct ep_entry *entry, const struct ep_rec *rec)
+{
+	return entry && rec && rec->born_ms < entry->rec->born_ms;
 }
 
 /* An address belongs to one endpoint; the older entry there is of one that has ended. */
@@ -172,14 +197,14 @@
 
 	if (offset >= list->next)
 		list->next = offset + 1;
-	if (entry && offset < entry->offset) {
+	if (entry && (offset < entry->offset || ep_is_of_earlier(entry, rec))) {
 		entry->seen = true;
 		if (rec)
 			ep_rec_unref(rec);
 		return;
 	}
 	if (!rec) {
-		ep_note_removal(list, id, offset, now_us);
+		ep_note_removal(list, id, offset, entry, now_us);
 		if (entry)
 			ep_remove(list, entry, now_us);
 		return;
@@ -190,8 +215,8 @@
 	}
 	ep_take_addr(list, offset, rec, now_us);
 	if (rec->state == EP_DRAINING)
-		ep_mark_left(list, id, now_us);
-	else if (g_hash_table_contains(list->left, id))
+		ep_mark_left(list, rec, now_us);
+	else if (ep_has_left(list, rec))
 		rec->state = EP_DRAINING;
 	entry = g_new0(struct ep_entry, 1);
 	entry->rec = rec;
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -22,7 +22,10 @@
 
 /* What an endpoint says of itself; immutable once it is in a list. */
 struct ep_rec {
-	char *id; /* of this incarnation of the endpoint */
+	char *id;
+	int64_t born_ms; /* Unix time of its start, which tells its incarnations apart; 0: not told
+			  */
+	char *incarnation; /* id and start in one; what is learnt of an endpoint is kept under it */
 	char *service;
 	char *addr;
 	char *zone;
@@ -36,7 +39,7 @@
 	gint refs;
 };
 
-struct ep_rec *ep_rec_new(const char *id);
+struct ep_rec *ep_rec_new(const char *id, int64_t born_ms);
 struct ep_rec *ep_rec_ref(struct ep_rec *rec);
 void ep_rec_unref(struct ep_rec *rec);
 
@@ -57,8 +60,9 @@
 
 /* What is remembered of an endpoint that is not in the list any more. */
 struct ep_note {
-	int64_t offset; /* of its removal */
-	int64_t at_us;	/* when it was heard of */
+	int64_t offset;	 /* of its removal */
+	int64_t born_ms; /* of the incarnation that is gone */
+	int64_t at_us;	 /* when it was heard of */
 };
 
 struct ep_list {
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -22,7 +22,7 @@
 
 	ep_rec *Rec(const char *id, ep_state state = EP_READY)
 	{
-		ep_rec *rec = ep_rec_new(id);
+		ep_rec *rec = ep_rec_new(id, born_);
 		rec->service = g_strdup("s");
 		rec->addr = g_strdup_printf("10.0.0.1:%d", same_addr_ ? 1 : id[0]);
 		rec->zone = g_strdup("z");
@@ -54,6 +54,7 @@
 	ep_list list_;
 	int64_t offset_ = 0;
 	bool same_addr_ = false;
+	int64_t born_ = 0;
 };
 
 TEST_F(EpTest, FollowsRecords)
@@ -178,6 +179,57 @@
 	EXPECT_EQ(Ids(), "");
 }
 
+/*
+ * Symptom: requests went through layers that nobody held, or an endpoint was passed over for good.
+ * Sequence: an endpoint crashes, or leaves, and starts again under the id that it had.
+ * Cause: what the list knew of the id was taken to hold for its new incarnation, too.
+ */
+TEST_F(EpTest, AnEndpointThatStartsAgainIsAnotherOne)
+{
+	born_ = 100;
+	Put("a", 0);
+	Put("b", 0, EP_DRAINING);
+	EXPECT_EQ(Ids(), "a(b)");
+	born_ = 200;
+	Put("a", SEC);
+	Put("b", SEC);
+	EXPECT_EQ(Ids(), "ab") << "the new incarnation is not leaving";
+	GPtrArray *recs = ep_snapshot(&list_);
+	EXPECT_STREQ(((const ep_rec *)recs->pdata[0])->incarnation, "a@200");
+	g_ptr_array_unref(recs);
+	born_ = 100;
+	Put("a", 2 * SEC, EP_DRAINING);
+	EXPECT_EQ(Ids(), "ab") << "a heartbeat of before the restart, written late";
+	Remove("a", 3 * SEC);
+	Put("a", 4 * SEC);
+	EXPECT_EQ(Ids(), "b") << "the same, after the new one has gone, too";
+	born_ = 200;
+	Put("a", 5 * SEC);
+	EXPECT_EQ(Ids(), "ab") << "an entry that lapsed is back";
+	born_ = 300;
+	Put("b", 6 * SEC, EP_DRAINING);
+	Put("b", 7 * SEC);
+	EXPECT_EQ(Ids(), "a(b)") << "leaving is not taken back within an incarnation";
+}
+
+/* An outage of the store keeps a lapsed entry, but not against its own new incarnation. */
+TEST_F(EpTest, ARestartInAnOutageReplacesTheLapsedEntry)
+{
+	born_ = 100;
+	Put("a", 0);
+	ep_on_away(&list_);
+	Remove("a", SEC);
+	EXPECT_EQ(Ids(), "a");
+	ep_on_reached(&list_, 2 * SEC);
+	born_ = 200;
+	Put("a", 3 * SEC);
+	ep_on_time(&list_, 10 * SEC);
+	GPtrArray *recs = ep_snapshot(&list_);
+	ASSERT_EQ(recs->len, 1u);
+	EXPECT_EQ(((const ep_rec *)recs->pdata[0])->born_ms, 200);
+	g_ptr_array_unref(recs);
+}
+
 /*
  * Symptom: the memory of a host grew for as long as it ran.
  * Sequence: endpoints are replaced, hundreds a day. Cause: what is remembered of those that are
@@ -188,7 +240,7 @@
 	int64_t now = SEC;
 	for (int i = 0; i < 20000; i++) {
 		std::string id = "i-" + std::to_string(i);
-		ep_rec *rec = ep_rec_new(id.c_str());
+		ep_rec *rec = ep_rec_new(id.c_str(), 0);
 		rec->service = g_strdup("s");
 		rec->zone = g_strdup("z");
 		rec->addr = g_strdup((id + ":80").c_str());
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -1,11 +1,12 @@
 """Cases with real processes: python3 regress/soak/cases.py NAME. Each opens with what went wrong."""
+import json
 import signal
 import sys
 import threading
 import time
 
 from proxy import Proxy
-from stack import Failure, Stack, check_stream, eventually
+from stack import Failure, Stack, call, check_stream, eventually
 
 
 def expect(what, got, want):
@@ -270,6 +271,56 @@
                    lambda h=host: believed(stack, h, addr)["suspected_ms"] == 0)
 
 
+def case_restart_same_id(stack):
+    """Symptom: requests were rejected by an engine that held nothing, or it never got layers again.
+    Sequence: an engine crashes in the middle of a stream and starts again under the id that it had,
+    twice.
+    Cause: what was known of the id (its layers, orders under way, doubts) was taken to hold for the
+    new incarnation."""
+    stack.up()
+    addr = next("127.0.0.1:%d" % p[1] for p in stack.points if p[0] == "e3")
+    for turn in range(2):
+        before = believed(stack, "host-0", addr)
+        stack.fault_engine("e3", "restarted")
+        for host in stack.hosts:
+            status, _, body = stack.ask(host, "/stream/a", "r-%s-%d" % (host, turn))
+            expect("status", status, 200)
+            check_stream("r-%s-%d" % (host, turn), body)
+        for host in stack.hosts:
+            eventually("%s knows the new incarnation, and it holds layers" % host,
+                       lambda h=host, b=before: believed(stack, h, addr)["born_ms"] > b["born_ms"]
+                       and believed(stack, h, addr)["to"] > 0)
+        expect("id", believed(stack, "host-0", addr)["id"], before["id"])
+    expect("violations", stack.ledger()["violations"], "")
+
+
+def case_foreign_entries(stack):
+    """Symptom: requests went to addresses that are no endpoint's, or an endpoint was lost.
+    Sequence: somebody else writes entries into the list of endpoints, again and again.
+    Cause: what was missing or of another type was read as a default."""
+    stack.up()
+    good = {"service": "plain", "address": "127.0.0.1:9", "zone": "z0", "version": "v1",
+            "slots": 64, "state": "ready", "sequence": 1, "coldRemainingMs": 0, "born": 1}
+    bad = [b"\xff\xfe", b"{", b"[]", b"{}"]
+    for field, value in (("state", "resting"), ("slots", "many"), ("born", 1.5),
+                         ("address", "nowhere"), ("service", None), ("layers", 8)):
+        bad.append(json.dumps(dict(good, **{field: value})).encode())
+    for _ in range(3):
+        for i, entry in enumerate(bad):
+            call(stack.store_port, "POST", "/put?topic=keyed.servers&key=foreign-%d" % i, entry)
+
+    def counts_them(host):
+        text = call(stack.port(host, "metrics"), "GET", "/metrics")[2]
+        return b"bg_endpoints_unreadable_total" in text
+
+    for host in stack.hosts:
+        eventually("%s counts them" % host,
+                   lambda h=host: counts_them(h) or not stack.state(h)["reads_store"])
+        expect("endpoints", len(stack.state(host)["endpoints"]), len(stack.points))
+        for i in range(20):
+            expect("status", stack.ask(host, "/many/a", "f-%s-%d" % (host, i))[0], 200)
+
+
 def case_state(stack):
     """What operators see of a host: one leader, every endpoint, what accounts used; and the age of
     what it knows, while the store and all that could feed it are away."""
--- a/router/feed_pack_test.cc
+++ b/router/feed_pack_test.cc
@@ -28,7 +28,7 @@
 	{
 		std::string text = "{\"service\":\"models\",\"address\":\"10.0.0." + id +
 				   ":80\",\"state\":\"ready\"}";
-		ep_rec *rec = ep_rec_new(id.c_str());
+		ep_rec *rec = ep_rec_new(id.c_str(), 0);
 		rec->service = g_strdup("models");
 		rec->addr = g_strdup(("10.0.0." + id).c_str());
 		rec->zone = g_strdup("a");
--- a/router/placer.c
+++ b/router/placer.c
@@ -38,7 +38,8 @@
 /* An order under way, by endpoint. */
 struct placer_order {
 	struct placer *placer;
-	char *id;
+	char *incarnation; /* that the order is for */
+	int64_t born_ms;
 	char *addr;
 	int from;
 	int to;
@@ -49,7 +50,7 @@
 
 struct placer {
 	struct rc *rc;
-	GHashTable *orders; /* endpoint id -> struct placer_order */
+	GHashTable *orders; /* incarnation of an endpoint -> struct placer_order */
 	int64_t seen_us;    /* when the first endpoint was seen */
 	int64_t grown_us;   /* when a new one was last seen */
 	guint known;
@@ -74,7 +75,7 @@
 
 	if (order->call)
 		hc_cancel(order->call);
-	g_free(order->id);
+	g_free(order->incarnation);
 	g_free(order->addr);
 	g_free(order);
 }
@@ -149,12 +150,12 @@
 /* An order whose effect shows no longer counts. */
 static void placer_settle_order(struct placer *placer, const struct ep_rec *rec)
 {
-	struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
+	struct placer_order *order = g_hash_table_lookup(placer->orders, rec->incarnation);
 
 	if (!order)
 		return;
 	if (rec->layer_from == order->from && rec->layer_to == order->to)
-		g_hash_table_remove(placer->orders, rec->id);
+		g_hash_table_remove(placer->orders, rec->incarnation);
 }
 
 static gboolean placer_is_over(gpointer id, gpointer value, gpointer now_us)
@@ -170,7 +171,7 @@
 			const struct ep_rec *rec, int64_t now_us, struct pl_node *node)
 {
 	const struct rt_kind *kind = rt_kind_of(service, rec->kind);
-	const struct placer_order *order = g_hash_table_lookup(placer->orders, rec->id);
+	const struct placer_order *order = g_hash_table_lookup(placer->orders, rec->incarnation);
 
 	memset(node, 0, sizeof(*node));
 	node->id = rec->id;
@@ -180,7 +181,7 @@
 	node->from = order ? order->from : rec->layer_from;
 	node->to = order ? order->to : rec->layer_to;
 	node->usable = kind && !order && rec->state == EP_READY;
-	if (suspect_is_dead(placer->rc, rec->id, now_us)) {
+	if (suspect_is_dead(placer->rc, rec->incarnation, now_us)) {
 		node->to = node->from;
 		node->usable = false;
 	}
@@ -241,7 +242,9 @@
 
 /*
  * The endpoint's report comes first: it tells how many orders the endpoint has begun. An order
- * names that number, so one that is carried out late, after another, has no effect.
+ * names that number, so one that is carried out late, after another, has no effect. An endpoint
+ * that has started again counts from 0 anew, so a report of another incarnation than the plan knew
+ * of ends the order: its number could fit by chance, and the plan was made for what was lost.
  */
 static void placer_order(struct placer *placer, const struct ep_rec *rec,
 			 const struct pl_move *move, int64_t now_us)
@@ -260,13 +263,14 @@
 	};
 
 	order->placer = placer;
-	order->id = g_strdup(rec->id);
+	order->incarnation = g_strdup(rec->incarnation);
+	order->born_ms = rec->born_ms;
 	order->addr = g_strdup(rec->addr);
 	order->from = move->from;
 	order->to = move->to;
 	order->given_us = now_us;
 	order->fence = rc->lead.generation;
-	g_hash_table_replace(placer->orders, order->id, order);
+	g_hash_table_replace(placer->orders, order->incarnation, order);
 	jl_begin(JL_KEEP, "place");
 	jl_str("endpoint", rec->id);
 	jl_str("addr", rec->addr);
@@ -290,6 +294,7 @@
 	const struct seam_engine *engine = &placer->rc->router->seam->engine;
 	struct seam_report report;
 	int64_t expect;
+	bool reborn;
 	bool busy;
 
 	order->call = NULL;
@@ -299,8 +304,9 @@
 	}
 	busy = report.busy;
 	expect = report.sequence;
+	reborn = report.born_ms != 0 && report.born_ms != order->born_ms;
 	seam_report_finish(&report);
-	if (!busy && member_may_order(placer->rc))
+	if (!busy && !reborn && member_may_order(placer->rc))
 		placer_send(order, expect);
 }
 
@@ -342,7 +348,7 @@
 	if (status == HTTP_OK || status == HTTP_ACCEPTED)
 		return;
 	jl_begin(JL_KEEP, "place_failed");
-	jl_str("endpoint", order->id);
+	jl_str("endpoint", order->incarnation);
 	jl_int("status", status);
 	jl_str("error", err < 0 ? base_strerror(err) : NULL);
 	if (len > 0 && len < 200)
--- a/router/poll.c
+++ b/router/poll.c
@@ -26,7 +26,8 @@
 /* One engine asked in the present round. */
 struct poll_call {
 	struct poll *poll;
-	char *endpoint;
+	char *endpoint; /* its incarnation */
+	int64_t born_ms;
 	struct hc_call *call;
 };
 
@@ -36,7 +37,8 @@
 	GArray *loads;	    /* struct router_load, of the present round; NULL: between rounds */
 	guint asked;	    /* engines in the present round */
 	guint misses;	    /* of the last round that was logged */
-	GHashTable *missed; /* engine -> rounds in a row without an answer */
+	GHashTable *missed; /* incarnation -> rounds in a row without an answer */
+	GHashTable *listed; /* incarnations that are asked in the present round */
 	int64_t next_us;
 };
 
@@ -61,6 +63,7 @@
 	poll->rc = rc;
 	poll->calls = g_ptr_array_new_with_free_func(poll_call_free);
 	poll->missed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	poll->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return poll;
 }
 
@@ -68,6 +71,7 @@
 {
 	g_ptr_array_unref(poll->calls);
 	g_hash_table_destroy(poll->missed);
+	g_hash_table_destroy(poll->listed);
 	g_clear_pointer(&poll->loads, g_array_unref);
 	g_free(poll);
 }
@@ -86,8 +90,10 @@
 	};
 
 	call->poll = poll;
-	call->endpoint = g_strdup(rec->id);
+	call->endpoint = g_strdup(rec->incarnation);
+	call->born_ms = rec->born_ms;
 	g_ptr_array_add(poll->calls, call);
+	g_hash_table_add(poll->listed, g_strdup(rec->incarnation));
 	call->call = hc_start(rc->hc, &request, &poll_ops, call);
 	g_free(url);
 }
@@ -105,6 +111,7 @@
 	gpointer value;
 
 	poll->loads = loads_new();
+	g_hash_table_remove_all(poll->listed);
 	g_hash_table_iter_init(&iter, poll->rc->endpoints.entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct ep_entry *entry = value;
@@ -137,7 +144,7 @@
 	while (g_hash_table_iter_next(&iter, &id, &missed)) {
 		const struct suspect suspect = {id, for_ms, SUSPECT_NO_REPORT, 0};
 
-		if (!g_hash_table_contains(poll->rc->endpoints.entries, id))
+		if (!g_hash_table_contains(poll->listed, id))
 			g_hash_table_iter_remove(&iter);
 		else if (GPOINTER_TO_INT(missed) >= POLL_MISSES)
 			suspect_on_news(poll->rc, &suspect, poll);
@@ -207,22 +214,43 @@
 			     GINT_TO_POINTER(GPOINTER_TO_INT(missed) + 1));
 }
 
+/* Takes an engine's report, unless it is of another incarnation than was asked. */
+static void poll_take(struct poll *poll, const struct poll_call *call,
+		      const struct seam_report *report)
+{
+	const struct router_load load = {g_strdup(call->endpoint), report->pace,
+					 poll_eighths(report)};
+
+	g_array_append_val(poll->loads, load);
+	g_hash_table_remove(poll->missed, call->endpoint);
+}
+
+/*
+ * The engine has started again since it was listed: what the list says of its layers is of an
+ * incarnation that is gone. Without this, pipelines would go through it until its next heartbeat.
+ */
+static void poll_tell_restarted(struct poll *poll, const struct poll_call *call)
+{
+	const struct suspect suspect = {call->endpoint, POLL_DEAD_MS, SUSPECT_RESTARTED, 0};
+
+	suspect_on_news(poll->rc, &suspect, poll);
+}
+
 static void poll_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct poll_call *call = ctx;
 	struct poll *poll = call->poll;
 	struct seam_report report;
-	struct router_load load;
 
 	(void)err;
 	(void)sent;
 	call->call = NULL;
 	if (status == HTTP_OK &&
 	    poll->rc->router->seam->engine.parse_report(str_make(body, len), &report) == 0) {
-		load = (struct router_load){g_strdup(call->endpoint), report.pace,
-					    poll_eighths(&report)};
-		g_array_append_val(poll->loads, load);
-		g_hash_table_remove(poll->missed, call->endpoint);
+		if (report.born_ms != 0 && report.born_ms > call->born_ms)
+			poll_tell_restarted(poll, call);
+		else
+			poll_take(poll, call, &report);
 		seam_report_finish(&report);
 	} else {
 		met_add(met_counter("bg_reports_missed_total", ""), 1);
--- a/router/rc.c
+++ b/router/rc.c
@@ -1,12 +1,15 @@
 #include "router/rc.h"
 #include "base/err.h"
 #include "base/jl.h"
+#include "base/met.h"
 #include "base/zip.h"
 
 #include <string.h>
 
 enum {
-	RC_TICK_MS = 100
+	RC_TICK_MS = 100,
+	/* Ids of unreadable entries that are remembered, so that each is logged once; 100 KB. */
+	RC_UNREADABLE_MAX = 1024
 };
 
 static void rc_on_tick(void *ctx, int64_t now_us);
@@ -34,6 +37,7 @@
 	rc->conf_packed = g_byte_array_new();
 	rc->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->dead = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rc->unreadable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->loads = loads_new();
 	rc->polled = loads_new();
 	rc->placer = placer_new(rc);
@@ -63,6 +67,7 @@
 	g_hash_table_destroy(rc->hosts);
 	g_hash_table_destroy(rc->seen);
 	g_hash_table_destroy(rc->dead);
+	g_hash_table_destroy(rc->unreadable);
 	g_byte_array_unref(rc->conf_packed);
 	rt_conf_unref(rc->conf);
 	g_free(rc);
@@ -142,6 +147,32 @@
 	rc_view_due(rc);
 }
 
+/*
+ * Somebody else may write such an entry again and again; it is logged when it first comes and when
+ * its error changes, and each one is counted.
+ */
+static void rc_note_unreadable(struct rc *rc, const char *id, char *error)
+{
+	const char *before = g_hash_table_lookup(rc->unreadable, id);
+
+	met_add(met_counter("bg_endpoints_unreadable_total", ""), 1);
+	if (g_strcmp0(before, error) == 0) {
+		g_free(error);
+		return;
+	}
+	jl_begin(JL_KEEP, "endpoint_unreadable");
+	jl_str("endpoint", id);
+	jl_str("error", error);
+	jl_end();
+	if (g_hash_table_size(rc->unreadable) >= RC_UNREADABLE_MAX)
+		g_hash_table_remove_all(rc->unreadable);
+	g_hash_table_replace(rc->unreadable, g_strdup(id), error);
+}
+
+/*
+ * An entry that can't be read names nobody, so for this host and those that it feeds it is the same
+ * as none: kept as it was before, it would be used for as long as the other writer goes on.
+ */
 void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text)
 {
 	char *error = NULL;
@@ -149,15 +180,13 @@
 
 	if (text.data) {
 		rec = rc->router->seam->decl.read_endpoint(id, text, &error);
-		if (!rec) {
-			jl_begin(JL_KEEP, "endpoint_unreadable");
-			jl_str("endpoint", id);
-			jl_str("error", error);
-			jl_end();
-			g_free(error);
-			return;
+		if (rec) {
+			rec->text = str_dup(text);
+			g_hash_table_remove(rc->unreadable, id);
+		} else {
+			rc_note_unreadable(rc, id, error);
+			text = str_make(NULL, 0);
 		}
-		rec->text = str_dup(text);
 	}
 	feed_on_record(rc->feed, offset, id, text);
 	ep_on_record(&rc->endpoints, offset, id, rec, tmr_now());
--- a/router/rc.h
+++ b/router/rc.h
@@ -61,9 +61,12 @@
 	struct poll *poll;
 	struct feed *feed;
 	struct follow *follow;
-	GHashTable *seen; /* endpoint -> when it was last passed on as suspect, int64_t */
-	GHashTable *dead; /* endpoint -> until when it is taken to be dead, int64_t */
-	GArray *loads;	  /* struct router_load, as last heard */
+	GHashTable *seen; /* incarnation of an endpoint -> when it was last passed on as suspect,
+			     int64_t */
+	GHashTable *
+		dead; /* incarnation of an endpoint -> until when it is taken to be dead, int64_t */
+	GHashTable *unreadable; /* endpoint -> why its entry can't be read, as last logged */
+	GArray *loads;		/* struct router_load, as last heard */
 	guint loads_version;
 	int64_t loads_us; /* when they were last handed on */
 	GArray *polled;	  /* struct router_load, this host's last round */
@@ -129,8 +132,11 @@
 /* Why an engine is at fault that the polling reader got no report from. */
 #define SUSPECT_NO_REPORT "no_report_to_reader"
 
+/* Why one is at fault whose report is of a later incarnation than its entry. */
+#define SUSPECT_RESTARTED "restarted"
+
 struct suspect {
-	const char *endpoint;
+	const char *endpoint; /* its incarnation */
 	int64_t for_ms;
 	const char *why;
 	int hops; /* hosts that passed it on */
--- a/router/router.h
+++ b/router/router.h
@@ -58,15 +58,15 @@
 
 /* What an engine reported to the host that asks all of them. */
 struct router_load {
-	char *endpoint;
-	double pace; /* time of a step as a multiple of what is usual */
-	int full;    /* eighths of its memory for requests that are taken */
+	char *endpoint; /* its incarnation */
+	double pace;	/* time of a step as a multiple of what is usual */
+	int full;	/* eighths of its memory for requests that are taken */
 };
 
 /* An endpoint that was found at fault, on its way from one of the two threads to the other. */
 struct router_suspect {
-	void *to; /* struct rc or struct tf */
-	char *endpoint;
+	void *to;	/* struct rc or struct tf */
+	char *endpoint; /* its incarnation */
 	char *why;
 	int64_t until_us;
 };
--- a/router/stall.c
+++ b/router/stall.c
@@ -13,7 +13,8 @@
 	STALL_CHECK_PAUSE_US = 150000,
 	/* One report tells about all requests of an endpoint, and is some 200 ms old anyhow. */
 	STALL_PAUSE_US = 100000,
-	STALL_DOUBT_US = 1000000, /* until the report of a first stage tells for sure */
+	STALL_DOUBT_US = 1000000,     /* until the report of a first stage tells for sure */
+	STALL_RESTARTED_US = 3000000, /* by then the list shows its new incarnation */
 	HTTP_OK = 200
 };
 
@@ -150,6 +151,9 @@
 	stall->first->report = NULL;
 	if (status != HTTP_OK || engine->parse_report(str_make(body, len), &report) < 0) {
 		tf_unreached(stall->tf, stall->first, "no_report", NULL);
+	} else if (report.born_ms != 0 && report.born_ms > stall->first->rec->born_ms) {
+		tf_suspect(stall->tf, stall->first, STALL_RESTARTED_US, "restarted", NULL);
+		seam_report_finish(&report);
 	} else {
 		for (guint i = 0; i < report.stalled->len; i++)
 			stall_tell(stall, report.stalled->pdata[i]);
--- a/router/state.c
+++ b/router/state.c
@@ -81,10 +81,11 @@
 {
 	const struct ep_rec *rec = ep->rec;
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I}", "id",
-			 rec->id, "service", rec->service, "addr", rec->addr, "zone", rec->zone,
-			 "kind", rec->kind, "state", state_names[rec->state], "from",
-			 rec->layer_from, "to", rec->layer_to, "in_flight", ep->in_flight, "pace",
+	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I}",
+			 "id", rec->id, "born_ms", (json_int_t)rec->born_ms, "service",
+			 rec->service, "addr", rec->addr, "zone", rec->zone, "kind", rec->kind,
+			 "state", state_names[rec->state], "from", rec->layer_from, "to",
+			 rec->layer_to, "in_flight", ep->in_flight, "pace",
 			 ep->load_us > 0 ? ep->pace : 1.0, "full", ep->full, "doubted_ms",
 			 (json_int_t)state_left_ms(ep->doubt.until_us, now_us), "suspected_ms",
 			 (json_int_t)state_left_ms(ep->suspect_us, now_us));
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -90,7 +90,8 @@
 
 	if (!suspect_is_news(rc, suspect->endpoint, tmr_now()))
 		return;
-	if (strcmp(suspect->why, SUSPECT_NO_REPORT) == 0) {
+	if (strcmp(suspect->why, SUSPECT_NO_REPORT) == 0 ||
+	    strcmp(suspect->why, SUSPECT_RESTARTED) == 0) {
 		suspect_set_time(rc->dead, suspect->endpoint, tmr_now() + tmr_ms(suspect->for_ms));
 		placer_on_change(rc->placer);
 	}
--- a/router/tf.c
+++ b/router/tf.c
@@ -52,6 +52,8 @@
 static void tf_take_call(void *ctx);
 static void tf_sweep_parked(struct tf *tf, int64_t now_us);
 static void tf_unpark(struct tf *tf);
+static void tf_leave(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
+		     const char *request);
 
 struct tf *tf_start(struct router *router)
 {
@@ -143,18 +145,18 @@
 
 static void tf_take_endpoint(struct tf *tf, struct ep_rec *rec)
 {
-	struct tf_ep *ep = g_hash_table_lookup(tf->eps, rec->id);
+	struct tf_ep *ep = g_hash_table_lookup(tf->eps, rec->incarnation);
 
 	if (!ep) {
 		ep = g_new0(struct tf_ep, 1);
 		ep->refs = 1;
 		ep->rec = ep_rec_ref(rec);
-		g_hash_table_insert(tf->eps, ep->rec->id, ep);
+		g_hash_table_insert(tf->eps, ep->rec->incarnation, ep);
 	} else if (ep->rec != rec) {
 		struct ep_rec *old = ep->rec;
 
 		ep->rec = ep_rec_ref(rec);
-		g_hash_table_replace(tf->eps, ep->rec->id, ep);
+		g_hash_table_replace(tf->eps, ep->rec->incarnation, ep);
 		ep_rec_unref(old);
 	}
 	ep->listed = true;
@@ -165,8 +167,14 @@
 	g_hash_table_replace(tf->by_addr, ep->rec->addr, ep);
 }
 
+/*
+ * Endpoints that are no longer listed. Where another one has the address, the old one has ended and
+ * took with it all that it had read: streams through it wait in vain, and are taken elsewhere at
+ * once instead of when their silence shows it.
+ */
 static void tf_drop_unlisted(struct tf *tf)
 {
+	GPtrArray *ended = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -179,8 +187,16 @@
 		if (ep->left_us == 0)
 			ep->left_us = tmr_now();
 		g_hash_table_iter_remove(&iter);
-		tf_ep_unref(ep);
+		if (g_hash_table_contains(tf->by_addr, ep->rec->addr))
+			g_ptr_array_add(ended, ep);
+		else
+			tf_ep_unref(ep);
+	}
+	for (guint i = 0; i < ended->len; i++) {
+		tf_leave(tf, ended->pdata[i], TF_SUSPECT_US, "address_taken", NULL);
+		tf_ep_unref(ended->pdata[i]);
 	}
+	g_ptr_array_unref(ended);
 }
 
 static void tf_mark_unlisted(gpointer key, gpointer value, gpointer ctx)
@@ -253,10 +269,10 @@
 	g_hash_table_foreach(tf->eps, tf_mark_unlisted, NULL);
 	for (guint i = 0; i < view->endpoints->len; i++)
 		tf_take_endpoint(tf, view->endpoints->pdata[i]);
-	tf_drop_unlisted(tf);
 	router_view_free(tf->view);
 	tf->view = view;
 	tf->view_us = tmr_now();
+	tf_drop_unlisted(tf);
 	tf_update_budgets(tf);
 	if (view->conf)
 		tf_apply_limits(tf);
@@ -372,7 +388,7 @@
 			   const char *why, const char *request)
 {
 	jl_begin(JL_KEEP, event);
-	jl_str("endpoint", ep->rec->id);
+	jl_str("endpoint", ep->rec->incarnation);
 	jl_str("addr", ep->rec->addr);
 	jl_str("why", why);
 	jl_int("for_ms", for_us / TMR_US_PER_MS);
@@ -415,7 +431,7 @@
 	if (ep->suspect_us + TF_SUSPECT_STEP_US >= tmr_now() + for_us)
 		return;
 	tf_leave(tf, ep, for_us, why, request);
-	suspect_post(tf->router->rc, ep->rec->id, for_us / TMR_US_PER_MS, why);
+	suspect_post(tf->router->rc, ep->rec->incarnation, for_us / TMR_US_PER_MS, why);
 }
 
 void tf_unreached(struct tf *tf, struct tf_ep *ep, const char *why, const char *request)
@@ -464,7 +480,7 @@
 	if ((ep->pace >= tf_slow) == (pace >= tf_slow))
 		return;
 	jl_begin(JL_KEEP, pace >= tf_slow ? "endpoint_slow" : "endpoint_fast");
-	jl_str("endpoint", ep->rec->id);
+	jl_str("endpoint", ep->rec->incarnation);
 	jl_str("addr", ep->rec->addr);
 	jl_real("pace", pace);
 	jl_int("layer_from", ep->rec->layer_from);
--- a/router/tf.h
+++ b/router/tf.h
@@ -58,7 +58,7 @@
 	pthread_t thread;
 	struct hc *hc;
 	struct router_view *view;
-	GHashTable *eps;     /* id -> struct tf_ep */
+	GHashTable *eps;     /* incarnation -> struct tf_ep */
 	GHashTable *by_addr; /* address -> struct tf_ep; of those that are listed */
 	struct sh share;     /* what client accounts have used */
 	GHashTable *budgets; /* service -> struct bud */
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -54,6 +54,7 @@
 
 /* What an engine reports of itself. */
 struct seam_report {
+	int64_t born_ms;  /* Unix time of the engine's start; 0: not told */
 	double pace;	  /* time of a step as a multiple of what is usual */
 	bool busy;	  /* with an order */
 	int64_t sequence; /* orders that it has begun */
