A stream that nobody takes at present waits and goes on, instead of being cut

Cause: engines' memory is full; a stream that its caller has a part of loses its engine (cut, or given up as hanging) and is rejected by all others within 15 ms. With nobody left it was ended at once, with 11 to 13 s of its time left.

Ruled out: keeping a silent attempt for longer (the stream is cut as well where the engine itself ends it); trying on at once (each try takes from the budget of repeats).

Change: fwd has a state in which such a stream waits for 200, 400, 800 ms and is sent again from its last event, to all engines anew, each try paid from the budget. What may not run again, has no event ids, or brought nothing yet ends at once as before.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -8,7 +8,13 @@
 	FWD_STATUS_BAD_GATEWAY = 502,
 	FWD_STATUS_UNAVAILABLE = 503,
 	FWD_STATUS_TIMEOUT = 504,
-	FWD_LEAST_LEFT_US = 20000 /* with less time left another attempt can't answer */
+	FWD_LEAST_LEFT_US = 20000, /* with less time left another attempt can't answer */
+	/*
+	 * Before a stream that nobody takes is sent again; doubles. Memory that is full becomes
+	 * free as other streams end, several a second at each engine; callers leave after 2 s.
+	 */
+	FWD_WAIT_US = 200000,
+	FWD_WAIT_DOUBLINGS = 2
 };
 
 static const char *const fwd_cause_names[FWD_CAUSES] = {
@@ -29,6 +35,7 @@
 static void fwd_send(struct fwd *fwd, int64_t now_us);
 static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us);
 static void fwd_close(struct fwd *fwd);
+static void fwd_wait_or_close(struct fwd *fwd, int64_t now_us);
 static void fwd_on_event(void *ctx, const char *data, size_t len);
 
 const char *fwd_cause_name(enum fwd_cause cause)
@@ -65,6 +72,8 @@
 
 	if (silence > 0 && (fwd->state == FWD_SENT || fwd->state == FWD_ANSWERING))
 		due = MIN(due, fwd->heard_us + silence);
+	if (fwd->state == FWD_WAITING)
+		due = MIN(due, fwd->again_us);
 	fwd->ops->set_timer(fwd->ctx, due);
 }
 
@@ -88,7 +97,7 @@
 	if (err < 0) {
 		if (fwd->sends == 0)
 			fwd->failure = FWD_NO_ENDPOINT;
-		fwd_close(fwd);
+		fwd_wait_or_close(fwd, now_us);
 		return;
 	}
 	fwd->sends++;
@@ -111,38 +120,65 @@
 }
 
 /*
- * Whether the request may be sent once more. A stream that the caller has a part of goes on from
- * there; it needs the id of the last event for that.
+ * Whether the request may run once more. A stream that the caller has a part of goes on from there;
+ * it needs the id of the last event for that.
  */
-static bool fwd_may_send(const struct fwd *fwd, int runs, int64_t now_us)
+static bool fwd_may_run(const struct fwd *fwd, int runs, int64_t now_us)
 {
-	if (fwd->sends >= FWD_SENDS_MAX || runs >= fwd->rules.runs_max)
-		return false;
-	if (runs > 0 && !fwd->rules.may_repeat)
+	if (runs >= fwd->rules.runs_max || (runs > 0 && !fwd->rules.may_repeat))
 		return false;
 	if (fwd->begun && (fwd->parts == 0 || !fwd->sse.has_id))
 		return false;
 	return now_us + FWD_LEAST_LEFT_US < fwd->rules.deadline_us;
 }
 
-static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us)
+static bool fwd_may_send(const struct fwd *fwd, int runs, int64_t now_us)
 {
-	int err;
+	return fwd->sends < FWD_SENDS_MAX && fwd_may_run(fwd, runs, now_us);
+}
 
-	if (ran)
-		fwd->runs++;
-	if (!fwd_may_send(fwd, fwd->runs, now_us)) {
+/*
+ * What goes wrong without waiting: engines' memory is full for a moment, all of them reject a
+ * stream within some ms, and its caller sees it cut with most of its time left. Waiting keeps the
+ * caller's connection, and each try costs one short call that engines reject without reading the
+ * prompt.
+ */
+static void fwd_wait_or_close(struct fwd *fwd, int64_t now_us)
+{
+	int64_t wait_us = (int64_t)FWD_WAIT_US << MIN(fwd->waits, FWD_WAIT_DOUBLINGS);
+
+	if (fwd->parts == 0 || !fwd_may_run(fwd, fwd->runs, now_us + wait_us)) {
 		fwd_close(fwd);
 		return;
 	}
-	err = fwd->ops->take_repeat(fwd->ctx);
-	if (err < 0) {
-		if (err == FWD_EBUDGET)
-			fwd->failure = FWD_BUDGET;
-		fwd_close(fwd);
+	fwd->state = FWD_WAITING;
+	fwd->waits++;
+	fwd->again_us = now_us + wait_us;
+	fwd->ops->on_wait(fwd->ctx);
+	fwd_arm(fwd);
+}
+
+static void fwd_send_again(struct fwd *fwd, int64_t now_us)
+{
+	int err = fwd->ops->take_repeat(fwd->ctx);
+
+	if (err == FWD_EBUDGET)
+		fwd->failure = FWD_BUDGET;
+	if (err < 0)
+		fwd_wait_or_close(fwd, now_us);
+	else
+		fwd_send(fwd, now_us);
+}
+
+static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us)
+{
+	if (ran)
+		fwd->runs++;
+	if (!fwd_may_send(fwd, fwd->runs, now_us)) {
+		fwd_wait_or_close(fwd, now_us);
 		return;
 	}
-	fwd_send(fwd, now_us);
+	fwd_send_again(fwd, now_us);
 }
 
 /* Whether the answer is one that this request may be given. */
@@ -176,6 +212,7 @@
 		fwd->ops->answer_begin(fwd->ctx);
 	}
 	fwd->parts++;
+	fwd->waits = 0;
 	fwd->ops->answer_data(fwd->ctx, data, len);
 }
 
@@ -349,6 +386,13 @@
 		fwd_on_deadline(fwd);
 		return;
 	}
+	if (fwd->state == FWD_WAITING) {
+		if (now_us >= fwd->again_us)
+			fwd_send_again(fwd, now_us);
+		else
+			fwd_arm(fwd);
+		return;
+	}
 	if (silence <= 0 || now_us < fwd->heard_us + silence) {
 		fwd_arm(fwd);
 		return;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -18,6 +18,9 @@
  *   waiting --send--> sent --head--> answering --end--> ended
  *      ^                |                |
  *      +-- not run, or may run again ----+
+ *
+ * It waits between two sendings only as a stream that its caller has a part of and that nobody
+ * takes at present; anybody else is refused at once.
  */
 enum fwd_err {
 	FWD_ENOENDPOINT = -900, /* no usable endpoint at present */
@@ -72,6 +75,9 @@
 	/* Ends the attempt under way, without on_done. */
 	void (*cancel)(void *ctx);
 
+	/* Nobody takes the request now; it is sent again later, also to those that rejected it. */
+	void (*on_wait)(void *ctx);
+
 	/*
 	 * The attempt under way is silent. Returns true when it is to be kept, so that silence is
 	 * allowed once more; else it is given up, if the request may be sent again.
@@ -121,6 +127,8 @@
 	bool spilled;  /* the answer under way was too large to keep and is handed on as it comes */
 	uint64_t parts;		/* events handed on */
 	int64_t heard_us;	/* when the endpoint was last heard of */
+	int64_t again_us;	/* in FWD_WAITING: when it is sent again */
+	int waits;		/* in a row without anything handed on in between */
 	enum fwd_cause failure; /* of the last attempt */
 };
 
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -76,6 +76,7 @@
 		},
 		[](void *ctx) { return Of(ctx)->repeat_error_; },
 		[](void *ctx) { Say(ctx, "cancel"); },
+		[](void *ctx) { Say(ctx, "wait"); },
 		[](void *ctx) {
 			Say(ctx, "silent");
 			return Of(ctx)->keep_silent_;
@@ -467,4 +468,100 @@
 	}
 }
 
+/*
+ * Symptom: streams were cut with most of their time left, ten beside one change of configuration.
+ * Sequence: engines' memory is full; a stream that its caller has a part of loses its engine and is
+ * rejected by all others within some ms. Cause: nobody left to send to ended the request at once.
+ */
+TEST_F(FwdTest, AStreamThatNobodyTakesWaitsAndGoesOn)
+{
+	const struct {
+		const char *name;
+		int send_error, repeat_error;
+	} cases[] = {
+		{"all reject it", 0, 0},
+		{"nobody is left to ask", 0, FWD_ENOENDPOINT},
+		{"nobody can be chosen", FWD_ENOENDPOINT, 0},
+		{"the budget of repeats is spent", 0, FWD_EBUDGET},
+	};
+	for (const auto &c : cases) {
+		now_ = 1000 * MS;
+		Start(true, true);
+		Head(200);
+		Data("id: 1\n\n");
+		send_error_ = c.send_error;
+		repeat_error_ = c.repeat_error;
+		Done(false);
+		while (fwd_.state == FWD_SENT) {
+			Head(503, false, true, true);
+			Done(true);
+		}
+		EXPECT_EQ(fwd_.state, FWD_WAITING) << c.name;
+		EXPECT_EQ(Did().find("abort"), std::string::npos) << c.name;
+		send_error_ = repeat_error_ = 0;
+		Wait(fwd_.again_us - now_ - 1);
+		EXPECT_EQ(Did(), "") << c.name << ": too soon";
+		Wait(1);
+		EXPECT_EQ(Did(), "send@1") << c.name;
+		Head(200);
+		Data("id: 2\n\n");
+		Done(true);
+		EXPECT_EQ(Did(), "data7 end ok") << c.name;
+		fwd_finish(&fwd_);
+	}
+	live_ = false;
+}
+
+/* What may not run again, or has no time left, ends at once, and so does what has brought nothing.
+ */
+TEST_F(FwdTest, OnlyAStreamThatMayGoOnWaits)
+{
+	const struct {
+		const char *name;
+		int runs_max;
+		const char *data;
+		int64_t left_us;
+		const char *did;
+	} cases[] = {
+		{"it has run as often as it may", 1, "id: 1\n\n", 9000 * MS, "abort broken"},
+		{"its events bear no ids", 2, "data: x\n\n", 9000 * MS, "abort broken"},
+		{"its time is over before the next try", 2, "id: 1\n\n", 150 * MS, "abort broken"},
+		{"its caller has nothing of it", 2, "", 9000 * MS, "refuse502? broken"},
+	};
+	for (const auto &c : cases) {
+		now_ = 1000 * MS;
+		Start(true, true, c.runs_max);
+		Head(200);
+		Data(c.data);
+		now_ = 10000 * MS - c.left_us;
+		Did();
+		repeat_error_ = FWD_ENOENDPOINT;
+		Done(false);
+		EXPECT_EQ(Did(), c.did) << c.name;
+		repeat_error_ = 0;
+		fwd_finish(&fwd_);
+	}
+	live_ = false;
+}
+
+/* Each try costs an engine a call, so the pauses grow until something is handed on again. */
+TEST_F(FwdTest, PausesGrowAndTheDeadlineEndsThem)
+{
+	std::vector<int64_t> pauses;
+	Start(true, true, 9);
+	Head(200);
+	Data("id: 1\n\n");
+	repeat_error_ = FWD_ENOENDPOINT;
+	Done(false);
+	while (fwd_.state == FWD_WAITING && pauses.size() < 100) {
+		pauses.push_back(fwd_.again_us - now_);
+		Wait(fwd_.again_us - now_);
+	}
+	ASSERT_GE(pauses.size(), 5u);
+	EXPECT_EQ(pauses[1], 2 * pauses[0]);
+	EXPECT_EQ(pauses[4], pauses[3]) << "bounded";
+	EXPECT_LT(pauses.size(), 20u);
+	EXPECT_NE(Did().find("abort"), std::string::npos);
+}
+
 } // namespace
--- a/router/rq.c
+++ b/router/rq.c
@@ -41,6 +41,7 @@
 static int rq_send(void *ctx, int attempt, const char *resume_after);
 static int rq_take_repeat(void *ctx);
 static void rq_cancel(void *ctx);
+static void rq_on_wait(void *ctx);
 static void rq_answer_whole(void *ctx, const char *body, size_t len);
 static void rq_answer_begin(void *ctx);
 static void rq_answer_data(void *ctx, const char *data, size_t len);
@@ -58,6 +59,7 @@
 	.send = rq_send,
 	.take_repeat = rq_take_repeat,
 	.cancel = rq_cancel,
+	.on_wait = rq_on_wait,
 	.on_silent = rq_on_silent,
 	.answer_whole = rq_answer_whole,
 	.answer_begin = rq_answer_begin,
@@ -347,6 +349,22 @@
 	rq_drop_order(rq);
 }
 
+/* Those that had no room may have some when the stream is sent again. */
+static void rq_on_wait(void *ctx)
+{
+	struct rq *rq = ctx;
+
+	jl_begin(JL_KEEP, "stream_waits");
+	jl_str("id", rq->request.id);
+	jl_str("why", fwd_cause_name(rq->fwd.failure));
+	jl_int("waits", rq->fwd.waits);
+	jl_int("parts", (int64_t)rq->fwd.parts);
+	jl_int("left_ms", rq_left_ms(rq, tmr_now()));
+	jl_end();
+	tf_target_clear(&rq->target);
+	rq_avoid_clear(rq);
+}
+
 /* What the end of an attempt tells about its endpoints. */
 static void rq_learn(struct rq *rq, int err, bool sent)
 {
