--- a/router/rc.h
+++ b/router/rc.h
@@ -132,6 +132,12 @@
 /* Why an engine is at fault that the polling reader got no report from. */
 #define SUSPECT_NO_REPORT "no_report_to_reader"
 
+/*
+ * Why one may be at fault that did not answer one host while others did. That host may be cut off
+ * from it, so others look for themselves.
+ */
+#define SUSPECT_NO_ANSWER "no_answer"
+
 /* Why one is at fault whose report is of a later incarnation than its entry. */
 #define SUSPECT_RESTARTED "restarted"
 
--- a/router/rq.c
+++ b/router/rq.c
@@ -16,8 +16,7 @@
 	 */
 	RQ_FIRST_MIN_MS = 250,
 	RQ_GAP_MIN_MS = 120,
-	RQ_GAP_LEAST_MS =
-		100,	      /* silence that is no sign of anything: a batch that reads a prompt */
+	RQ_GAP_LEAST_MS = 70, /* silence that is no sign of anything: a batch that reads a prompt */
 	RQ_GAP_SHARE = 4,     /* weight of the newest gap in the mean, as one part of so many */
 	RQ_GAP_X = 3,	      /* gaps of that mean after which a stream is silent */
 	RQ_RETRY_US = 400000, /* when to come back where nobody can be sent to at present */
@@ -377,6 +376,8 @@
 	if (culprit) {
 		rq_avoid(rq, culprit);
 		tf_on_named(culprit, "named_at_fault", rq->request.id);
+		if (first && first != culprit)
+			stall_on_named(rq->tf, first, culprit);
 		return;
 	}
 	if (!first || err == 0)
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -13,6 +13,7 @@
 	RQ_REPAIRS_MAX = 6,
 	RQ_MOVE_PART = 40,    /* hundredths of the time for which a leaving endpoint goes on */
 	RQ_ACTIVE_US = 80000, /* a stream that brought something since then is not stalled */
+	RQ_QUIET_US = 40000,  /* longer than most pauses; enough to look after a hint */
 	STATUS_ACCEPTED = 202,
 	STATUS_CONFLICT = 409,
 	RQ_SUSPECT_US = 3000000, /* that an endpoint which is certainly at fault is passed over */
@@ -231,6 +232,17 @@
 	}
 }
 
+struct tf_ep *rq_waits_for(const struct rq *rq, const struct tf_ep *ep)
+{
+	if (!rq->target.layered || !rq->attempt || tmr_now() - rq->part_us < RQ_QUIET_US)
+		return NULL;
+	for (int i = 1; i < rq->target.count; i++) {
+		if (rq->target.stages[i].ep == ep)
+			return rq->target.stages[0].ep;
+	}
+	return NULL;
+}
+
 bool rq_proves(const struct rq *rq, const struct tf_ep *ep, int64_t now_us)
 {
 	if (!rq->attempt || rq->fwd.parts == 0 || now_us - rq->part_us >= RQ_ACTIVE_US)
--- a/router/stall.c
+++ b/router/stall.c
@@ -1,4 +1,5 @@
 #include "base/tmr.h"
+#include "router/rc.h"
 #include "router/tf.h"
 
 #include <string.h>
@@ -11,6 +12,7 @@
 	 */
 	STALL_CHECK_MS = 45,
 	STALL_CHECK_PAUSE_US = 150000,
+	STALL_TOGETHER_US = 100000, /* checks that end within this time were made under one sign */
 	/* One report tells about all requests of an endpoint, and is some 200 ms old anyhow. */
 	STALL_PAUSE_US = 100000,
 	STALL_DOUBT_US = 1000000,     /* until the report of a first stage tells for sure */
@@ -76,6 +78,30 @@
 	return true;
 }
 
+/* Asks the endpoint whether it answers at all, unless it was asked just now. */
+static void stall_check(struct tf *tf, struct tf_ep *ep, int64_t now_us)
+{
+	if (ep->check || now_us - ep->check_us < STALL_CHECK_PAUSE_US ||
+	    !stall_may_check(tf, now_us))
+		return;
+	ep->check_us = now_us;
+	ep->check = stall_call(tf, ep, STALL_CHECK_MS, &stall_check_ops);
+}
+
+/*
+ * An engine rejects what it has no memory for in the same words as what passes through one that has
+ * died, so the one that it names is asked itself. The first stage shows meanwhile that this host
+ * reaches anybody.
+ */
+void stall_on_named(struct tf *tf, struct tf_ep *first, struct tf_ep *culprit)
+{
+	int64_t now_us = tmr_now();
+
+	stall_check(tf, culprit, now_us);
+	if (culprit->check)
+		stall_check(tf, first, now_us);
+}
+
 /*
  * A pipeline that goes silent does not say which stage is at fault. Its first stage does, in its
  * report, which is some 200 ms old; a guess would blame sound endpoints. Faster, though less sure,
@@ -90,15 +116,47 @@
 		first->report_us = now_us;
 		first->report = stall_call(tf, first, STALL_CALL_MS, &stall_ops);
 	}
-	for (int i = 1; i < target->count; i++) {
-		struct tf_ep *ep = target->stages[i].ep;
-
-		if (ep->check || now_us - ep->check_us < STALL_CHECK_PAUSE_US ||
-		    !stall_may_check(tf, now_us))
-			continue;
-		ep->check_us = now_us;
-		ep->check = stall_call(tf, ep, STALL_CHECK_MS, &stall_check_ops);
+	for (int i = 1; i < target->count; i++)
+		stall_check(tf, target->stages[i].ep, now_us);
+}
+
+/* The endpoint does not answer while others do. */
+static void stall_is_missing(struct tf *tf, struct tf_ep *ep)
+{
+	GPtrArray *reqs = tf->reqs;
+
+	ep->missed_us = 0;
+	tf_doubt(ep, STALL_DOUBT_US, SUSPECT_NO_ANSWER, NULL);
+	suspect_post(tf->router->rc, ep->rec->incarnation, STALL_DOUBT_US / TMR_US_PER_MS,
+		     SUSPECT_NO_ANSWER);
+	for (guint i = reqs->len; i > 0; i--)
+		rq_on_missing(reqs->pdata[i - 1], ep);
+}
+
+/*
+ * Another endpoint has answered, so this host is well, and those that did not answer just before
+ * are missing. The answer is often the later one: an endpoint whose process has died refuses
+ * connections within a millisecond.
+ */
+static void stall_on_answer(struct tf *tf)
+{
+	int64_t now_us = tmr_now();
+	GPtrArray *missing = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	tf->check_ok_us = now_us;
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tf_ep *ep = value;
+
+		if (ep->missed_us > 0 && now_us - ep->missed_us < STALL_TOGETHER_US)
+			g_ptr_array_add(missing, ep);
+		ep->missed_us = 0;
 	}
+	for (guint i = 0; i < missing->len; i++)
+		stall_is_missing(tf, missing->pdata[i]);
+	g_ptr_array_unref(missing);
 }
 
 /*
@@ -110,20 +168,18 @@
 {
 	struct stall *stall = ctx;
 	struct tf *tf = stall->tf;
-	GPtrArray *reqs = tf->reqs;
 
 	(void)err;
 	(void)sent;
 	(void)body;
 	(void)len;
 	stall->first->check = NULL;
-	if (status == HTTP_OK) {
-		tf->check_ok_us = tmr_now();
-	} else if (tf->check_ok_us > stall->began_us) {
-		tf_doubt(stall->first, STALL_DOUBT_US, "no_answer", NULL);
-		for (guint i = reqs->len; i > 0; i--)
-			rq_on_missing(reqs->pdata[i - 1], stall->first);
-	}
+	if (status == HTTP_OK)
+		stall_on_answer(tf);
+	else if (tf->check_ok_us > stall->began_us)
+		stall_is_missing(tf, stall->first);
+	else
+		stall->first->missed_us = tmr_now();
 	tf_ep_unref(stall->first);
 	g_free(stall);
 }
@@ -149,6 +205,8 @@
 	(void)err;
 	(void)sent;
 	stall->first->report = NULL;
+	if (status == HTTP_OK)
+		stall_on_answer(stall->tf);
 	if (status != HTTP_OK || engine->parse_report(str_make(body, len), &report) < 0) {
 		tf_unreached(stall->tf, stall->first, "no_report", NULL);
 	} else if (report.born_ms != 0 && report.born_ms > stall->first->rec->born_ms) {
--- a/router/tf.c
+++ b/router/tf.c
@@ -459,13 +459,28 @@
 	return false;
 }
 
+/* Another host got no answer from the endpoint: this one asks it, if any stream waits for it. */
+static void tf_look_after(struct tf *tf, struct tf_ep *ep)
+{
+	for (guint i = 0; i < tf->reqs->len; i++) {
+		struct tf_ep *first = rq_waits_for(tf->reqs->pdata[i], ep);
+
+		if (first) {
+			stall_on_named(tf, first, ep);
+			return;
+		}
+	}
+}
+
 static void tf_take_suspect(void *ctx)
 {
 	struct router_suspect *suspect = ctx;
 	struct tf *tf = suspect->to;
 	struct tf_ep *ep = g_hash_table_lookup(tf->eps, suspect->endpoint);
 
-	if (ep && !tf_serves(tf, ep))
+	if (ep && strcmp(suspect->why, SUSPECT_NO_ANSWER) == 0)
+		tf_look_after(tf, ep);
+	else if (ep && !tf_serves(tf, ep))
 		tf_leave(tf, ep, suspect->until_us - tmr_now(), suspect->why, NULL);
 	router_suspect_free(suspect);
 }
--- a/router/tf.h
+++ b/router/tf.h
@@ -30,6 +30,7 @@
 	int64_t report_us;	/* when it was last asked for */
 	struct hc_call *check;	/* whether it answers at all, being asked */
 	int64_t check_us;	/* when that was last asked */
+	int64_t missed_us;	/* when it did not answer, and nobody else has since; 0: it did */
 	double failures;	/* recent ones, fading; see tf_ep_failed() */
 	int64_t failed_us;	/* when failures was last brought up to date */
 };
@@ -106,6 +107,9 @@
 /* stall.c: finds out which stage a silent pipeline waits for. */
 void stall_ask(struct tf *tf, const struct tf_target *target);
 
+/* The first stage named the other one at fault, which may be dead or just have no memory. */
+void stall_on_named(struct tf *tf, struct tf_ep *first, struct tf_ep *culprit);
+
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
 struct bk *tf_back(struct tf *tf, const char *service);
@@ -150,6 +154,10 @@
  * elsewhere. */
 void rq_on_missing(struct rq *rq, struct tf_ep *ep);
 
+/* The first stage of the request's pipeline if it is silent and passes through ep later; or NULL.
+ */
+struct tf_ep *rq_waits_for(const struct rq *rq, const struct tf_ep *ep);
+
 /* Whether the request has just got something that came through the endpoint. */
 bool rq_proves(const struct rq *rq, const struct tf_ep *ep, int64_t now_us);
 
