--- a/path/hop.h
+++ b/path/hop.h
@@ -7,8 +7,8 @@
 G_BEGIN_DECLS
 
 /*
- * What a hop between two availability zones costs a token at present, learnt from the pauses between
- * events of the streams that make such hops and of those that do not. Pure.
+ * What a hop between two availability zones costs a token at present, learnt from the pauses
+ * between events of the streams that make such hops and of those that do not. Pure.
  *
  * Links between zones are shared by all requests, one transfer after another. When one of them is
  * slow or full, every stream over it pauses; nothing tells so but the streams themselves.
@@ -19,7 +19,7 @@
 };
 
 struct hop {
-	double scale;		   /* pause between events for each ms of a path's expected cost */
+	double scale;		    /* pause between events for each ms of a path's expected cost */
 	double pause_ms[HOP_PAIRS]; /* that a hop adds to a pause, by pair */
 	int64_t seen_us[HOP_PAIRS]; /* when that was last learnt or faded */
 };
