--- a/router/rq.c
+++ b/router/rq.c
@@ -1,7 +1,6 @@
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/met.h"
-#include "base/rnd.h"
 #include "router/rq_int.h"
 
 #include <ck_pr.h>
@@ -9,55 +8,21 @@
 #include <string.h>
 
 enum {
-	RQ_CONNECT_MS = 300, /* a connection to a live endpoint takes a few ms */
-	RQ_DEADLINE_DEFAULT_MS = 60000,
-	/*
-	 * Silence before the first event, and between events, after which the first stage is asked
-	 * what it waits for. Usual are 120 ms and 70 ms; callers leave after 2 s.
-	 */
-	RQ_FIRST_MIN_MS = 250,
-	RQ_GAP_MIN_MS = 120,
+	RQ_CONNECT_MS = 300,  /* a connection to a live endpoint takes a few ms */
 	RQ_GAP_LEAST_MS = 70, /* silence that is no sign of anything: a batch that reads a prompt */
 	RQ_GAP_SHARE = 4,     /* weight of the newest gap in the mean, as one part of so many */
-	RQ_GAP_X = 3,	      /* gaps of that mean after which a stream is silent */
-	/* When callers leave a stream that brings nothing: the longest of these. */
-	RQ_PATIENCE_MS = 2000,
-	RQ_PATIENCE_TARGETS = 4, /* times the target for its first event */
-	RQ_PATIENCE_GAPS = 8,	 /* times the pause that it may make */
-	RQ_RETRY_US = 400000,	 /* when to come back where nobody can be sent to at present */
-	/*
-	 * When to come back to a host that has learnt nothing while the request waited: outages of
-	 * the store last seconds, and a caller comes back only once.
-	 */
-	RQ_RETRY_UNKNOWN_US = 2000000,
-	/*
-	 * A host that stops takes streams for this long; one that began later would not end in the
-	 * grace time. Callers with open connections still send, so they are told to come back to
-	 * another host at once.
-	 */
-	RQ_STOP_TAKE_US = 3000000,
-	RQ_STOP_RETRY_US = 50000,
-	STATUS_UNAUTHORIZED = 401,
-	STATUS_NOT_FOUND = 404,
-	STATUS_UNAVAILABLE = 503
+	RQ_GAP_X = 3	      /* gaps of that mean after which a stream is silent */
 };
 
 static int rq_send(void *ctx, int attempt, const char *resume_after);
 static int rq_take_repeat(void *ctx);
 static void rq_cancel(void *ctx);
 static void rq_on_wait(void *ctx);
-static void rq_answer_whole(void *ctx, const char *body, size_t len);
-static void rq_answer_begin(void *ctx);
-static void rq_answer_data(void *ctx, const char *data, size_t len);
-static void rq_answer_end(void *ctx);
-static void rq_answer_abort(void *ctx);
-static void rq_refuse(void *ctx, int status, bool not_run);
 static void rq_set_timer(void *ctx, int64_t due_us);
 static void rq_ended(void *ctx, enum fwd_cause cause);
 static bool rq_on_head(void *ctx, int status, const GPtrArray *headers);
 static void rq_on_data(void *ctx, const char *data, size_t len);
 static void rq_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
-static void rq_tell(struct rq *rq, int status, const char *code, int64_t retry_us);
 
 static const struct fwd_ops rq_fwd_ops = {
 	.send = rq_send,
@@ -108,7 +73,7 @@
 	rq->avoid.stages[rq->avoid.count++].ep = ep;
 }
 
-static void rq_free(struct rq *rq)
+void rq_free(struct rq *rq)
 {
 	struct tf *tf = rq->tf;
 
@@ -126,164 +91,6 @@
 	g_free(rq);
 }
 
-/* An answer of the router's own; the request ends. */
-static void rq_tell(struct rq *rq, int status, const char *code, int64_t retry_us)
-{
-	char body[128];
-	int len = snprintf(body, sizeof(body), "{\"error\":{\"code\":\"%s\"}}", code);
-
-	if (retry_us > 0) {
-		const struct seam_wire *wire = &rq->tf->router->seam->wire;
-		char *value = wire->retry_value(retry_us);
-
-		hd_set_header(rq->call, wire->retry_name(), value);
-		g_free(value);
-	}
-	rq->status = status;
-	hd_reply(rq->call, status, "application/json", body, (size_t)len);
-}
-
-/* One line for each request that the router refuses without sending it. */
-static void rq_deny(struct rq *rq, int status, const char *code, int64_t retry_us)
-{
-	const struct router_view *view = rq->tf->view;
-
-	rq_tell(rq, status, code, retry_us);
-	jl_begin(JL_KEEP, "denied");
-	jl_str("id", rq->request.id);
-	jl_int("status", status);
-	jl_str("code", code);
-	jl_str("asked_host", rq->request.host);
-	jl_str("target", hd_target(rq->call));
-	jl_int("version", view && view->conf ? view->conf->version : -1);
-	jl_end();
-	met_add(met_counter("bg_denied_total", ""), 1);
-	rq_free(rq);
-}
-
-static void rq_rules(struct rq *rq, struct fwd_rules *rules)
-{
-	const struct rt_route *route = rq->route;
-	int64_t deadline_ms = rq->request.deadline_ms;
-
-	if (deadline_ms < 0)
-		deadline_ms = RQ_DEADLINE_DEFAULT_MS;
-	if (route->timeout_ms > 0)
-		deadline_ms = MIN(deadline_ms, route->timeout_ms);
-	memset(rules, 0, sizeof(*rules));
-	rules->may_repeat = rt_may_repeat(route);
-	rules->streaming = route->type == RT_STREAMING;
-	rules->runs_max = (int)route->attempts;
-	rules->deadline_us = rq->began_us + tmr_ms(deadline_ms);
-	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms / 2) * TMR_US_PER_MS;
-	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 6 / 10) * TMR_US_PER_MS;
-}
-
-static bool rq_stops_too_soon(const struct rq *rq)
-{
-	const struct router *router = rq->tf->router;
-
-	return g_atomic_int_get(&router->stopping) &&
-	       rq->began_us - router->stop_us > RQ_STOP_TAKE_US;
-}
-
-/* Finds route, account and service. Returns false when the request was denied. */
-static bool rq_admit(struct rq *rq)
-{
-	const struct router_view *view = rq->tf->view;
-
-	if (rq_stops_too_soon(rq)) {
-		rq_deny(rq, STATUS_UNAVAILABLE, "stopping", RQ_STOP_RETRY_US);
-		return false;
-	}
-	if (!tf_knows(rq->tf)) {
-		rq_deny(rq, STATUS_UNAVAILABLE, "no_configuration", RQ_RETRY_UNKNOWN_US);
-		return false;
-	}
-	rq->conf = rt_conf_ref(view->conf);
-	rq->route = rt_match(rq->conf, rq->request.host, hd_target(rq->call));
-	if (!rq->route) {
-		rq_deny(rq, STATUS_NOT_FOUND, "no_route", 0);
-		return false;
-	}
-	rq->account = rt_account_of(rq->conf, rq->request.key);
-	if (!rq->account && !rq->route->public_access && rq->conf->accounts->len > 0) {
-		rq_deny(rq, STATUS_UNAUTHORIZED, "unknown_key", 0);
-		return false;
-	}
-	rq->service = rt_service_of(rq->conf, rq->route, rq->request.id ? rq->request.id : "");
-	if (!rq->service) {
-		rq_deny(rq, STATUS_UNAVAILABLE, "no_service", RQ_RETRY_US);
-		return false;
-	}
-	return true;
-}
-
-int64_t rq_waits_us(const struct rq *rq, const char *service, int64_t now_us)
-{
-	if (!rq->attempt || rq->fwd.begun || strcmp(rq->service->name, service) != 0)
-		return -1;
-	return now_us - rq->began_us;
-}
-
-/* This host's requests to the service that wait for their first token. */
-static void rq_queue(const struct tf *tf, const char *service, struct adm_queue *queue)
-{
-	int64_t now_us = tmr_now();
-
-	memset(queue, 0, sizeof(*queue));
-	for (guint i = 0; i < tf->reqs->len; i++) {
-		int64_t waits_us = rq_waits_us(tf->reqs->pdata[i], service, now_us);
-
-		if (waits_us < 0)
-			continue;
-		queue->waiting++;
-		queue->oldest_us = MAX(queue->oldest_us, waits_us);
-	}
-}
-
-/* Callers leave a stream that brings nothing for 2 s, or for several times what they aim at. */
-static void rq_limits(const struct rq *rq, struct adm_limits *limits)
-{
-	const struct rt_route *route = rq->route;
-
-	limits->target_us = tmr_ms(route->target_ms);
-	limits->patience_us = tmr_ms(MAX(RQ_PATIENCE_MS, MAX(RQ_PATIENCE_TARGETS * route->target_ms,
-							     RQ_PATIENCE_GAPS * route->gap_ms)));
-}
-
-/*
- * Streams only: they should begin within the route's target. Plain services answer within some ms
- * or reject.
- */
-static bool rq_is_in_time(struct rq *rq)
-{
-	double less_urgent = (double)(rq->urgency - SH_USUAL) / (SH_LEAST_URGENT - SH_USUAL);
-	struct adm_limits limits;
-	struct adm_queue queue;
-
-	if (!rt_is_layered(rq->service) || rq->route->target_ms <= 0)
-		return true;
-	rq_queue(rq->tf, rq->service->name, &queue);
-	rq_limits(rq, &limits);
-	return adm_admits(tf_adm(rq->tf, rq->service->name), &queue, &limits,
-			  CLAMP(less_urgent, 0, 1), tmr_now());
-}
-
-/* Engines admit by urgency; plain services know none. */
-static void rq_charge(struct rq *rq)
-{
-	int64_t priority = rq->route->priority;
-
-	rq->urgency = -1;
-	if (!rt_is_layered(rq->service) || !rq->account)
-		return;
-	if (rq->account->priority != RT_NO_PRIORITY)
-		priority = rq->account->priority;
-	rq->urgency = sh_charge(&rq->tf->share, rq->account->name,
-				rq->request.prompt + rq->request.answer, priority, rq->began_us);
-}
-
 void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us)
 {
 	struct rq *rq = g_new0(struct rq, 1);
@@ -305,10 +112,8 @@
 	rq->body_len = len;
 	bud_on_request(tf_budget(tf, rq->service->name), rq->began_us);
 	rq_charge(rq);
-	if (!rq_is_in_time(rq)) {
-		rq_deny(rq, STATUS_UNAVAILABLE, "overload", adm_back_us(rnd_unit(&tf->seed)));
+	if (!rq_begins_in_time(rq))
 		return;
-	}
 	fwd_start(&rq->fwd, tmr_now());
 }
 
@@ -521,70 +326,6 @@
 	fwd_on_done(&rq->fwd, err == 0, sent, tmr_now());
 }
 
-static void rq_put_headers(struct rq *rq)
-{
-	const GPtrArray *keep = rq->answer.keep;
-
-	for (guint i = 0; keep && i + 1 < keep->len; i += 2)
-		hd_set_header(rq->call, keep->pdata[i], keep->pdata[i + 1]);
-	rq->status = rq->answer.head.status;
-	rq->first_us = tmr_now();
-}
-
-static void rq_answer_whole(void *ctx, const char *body, size_t len)
-{
-	struct rq *rq = ctx;
-
-	rq_put_headers(rq);
-	hd_reply(rq->call, rq->status, rq->answer.type, body, len);
-}
-
-static void rq_answer_begin(void *ctx)
-{
-	struct rq *rq = ctx;
-	struct adm_limits limits;
-
-	rq_put_headers(rq);
-	rq_limits(rq, &limits);
-	adm_on_begun(tf_adm(rq->tf, rq->service->name), &limits, rq->first_us - rq->began_us,
-		     rq->first_us);
-	hd_begin(rq->call, rq->status, rq->answer.type);
-}
-
-static void rq_answer_data(void *ctx, const char *data, size_t len)
-{
-	struct rq *rq = ctx;
-
-	hd_write(rq->call, data, len);
-}
-
-static void rq_answer_end(void *ctx)
-{
-	hd_end(((struct rq *)ctx)->call);
-}
-
-static void rq_answer_abort(void *ctx)
-{
-	hd_abort(((struct rq *)ctx)->call);
-}
-
-static void rq_refuse(void *ctx, int status, bool not_run)
-{
-	struct rq *rq = ctx;
-
-	int64_t now_us = tmr_now();
-	int64_t back_us = 0;
-
-	if (not_run) {
-		struct bk *back = tf_back(rq->tf, rq->service->name);
-
-		bk_on_refused(back, now_us);
-		back_us = bk_delay_us(back, rq->fwd.rules.deadline_us - now_us, now_us,
-				      &rq->tf->seed);
-	}
-	rq_tell(rq, status, fwd_cause_name(rq->fwd.failure), back_us);
-}
-
 static void rq_on_timer(void *ctx, int64_t now_us)
 {
 	struct rq *rq = ctx;
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -4,11 +4,17 @@
 #include "router/tf.h"
 
 /*
- * One request on this host: rq.c is its way from the caller to endpoints and back, rq_repair.c what
- * is done when a stage of its pipeline fails, slows down or leaves. What may be sent again is
- * decided in fwd/fwd.c.
+ * One request on this host: rq_admit.c lets it in, rq.c is its way to endpoints and back,
+ * rq_answer.c what its caller gets, rq_repair.c what is done when a stage of its pipeline fails,
+ * slows down or leaves. What may be sent again is decided in fwd/fwd.c.
  */
 enum {
+	/*
+	 * Silence before the first event, and between events, after which the first stage is asked
+	 * what it waits for. Usual are 120 ms and 70 ms; callers leave after 2 s.
+	 */
+	RQ_FIRST_MIN_MS = 250,
+	RQ_GAP_MIN_MS = 120,
 	RQ_LOGGED_MAX = 200 /* bytes of an endpoint's refusal that go into the log */
 };
 
@@ -40,6 +46,41 @@
 	int status;
 };
 
+/* rq.c: the request is gone after this. */
+void rq_free(struct rq *rq);
+
+/* rq_admit.c: finds route, account and service. Returns false when the request was denied. */
+bool rq_admit(struct rq *rq);
+
+/* What may be done for the request, and until when. */
+void rq_rules(struct rq *rq, struct fwd_rules *rules);
+
+/* How long it may wait for its first token. */
+void rq_limits(const struct rq *rq, struct adm_limits *limits);
+
+/* Engines admit by urgency; plain services know none. */
+void rq_charge(struct rq *rq);
+
+/*
+ * Whether it would begin in time; if not, it is denied. Streams only: plain services answer within
+ * some ms or reject.
+ */
+bool rq_begins_in_time(struct rq *rq);
+
+/* rq_answer.c: an answer of the router's own; the request ends. */
+void rq_tell(struct rq *rq, int status, const char *code, int64_t retry_us);
+
+/* The same before the request was sent anywhere, with a line in the log; the request is freed. */
+void rq_deny(struct rq *rq, int status, const char *code, int64_t retry_us);
+
+/* Those of fwd_ops. */
+void rq_answer_whole(void *ctx, const char *body, size_t len);
+void rq_answer_begin(void *ctx);
+void rq_answer_data(void *ctx, const char *data, size_t len);
+void rq_answer_end(void *ctx);
+void rq_answer_abort(void *ctx);
+void rq_refuse(void *ctx, int status, bool not_run);
+
 /* The request is not sent to that endpoint again, nor through it. */
 void rq_avoid(struct rq *rq, struct tf_ep *ep);
 
--- a/router/tf.h
+++ b/router/tf.h
@@ -112,12 +112,19 @@
 /* The first stage named the other one at fault, which may be dead or just have no memory. */
 void stall_on_named(struct tf *tf, struct tf_ep *first, struct tf_ep *culprit);
 
+enum {
+	TF_SUSPECT_US =
+		3000000 /* for which an endpoint that is certainly at fault is passed over */
+};
+
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
 struct bk *tf_back(struct tf *tf, const char *service);
 struct adm *tf_adm(struct tf *tf, const char *service);
 void tf_ep_unref(struct tf_ep *ep);
 
+/* tf_suspect.c: what this host holds against endpoints, and what it hears from others. */
+
 /* The endpoint failed or answered a request; fades with time. */
 void tf_ep_failed(struct tf_ep *ep, int64_t now_us);
 double tf_ep_failures(struct tf_ep *ep, int64_t now_us);
@@ -133,6 +140,10 @@
  */
 void tf_suspect(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
 		const char *request);
+
+/* The same on this host only: what waits for the endpoint is taken elsewhere. */
+void tf_leave(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *why,
+	      const char *request);
 int tf_zone(struct tf *tf, const char *name);
 
 /*
