--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -40,6 +40,7 @@
 	{"no_route", "Refused, not run: no route of the configuration matches host and path."},
 	{"unknown_key", "Refused, not run: no client account of the configuration holds the key."},
 	{"no_service", "Refused, not run: its route names no service that exists."},
+	{"overload", "Refused, not run: it would have begun too late; see the 'overload' line."},
 	{"stopping", "Refused, not run: the host was about to stop and could not have ended it."},
 };
 
--- a/regress/fuzz/records.c
+++ b/regress/fuzz/records.c
@@ -1,6 +1,7 @@
 #include "conf/clog.h"
 #include "once/once.h"
 #include "order/order.h"
+#include "platform/pf.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -30,6 +31,22 @@
 	(void)winner;
 }
 
+/* As an endpoint's entry: what is read as one must have what an endpoint's own entry has. */
+static void fuzz_endpoint(struct str text)
+{
+	char *error = NULL;
+	struct ep_rec *rec = pf_seam.decl.read_endpoint("i-1", text, &error);
+
+	if ((rec == NULL) == (error == NULL))
+		abort();
+	if (rec && (!rec->service || !rec->addr || !rec->zone || rec->layer_from < 0 ||
+		    rec->layer_to < rec->layer_from || rec->slots < 0 || rec->born_ms < 0))
+		abort();
+	if (rec)
+		ep_rec_unref(rec);
+	g_free(error);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
 {
 	static const struct once_ops ops = {fuzz_append, fuzz_read, fuzz_answer};
@@ -53,5 +70,6 @@
 	order_init(&order, "h", 1000);
 	order_on_record(&order, 0, record, 0);
 	order_finish(&order);
+	fuzz_endpoint(record);
 	return 0;
 }
