One search for a stage of a pipeline, one for the thinnest layer

rq_waits_for() was the fifth loop that looks for an endpoint among a request's stages; rq_stage_of() serves all five. The least room of a layer was worked out in balance.c, and again, over all nodes for each layer, in measure.c, although the board holds it: pw_thinnest() serves both, and the room after the worst loss takes a node off the board and puts it back. A comment of poll.c said what its caller checks.

No behaviour changes: 221 unit tests pass, the figures that the tests of placement print are the same to the digit; the cases lost_stage, repair_refused, stop, drain and restart_same_id pass.

--- a/place/balance.c
+++ b/place/balance.c
@@ -80,17 +80,6 @@
 		g_array_append_val(moves, best);
 }
 
-static int pl_thinnest(const struct pw_board *board)
-{
-	int thinnest = 0;
-
-	for (int i = 1; i < board->layer_count; i++) {
-		if (board->layers[i].room < board->layers[thinnest].room)
-			thinnest = i;
-	}
-	return thinnest;
-}
-
 static gint pl_by_room(gconstpointer a, gconstpointer b, gpointer ctx)
 {
 	double ra = *(const double *)a;
@@ -116,7 +105,7 @@
 	double least;
 
 	pw_add(board, range->node, range->from, range->to);
-	least = board->layers[pl_thinnest(board)].room;
+	least = board->layers[pw_thinnest(board)].room;
 	pw_remove(board, range->node, range->from, range->to);
 	return least;
 }
@@ -152,7 +141,7 @@
 static bool pl_find_helper(struct pw_board *board, const struct pl_node *nodes, const int *order,
 			   int n, int unit, struct pl_move *move)
 {
-	int thinnest = pl_thinnest(board);
+	int thinnest = pw_thinnest(board);
 	double least = board->layers[thinnest].room * pl_gain;
 
 	for (int i = n - 1; i >= 0; i--) {
@@ -178,7 +167,7 @@
 		return;
 	order = pl_order(nodes, n);
 	pw_init(&board, engine, nodes, n);
-	if (board.layers[pl_thinnest(&board)].room < pl_thin * pl_middle(&board) &&
+	if (board.layers[pw_thinnest(&board)].room < pl_thin * pl_middle(&board) &&
 	    pl_find_helper(&board, nodes, order, n, unit, &move))
 		g_array_append_val(moves, move);
 	pw_finish(&board);
--- a/place/measure.c
+++ b/place/measure.c
@@ -1,6 +1,5 @@
 #include "place/worth.h"
 
-#include <math.h>
 #include <string.h>
 
 /* A speed below this is none: what is left of sums after nodes were taken off again. */
@@ -15,25 +14,6 @@
 	return MAX(free_mb, 0) * 1e6 / (engine->kv_bytes * layers_held / engine->layers);
 }
 
-/* Room of the weakest layer, with one node left out (-1: none). */
-static double pl_weakest(const struct rt_engine *engine, const struct pl_node *nodes, int n,
-			 int without)
-{
-	double weakest = INFINITY;
-
-	for (int layer = 0; layer < engine->layers; layer++) {
-		double room = 0;
-
-		for (int i = 0; i < n; i++) {
-			if (i != without && nodes[i].from <= layer && layer < nodes[i].to)
-				room += pl_token_room(engine, nodes[i].memory_mb,
-						      nodes[i].to - nodes[i].from);
-		}
-		weakest = MIN(weakest, room);
-	}
-	return weakest;
-}
-
 static bool pl_is_whole(const struct pw_board *board, int zone)
 {
 	for (int i = 0; i < board->layer_count; i++) {
@@ -59,15 +39,22 @@
 	for (int i = 0; i < n; i++)
 		held += nodes[i].to - nodes[i].from;
 	figures->copies_mean = engine->layers > 0 ? (double)held / engine->layers : 0;
-	figures->tokens_min = pl_weakest(engine, nodes, n, -1);
+	figures->tokens_min = board.layers[pw_thinnest(&board)].room;
 	pw_finish(&board);
 }
 
 double pl_after_loss(const struct rt_engine *engine, const struct pl_node *nodes, int n)
 {
-	double least = pl_weakest(engine, nodes, n, -1);
+	struct pw_board board;
+	double least;
 
-	for (int i = 0; i < n; i++)
-		least = MIN(least, pl_weakest(engine, nodes, n, i));
+	pw_init(&board, engine, nodes, n);
+	least = board.layers[pw_thinnest(&board)].room;
+	for (int i = 0; i < n; i++) {
+		pw_remove(&board, i, nodes[i].from, nodes[i].to);
+		least = MIN(least, board.layers[pw_thinnest(&board)].room);
+		pw_add(&board, i, nodes[i].from, nodes[i].to);
+	}
+	pw_finish(&board);
 	return least;
 }
--- a/place/place.h
+++ b/place/place.h
@@ -59,7 +59,7 @@
 void pl_measure(const struct rt_engine *engine, const struct pl_node *nodes, int n,
 		struct pl_figures *figures);
 
-/* Figures' tokens_min after the loss of the one node that costs most; O(nodes^2 x layers). */
+/* Figures' tokens_min after the loss of the one node that costs most; O(nodes x layers). */
 double pl_after_loss(const struct rt_engine *engine, const struct pl_node *nodes, int n);
 
 /* Tokens of context that a node has memory for, over the layers that it holds. */
--- a/place/worth.c
+++ b/place/worth.c
@@ -113,6 +113,17 @@
 	return cost;
 }
 
+int pw_thinnest(const struct pw_board *board)
+{
+	int thinnest = 0;
+
+	for (int i = 1; i < board->layer_count; i++) {
+		if (board->layers[i].room < board->layers[thinnest].room)
+			thinnest = i;
+	}
+	return thinnest;
+}
+
 /* By how much the cost falls if the node gives that speed to the layer. */
 static double pw_gain(const struct pw_board *board, int node, int layer, double speed)
 {
--- a/place/worth.h
+++ b/place/worth.h
@@ -46,6 +46,9 @@
 /* Cost of the whole placement: the lower, the more it serves. */
 double pw_cost(const struct pw_board *board);
 
+/* The layer that has room for the fewest tokens. */
+int pw_thinnest(const struct pw_board *board);
+
 /*
  * The range of that many layers, beginning at a multiple of unit, that lowers the cost most if the
  * node takes it. Returns by how much; from is -1 if there is no such range.
--- a/router/poll.c
+++ b/router/poll.c
@@ -214,7 +214,7 @@
 			     GINT_TO_POINTER(GPOINTER_TO_INT(missed) + 1));
 }
 
-/* Takes an engine's report, unless it is of another incarnation than was asked. */
+/* Takes the report of an engine that is as it is listed. */
 static void poll_take(struct poll *poll, const struct poll_call *call,
 		      const struct seam_report *report)
 {
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -24,6 +24,16 @@
 
 static const struct hc_ops rq_order_ops = {.on_done = rq_on_ordered};
 
+/* The stage that the endpoint is of the request's pipeline, or -1. */
+static int rq_stage_of(const struct rq *rq, const struct tf_ep *ep)
+{
+	for (int i = 0; i < rq->target.count; i++) {
+		if (rq->target.stages[i].ep == ep)
+			return i;
+	}
+	return -1;
+}
+
 /* The first stage that is known to be at fault, or -1. */
 static int rq_suspected_stage(const struct rq *rq)
 {
@@ -231,34 +241,22 @@
 
 	if (!rq->target.layered || !rq->attempt || now_us - rq->part_us < RQ_ACTIVE_US)
 		return;
-	for (int i = 0; i < rq->target.count; i++) {
-		if (rq->target.stages[i].ep == ep) {
-			rq_recover(rq);
-			return;
-		}
-	}
+	if (rq_stage_of(rq, ep) >= 0)
+		rq_recover(rq);
 }
 
 struct tf_ep *rq_waits_for(const struct rq *rq, const struct tf_ep *ep)
 {
 	if (!rq->target.layered || !rq->attempt || tmr_now() - rq->part_us < RQ_QUIET_US)
 		return NULL;
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq->target.stages[i].ep == ep)
-			return rq->target.stages[0].ep;
-	}
-	return NULL;
+	return rq_stage_of(rq, ep) > 0 ? rq->target.stages[0].ep : NULL;
 }
 
 bool rq_proves(const struct rq *rq, const struct tf_ep *ep, int64_t now_us)
 {
 	if (!rq->attempt || rq->fwd.parts == 0 || now_us - rq->part_us >= RQ_ACTIVE_US)
 		return false;
-	for (int i = 0; i < rq->target.count; i++) {
-		if (rq->target.stages[i].ep == ep)
-			return true;
-	}
-	return false;
+	return rq_stage_of(rq, ep) >= 0;
 }
 
 void rq_on_missing(struct rq *rq, struct tf_ep *ep)
@@ -266,27 +264,24 @@
 	if (!rq->target.layered || !rq->attempt || rq->order || rq->repairs >= RQ_REPAIRS_MAX ||
 	    tmr_now() - rq->part_us < RQ_ACTIVE_US)
 		return;
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq->target.stages[i].ep == ep) {
-			rq_avoid(rq, ep);
-			rq_log_silent(rq, "missing", ep->rec->addr);
-			rq_recover(rq);
-			return;
-		}
-	}
+	if (rq_stage_of(rq, ep) < 1)
+		return;
+	rq_avoid(rq, ep);
+	rq_log_silent(rq, "missing", ep->rec->addr);
+	rq_recover(rq);
 }
 
 void rq_on_slow(struct rq *rq, const struct tf_ep *ep)
 {
+	int stage;
+
 	if (!rq->target.layered || !rq->attempt || !rq->fwd.begun || rq->repairs >= RQ_REPAIRS_MAX)
 		return;
-	for (int i = 1; i < rq->target.count; i++) {
-		if (rq->target.stages[i].ep == ep) {
-			rq_avoid(rq, rq->target.stages[i].ep);
-			rq_recover(rq);
-			return;
-		}
-	}
+	stage = rq_stage_of(rq, ep);
+	if (stage < 1)
+		return;
+	rq_avoid(rq, rq->target.stages[stage].ep);
+	rq_recover(rq);
 }
 
 void rq_drop_order(struct rq *rq)
