A start, or a change of hosts, does not renew the fixed number of repeats

Cause: what a host has spent is in its memory, which a start clears; and its share was cut for the number of hosts of the moment, though the window still holds what was spent under the old number. Ruled out: the part of the requests, which counts only requests after the start; and a share that grows from nothing over the window, which still lets the double number into a window that spans the start. Change: no share until a window after a start, unless the settings say that the whole system starts for the first time (`[host] first_start`); a share is cut by the most hosts of the window. The soak's hosts say so at their first start only.

--- a/bud/bud.c
+++ b/bud/bud.c
@@ -8,34 +8,54 @@
  */
 static const double bud_caution = 0.8;
 
+/* A rate is not taken over less: two requests at once would look like a flood. */
+static const int64_t bud_least_span_us = 1000000;
+
+static void bud_clear_slot(struct bud *bud, int64_t slot)
+{
+	bud->requests[slot % BUD_SLOTS] = 0;
+	bud->repeats[slot % BUD_SLOTS] = 0;
+	bud->hosts[slot % BUD_SLOTS] = bud->limits.hosts;
+}
+
+static void bud_advance(struct bud *bud, int64_t now_us)
+{
+	int64_t slot = now_us / MAX(bud->limits.window_us / BUD_SLOTS, 1);
+	int64_t first = MAX(bud->slot, slot - BUD_SLOTS) + 1;
+
+	for (int64_t s = first; s <= slot; s++)
+		bud_clear_slot(bud, s);
+	bud->slot = MAX(bud->slot, slot);
+}
+
 void bud_init(struct bud *bud, const struct bud_limits *limits)
 {
 	memset(bud, 0, sizeof(*bud));
 	bud->limits = *limits;
+	for (int i = 0; i < BUD_SLOTS; i++)
+		bud_clear_slot(bud, i);
 }
 
-void bud_set_limits(struct bud *bud, const struct bud_limits *limits)
+void bud_set_limits(struct bud *bud, const struct bud_limits *limits, int64_t now_us)
 {
+	int *hosts;
+
+	bud_advance(bud, now_us);
 	bud->limits = *limits;
+	hosts = &bud->hosts[bud->slot % BUD_SLOTS];
+	*hosts = MAX(*hosts, limits->hosts);
 }
 
-/* A rate is not taken over less: two requests at once would look like a flood. */
-static const int64_t bud_least_span_us = 1000000;
-
-static void bud_advance(struct bud *bud, int64_t now_us)
+/* This host's share of the fixed number. */
+static double bud_share(const struct bud *bud, int64_t now_us)
 {
-	int64_t slot = now_us / MAX(bud->limits.window_us / BUD_SLOTS, 1);
+	int hosts = 1;
 
-	if (slot - bud->slot >= BUD_SLOTS) {
-		memset(bud->requests, 0, sizeof(bud->requests));
-		memset(bud->repeats, 0, sizeof(bud->repeats));
-	} else {
-		for (int64_t s = bud->slot + 1; s <= slot; s++) {
-			bud->requests[s % BUD_SLOTS] = 0;
-			bud->repeats[s % BUD_SLOTS] = 0;
-		}
-	}
-	bud->slot = MAX(bud->slot, slot);
+	if (now_us < bud->limits.fixed_from_us)
+		return 0;
+	for (int i = 0; i < BUD_SLOTS; i++)
+		hosts = MAX(hosts, bud->hosts[i]);
+	return bud->limits.fixed / hosts;
 }
 
 void bud_on_request(struct bud *bud, int64_t now_us)
@@ -70,7 +90,7 @@
 		requests += bud->requests[i];
 		repeats += bud->repeats[i];
 	}
-	allowed = bud->limits.ratio * requests + bud->limits.fixed / MAX(bud->limits.hosts, 1);
+	allowed = bud->limits.ratio * requests + bud_share(bud, now_us);
 	return MAX(allowed * bud_caution - repeats, 0);
 }
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -32,6 +32,7 @@
 const struct set_item router_items[] = {
 	ITEM("host", "name", SET_TEXT, name, NULL, 1, 0),
 	ITEM("host", "zone", SET_TEXT, zone, NULL, 1, 0),
+	ITEM("host", "first_start", SET_INT, first_start, "0", 0, 1),
 	ITEM("host", "link_mbps", SET_REAL, link_mbps, "1000", 0, 1000000),
 	ITEM("host", "cores", SET_REAL, cores, "1", 0, 1024),
 	ITEM("listen", "front", SET_ADDR, front, NULL, 0, 0),
@@ -119,6 +120,7 @@
 	jl_str("zone", s->zone);
 	jl_str("front", s->front);
 	jl_str("store", s->store);
+	jl_int("first_start", s->first_start);
 	jl_str("detail", detail);
 	jl_end();
 }
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -120,6 +120,7 @@
         seeds = ",".join("127.0.0.1:%d" % self.port(h, "control") for h in self.hosts[:3])
         with open(path, "w") as ini:
             ini.write("[host]\nname = %s\nzone = z%d\n" % (host, self.hosts.index(host) % 2))
+            ini.write("first_start = %d\n" % (host not in self.procs))
             ini.write("[listen]\n")
             for what in ("front", "ready", "metrics", "control"):
                 ini.write("%s = 127.0.0.1:%d\n" % (what, self.port(host, what)))
--- a/router/router.h
+++ b/router/router.h
@@ -23,6 +23,7 @@
 struct router_settings {
 	char *name;
 	char *zone;
+	int64_t first_start; /* 1: the whole system starts for the first time; see bud/bud.h */
 	char *front;
 	char *ready;
 	char *metrics;
--- a/router/tf.c
+++ b/router/tf.c
@@ -48,6 +48,7 @@
 	struct tf *tf = g_new0(struct tf, 1);
 
 	tf->router = router;
+	tf->start_us = tmr_now();
 	tf->seed = TF_SEED ^ (uint32_t)g_str_hash(router->settings.name);
 	tf->eps = g_hash_table_new(g_str_hash, g_str_equal);
 	tf->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
@@ -193,9 +194,15 @@
 static struct bud_limits tf_budget_limits(const struct tf *tf)
 {
 	const struct router_settings *s = &tf->router->settings;
-
-	return (struct bud_limits){s->repeat_ratio, s->repeat_fixed,
-				   (int64_t)(s->repeat_window_s * TMR_US_PER_S), tf->view->hosts};
+	int64_t window_us = (int64_t)(s->repeat_window_s * TMR_US_PER_S);
+
+	return (struct bud_limits){
+		.ratio = s->repeat_ratio,
+		.fixed = s->repeat_fixed,
+		.window_us = window_us,
+		.hosts = tf->view->hosts,
+		.fixed_from_us = s->first_start ? 0 : tf->start_us + window_us,
+	};
 }
 
 static void tf_update_budgets(struct tf *tf)
@@ -206,7 +213,7 @@
 
 	g_hash_table_iter_init(&iter, tf->budgets);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		bud_set_limits(value, &limits);
+		bud_set_limits(value, &limits, tmr_now());
 }
 
 struct bud *tf_budget(struct tf *tf, const char *service)
--- a/router/tf.h
+++ b/router/tf.h
@@ -77,6 +77,7 @@
 	double checks;	     /* of stages that may be made now; see stall.c */
 	int64_t checks_us;   /* when that was last brought up to date */
 	int64_t check_ok_us; /* when a stage of a silent pipeline last answered */
+	int64_t start_us;    /* when the process started */
 	unsigned int open;   /* atomic: requests that have not ended */
 	int64_t view_us;     /* when the view was taken */
 };
