After an outage, hosts that start know the endpoints of before, and wait for them

Change: the first reader notes the list of endpoints in the store when it has changed, once a second at most; a host that has itself seen the store away reads the note after its first list and takes what the list lacks for lapsed entries, for the two seconds in which living endpoints register. Nothing newer is overruled by it. While the list may not be whole, a request for which it has no endpoint waits as it does for a configuration.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -76,6 +76,7 @@
 	list->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	list->addrs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ep_holder_free);
 	list->returned_us = -1;
+	list->listed_us = -1;
 }
 
 void ep_list_finish(struct ep_list *list)
@@ -86,8 +87,7 @@
 	g_hash_table_destroy(list->addrs);
 }
 
-/* The time in which entries that lapsed while the store was away may come back. */
-static bool ep_is_returning(const struct ep_list *list, int64_t now_us)
+bool ep_is_returning(const struct ep_list *list, int64_t now_us)
 {
 	if (list->away)
 		return true;
@@ -226,6 +226,25 @@
 	list->changed = true;
 }
 
+bool ep_on_recalled(struct ep_list *list, int64_t offset, struct ep_rec *rec, int64_t now_us)
+{
+	struct ep_entry *entry;
+
+	if (!ep_is_returning(list, now_us) || rec->state != EP_READY || ep_has_left(list, rec) ||
+	    g_hash_table_contains(list->entries, rec->id) || ep_is_outdated(list, offset, rec)) {
+		ep_rec_unref(rec);
+		return false;
+	}
+	ep_take_addr(list, offset, rec, now_us);
+	entry = g_new0(struct ep_entry, 1);
+	entry->rec = rec;
+	entry->offset = offset;
+	entry->lapsed = true;
+	g_hash_table_replace(list->entries, rec->id, entry);
+	list->changed = true;
+	return true;
+}
+
 void ep_on_listing(struct ep_list *list)
 {
 	GHashTableIter iter;
@@ -251,6 +270,13 @@
 		ep_remove(list, missing->pdata[i], now_us);
 	g_ptr_array_unref(missing);
 	list->next = end;
+	if (list->listed_us < 0)
+		list->listed_us = now_us;
+}
+
+int64_t ep_whole_us(const struct ep_list *list)
+{
+	return MAX(list->listed_us, list->returned_us) + EP_RETURN_US;
 }
 
 void ep_on_away(struct ep_list *list)
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -72,6 +72,7 @@
 	GHashTable *addrs;   /* address -> struct ep_holder */
 	bool away;	     /* the last call to the store failed */
 	int64_t returned_us; /* when it was reached again after that; -1: never away */
+	int64_t listed_us;   /* when it was first read whole; -1: not yet */
 	int64_t next;	     /* offset of the next record to read */
 	bool changed;
 };
@@ -93,9 +94,27 @@
 /* A call to the store succeeded. Before the records that it brought are given. */
 void ep_on_reached(struct ep_list *list, int64_t now_us);
 
+/*
+ * What a host of this system knew before the store was away, one by one. An endpoint that is not
+ * in the list is taken for one whose entry has lapsed, if the time for coming back is not over, and
+ * nothing newer is known of it or of its address. Takes rec over; returns whether it was taken.
+ */
+bool ep_on_recalled(struct ep_list *list, int64_t offset, struct ep_rec *rec, int64_t now_us);
+
+/* Whether the store is away, or came back so lately that living endpoints may be missing. */
+bool ep_is_returning(const struct ep_list *list, int64_t now_us);
+
 /* Drops lapsed entries whose time is over. Returns whether there were any. */
 bool ep_on_time(struct ep_list *list, int64_t now_us);
 
+/*
+ * Until when endpoints that live may be missing. A host that starts can't know whether the store
+ * was away just before, and one that starts beside its return reads an empty list: in a day on
+ * which all hosts were killed in an outage, 2,208 requests were refused in the two seconds until
+ * the endpoints had registered again, and nearly all of these had spent their one retry.
+ */
+int64_t ep_whole_us(const struct ep_list *list);
+
 /* New array of the entries (struct ep_rec with a reference each), sorted by id. */
 GPtrArray *ep_snapshot(const struct ep_list *list);
 
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -57,6 +57,77 @@
 	int64_t born_ = 0;
 };
 
+/*
+ * Symptom: after a kill of all hosts in an outage of the store, 1,468 requests were refused though
+ * the endpoints lived. Sequence: the entries lapse while the store is away; it comes back; hosts
+ * that have just started read an empty list. Cause: what they knew died with them; it is recalled
+ * from the store, for the time in which living endpoints register again.
+ */
+TEST_F(EpTest, WhatWasKnownBeforeAnOutageIsRecalledForAWhile)
+{
+	const struct {
+		const char *what;
+		bool away;
+		int64_t at, until;
+		const char *ids, *later;
+	} cases[] = {
+		{"in time", true, 10, 13, "abc", "b"},
+		{"too late", true, 13, 14, "b", "b"},
+		{"the store was not away", false, 10, 13, "b", "b"},
+	};
+	for (const auto &c : cases) {
+		TearDown();
+		SetUp();
+		offset_ = 100;
+		if (c.away)
+			ep_on_away(&list_);
+		ep_on_reached(&list_, 10 * SEC);
+		ep_on_listing(&list_);
+		Put("b", 10 * SEC);
+		ep_on_listed(&list_, 101, 10 * SEC);
+		for (const char *id : {"a", "b", "c"})
+			ep_on_recalled(&list_, 50, Rec(id), c.at * SEC);
+		EXPECT_EQ(Ids(), c.ids) << c.what;
+		ep_on_time(&list_, c.until * SEC);
+		EXPECT_EQ(Ids(), c.later) << c.what;
+	}
+}
+
+TEST_F(EpTest, WhatIsRecalledGivesWayToNews)
+{
+	offset_ = 100;
+	ep_on_away(&list_);
+	ep_on_reached(&list_, 10 * SEC);
+	Put("l", 10 * SEC, EP_DRAINING);
+	Remove("r", 10 * SEC);
+	same_addr_ = true;
+	Put("n", 10 * SEC);
+	EXPECT_FALSE(ep_on_recalled(&list_, 50, Rec("o"), 10 * SEC)) << "its address has another";
+	same_addr_ = false;
+	EXPECT_FALSE(ep_on_recalled(&list_, 50, Rec("l"), 10 * SEC)) << "it is leaving";
+	EXPECT_FALSE(ep_on_recalled(&list_, 50, Rec("r"), 10 * SEC)) << "it was removed since";
+	EXPECT_FALSE(ep_on_recalled(&list_, 50, Rec("d", EP_DRAINING), 10 * SEC));
+	EXPECT_TRUE(ep_on_recalled(&list_, 50, Rec("a"), 10 * SEC));
+	Put("a", 11 * SEC);
+	ep_on_time(&list_, 13 * SEC);
+	EXPECT_EQ(Ids(), "a(l)n") << "it has registered again";
+}
+
+/* A first listing, and one after an outage, may lack endpoints for two seconds. */
+TEST_F(EpTest, WhenAListIsWhole)
+{
+	EXPECT_LT(ep_whole_us(&list_), 2 * SEC) << "nothing was read";
+	ep_on_listing(&list_);
+	ep_on_listed(&list_, 0, 10 * SEC);
+	EXPECT_EQ(ep_whole_us(&list_), 12 * SEC);
+	ep_on_listing(&list_);
+	ep_on_listed(&list_, 0, 20 * SEC);
+	EXPECT_EQ(ep_whole_us(&list_), 12 * SEC) << "the store was well all the while";
+	ep_on_away(&list_);
+	ep_on_reached(&list_, 30 * SEC);
+	EXPECT_EQ(ep_whole_us(&list_), 32 * SEC);
+}
+
 TEST_F(EpTest, FollowsRecords)
 {
 	Put("a", SEC);
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -14,7 +14,12 @@
 	 * free as other streams end, several a second at each engine; callers leave after 2 s.
 	 */
 	FWD_WAIT_US = 200000,
-	FWD_WAIT_DOUBLINGS = 2
+	FWD_WAIT_DOUBLINGS = 2,
+	/*
+	 * Between looks for an endpoint in a list that is not whole: it is filled within some two
+	 * seconds, and a look among 600 endpoints costs 0.1 ms.
+	 */
+	FWD_LISTING_US = 50000
 };
 
 static const char *const fwd_cause_names[FWD_CAUSES] = {
@@ -35,6 +40,7 @@
 static void fwd_send(struct fwd *fwd, int64_t now_us);
 static void fwd_attempt_failed(struct fwd *fwd, bool ran, int64_t now_us);
 static void fwd_close(struct fwd *fwd);
+static void fwd_on_nobody(struct fwd *fwd, int64_t now_us);
 static void fwd_wait_or_close(struct fwd *fwd, int64_t now_us);
 static void fwd_on_event(void *ctx, const char *data, size_t len);
 
@@ -96,8 +102,9 @@
 	err = fwd->ops->send(fwd->ctx, fwd->sends, fwd->parts > 0 ? fwd->sse.last_id : NULL);
 	if (err < 0) {
 		if (fwd->sends == 0)
-			fwd->failure = FWD_NO_ENDPOINT;
-		fwd_wait_or_close(fwd, now_us);
+			fwd_on_nobody(fwd, now_us);
+		else
+			fwd_wait_or_close(fwd, now_us);
 		return;
 	}
 	fwd->sends++;
@@ -158,9 +165,25 @@
 	fwd_arm(fwd);
 }
 
+/*
+ * The list has no endpoint for a request that was sent nowhere yet. While the list may lack some
+ * that live it is looked for again; this costs neither an attempt nor a repeat.
+ */
+static void fwd_on_nobody(struct fwd *fwd, int64_t now_us)
+{
+	fwd->failure = FWD_NO_ENDPOINT;
+	if (now_us >= fwd->rules.listing_us) {
+		fwd_wait_or_close(fwd, now_us);
+		return;
+	}
+	fwd->state = FWD_WAITING;
+	fwd->again_us = MIN(now_us + FWD_LISTING_US, fwd->rules.listing_us);
+	fwd_arm(fwd);
+}
+
 static void fwd_send_again(struct fwd *fwd, int64_t now_us)
 {
-	int err = fwd->ops->take_repeat(fwd->ctx);
+	int err = fwd->sends > 0 ? fwd->ops->take_repeat(fwd->ctx) : 0;
 
 	if (err == FWD_EBUDGET)
 		fwd->failure = FWD_BUDGET;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -20,7 +20,8 @@
  *      +-- not run, or may run again ----+
  *
  * It waits between two sendings only as a stream that its caller has a part of and that nobody
- * takes at present; anybody else is refused at once.
+ * takes at present, and before the first one only while endpoints that live may be missing in the
+ * list; anybody else is refused at once.
  */
 enum fwd_err {
 	FWD_ENOENDPOINT = -900, /* no usable endpoint at present */
@@ -51,6 +52,7 @@
 	int64_t deadline_us; /* of the caller and of the route, whichever is first */
 	int64_t first_us;    /* silence allowed before the first byte or event */
 	int64_t gap_us;	     /* silence allowed between events */
+	int64_t listing_us;  /* until then it waits where there is no endpoint for it */
 };
 
 /* What the head of an endpoint's answer says. */
@@ -127,7 +129,7 @@
 	bool spilled;  /* the answer under way was too large to keep and is handed on as it comes */
 	uint64_t parts;		/* events handed on */
 	int64_t heard_us;	/* when the endpoint was last heard of */
-	int64_t again_us;	/* in FWD_WAITING: when it is sent again */
+	int64_t again_us;	/* in FWD_WAITING: when it is sent, or sent again */
 	int waits;		/* in a row without anything handed on in between */
 	enum fwd_cause failure; /* of the last attempt */
 };
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -22,6 +22,7 @@
 		rules.deadline_us = 10000 * MS;
 		rules.first_us = 300 * MS;
 		rules.gap_us = 100 * MS;
+		rules.listing_us = listing_us_;
 		fwd_init(&fwd_, &rules, &ops_, this);
 		live_ = true;
 		fwd_start(&fwd_, now_);
@@ -102,6 +103,7 @@
 	int64_t now_ = 1000 * MS;
 	int send_error_ = 0;
 	int repeat_error_ = 0;
+	int64_t listing_us_ = 0;
 	bool keep_silent_ = false;
 	std::vector<std::string> did_;
 	std::string got_;
@@ -544,6 +546,43 @@
 	live_ = false;
 }
 
+/*
+ * Symptom: 2,208 requests of a day refused for want of an endpoint, most of them after their one
+ * retry. Sequence: the store is away and the endpoints' entries lapse; all hosts are killed and
+ * start; the store comes back; the hosts read a list that is empty for up to two seconds. Cause: a
+ * list that is not whole yet was taken for one that is.
+ */
+TEST_F(FwdTest, WhileTheListIsNotWholeARequestWaitsForAnEndpoint)
+{
+	const struct {
+		const char *name;
+		int64_t comes_us, whole_us;
+		const char *did;
+	} cases[] = {
+		{"one comes", 300 * MS, 1500 * MS, "send"},
+		{"none comes until it is whole", 9000 * MS, 1500 * MS, "refuse503! no_endpoint"},
+		{"the list is whole", 300 * MS, 0, "refuse503! no_endpoint"},
+	};
+	for (const auto &c : cases) {
+		int looks = 0;
+		now_ = 1000 * MS;
+		listing_us_ = now_ + c.whole_us;
+		send_error_ = FWD_ENOENDPOINT;
+		repeat_error_ = FWD_EBUDGET; /* none is taken */
+		Start(false, false);
+		while (fwd_.state == FWD_WAITING && looks++ < 100) {
+			if (now_ >= 1000 * MS + c.comes_us)
+				send_error_ = 0;
+			Wait(fwd_.again_us - now_);
+		}
+		EXPECT_EQ(Did(), c.did) << c.name;
+		EXPECT_LE(now_, listing_us_) << c.name;
+		EXPECT_LE(looks, 40) << c.name;
+		fwd_finish(&fwd_);
+	}
+	live_ = false;
+}
+
 /* Each try costs an engine a call, so the pauses grow until something is handed on again. */
 TEST_F(FwdTest, PausesGrowAndTheDeadlineEndsThem)
 {
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &feed__endpoints__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   feed__note__init
+                     (Feed__Note         *message)
+{
+  static const Feed__Note init_value = FEED__NOTE__INIT;
+  *message = init_value;
+}
+size_t feed__note__get_packed_size
+                     (const Feed__Note *message)
+{
+  assert(message->base.descriptor == &feed__note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t feed__note__pack
+                     (const Feed__Note *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &feed__note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t feed__note__pack_to_buffer
+                     (const Feed__Note *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &feed__note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Feed__Note *
+       feed__note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Feed__Note *)
+     protobuf_c_message_unpack (&feed__note__descriptor,
+                                allocator, len, data);
+}
+void   feed__note__free_unpacked
+                     (Feed__Note *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &feed__note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   feed__host__init
                      (Feed__Host         *message)
 {
@@ -488,6 +533,57 @@
   (ProtobufCMessageInit) feed__endpoints__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor feed__note__field_descriptors[2] =
+{
+  {
+    "endpoints",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Note, endpoints),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_len",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Note, endpoints_len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned feed__note__field_indices_by_name[] = {
+  0,   /* field[0] = endpoints */
+  1,   /* field[1] = endpoints_len */
+};
+static const ProtobufCIntRange feed__note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor feed__note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "feed.Note",
+  "Note",
+  "Feed__Note",
+  "feed",
+  sizeof(Feed__Note),
+  2,
+  feed__note__field_descriptors,
+  feed__note__field_indices_by_name,
+  1,  feed__note__number_ranges,
+  (ProtobufCMessageInit) feed__note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor feed__host__field_descriptors[3] =
 {
   {
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Feed__Ask Feed__Ask;
 typedef struct Feed__Endpoint Feed__Endpoint;
 typedef struct Feed__Endpoints Feed__Endpoints;
+typedef struct Feed__Note Feed__Note;
 typedef struct Feed__Host Feed__Host;
 typedef struct Feed__Load Feed__Load;
 typedef struct Feed__Update Feed__Update;
@@ -79,6 +80,26 @@
     , 0,NULL }
 
 
+/*
+ * The whole list, as it is kept in the store for hosts that start in an outage.
+ */
+struct  Feed__Note
+{
+  ProtobufCMessage base;
+  /*
+   * a message Endpoints, deflated unless endpoints_len is 0
+   */
+  ProtobufCBinaryData endpoints;
+  /*
+   * its length before that
+   */
+  int64_t endpoints_len;
+};
+#define FEED__NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&feed__note__descriptor) \
+    , {0,NULL}, 0 }
+
+
 struct  Feed__Host
 {
   ProtobufCMessage base;
@@ -100,6 +121,9 @@
 struct  Feed__Load
 {
   ProtobufCMessage base;
+  /*
+   * its incarnation
+   */
   char *endpoint;
   /*
    * time of a step as a multiple of what is usual
@@ -179,6 +203,9 @@
 struct  Feed__Suspect
 {
   ProtobufCMessage base;
+  /*
+   * its incarnation
+   */
   char *endpoint;
   int64_t for_ms;
   char *why;
@@ -249,6 +276,25 @@
 void   feed__endpoints__free_unpacked
                      (Feed__Endpoints *message,
                       ProtobufCAllocator *allocator);
+/* Feed__Note methods */
+void   feed__note__init
+                     (Feed__Note         *message);
+size_t feed__note__get_packed_size
+                     (const Feed__Note   *message);
+size_t feed__note__pack
+                     (const Feed__Note   *message,
+                      uint8_t             *out);
+size_t feed__note__pack_to_buffer
+                     (const Feed__Note   *message,
+                      ProtobufCBuffer     *buffer);
+Feed__Note *
+       feed__note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   feed__note__free_unpacked
+                     (Feed__Note *message,
+                      ProtobufCAllocator *allocator);
 /* Feed__Host methods */
 void   feed__host__init
                      (Feed__Host         *message);
@@ -336,6 +382,9 @@
 typedef void (*Feed__Endpoints_Closure)
                  (const Feed__Endpoints *message,
                   void *closure_data);
+typedef void (*Feed__Note_Closure)
+                 (const Feed__Note *message,
+                  void *closure_data);
 typedef void (*Feed__Host_Closure)
                  (const Feed__Host *message,
                   void *closure_data);
@@ -357,6 +406,7 @@
 extern const ProtobufCMessageDescriptor feed__ask__descriptor;
 extern const ProtobufCMessageDescriptor feed__endpoint__descriptor;
 extern const ProtobufCMessageDescriptor feed__endpoints__descriptor;
+extern const ProtobufCMessageDescriptor feed__note__descriptor;
 extern const ProtobufCMessageDescriptor feed__host__descriptor;
 extern const ProtobufCMessageDescriptor feed__load__descriptor;
 extern const ProtobufCMessageDescriptor feed__update__descriptor;
--- a/router/feed_pack.c
+++ b/router/feed_pack.c
@@ -137,6 +137,20 @@
 	g_ptr_array_unref(refs);
 }
 
+Feed__Endpoints *fp_unpack(const uint8_t *data, size_t packed_len, int64_t whole_len)
+{
+	size_t len = (size_t)MAX(whole_len, 0);
+	Feed__Endpoints *items;
+	uint8_t *text;
+
+	if (len == 0)
+		return feed__endpoints__unpack(NULL, packed_len, data);
+	text = zip_unpack(data, packed_len, len);
+	items = text ? feed__endpoints__unpack(NULL, len, text) : NULL;
+	g_free(text);
+	return items;
+}
+
 void fp_pack(struct fp *fp, const struct ep_list *list, bool whole, int64_t from)
 {
 	GArray *items;
--- a/router/feed_pack.h
+++ b/router/feed_pack.h
@@ -2,6 +2,7 @@
 #define ROUTER_FEED_PACK_H
 
 #include "ep/ep.h"
+#include "msg/feed.pb-c.h"
 
 #include <glib.h>
 
@@ -41,6 +42,9 @@
 /* Fills packed and whole_len: the whole list, or the records from that offset on. */
 void fp_pack(struct fp *fp, const struct ep_list *list, bool whole, int64_t from);
 
+/* What was packed; NULL when it is damaged. Free with feed__endpoints__free_unpacked(). */
+Feed__Endpoints *fp_unpack(const uint8_t *data, size_t packed_len, int64_t whole_len);
+
 G_END_DECLS
 
 #endif
--- a/router/follow.c
+++ b/router/follow.c
@@ -4,6 +4,7 @@
 #include "base/zip.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
+#include "router/feed_pack.h"
 #include "router/rank.h"
 #include "router/rc.h"
 
@@ -222,21 +223,6 @@
 	}
 }
 
-/* The message within the update, or NULL when it is damaged. */
-static Feed__Endpoints *follow_unpack_endpoints(const Feed__Update *msg)
-{
-	size_t len = (size_t)MAX(msg->endpoints_len, 0);
-	Feed__Endpoints *items;
-	uint8_t *text;
-
-	if (len == 0)
-		return feed__endpoints__unpack(NULL, msg->endpoints.len, msg->endpoints.data);
-	text = zip_unpack(msg->endpoints.data, msg->endpoints.len, len);
-	items = text ? feed__endpoints__unpack(NULL, len, text) : NULL;
-	g_free(text);
-	return items;
-}
-
 /* Returns 0 or BASE_EFRAME: what is damaged is asked for anew, on a new connection. */
 static int follow_take_endpoints(struct follow *follow, const Feed__Update *msg)
 {
@@ -245,7 +231,7 @@
 
 	if (msg->endpoints_next < 0 || (rc->listed && msg->endpoints_next < rc->endpoints.next))
 		return 0;
-	items = follow_unpack_endpoints(msg);
+	items = fp_unpack(msg->endpoints.data, msg->endpoints.len, msg->endpoints_len);
 	if (!items)
 		return BASE_EFRAME;
 	if (msg->listing)
--- a/router/member.c
+++ b/router/member.c
@@ -72,7 +72,7 @@
 	const struct seam_store *store = &rc->router->seam->store;
 	const char *addr = s->control_known_as[0] ? s->control_known_as : s->control;
 	char *text = g_strdup_printf("%s %.3f", addr, s->link_mbps * s->cores);
-	GString *record = store->make_record(s->name, listed ? text : NULL);
+	GString *record = store->make_record(s->name, listed ? str_of(text) : str_make(NULL, 0));
 	size_t len = record->len;
 
 	g_free(text);
--- a/router/rc.c
+++ b/router/rc.c
@@ -44,6 +44,7 @@
 	rc->poll = poll_new(rc);
 	rc->feed = feed_new(rc);
 	rc->follow = follow_new(rc);
+	rc->recall = recall_new(rc);
 	rc_set_direct(rc, true);
 	member_start(rc);
 	loop_after(loop, &rc->ticker, tmr_ms(RC_TICK_MS), rc_on_tick, rc);
@@ -56,6 +57,7 @@
 	member_set_candidate(rc, false);
 	tmr_cancel(&rc->loop->tmr, &rc->ticker);
 	tmr_cancel(&rc->loop->tmr, &rc->list_timer);
+	recall_free(rc->recall);
 	follow_free(rc->follow);
 	feed_free(rc->feed);
 	placer_free(rc->placer);
@@ -240,6 +242,7 @@
 		rc->fresh_us = now_us;
 	placer_on_tick(rc->placer, now_us);
 	poll_on_tick(rc->poll, now_us);
+	recall_on_tick(rc->recall, now_us);
 	if (rc->view_due || rc->endpoints.changed)
 		rc_post_view(rc);
 	feed_flush(rc->feed);
@@ -258,6 +261,7 @@
 	view->hosts = MAX((int)g_hash_table_size(rc->hosts), 1);
 	view->fence = rc->lead.newest;
 	view->listed = rc->listed;
+	view->whole_us = ep_whole_us(&rc->endpoints);
 	rc->view_whole = view->conf && view->listed;
 	placer_on_change(rc->placer);
 	tf_post_view(rc->router->tf, view);
--- a/router/rc.h
+++ b/router/rc.h
@@ -45,8 +45,8 @@
 	bool listed;	   /* the endpoints have been read whole once */
 	GHashTable *hosts; /* name -> struct rc_host */
 	guint hosts_version;
-	struct sf_topic topics[SEAM_HOSTS + 1];
-	bool direct;	  /* this host reads the store itself */
+	struct sf_topic topics[SEAM_HOSTS + 1]; /* that are followed */
+	bool direct;				/* this host reads the store itself */
 	bool settled;	  /* it has had the time to find a host that feeds it */
 	bool candidate;	  /* it may lead: it is a reader, or has no feed */
 	struct rank rank; /* as of the last tick */
@@ -61,6 +61,7 @@
 	struct poll *poll;
 	struct feed *feed;
 	struct follow *follow;
+	struct recall *recall;
 	GHashTable *seen; /* incarnation of an endpoint -> when it was last passed on as suspect,
 			     int64_t */
 	GHashTable *
@@ -164,6 +165,19 @@
 /* state.c: counts of the control thread for the metrics. */
 void state_gauges(const struct rc *rc, int64_t now_us);
 
+/*
+ * recall.c: the endpoints, noted in the store. While the store is away their entries lapse; hosts
+ * that start then know nobody until all have registered again, two seconds after its return, and
+ * refuse everything. So the first reader notes the list when it has changed, and a host that has
+ * seen the store away takes from the note what its list lacks, for those two seconds.
+ */
+struct recall *recall_new(struct rc *rc);
+void recall_free(struct recall *recall);
+void recall_on_tick(struct recall *recall, int64_t now_us);
+
+/* The list was read from the store. */
+void recall_on_listed(struct recall *recall);
+
 /* placer.c */
 struct placer *placer_new(struct rc *rc);
 void placer_free(struct placer *placer);
--- /dev/null
+++ b/router/recall.c
@@ -0,0 +1,232 @@
+#include "base/err.h"
+#include "base/jl.h"
+#include "base/zip.h"
+#include "msg/feed.pb-c.h"
+#include "router/feed_pack.h"
+#include "router/rc.h"
+
+#include <string.h>
+
+enum {
+	/* Between two notes: a release of endpoints changes the list several times a second. */
+	RECALL_PAUSE_MS = 1000,
+	RECALL_CALL_MS = 1000,
+	RECALL_CONNECT_MS = 500,
+	HTTP_OK = 200
+};
+
+static const char recall_key[] = "endpoints";
+
+struct recall {
+	struct rc *rc;
+	struct fp fp;	   /* packs the list */
+	int64_t noted;	   /* offset after the last record that was noted; -1: none */
+	guint noted_count; /* entries of that note */
+	int64_t next_us;
+	bool asked; /* the note was read, or is being read */
+	struct hc_call *write;
+	struct hc_call *read;
+};
+
+static void recall_on_written(void *ctx, int status, int err, bool sent, const char *body,
+			      size_t len);
+static void recall_on_read(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+
+static const struct hc_ops recall_write_ops = {.on_done = recall_on_written};
+static const struct hc_ops recall_read_ops = {.on_done = recall_on_read};
+
+struct recall *recall_new(struct rc *rc)
+{
+	struct recall *recall = g_new0(struct recall, 1);
+
+	recall->rc = rc;
+	recall->noted = -1;
+	fp_init(&recall->fp);
+	return recall;
+}
+
+void recall_free(struct recall *recall)
+{
+	if (recall->write)
+		hc_cancel(recall->write);
+	if (recall->read)
+		hc_cancel(recall->read);
+	fp_finish(&recall->fp);
+	g_free(recall);
+}
+
+static bool recall_is_due(const struct recall *recall, int64_t now_us)
+{
+	const struct rc *rc = recall->rc;
+	const struct ep_list *list = &rc->endpoints;
+
+	if (!rc->rank.first || rc->stopping || !sf_is_reached(rc) || !rc->listed)
+		return false;
+	if (recall->write || now_us < recall->next_us || now_us < ep_whole_us(list))
+		return false;
+	return recall->noted != list->next ||
+	       recall->noted_count != g_hash_table_size(list->entries);
+}
+
+/* The note: the list as a feed carries it. */
+static GString *recall_record(struct recall *recall)
+{
+	Feed__Note note = FEED__NOTE__INIT;
+	GString *record;
+	uint8_t *data;
+	size_t len;
+
+	fp_on_listing(&recall->fp, &recall->rc->endpoints);
+	fp_pack(&recall->fp, &recall->rc->endpoints, true, 0);
+	note.endpoints.data = recall->fp.packed->data;
+	note.endpoints.len = recall->fp.packed->len;
+	note.endpoints_len = (int64_t)recall->fp.whole_len;
+	len = feed__note__get_packed_size(&note);
+	data = g_malloc(len + 1);
+	feed__note__pack(&note, data);
+	record = recall->rc->router->seam->store.make_record(recall_key,
+							     str_make((const char *)data, len));
+	g_free(data);
+	return record;
+}
+
+static void recall_log(const char *event, int status, int err, int64_t n)
+{
+	jl_begin(JL_KEEP, event);
+	jl_int("status", status);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_int("endpoints", n);
+	jl_end();
+}
+
+static void recall_write(struct recall *recall)
+{
+	struct rc *rc = recall->rc;
+	GString *record = recall_record(recall);
+	char *url = rc_url(rc, rc->router->seam->store.append_path(SEAM_KNOWN));
+	struct hc_request request = {
+		.method = "POST",
+		.url = url,
+		.body = record->str,
+		.body_len = record->len,
+		.connect_ms = RECALL_CONNECT_MS,
+		.total_ms = RECALL_CALL_MS,
+	};
+
+	recall->noted = rc->endpoints.next;
+	recall->noted_count = g_hash_table_size(rc->endpoints.entries);
+	if (record->len > SEAM_RECORD_MAX)
+		recall_log("note_too_long", 0, 0, recall->noted_count);
+	else
+		recall->write = hc_start(rc->hc, &request, &recall_write_ops, recall);
+	g_string_free(record, TRUE);
+	g_free(url);
+}
+
+static void recall_on_written(void *ctx, int status, int err, bool sent, const char *body,
+			      size_t len)
+{
+	struct recall *recall = ctx;
+
+	(void)sent;
+	(void)body;
+	(void)len;
+	recall->write = NULL;
+	if (status == HTTP_OK)
+		return;
+	recall_log("note_failed", status, err, recall->noted_count);
+	recall->noted = -1;
+}
+
+/* A host that has seen the store away reads the note once, after its first list. */
+static void recall_read(struct recall *recall)
+{
+	struct rc *rc = recall->rc;
+	char *url = rc_url(rc, rc->router->seam->store.newest_path(SEAM_KNOWN, NULL));
+	struct hc_request request = {
+		.method = "GET",
+		.url = url,
+		.connect_ms = RECALL_CONNECT_MS,
+		.total_ms = RECALL_CALL_MS,
+	};
+
+	recall->read = hc_start(rc->hc, &request, &recall_read_ops, recall);
+	g_free(url);
+}
+
+void recall_on_tick(struct recall *recall, int64_t now_us)
+{
+	if (!recall_is_due(recall, now_us))
+		return;
+	recall->next_us = now_us + tmr_ms(RECALL_PAUSE_MS);
+	recall_write(recall);
+}
+
+void recall_on_listed(struct recall *recall)
+{
+	if (recall->asked)
+		return;
+	recall->asked = true;
+	if (ep_is_returning(&recall->rc->endpoints, tmr_now()))
+		recall_read(recall);
+}
+
+static void recall_take_items(struct recall *recall, const Feed__Endpoints *items)
+{
+	struct rc *rc = recall->rc;
+	int64_t taken = 0;
+
+	for (size_t i = 0; i < items->n_items; i++) {
+		const Feed__Endpoint *e = items->items[i];
+		struct str text = str_make((const char *)e->text.data, e->text.len);
+		char *error = NULL;
+		struct ep_rec *rec = rc->router->seam->decl.read_endpoint(e->id, text, &error);
+
+		g_free(error);
+		if (!rec)
+			continue;
+		rec->text = str_dup(text);
+		taken += ep_on_recalled(&rc->endpoints, e->offset, rec, tmr_now());
+	}
+	recall_log("endpoints_recalled", HTTP_OK, 0, taken);
+	if (taken == 0)
+		return;
+	feed_on_listing(rc->feed);
+	rc_view_due(rc);
+	feed_flush(rc->feed);
+}
+
+static void recall_on_record(void *ctx, int64_t offset, struct str key, struct str value)
+{
+	struct recall *recall = ctx;
+	Feed__Note *note;
+	Feed__Endpoints *items;
+
+	(void)offset;
+	(void)key;
+	note = feed__note__unpack(NULL, value.len, (const uint8_t *)value.data);
+	items = note ? fp_unpack(note->endpoints.data, note->endpoints.len, note->endpoints_len)
+		     : NULL;
+	if (items)
+		recall_take_items(recall, items);
+	else
+		recall_log("note_unreadable", HTTP_OK, BASE_EFRAME, 0);
+	if (items)
+		feed__endpoints__free_unpacked(items, NULL);
+	if (note)
+		feed__note__free_unpacked(note, NULL);
+}
+
+static void recall_on_read(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+{
+	struct recall *recall = ctx;
+	struct seam_read read;
+
+	(void)sent;
+	recall->read = NULL;
+	memset(&read, 0, sizeof(read));
+	if (status != HTTP_OK || recall->rc->router->seam->store.parse_newest(
+					 str_make(body, len), recall_on_record, recall, &read) < 0)
+		recall_log("note_not_read", status, err, 0);
+	g_free(read.last);
+}
--- a/router/router.h
+++ b/router/router.h
@@ -48,6 +48,7 @@
 	int hosts;	      /* of this system, this one included */
 	int64_t fence;	      /* number that orders to engines carry; -1: none */
 	bool listed;	      /* the endpoints have been read once */
+	int64_t whole_us;     /* until then, some that live may be missing */
 };
 
 void router_view_free(struct router_view *view);
--- a/router/rq_admit.c
+++ b/router/rq_admit.c
@@ -44,6 +44,7 @@
 	rules->deadline_us = rq->began_us + tmr_ms(deadline_ms);
 	rules->first_us = MAX(RQ_FIRST_MIN_MS, route->target_ms / 2) * TMR_US_PER_MS;
 	rules->gap_us = MAX(RQ_GAP_MIN_MS, route->gap_ms * 6 / 10) * TMR_US_PER_MS;
+	rules->listing_us = MIN(rq->tf->view->whole_us, rq->began_us + bk_park_us(deadline_ms));
 }
 
 static bool rq_stops_too_soon(const struct rq *rq)
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -232,6 +232,7 @@
 		t->rc->endpoints.changed = true;
 		t->rc->listed = true;
 		feed_on_listing(t->rc->feed);
+		recall_on_listed(t->rc->recall);
 	}
 	sf_again(t, sf_pause_us(t));
 	return true;
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -83,7 +83,13 @@
 enum seam_topic {
 	SEAM_CONF,	/* the configuration; its only key holds the newest one */
 	SEAM_ENDPOINTS, /* endpoints by id */
-	SEAM_HOSTS	/* this system's own hosts by name */
+	SEAM_HOSTS,	/* this system's own hosts by name */
+	SEAM_KNOWN,	/* one key: the endpoints as this system last knew them; see recall.c */
+	SEAM_TOPICS_N
+};
+
+enum {
+	SEAM_RECORD_MAX = 262144 /* bytes of one record that the store takes */
 };
 
 /* value.data is NULL for a key that was removed. */
@@ -137,7 +143,8 @@
 	int (*parse_read)(struct str body, int64_t from, seam_record_fn fn, void *ctx,
 			  struct seam_read *read);
 
-	GString *(*make_record)(const char *key, const char *value);
+	/* value.data: NULL removes the key. */
+	GString *(*make_record)(const char *key, struct str value);
 
 	/* Joining the group whose one leader is the placer. */
 	char *(*make_join)(const char *host, int64_t ttl_ms, int64_t generation);
