Hosts that start complete what they know before they send what waits

Cause: hosts that start after an outage used the few endpoints that had registered so far, and took themselves for the only host as long as they had not heard of others: all of them sent what waited through the same nine engines (1,437 of 1,650 requests through one, which rejected 1,313). Those that had waited at their host were taken for a queue at engines (871 refused for overload). Change: the list is used after the note was read, and after the hosts are known; waiting for a first token counts from the first sending. A note is written when what entries say has changed, not at each heartbeat.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -122,6 +122,15 @@
 	return note && rec->born_ms <= note->born_ms;
 }
 
+/* Whether both say the same of the endpoint: one is a heartbeat after the other. */
+static bool ep_is_same(const struct ep_rec *a, const struct ep_rec *b)
+{
+	return a->born_ms == b->born_ms && a->state == b->state && a->slots == b->slots &&
+	       a->layer_from == b->layer_from && a->layer_to == b->layer_to &&
+	       strcmp(a->service, b->service) == 0 && strcmp(a->addr, b->addr) == 0 &&
+	       strcmp(a->zone, b->zone) == 0 && g_strcmp0(a->kind, b->kind) == 0;
+}
+
 static void ep_remove(struct ep_list *list, struct ep_entry *entry, int64_t now_us)
 {
 	if (entry->rec->state == EP_READY && ep_is_returning(list, now_us)) {
@@ -130,6 +139,7 @@
 	}
 	g_hash_table_remove(list->entries, entry->rec->id);
 	list->changed = true;
+	list->version++;
 }
 
 static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset,
@@ -182,8 +192,10 @@
 	} else if (strcmp(holder->id, rec->id) != 0) {
 		before = g_hash_table_lookup(list->entries, holder->id);
 	}
-	if (before && strcmp(before->rec->addr, rec->addr) == 0)
+	if (before && strcmp(before->rec->addr, rec->addr) == 0) {
 		g_hash_table_remove(list->entries, holder->id);
+		list->version++;
+	}
 	g_free(holder->id);
 	holder->id = g_strdup(rec->id);
 	holder->offset = offset;
@@ -218,6 +230,8 @@
 		ep_mark_left(list, rec, now_us);
 	else if (ep_has_left(list, rec))
 		rec->state = EP_DRAINING;
+	if (!entry || !ep_is_same(entry->rec, rec))
+		list->version++;
 	entry = g_new0(struct ep_entry, 1);
 	entry->rec = rec;
 	entry->offset = offset;
@@ -242,6 +256,7 @@
 	entry->lapsed = true;
 	g_hash_table_replace(list->entries, rec->id, entry);
 	list->changed = true;
+	list->version++;
 	return true;
 }
 
@@ -344,6 +359,7 @@
 		dropped = true;
 	}
 	list->changed = list->changed || dropped;
+	list->version += dropped;
 	return dropped;
 }
 
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -75,6 +75,7 @@
 	int64_t listed_us;   /* when it was first read whole; -1: not yet */
 	int64_t next;	     /* offset of the next record to read */
 	bool changed;
+	guint version; /* counts changes of what entries say; heartbeats are none */
 };
 
 void ep_list_init(struct ep_list *list);
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -62,6 +62,46 @@
     expect("served", stack.ask("host-2", "/many/a", "a1")[0], 200)
 
 
+def case_start_in_an_outage(stack):
+    """Symptom: after a kill of all hosts in an outage of the store, most requests were refused.
+    Sequence: the store is away, the endpoints' entries lapse, all hosts are killed and start, the
+    store comes back before the endpoints have registered again.
+    Cause: what was known of the endpoints died with the hosts, and an empty list was believed. Those
+    that had waited for it were then refused as if they had waited at engines."""
+    stack.up()
+    eventually("the endpoints are noted", lambda: any(stack.state(h)["noted"] for h in stack.hosts))
+    ids = [e["id"] for e in stack.state("host-0")["endpoints"]]
+    stack.fault_store("busy")
+    stack.signal("engine", signal.SIGSTOP)
+    for point in ids:
+        call(stack.store_port, "POST", "/put?topic=keyed.servers&key=" + point, "")
+    for host in stack.hosts:
+        stack.signal(host, signal.SIGKILL)
+        stack.procs[host].wait()
+        stack.begin_host(host)
+    for host in stack.hosts:
+        eventually(host + " listens", lambda h=host: stack.is_ready(h) is not None)
+    answers = {}
+
+    def ask(name, host, path):
+        answers[name] = stack.ask(host, path, name)
+
+    asking = [threading.Thread(target=ask, args=("%s-%d" % (h, i), h, "/stream/a"))
+              for h in stack.hosts for i in range(6)]
+    for thread in asking:
+        thread.start()
+    stack.fault_store("ok")
+    eventually("the endpoints are recalled",
+               lambda: any('"endpoints_recalled"' in stack.log(h) for h in stack.hosts))
+    stack.signal("engine", signal.SIGCONT)
+    for thread in asking:
+        thread.join()
+    for name, (status, _, body) in answers.items():
+        expect(name, status, 200)
+        check_stream(name, body)
+    expect("violations", stack.ledger()["violations"], "")
+
+
 def case_lost_stage(stack):
     """Symptom: streams paused for seconds or were cut when an engine died.
     Sequence: an engine in the middle of running pipelines falls silent.
--- a/router/follow.c
+++ b/router/follow.c
@@ -260,6 +260,7 @@
 		rc_take_host(rc, host->name, str_of(text));
 		g_free(text);
 	}
+	rc->hosts_heard = true;
 }
 
 static int follow_take_conf(struct follow *follow, const Feed__Update *msg)
--- a/router/rc.c
+++ b/router/rc.c
@@ -86,9 +86,18 @@
 	rc->view_due = true;
 }
 
+/*
+ * A host that does not know how many there are takes itself for the only one, and sends all that
+ * waits to the one endpoint that looks best from everywhere.
+ */
+static bool rc_is_listed(const struct rc *rc)
+{
+	return rc->listed && rc->hosts_heard;
+}
+
 void rc_first_view(struct rc *rc)
 {
-	if (!rc->view_whole && rc->conf && rc->listed)
+	if (!rc->view_whole && rc->conf && rc_is_listed(rc))
 		rc_post_view(rc);
 }
 
@@ -260,7 +269,7 @@
 	view->endpoints = ep_snapshot(&rc->endpoints);
 	view->hosts = MAX((int)g_hash_table_size(rc->hosts), 1);
 	view->fence = rc->lead.newest;
-	view->listed = rc->listed;
+	view->listed = rc_is_listed(rc);
 	view->whole_us = ep_whole_us(&rc->endpoints);
 	rc->view_whole = view->conf && view->listed;
 	placer_on_change(rc->placer);
--- a/router/rc.h
+++ b/router/rc.h
@@ -43,6 +43,7 @@
 	gsize conf_len;		 /* of the text */
 	struct ep_list endpoints;
 	bool listed;	   /* the endpoints have been read whole once */
+	bool hosts_heard;  /* so have the hosts */
 	GHashTable *hosts; /* name -> struct rc_host */
 	guint hosts_version;
 	struct sf_topic topics[SEAM_HOSTS + 1]; /* that are followed */
@@ -175,8 +176,14 @@
 void recall_free(struct recall *recall);
 void recall_on_tick(struct recall *recall, int64_t now_us);
 
-/* The list was read from the store. */
-void recall_on_listed(struct recall *recall);
+/*
+ * The list was read from the store. Returns whether it is to be completed first: the few endpoints
+ * that have registered so far would get all that waits on all hosts.
+ */
+bool recall_on_listed(struct recall *recall);
+
+/* Whether this host has noted the list as it is now. */
+bool recall_is_noted(const struct recall *recall);
 
 /* placer.c */
 struct placer *placer_new(struct rc *rc);
--- a/router/recall.c
+++ b/router/recall.c
@@ -19,9 +19,8 @@
 
 struct recall {
 	struct rc *rc;
-	struct fp fp;	   /* packs the list */
-	int64_t noted;	   /* offset after the last record that was noted; -1: none */
-	guint noted_count; /* entries of that note */
+	struct fp fp; /* packs the list */
+	guint noted;  /* version of the list that was noted; 0: none */
 	int64_t next_us;
 	bool asked; /* the note was read, or is being read */
 	struct hc_call *write;
@@ -40,7 +39,6 @@
 	struct recall *recall = g_new0(struct recall, 1);
 
 	recall->rc = rc;
-	recall->noted = -1;
 	fp_init(&recall->fp);
 	return recall;
 }
@@ -55,17 +53,20 @@
 	g_free(recall);
 }
 
+bool recall_is_noted(const struct recall *recall)
+{
+	return !recall->write && recall->noted == recall->rc->endpoints.version;
+}
+
 static bool recall_is_due(const struct recall *recall, int64_t now_us)
 {
 	const struct rc *rc = recall->rc;
-	const struct ep_list *list = &rc->endpoints;
 
 	if (!rc->rank.first || rc->stopping || !sf_is_reached(rc) || !rc->listed)
 		return false;
-	if (recall->write || now_us < recall->next_us || now_us < ep_whole_us(list))
+	if (recall->write || now_us < recall->next_us || now_us < ep_whole_us(&rc->endpoints))
 		return false;
-	return recall->noted != list->next ||
-	       recall->noted_count != g_hash_table_size(list->entries);
+	return !recall_is_noted(recall);
 }
 
 /* The note: the list as a feed carries it. */
@@ -113,10 +114,9 @@
 		.total_ms = RECALL_CALL_MS,
 	};
 
-	recall->noted = rc->endpoints.next;
-	recall->noted_count = g_hash_table_size(rc->endpoints.entries);
+	recall->noted = rc->endpoints.version;
 	if (record->len > SEAM_RECORD_MAX)
-		recall_log("note_too_long", 0, 0, recall->noted_count);
+		recall_log("note_too_long", 0, 0, g_hash_table_size(rc->endpoints.entries));
 	else
 		recall->write = hc_start(rc->hc, &request, &recall_write_ops, recall);
 	g_string_free(record, TRUE);
@@ -132,10 +132,10 @@
 	(void)body;
 	(void)len;
 	recall->write = NULL;
-	if (status == HTTP_OK)
-		return;
-	recall_log("note_failed", status, err, recall->noted_count);
-	recall->noted = -1;
+	recall_log(status == HTTP_OK ? "endpoints_noted" : "note_failed", status, err,
+		   g_hash_table_size(recall->rc->endpoints.entries));
+	if (status != HTTP_OK)
+		recall->noted = 0;
 }
 
 /* A host that has seen the store away reads the note once, after its first list. */
@@ -162,13 +162,24 @@
 	recall_write(recall);
 }
 
-void recall_on_listed(struct recall *recall)
+bool recall_on_listed(struct recall *recall)
 {
-	if (recall->asked)
-		return;
-	recall->asked = true;
-	if (ep_is_returning(&recall->rc->endpoints, tmr_now()))
+	if (!recall->asked && ep_is_returning(&recall->rc->endpoints, tmr_now()))
 		recall_read(recall);
+	recall->asked = true;
+	return recall->read != NULL;
+}
+
+/* With what was recalled, or without, the list is as good as it gets. */
+static void recall_end(struct recall *recall)
+{
+	struct rc *rc = recall->rc;
+
+	rc->listed = true;
+	feed_on_listing(rc->feed);
+	rc_view_due(rc);
+	rc_first_view(rc);
+	feed_flush(rc->feed);
 }
 
 static void recall_take_items(struct recall *recall, const Feed__Endpoints *items)
@@ -189,11 +200,6 @@
 		taken += ep_on_recalled(&rc->endpoints, e->offset, rec, tmr_now());
 	}
 	recall_log("endpoints_recalled", HTTP_OK, 0, taken);
-	if (taken == 0)
-		return;
-	feed_on_listing(rc->feed);
-	rc_view_due(rc);
-	feed_flush(rc->feed);
 }
 
 static void recall_on_record(void *ctx, int64_t offset, struct str key, struct str value)
@@ -229,4 +235,5 @@
 					 str_make(body, len), recall_on_record, recall, &read) < 0)
 		recall_log("note_not_read", status, err, 0);
 	g_free(read.last);
+	recall_end(recall);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -47,7 +47,7 @@
 	GPtrArray *endpoints; /* struct ep_rec */
 	int hosts;	      /* of this system, this one included */
 	int64_t fence;	      /* number that orders to engines carry; -1: none */
-	bool listed;	      /* the endpoints have been read once */
+	bool listed;	      /* the endpoints and the hosts have been read once */
 	int64_t whole_us;     /* until then, some that live may be missing */
 };
 
--- a/router/rq.c
+++ b/router/rq.c
@@ -175,6 +175,8 @@
 		request.body_len = rq->body_len;
 	}
 	rq->part_us = tmr_now();
+	if (rq->sent_us == 0)
+		rq->sent_us = rq->part_us;
 	rq_log_sent(rq, attempt, pipeline, resume_after);
 	rq->attempt = hc_start(tf->hc, &request, &rq_hc_ops, rq);
 	g_ptr_array_unref(headers);
--- a/router/rq_admit.c
+++ b/router/rq_admit.c
@@ -90,7 +90,7 @@
 {
 	if (!rq->attempt || rq->fwd.begun || strcmp(rq->service->name, service) != 0)
 		return -1;
-	return now_us - rq->began_us;
+	return now_us - rq->sent_us;
 }
 
 /* This host's requests to the service that wait for their first token. */
--- a/router/rq_answer.c
+++ b/router/rq_answer.c
@@ -64,7 +64,7 @@
 
 	rq_put_headers(rq);
 	rq_limits(rq, &limits);
-	adm_on_begun(tf_adm(rq->tf, rq->service->name), &limits, rq->first_us - rq->began_us,
+	adm_on_begun(tf_adm(rq->tf, rq->service->name), &limits, rq->first_us - rq->sent_us,
 		     rq->first_us);
 	hd_begin(rq->call, rq->status, rq->answer.type);
 }
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -40,6 +40,7 @@
 	struct seam_answer answer; /* head of the attempt's answer */
 	int urgency;		   /* for engines; -1: not stated */
 	int64_t began_us;
+	int64_t sent_us;  /* when it was first sent; 0: not yet */
 	int64_t first_us; /* when the first part went to the caller */
 	char *body;
 	size_t body_len;
--- a/router/state.c
+++ b/router/state.c
@@ -61,14 +61,15 @@
 	struct state *state = ctx;
 	const struct rc *rc = state->router->rc;
 
-	state->json = json_pack("{s:s, s:I, s:I, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
-				state->router->settings.name, "configuration",
-				(json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
-				(json_int_t)rc->lead.newest, "reads_store", rc->direct,
-				"asks_engines", rc_polls(rc), "places_layers", member_may_order(rc),
-				"feeder", follow_feeder(rc->follow), "fed",
-				follow_is_fed(rc->follow), "store_age_ms",
-				(json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
+	state->json =
+		json_pack("{s:s, s:I, s:I, s:b, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
+			  state->router->settings.name, "configuration",
+			  (json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
+			  (json_int_t)rc->lead.newest, "reads_store", rc->direct, "asks_engines",
+			  rc_polls(rc), "places_layers", member_may_order(rc), "noted",
+			  recall_is_noted(rc->recall), "feeder", follow_feeder(rc->follow), "fed",
+			  follow_is_fed(rc->follow), "store_age_ms",
+			  (json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
 	loop_post(&state->router->tf->loop, state_from_traffic, state);
 }
 
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -227,12 +227,14 @@
 	}
 	g_free(read.last);
 	t->next = read.end;
+	if (t->topic == SEAM_HOSTS)
+		t->rc->hosts_heard = true;
 	if (t->topic == SEAM_ENDPOINTS) {
 		ep_on_listed(&t->rc->endpoints, read.end, tmr_now());
 		t->rc->endpoints.changed = true;
-		t->rc->listed = true;
 		feed_on_listing(t->rc->feed);
-		recall_on_listed(t->rc->recall);
+		if (!recall_on_listed(t->rc->recall))
+			t->rc->listed = true;
 	}
 	sf_again(t, sf_pause_us(t));
 	return true;
--- a/router/tf.h
+++ b/router/tf.h
@@ -158,7 +158,9 @@
 /* rq.c */
 struct rq;
 
-/* How long the request has waited for its first token, if the service is the one; -1: it does not.
+/*
+ * How long the request has waited at engines for its first token, if the service is the one; -1: it
+ * does not. What it waited on this host, for a configuration or an endpoint, tells nothing of them.
  */
 int64_t rq_waits_us(const struct rq *rq, const char *service, int64_t now_us);
 
