Fewer calls to the store when hosts start and while it is away

Cause: each host read all topics by itself for 1.5 s after a start, eight calls of 1,880 on a calm minute of 195 hosts, and began with three calls each time its feed could not reach the store. Ruled out: joins, and reads by the three readers, 300 calls. Change: in the first start of the whole system hosts read only the list of hosts and take the rest from their feed, as all do later; once the system has run, the list of hosts is whole at the first look, and a host that is fed reads no more. Until the store answers, a host that is no reader tries with one topic.

--- a/router/follow.c
+++ b/router/follow.c
@@ -25,7 +25,10 @@
 	 * outage missed what others found out about endpoints.
 	 */
 	FOLLOW_OUTAGE_MS = 4000,
-	/* Hosts start together and learn of each other over this time; until then each reads. */
+	/*
+	 * In the first start of all, hosts learn of each other over this time; until then each
+	 * reads. Later the list of hosts is that of a running system, and tells all at once.
+	 */
 	FOLLOW_SETTLE_MS = 1500
 };
 
@@ -197,7 +200,8 @@
 	struct rc *rc = follow->rc;
 	const struct rank *rank = &rc->rank;
 
-	rc->settled = now_us >= follow->settled_us;
+	rc->settled = now_us >= follow->settled_us ||
+		      (!rc->router->settings.first_start && rc->hosts_heard);
 	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
 	rc_set_direct(rc, rank->reader || !follow->fed || !rc->settled);
--- a/router/rc.c
+++ b/router/rc.c
@@ -31,6 +31,7 @@
 	rc->router = router;
 	rc->loop = loop;
 	rc->hc = hc_new(loop);
+	rc->start_us = tmr_now();
 	rc->round.heard_us = tmr_now();
 	rc->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rc_host_free);
 	ep_list_init(&rc->endpoints);
--- a/router/rc.h
+++ b/router/rc.h
@@ -38,6 +38,7 @@
 	struct router *router;
 	struct loop *loop;
 	struct hc *hc;
+	int64_t start_us; /* when the process started */
 	struct rt_conf *conf;
 	GByteArray *conf_packed; /* its text, deflated, for handing it on */
 	gsize conf_len;		 /* of the text */
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -37,7 +37,15 @@
 	SF_RETRY_BLIND_MS = 250,
 	/* Hosts that are no readers hear of the store's return through the feed. */
 	SF_RETRY_OTHERS_MS = 2500,
-	SF_WAIT_MS = 100, /* between looks whether the configuration could be read again */
+	SF_WAIT_MS = 100, /* between looks whether a topic may be read */
+	/*
+	 * When the whole system starts for the first time, hosts list themselves within half a
+	 * second, and none has callers yet. So the first look at the list of hosts comes after
+	 * that, and all but the readers leave the rest to their feed: two calls a host instead of
+	 * eight, of 1,880 on a calm minute of 195 hosts.
+	 */
+	SF_FIRST_HOSTS_MS = 700,
+	SF_FIRST_OTHERS_MS = 2500, /* when a host that nobody feeds reads all the same */
 	HTTP_OK = 200,
 	HTTP_GONE = 410
 };
@@ -65,6 +73,14 @@
 	[SEAM_HOSTS] = {0, SF_HOSTS_PAUSE_MS},
 };
 
+/* How long the topic is left alone at first. */
+static int64_t sf_start_pause_ms(const struct sf_topic *t)
+{
+	if (t->rc->router->settings.first_start && t->rc->hosts_version == 0)
+		return t->topic == SEAM_HOSTS ? SF_FIRST_HOSTS_MS : SF_WAIT_MS;
+	return 0;
+}
+
 void sf_start(struct rc *rc)
 {
 	for (int i = 0; i <= SEAM_HOSTS; i++) {
@@ -77,7 +93,7 @@
 		t->failures = 0;
 		t->wait_ms = sf_pace[i].wait_ms;
 		t->pause_us = tmr_ms(sf_pace[i].pause_ms);
-		sf_ask(t);
+		sf_again(t, tmr_ms(sf_start_pause_ms(t)));
 	}
 }
 
@@ -122,22 +138,46 @@
 	g_free(url);
 }
 
+/* Whether the last call did not succeed, or there was none yet. */
+static bool sf_is_bad(const struct sf_topic *t)
+{
+	return t->read_us == 0 || t->failures > 0;
+}
+
 /*
- * While the store does not answer, a host that is no reader tries with the configuration alone: in
- * an outage each call of each host is refused, and one tells as much as three.
+ * Until the store answers, a host that is no reader tries with one topic alone: in an outage each
+ * call of each host is refused, and one tells as much as three. In the first start of all it waits
+ * for its feed besides; see SF_FIRST_HOSTS_MS.
  */
-static bool sf_waits_for_conf(const struct sf_topic *t)
+static bool sf_waits(const struct sf_topic *t, int64_t now_us)
 {
-	return t->topic != SEAM_CONF && !t->rc->rank.reader && t->failures > 0 &&
-	       t->rc->topics[SEAM_CONF].failures > 0;
+	const struct rc *rc = t->rc;
+	bool first_start = rc->router->settings.first_start &&
+			   now_us - rc->start_us < tmr_ms(SF_FIRST_OTHERS_MS);
+
+	if (rc->rank.reader || !sf_is_bad(t))
+		return false;
+	if (first_start)
+		return t->topic != SEAM_HOSTS;
+	return t->topic != SEAM_CONF && sf_is_bad(&rc->topics[SEAM_CONF]);
+}
+
+/* The store answers: the topics that wait for that are read now. */
+static void sf_wake(struct rc *rc, int64_t now_us)
+{
+	for (int i = 0; i <= SEAM_HOSTS; i++) {
+		struct sf_topic *t = &rc->topics[i];
+
+		if (!t->call && sf_is_bad(t) && !sf_waits(t, now_us))
+			sf_again(t, 0);
+	}
 }
 
 static void sf_on_timer(void *ctx, int64_t now_us)
 {
 	struct sf_topic *t = ctx;
 
-	(void)now_us;
-	if (sf_waits_for_conf(t))
+	if (sf_waits(t, now_us))
 		sf_again(t, tmr_ms(SF_WAIT_MS));
 	else
 		sf_ask(t);
@@ -183,7 +223,7 @@
 		jl_end();
 	}
 	met_add(met_counter("bg_store_failures_total", ""), 1);
-	if (t->topic == SEAM_ENDPOINTS && !follow_is_fed(t->rc->follow))
+	if (sf_is_bad(&t->rc->topics[SEAM_ENDPOINTS]) && !follow_is_fed(t->rc->follow))
 		ep_on_away(&t->rc->endpoints);
 	feed_flush(t->rc->feed);
 	sf_again(t, tmr_ms(delay_ms));
@@ -281,6 +321,7 @@
 		sf_failed(t, status, BASE_EHTTP);
 	if (t->rc->endpoints.changed)
 		rc_view_due(t->rc);
+	sf_wake(t->rc, t->read_us);
 	rc_first_view(t->rc);
 	feed_flush(t->rc->feed);
 }
