Hosts that return or restart ask the store less

Cause: in an outage a host that is no reader tried three times within the first second; beside a return and a restart all hosts joined the group for its lead and left it again, and put themselves into the list of hosts, where most still were. Change: after two tries such a host waits 2.5 s; only one without a feed for 1.5 s after its start joins; a host puts itself into the list when it does not find itself there; its first long read waits for its feed.

--- a/router/follow.c
+++ b/router/follow.c
@@ -205,8 +205,8 @@
 	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
 	rc_set_direct(rc, rank->reader || !follow->fed || !rc->settled);
-	member_set_candidate(rc,
-			     rank->reader || (!follow->fed && rc->settled && sf_is_reached(rc)));
+	member_set_candidate(rc, rank->reader || (!follow->fed && now_us >= follow->settled_us &&
+						  sf_is_reached(rc)));
 }
 
 static void follow_log(const struct follow *follow, const char *event, const char *error)
@@ -264,7 +264,7 @@
 		rc_take_host(rc, host->name, str_of(text));
 		g_free(text);
 	}
-	rc->hosts_heard = true;
+	rc_on_hosts_heard(rc);
 }
 
 static int follow_take_conf(struct follow *follow, const Feed__Update *msg)
--- a/router/member.c
+++ b/router/member.c
@@ -65,16 +65,22 @@
 	return call;
 }
 
+/* Where other hosts reach this one's control thread. */
+static const char *member_addr(const struct router_settings *s)
+{
+	return s->control_known_as[0] ? s->control_known_as : s->control;
+}
+
 /* Puts this host into the store's list of hosts, or out of it. */
 static void member_list_self(struct rc *rc, bool listed)
 {
 	const struct router_settings *s = &rc->router->settings;
 	const struct seam_store *store = &rc->router->seam->store;
-	const char *addr = s->control_known_as[0] ? s->control_known_as : s->control;
-	char *text = g_strdup_printf("%s %.3f", addr, s->link_mbps * s->cores);
+	char *text = g_strdup_printf("%s %.3f", member_addr(s), s->link_mbps * s->cores);
 	GString *record = store->make_record(s->name, listed ? str_of(text) : str_make(NULL, 0));
 	size_t len = record->len;
 
+	rc->listing_self = listed;
 	g_free(text);
 	member_post(rc, store->append_path(SEAM_HOSTS), g_string_free(record, FALSE), len,
 		    &member_list_ops);
@@ -202,10 +208,24 @@
 	member_leave(rc);
 }
 
+/* In the first start of all there is no list yet; the others need this host's entry for theirs. */
 void member_start(struct rc *rc)
 {
 	lead_init(&rc->lead, tmr_ms(MEMBER_TTL_MS));
-	member_list_self(rc, true);
+	if (rc->router->settings.first_start)
+		member_list_self(rc, true);
+}
+
+/* A host that was killed and starts again mostly finds its entry there. */
+void member_on_hosts(struct rc *rc)
+{
+	const struct router_settings *s = &rc->router->settings;
+	const struct rc_host *own = g_hash_table_lookup(rc->hosts, s->name);
+
+	if (rc->listing_self || rc->stopping)
+		return;
+	if (!own || strcmp(own->addr, member_addr(s)) != 0)
+		member_list_self(rc, true);
 }
 
 void member_stop(struct rc *rc)
--- a/router/rc.c
+++ b/router/rc.c
@@ -241,6 +241,12 @@
 	rc_view_due(rc);
 }
 
+void rc_on_hosts_heard(struct rc *rc)
+{
+	rc->hosts_heard = true;
+	member_on_hosts(rc);
+}
+
 static void rc_on_tick(void *ctx, int64_t now_us)
 {
 	struct rc *rc = ctx;
--- a/router/rc.h
+++ b/router/rc.h
@@ -55,6 +55,7 @@
 	struct rank_round round;
 	struct tmr ticker;
 	struct tmr list_timer;
+	bool listing_self; /* this host has put itself into the list of hosts, or tries to */
 	struct lead
 		lead; /* whether this host places layers; its generation is the fencing number */
 	struct hc_call *join;
@@ -99,6 +100,9 @@
 void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
 void rc_take_host(struct rc *rc, const char *name, struct str text);
 
+/* The list of hosts is whole, as far as is known. */
+void rc_on_hosts_heard(struct rc *rc);
+
 /* Reads the store from now on, or leaves that to the feed. */
 void rc_set_direct(struct rc *rc, bool direct);
 
@@ -107,6 +111,9 @@
 
 /* member.c: this host in the store's list of hosts, and in the group that has a leader. */
 void member_start(struct rc *rc);
+
+/* The list of hosts is known: this host puts itself there unless it already is. */
+void member_on_hosts(struct rc *rc);
 void member_stop(struct rc *rc);
 
 /* Whether this host may give orders now. */
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -46,6 +46,8 @@
 	 */
 	SF_FIRST_HOSTS_MS = 700,
 	SF_FIRST_OTHERS_MS = 2500, /* when a host that nobody feeds reads all the same */
+	/* After its first look at the configuration a host mostly is fed within this time. */
+	SF_CONF_PAUSE_START_MS = 400,
 	HTTP_OK = 200,
 	HTTP_GONE = 410
 };
@@ -203,17 +205,20 @@
 	g_free(name);
 }
 
-static int64_t sf_retry_most_ms(const struct rc *rc)
+static int64_t sf_retry_ms(const struct sf_topic *t)
 {
+	const struct rc *rc = t->rc;
+
 	if (!rc->conf)
 		return SF_RETRY_BLIND_MS;
-	return rc->rank.reader ? SF_RETRY_MAX_MS : SF_RETRY_OTHERS_MS;
+	if (!rc->rank.reader && t->failures > 0)
+		return SF_RETRY_OTHERS_MS;
+	return MIN(SF_RETRY_MS << MIN(t->failures, 4), SF_RETRY_MAX_MS);
 }
 
 static void sf_failed(struct sf_topic *t, int status, int err)
 {
-	int64_t most_ms = sf_retry_most_ms(t->rc);
-	int64_t delay_ms = MIN(SF_RETRY_MS << MIN(t->failures, 4), most_ms);
+	int64_t delay_ms = sf_retry_ms(t);
 
 	if (t->failures++ == 0) {
 		jl_begin(JL_KEEP, "store_lost");
@@ -246,6 +251,8 @@
 		return tmr_ms(SF_HOSTS_EARLY_MS);
 	if (t->topic == SEAM_ENDPOINTS && !t->rc->rank.reader && !t->rc->settled)
 		return tmr_ms(SF_ENDPOINTS_PAUSE_START_MS);
+	if (t->topic == SEAM_CONF && !t->rc->rank.reader && t->reads == 0)
+		return tmr_ms(SF_CONF_PAUSE_START_MS);
 	return t->pause_us;
 }
 
@@ -268,7 +275,7 @@
 	g_free(read.last);
 	t->next = read.end;
 	if (t->topic == SEAM_HOSTS)
-		t->rc->hosts_heard = true;
+		rc_on_hosts_heard(t->rc);
 	if (t->topic == SEAM_ENDPOINTS) {
 		ep_on_listed(&t->rc->endpoints, read.end, tmr_now());
 		t->rc->endpoints.changed = true;
