Each host says which configuration and settings it runs, since when and by what

Cause: after a change of settings hosts answered differently, and nobody could say which had taken it: two of the settings were taken, the rest waited for a restart in silence, and a second change within one second was not seen at all. Change: digest, time and source of both in /state and in the lines that tell of them; settings that wait for a restart are named; the file is told apart by time in ns, size and inode, and one that is gone for a moment while it is replaced is no change; the version stands in the line that ends a request, too.

--- a/base/jl.c
+++ b/base/jl.c
@@ -116,6 +116,12 @@
 		jl_put(",\"%s\":%" G_GINT64_FORMAT, name, value);
 }
 
+void jl_hex(const char *name, uint64_t value)
+{
+	if (!jl.skip)
+		jl_put(",\"%s\":\"%016" G_GINT64_MODIFIER "x\"", name, value);
+}
+
 void jl_real(const char *name, double value)
 {
 	if (!jl.skip)
--- a/base/jl.h
+++ b/base/jl.h
@@ -38,6 +38,7 @@
 void jl_begin(enum jl_level level, const char *event);
 void jl_str(const char *name, const char *value);
 void jl_int(const char *name, int64_t value);
+void jl_hex(const char *name, uint64_t value); /* as a text of 16 digits */
 void jl_real(const char *name, double value);
 void jl_end(void);
 
--- a/base/set.c
+++ b/base/set.c
@@ -5,6 +5,7 @@
 
 #include <ini.h>
 #include <stdio.h>
+#include <xxhash.h>
 
 struct set_reader {
 	const char *path;
@@ -147,6 +148,56 @@
 	return errors->len > 0 ? BASE_ESETTING : 0;
 }
 
+static void set_write_value(const struct set_item *item, const void *target, GString *out)
+{
+	const char *field = (const char *)target + item->offset;
+
+	if (item->type == SET_INT)
+		g_string_append_printf(out, "%" G_GINT64_FORMAT,
+				       *(const int64_t *)(const void *)field);
+	else if (item->type == SET_REAL)
+		g_string_append_printf(out, "%.9g", *(const double *)(const void *)field);
+	else
+		g_string_append(out, *(char *const *)(const void *)field);
+}
+
+uint64_t set_digest(const struct set_item *items, size_t n, const void *target,
+		    const char *const *sections)
+{
+	GString *text = g_string_new(NULL);
+	uint64_t digest;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!g_strv_contains(sections, items[i].section))
+			continue;
+		g_string_append_printf(text, "%s.%s=", items[i].section, items[i].key);
+		set_write_value(&items[i], target, text);
+		g_string_append_c(text, '\n');
+	}
+	digest = XXH3_64bits(text->str, text->len);
+	g_string_free(text, TRUE);
+	return digest;
+}
+
+void set_differing(const struct set_item *items, size_t n, const void *a, const void *b,
+		   GString *keys)
+{
+	GString *one = g_string_new(NULL);
+	GString *other = g_string_new(NULL);
+
+	for (size_t i = 0; i < n; i++) {
+		g_string_truncate(one, 0);
+		g_string_truncate(other, 0);
+		set_write_value(&items[i], a, one);
+		set_write_value(&items[i], b, other);
+		if (!g_string_equal(one, other))
+			g_string_append_printf(keys, "%s%s.%s", keys->len > 0 ? "," : "",
+					       items[i].section, items[i].key);
+	}
+	g_string_free(one, TRUE);
+	g_string_free(other, TRUE);
+}
+
 void set_clear(const struct set_item *items, size_t n, void *target)
 {
 	for (size_t i = 0; i < n; i++) {
--- a/base/set.h
+++ b/base/set.h
@@ -35,6 +35,17 @@
 int set_load(const char *path, const struct set_item *items, size_t n, void *target,
 	     GString *errors);
 
+/*
+ * Hash of the settings of these sections (ends with NULL) with their values in effect: two hosts
+ * that run the same ones have the same, whatever the order, spaces and comments of their files.
+ */
+uint64_t set_digest(const struct set_item *items, size_t n, const void *target,
+		    const char *const *sections);
+
+/* Appends the "section.key" of each setting that differs, with commas between. */
+void set_differing(const struct set_item *items, size_t n, const void *a, const void *b,
+		   GString *keys);
+
 /* Frees what set_load() has put into the struct. */
 void set_clear(const struct set_item *items, size_t n, void *target);
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -51,15 +51,28 @@
 };
 const size_t router_items_n = G_N_ELEMENTS(router_items);
 
+/* Sections in which hosts should agree; the others say who and where a host is. */
+static const char *const router_shared[] = {"store", "endpoints", "repeats", "stop", "log", NULL};
+
 #define ROUTER_STATE_PATH "/state"
 
+/*
+ * By this a change of the settings file is seen. Seconds alone are not enough: of two changes
+ * within one, the second would not be in force until a third.
+ */
+struct router_file {
+	struct timespec time;
+	ino_t inode; /* another file may be put in its place with an older time */
+	off_t size;
+};
+
 struct router_main {
 	struct router router;
 	struct loop loop;
 	struct tmr stop_timer;
 	struct tmr settings_timer;
 	int quiet;
-	time_t settings_time;
+	struct router_file settings_file;
 };
 
 static struct router_main router_main;
@@ -114,21 +127,59 @@
 
 static void router_log(const char *event, const char *detail)
 {
-	const struct router_settings *s = &router_main.router.settings;
+	const struct router *router = &router_main.router;
+	const struct router_settings *s = &router->settings;
 
 	jl_begin(JL_KEEP, event);
 	jl_str("zone", s->zone);
 	jl_str("front", s->front);
 	jl_str("store", s->store);
 	jl_int("first_start", s->first_start);
+	jl_hex("settings", router->settings_origin.digest);
+	jl_str("by", router->settings_origin.by);
+	jl_str("waiting", router->settings_waiting);
 	jl_str("detail", detail);
 	jl_end();
 }
 
-/* Settings that can change while the program runs; the others need a restart. */
-static void router_reload(void *ctx)
+/* Notes which settings are in force, and how that came about. */
+static void router_note_settings(struct router *router, const char *by)
 {
-	struct router_main *m = ctx;
+	router_origin_set(
+		&router->settings_origin,
+		set_digest(router_items, router_items_n, &router->settings, router_shared), by);
+}
+
+/*
+ * Takes the settings that can change while the program runs. The others stay as they are until a
+ * restart, and are named: a host of which nobody knows that it waits runs other settings than its
+ * file says. Returns whether anything has changed.
+ */
+static bool router_adopt(struct router *router, struct router_settings *fresh, const char *by)
+{
+	GString *waiting = g_string_new(NULL);
+	char *before = router->settings_waiting;
+	uint64_t digest = router->settings_origin.digest;
+	bool changed;
+
+	router->settings.log_lines = fresh->log_lines;
+	router->settings.grace_s = fresh->grace_s;
+	fresh->first_start = router->settings.first_start;
+	jl_set_rate(fresh->log_lines);
+	set_differing(router_items, router_items_n, &router->settings, fresh, waiting);
+	router->settings_waiting = g_string_free(waiting, FALSE);
+	router_note_settings(router, by);
+	changed = digest != router->settings_origin.digest ||
+		  strcmp(before ? before : "", router->settings_waiting) != 0;
+	g_free(before);
+	return changed;
+}
+
+/* A file that was changed back, or read at the start already, is no news unless one was asked for.
+ */
+static void router_reload(struct router_main *m, const char *by, bool asked)
+{
+	struct router_origin before = m->router.settings_origin;
 	struct router_settings fresh;
 	GString *errors = g_string_new(NULL);
 
@@ -136,31 +187,45 @@
 	if (set_load(prog_config_path(), router_items, router_items_n, &fresh, errors) < 0) {
 		g_strdelimit(errors->str, "\n", ' ');
 		router_log("reload_failed", errors->str);
-	} else {
-		jl_set_rate(fresh.log_lines);
-		m->router.settings.grace_s = fresh.grace_s;
+	} else if (router_adopt(&m->router, &fresh, by) || asked) {
 		router_log("reload", NULL);
+	} else {
+		m->router.settings_origin = before;
 	}
 	set_clear(router_items, router_items_n, &fresh);
 	g_string_free(errors, TRUE);
 }
 
-static time_t router_settings_time(void)
+static void router_on_reload(void *ctx)
+{
+	router_reload(ctx, "signal", true);
+}
+
+/* A file that is gone for a moment, while it is replaced, is no change. */
+static bool router_file_changed(struct router_file *file)
 {
+	struct router_file now;
 	struct stat st;
 
-	return stat(prog_config_path(), &st) == 0 ? st.st_mtime : 0;
+	if (stat(prog_config_path(), &st) < 0)
+		return false;
+	memset(&now, 0, sizeof(now));
+	now.time = st.st_mtim;
+	now.inode = st.st_ino;
+	now.size = st.st_size;
+	if (memcmp(&now, file, sizeof(now)) == 0)
+		return false;
+	*file = now;
+	return true;
 }
 
 static void router_on_settings_time(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
-	time_t changed = router_settings_time();
 
 	(void)now_us;
-	if (changed != m->settings_time)
-		router_reload(m);
-	m->settings_time = changed;
+	if (router_file_changed(&m->settings_file))
+		router_reload(m, "file", false);
 	loop_after(&m->loop, &m->settings_timer, tmr_ms(ROUTER_SETTINGS_MS),
 		   router_on_settings_time, m);
 }
@@ -209,7 +274,7 @@
 	jl_set_rate(router->settings.log_lines);
 	loop_init(&m->loop);
 	prog_on_stop(&m->loop, router_on_stop, m);
-	prog_on_reload(&m->loop, router_reload, m);
+	prog_on_reload(&m->loop, router_on_reload, m);
 	router->seam = &pf_seam;
 	router->tf = tf_start(router);
 	router->front = router_listen(router->settings.front, tf_on_call, router);
@@ -217,7 +282,7 @@
 	router->metrics_hd =
 		router_listen(router->settings.metrics, router_on_metrics_call, router);
 	router->rc = rc_start(router, &m->loop);
-	m->settings_time = router_settings_time();
+	router_note_settings(router, "start");
 	loop_after(&m->loop, &m->settings_timer, tmr_ms(ROUTER_SETTINGS_MS),
 		   router_on_settings_time, m);
 	router_log("start", PROG_VERSION);
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -1,5 +1,6 @@
 """Cases with real processes: python3 regress/soak/cases.py NAME. Each opens with what went wrong."""
 import json
+import os
 import signal
 import sys
 import threading
@@ -102,6 +103,56 @@
     expect("violations", stack.ledger()["violations"], "")
 
 
+def case_settings(stack):
+    """Symptom: after a change of the settings hosts answered differently, and nobody could say which
+    of them had taken it.
+    Sequence: the file is changed with and without a signal, twice within a moment, half, not at all.
+    Cause: changes were told apart by the second, and no host said what it runs."""
+    stack.up()
+    path = os.path.join(stack.dir, "host-0.ini")
+
+    def write(more, host="host-0"):
+        path = os.path.join(stack.dir, host + ".ini")
+        with open(path + ".new", "w") as ini:
+            ini.write(texts[host] + more)
+        os.rename(path + ".new", path)
+
+    texts = {}
+    for host in stack.hosts:
+        with open(os.path.join(stack.dir, host + ".ini")) as ini:
+            texts[host] = ini.read()
+
+    def runs(host="host-0"):
+        return stack.state(host)["runs"]
+
+    first = runs()["settings"]
+    expect("by", first["by"], "start")
+    expect("alike", first["digest"], runs("host-1")["settings"]["digest"])
+    write("[log]\nlines_per_s = 111\n")
+    write("[log]\nlines_per_s = 112\n")
+    write("[log]\nlines_per_s = 112\n", "host-1")
+    eventually("the last change is in force", lambda: first["digest"] != runs()["settings"]["digest"]
+               and runs()["settings"]["digest"] == runs("host-1")["settings"]["digest"])
+    second = runs()["settings"]
+    expect("by", second["by"], "file")
+    write("[log]\nlines_per_s = many\n")
+    eventually("the mistake is named", lambda: "'many'" in stack.log("host-0"))
+    expect("what runs", runs()["settings"], second)
+    os.unlink(path)
+    write("[log]\nlines_per_s = 112\n[repeats]\nratio = 0.3\n")
+    eventually("what waits for a restart is named", lambda: runs()["waiting"] == "repeats.ratio")
+    expect("what runs", runs()["settings"]["digest"], second["digest"])
+    write("[log]\nlines_per_s = 111\n")
+    stack.signal("host-0", signal.SIGHUP)
+    eventually("the signal is heeded", lambda: runs()["settings"]["by"] == "signal"
+               or runs()["settings"]["digest"] not in (first["digest"], second["digest"]))
+    expect("nothing waits", runs()["waiting"], "")
+    for host in ("host-0", "host-1"):
+        write("", host)
+    eventually("as at first", lambda: runs()["settings"]["digest"] == first["digest"])
+    expect("version", runs()["configuration"]["digest"], runs("host-1")["configuration"]["digest"])
+
+
 def case_lost_stage(stack):
     """Symptom: streams paused for seconds or were cut when an engine died.
     Sequence: an engine in the middle of running pipelines falls silent.
--- a/router/rc.c
+++ b/router/rc.c
@@ -5,6 +5,7 @@
 #include "base/zip.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
 	RC_TICK_MS = 100,
@@ -113,12 +114,21 @@
 		sf_stop(rc);
 }
 
-static void rc_log_conf(const struct rt_conf *conf, int64_t before, const char *from)
+void router_origin_set(struct router_origin *origin, uint64_t digest, const char *by)
+{
+	origin->digest = digest;
+	origin->since_ms = g_get_real_time() / 1000;
+	g_strlcpy(origin->by, by, sizeof(origin->by));
+}
+
+static void rc_log_conf(const struct rc *rc, const struct rt_conf *conf, int64_t before,
+			const char *from)
 {
 	jl_begin(JL_KEEP, "configuration");
 	jl_int("version", conf->version);
 	jl_int("before", before);
 	jl_str("from", from);
+	jl_hex("digest", rc->conf_origin.digest);
 	jl_int("routes", conf->routes->len);
 	jl_int("accounts", conf->accounts->len);
 	jl_end();
@@ -149,7 +159,8 @@
 		rt_conf_unref(conf);
 		return;
 	}
-	rc_log_conf(conf, before, from);
+	router_origin_set(&rc->conf_origin, XXH3_64bits(text.data, text.len), from);
+	rc_log_conf(rc, conf, before, from);
 	rt_conf_unref(rc->conf);
 	rc->conf = conf;
 	/* 1,500 routes are 400 KB, which took seconds to a third of all hosts as they are. */
--- a/router/rc.h
+++ b/router/rc.h
@@ -42,6 +42,7 @@
 	struct rt_conf *conf;
 	GByteArray *conf_packed; /* its text, deflated, for handing it on */
 	gsize conf_len;		 /* of the text */
+	struct router_origin conf_origin;
 	struct ep_list endpoints;
 	bool listed;	   /* the endpoints have been read whole once */
 	bool hosts_heard;  /* so have the hosts */
--- a/router/router.h
+++ b/router/router.h
@@ -78,11 +78,22 @@
 					  const char *why);
 void router_suspect_free(struct router_suspect *suspect);
 
+/* Which state of something a host runs, since when, and how it came by it. */
+struct router_origin {
+	uint64_t digest;
+	int64_t since_ms; /* Unix time */
+	char by[32];
+};
+
+void router_origin_set(struct router_origin *origin, uint64_t digest, const char *by);
+
 struct rc;
 struct tf;
 
 struct router {
 	struct router_settings settings;
+	struct router_origin settings_origin; /* control thread */
+	char *settings_waiting; /* keys whose new values need a restart; "": none. Control thread */
 	const struct seam *seam;
 	struct rc *rc;
 	struct tf *tf;
--- a/router/rq.c
+++ b/router/rq.c
@@ -379,6 +379,7 @@
 	jl_int("status", rq->status);
 	jl_str("route", rq->route->name);
 	jl_str("account", rq->account ? rq->account->name : NULL);
+	jl_int("version", rq->conf->version);
 	jl_int("sends", rq->fwd.sends);
 	jl_int("runs", rq->fwd.runs);
 	jl_int("parts", (int64_t)rq->fwd.parts);
--- a/router/state.c
+++ b/router/state.c
@@ -56,6 +56,28 @@
 	return rc->fresh_us > 0 ? (now_us - rc->fresh_us) / TMR_US_PER_MS : -1;
 }
 
+/* Which one this host runs, since when, and how it came by it. */
+static json_t *state_origin(const struct router_origin *origin, json_int_t version)
+{
+	char digest[17];
+
+	g_snprintf(digest, sizeof(digest), "%016" G_GINT64_MODIFIER "x", origin->digest);
+	return json_pack("{s:I, s:s, s:I, s:s}", "version", version, "digest", digest, "since_ms",
+			 (json_int_t)origin->since_ms, "by", origin->by);
+}
+
+static void state_put_origins(json_t *json, const struct rc *rc)
+{
+	const struct router *router = rc->router;
+
+	json_object_set_new(
+		json, "runs",
+		json_pack("{s:o, s:o, s:s}", "configuration",
+			  state_origin(&rc->conf_origin, rc->conf ? rc->conf->version : -1),
+			  "settings", state_origin(&router->settings_origin, 0), "waiting",
+			  router->settings_waiting ? router->settings_waiting : ""));
+}
+
 static void state_from_control(void *ctx)
 {
 	struct state *state = ctx;
@@ -70,6 +92,7 @@
 			  recall_is_noted(rc->recall), "feeder", follow_feeder(rc->follow), "fed",
 			  follow_is_fed(rc->follow), "store_age_ms",
 			  (json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
+	state_put_origins(state->json, rc);
 	loop_post(&state->router->tf->loop, state_from_traffic, state);
 }
 
