bgctl spread: which hosts run which configuration and settings

Cause: after a change nobody could say which hosts had taken it. Change: one command over the metrics addresses of hosts, all asked at once, or over their logs of any moment: per version the first, middle and last host to have it, who is behind, who runs other settings than most, what waits for a restart, who decided by an older version after a newer one was in force elsewhere, who did not answer.

--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -28,6 +28,7 @@
 static int ctl_secret(struct ctl *ctl, int argc, char **argv);
 static int ctl_explain_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_state_command(struct ctl *ctl, int argc, char **argv);
+static int ctl_spread_command(struct ctl *ctl, int argc, char **argv);
 static int ctl_wait(const struct ctl *ctl, gint64 revision);
 
 static const struct ctl_command ctl_commands[] = {
@@ -47,6 +48,9 @@
 	 "what a bgrouterd believes (--control: its metrics address): hosts, endpoints, faults, "
 	 "accounts, budgets",
 	 ctl_state_command, FALSE},
+	{"spread", "ADDR... | LOG...",
+	 "which hosts run which configuration and settings, since when, and who is behind",
+	 ctl_spread_command, TRUE},
 	{"secret", "NAME", "make a token and its salted hash", ctl_secret, TRUE},
 };
 
@@ -413,6 +417,13 @@
 	return ctl_state(ctl, argc == 1 ? argv[0] : NULL);
 }
 
+static int ctl_spread_command(struct ctl *ctl, int argc, char **argv)
+{
+	if (argc < 1)
+		return CTL_USAGE;
+	return ctl_spread(ctl, argc, argv);
+}
+
 static int ctl_explain_command(struct ctl *ctl, int argc, char **argv)
 {
 	(void)ctl;
--- a/prog/ctl.h
+++ b/prog/ctl.h
@@ -38,6 +38,9 @@
 /* The story of a request from logs; files: number of paths, 0: standard input. */
 int ctl_explain(const char *id, int files, char **paths);
 
+/* Which hosts run which configuration and settings; argv: metrics addresses, or logs. */
+int ctl_spread(const struct ctl *ctl, int argc, char **argv);
+
 int ctl_change(const struct ctl *ctl, const char *statements, gint64 expect);
 
 #endif
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -153,6 +153,29 @@
     expect("version", runs()["configuration"]["digest"], runs("host-1")["configuration"]["digest"])
 
 
+def case_spread(stack):
+    """One command tells who runs other settings and who does not answer, and that all agree on the
+    configuration."""
+    stack.up()
+    version = stack.put_config()
+    path = os.path.join(stack.dir, "host-1.ini")
+    with open(path, "a") as ini:
+        ini.write("[log]\nlines_per_s = 77\n")
+    stack.signal("host-1", signal.SIGHUP)
+    eventually("host-1 runs it", lambda: stack.state("host-1")["runs"]["settings"]["by"] != "start")
+    for host in stack.hosts:
+        eventually(host + " has the configuration",
+                   lambda h=host: stack.state(h)["configuration"] == version)
+    nobody = "127.0.0.1:%d" % (stack.base + 99)
+    addrs = ["127.0.0.1:%d" % stack.port(h, "metrics") for h in stack.hosts]
+    report = json.loads(stack.bgctl("host-0", "--json", "spread", nobody, *addrs))
+    expect("newest", report["versions"][-1]["version"], version)
+    expect("hosts", report["versions"][-1]["hosts"], len(stack.hosts))
+    expect("behind", report["behind"], [])
+    expect("other settings", [o["host"] for o in report["settings"]["others"]], ["host-1"])
+    expect("silent", report["silent"], [nobody + " (no answer)"])
+
+
 def case_lost_stage(stack):
     """Symptom: streams paused for seconds or were cut when an engine died.
     Sequence: an engine in the middle of running pipelines falls silent.
