--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,8 @@
 $(BUILD)/bgscript: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/script*.c prog/common*.c))
 # Stand-ins for the users' platform; they know its names, so they stand in its folder.
 $(BUILD)/bgstand-store: $(BUILD)/platform/stand_store.o $(BUILD)/prog/common.o
-$(BUILD)/bgstand-engine: $(BUILD)/platform/stand_engine.o $(BUILD)/prog/common.o
+$(BUILD)/bgstand-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/stand_engine*.c)) \
+	$(BUILD)/prog/common.o
 
 $(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c prog/common*.c))
 $(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c prog/common*.c))
