A test of the load of a start: hosts that start together, and what they know

195 hosts with eight waiting requests each: through the fullest of 190 engines go 820 with a part of the list, 312 with all of it and each host taking itself for the only one, 195 when they know how many they are. The first two are what the router did before it completed its list and waited for the hosts.

--- a/path/path_test.cc
+++ b/path/path_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <gtest/gtest.h>
 #include <string>
 #include <vector>
@@ -239,4 +240,86 @@
 	EXPECT_EQ(Text(Choose({Node(1, 0, 40), dead, full}).path), "0:0-40 2:40-80 ");
 }
 
+/*
+ * The load: 195 hosts in five zones have just started after an outage, and eight requests have
+ * waited at each (1,650 were sent within 0.1 s on a day on which all hosts were killed). No host
+ * has anything in flight, so what they have in common decides: the endpoints that they know, and
+ * how many hosts they take themselves for. 190 engines of three kinds hold 24, 16 and 8 layers.
+ */
+struct Fleet {
+	enum {
+		HOSTS = 195,
+		WAITING = 8,
+		ZONES = 5
+	};
+
+	explicit Fleet(int known_of_ten)
+	{
+		const struct {
+			int count, layers;
+			double pace, room;
+		} kinds[] = {{18, 24, 2.4, 130000}, {66, 16, 5.6, 100000}, {106, 8, 16, 100000}};
+		int number = 0;
+
+		for (const auto &kind : kinds) {
+			for (int i = 0; i < kind.count; i++) {
+				int from = number * 8 % (80 - kind.layers + 8);
+				pa_node node = Node(number % ZONES + 1, from, from + kind.layers,
+						    kind.pace);
+
+				node.room = kind.room;
+				node.usable = number * 7 % 10 < known_of_ten;
+				nodes.push_back(node);
+				number++;
+			}
+		}
+		through.resize(nodes.size());
+	}
+
+	/* All that waits is sent by hosts that take themselves for so many. */
+	void Send(int believed)
+	{
+		for (int host = 0; host < HOSTS; host++) {
+			std::vector<pa_node> seen = nodes;
+			for (int i = 0; i < WAITING; i++) {
+				uint32_t seed = (uint32_t)(host * 100 + i + 1);
+				Choice c = Choose(seen, seed, host % ZONES + 1);
+
+				ASSERT_EQ(c.err, 0);
+				for (int k = 0; k < c.path.count; k++) {
+					int node = c.path.stages[k].node;
+
+					through[node]++;
+					seen[node].in_flight += believed;
+					seen[node].tokens += 900.0 * believed;
+				}
+			}
+		}
+	}
+	int Fullest() const
+	{
+		return *std::max_element(through.begin(), through.end());
+	}
+
+	std::vector<pa_node> nodes;
+	std::vector<int> through;
+};
+
+TEST(PathTest, HostsThatStartTogetherSpreadOverWhatTheyKnow)
+{
+	Fleet few(3), alone(10), all(10);
+
+	few.Send(1);
+	alone.Send(1);
+	all.Send((int)Fleet::HOSTS);
+	std::printf("%d hosts send %d requests each: through the fullest engine %d with a part of "
+		    "the list, %d with all of it, %d when they know how many they are\n",
+		    (int)Fleet::HOSTS, (int)Fleet::WAITING, few.Fullest(), alone.Fullest(),
+		    all.Fullest());
+	EXPECT_LE(all.Fullest(), (int)Fleet::HOSTS)
+		<< "one of each host: its second goes elsewhere";
+	EXPECT_GT(alone.Fullest(), 3 * all.Fullest() / 2);
+	EXPECT_GT(few.Fullest(), 2 * alone.Fullest());
+}
+
 } // namespace
