--- a/router/recall.c
+++ b/router/recall.c
@@ -1,6 +1,5 @@
 #include "base/err.h"
 #include "base/jl.h"
-#include "base/zip.h"
 #include "msg/feed.pb-c.h"
 #include "router/feed_pack.h"
 #include "router/rc.h"
@@ -182,6 +181,15 @@
 	feed_flush(rc->feed);
 }
 
+/* The note was written by another version of this program, or damaged. */
+static void recall_log_unreadable(const char *id, const char *error)
+{
+	jl_begin(JL_KEEP, "note_unreadable");
+	jl_str("endpoint", id);
+	jl_str("error", error);
+	jl_end();
+}
+
 static void recall_take_items(struct recall *recall, const Feed__Endpoints *items)
 {
 	struct rc *rc = recall->rc;
@@ -193,9 +201,11 @@
 		char *error = NULL;
 		struct ep_rec *rec = rc->router->seam->decl.read_endpoint(e->id, text, &error);
 
-		g_free(error);
-		if (!rec)
+		if (!rec) {
+			recall_log_unreadable(e->id, error);
+			g_free(error);
 			continue;
+		}
 		rec->text = str_dup(text);
 		taken += ep_on_recalled(&rc->endpoints, e->offset, rec, tmr_now());
 	}
