--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -823,11 +823,11 @@
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
-def main():
+def run(cases):
     name = sys.argv[1]
     stack = Stack()
     try:
-        CASES[name](stack)
+        cases[name](stack)
     except Exception:
         for log in ("host-0", "host-1", "host-2", "engine", "store"):
             if log in stack.procs:
@@ -838,4 +838,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run(CASES)
--- /dev/null
+++ b/regress/soak/cases_copy.py
@@ -0,0 +1,256 @@
+"""Cases of a store that comes back from a copy: python3 regress/soak/cases_copy.py NAME."""
+import json
+import signal
+import threading
+import time
+
+from cases import believed, expect, run
+from proxy import Proxy
+from stack import Failure, call, eventually
+
+LOST_S = 3.0
+LONG_S = 8.0
+RETURN_S = 2.0          # in which living endpoints have registered again
+ORDERS_S = 3.0          # in which orders must be possible again
+HOST_S = 5.0            # in which a host must be known again
+
+
+def leader(stack):
+    return next((h for h in stack.hosts if stack.state(h)["places_layers"]), None)
+
+
+def has_era(stack, host, era):
+    """A host of the version before doesn't tell."""
+    return stack.state(host).get("era", era) == era
+
+
+def addr_of(stack, name):
+    return next("127.0.0.1:%d" % p[1] for p in stack.points if p[0] == name)
+
+
+def settle(stack, seconds=LOST_S + 0.5):
+    """The copy that a return begins with must hold what the case begins with."""
+    time.sleep(seconds)
+
+
+class Watch(threading.Thread):
+    """Asks again and again until it is stopped; keeps what broke the promise."""
+
+    def __init__(self, check):
+        super().__init__(daemon=True)
+        self.check = check
+        self.done = threading.Event()
+        self.found = []
+        self.asked = 0
+
+    def run(self):
+        while not self.done.is_set():
+            for host, wrong in self.check():
+                self.found.append((host, wrong))
+            self.asked += 1
+
+    def end(self):
+        self.done.set()
+        self.join()
+        if self.found:
+            raise Failure("broken %d times in %d rounds, first at %s: %s" % (
+                len(self.found), self.asked, *self.found[0]))
+
+
+def case_configuration(stack):
+    """Symptom: a route and a key that had been accepted were gone, or a revoked key worked again.
+    Sequence: a configuration is accepted and in force; the store comes back from a copy that has an
+    older one; the operator writes the newer one again later.
+    Cause: what the store lists after its return was taken for news."""
+    stack.up()
+    settle(stack)
+    stack.extra_routes.append("new")
+    stack.keys["farm"] = ["key-other"]
+    stack.put_config()
+    for host in stack.hosts:
+        eventually("in force at " + host, lambda h=host: stack.ask(
+            h, "/new/a", "c-%s-%f" % (h, time.monotonic()), key="key-other")[0] == 200)
+
+    def check():
+        for host in stack.hosts:
+            stamp = "%s-%f" % (host, time.monotonic())
+            status = stack.ask(host, "/new/a", "n-" + stamp, key="key-other")[0]
+            if status in (401, 404):
+                yield host, "the new route and key answer %d" % status
+            if stack.ask(host, "/many/a", "o-" + stamp)[0] != 401:
+                yield host, "the revoked key works"
+
+    watch = Watch(check)
+    watch.start()
+    stack.rewind_store(LOST_S)
+    stack.wait_for_era(2)
+    time.sleep(RETURN_S)
+    stack.extra_routes.append("newer")
+    stack.put_config()
+    for host in stack.hosts:
+        eventually("the next one is in force at " + host, lambda h=host: stack.ask(
+            h, "/newer/a", "m-%s-%f" % (h, time.monotonic()), key="key-other")[0] == 200)
+    watch.end()
+
+
+def case_endpoint_registers(stack):
+    """Symptom: an endpoint that registered right after the store's return was used by no host.
+    Sequence: the store comes back from a copy; an endpoint registers at an offset that hosts have read
+    past.
+    Cause: records were ordered by their offsets, which go back."""
+    stack.up()
+    settle(stack, LONG_S + 0.5)     # heartbeats of ten endpoints: the offsets go back by some 80
+    for host in stack.hosts:
+        expect("endpoints at " + host, len(stack.state(host)["endpoints"]), len(stack.points))
+    addr = addr_of(stack, "p0")
+    ids = {h: believed(stack, h, addr)["born_ms"] for h in stack.hosts}
+    stack.rewind_store(LONG_S)
+    stack.wait_for_era(2)
+    stack.fault_engine("p0", "restarted")
+    for host in stack.hosts:
+        eventually(host + " knows the new incarnation",
+                   lambda h=host: believed(stack, h, addr)["born_ms"] > ids[h], patience_s=RETURN_S + 3)
+
+
+def case_removed_endpoint(stack):
+    """Symptom: requests were sent to an endpoint that was gone.
+    Sequence: an endpoint's entry is removed; the store comes back from a copy that still has it.
+    Cause: the listing after the return was believed."""
+    stack.up()
+    settle(stack)
+    addr = addr_of(stack, "p0")
+    point_id = believed(stack, "host-0", addr)["id"]
+    stack.fault_engine("p0", "dark")
+    call(stack.store_port, "POST", "/put?topic=keyed.servers&key=" + point_id, "")
+
+    def listed(host):
+        return addr in [e["addr"] for e in stack.state(host)["endpoints"]]
+
+    for host in stack.hosts:
+        eventually(host + " has dropped it", lambda h=host: not listed(h))
+    watch = Watch(lambda: [(h, "it is back") for h in stack.hosts if listed(h)])
+    watch.start()
+    stack.rewind_store(LOST_S)
+    stack.wait_for_era(2)
+    for host in stack.hosts:
+        eventually(host + " knows of the return", lambda h=host: has_era(stack, h, 2))
+    time.sleep(RETURN_S)
+    watch.end()
+    stack.fault_engine("p0", "ok")
+    for host in stack.hosts:
+        eventually(host + " uses it when it registers anew", lambda h=host: listed(h))
+
+
+def case_orders(stack):
+    """Symptom: engines that started empty stayed empty for good, no stream was served.
+    Sequence: the leader changes, the store comes back from a copy of the time before, whose generation
+    is lower; once more with the leader killed, and twice in a row.
+    Cause: only a greater generation was believed, and engines refuse a lower fencing number."""
+    stack.up()
+    eventually("one host leads", lambda: leader(stack) is not None)
+    settle(stack)
+    for turn, kill in ((0, False), (1, True), (2, False)):
+        for _ in range(2):
+            former = leader(stack)
+            stack.signal(former, signal.SIGKILL)
+            stack.procs[former].wait()
+            stack.begin_host(former)
+            eventually("another one leads", lambda: leader(stack) is not None)
+        former = leader(stack)
+        stack.rewind_store(LOST_S + 6 * (turn < 2), seed=turn)
+        if kill:
+            stack.signal(former, signal.SIGKILL)
+            stack.procs[former].wait()
+        stack.wait_for_era(turn + 2)
+        began = time.monotonic()
+        eventually("a host may order", lambda: any(
+            stack.state(h)["places_layers"] and has_era(stack, h, turn + 2)
+            for h in stack.hosts if stack.procs[h].poll() is None), patience_s=20)
+        took = time.monotonic() - began
+        print("turn %d: orders are possible %.1f s after the return" % (turn, took))
+        if took > ORDERS_S:
+            raise Failure("turn %d: no host might order for %.1f s" % (turn, took))
+        if kill:
+            stack.begin_host(former)
+        stack.fault_engine("e%d" % (turn + 2), "restarted")
+        for host in stack.hosts:
+            eventually(host + " serves a stream", lambda h=host: stack.serves_stream(h))
+        for name in ("e%d" % (turn + 2),):
+            addr = addr_of(stack, name)
+            for host in stack.hosts:
+                eventually("%s knows that %s holds layers" % (host, name),
+                           lambda h=host: believed(stack, h, addr)["to"] > 0, patience_s=20)
+    expect("violations", stack.ledger()["violations"], "")
+
+
+def case_host_started(stack):
+    """Symptom: a host that had started within the lost seconds was not known to hosts that started later.
+    Sequence: a host lists itself, the store comes back from a copy without it; another host starts.
+    Cause: a host lists itself once, and nobody looks whether its entry is still there."""
+    last = stack.hosts[-1]
+    others = stack.hosts[:-1]
+    stack.hosts = others
+    stack.up()
+    settle(stack)
+    stack.hosts = others + [last]
+    stack.begin_host(last)
+    for host in stack.hosts:
+        eventually("%s knows %s" % (host, last), lambda h=host: last in names(stack, h))
+    stack.rewind_store(LOST_S)
+    stack.wait_for_era(2)
+    began = time.monotonic()
+    eventually("the store knows it again", lambda: last in listed_hosts(stack), patience_s=20)
+    took = time.monotonic() - began
+    print("known again after %.1f s" % took)
+    if took > HOST_S:
+        raise Failure("it was known again only after %.1f s" % took)
+    for host in stack.hosts:
+        expect("hosts at " + host, len(names(stack, host)), len(stack.hosts))
+
+
+def names(stack, host):
+    return [h["name"] if isinstance(h, dict) else h for h in stack.state(host)["hosts"]]
+
+
+def listed_hosts(stack):
+    items = json.loads(call(stack.store_port, "GET", "/-/log-newest?topic=keyed.hosts")[2])["items"]
+    return [item["key"] for item in items]
+
+
+def case_partitioned(stack):
+    """Symptom: a host that was cut off while the store came back went on with the older era.
+    Sequence: host-2 reaches neither store nor hosts during the return, and both again later; the
+    configuration changes and an engine starts empty meanwhile.
+    Cause: news are told once."""
+    links = []
+    for i, host in enumerate(stack.hosts):
+        port = stack.base + 80 + i
+        links.append(Proxy(port, stack.store_port))
+        stack.store_via[host] = port
+    for i, host in enumerate(stack.hosts):
+        port = stack.base + 85 + i
+        links.append(Proxy(port, stack.port(host, "control")))
+        stack.known_as[host] = port
+    stack.up()
+    settle(stack)
+    cut = [links[2], links[3], links[4], links[5]]
+    for link in cut:
+        link.set("refuse")
+    stack.rewind_store(LOST_S)
+    stack.wait_for_era(2)
+    stack.extra_routes.append("new")
+    stack.put_config()
+    eventually("in force at host-0", lambda: stack.ask(
+        "host-0", "/new/a", "p-%f" % time.monotonic())[0] == 200)
+    for link in cut:
+        link.set("pass")
+    for host in stack.hosts:
+        eventually(host + " has the era", lambda h=host: has_era(stack, h, 2))
+        eventually(host + " has the configuration", lambda h=host: stack.ask(
+            h, "/new/a", "p-%s-%f" % (h, time.monotonic()))[0] == 200)
+    for link in links:
+        link.close()
+
+
+if __name__ == "__main__":
+    run({name[5:]: fn for name, fn in globals().items() if name.startswith("case_")})
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -196,6 +196,19 @@
     def fault_store(self, mode):
         call(self.store_port, "POST", "/fault?mode=" + mode)
 
+    def rewind_store(self, lost_s, away_s=0.8, seed=1):
+        """The store is away for a moment and comes back from a copy that lacks the last seconds."""
+        call(self.store_port, "POST", "/rewind?lostMs=%d&awayMs=%d&seed=%d" % (
+            lost_s * 1000, away_s * 1000, seed))
+
+    def store_era(self):
+        """Of the store's answers; None while it is away."""
+        status, headers, _ = call(self.store_port, "GET", "/-/log-newest?topic=keyed.op")
+        return int(headers["Store-Era"]) if status == 200 else None
+
+    def wait_for_era(self, era):
+        eventually("the store is back", lambda: self.store_era() == era)
+
     def fault_engine(self, name, kind):
         call(self.engine_control, "POST", "/fault?endpoint=%s&kind=%s" % (name, kind))
 
