--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,14 @@
 # Builds with plain make. "make run" and "make check" do everything on a fresh machine.
 BUILD ?= build
 CFLAGS ?= -O2 -g
+# Searches over all states take their time without it.
+CXXFLAGS ?= -O1 -g
 PKGS = glib-2.0 zlib libprotobuf-c libmicrohttpd libcurl jansson libxxhash inih
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
 
 PROGRAMS = bgrouterd bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript bgstand-store bgstand-engine
-SLICES = base conf host pool fair req once order rt ep adm back lead place path sse bud share quar fwd seam platform router
+SLICES = base era conf host pool fair req once order rt ep adm back lead place path sse bud share quar fwd seam platform router
 
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CPPFLAGS += -I. $(PKG_CFLAGS)
--- a/base/tmr.h
+++ b/base/tmr.h
@@ -53,6 +53,11 @@
 /* Unsubscribes t; harmless when it is not subscribed. */
 void tmr_cancel(struct tmr_svc *svc, struct tmr *t);
 
+static inline bool tmr_is_set(const struct tmr *t)
+{
+	return t->slot > 0;
+}
+
 /* Calls every entry that is due at now_us, earliest first. */
 void tmr_run(struct tmr_svc *svc, int64_t now_us);
 
--- a/ep/ep.c
+++ b/ep/ep.c
@@ -94,15 +94,9 @@
 	return list->returned_us >= 0 && now_us - list->returned_us < EP_RETURN_US;
 }
 
-static void ep_note(GHashTable *notes, const char *id, int64_t offset, int64_t born_ms,
-		    int64_t now_us)
+static void ep_note(GHashTable *notes, const char *id, struct ep_note note)
 {
-	struct ep_note *note = g_new(struct ep_note, 1);
-
-	note->offset = offset;
-	note->born_ms = born_ms;
-	note->at_us = now_us;
-	g_hash_table_replace(notes, g_strdup(id), note);
+	g_hash_table_replace(notes, g_strdup(id), g_memdup2(&note, sizeof(note)));
 }
 
 /*
@@ -112,7 +106,9 @@
  */
 static void ep_mark_left(struct ep_list *list, const struct ep_rec *rec, int64_t now_us)
 {
-	ep_note(list->left, rec->id, 0, rec->born_ms, now_us);
+	ep_note(list->left, rec->id,
+		(struct ep_note){
+			.born_ms = rec->born_ms, .heartbeat = rec->heartbeat, .at_us = now_us});
 }
 
 static bool ep_has_left(const struct ep_list *list, const struct ep_rec *rec)
@@ -131,27 +127,53 @@
 	       strcmp(a->zone, b->zone) == 0 && g_strcmp0(a->kind, b->kind) == 0;
 }
 
+static void ep_note_removal(struct ep_list *list, const char *id, int64_t place,
+			    const struct ep_entry *entry, int64_t now_us)
+{
+	const struct ep_note *before = g_hash_table_lookup(list->removed, id);
+	struct ep_note note = {.place = place, .at_us = now_us};
+
+	if (before) {
+		note.born_ms = before->born_ms;
+		note.heartbeat = before->heartbeat;
+	}
+	if (entry && entry->rec->born_ms >= note.born_ms) {
+		note.born_ms = entry->rec->born_ms;
+		note.heartbeat = entry->rec->heartbeat;
+	}
+	if (!before || place > before->place)
+		ep_note(list->removed, id, note);
+}
+
+/*
+ * The entry is gone from the store. A note stays: what was written of the endpoint before may come
+ * once more, by another way or written again after the store's return.
+ */
 static void ep_remove(struct ep_list *list, struct ep_entry *entry, int64_t now_us)
 {
 	if (entry->rec->state == EP_READY && ep_is_returning(list, now_us)) {
 		entry->lapsed = true;
 		return;
 	}
+	ep_note_removal(list, entry->rec->id, list->next - 1, entry, now_us);
 	g_hash_table_remove(list->entries, entry->rec->id);
 	list->changed = true;
 	list->version++;
 }
 
-static void ep_note_removal(struct ep_list *list, const char *id, int64_t offset,
-			    const struct ep_entry *entry, int64_t now_us)
+/*
+ * Whether a record that comes after the removal is what a copy of the store still has, or what was
+ * written again. An endpoint that doesn't count its heartbeats is believed when it registers, not
+ * when a copy lists it.
+ */
+static bool ep_is_of_removed(const struct ep_list *list, const struct ep_note *removed,
+			     int64_t place, const struct ep_rec *rec)
 {
-	const struct ep_note *before = g_hash_table_lookup(list->removed, id);
-	int64_t born_ms = before ? before->born_ms : 0;
-
-	if (entry)
-		born_ms = MAX(born_ms, entry->rec->born_ms);
-	if (!before || offset > before->offset)
-		ep_note(list->removed, id, offset, born_ms, now_us);
+	if (rec->born_ms != removed->born_ms)
+		return false;
+	if (rec->heartbeat > 0)
+		return rec->heartbeat <= removed->heartbeat;
+	return list->listing && era_of_place(place) > era_of_place(removed->place);
 }
 
 /*
@@ -159,14 +181,26 @@
  * after a newer one. One that is older than the removal of its id, or than a record of another id
  * at the same address, is of an endpoint that is gone.
  */
-static bool ep_is_outdated(const struct ep_list *list, int64_t offset, const struct ep_rec *rec)
+static bool ep_is_outdated(const struct ep_list *list, int64_t place, const struct ep_rec *rec)
 {
 	const struct ep_holder *holder = g_hash_table_lookup(list->addrs, rec->addr);
 	const struct ep_note *removed = g_hash_table_lookup(list->removed, rec->id);
 
-	if (removed && (offset < removed->offset || rec->born_ms < removed->born_ms))
+	if (removed && (place < removed->place || rec->born_ms < removed->born_ms))
+		return true;
+	if (removed && ep_is_of_removed(list, removed, place, rec))
 		return true;
-	return holder && offset < holder->offset;
+	return holder && place < holder->place;
+}
+
+/*
+ * What a copy of the store says of an endpoint, or what was written again after its return, may be
+ * older than what is known, though its place is later. The endpoint's own counts tell.
+ */
+static bool ep_is_of_copy(const struct ep_entry *entry, const struct ep_rec *rec)
+{
+	return rec && rec->heartbeat > 0 && rec->born_ms == entry->rec->born_ms &&
+	       rec->heartbeat < entry->rec->heartbeat;
 }
 
 /*
@@ -180,7 +214,7 @@
 }
 
 /* An address belongs to one endpoint; the older entry there is of one that has ended. */
-static void ep_take_addr(struct ep_list *list, int64_t offset, const struct ep_rec *rec,
+static void ep_take_addr(struct ep_list *list, int64_t place, const struct ep_rec *rec,
 			 int64_t now_us)
 {
 	struct ep_holder *holder = g_hash_table_lookup(list->addrs, rec->addr);
@@ -193,39 +227,50 @@
 		before = g_hash_table_lookup(list->entries, holder->id);
 	}
 	if (before && strcmp(before->rec->addr, rec->addr) == 0) {
+		ep_note_removal(list, holder->id, place, before, now_us);
 		g_hash_table_remove(list->entries, holder->id);
 		list->version++;
 	}
 	g_free(holder->id);
 	holder->id = g_strdup(rec->id);
-	holder->offset = offset;
+	holder->place = place;
 	holder->at_us = now_us;
 }
 
-void ep_on_record(struct ep_list *list, int64_t offset, const char *id, struct ep_rec *rec,
+/* The endpoint is listed, but what the record says of it is not news. */
+static bool ep_keep(struct ep_entry *entry, int64_t place, struct ep_rec *rec)
+{
+	entry->seen = true;
+	if (rec && place > entry->place && ep_is_of_copy(entry, rec)) {
+		entry->place = place;
+		entry->lapsed = false;
+	}
+	if (rec)
+		ep_rec_unref(rec);
+	return false;
+}
+
+bool ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
 		  int64_t now_us)
 {
 	struct ep_entry *entry = g_hash_table_lookup(list->entries, id);
 
-	if (offset >= list->next)
-		list->next = offset + 1;
-	if (entry && (offset < entry->offset || ep_is_of_earlier(entry, rec))) {
-		entry->seen = true;
-		if (rec)
-			ep_rec_unref(rec);
-		return;
-	}
+	if (place >= list->next)
+		list->next = place + 1;
+	if (entry &&
+	    (place < entry->place || ep_is_of_earlier(entry, rec) || ep_is_of_copy(entry, rec)))
+		return ep_keep(entry, place, rec);
 	if (!rec) {
-		ep_note_removal(list, id, offset, entry, now_us);
+		ep_note_removal(list, id, place, entry, now_us);
 		if (entry)
 			ep_remove(list, entry, now_us);
-		return;
+		return true;
 	}
-	if (ep_is_outdated(list, offset, rec)) {
+	if (era_of_place(place) < list->era || ep_is_outdated(list, place, rec)) {
 		ep_rec_unref(rec);
-		return;
+		return false;
 	}
-	ep_take_addr(list, offset, rec, now_us);
+	ep_take_addr(list, place, rec, now_us);
 	if (rec->state == EP_DRAINING)
 		ep_mark_left(list, rec, now_us);
 	else if (ep_has_left(list, rec))
@@ -234,25 +279,26 @@
 		list->version++;
 	entry = g_new0(struct ep_entry, 1);
 	entry->rec = rec;
-	entry->offset = offset;
+	entry->place = place;
 	entry->seen = true;
 	g_hash_table_replace(list->entries, rec->id, entry);
 	list->changed = true;
+	return true;
 }
 
-bool ep_on_recalled(struct ep_list *list, int64_t offset, struct ep_rec *rec, int64_t now_us)
+bool ep_on_recalled(struct ep_list *list, int64_t place, struct ep_rec *rec, int64_t now_us)
 {
 	struct ep_entry *entry;
 
 	if (!ep_is_returning(list, now_us) || rec->state != EP_READY || ep_has_left(list, rec) ||
-	    g_hash_table_contains(list->entries, rec->id) || ep_is_outdated(list, offset, rec)) {
+	    g_hash_table_contains(list->entries, rec->id) || ep_is_outdated(list, place, rec)) {
 		ep_rec_unref(rec);
 		return false;
 	}
-	ep_take_addr(list, offset, rec, now_us);
+	ep_take_addr(list, place, rec, now_us);
 	entry = g_new0(struct ep_entry, 1);
 	entry->rec = rec;
-	entry->offset = offset;
+	entry->place = place;
 	entry->lapsed = true;
 	g_hash_table_replace(list->entries, rec->id, entry);
 	list->changed = true;
@@ -265,6 +311,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	list->listing = true;
 	g_hash_table_iter_init(&iter, list->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct ep_entry *)value)->seen = false;
@@ -284,6 +331,7 @@
 	for (guint i = 0; i < missing->len; i++)
 		ep_remove(list, missing->pdata[i], now_us);
 	g_ptr_array_unref(missing);
+	list->listing = false;
 	list->next = end;
 	if (list->listed_us < 0)
 		list->listed_us = now_us;
@@ -294,6 +342,15 @@
 	return MAX(list->listed_us, list->returned_us) + EP_RETURN_US;
 }
 
+void ep_on_era(struct ep_list *list, int64_t era, bool returned, int64_t now_us)
+{
+	list->era = era;
+	if (!returned)
+		return;
+	list->away = false;
+	list->returned_us = now_us;
+}
+
 void ep_on_away(struct ep_list *list)
 {
 	list->away = true;
@@ -355,6 +412,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (!((const struct ep_entry *)value)->lapsed)
 			continue;
+		ep_note_removal(list, ((struct ep_entry *)value)->rec->id, list->next - 1, value,
+				now_us);
 		g_hash_table_iter_remove(&iter);
 		dropped = true;
 	}
--- /dev/null
+++ b/era/era.c
@@ -0,0 +1,63 @@
+#include "era/era.h"
+
+static int64_t era_join(int64_t era, int64_t number, int bits)
+{
+	if (number < 0)
+		return ERA_NONE;
+	return era << bits | (number & ((INT64_C(1) << bits) - 1));
+}
+
+static int64_t era_upper(int64_t joined, int bits)
+{
+	return joined < 0 ? ERA_NONE : joined >> bits;
+}
+
+static int64_t era_lower(int64_t joined, int bits)
+{
+	return joined < 0 ? ERA_NONE : joined & ((INT64_C(1) << bits) - 1);
+}
+
+int64_t era_place(int64_t era, int64_t offset)
+{
+	return era_join(era, offset, ERA_OFFSET_BITS);
+}
+
+int64_t era_of_place(int64_t place)
+{
+	return era_upper(place, ERA_OFFSET_BITS);
+}
+
+int64_t era_offset(int64_t place)
+{
+	return era_lower(place, ERA_OFFSET_BITS);
+}
+
+int64_t era_fence(int64_t era, int64_t generation)
+{
+	return era_join(era, generation, ERA_GENERATION_BITS);
+}
+
+int64_t era_of_fence(int64_t fence)
+{
+	return era_upper(fence, ERA_GENERATION_BITS);
+}
+
+int64_t era_generation(int64_t fence)
+{
+	return era_lower(fence, ERA_GENERATION_BITS);
+}
+
+enum era_news era_hear(struct era *era, int64_t told)
+{
+	bool first = !era->known;
+
+	if (told < 0 || told > ERA_MAX)
+		return ERA_SAME;
+	if (!first && told < era->now)
+		return ERA_PAST;
+	if (!first && told == era->now)
+		return ERA_SAME;
+	era->known = true;
+	era->now = told;
+	return first ? ERA_FIRST : ERA_RETURN;
+}
--- /dev/null
+++ b/era/era_test.cc
@@ -0,0 +1,65 @@
+#include "era/era.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+TEST(EraTest, NumbersOfALaterEraAreGreater)
+{
+	const struct {
+		int64_t era, number;
+	} rising[] = {{0, 0}, {0, 1}, {0, 1000000}, {1, 0}, {1, 7}, {2, 3}, {ERA_MAX, 0}};
+	int64_t place = ERA_NONE;
+	int64_t fence = ERA_NONE;
+
+	for (const auto &r : rising) {
+		EXPECT_GT(era_place(r.era, r.number), place);
+		EXPECT_GT(era_fence(r.era, r.number), fence);
+		place = era_place(r.era, r.number);
+		fence = era_fence(r.era, r.number);
+		EXPECT_EQ(era_of_place(place), r.era);
+		EXPECT_EQ(era_offset(place), r.number);
+		EXPECT_EQ(era_of_fence(fence), r.era);
+		EXPECT_EQ(era_generation(fence), r.number);
+	}
+	EXPECT_LT(era_fence(ERA_MAX, UINT32_MAX), INT64_C(1) << 53);
+}
+
+/* A store without eras: places are its offsets, as hosts of earlier versions have them. */
+TEST(EraTest, WithoutAnEraAPlaceIsTheOffset)
+{
+	EXPECT_EQ(era_place(0, 4711), 4711);
+	EXPECT_EQ(era_fence(0, 12), 12);
+	EXPECT_EQ(era_place(3, ERA_NONE), ERA_NONE);
+	EXPECT_EQ(era_offset(ERA_NONE), ERA_NONE);
+	EXPECT_EQ(era_generation(ERA_NONE), ERA_NONE);
+}
+
+TEST(EraTest, WhatAnAnswerTells)
+{
+	const struct {
+		const char *what;
+		bool known;
+		int64_t now, told;
+		era_news news;
+		int64_t after;
+	} cases[] = {
+		{"nothing", true, 3, ERA_NONE, ERA_SAME, 3},
+		{"nothing, ever", false, 0, ERA_NONE, ERA_SAME, 0},
+		{"the first one", false, 0, 5, ERA_FIRST, 5},
+		{"the first one is 0", false, 0, 0, ERA_FIRST, 0},
+		{"the same", true, 3, 3, ERA_SAME, 3},
+		{"one return", true, 3, 4, ERA_RETURN, 4},
+		{"several", true, 3, 9, ERA_RETURN, 9},
+		{"an answer that was under way", true, 3, 2, ERA_PAST, 3},
+		{"more than can be", true, 3, ERA_MAX + 1, ERA_SAME, 3},
+	};
+	for (const auto &c : cases) {
+		era e{c.now, c.known};
+		EXPECT_EQ(era_hear(&e, c.told), c.news) << c.what;
+		EXPECT_EQ(e.now, c.after) << c.what;
+	}
+}
+
+} // namespace
--- a/lead/lead.c
+++ b/lead/lead.c
@@ -6,7 +6,7 @@
 {
 	memset(lead, 0, sizeof(*lead));
 	lead->ttl_us = ttl_us;
-	lead->generation = -1;
+	lead->fence = -1;
 	lead->newest = -1;
 	lead->refused = -1;
 }
@@ -16,20 +16,28 @@
 	lead->began_us = now_us;
 }
 
-bool lead_on_joined(struct lead *lead, int64_t generation, bool leads)
+bool lead_on_joined(struct lead *lead, int64_t fence, bool leads)
 {
-	bool changed = leads != lead->leads || generation != lead->generation;
+	bool changed = leads != lead->leads || fence != lead->fence;
 
 	lead->joined_us = lead->began_us;
-	lead->generation = generation;
-	lead->newest = MAX(lead->newest, generation);
+	lead->fence = fence;
+	lead->newest = MAX(lead->newest, fence);
 	lead->leads = leads;
 	return changed;
 }
 
-void lead_on_heard(struct lead *lead, int64_t generation)
+void lead_on_heard(struct lead *lead, int64_t fence)
 {
-	lead->newest = MAX(lead->newest, generation);
+	lead->newest = MAX(lead->newest, fence);
+}
+
+void lead_on_return(struct lead *lead, int64_t now_us)
+{
+	if (!lead_may_order(lead, now_us))
+		lead->clear_us = now_us + lead->ttl_us;
+	lead->leads = false;
+	lead->joined_us = 0;
 }
 
 void lead_on_refused(struct lead *lead, int64_t fence)
@@ -43,9 +51,9 @@
 	lead->joined_us = 0;
 }
 
-/* A newer generation may have another leader, which this host has not been told yet. */
+/* Under a newer number another host may lead, which this one has not been told yet. */
 bool lead_may_order(const struct lead *lead, int64_t now_us)
 {
-	return lead->leads && lead->generation == lead->newest &&
-	       lead->generation > lead->refused && now_us - lead->joined_us < lead->ttl_us;
+	return lead->leads && lead->fence == lead->newest && lead->fence > lead->refused &&
+	       now_us >= lead->clear_us && now_us - lead->joined_us < lead->ttl_us;
 }
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &feed__quarantines__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor feed__ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor feed__ask__field_descriptors[5] =
 {
   {
     "host",
@@ -540,16 +540,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_digest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Ask, conf_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Ask, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__ask__field_indices_by_name[] = {
+  3,   /* field[3] = conf_digest */
   1,   /* field[1] = conf_version */
   2,   /* field[2] = endpoints_next */
+  4,   /* field[4] = era */
   0,   /* field[0] = host */
 };
 static const ProtobufCIntRange feed__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor feed__ask__descriptor =
 {
@@ -559,7 +585,7 @@
   "Feed__Ask",
   "feed",
   sizeof(Feed__Ask),
-  3,
+  5,
   feed__ask__field_descriptors,
   feed__ask__field_indices_by_name,
   1,  feed__ask__number_ranges,
@@ -848,7 +874,7 @@
   (ProtobufCMessageInit) feed__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__update__field_descriptors[11] =
+static const ProtobufCFieldDescriptor feed__update__field_descriptors[13] =
 {
   {
     "away",
@@ -982,14 +1008,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_place",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Update, conf_place),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "era",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Update, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__update__field_indices_by_name[] = {
   0,   /* field[0] = away */
   1,   /* field[1] = conf */
   7,   /* field[7] = conf_len */
+  11,   /* field[11] = conf_place */
   8,   /* field[8] = endpoints */
   9,   /* field[9] = endpoints_len */
   3,   /* field[3] = endpoints_next */
+  12,   /* field[12] = era */
   5,   /* field[5] = generation */
   4,   /* field[4] = hosts */
   2,   /* field[2] = listing */
@@ -1000,7 +1052,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor feed__update__descriptor =
 {
@@ -1010,7 +1062,7 @@
   "Feed__Update",
   "feed",
   sizeof(Feed__Update),
-  11,
+  13,
   feed__update__field_descriptors,
   feed__update__field_indices_by_name,
   2,  feed__update__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -45,13 +45,21 @@
    */
   int64_t conf_version;
   /*
-   * offset of the next record that it wants; -1: the whole list
+   * place of the next record that it wants; -1: the whole list
    */
   int64_t endpoints_next;
+  /*
+   * of the configuration's text
+   */
+  uint64_t conf_digest;
+  /*
+   * of the store, plus one; 0: not known
+   */
+  int64_t era;
 };
 #define FEED__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -60,6 +68,9 @@
 struct  Feed__Endpoint
 {
   ProtobufCMessage base;
+  /*
+   * its place in the log, see era/era.h
+   */
   int64_t offset;
   char *id;
   ProtobufCBinaryData text;
@@ -107,6 +118,9 @@
 {
   ProtobufCMessage base;
   char *name;
+  /*
+   * empty: the host has left
+   */
   char *addr;
   /*
    * Mbit/s of its link x cores
@@ -173,7 +187,7 @@
    */
   int64_t endpoints_len;
   /*
-   * offset after the last record; -1: not read yet
+   * place after the last record; -1: not read yet
    */
   int64_t endpoints_next;
   /*
@@ -182,9 +196,17 @@
   size_t n_hosts;
   Feed__Host **hosts;
   /*
-   * of the group, for orders
+   * fencing number for orders, see era/era.h
    */
   int64_t generation;
+  /*
+   * of the configuration in the log
+   */
+  int64_t conf_place;
+  /*
+   * of the store, plus one; 0: the sender doesn't know it
+   */
+  int64_t era;
   /*
    * newest round of reports that the sender knows of
    */
@@ -197,7 +219,7 @@
 };
 #define FEED__UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__update__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized fault soak of bgrouterd: real processes, faults from outside, promises checked.
 
-python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--keep]
+python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--keep]
 
 Each seed gives one run: callers send streams and plain requests over connections that they keep, while
 hosts are killed, stopped, paused and started, engines fall silent, slow, empty or leave, the store and
@@ -10,6 +10,7 @@
 - what was said not to have run has not run; a non-idempotent request ran at most once
 - no host goes back to an older configuration; new ones are in force on untroubled hosts
 - at the end, with all faults mended, every host serves everything
+- with --copies, the store also comes back from a copy some seconds old, now and then twice in a row
 - with --crashing, requests that end the endpoints that run them come again and again at all hosts; after
   its third crash, and once hosts had the time to hear of it, each reaches endpoints three times at most
   from hosts that were left alone
@@ -140,7 +141,7 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, hosts, crashing=False):
+    def __init__(self, seed, seconds, hosts, crashing=False, copies=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -154,6 +155,8 @@
         self.dead = {}                                    # host -> when it is started again
         self.faulty = {}                                  # engine -> when it is mended
         self.store_until = 0.0
+        self.copies = copies
+        self.away_until = 0.0                             # of a store that comes back from a copy
         self.links = {}
         self.link_until = {}
         self.seen = {}                                    # host -> newest route seen there
@@ -219,6 +222,14 @@
         self.store_until = time.monotonic() + seconds
         self.touch(self.stack.hosts, seconds + 5.0)
 
+    def fault_copy(self):
+        """Hosts, endpoints and the operator lose what the store has acknowledged in the last seconds."""
+        lost_s = self.random.uniform(0.2, 6.0)
+        away_s = self.random.uniform(0.05, 1.5)
+        self.stack.rewind_store(lost_s, away_s, self.random.randrange(1 << 30))
+        self.away_until = time.monotonic() + away_s + 0.2
+        self.touch(self.stack.hosts, away_s + 5.0)
+
     def fault_link(self):
         host = self.random.choice(self.stack.hosts)
         seconds = self.random.uniform(0.3, 4.0)
@@ -302,10 +313,13 @@
     def step(self):
         weights = {"kill": 3, "pause": 3, "engine": 6, "store": 1, "link": 3, "way": 4,
                    "config": 4}
+        weights["copy"] = 3 * self.copies
+        away = time.monotonic() < self.away_until
         names = [n for n in weights
                  if not ("engine" in self.paused and n == "engine") and
                  not ("store" in self.paused and n in ("store", "config")) and
-                 not (self.store_until and n == "store")]
+                 not (self.store_until and n == "store") and
+                 not ((away or "store" in self.paused) and n in ("store", "config", "copy"))]
         name = self.random.choices(names, [weights[n] for n in names])[0]
         getattr(self, "fault_" + name)()
         self.count["fault " + name] += 1
@@ -368,12 +382,14 @@
     parser.add_argument("--hosts", type=int, default=3)
     parser.add_argument("--crashing", action="store_true",
                         help="also requests that end the endpoints that run them")
+    parser.add_argument("--copies", action="store_true",
+                        help="the store also comes back from copies some seconds old")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, args.seconds, args.hosts, args.crashing)
+        soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies)
         try:
             soak.play()
         except Failure as failure:
--- a/router/feed.c
+++ b/router/feed.c
@@ -23,6 +23,8 @@
 	char *host;
 	bool asked;
 	int64_t conf_version;
+	uint64_t conf_digest;
+	int64_t era;
 	int64_t endpoints_next;
 	guint listing; /* number of the listing that it has */
 	guint hosts_version;
@@ -87,9 +89,9 @@
 	g_free(feed);
 }
 
-void feed_on_record(struct feed *feed, int64_t offset, const char *id, struct str text)
+void feed_on_record(struct feed *feed, int64_t place, const char *id, struct str text)
 {
-	fp_on_record(&feed->endpoints, offset, id, text);
+	fp_on_record(&feed->endpoints, place, id, text);
 }
 
 void feed_on_listing(struct feed *feed)
@@ -121,6 +123,9 @@
 	g_free(follower->host);
 	follower->host = g_strdup(ask->host);
 	follower->conf_version = ask->conf_version;
+	follower->conf_digest = ask->conf_digest;
+	follower->era = FEED_NOTHING;
+	rc_hear_era(feed->rc, rc_era_of_msg(ask->era), ask->host);
 	follower->endpoints_next = ask->endpoints_next;
 	follower->listing = ask->endpoints_next < 0 ? 0 : feed->endpoints.listing;
 	follower->generation = FEED_NOTHING;
@@ -176,17 +181,28 @@
 	follower->endpoints_next = MAX(follower->endpoints_next, list->next);
 }
 
+/* A newer version, or another text under the same one: the follower knows which is later. */
+static bool feed_owes_conf(const struct rc *rc, const struct feed_follower *follower)
+{
+	if (!rc->conf || rc->conf->version < follower->conf_version)
+		return false;
+	return rc->conf->version > follower->conf_version ||
+	       rc->conf_origin.digest != follower->conf_digest;
+}
+
 static void feed_put_conf(const struct feed *feed, struct feed_follower *follower,
 			  Feed__Update *msg)
 {
 	const struct rc *rc = feed->rc;
 
-	if (!rc->conf || rc->conf->version <= follower->conf_version)
+	if (!feed_owes_conf(rc, follower))
 		return;
 	msg->conf.data = rc->conf_packed->data;
 	msg->conf.len = rc->conf_packed->len;
 	msg->conf_len = (int64_t)rc->conf_len;
+	msg->conf_place = rc->conf_place;
 	follower->conf_version = rc->conf->version;
+	follower->conf_digest = rc->conf_origin.digest;
 }
 
 /* Whether this host has nothing from the store now that others could follow. */
@@ -203,16 +219,24 @@
 	const struct rc *rc = feed->rc;
 
 	if (!follower->greeted || follower->away != feed_is_away(rc) ||
-	    follower->generation != rc->lead.newest ||
+	    follower->generation != rc->lead.newest || follower->era != rc_era_for_msg(rc) ||
 	    follower->hosts_version != rc->hosts_version ||
 	    follower->loads_version != rc->loads_version || follower->round != rc->round.number)
 		return true;
-	if (rc->conf && rc->conf->version > follower->conf_version)
+	if (feed_owes_conf(rc, follower))
 		return true;
 	return rc->listed && (follower->listing != feed->endpoints.listing ||
 			      follower->endpoints_next < rc->endpoints.next);
 }
 
+static void feed_put_gone(void *ctx, char *name)
+{
+	Feed__Host host = FEED__HOST__INIT;
+
+	host.name = name;
+	g_array_append_val((GArray *)ctx, host);
+}
+
 static void feed_put_hosts(const struct rc *rc, Feed__Update *msg, GArray *hosts, GPtrArray *refs)
 {
 	GHashTableIter iter;
@@ -229,6 +253,7 @@
 		host.capacity = from->capacity;
 		g_array_append_val(hosts, host);
 	}
+	hosts_each_gone(rc->hostlist, feed_put_gone, hosts);
 	for (guint i = 0; i < hosts->len; i++)
 		g_ptr_array_add(refs, &g_array_index(hosts, Feed__Host, i));
 	msg->hosts = (Feed__Host **)refs->pdata;
@@ -264,6 +289,8 @@
 	follower->away = feed_is_away(rc);
 	msg.away = follower->away;
 	msg.generation = rc->lead.newest;
+	msg.era = rc_era_for_msg(rc);
+	follower->era = msg.era;
 	feed_put_conf(feed, follower, &msg);
 	feed_put_endpoints(feed, follower, &msg);
 	if (follower->hosts_version != rc->hosts_version)
--- a/router/feed_pack.c
+++ b/router/feed_pack.c
@@ -91,7 +91,7 @@
 		const struct ep_entry *entry = value;
 
 		if (entry->rec->text)
-			fp_add(items, entry->offset, entry->rec->id, entry->rec->text);
+			fp_add(items, entry->place, entry->rec->id, entry->rec->text);
 	}
 }
 
--- a/router/follow.c
+++ b/router/follow.c
@@ -139,6 +139,8 @@
 	frm_set_active(follow->conn, true);
 	ask.host = rc->router->settings.name;
 	ask.conf_version = rc->conf ? rc->conf->version : -1;
+	ask.conf_digest = rc->conf_origin.digest;
+	ask.era = rc_era_for_msg(rc);
 	ask.endpoints_next = rc->listed ? rc->endpoints.next : -1;
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
 	quarantine_send_all(rc->quarantine, follow->conn);
@@ -253,19 +255,29 @@
 	return 0;
 }
 
+/* A host that is told without its address has left. */
+static void follow_take_host(struct rc *rc, const Feed__Host *host)
+{
+	const struct rc_host from = {host->addr, host->capacity};
+	char *text = host->addr[0] ? rc_host_text(&from) : NULL;
+	bool self = strcmp(host->name, rc->router->settings.name) == 0;
+
+	if (self && text)
+		rc->feed_lacks_self = false;
+	if (!self || text)
+		rc_take_host(rc, host->name, text ? str_of(text) : str_make(NULL, 0));
+	g_free(text);
+}
+
 static void follow_take_hosts(struct follow *follow, const Feed__Update *msg)
 {
 	struct rc *rc = follow->rc;
 
 	if (msg->n_hosts == 0)
 		return;
-	for (size_t i = 0; i < msg->n_hosts; i++) {
-		const Feed__Host *host = msg->hosts[i];
-		char *text = g_strdup_printf("%s %.3f", host->addr, host->capacity);
-
-		rc_take_host(rc, host->name, str_of(text));
-		g_free(text);
-	}
+	rc->feed_lacks_self = true;
+	for (size_t i = 0; i < msg->n_hosts; i++)
+		follow_take_host(rc, msg->hosts[i]);
 	rc_on_hosts_heard(rc);
 }
 
@@ -279,7 +291,7 @@
 	text = zip_unpack(msg->conf.data, msg->conf.len, len);
 	if (!text)
 		return BASE_EFRAME;
-	rc_take_conf(follow->rc, str_make((const char *)text, len), follow->host);
+	rc_take_conf(follow->rc, msg->conf_place, str_make((const char *)text, len), follow->host);
 	g_free(text);
 	return 0;
 }
@@ -308,6 +320,7 @@
 
 	if (!msg)
 		return BASE_EFRAME;
+	rc_hear_era(rc, rc_era_of_msg(msg->era), follow->host);
 	if (follow->fed == msg->away)
 		follow_log(follow, msg->away ? "feed_stale" : "feed_good", NULL);
 	follow->fed = !msg->away;
@@ -325,9 +338,8 @@
 	follow_take_hosts(follow, msg);
 	follow_take_loads(follow, msg);
 	rank_round_heard(&rc->round, msg->round, tmr_now());
-	if (msg->generation > rc->lead.newest) {
-		member_on_generation(rc, msg->generation);
-	}
+	if (msg->generation > rc->lead.newest)
+		member_on_fence(rc, msg->generation);
 	feed__update__free_unpacked(msg, NULL);
 	rc_first_view(rc);
 	return 0;
--- a/router/member.c
+++ b/router/member.c
@@ -11,29 +11,30 @@
  */
 enum {
 	/*
-	 * The group's member that is silent for so long loses what it leads. Three joins may be
-	 * lost before that.
+	 * The group's member that is silent for so long loses what it leads. Two joins may be lost
+	 * before that. A copy of the store may name a dead host as its leader, so it must not take
+	 * long: engines that start empty wait for it.
 	 */
-	MEMBER_TTL_MS = 4000,
-	MEMBER_JOIN_MS = 1200,
+	MEMBER_TTL_MS = 2500,
+	/* For which a host leads after it has sent a join; the rest is for the store's clock. */
+	MEMBER_LEASE_MS = 2200,
+	MEMBER_JOIN_MS = 700,
 	MEMBER_CALL_MS = 1000,
-	MEMBER_CONNECT_MS = 500,
 	MEMBER_LIST_RETRY_MS = 2000,
+	/* Readers look at the list each five seconds, so a feed may lack a new entry for so long.
+	 */
+	MEMBER_LIST_AGAIN_MS = 6000,
+	/* Hosts that miss their entries together write them over this time. */
+	MEMBER_LIST_SPREAD_MS = 1000,
 	HTTP_OK = 200
 };
 
 static void member_join(void *ctx, int64_t now_us);
-static void member_on_joined(void *ctx, int status, int err, bool sent, const char *body,
-			     size_t len);
-static void member_on_listed(void *ctx, int status, int err, bool sent, const char *body,
-			     size_t len);
-static void member_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void member_on_joined(void *ctx, const struct store_answer *answer);
+static void member_on_listed(void *ctx, const struct store_answer *answer);
+static void member_on_left(void *ctx, const struct store_answer *answer);
 static void member_list_again(void *ctx, int64_t now_us);
 
-static const struct hc_ops member_join_ops = {.on_done = member_on_joined};
-static const struct hc_ops member_leave_ops = {.on_done = member_on_left};
-static const struct hc_ops member_list_ops = {.on_done = member_on_listed};
-
 /* Time since boot that goes on while the host is suspended, in microseconds. */
 static int64_t member_boot_us(void)
 {
@@ -43,24 +44,12 @@
 	return (int64_t)ts.tv_sec * TMR_US_PER_S + ts.tv_nsec / 1000;
 }
 
-/* A call to the store with a body; path and body are taken over. */
-static struct hc_call *member_post(struct rc *rc, char *path, char *body, size_t len,
-				   const struct hc_ops *ops)
+/* A call for the group; path and body are taken over. */
+static struct store_call *member_post(struct rc *rc, char *path, char *body, store_fn fn)
 {
-	const char *headers[] = {"Content-Type: application/json", NULL};
-	char *url = rc_url(rc, path);
-	struct hc_request request = {
-		.method = "POST",
-		.url = url,
-		.headers = headers,
-		.body = body,
-		.body_len = len,
-		.connect_ms = MEMBER_CONNECT_MS,
-		.total_ms = MEMBER_CALL_MS,
-	};
-	struct hc_call *call = hc_start(rc->hc, &request, ops, rc);
+	struct store_request request = {.path = path, .json = body, .total_ms = MEMBER_CALL_MS};
+	struct store_call *call = store_call(rc, &request, fn, rc);
 
-	g_free(url);
 	g_free(body);
 	return call;
 }
@@ -78,12 +67,17 @@
 	const struct seam_store *store = &rc->router->seam->store;
 	char *text = g_strdup_printf("%s %.3f", member_addr(s), s->link_mbps * s->cores);
 	GString *record = store->make_record(s->name, listed ? str_of(text) : str_make(NULL, 0));
-	size_t len = record->len;
+	struct store_request request = {
+		.path = store->append_path(SEAM_HOSTS),
+		.body = record,
+		.total_ms = MEMBER_CALL_MS,
+	};
 
-	rc->listing_self = listed;
+	rc->listed_self_us = tmr_now();
+	rc->listed_self_era = rc->era.now;
+	store_call(rc, &request, member_on_listed, rc);
+	g_string_free(record, TRUE);
 	g_free(text);
-	member_post(rc, store->append_path(SEAM_HOSTS), g_string_free(record, FALSE), len,
-		    &member_list_ops);
 }
 
 /* A lead that nobody uses would stay with this host until its place lapses. */
@@ -93,43 +87,47 @@
 	char *body = store->make_leave(rc->router->settings.name);
 
 	if (rc->lead.joined_us > 0)
-		member_post(rc, store->leave_path(), body, strlen(body), &member_leave_ops);
+		member_post(rc, store->leave_path(), body, member_on_left);
 	else
 		g_free(body);
 	lead_on_left(&rc->lead);
 }
 
-static void member_on_left(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+static void member_log_failed(const char *event, const struct store_answer *answer)
 {
-	(void)ctx;
-	(void)sent;
-	(void)body;
-	(void)len;
-	if (status == HTTP_OK)
-		return;
-	jl_begin(JL_KEEP, "group_not_left");
-	jl_int("status", status);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_begin(JL_KEEP, event);
+	jl_int("status", answer->status);
+	jl_str("error", answer->err < 0 ? store_strerror(answer->err) : NULL);
 	jl_end();
 }
 
-static void member_on_listed(void *ctx, int status, int err, bool sent, const char *body,
-			     size_t len)
+static void member_on_left(void *ctx, const struct store_answer *answer)
+{
+	(void)ctx;
+	if (answer->status != HTTP_OK)
+		member_log_failed("group_not_left", answer);
+}
+
+static void member_on_listed(void *ctx, const struct store_answer *answer)
 {
 	struct rc *rc = ctx;
 
-	(void)sent;
-	(void)body;
-	(void)len;
-	if (status == HTTP_OK)
+	rc->list_failed = answer->status != HTTP_OK;
+	if (!rc->list_failed)
 		return;
 	if (!rc->stopping)
 		loop_after(rc->loop, &rc->list_timer, tmr_ms(MEMBER_LIST_RETRY_MS),
 			   member_list_again, rc);
-	jl_begin(JL_KEEP, "host_not_listed");
-	jl_int("status", status);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
-	jl_end();
+	member_log_failed("host_not_listed", answer);
+}
+
+static bool member_is_listed(const struct rc *rc)
+{
+	const struct router_settings *s = &rc->router->settings;
+	const struct rc_host *own = g_hash_table_lookup(rc->hosts, s->name);
+
+	return own && strcmp(own->addr, member_addr(s)) == 0 && !rc->feed_lacks_self &&
+	       !rc->list_failed;
 }
 
 static void member_list_again(void *ctx, int64_t now_us)
@@ -137,7 +135,16 @@
 	struct rc *rc = ctx;
 
 	(void)now_us;
-	member_list_self(rc, true);
+	if (!rc->stopping && !member_is_listed(rc))
+		member_list_self(rc, true);
+}
+
+/* The newest generation of the group that is known in this era. */
+static int64_t member_generation(const struct rc *rc)
+{
+	if (era_of_fence(rc->lead.newest) != rc->era.now)
+		return 0;
+	return era_generation(rc->lead.newest);
 }
 
 /* Joins the group of hosts, or stays in it; the store says whether this host leads. */
@@ -150,27 +157,27 @@
 	(void)now_us;
 	if (rc->stopping)
 		return;
-	body = store->make_join(rc->router->settings.name, MEMBER_TTL_MS, MAX(rc->lead.newest, 0));
+	body = store->make_join(rc->router->settings.name, MEMBER_TTL_MS, member_generation(rc));
 	lead_on_join(&rc->lead, member_boot_us());
-	rc->join = member_post(rc, store->join_path(), body, strlen(body), &member_join_ops);
+	rc->join = member_post(rc, store->join_path(), body, member_on_joined);
 }
 
-static void member_on_joined(void *ctx, int status, int err, bool sent, const char *body,
-			     size_t len)
+static void member_on_joined(void *ctx, const struct store_answer *answer)
 {
 	struct rc *rc = ctx;
-	int64_t generation = rc->lead.newest;
+	int64_t generation = 0;
 	bool leader = false;
+	int64_t fence;
 
-	(void)err;
-	(void)sent;
 	rc->join = NULL;
 	loop_after(rc->loop, &rc->join_timer, tmr_ms(MEMBER_JOIN_MS), member_join, rc);
-	if (status != HTTP_OK ||
-	    rc->router->seam->store.parse_join(str_make(body, len), &generation, &leader) < 0)
+	if (answer->status != HTTP_OK ||
+	    rc->router->seam->store.parse_join(answer->body, &generation, &leader) < 0)
 		return;
-	if (lead_on_joined(&rc->lead, generation, leader)) {
+	fence = era_fence(rc->era.now, generation);
+	if (lead_on_joined(&rc->lead, fence, leader)) {
 		jl_begin(JL_KEEP, "group");
+		jl_int("era", rc->era.now);
 		jl_int("generation", generation);
 		jl_int("leader", leader);
 		jl_end();
@@ -178,14 +185,25 @@
 	}
 }
 
-void member_on_generation(struct rc *rc, int64_t generation)
+void member_on_fence(struct rc *rc, int64_t fence)
 {
-	lead_on_heard(&rc->lead, generation);
+	lead_on_heard(&rc->lead, fence);
 	rc_view_due(rc);
 	if (rc->candidate && !rc->join)
 		loop_after(rc->loop, &rc->join_timer, 0, member_join, rc);
 }
 
+void member_on_return(struct rc *rc)
+{
+	lead_on_return(&rc->lead, member_boot_us());
+	if (!rc->candidate)
+		return;
+	if (rc->join)
+		store_call_cancel(rc->join);
+	rc->join = NULL;
+	loop_after(rc->loop, &rc->join_timer, 0, member_join, rc);
+}
+
 /* The clock goes on while the host is suspended. */
 bool member_may_order(const struct rc *rc)
 {
@@ -203,7 +221,7 @@
 	}
 	tmr_cancel(&rc->loop->tmr, &rc->join_timer);
 	if (rc->join)
-		hc_cancel(rc->join);
+		store_call_cancel(rc->join);
 	rc->join = NULL;
 	member_leave(rc);
 }
@@ -211,21 +229,26 @@
 /* In the first start of all there is no list yet; the others need this host's entry for theirs. */
 void member_start(struct rc *rc)
 {
-	lead_init(&rc->lead, tmr_ms(MEMBER_TTL_MS));
+	lead_init(&rc->lead, tmr_ms(MEMBER_LEASE_MS));
 	if (rc->router->settings.first_start)
 		member_list_self(rc, true);
 }
 
-/* A host that was killed and starts again mostly finds its entry there. */
+/*
+ * A host that was killed and starts again mostly finds its entry there. One whose entry is missing
+ * writes it again: a copy of the store may lack it, and hosts that start later would not know it.
+ */
 void member_on_hosts(struct rc *rc)
 {
-	const struct router_settings *s = &rc->router->settings;
-	const struct rc_host *own = g_hash_table_lookup(rc->hosts, s->name);
+	int64_t delay_us = 0;
 
-	if (rc->listing_self || rc->stopping)
+	if (rc->stopping || member_is_listed(rc) || tmr_is_set(&rc->list_timer))
 		return;
-	if (!own || strcmp(own->addr, member_addr(s)) != 0)
-		member_list_self(rc, true);
+	if (rc->listed_self_us > 0)
+		delay_us = tmr_ms(g_str_hash(rc->router->settings.name) % MEMBER_LIST_SPREAD_MS);
+	if (rc->listed_self_us > 0 && rc->listed_self_era == rc->era.now)
+		delay_us += MAX(rc->listed_self_us + tmr_ms(MEMBER_LIST_AGAIN_MS) - tmr_now(), 0);
+	loop_after(rc->loop, &rc->list_timer, delay_us, member_list_again, rc);
 }
 
 void member_stop(struct rc *rc)
--- a/router/placer.c
+++ b/router/placer.c
@@ -269,7 +269,7 @@
 	order->from = move->from;
 	order->to = move->to;
 	order->given_us = now_us;
-	order->fence = rc->lead.generation;
+	order->fence = rc->lead.fence;
 	g_hash_table_replace(placer->orders, order->incarnation, order);
 	jl_begin(JL_KEEP, "place");
 	jl_str("endpoint", rec->id);
@@ -280,7 +280,7 @@
 	jl_int("to", move->to);
 	jl_int("held_from", rec->layer_from);
 	jl_int("held_to", rec->layer_to);
-	jl_int("fence", rc->lead.generation);
+	jl_int("fence", rc->lead.fence);
 	jl_end();
 	order->call = hc_start(rc->hc, &request, &placer_report_ops, order);
 	g_free(url);
--- a/router/quar_note.c
+++ b/router/quar_note.c
@@ -14,7 +14,6 @@
 enum {
 	QUAR_NOTE_RETRY_MS = 1000,
 	QUAR_NOTE_CALL_MS = 1000,
-	QUAR_NOTE_CONNECT_MS = 500,
 	QUAR_NOTE_AT_ONCE = 64, /* records of one call; 8 KB */
 	HTTP_OK = 200
 };
@@ -24,21 +23,16 @@
 	struct quarantine *quarantine;
 	GHashTable *due;    /* digest as text -> struct quar_entry, or NULL for one that goes */
 	GPtrArray *writing; /* digests in the call under way */
-	struct hc_call *write;
+	struct store_call *write;
 	int64_t write_us; /* not before */
-	struct hc_call *read;
+	struct store_call *read;
 	int64_t read_us;
 	char *after; /* key after which the listing goes on */
 	bool is_read;
 };
 
-static void quar_note_on_written(void *ctx, int status, int err, bool sent, const char *body,
-				 size_t len);
-static void quar_note_on_read(void *ctx, int status, int err, bool sent, const char *body,
-			      size_t len);
-
-static const struct hc_ops quar_note_write_ops = {.on_done = quar_note_on_written};
-static const struct hc_ops quar_note_read_ops = {.on_done = quar_note_on_read};
+static void quar_note_on_written(void *ctx, const struct store_answer *answer);
+static void quar_note_on_read(void *ctx, const struct store_answer *answer);
 
 static void quar_note_entry_free(gpointer data)
 {
@@ -62,9 +56,9 @@
 void quar_note_free(struct quar_note *note)
 {
 	if (note->write)
-		hc_cancel(note->write);
+		store_call_cancel(note->write);
 	if (note->read)
-		hc_cancel(note->read);
+		store_call_cancel(note->read);
 	g_free(note->after);
 	g_ptr_array_unref(note->writing);
 	g_hash_table_destroy(note->due);
@@ -95,7 +89,7 @@
 {
 	jl_begin(JL_KEEP, event);
 	jl_int("status", status);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_str("error", err < 0 ? store_strerror(err) : NULL);
 	jl_int("entries", n);
 	jl_end();
 }
@@ -139,19 +133,14 @@
 {
 	struct rc *rc = note->rc;
 	GString *body = quar_note_body(note);
-	char *url = rc_url(rc, rc->router->seam->store.append_path(SEAM_QUARANTINE));
-	struct hc_request request = {
-		.method = "POST",
-		.url = url,
-		.body = body->str,
-		.body_len = body->len,
-		.connect_ms = QUAR_NOTE_CONNECT_MS,
+	struct store_request request = {
+		.path = rc->router->seam->store.append_path(SEAM_QUARANTINE),
+		.body = body,
 		.total_ms = QUAR_NOTE_CALL_MS,
 	};
 
-	note->write = hc_start(rc->hc, &request, &quar_note_write_ops, note);
+	note->write = store_call(rc, &request, quar_note_on_written, note);
 	g_string_free(body, TRUE);
-	g_free(url);
 }
 
 /* What was not written is due again as it is now, unless it has changed since. */
@@ -173,18 +162,15 @@
 	}
 }
 
-static void quar_note_on_written(void *ctx, int status, int err, bool sent, const char *body,
-				 size_t len)
+static void quar_note_on_written(void *ctx, const struct store_answer *answer)
 {
 	struct quar_note *note = ctx;
+	bool good = answer->status == HTTP_OK;
 
-	(void)sent;
-	(void)body;
-	(void)len;
 	note->write = NULL;
-	quar_note_log(status == HTTP_OK ? "quarantine_noted" : "quarantine_not_noted", status, err,
-		      note->writing->len);
-	if (status == HTTP_OK)
+	quar_note_log(good ? "quarantine_noted" : "quarantine_not_noted", answer->status,
+		      answer->err, note->writing->len);
+	if (good)
 		return;
 	note->write_us = tmr_now() + tmr_ms(QUAR_NOTE_RETRY_MS);
 	quar_note_again(note);
@@ -193,16 +179,12 @@
 static void quar_note_read(struct quar_note *note)
 {
 	struct rc *rc = note->rc;
-	char *url = rc_url(rc, rc->router->seam->store.newest_path(SEAM_QUARANTINE, note->after));
-	struct hc_request request = {
-		.method = "GET",
-		.url = url,
-		.connect_ms = QUAR_NOTE_CONNECT_MS,
+	struct store_request request = {
+		.path = rc->router->seam->store.newest_path(SEAM_QUARANTINE, note->after),
 		.total_ms = QUAR_NOTE_CALL_MS,
 	};
 
-	note->read = hc_start(rc->hc, &request, &quar_note_read_ops, note);
-	g_free(url);
+	note->read = store_call(rc, &request, quar_note_on_read, note);
 }
 
 static void quar_note_on_record(void *ctx, int64_t offset, struct str key, struct str value)
@@ -242,17 +224,15 @@
 	return true;
 }
 
-static void quar_note_on_read(void *ctx, int status, int err, bool sent, const char *body,
-			      size_t len)
+static void quar_note_on_read(void *ctx, const struct store_answer *answer)
 {
 	struct quar_note *note = ctx;
 
-	(void)sent;
 	note->read = NULL;
-	if (status == HTTP_OK && quar_note_take_page(note, str_make(body, len)))
+	if (answer->status == HTTP_OK && quar_note_take_page(note, answer->body))
 		return;
 	note->read_us = tmr_now() + tmr_ms(QUAR_NOTE_RETRY_MS);
-	quar_note_log("quarantine_not_read", status, err, 0);
+	quar_note_log("quarantine_not_read", answer->status, answer->err, 0);
 }
 
 /* Others are told by their feeds; all of them reading would be a call for each host of a start. */
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -16,6 +16,7 @@
 	struct quar table;
 	struct quar_note *note;
 	int64_t expire_us;
+	bool returned; /* the store came back from a copy, which may lack entries */
 };
 
 struct quarantine_post {
@@ -207,6 +208,27 @@
 	return n;
 }
 
+static void quarantine_note_again(void *ctx, const struct quar_entry *entry)
+{
+	struct quarantine *quarantine = ctx;
+
+	quar_note_change(quarantine->note, entry);
+}
+
+void quarantine_on_return(struct quarantine *quarantine)
+{
+	quarantine->returned = true;
+}
+
+/* All hosts know the same entries, so one writes them, or who is the first reader after it. */
+static void quarantine_write_again(struct quarantine *quarantine)
+{
+	if (!quarantine->returned || !quarantine->rc->rank.first)
+		return;
+	quarantine->returned = false;
+	quar_each(&quarantine->table, quarantine_note_again, quarantine);
+}
+
 static void quarantine_on_outdated(void *ctx, const struct quar_entry *entry)
 {
 	struct quarantine *quarantine = ctx;
@@ -224,6 +246,7 @@
 {
 	uint64_t refused = 0;
 
+	quarantine_write_again(quarantine);
 	quar_note_on_tick(quarantine->note, now_us);
 	if (now_us < quarantine->expire_us)
 		return;
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -31,6 +31,9 @@
 void quarantine_free(struct quarantine *quarantine);
 void quarantine_on_tick(struct quarantine *quarantine, int64_t now_us);
 
+/* The store came back from a copy, which may lack entries. */
+void quarantine_on_return(struct quarantine *quarantine);
+
 /* News from this host's traffic thread; the list is taken over. Any thread. */
 void quarantine_post(struct rc *rc, GPtrArray *entries);
 
--- a/router/rc.c
+++ b/router/rc.c
@@ -16,12 +16,52 @@
 static void rc_post_view(struct rc *rc);
 static void rc_host_free(gpointer data);
 
-char *rc_url(const struct rc *rc, char *path)
+/*
+ * What the store has acknowledged since the copy was made is gone, and its offsets and generations
+ * go back. What is in force on this host stays; it is compared with what the store lists now.
+ */
+static void rc_on_return(struct rc *rc, int64_t before, const char *from)
 {
-	char *url = g_strdup_printf("http://%s%s", rc->router->settings.store, path);
+	jl_begin(JL_KEEP, "store_returned");
+	jl_int("era", rc->era.now);
+	jl_int("before", before);
+	jl_str("from", from);
+	jl_int("configuration", rc->conf ? rc->conf->version : -1);
+	jl_int("endpoints", g_hash_table_size(rc->endpoints.entries));
+	jl_int("hosts", g_hash_table_size(rc->hosts));
+	jl_int("fence", rc->lead.newest);
+	jl_end();
+	met_add(met_counter("bg_store_returns_total", ""), 1);
+	member_on_return(rc);
+	hosts_on_return(rc->hostlist);
+	recall_on_return(rc->recall);
+	quarantine_on_return(rc->quarantine);
+	if (rc->direct)
+		sf_on_return(rc);
+}
 
-	g_free(path);
-	return url;
+enum era_news rc_hear_era(struct rc *rc, int64_t era, const char *from)
+{
+	int64_t before = rc->era.now;
+	enum era_news news = era_hear(&rc->era, era);
+
+	if (news == ERA_PAST)
+		met_add(met_counter("bg_store_past_answers_total", ""), 1);
+	if (news == ERA_FIRST || news == ERA_RETURN)
+		ep_on_era(&rc->endpoints, rc->era.now, news == ERA_RETURN, tmr_now());
+	if (news == ERA_RETURN)
+		rc_on_return(rc, before, from);
+	return news;
+}
+
+int64_t rc_era_for_msg(const struct rc *rc)
+{
+	return rc->era.known ? rc->era.now + 1 : 0;
+}
+
+int64_t rc_era_of_msg(int64_t told)
+{
+	return told > 0 ? told - 1 : ERA_NONE;
 }
 
 struct rc *rc_start(struct router *router, struct loop *loop)
@@ -31,6 +71,8 @@
 	rc->router = router;
 	rc->loop = loop;
 	rc->hc = hc_new(loop);
+	rc->store_calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	rc->conf_place = ERA_NONE;
 	rc->start_us = tmr_now();
 	rc->round.heard_us = tmr_now();
 	rc->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rc_host_free);
@@ -46,6 +88,7 @@
 	rc->feed = feed_new(rc);
 	rc->follow = follow_new(rc);
 	rc->recall = recall_new(rc);
+	rc->hostlist = hosts_new(rc);
 	rc->quarantine = quarantine_new(rc);
 	rc_set_direct(rc, true);
 	member_start(rc);
@@ -61,6 +104,7 @@
 	tmr_cancel(&rc->loop->tmr, &rc->list_timer);
 	quarantine_free(rc->quarantine);
 	recall_free(rc->recall);
+	hosts_free(rc->hostlist);
 	follow_free(rc->follow);
 	feed_free(rc->feed);
 	placer_free(rc->placer);
@@ -68,6 +112,7 @@
 	g_array_unref(rc->loads);
 	g_array_unref(rc->polled);
 	hc_free(rc->hc);
+	g_hash_table_destroy(rc->store_calls);
 	ep_list_finish(&rc->endpoints);
 	g_hash_table_destroy(rc->hosts);
 	g_hash_table_destroy(rc->seen);
@@ -142,11 +187,25 @@
 	jl_end();
 }
 
-void rc_take_conf(struct rc *rc, struct str text, const char *from)
+/*
+ * A greater version is newer. Under the same version an operator may have written another text
+ * after the store lost the first one; on all hosts the later record holds, or each would go on with
+ * the one that it read first.
+ */
+static bool rc_is_newer_conf(const struct rc *rc, const struct rt_conf *conf, int64_t place,
+			     uint64_t digest)
+{
+	if (!rc->conf || conf->version != rc->conf->version)
+		return !rc->conf || conf->version > rc->conf->version;
+	return digest != rc->conf_origin.digest && place > rc->conf_place;
+}
+
+void rc_take_conf(struct rc *rc, int64_t place, struct str text, const char *from)
 {
 	char *error = NULL;
 	struct rt_conf *conf = rc->router->seam->decl.read_conf(text, &error);
 	int64_t before = rc->conf ? rc->conf->version : -1;
+	uint64_t digest = str_hash(text.data, text.len, 0);
 
 	if (!conf) {
 		jl_begin(JL_KEEP, "configuration_unreadable");
@@ -156,11 +215,14 @@
 		g_free(error);
 		return;
 	}
-	if (conf->version <= before) {
+	if (!rc_is_newer_conf(rc, conf, place, digest)) {
+		if (digest == rc->conf_origin.digest)
+			rc->conf_place = MAX(rc->conf_place, place);
 		rt_conf_unref(conf);
 		return;
 	}
-	router_origin_set(&rc->conf_origin, str_hash(text.data, text.len, 0), from);
+	rc->conf_place = place;
+	router_origin_set(&rc->conf_origin, digest, from);
 	rc_log_conf(rc, conf, before, from);
 	rt_conf_unref(rc->conf);
 	rc->conf = conf;
@@ -197,7 +259,7 @@
  * An entry that can't be read names nobody, so for this host and those that it feeds it is the same
  * as none: kept as it was before, it would be used for as long as the other writer goes on.
  */
-void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text)
+void rc_take_endpoint(struct rc *rc, int64_t place, const char *id, struct str text)
 {
 	char *error = NULL;
 	struct ep_rec *rec = NULL;
@@ -212,8 +274,9 @@
 			text = str_make(NULL, 0);
 		}
 	}
-	feed_on_record(rc->feed, offset, id, text);
-	ep_on_record(&rc->endpoints, offset, id, rec, tmr_now());
+	/* What says nothing here would be believed by a follower that has just started. */
+	if (ep_on_record(&rc->endpoints, place, id, rec, tmr_now()))
+		feed_on_record(rc->feed, place, id, text);
 }
 
 static void rc_host_free(gpointer data)
@@ -224,6 +287,11 @@
 	g_free(host);
 }
 
+char *rc_host_text(const struct rc_host *host)
+{
+	return g_strdup_printf("%s %.3f", host->addr, host->capacity);
+}
+
 /* The text is "ADDRESS CAPACITY". */
 void rc_take_host(struct rc *rc, const char *name, struct str text)
 {
@@ -271,6 +339,7 @@
 	placer_on_tick(rc->placer, now_us);
 	poll_on_tick(rc->poll, now_us);
 	recall_on_tick(rc->recall, now_us);
+	hosts_on_tick(rc->hostlist, now_us);
 	quarantine_on_tick(rc->quarantine, now_us);
 	if (rc->view_due || rc->endpoints.changed)
 		rc_post_view(rc);
--- a/router/rc.h
+++ b/router/rc.h
@@ -2,10 +2,12 @@
 #define ROUTER_RC_H
 
 #include "base/frm.h"
+#include "era/era.h"
 #include "lead/lead.h"
 #include "router/quarantine.h"
 #include "router/rank.h"
 #include "router/router.h"
+#include "router/store_call.h"
 
 /*
  * The control thread. What the store holds reaches a host in one of two ways: a few hosts, the
@@ -18,10 +20,11 @@
 struct sf_topic {
 	struct rc *rc;
 	enum seam_topic topic;
-	int64_t next;	  /* offset to read from; -1: the whole listing is read next */
+	int64_t next;	  /* place to read from; -1: the whole listing is read next */
+	int64_t end;	  /* place at which the reading goes on after that listing */
 	int64_t wait_ms;  /* that the store may hold a read until a record comes; 0: none */
 	int64_t pause_us; /* between two reads */
-	struct hc_call *call;
+	struct store_call *call;
 	struct tmr timer;
 	char *after;	 /* key after which a listing goes on */
 	int reads;	 /* after the listing */
@@ -39,8 +42,11 @@
 	struct router *router;
 	struct loop *loop;
 	struct hc *hc;
-	int64_t start_us; /* when the process started */
+	GHashTable *store_calls; /* struct store_call, those under way */
+	struct era era;		 /* of the store */
+	int64_t start_us;	 /* when the process started */
 	struct rt_conf *conf;
+	int64_t conf_place;	 /* of its record; ERA_NONE: not known */
 	GByteArray *conf_packed; /* its text, deflated, for handing it on */
 	gsize conf_len;		 /* of the text */
 	struct router_origin conf_origin;
@@ -57,10 +63,13 @@
 	struct rank_round round;
 	struct tmr ticker;
 	struct tmr list_timer;
-	bool listing_self; /* this host has put itself into the list of hosts, or tries to */
-	struct lead
-		lead; /* whether this host places layers; its generation is the fencing number */
-	struct hc_call *join;
+	struct hosts *hostlist;
+	int64_t listed_self_us;	 /* when this host last wrote itself into the list of hosts */
+	int64_t listed_self_era; /* of the store, as it was known then */
+	bool list_failed;	 /* that write failed */
+	bool feed_lacks_self;	 /* the list that the feed brought is without this host */
+	struct lead lead;	 /* whether this host places layers */
+	struct store_call *join;
 	struct tmr join_timer;
 	struct placer *placer;
 	struct poll *poll;
@@ -88,21 +97,36 @@
 void sf_start(struct rc *rc);
 void sf_stop(struct rc *rc);
 
+/* The store came back from a copy: all that is followed is listed anew. */
+void sf_on_return(struct rc *rc);
+
 /* Whether the last read of configuration and endpoints succeeded. */
 bool sf_is_reached(const struct rc *rc);
 
 /* rc.c */
-char *rc_url(const struct rc *rc, char *path);
+/*
+ * An answer of the store, or another host, tells the store's era; "from" is for the log. If it is a
+ * new one, all that came from the store is read anew, and what this host wrote is written again.
+ */
+enum era_news rc_hear_era(struct rc *rc, int64_t era, const char *from);
+
+/* The store's era as messages between hosts carry it, where 0 is what is not told. */
+int64_t rc_era_for_msg(const struct rc *rc);
+int64_t rc_era_of_msg(int64_t told);
+
 void rc_view_due(struct rc *rc);
 
 /* Posts the view at once if it is the first one that requests can be served by. */
 void rc_first_view(struct rc *rc);
 
 /* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
-void rc_take_conf(struct rc *rc, struct str text, const char *from);
-void rc_take_endpoint(struct rc *rc, int64_t offset, const char *id, struct str text);
+void rc_take_conf(struct rc *rc, int64_t place, struct str text, const char *from);
+void rc_take_endpoint(struct rc *rc, int64_t place, const char *id, struct str text);
 void rc_take_host(struct rc *rc, const char *name, struct str text);
 
+/* What rc_take_host() reads. */
+char *rc_host_text(const struct rc_host *host);
+
 /* The list of hosts is whole, as far as is known. */
 void rc_on_hosts_heard(struct rc *rc);
 
@@ -112,6 +136,26 @@
 /* Whether this host asks all engines for their reports. */
 bool rc_polls(const struct rc *rc);
 
+/*
+ * hosts.c: the list of hosts in the store. When the store came back from a copy, hosts that have
+ * listed themselves since are missing there and hosts that have left are back: hosts that start
+ * later would not know the first, and count and ask the others. So the first reader compares the
+ * copy with what it knows, and writes the difference.
+ */
+struct hosts *hosts_new(struct rc *rc);
+void hosts_free(struct hosts *hosts);
+void hosts_on_return(struct hosts *hosts);
+void hosts_on_tick(struct hosts *hosts, int64_t now_us);
+
+/* What the store says: a whole listing, record by record between the two; later single records. */
+void hosts_on_listing(struct hosts *hosts);
+void hosts_on_record(struct hosts *hosts, const char *name, struct str text);
+void hosts_on_listed(struct hosts *hosts);
+
+/* Names of hosts that have left; followers are told, they don't see the removals. */
+typedef void (*hosts_gone_fn)(void *ctx, char *name);
+void hosts_each_gone(const struct hosts *hosts, hosts_gone_fn fn, void *ctx);
+
 /* member.c: this host in the store's list of hosts, and in the group that has a leader. */
 void member_start(struct rc *rc);
 
@@ -122,8 +166,11 @@
 /* Whether this host may give orders now. */
 bool member_may_order(const struct rc *rc);
 
-/* Another host knows that generation of the group; this one asks whether it still leads. */
-void member_on_generation(struct rc *rc, int64_t generation);
+/* Another host knows that fencing number; this one asks whether it still leads. */
+void member_on_fence(struct rc *rc, int64_t fence);
+
+/* The store came back from a copy: who leads is asked anew. */
+void member_on_return(struct rc *rc);
 
 /*
  * Takes part in choosing a leader from now on, or not. A host that has just started and will follow
@@ -193,6 +240,9 @@
  */
 bool recall_on_listed(struct recall *recall);
 
+/* The store came back from a copy, which may lack the note. */
+void recall_on_return(struct recall *recall);
+
 /* Whether this host has noted the list as it is now. */
 bool recall_is_noted(const struct recall *recall);
 
@@ -215,7 +265,7 @@
 /* feed.c: feeding other hosts. */
 struct feed *feed_new(struct rc *rc);
 void feed_free(struct feed *feed);
-void feed_on_record(struct feed *feed, int64_t offset, const char *id, struct str text);
+void feed_on_record(struct feed *feed, int64_t place, const char *id, struct str text);
 
 /* The whole list has been read anew, or changed without a record. */
 void feed_on_listing(struct feed *feed);
--- a/router/recall.c
+++ b/router/recall.c
@@ -10,7 +10,6 @@
 	/* Between two notes: a release of endpoints changes the list several times a second. */
 	RECALL_PAUSE_MS = 1000,
 	RECALL_CALL_MS = 1000,
-	RECALL_CONNECT_MS = 500,
 	HTTP_OK = 200
 };
 
@@ -22,16 +21,12 @@
 	guint noted;  /* version of the list that was noted; 0: none */
 	int64_t next_us;
 	bool asked; /* the note was read, or is being read */
-	struct hc_call *write;
-	struct hc_call *read;
+	struct store_call *write;
+	struct store_call *read;
 };
 
-static void recall_on_written(void *ctx, int status, int err, bool sent, const char *body,
-			      size_t len);
-static void recall_on_read(void *ctx, int status, int err, bool sent, const char *body, size_t len);
-
-static const struct hc_ops recall_write_ops = {.on_done = recall_on_written};
-static const struct hc_ops recall_read_ops = {.on_done = recall_on_read};
+static void recall_on_written(void *ctx, const struct store_answer *answer);
+static void recall_on_read(void *ctx, const struct store_answer *answer);
 
 struct recall *recall_new(struct rc *rc)
 {
@@ -45,9 +40,9 @@
 void recall_free(struct recall *recall)
 {
 	if (recall->write)
-		hc_cancel(recall->write);
+		store_call_cancel(recall->write);
 	if (recall->read)
-		hc_cancel(recall->read);
+		store_call_cancel(recall->read);
 	fp_finish(&recall->fp);
 	g_free(recall);
 }
@@ -94,63 +89,63 @@
 {
 	jl_begin(JL_KEEP, event);
 	jl_int("status", status);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_str("error", err < 0 ? store_strerror(err) : NULL);
 	jl_int("endpoints", n);
 	jl_end();
 }
 
-static void recall_write(struct recall *recall)
+static void recall_send(struct recall *recall, const GString *record)
 {
 	struct rc *rc = recall->rc;
-	GString *record = recall_record(recall);
-	char *url = rc_url(rc, rc->router->seam->store.append_path(SEAM_KNOWN));
-	struct hc_request request = {
-		.method = "POST",
-		.url = url,
-		.body = record->str,
-		.body_len = record->len,
-		.connect_ms = RECALL_CONNECT_MS,
+	struct store_request request = {
+		.path = rc->router->seam->store.append_path(SEAM_KNOWN),
+		.body = record,
 		.total_ms = RECALL_CALL_MS,
 	};
 
+	recall->write = store_call(rc, &request, recall_on_written, recall);
+}
+
+static void recall_write(struct recall *recall)
+{
+	struct rc *rc = recall->rc;
+	GString *record = recall_record(recall);
+
 	recall->noted = rc->endpoints.version;
 	if (record->len > SEAM_RECORD_MAX)
 		recall_log("note_too_long", 0, 0, g_hash_table_size(rc->endpoints.entries));
 	else
-		recall->write = hc_start(rc->hc, &request, &recall_write_ops, recall);
+		recall_send(recall, record);
 	g_string_free(record, TRUE);
-	g_free(url);
 }
 
-static void recall_on_written(void *ctx, int status, int err, bool sent, const char *body,
-			      size_t len)
+static void recall_on_written(void *ctx, const struct store_answer *answer)
 {
 	struct recall *recall = ctx;
+	bool good = answer->status == HTTP_OK;
 
-	(void)sent;
-	(void)body;
-	(void)len;
 	recall->write = NULL;
-	recall_log(status == HTTP_OK ? "endpoints_noted" : "note_failed", status, err,
+	recall_log(good ? "endpoints_noted" : "note_failed", answer->status, answer->err,
 		   g_hash_table_size(recall->rc->endpoints.entries));
-	if (status != HTTP_OK)
+	if (!good)
 		recall->noted = 0;
 }
 
+void recall_on_return(struct recall *recall)
+{
+	recall->noted = 0;
+}
+
 /* A host that has seen the store away reads the note once, after its first list. */
 static void recall_read(struct recall *recall)
 {
 	struct rc *rc = recall->rc;
-	char *url = rc_url(rc, rc->router->seam->store.newest_path(SEAM_KNOWN, NULL));
-	struct hc_request request = {
-		.method = "GET",
-		.url = url,
-		.connect_ms = RECALL_CONNECT_MS,
+	struct store_request request = {
+		.path = rc->router->seam->store.newest_path(SEAM_KNOWN, NULL),
 		.total_ms = RECALL_CALL_MS,
 	};
 
-	recall->read = hc_start(rc->hc, &request, &recall_read_ops, recall);
-	g_free(url);
+	recall->read = store_call(rc, &request, recall_on_read, recall);
 }
 
 void recall_on_tick(struct recall *recall, int64_t now_us)
@@ -233,17 +228,16 @@
 		feed__note__free_unpacked(note, NULL);
 }
 
-static void recall_on_read(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+static void recall_on_read(void *ctx, const struct store_answer *answer)
 {
 	struct recall *recall = ctx;
 	struct seam_read read;
 
-	(void)sent;
 	recall->read = NULL;
 	memset(&read, 0, sizeof(read));
-	if (status != HTTP_OK || recall->rc->router->seam->store.parse_newest(
-					 str_make(body, len), recall_on_record, recall, &read) < 0)
-		recall_log("note_not_read", status, err, 0);
+	if (answer->status != HTTP_OK || recall->rc->router->seam->store.parse_newest(
+						 answer->body, recall_on_record, recall, &read) < 0)
+		recall_log("note_not_read", answer->status, answer->err, 0);
 	g_free(read.last);
 	recall_end(recall);
 }
--- a/router/state.c
+++ b/router/state.c
@@ -108,15 +108,16 @@
 	struct state *state = ctx;
 	const struct rc *rc = state->router->rc;
 
-	state->json =
-		json_pack("{s:s, s:I, s:I, s:b, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
-			  state->router->settings.name, "configuration",
-			  (json_int_t)(rc->conf ? rc->conf->version : -1), "generation",
-			  (json_int_t)rc->lead.newest, "reads_store", rc->direct, "asks_engines",
-			  rc_polls(rc), "places_layers", member_may_order(rc), "noted",
-			  recall_is_noted(rc->recall), "feeder", follow_feeder(rc->follow), "fed",
-			  follow_is_fed(rc->follow), "store_age_ms",
-			  (json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
+	state->json = json_pack(
+		"{s:s, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:b, s:s?, s:b, s:I, s:o}", "host",
+		state->router->settings.name, "configuration",
+		(json_int_t)(rc->conf ? rc->conf->version : -1), "era",
+		(json_int_t)(rc->era.known ? rc->era.now : ERA_NONE), "generation",
+		(json_int_t)era_generation(rc->lead.newest), "fence", (json_int_t)rc->lead.newest,
+		"reads_store", rc->direct, "asks_engines", rc_polls(rc), "places_layers",
+		member_may_order(rc), "noted", recall_is_noted(rc->recall), "feeder",
+		follow_feeder(rc->follow), "fed", follow_is_fed(rc->follow), "store_age_ms",
+		(json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
 	state_put_origins(state->json, rc);
 	json_object_set_new(state->json, "quarantine", state_quarantine(rc));
 	loop_post(&state->router->tf->loop, state_from_traffic, state);
@@ -234,6 +235,7 @@
 	met_set(met_gauge("bg_configuration_version", ""),
 		(uint64_t)(rc->conf ? rc->conf->version : 0));
 	met_set(met_gauge("bg_store_age_ms", ""), (uint64_t)MAX(state_age_ms(rc, now_us), 0));
+	met_set(met_gauge("bg_store_era", ""), (uint64_t)rc->era.now);
 	met_set(met_gauge("bg_reads_store", ""), rc->direct);
 	met_set(met_gauge("bg_fed", ""), follow_is_fed(rc->follow));
 	met_set(met_gauge("bg_places_layers", ""), member_may_order(rc));
--- /dev/null
+++ b/router/store_call.c
@@ -0,0 +1,107 @@
+#include "router/store_call.h"
+#include "base/err.h"
+#include "router/rc.h"
+
+#include <string.h>
+
+enum {
+	STORE_CONNECT_MS = 500
+};
+
+struct store_call {
+	struct rc *rc;
+	struct hc_call *http; /* NULL: it has ended */
+	store_fn fn;	      /* NULL: canceled while its answer was looked at */
+	void *ctx;
+	int64_t era; /* that the answer tells */
+};
+
+static bool store_call_on_head(void *ctx, int status, const GPtrArray *headers);
+static void store_call_on_done(void *ctx, int status, int err, bool sent, const char *body,
+			       size_t len);
+
+static const struct hc_ops store_call_ops = {
+	.on_head = store_call_on_head,
+	.on_done = store_call_on_done,
+};
+
+struct store_call *store_call(struct rc *rc, const struct store_request *request, store_fn fn,
+			      void *ctx)
+{
+	const char *headers[] = {"Content-Type: application/json", NULL};
+	char *url = g_strdup_printf("http://%s%s", rc->router->settings.store, request->path);
+	struct store_call *call = g_new0(struct store_call, 1);
+	struct hc_request http = {
+		.method = request->body || request->json ? "POST" : "GET",
+		.url = url,
+		.headers = request->json ? headers : NULL,
+		.body = request->body ? request->body->str : request->json,
+		.connect_ms = STORE_CONNECT_MS,
+		.total_ms = request->total_ms,
+		.fresh = request->fresh,
+	};
+
+	if (request->body)
+		http.body_len = request->body->len;
+	else if (request->json)
+		http.body_len = strlen(request->json);
+	call->rc = rc;
+	call->fn = fn;
+	call->ctx = ctx;
+	call->era = ERA_NONE;
+	g_hash_table_add(rc->store_calls, call);
+	call->http = hc_start(rc->hc, &http, &store_call_ops, call);
+	g_free(url);
+	g_free(request->path);
+	return call;
+}
+
+void store_call_cancel(struct store_call *call)
+{
+	call->fn = NULL;
+	if (!call->http)
+		return;
+	hc_cancel(call->http);
+	g_hash_table_remove(call->rc->store_calls, call);
+}
+
+static bool store_call_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	struct store_call *call = ctx;
+
+	(void)status;
+	call->era = call->rc->router->seam->store.read_era(headers);
+	return true;
+}
+
+static void store_call_on_done(void *ctx, int status, int err, bool sent, const char *body,
+			       size_t len)
+{
+	struct store_call *call = ctx;
+	struct rc *rc = call->rc;
+	struct store_answer answer = {status, err, str_make(body, len)};
+	enum era_news news;
+
+	(void)sent;
+	call->http = NULL;
+	news = rc_hear_era(rc, call->era, "store");
+	if (news == ERA_RETURN)
+		answer = (struct store_answer){0, STORE_ERETURNED, str_make(NULL, 0)};
+	if (news == ERA_PAST)
+		answer = (struct store_answer){0, STORE_EPAST, str_make(NULL, 0)};
+	if (call->fn)
+		call->fn(call->ctx, &answer);
+	g_hash_table_remove(rc->store_calls, call);
+}
+
+const char *store_strerror(int err)
+{
+	switch (err) {
+	case STORE_ERETURNED:
+		return "the store came back from a copy";
+	case STORE_EPAST:
+		return "answer of the time before the store came back";
+	default:
+		return base_strerror(err);
+	}
+}
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -14,7 +14,6 @@
 	SF_CONF_WAIT_MS = 1000,
 	SF_MARGIN_MS = 700, /* for the answer itself */
 	SF_CALL_MS = 1000,  /* for a call that the store does not hold */
-	SF_CONNECT_MS = 500,
 	/*
 	 * Reads of endpoints: one that is leaving gets no requests after two seconds. Their records
 	 * come in groups, so a read is not made at once after another.
@@ -55,11 +54,9 @@
 static void sf_ask(struct sf_topic *t);
 static void sf_on_timer(void *ctx, int64_t now_us);
 static void sf_again(struct sf_topic *t, int64_t delay_us);
-static void sf_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
+static void sf_on_done(void *ctx, const struct store_answer *answer);
 static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value);
 
-static const struct hc_ops sf_ops = {.on_done = sf_on_done};
-
 static const char *const sf_names[] = {
 	[SEAM_CONF] = "configuration",
 	[SEAM_ENDPOINTS] = "endpoints",
@@ -83,6 +80,15 @@
 	return 0;
 }
 
+/* Whether the reading can go on where this host's feed has ended. */
+static bool sf_knows_endpoints(const struct sf_topic *t)
+{
+	const struct rc *rc = t->rc;
+
+	return t->topic == SEAM_ENDPOINTS && rc->listed &&
+	       era_of_place(rc->endpoints.next) == rc->era.now;
+}
+
 void sf_start(struct rc *rc)
 {
 	for (int i = 0; i <= SEAM_HOSTS; i++) {
@@ -90,7 +96,7 @@
 
 		t->rc = rc;
 		t->topic = i;
-		t->next = i == SEAM_ENDPOINTS && rc->listed ? rc->endpoints.next : -1;
+		t->next = sf_knows_endpoints(t) ? rc->endpoints.next : -1;
 		t->read_us = 0;
 		t->failures = 0;
 		t->wait_ms = sf_pace[i].wait_ms;
@@ -99,16 +105,32 @@
 	}
 }
 
+static void sf_cancel(struct sf_topic *t)
+{
+	if (t->call)
+		store_call_cancel(t->call);
+	t->call = NULL;
+	g_clear_pointer(&t->after, g_free);
+}
+
 void sf_stop(struct rc *rc)
 {
 	for (int i = 0; i <= SEAM_HOSTS; i++) {
 		struct sf_topic *t = &rc->topics[i];
 
 		tmr_cancel(&rc->loop->tmr, &t->timer);
-		if (t->call)
-			hc_cancel(t->call);
-		t->call = NULL;
-		g_clear_pointer(&t->after, g_free);
+		sf_cancel(t);
+	}
+}
+
+void sf_on_return(struct rc *rc)
+{
+	for (int i = 0; i <= SEAM_HOSTS; i++) {
+		struct sf_topic *t = &rc->topics[i];
+
+		sf_cancel(t);
+		t->next = -1;
+		sf_again(t, 0);
 	}
 }
 
@@ -125,19 +147,14 @@
 {
 	const struct seam_store *store = &t->rc->router->seam->store;
 	bool listing = t->next < 0;
-	char *path = listing ? store->newest_path(t->topic, t->after)
-			     : store->read_path(t->topic, t->next, t->wait_ms);
-	char *url = rc_url(t->rc, path);
-	struct hc_request request = {
-		.method = "GET",
-		.url = url,
-		.connect_ms = SF_CONNECT_MS,
+	struct store_request request = {
+		.path = listing ? store->newest_path(t->topic, t->after)
+				: store->read_path(t->topic, era_offset(t->next), t->wait_ms),
 		.total_ms = listing ? SF_CALL_MS : MAX(t->wait_ms + SF_MARGIN_MS, SF_CALL_MS),
 		.fresh = t->failures > 0,
 	};
 
-	t->call = hc_start(t->rc->hc, &request, &sf_ops, t);
-	g_free(url);
+	t->call = store_call(t->rc, &request, sf_on_done, t);
 }
 
 /* Whether the last call did not succeed, or there was none yet. */
@@ -194,14 +211,15 @@
 static void sf_on_record(void *ctx, int64_t offset, struct str key, struct str value)
 {
 	struct sf_topic *t = ctx;
+	int64_t place = era_place(t->rc->era.now, offset);
 	char *name = str_dup(key);
 
 	if (t->topic == SEAM_CONF && value.data)
-		rc_take_conf(t->rc, value, "store");
+		rc_take_conf(t->rc, place, value, "store");
 	else if (t->topic == SEAM_ENDPOINTS)
-		rc_take_endpoint(t->rc, offset, name, value);
+		rc_take_endpoint(t->rc, place, name, value);
 	else if (t->topic == SEAM_HOSTS)
-		rc_take_host(t->rc, name, value);
+		hosts_on_record(t->rc->hostlist, name, value);
 	g_free(name);
 }
 
@@ -224,7 +242,7 @@
 		jl_begin(JL_KEEP, "store_lost");
 		jl_str("topic", sf_names[t->topic]);
 		jl_int("status", status);
-		jl_str("error", err < 0 ? base_strerror(err) : NULL);
+		jl_str("error", err < 0 ? store_strerror(err) : NULL);
 		jl_end();
 	}
 	met_add(met_counter("bg_store_failures_total", ""), 1);
@@ -256,34 +274,51 @@
 	return t->pause_us;
 }
 
-/* One page of the listing; the reading of records begins where the first page ended. */
-static bool sf_on_listing(struct sf_topic *t, struct str body)
+/* The whole topic has been listed. */
+static void sf_on_listed(struct sf_topic *t)
+{
+	struct rc *rc = t->rc;
+
+	t->next = t->end;
+	if (t->topic == SEAM_HOSTS) {
+		hosts_on_listed(rc->hostlist);
+		rc_on_hosts_heard(rc);
+	}
+	if (t->topic == SEAM_ENDPOINTS) {
+		ep_on_listed(&rc->endpoints, t->end, tmr_now());
+		rc->endpoints.changed = true;
+		feed_on_listing(rc->feed);
+		if (!recall_on_listed(rc->recall))
+			rc->listed = true;
+	}
+	sf_again(t, sf_pause_us(t));
+}
+
+/*
+ * One page of the listing. Pages are no snapshot: what changes on an early page while later ones
+ * are read is found only if the reading of records begins where the first page ended.
+ */
+static bool sf_on_page(struct sf_topic *t, struct str body)
 {
 	struct seam_read read;
 	bool first = t->after == NULL;
 
 	if (first && t->topic == SEAM_ENDPOINTS)
 		ep_on_listing(&t->rc->endpoints);
+	if (first && t->topic == SEAM_HOSTS)
+		hosts_on_listing(t->rc->hostlist);
 	if (t->rc->router->seam->store.parse_newest(body, sf_on_record, t, &read) < 0)
 		return false;
 	g_clear_pointer(&t->after, g_free);
+	if (first)
+		t->end = era_place(t->rc->era.now, read.end);
 	if (read.more) {
 		t->after = read.last;
 		sf_ask(t);
 		return true;
 	}
 	g_free(read.last);
-	t->next = read.end;
-	if (t->topic == SEAM_HOSTS)
-		rc_on_hosts_heard(t->rc);
-	if (t->topic == SEAM_ENDPOINTS) {
-		ep_on_listed(&t->rc->endpoints, read.end, tmr_now());
-		t->rc->endpoints.changed = true;
-		feed_on_listing(t->rc->feed);
-		if (!recall_on_listed(t->rc->recall))
-			t->rc->listed = true;
-	}
-	sf_again(t, sf_pause_us(t));
+	sf_on_listed(t);
 	return true;
 }
 
@@ -291,41 +326,40 @@
 {
 	struct seam_read read;
 
-	if (t->rc->router->seam->store.parse_read(body, t->next, sf_on_record, t, &read) < 0)
+	if (t->rc->router->seam->store.parse_read(body, era_offset(t->next), sf_on_record, t,
+						  &read) < 0)
 		return false;
 	/* A store that has less than was read before has been rewound; its listing tells what
 	 * holds. */
-	t->next = read.end < t->next ? -1 : read.next;
+	t->next = read.end < era_offset(t->next) ? -1 : era_place(t->rc->era.now, read.next);
 	t->reads++;
 	sf_again(t, sf_pause_us(t));
 	return true;
 }
 
-static void sf_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
+static void sf_on_done(void *ctx, const struct store_answer *answer)
 {
 	struct sf_topic *t = ctx;
 	bool good;
 
-	(void)sent;
 	t->call = NULL;
-	if (status == HTTP_GONE) {
+	if (answer->status == HTTP_GONE) {
 		t->next = -1;
 		g_clear_pointer(&t->after, g_free);
 		sf_ask(t);
 		return;
 	}
-	if (status != HTTP_OK) {
-		sf_failed(t, status, err);
+	if (answer->status != HTTP_OK) {
+		sf_failed(t, answer->status, answer->err);
 		return;
 	}
 	sf_recovered(t);
 	t->read_us = tmr_now();
 	if (t->topic == SEAM_ENDPOINTS)
 		ep_on_reached(&t->rc->endpoints, t->read_us);
-	good = t->next < 0 ? sf_on_listing(t, str_make(body, len))
-			   : sf_on_reading(t, str_make(body, len));
+	good = t->next < 0 ? sf_on_page(t, answer->body) : sf_on_reading(t, answer->body);
 	if (!good)
-		sf_failed(t, status, BASE_EHTTP);
+		sf_failed(t, answer->status, BASE_EHTTP);
 	if (t->rc->endpoints.changed)
 		rc_view_due(t->rc);
 	sf_wake(t->rc, t->read_us);
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -3,6 +3,7 @@
 
 #include "base/str.h"
 #include "ep/ep.h"
+#include "era/era.h"
 #include "fwd/fwd.h"
 #include "rt/rt.h"
 
@@ -133,6 +134,9 @@
 };
 
 struct seam_store {
+	/* The store's era as an answer tells it; ERA_NONE: it tells none. */
+	int64_t (*read_era)(const GPtrArray *headers);
+
 	/* Paths with query; free with g_free(). */
 	char *(*newest_path)(enum seam_topic topic, const char *after);
 	char *(*read_path)(enum seam_topic topic, int64_t from, int64_t wait_ms);
