--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -725,6 +725,31 @@
             expect_refused(stack, repeats, host)
 
 
+def case_crashing_unheard(stack):
+    """Symptom: a stream's request went on ending engines, nineteen and more, though it was known at each host.
+    Sequence: its engine ends some milliseconds after the body has arrived, before the head of an answer;
+    new connections there are refused, or taken and closed, until it starts again.
+    Cause: an attempt of which nothing was heard was taken for one that waits in the engine's queue, however
+    short ago it was sent; where connections were closed it was not counted at all, and told to nobody."""
+    stack.up()
+    for mark in ("crash-unheard 1", "crash-closing 1"):
+        repeats = Repeats(stack, mark)
+        for turn in range(6):
+            for host in stack.hosts:
+                repeats.ask(host)
+            serves_all(stack)
+        if len(repeats.crashes()) < 3:
+            raise Failure("%s did not end three endpoints: %r" % (mark, repeats.crashes()))
+        print("%s: ended %d, arrivals after the third: %d" % (
+            mark, len(repeats.crashes()), repeats.past_the_third()))
+        if repeats.past_the_third() > CRASH_REPEATS_MAX:
+            raise Failure("%s reached endpoints %d times after its third crash" % (
+                mark, repeats.past_the_third()))
+        for host in stack.hosts:
+            expect_refused(stack, repeats, host)
+    expect("violations", stack.ledger()["violations"], "")
+
+
 def case_crashing_plain(stack):
     """Symptom: the same at a plain service, of which there are two endpoints.
     Sequence: requests that may and that may not run twice end an endpoint each time that they run.
--- a/router/crash.c
+++ b/router/crash.c
@@ -14,6 +14,10 @@
 	/* Between two tries, where the first one told nothing: the endpoint's queue was full. */
 	CRASH_AGAIN_MS = 100,
 	CRASH_TRIES = 3,
+	/* How often one that vanished is asked once more, until it tells that it has started again.
+	 */
+	CRASH_PROOFS = 10,
+	CRASH_PROOF_MS = 300,
 	HTTP_OK = 200
 };
 
@@ -40,6 +44,8 @@
 	struct tmr timer;
 	int64_t began_us;
 	int tries;
+	int proofs;   /* tries after it had vanished */
+	bool counted; /* what was cut counts, as far as that goes without a proof */
 };
 
 static void crash_ask(struct crash_check *check);
@@ -148,6 +154,11 @@
 	return CRASH_UNCLEAR;
 }
 
+static bool crash_is_proof(enum crash_finding finding)
+{
+	return finding == CRASH_ENDED || finding == CRASH_ALIVE;
+}
+
 static bool crash_is_end(enum crash_finding finding)
 {
 	return finding == CRASH_ENDED || finding == CRASH_VANISHED;
@@ -155,13 +166,18 @@
 
 /*
  * A busy endpoint resets connections that are too many for it, and a request with them that it has
- * never begun. So what may have been waiting there is counted only where the end is proved.
+ * never begun. So what may have been waiting there is counted only where the end is proved, and
+ * what had just been sent counts less until then.
  */
-static void crash_drop_waiting(struct crash_check *check)
+static void crash_weigh_unproved(struct crash_check *check)
 {
 	for (guint i = check->cuts->len; i > 0; i--) {
-		if (g_array_index(check->cuts, struct crash_cut, i - 1).progress == CRASH_WAITING)
+		struct crash_cut *cut = &g_array_index(check->cuts, struct crash_cut, i - 1);
+
+		if (cut->progress == CRASH_WAITING)
 			g_array_remove_index_fast(check->cuts, i - 1);
+		else
+			cut->unproved = true;
 	}
 }
 
@@ -183,18 +199,24 @@
 	jl_str("error", err < 0 ? base_strerror(err) : NULL);
 	jl_int("tries", check->tries);
 	jl_int("waiting", crash_count(check, CRASH_WAITING));
+	jl_int("sent", crash_count(check, CRASH_SENT));
 	jl_int("begun", crash_count(check, CRASH_BEGUN));
 	jl_int("running", crash_count(check, CRASH_RUNNING));
 	jl_end();
 }
 
+static bool crash_is_suspect(const struct crash_cut *cut)
+{
+	return cut->progress == CRASH_BEGUN || cut->progress == CRASH_SENT;
+}
+
 static void crash_log_begun(const struct crash_check *check)
 {
 	for (guint i = 0; i < check->cuts->len; i++) {
 		const struct crash_cut *cut = &g_array_index(check->cuts, struct crash_cut, i);
 		char content[QUAR_TEXT_LEN + 1];
 
-		if (cut->progress != CRASH_BEGUN)
+		if (!crash_is_suspect(cut))
 			continue;
 		quar_key_text(&cut->key, content);
 		jl_begin(JL_KEEP, "cut_when_begun");
@@ -212,6 +234,38 @@
 	crash_ask(ctx);
 }
 
+static void crash_ask_in(struct crash_check *check, int64_t delay_ms)
+{
+	loop_after(&check->tf->loop, &check->timer, tmr_ms(delay_ms), crash_on_again, check);
+}
+
+/* The endpoint has ended, or so it seems: what was cut there counts. */
+static void crash_count_cuts(struct crash_check *check, enum crash_finding finding)
+{
+	if (finding == CRASH_VANISHED)
+		crash_weigh_unproved(check);
+	met_add(met_counter("bg_endpoints_ended_total", ""), 1);
+	crash_log_begun(check);
+	tf_quar_crashed(check->tf, check->ep, check->cuts);
+	check->counted = true;
+}
+
+/* One that had vanished tells that it has started again: what had just been sent counts in full. */
+static void crash_prove(struct crash_check *check)
+{
+	for (guint i = 0; i < check->cuts->len; i++)
+		g_array_index(check->cuts, struct crash_cut, i).unproved = false;
+	tf_quar_crashed(check->tf, check->ep, check->cuts);
+}
+
+/* Returns whether the endpoint is asked once more. */
+static bool crash_goes_on(struct crash_check *check, enum crash_finding finding)
+{
+	if (check->counted)
+		return !crash_is_proof(finding) && check->proofs++ < CRASH_PROOFS;
+	return finding == CRASH_UNCLEAR && check->tries < CRASH_TRIES;
+}
+
 static void crash_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -219,18 +273,19 @@
 	enum crash_finding finding = crash_find(check, status, err, str_make(body, len));
 
 	(void)sent;
-	if (finding == CRASH_UNCLEAR && check->tries < CRASH_TRIES) {
-		loop_after(&check->tf->loop, &check->timer, tmr_ms(CRASH_AGAIN_MS), crash_on_again,
-			   check);
+	if (crash_goes_on(check, finding)) {
+		crash_ask_in(check, check->counted ? CRASH_PROOF_MS : CRASH_AGAIN_MS);
 		return;
 	}
 	crash_log(check, finding, err);
-	if (finding == CRASH_VANISHED)
-		crash_drop_waiting(check);
-	if (crash_is_end(finding)) {
-		met_add(met_counter("bg_endpoints_ended_total", ""), 1);
-		crash_log_begun(check);
-		tf_quar_crashed(check->tf, check->ep, check->cuts);
+	if (check->counted && finding == CRASH_ENDED)
+		crash_prove(check);
+	if (!check->counted && crash_is_end(finding)) {
+		crash_count_cuts(check, finding);
+		if (finding == CRASH_VANISHED && crash_count(check, CRASH_SENT) > 0) {
+			crash_ask_in(check, CRASH_PROOF_MS);
+			return;
+		}
 	}
 	crash_check_free(check);
 }
--- a/router/crash.h
+++ b/router/crash.h
@@ -16,8 +16,9 @@
 
 /* How far an attempt had come when it was cut. */
 enum crash_progress {
-	CRASH_WAITING, /* nothing was heard of it: it may have been waiting in the endpoint's queue
+	CRASH_WAITING, /* nothing was heard of it for long: it was waiting in the endpoint's queue
 			*/
+	CRASH_SENT,    /* nothing was heard of it, but it had just been sent */
 	CRASH_BEGUN,   /* it had just begun, and brought little of its answer or nothing */
 	CRASH_RUNNING  /* it had gone on for a while */
 };
@@ -29,6 +30,7 @@
 	char *id;      /* owned; of the request */
 	enum crash_progress progress;
 	int64_t lasted_us; /* from the head of its answer to the newest part */
+	bool unproved;	   /* the endpoint may only have been busy */
 };
 
 /* An attempt of a request was cut at that endpoint; texts are copied. */
--- a/router/rq.c
+++ b/router/rq.c
@@ -332,12 +332,17 @@
 	return rq_has_content(rq, &id->key, id->account) ? rq_lasted_all(rq) : 0;
 }
 
-/* Plain services tell nothing before their answer; what they have taken they begin at once. */
+/*
+ * Plain services tell nothing before their answer; what they have taken they begin at once. An
+ * engine may end before it has said anything of what it was just sent, and that may be the cause.
+ */
 static enum crash_progress rq_progress(const struct rq *rq)
 {
 	if (rq_lasted(rq) >= QUAR_BEGIN_US)
 		return CRASH_RUNNING;
-	return rq->headed || !rq->target.layered ? CRASH_BEGUN : CRASH_WAITING;
+	if (rq->headed || !rq->target.layered)
+		return CRASH_BEGUN;
+	return tmr_now() - rq->part_us < QUAR_BEGIN_US ? CRASH_SENT : CRASH_WAITING;
 }
 
 void rq_cut(struct rq *rq, struct tf_ep *ep)
--- a/router/tf_quar.c
+++ b/router/tf_quar.c
@@ -18,7 +18,23 @@
 
 int tf_quar_weight(enum crash_progress progress)
 {
-	return progress == CRASH_BEGUN ? QUAR_STRONG : QUAR_WEAK;
+	return progress == CRASH_BEGUN || progress == CRASH_SENT ? QUAR_STRONG : QUAR_WEAK;
+}
+
+static int tf_quar_weight_of(const struct crash_cut *cut)
+{
+	if (cut->progress == CRASH_SENT && cut->unproved)
+		return QUAR_WEAK;
+	return tf_quar_weight(cut->progress);
+}
+
+/*
+ * A request that ends endpoints before they say anything may come to each host in turn, and none
+ * would learn of more than one crash.
+ */
+static bool tf_quar_is_told(const struct quar_entry *entry, const struct crash_cut *cut)
+{
+	return quar_is_told(entry) || cut->progress == CRASH_SENT;
 }
 
 /*
@@ -66,12 +82,12 @@
 		return;
 	longest_us = tf_quar_lasted(tf, &id);
 	tf_quar_on_part(tf, &id, longest_us);
-	entry = quar_on_crash(&tf->quar, &id, endpoint, tf_quar_weight(cut->progress),
-			      cut->lasted_us, now_us);
+	entry = quar_on_crash(&tf->quar, &id, endpoint, tf_quar_weight_of(cut), cut->lasted_us,
+			      now_us);
 	if (!entry)
 		return;
 	quar_on_part(&tf->quar, &id, MAX(cut->lasted_us, longest_us), now_us);
-	if (quar_is_told(entry))
+	if (tf_quar_is_told(entry, cut))
 		g_ptr_array_add(told, quar_entry_dup(entry));
 	if (before != (entry->until_us > 0))
 		tf_quar_enforce(tf, entry, "this host");
