--- a/ep/ep.c
+++ b/ep/ep.c
@@ -397,6 +397,18 @@
 	}
 }
 
+int ep_lapsed(const struct ep_list *list)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, list->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((const struct ep_entry *)value)->lapsed;
+	return n;
+}
+
 bool ep_on_time(struct ep_list *list, int64_t now_us)
 {
 	GHashTableIter iter;
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -124,6 +124,9 @@
 /* Whether the store is away, or came back so lately that living endpoints may be missing. */
 bool ep_is_returning(const struct ep_list *list, int64_t now_us);
 
+/* Entries that are missing in the store, and are kept until living endpoints must be back. */
+int ep_lapsed(const struct ep_list *list);
+
 /* Drops lapsed entries whose time is over. Returns whether there were any. */
 bool ep_on_time(struct ep_list *list, int64_t now_us);
 
--- a/place/plan.c
+++ b/place/plan.c
@@ -81,7 +81,7 @@
 	int64_t use = 0;
 
 	for (int i = 0; i < n; i++)
-		use += MIN(pl_layers(engine, &nodes[i]), engine->layers) / unit * unit;
+		use += (int64_t)MIN(pl_layers(engine, &nodes[i]), engine->layers) / unit * unit;
 	return use;
 }
 
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -274,6 +274,18 @@
 	return t->pause_us;
 }
 
+/* What the copy that the store came back from lacks of the endpoints. */
+static void sf_log_compared(const struct rc *rc)
+{
+	if (!ep_is_returning(&rc->endpoints, tmr_now()))
+		return;
+	jl_begin(JL_KEEP, "endpoints_compared");
+	jl_int("era", rc->era.now);
+	jl_int("known", g_hash_table_size(rc->endpoints.entries));
+	jl_int("missing", ep_lapsed(&rc->endpoints));
+	jl_end();
+}
+
 /* The whole topic has been listed. */
 static void sf_on_listed(struct sf_topic *t)
 {
@@ -286,6 +298,7 @@
 	}
 	if (t->topic == SEAM_ENDPOINTS) {
 		ep_on_listed(&rc->endpoints, t->end, tmr_now());
+		sf_log_compared(rc);
 		rc->endpoints.changed = true;
 		feed_on_listing(rc->feed);
 		if (!recall_on_listed(rc->recall))
