--- a/place/plan.c
+++ b/place/plan.c
@@ -12,16 +12,18 @@
 };
 
 /*
- * Tokens of context that an endpoint has memory for on each of its layers, besides the layers
- * themselves. More layers leave an endpoint's share of the requests without memory when another one
- * is lost. Fewer make pipelines longer, so that a lost or slow endpoint touches more of them: where
- * a token takes little memory, a constant part of two thirds left most of it empty.
+ * Part of an endpoint's memory for layers in any case; the rest holds requests. More layers leave
+ * an endpoint's share of the requests without memory when another one is lost, or in a surge. Fewer
+ * make pipelines longer, so that a lost or slow endpoint touches more of them.
  */
-static const double pl_context_tokens = 75000;
-
-/* Part of the memory for layers where a deployment doesn't declare what a token takes. */
 static const double pl_layer_part = 0.67;
 
+/*
+ * Where a token takes little memory, layers may have more: all but the memory for so many tokens of
+ * context on each layer. With a constant part most of the memory stays empty there.
+ */
+static const double pl_context_tokens = 90000;
+
 /*
  * By how much common cut points may cost more than free ones. They make pipelines shorter, since a
  * stage is always run whole, and a lost stage is replaced by one other. Where they cost more, some
@@ -54,10 +56,11 @@
 static int pl_layers(const struct rt_engine *engine, const struct pl_node *node)
 {
 	double token_mb = engine->kv_bytes / PL_BYTES_PER_MB / engine->layers;
+	double part = engine->layer_mb / (engine->layer_mb + pl_context_tokens * token_mb);
 
 	if (token_mb <= 0)
-		return (int)(node->memory_mb * pl_layer_part / engine->layer_mb);
-	return (int)(node->memory_mb / (engine->layer_mb + pl_context_tokens * token_mb));
+		part = 0;
+	return (int)(node->memory_mb * MAX(part, pl_layer_part) / engine->layer_mb);
 }
 
 /* Layers of the smallest node that is of use at all; 0: there is none. */
