--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -1,4 +1,5 @@
 """Cases with real processes: python3 regress/soak/cases.py NAME. Each opens with what went wrong."""
+import base64
 import http.client
 import json
 import os
@@ -464,6 +465,26 @@
     expect("violations", stack.ledger()["violations"], "")
 
 
+def case_between_pages(stack):
+    """Symptom: a host went on sending to an endpoint that had said it was leaving.
+    Sequence: the host starts and lists the endpoints, page by page; an endpoint whose entry was on the first
+    page says that it is leaving before the last one is read.
+    Cause: pages are no snapshot, and the reading of records began where the last page had ended."""
+    stack.hosts = stack.hosts[:1]       # another host would tell
+    stack.up()
+    first = sorted(e["id"] for e in stack.state("host-0")["endpoints"])[0]
+    entry = next(json.loads(base64.b64decode(i["value"])) for i in json.loads(call(
+        stack.store_port, "GET", "/-/log-newest?topic=keyed.servers")[2])["items"] if i["key"] == first)
+    stack.signal("engine", signal.SIGSTOP)      # its next heartbeat would say something else
+    stack.signal("host-0", signal.SIGKILL)
+    stack.procs["host-0"].wait()
+    entry.update(state="draining", sequence=entry["sequence"] + 100)
+    call(stack.store_port, "POST", "/between?topic=keyed.servers&key=" + first, json.dumps(entry))
+    stack.begin_host("host-0")
+    eventually("host-0 knows that it is leaving", lambda: believed(
+        stack, "host-0", entry["address"])["state"] == "draining")
+
+
 def case_foreign_entries(stack):
     """Symptom: requests went to addresses that are no endpoint's, or an endpoint was lost.
     Sequence: somebody else writes entries into the list of endpoints, again and again.
--- a/regress/soak/cases_copy.py
+++ b/regress/soak/cases_copy.py
@@ -35,6 +35,17 @@
     return next("127.0.0.1:%d" % p[1] for p in stack.points if p[0] == name)
 
 
+def listing(stack, topic):
+    """All pages of a listing."""
+    items, after, more = [], "", True
+    while more:
+        page = json.loads(call(stack.store_port, "GET", "/-/log-newest?topic=%s%s" % (topic, after))[2])
+        items += page["items"]
+        more = page["hasMore"]
+        after = "&after=" + items[-1]["key"] if items else ""
+    return items
+
+
 def count_records(stack, topic):
     return json.loads(call(stack.store_port, "GET", "/-/log-newest?topic=" + topic)[2])["end"]
 
@@ -228,8 +239,7 @@
 
 
 def listed_hosts(stack):
-    items = json.loads(call(stack.store_port, "GET", "/-/log-newest?topic=keyed.hosts")[2])["items"]
-    return [item["key"] for item in items]
+    return [item["key"] for item in listing(stack, "keyed.hosts")]
 
 
 def case_partitioned(stack):
