--- a/place/place_test.cc
+++ b/place/place_test.cc
@@ -417,6 +417,21 @@
 	EXPECT_GE(after, 550000);
 }
 
+/*
+ * Endpoints with memory for 13 of 80 layers: cut each 13 layers, the last stage would have 2, and
+ * whoever holds it would hold nothing else. Wanted: stages of nearly equal length.
+ */
+TEST(PlaceTest, StagesAreOfNearlyEqualLength)
+{
+	Fleet f;
+	f.Add(10, {34000, 5.6}, "a");
+	f.Add(10, {34000, 5.6}, "b");
+	f.Add(10, {34000, 5.6}, "c");
+	f.Apply(f.Plan());
+	for (const auto &n : f.nodes)
+		EXPECT_GE(n.to - n.from, 8) << n.from << " to " << n.to;
+}
+
 /*
  * Load: a release replaces a third of the endpoints, one after the other, each new one empty.
  * Wanted: no layer is left with a single holder on the way, and every zone is whole at the end.
