--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,6 @@
 # Builds with plain make. "make run" and "make check" do everything on a fresh machine.
 BUILD ?= build
 CFLAGS ?= -O2 -g
-# Searches over all states take their time without it.
-CXXFLAGS ?= -O1 -g
 PKGS = glib-2.0 zlib libprotobuf-c libmicrohttpd libcurl jansson libxxhash inih
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 CXXWARN = -Wall -Wextra -Werror
