--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -64,6 +64,10 @@
         pair = (near, far)
         with self.guard:
             self.pairs.add(pair)
+        # One that was accepted just before the mode changed is not among those that were cut then.
+        if self.mode == "refuse":
+            self.kill(near)
+            self.kill(far)
         try:
             self.pump(near, far)
         except OSError:
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -115,9 +115,15 @@
         log.close()
         self.procs[name] = proc
 
+    def seed_port(self, host, other):
+        """Where a host finds another one before it knows any: by the way that all take, or a cut of that
+        way would cut nobody off. Its own address it knows as it is."""
+        own = self.port(other, "control")
+        return own if host == other else self.known_as.get(other, own)
+
     def begin_host(self, host):
         path = os.path.join(self.dir, host + ".ini")
-        seeds = ",".join("127.0.0.1:%d" % self.port(h, "control") for h in self.hosts[:3])
+        seeds = ",".join("127.0.0.1:%d" % self.seed_port(host, h) for h in self.hosts[:3])
         with open(path, "w") as ini:
             ini.write("[host]\nname = %s\nzone = z%d\n" % (host, self.hosts.index(host) % 2))
             ini.write("first_start = %d\n" % (host not in self.procs))
