--- a/ep/ep.c
+++ b/ep/ep.c
@@ -169,7 +169,7 @@
 static bool ep_is_of_removed(const struct ep_list *list, const struct ep_note *removed,
 			     int64_t place, const struct ep_rec *rec)
 {
-	if (rec->born_ms != removed->born_ms)
+	if (!list->may_return || rec->born_ms != removed->born_ms)
 		return false;
 	if (rec->heartbeat > 0)
 		return rec->heartbeat <= removed->heartbeat;
@@ -197,10 +197,12 @@
  * What a copy of the store says of an endpoint, or what was written again after its return, may be
  * older than what is known, though its place is later. The endpoint's own counts tell.
  */
-static bool ep_is_of_copy(const struct ep_entry *entry, const struct ep_rec *rec)
+static bool ep_is_of_copy(const struct ep_list *list, const struct ep_entry *entry,
+			  const struct ep_rec *rec)
 {
-	return rec && rec->heartbeat > 0 && rec->born_ms == entry->rec->born_ms &&
-	       rec->heartbeat < entry->rec->heartbeat;
+	if (!list->may_return || !rec || rec->heartbeat == 0)
+		return false;
+	return rec->born_ms == entry->rec->born_ms && rec->heartbeat < entry->rec->heartbeat;
 }
 
 /*
@@ -238,10 +240,11 @@
 }
 
 /* The endpoint is listed, but what the record says of it is not news. */
-static bool ep_keep(struct ep_entry *entry, int64_t place, struct ep_rec *rec)
+static bool ep_keep(const struct ep_list *list, struct ep_entry *entry, int64_t place,
+		    struct ep_rec *rec)
 {
 	entry->seen = true;
-	if (rec && place > entry->place && ep_is_of_copy(entry, rec)) {
+	if (place > entry->place && ep_is_of_copy(list, entry, rec)) {
 		entry->place = place;
 		entry->lapsed = false;
 	}
@@ -257,9 +260,9 @@
 
 	if (place >= list->next)
 		list->next = place + 1;
-	if (entry &&
-	    (place < entry->place || ep_is_of_earlier(entry, rec) || ep_is_of_copy(entry, rec)))
-		return ep_keep(entry, place, rec);
+	if (entry && (place < entry->place || ep_is_of_earlier(entry, rec) ||
+		      ep_is_of_copy(list, entry, rec)))
+		return ep_keep(list, entry, place, rec);
 	if (!rec) {
 		ep_note_removal(list, id, place, entry, now_us);
 		if (entry)
@@ -345,6 +348,7 @@
 void ep_on_era(struct ep_list *list, int64_t era, bool returned, int64_t now_us)
 {
 	list->era = era;
+	list->may_return = true;
 	if (!returned)
 		return;
 	list->away = false;
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -17,8 +17,9 @@
  *
  * Records are ordered by their places in the store's log (era/era.h). Where the store has come back
  * from a copy, it lists what it had some seconds earlier, and what was lost is written again in any
- * order. Across eras an endpoint's own counts tell what is newer: its start and its heartbeats.
- * Without that an endpoint that had gone would be sent to again, or layers that it has given up.
+ * order. There an endpoint's own counts tell what is newer: its start and its heartbeats. Without
+ * that an endpoint that had gone would be sent to again, or layers that it has given up. Before a
+ * store that tells no eras the places alone count.
  * Pure: records and the time go in.
  */
 enum ep_state {
@@ -83,6 +84,7 @@
 	int64_t listed_us;   /* when it was first read whole; -1: not yet */
 	int64_t next;	     /* place of the next record to read */
 	int64_t era;	     /* of the store, as far as is known */
+	bool may_return;     /* the store tells eras, so it may come back from a copy */
 	bool listing;	     /* a whole listing is being read */
 	bool changed;
 	guint version; /* counts changes of what entries say; heartbeats are none */
--- a/ep/ep_era_test.cc
+++ b/ep/ep_era_test.cc
@@ -182,6 +182,21 @@
 	EXPECT_EQ(v.Shown(), "f1:2/4");
 }
 
+/*
+ * A store that tells no era never comes back from a copy; an endpoint whose counts start anew there
+ * is one that has started again, or another writer's count was wrong.
+ */
+TEST(EpEraTest, WithoutErasOnlyPlacesCount)
+{
+	ep_list list;
+	ep_list_init(&list);
+	EXPECT_TRUE(ep_on_record(&list, 20, "e1", MakeRec({"e1", 0, 9, 4}), 0));
+	EXPECT_TRUE(ep_on_record(&list, 21, "e1", MakeRec({"e1", 0, 1, 0}), 0));
+	EXPECT_TRUE(ep_on_record(&list, 22, "e1", nullptr, 0));
+	EXPECT_TRUE(ep_on_record(&list, 23, "e1", MakeRec({"e1", 0, 1, 0}), 0));
+	ep_list_finish(&list);
+}
+
 /*
  * A model of the store and of a host's view of it: endpoints send heartbeats, change their layers,
  * leave, end and start again; the store goes back and its writers write again; the host reads on,
