--- a/place/place_test.cc
+++ b/place/place_test.cc
@@ -25,6 +25,7 @@
 
 /* Endpoints of one deployment, with their texts. */
 struct Fleet {
+	double kv_bytes = 918000; /* of a token */
 	std::vector<std::string> ids;
 	std::vector<pl_node> nodes;
 
@@ -52,7 +53,7 @@
 	}
 	std::vector<pl_move> Ask(void (*plan)(const rt_engine *, const pl_node *, int, GArray *))
 	{
-		rt_engine engine = Engine();
+		rt_engine engine = Engine(kv_bytes);
 		GArray *moves = g_array_new(FALSE, TRUE, sizeof(pl_move));
 		plan(&engine, nodes.data(), (int)nodes.size(), moves);
 		std::vector<pl_move> list((pl_move *)(void *)moves->data,
@@ -69,12 +70,12 @@
 	}
 	double AfterLoss()
 	{
-		rt_engine engine = Engine();
+		rt_engine engine = Engine(kv_bytes);
 		return pl_after_loss(&engine, nodes.data(), (int)nodes.size());
 	}
 	pl_figures Measure()
 	{
-		rt_engine engine = Engine();
+		rt_engine engine = Engine(kv_bytes);
 		pl_figures f;
 		pl_measure(&engine, nodes.data(), (int)nodes.size(), &f);
 		return f;
@@ -381,24 +382,17 @@
 TEST(PlaceTest, SmallEndpointsMakeNoLongPipelinesWhereTokensTakeLittle)
 {
 	const Kind small = {21600, 16}, tiny = {14400, 15};
-	rt_engine engine = Engine(393000);
 	Fleet f;
+	f.kv_bytes = 393000;
 	f.Add(22, small, "a");
 	f.Add(13, small, "b");
 	f.Add(14, small, "c");
 	f.Add(10, tiny, "a");
 	f.Add(20, tiny, "b");
 	f.Add(18, tiny, "c");
-	GArray *moves = g_array_new(FALSE, TRUE, sizeof(pl_move));
-	pl_plan(&engine, f.nodes.data(), (int)f.nodes.size(), moves);
-	for (guint i = 0; i < moves->len; i++) {
-		const pl_move &m = g_array_index(moves, pl_move, i);
-		f.nodes[(size_t)m.node].from = m.from;
-		f.nodes[(size_t)m.node].to = m.to;
-	}
-	g_array_unref(moves);
+	f.Apply(f.Plan());
 	int stages = 0;
-	for (int at = 0; at < engine.layers; stages++) {
+	for (int at = 0; at < Engine().layers; stages++) {
 		int furthest = at;
 		for (const auto &n : f.nodes) {
 			if (n.from <= at && at < n.to)
@@ -407,9 +401,8 @@
 		ASSERT_GT(furthest, at);
 		at = furthest;
 	}
-	pl_figures figures;
-	pl_measure(&engine, f.nodes.data(), (int)f.nodes.size(), &figures);
-	double after = pl_after_loss(&engine, f.nodes.data(), (int)f.nodes.size());
+	pl_figures figures = f.Measure();
+	double after = f.AfterLoss();
 	printf("all small, little memory a token: stages %d, fewest copies %d, after the worst loss %.0f\n",
 	       stages, figures.copies_min, after);
 	EXPECT_LE(stages, 12);
--- a/router/quar_note.c
+++ b/router/quar_note.c
@@ -1,4 +1,3 @@
-#include "base/err.h"
 #include "base/jl.h"
 #include "router/quarantine.h"
 #include "router/rc.h"
