Limits that endpoints name are read and logged, and nothing else

Now each host logs limit_named, limit_lifted and limit_unreadable. Values that are no rate have a stated meaning: of several the lowest that can be read holds, more than a million binds nobody, anything else says that there is a limit and not which, so that what was known holds. No decision reads it yet.

--- a/router/rq.c
+++ b/router/rq.c
@@ -247,6 +247,7 @@
 	rq->moved = false;
 	rq->cut_at = NULL;
 	rq->part_us = tmr_now();
+	rq->attempt_us = rq->part_us;
 	if (rq->sent_us == 0)
 		rq->sent_us = rq->part_us;
 	rq_log_sent(rq, attempt, pipeline, resume_after);
@@ -403,6 +404,9 @@
 	rq->tf->heard_us = tmr_now();
 	seam_answer_finish(&rq->answer);
 	rq->tf->router->seam->wire.read_answer(status, headers, rq->request.id, &rq->answer);
+	if (rq->target.count > 0)
+		tf_limit_on_answer(rq->target.stages[0].ep, &rq->answer, rq->attempt_us,
+				   rq->request.id);
 	if (status / 100 == 2) {
 		rq_note_served(rq);
 		bk_on_served(tf_back(rq->tf, rq->service->name), tmr_now());
--- a/router/tf.h
+++ b/router/tf.h
@@ -12,6 +12,14 @@
 #include "router/router.h"
 #include "share/share.h"
 
+/* What an endpoint says of the requests that it takes from all hosts. */
+struct tf_limit {
+	bool named;
+	bool unreadable; /* it named something that is no rate, and that was logged */
+	double rate;	 /* requests a second */
+	int64_t heard_us;
+};
+
 /*
  * An endpoint as the traffic thread sees it: its record, and what this host has found out itself.
  * Requests hold references, so it outlives its entry in the list.
@@ -35,8 +43,9 @@
 	int64_t check_us;	/* when that was last asked */
 	int64_t missed_us;	/* when it did not answer, and nobody else has since; 0: it did */
 	struct crash_check *crash; /* attempts were cut there, and it is asked whether it lives */
-	double failures;	   /* recent ones, fading; see tf_ep_failed() */
-	int64_t failed_us;	   /* when failures was last brought up to date */
+	struct tf_limit limit;
+	double failures;   /* recent ones, fading; see tf_ep_failed() */
+	int64_t failed_us; /* when failures was last brought up to date */
 };
 
 enum {
@@ -125,6 +134,10 @@
 		3000000 /* for which an endpoint that is certainly at fault is passed over */
 };
 
+/* tf_limit.c: the head of an answer to a request that was sent at sent_us. */
+void tf_limit_on_answer(struct tf_ep *ep, const struct seam_answer *answer, int64_t sent_us,
+			const char *request);
+
 /* tf.c */
 struct bud *tf_budget(struct tf *tf, const char *service);
 struct bk *tf_back(struct tf *tf, const char *service);
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -42,6 +42,13 @@
 	int urgency;		  /* 0 (first) to 9; -1: not stated */
 };
 
+/* What the head of an answer says of the requests that its endpoint takes from all hosts. */
+enum seam_limit {
+	SEAM_LIMIT_NONE, /* nothing: there is no limit, or no more */
+	SEAM_LIMIT_RATE,
+	SEAM_LIMIT_UNREADABLE /* there is one, but not how much; what was known of it holds */
+};
+
 /* The head of an endpoint's answer. Texts are valid as long as the header lines. */
 struct seam_answer {
 	struct fwd_head head;
@@ -51,6 +58,9 @@
 	bool has_load;
 	int running;
 	int waiting;
+	enum seam_limit limit;
+	double limit_rate; /* requests a second */
+	int limit_values;  /* that were named; more than one is a fault of the endpoint's */
 };
 
 /* What an engine reports of itself. */
