A test of an endpoint that names a limit; it fails

Four hosts with ten requests a second each, four plain endpoints, one of which names 2.9 a second: it gets 41 in 4 s of hosts that had passed on such an answer half a second before, where 22 are allowed. The stand-in names limits and tells what arrives meanwhile.

--- /dev/null
+++ b/regress/proc/limit.sh
@@ -0,0 +1,10 @@
+# The router before endpoints that name a limit; see regress/soak/cases_limit.py.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+for case in limit_named; do
+	python3 cases_limit.py "$case" || {
+		echo "limit.sh: case $case failed" >&2
+		exit 1
+	}
+done
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -13,6 +13,7 @@
 import subprocess
 import tempfile
 import time
+import urllib.parse
 
 HERE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BIN = os.environ.get("BUILD", os.path.join(HERE, "build"))
@@ -220,8 +221,10 @@
     def wait_for_era(self, era):
         eventually("the store is back", lambda: self.store_era() == era)
 
-    def fault_engine(self, name, kind):
-        call(self.engine_control, "POST", "/fault?endpoint=%s&kind=%s" % (name, kind))
+    def fault_engine(self, name, kind, limit=None):
+        """limit: the text that it names as its limit from now on; None: it names none."""
+        more = "" if limit is None else "&limit=" + urllib.parse.quote(limit)
+        call(self.engine_control, "POST", "/fault?endpoint=%s&kind=%s%s" % (name, kind, more))
 
     def ledger(self):
         return json.loads(call(self.engine_control, "GET", "/ledger")[2])
