--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -44,6 +44,9 @@
 	{"crashes_endpoints",
 	 "It is in quarantine: endpoints ended while they ran a request with its 'content'; see "
 	 "the 'quarantined' line."},
+	{"limited",
+	 "Refused, not run: all endpoints for it have named limits, and nothing was left of them; "
+	 "see the 'limit_refused' line and 'limit_named' lines of that time."},
 	{"stopping", "Refused, not run: the host was about to stop and could not have ended it."},
 };
 
--- a/prog/ctl_state.c
+++ b/prog/ctl_state.c
@@ -17,35 +17,69 @@
 	int width;
 };
 
+/* Whether a row of the list is printed. */
+typedef gboolean (*ctl_shows_fn)(const json_t *row);
+
 struct ctl_table {
 	const char *name;
 	struct ctl_column columns[10]; /* ends with a NULL member */
+	const char *list;	       /* of the answer; NULL: the one of that name */
+	ctl_shows_fn shows;	       /* NULL: all rows are printed */
 };
 
+/* Tables that show some of the endpoints only: rows that say nothing would hide those that do. */
+static gboolean ctl_has_permits(const json_t *row)
+{
+	return json_integer_value(json_object_get(row, "permits")) > 0 ||
+	       json_integer_value(json_object_get(row, "permits_used")) > 0;
+}
+
+static gboolean ctl_is_fault(const json_t *row)
+{
+	return json_integer_value(json_object_get(row, "doubted_ms")) > 0 ||
+	       json_integer_value(json_object_get(row, "suspected_ms")) > 0 ||
+	       json_number_value(json_object_get(row, "pace")) > 1;
+}
+
 static const struct ctl_table ctl_tables[] = {
-	{"hosts", {{"name", 24}, {"addr", 22}, {"capacity", 10}}},
-	{"endpoints",
-	 {{"id", 14},
-	  {"service", 14},
-	  {"addr", 22},
-	  {"zone", 14},
-	  {"state", 10},
-	  {"from", 5},
-	  {"to", 5},
-	  {"in_flight", 10},
-	  {"full", 6}}},
-	{"faults",
-	 {{"id", 14}, {"addr", 22}, {"doubted_ms", 11}, {"suspected_ms", 13}, {"pace", 6}}},
-	{"accounts", {{"name", 24}, {"tokens", 12}}},
-	{"quarantine",
-	 {{"content", 32},
-	  {"account", 16},
-	  {"crashes", 8},
-	  {"points", 7},
-	  {"term", 5},
-	  {"refused_ms", 11},
-	  {"age_ms", 9}}},
-	{"budgets", {{"service", 24}, {"left", 10}, {"requests_per_s", 15}}},
+	{.name = "hosts", .columns = {{"name", 24}, {"addr", 22}, {"capacity", 10}}},
+	{.name = "endpoints",
+	 .columns = {{"id", 14},
+		     {"service", 14},
+		     {"addr", 22},
+		     {"zone", 14},
+		     {"state", 10},
+		     {"from", 5},
+		     {"to", 5},
+		     {"in_flight", 10},
+		     {"full", 6}}},
+	{.name = "faults",
+	 .columns =
+		 {{"id", 14}, {"addr", 22}, {"doubted_ms", 11}, {"suspected_ms", 13}, {"pace", 6}},
+	 .list = "endpoints",
+	 .shows = ctl_is_fault},
+	{.name = "accounts", .columns = {{"name", 24}, {"tokens", 12}}},
+	{.name = "quarantine",
+	 .columns = {{"content", 32},
+		     {"account", 16},
+		     {"crashes", 8},
+		     {"points", 7},
+		     {"term", 5},
+		     {"refused_ms", 11},
+		     {"age_ms", 9}}},
+	{.name = "limits",
+	 .columns = {{"endpoint", 24},
+		     {"named", 6},
+		     {"rate", 9},
+		     {"age_ms", 9},
+		     {"home", 20},
+		     {"asked_by", 9},
+		     {"part", 6}}},
+	{.name = "permits",
+	 .columns = {{"id", 24}, {"addr", 22}, {"permits", 8}, {"permits_used", 13}},
+	 .list = "endpoints",
+	 .shows = ctl_has_permits},
+	{.name = "budgets", .columns = {{"service", 24}, {"left", 10}, {"requests_per_s", 15}}},
 };
 
 static void ctl_print_value(const json_t *value, int width)
@@ -63,15 +97,7 @@
 					      : "-");
 }
 
-/* Columns in which every row says nothing would hide the rows that do. */
-static gboolean ctl_is_fault(const json_t *row)
-{
-	return json_integer_value(json_object_get(row, "doubted_ms")) > 0 ||
-	       json_integer_value(json_object_get(row, "suspected_ms")) > 0 ||
-	       json_number_value(json_object_get(row, "pace")) > 1;
-}
-
-static void ctl_print_table(const struct ctl_table *table, const json_t *rows, gboolean faults)
+static void ctl_print_table(const struct ctl_table *table, const json_t *rows, ctl_shows_fn shows)
 {
 	size_t i;
 	json_t *row;
@@ -81,7 +107,7 @@
 	putchar('\n');
 	json_array_foreach(rows, i, row)
 	{
-		if (faults && !ctl_is_fault(row))
+		if (shows && !shows(row))
 			continue;
 		for (const struct ctl_column *c = table->columns; c->member; c++)
 			ctl_print_value(json_object_get(row, c->member), c->width);
@@ -117,7 +143,6 @@
 int ctl_state(const struct ctl *ctl, const char *what)
 {
 	const struct ctl_table *table = what ? ctl_table_of(what) : NULL;
-	gboolean faults = what && strcmp(what, "faults") == 0;
 	json_t *body;
 	long status;
 
@@ -134,7 +159,8 @@
 	if (ctl->json)
 		json_dumpf(body, stdout, JSON_INDENT(2));
 	else if (table)
-		ctl_print_table(table, json_object_get(body, faults ? "endpoints" : what), faults);
+		ctl_print_table(table, json_object_get(body, table->list ? table->list : what),
+				table->shows);
 	else
 		ctl_print_summary(body);
 	json_decref(body);
--- a/router/rq_answer.c
+++ b/router/rq_answer.c
@@ -101,7 +101,7 @@
 				      &rq->tf->seed);
 	}
 	if (rq->fwd.failure == FWD_LIMITED && not_run)
-		back_us = tf_limit_back_us(rq->tf, rq->service->name,
+		back_us = tf_limit_back_us(rq->tf, rq->service->name, rq->request.id,
 					   bk_heeded_us(rq->fwd.rules.deadline_us - now_us));
 	if (rq->fwd.failure == FWD_CRASHES)
 		back_us = rq_crashes_back_us(rq, now_us);
--- a/router/state.c
+++ b/router/state.c
@@ -120,6 +120,7 @@
 		(json_int_t)state_age_ms(rc, tmr_now()), "hosts", state_hosts(rc));
 	state_put_origins(state->json, rc);
 	json_object_set_new(state->json, "quarantine", state_quarantine(rc));
+	json_object_set_new(state->json, "limits", limits_state(rc->limits));
 	loop_post(&state->router->tf->loop, state_from_traffic, state);
 }
 
@@ -132,14 +133,16 @@
 {
 	const struct ep_rec *rec = ep->rec;
 
-	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I}",
+	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I, "
+			 "s:i, s:I}",
 			 "id", rec->id, "born_ms", (json_int_t)rec->born_ms, "service",
 			 rec->service, "addr", rec->addr, "zone", rec->zone, "kind", rec->kind,
 			 "state", state_names[rec->state], "from", rec->layer_from, "to",
 			 rec->layer_to, "in_flight", ep->in_flight, "pace",
 			 ep->load_us > 0 ? ep->pace : 1.0, "full", ep->full, "doubted_ms",
 			 (json_int_t)state_left_ms(ep->doubt.until_us, now_us), "suspected_ms",
-			 (json_int_t)state_left_ms(ep->suspect_us, now_us));
+			 (json_int_t)state_left_ms(ep->suspect_us, now_us), "permits",
+			 ep->limit.permits, "permits_used", (json_int_t)ep->limit_used);
 }
 
 static json_t *state_endpoints(const struct tf *tf, int64_t now_us)
--- a/router/tf.h
+++ b/router/tf.h
@@ -39,6 +39,7 @@
 	int64_t missed_us;	/* when it did not answer, and nobody else has since; 0: it did */
 	struct crash_check *crash; /* attempts were cut there, and it is asked whether it lives */
 	struct lim_part limit;	   /* that it names, and the permits of this host */
+	int64_t limit_used;	   /* requests sent there with a permit */
 	bool limit_unreadable;	   /* it named something that is no rate, and that was logged */
 	int64_t limit_told_us;	   /* when the control thread was last told */
 	double failures;	   /* recent ones, fading; see tf_ep_failed() */
--- a/router/tf_limit.c
+++ b/router/tf_limit.c
@@ -34,6 +34,18 @@
 	jl_end();
 }
 
+/* Gauges of one endpoint, by its id; it has none before it first names a limit. */
+static void tf_limit_gauges(const struct tf_ep *ep, int64_t now_us)
+{
+	bool binds = lim_part_binds(&ep->limit, now_us);
+	double rate = binds ? lim_rate(&ep->limit.news, now_us) : 0;
+	char *labels = g_strdup_printf("endpoint=\"%s\"", ep->rec->id);
+
+	met_set(met_gauge("bg_limit_per_1000_s", labels), (uint64_t)(rate * 1000));
+	met_set(met_gauge("bg_limit_used", labels), (uint64_t)ep->limit_used);
+	g_free(labels);
+}
+
 /* Each endpoint's first value that is no rate is logged; it may name it in every answer. */
 static void tf_limit_unreadable(struct tf_ep *ep, const struct seam_answer *answer,
 				const char *request)
@@ -140,6 +152,7 @@
 	if (!lim_part_binds(&ep->limit, now_us))
 		return;
 	lim_part_take(&ep->limit, now_us);
+	ep->limit_used++;
 	lim_fair_took(&tf->limit_fair, account, now_us);
 	met_add(met_counter("bg_limit_sent_total", ""), 1);
 	tf_limit_needs(tf, ep);
@@ -175,15 +188,31 @@
 	return waiting < most;
 }
 
-int64_t tf_limit_back_us(struct tf *tf, const char *service, int64_t most_us)
+static void tf_limit_log_refused(const char *service, const char *request, double rate,
+				 int64_t back_us)
+{
+	jl_begin(JL_KEEP, "limit_refused");
+	jl_str("id", request);
+	jl_str("service", service);
+	jl_real("rate_of_host", rate);
+	jl_int("back_ms", back_us / TMR_US_PER_MS);
+	jl_end();
+	met_add(met_counter("bg_limit_refused_total", ""), 1);
+}
+
+int64_t tf_limit_back_us(struct tf *tf, const char *service, const char *request, int64_t most_us)
 {
 	struct lim_turn *turn = g_hash_table_lookup(tf->limit_turns, service);
+	double rate = tf_limit_rate(tf, service);
+	int64_t back_us;
 
 	if (!turn) {
 		turn = g_new0(struct lim_turn, 1);
 		g_hash_table_insert(tf->limit_turns, g_strdup(service), turn);
 	}
-	return lim_turn_wait_us(turn, tf_limit_rate(tf, service), most_us, tmr_boot_now());
+	back_us = lim_turn_wait_us(turn, rate, most_us, tmr_boot_now());
+	tf_limit_log_refused(service, request, rate, back_us);
+	return back_us;
 }
 
 void tf_limit_on_sweep(struct tf *tf)
@@ -197,6 +226,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct tf_ep *ep = value;
 
+		if (ep->limit.news.said_us > 0)
+			tf_limit_gauges(ep, now_us);
 		if (!lim_part_binds(&ep->limit, now_us))
 			continue;
 		named++;
--- a/router/tf_limit.h
+++ b/router/tf_limit.h
@@ -26,8 +26,9 @@
  */
 bool tf_limit_waits(struct tf *tf, const char *service, const char *account);
 
-/* When a caller that is refused for limits should come back, at most so much later. */
-int64_t tf_limit_back_us(struct tf *tf, const char *service, int64_t most_us);
+/* When the caller of a request that is refused for limits should come back, at most so much later.
+ */
+int64_t tf_limit_back_us(struct tf *tf, const char *service, const char *request, int64_t most_us);
 
 /* Tells the control thread what it does not know yet. */
 void tf_limit_on_sweep(struct tf *tf);
