That an engine has ended is told at once, to whoever places layers, too

At 12.2 to 13.0 s connections to them were refused, which proves the end, and `cut_checked` said so on all hosts; but whoever places layers acts only on reports that are missed twice, so the first order came at 14.2 s, and took until the range was loaded. Ruled out: quarantine (it refused the third try of each request; each new one ends engines of its own), the budget, the order of recovery after that.

Change: what a refused connection proves is told to all hosts like a missed report, before it, and is not held back because the same endpoint was suspected of something else within half a second. A line says which endpoint is taken to be dead, and why.

The case of it fails without the change, and passes with it.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -771,6 +771,21 @@
     expect("violations", stack.ledger()["violations"], "")
 
 
+def case_crashing_ended(stack):
+    """Nothing was served for seconds after all engines that begin pipelines had ended: that they had was
+    known at once, but their layers were ordered elsewhere only when reports were missed."""
+    stack.up()
+    repeats = Repeats(stack, "crash-begin ended")
+    repeats.ask("host-0")
+    ended = {c["endpoint"] for c in stack.ledger()["crashes"]}
+    if not ended:
+        raise Failure("no engine has ended")
+    for host in stack.hosts:
+        eventually(host + " knows that it has ended", lambda h=host: any(
+            '"why":"ended"' in line and any('"i-%s-' % e in line for e in ended)
+            for line in stack.log(h).splitlines() if '"endpoint_dead"' in line))
+
+
 def case_crashing_plain(stack):
     """Symptom: the same at a plain service, of which there are two endpoints.
     Sequence: requests that may and that may not run twice end an endpoint each time that they run.
--- a/regress/soak/cases_limit.py
+++ b/regress/soak/cases_limit.py
@@ -6,14 +6,9 @@
 import time
 
 from cases import expect, run
+from limit import STABLE_S, WINDOW_S, Period, most_over
 from stack import Failure, eventually
 
-STABLE_S = 3.0      # after an endpoint first names its limit, until it holds
-WINDOW_S = 4.0      # of which none may have more
-SLACK = 5           # requests in a window, beside
-OVER = 1.5          # times what the limit allows
-TOLD_S = 0.5        # after a host has passed on an answer that names the limit, until it is bound
-
 
 class Callers:
     """So many requests a second at each host, whatever becomes of the ones before, until it is left."""
@@ -21,6 +16,8 @@
     def __init__(self, stack, per_s, path="/many/a"):
         self.stack, self.per_s, self.path = stack, per_s, path
         self.answers = []       # (seconds, host, status, headers)
+        self.hosts = {}         # request -> host
+        self.told_by = {}       # request -> when its answer named a limit
         self.asked = itertools.count()
         self.lock = threading.Lock()
         self.ending = threading.Event()
@@ -28,12 +25,15 @@
 
     def ask(self, host):
         request_id = "%s-%d" % (host, next(self.asked))
+        self.hosts[request_id] = host
         try:
             status, headers, _ = self.stack.ask(host, self.path, request_id)
         except (OSError, http.client.HTTPException):
             status, headers = 0, {}
         with self.lock:
             self.answers.append((time.monotonic(), host, status, headers))
+            if "Server-Limit" in headers:
+                self.told_by[request_id] = time.monotonic()
 
     def go(self, host, per_s):
         asking = []
@@ -82,13 +82,8 @@
 
 def check_limit(stack, callers, endpoint, rate):
     """What the users count: of hosts that had been told half a second before, from 3 s on."""
-    told = callers.told()
-    came = arrivals(stack, endpoint)
-    counted = [at for at, host in came if host in told and at >= told[host] + TOLD_S]
-    first = min(at for at, _ in came)
-    ends = [at for at in counted if at >= first + STABLE_S]
-    most = max((sum(1 for at in counted if end - WINDOW_S < at <= end) for end in ends), default=0)
-    allowed = OVER * rate * WINDOW_S + SLACK
+    most, allowed = most_over(Period(endpoint, rate, 0), stack.ledger()["limited"],
+                              {r: (h, True) for r, h in callers.hosts.items()}, callers.told_by)
     print("most in 4 s: %d of %d allowed" % (most, allowed))
     if most > allowed:
         raise Failure("%d requests in 4 s where %d are allowed" % (most, allowed))
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized fault soak of bgrouterd: real processes, faults from outside, promises checked.
 
-python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--keep]
+python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits] [--keep]
 
 Each seed gives one run: callers send streams and plain requests over connections that they keep, while
 hosts are killed, stopped, paused and started, engines fall silent, slow, empty or leave, the store and
@@ -14,6 +14,8 @@
 - with --crashing, requests that end the endpoints that run them come again and again at all hosts; after
   its third crash, and once hosts had the time to hear of it, each reaches endpoints three times at most
   from hosts that were left alone
+- with --limits, endpoints name how many requests a second they take from all hosts; of hosts that were left
+  alone and have handed such an answer on they get no more in 4 s than the users allow
 """
 import argparse
 import collections
@@ -24,6 +26,7 @@
 import threading
 import time
 
+from limit import Period, most_over
 from proxy import MODES, Proxy
 from stack import HOST_NAME, Failure, Stack, check_stream, eventually
 
@@ -34,6 +37,7 @@
 CRASH_REPEATS_MAX = 3   # what the users allow after the third crash, from hosts that were left alone
 HEARD_S = 3.0           # in which those hosts must have heard of it
 FAULT_GAP_S = 0.5
+LIMITS = ("0", "0.3", "1", "3", "8")
 
 
 class Caller(threading.Thread):
@@ -73,11 +77,14 @@
             self.conn = http.client.HTTPConnection(
                 "127.0.0.1", self.soak.stack.port(self.host, "front"), timeout=10)
         last = self.random.randint(1, 30)
+        self.soak.note_sent(request_id, self.host)
         headers = {"Host": HOST_NAME, "Bronzegauge-Request-Id": request_id,
                    "Bronzegauge-Key": "key-farm", "Bronzegauge-Deadline-Ms": "6000",
                    "Bronzegauge-Token-Counts": "50,%d" % last}
         self.conn.request("POST", "/%s/x" % kind, body=b"{}", headers=headers)
         answer = self.conn.getresponse()
+        if answer.getheader("Server-Limit") is not None:
+            self.soak.told[request_id] = time.monotonic()
         body = answer.read()
         self.check(kind, request_id, last, answer, body)
         if answer.getheader("Connection", "").lower() == "close":
@@ -141,7 +148,7 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, hosts, crashing=False, copies=False):
+    def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -155,6 +162,10 @@
         self.dead = {}                                    # host -> when it is started again
         self.faulty = {}                                  # engine -> when it is mended
         self.store_until = 0.0
+        self.limits = limits
+        self.periods = []                                 # in which an endpoint named a limit
+        self.sent = {}                                    # request -> (host, it was left alone)
+        self.told = {}                                    # request -> when its answer named a limit
         self.copies = copies
         self.away_until = 0.0                             # of a store that comes back from a copy
         self.links = {}
@@ -216,6 +227,19 @@
         self.stack.fault_engine(name, kind)
         self.faulty[name] = time.monotonic() + self.random.uniform(0.5, 4.0)
 
+    def fault_limit(self):
+        name = self.random.choice(self.stack.points)[0]
+        if name in self.faulty:
+            return
+        limit = self.random.choice(LIMITS)
+        seconds = self.random.uniform(4.0, 9.0)
+        self.stack.fault_engine(name, "ok", limit=limit)
+        self.faulty[name] = time.monotonic() + seconds
+        self.periods.append(Period(name, float(limit), time.monotonic()))
+
+    def note_sent(self, request_id, host):
+        self.sent[request_id] = (host, self.calm[host] < time.monotonic())
+
     def fault_store(self):
         seconds = self.random.uniform(0.3, 3.0)
         self.stack.fault_store(self.random.choice(("busy", "many", "silent")))
@@ -303,6 +327,8 @@
             for name in [n for n, until in self.faulty.items() if now >= until]:
                 self.stack.fault_engine(name, "ok")
                 del self.faulty[name]
+                for period in self.periods:
+                    period.end(name, now)
         if self.store_until and now >= self.store_until and "store" not in self.paused:
             self.stack.fault_store("ok")
             self.store_until = 0.0
@@ -314,9 +340,10 @@
         weights = {"kill": 3, "pause": 3, "engine": 6, "store": 1, "link": 3, "way": 4,
                    "config": 4}
         weights["copy"] = 3 * self.copies
+        weights["limit"] = 6 * self.limits
         away = time.monotonic() < self.away_until
         names = [n for n in weights
-                 if not ("engine" in self.paused and n == "engine") and
+                 if not ("engine" in self.paused and n in ("engine", "limit")) and
                  not ("store" in self.paused and n in ("store", "config")) and
                  not (self.store_until and n == "store") and
                  not ((away or "store" in self.paused) and n in ("store", "config", "copy"))]
@@ -365,6 +392,12 @@
         ledger = self.stack.ledger()
         if self.crasher:
             self.crasher.check(ledger)
+        for period in self.periods:
+            got, allowed = most_over(period, ledger["limited"], self.sent, self.told)
+            self.count["windows with a limit"] += got > 0
+            if got > allowed:
+                self.broken("%s got %d in 4 s at %s a second, allowed %d" % (
+                    period.endpoint, got, period.rate, allowed))
         if ledger["violations"]:
             self.broken(ledger["violations"])
         for request_id, runs in ledger["runs"].items():
@@ -384,12 +417,13 @@
                         help="also requests that end the endpoints that run them")
     parser.add_argument("--copies", action="store_true",
                         help="the store also comes back from copies some seconds old")
+    parser.add_argument("--limits", action="store_true", help="endpoints also name limits")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies)
+        soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits)
         try:
             soak.play()
         except Failure as failure:
--- a/router/crash.c
+++ b/router/crash.c
@@ -2,6 +2,7 @@
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/met.h"
+#include "router/rc.h"
 #include "router/tf.h"
 #include "router/tf_quar.h"
 
@@ -18,6 +19,8 @@
 	 */
 	CRASH_PROOFS = 10,
 	CRASH_PROOF_MS = 300,
+	/* For which one that has ended is passed over; missed reports tell of it from then on. */
+	CRASH_ENDED_MS = 3000,
 	HTTP_OK = 200
 };
 
@@ -266,6 +269,18 @@
 	return finding == CRASH_UNCLEAR && check->tries < CRASH_TRIES;
 }
 
+/*
+ * The placer hears it from here a second or two before reports are missed. When the last endpoints
+ * of a range end together, nothing is served until others have loaded it.
+ */
+static void crash_tell_ended(struct crash_check *check)
+{
+	const char *endpoint = check->ep->rec->incarnation;
+
+	tf_suspect(check->tf, check->ep, tmr_ms(CRASH_ENDED_MS), SUSPECT_ENDED, NULL);
+	suspect_post(check->tf->router->rc, endpoint, CRASH_ENDED_MS, SUSPECT_ENDED);
+}
+
 static void crash_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -280,6 +295,8 @@
 	crash_log(check, finding, err);
 	if (check->counted && finding == CRASH_ENDED)
 		crash_prove(check);
+	if (finding == CRASH_ENDED)
+		crash_tell_ended(check);
 	if (!check->counted && crash_is_end(finding)) {
 		crash_count_cuts(check, finding);
 		if (finding == CRASH_VANISHED && crash_count(check, CRASH_SENT) > 0) {
--- a/router/rc.h
+++ b/router/rc.h
@@ -201,6 +201,9 @@
  */
 #define SUSPECT_NO_ANSWER "no_answer"
 
+/* Why one is at fault whose process has ended: connections to it are refused. */
+#define SUSPECT_ENDED "ended"
+
 /* Why one is at fault whose report is of a later incarnation than its entry. */
 #define SUSPECT_RESTARTED "restarted"
 
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -1,4 +1,5 @@
 #include "base/err.h"
+#include "base/jl.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
 #include "router/rc.h"
@@ -66,12 +67,25 @@
 	*value = time_us;
 }
 
-/* The same news may come by two ways; each is passed on once in a while. */
-static bool suspect_is_news(struct rc *rc, const char *endpoint, int64_t now_us)
+/* Whether the endpoint is certainly gone, so that its layers are needed elsewhere. */
+static bool suspect_tells_dead(const struct suspect *suspect)
 {
+	return strcmp(suspect->why, SUSPECT_NO_REPORT) == 0 ||
+	       strcmp(suspect->why, SUSPECT_RESTARTED) == 0 ||
+	       strcmp(suspect->why, SUSPECT_ENDED) == 0;
+}
+
+/*
+ * The same news may come by two ways; each is passed on once in a while. That an endpoint is dead
+ * does not wait behind what was only suspected of it.
+ */
+static bool suspect_is_news(struct rc *rc, const struct suspect *suspect, int64_t now_us)
+{
+	const char *endpoint = suspect->endpoint;
 	const int64_t *last = g_hash_table_lookup(rc->seen, endpoint);
+	bool known = !suspect_tells_dead(suspect) || suspect_is_dead(rc, endpoint, now_us);
 
-	if (last && now_us - *last < tmr_ms(SUSPECT_NEWS_MS))
+	if (known && last && now_us - *last < tmr_ms(SUSPECT_NEWS_MS))
 		return false;
 	suspect_set_time(rc->seen, endpoint, now_us);
 	return true;
@@ -84,14 +98,26 @@
 	return until && now_us < *until;
 }
 
+/* The placer takes its layers to be held by nobody from now on. */
+static void suspect_log_dead(const struct suspect *suspect)
+{
+	jl_begin(JL_KEEP, "endpoint_dead");
+	jl_str("endpoint", suspect->endpoint);
+	jl_str("why", suspect->why);
+	jl_int("for_ms", suspect->for_ms);
+	jl_int("hops", suspect->hops);
+	jl_end();
+}
+
 void suspect_on_news(struct rc *rc, const struct suspect *suspect, const void *source)
 {
 	struct suspect passed = *suspect;
 
-	if (!suspect_is_news(rc, suspect->endpoint, tmr_now()))
+	if (!suspect_is_news(rc, suspect, tmr_now()))
 		return;
-	if (strcmp(suspect->why, SUSPECT_NO_REPORT) == 0 ||
-	    strcmp(suspect->why, SUSPECT_RESTARTED) == 0) {
+	if (suspect_tells_dead(suspect)) {
+		if (!suspect_is_dead(rc, suspect->endpoint, tmr_now()))
+			suspect_log_dead(suspect);
 		suspect_set_time(rc->dead, suspect->endpoint, tmr_now() + tmr_ms(suspect->for_ms));
 		placer_on_change(rc->placer);
 	}
