--- a/router/tf_limit.c
+++ b/router/tf_limit.c
@@ -122,10 +122,19 @@
 		tf_limit_tell(tf, ep);
 }
 
+/* Most endpoints never name a limit, and are asked about at every choice. */
+static bool tf_limit_never_named(const struct tf_ep *ep)
+{
+	return ep->limit.news.said_us == 0;
+}
+
 bool tf_limit_is_open(struct tf *tf, struct tf_ep *ep, const char *account)
 {
-	int64_t now_us = tmr_boot_now();
+	int64_t now_us;
 
+	if (tf_limit_never_named(ep))
+		return true;
+	now_us = tmr_boot_now();
 	if (!lim_part_is_open(&ep->limit, now_us))
 		return false;
 	return !lim_part_binds(&ep->limit, now_us) ||
@@ -149,7 +158,7 @@
 {
 	int64_t now_us = tmr_boot_now();
 
-	if (!lim_part_binds(&ep->limit, now_us))
+	if (tf_limit_never_named(ep) || !lim_part_binds(&ep->limit, now_us))
 		return;
 	lim_part_take(&ep->limit, now_us);
 	ep->limit_used++;
@@ -226,8 +235,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct tf_ep *ep = value;
 
-		if (ep->limit.news.said_us > 0)
-			tf_limit_gauges(ep, now_us);
+		if (tf_limit_never_named(ep))
+			continue;
+		tf_limit_gauges(ep, now_us);
 		if (!lim_part_binds(&ep->limit, now_us))
 			continue;
 		named++;
