Engines that take few requests for long count as no holders of the first layer

Where the engines of the first layers have all but one named limits, requests are refused though each layer has its holders. A limit is about requests that begin at an engine, so only the first layer is concerned. From 10 s on such an engine is no holder of it; the plan then moves one engine there, once. Nothing is moved back: what holds layers keeps them. The test fails without the change (no move where one is due).

A home that does not know the hosts yet divides nothing (it took those that ask it for all), and an ask that was due when the last limit went is no longer waited for when the next one comes.

--- a/lim/lim_sim_test.cc
+++ b/lim/lim_sim_test.cc
@@ -84,7 +84,7 @@
 
 		lim_home_init(&home_, 0);
 		lim_home_set(&home_, &news, 0);
-		lim_members_init(&members_, 0);
+		lim_members_init(&members_);
 		hosts_.resize((size_t)scene.hosts);
 		GPtrArray *names = g_ptr_array_new();
 		for (int i = 0; i < scene.hosts; i++) {
--- a/lim/lim_test.cc
+++ b/lim/lim_test.cc
@@ -210,7 +210,7 @@
 		for (int i = 0; i < n; i++)
 			names_.push_back("host-" + std::to_string(i));
 		for (auto &members : members_) {
-			lim_members_init(&members, now);
+			lim_members_init(&members);
 			List(&members, now);
 		}
 	}
@@ -288,6 +288,16 @@
 	EXPECT_DOUBLE_EQ(homes.Part(0, 20 * SECOND), 1);
 }
 
+TEST(LimMembersTest, AHomeThatKnowsNoHostsDividesNothing)
+{
+	lim_members members;
+
+	lim_members_init(&members);
+	lim_members_heard(&members, "host-0", SECOND);
+	EXPECT_EQ(lim_members_part(&members, SECOND), 0);
+	lim_members_finish(&members);
+}
+
 TEST(LimMembersTest, AHostThatChangesItsHomeCountsOnce)
 {
 	Homes homes(4, 2, SECOND);
--- a/lim/members.c
+++ b/lim/members.c
@@ -7,10 +7,10 @@
 	int64_t since_us; /* when it was listed, or this home began */
 };
 
-void lim_members_init(struct lim_members *members, int64_t now_us)
+void lim_members_init(struct lim_members *members)
 {
 	members->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	members->started_us = now_us;
+	members->listed = false;
 }
 
 void lim_members_finish(struct lim_members *members)
@@ -35,6 +35,8 @@
 	gpointer name;
 	gpointer value;
 
+	members->listed = true;
+
 	for (guint i = 0; i < names->len; i++) {
 		g_hash_table_add(listed, names->pdata[i]);
 		if (!g_hash_table_contains(members->hosts, names->pdata[i]))
@@ -91,7 +93,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (all == 0)
+	/* A home that has just started would take those that ask it for all hosts. */
+	if (!members->listed || all == 0)
 		return 0;
 	if (present * 2 <= all)
 		return (double)present / all;
--- a/lim/members.h
+++ b/lim/members.h
@@ -27,11 +27,11 @@
 };
 
 struct lim_members {
-	GHashTable *hosts;  /* name -> struct lim_member, those that are listed */
-	int64_t started_us; /* since when this host divides limits */
+	GHashTable *hosts; /* name -> struct lim_member, those that are listed */
+	bool listed;	   /* the hosts are known */
 };
 
-void lim_members_init(struct lim_members *members, int64_t now_us);
+void lim_members_init(struct lim_members *members);
 void lim_members_finish(struct lim_members *members);
 
 /* The hosts of the system; names: char *. */
--- a/place/place.h
+++ b/place/place.h
@@ -24,7 +24,8 @@
 	double pace;
 	int from; /* layers held now, from..to-1; equal: none */
 	int to;
-	bool usable; /* ready, and not busy with an order */
+	bool usable;  /* ready, and not busy with an order */
+	bool limited; /* it has taken few requests for a while; later stages are not limited */
 };
 
 /* One order of the plan. */
--- a/place/place_test.cc
+++ b/place/place_test.cc
@@ -180,6 +180,40 @@
 	EXPECT_GT(moves[0].to, 32);
 }
 
+/* Requests begin at the first layer; where only endpoints hold it that take few, nothing is served.
+ */
+TEST(PlaceTest, TheFirstLayersGetHoldersBesideThoseThatTakeFewRequests)
+{
+	Fleet fleet;
+	std::vector<size_t> first;
+	fleet.Add(4, LARGE, "a");
+	fleet.Add(11, MIDDLE, "b");
+	fleet.Add(18, SMALL, "c");
+	fleet.Apply(fleet.Plan());
+	for (size_t i = 0; i < fleet.nodes.size(); i++) {
+		if (fleet.nodes[i].from == 0)
+			first.push_back(i);
+	}
+	ASSERT_GE(first.size(), 3u);
+	/* One of them is a matter of choice, not of layers. */
+	fleet.nodes[first[0]].limited = true;
+	EXPECT_TRUE(fleet.Plan().empty());
+	/* With one left, another one is moved there. */
+	for (size_t i = 0; i + 1 < first.size(); i++)
+		fleet.nodes[first[i]].limited = true;
+	auto moves = fleet.Plan();
+	ASSERT_EQ(moves.size(), 1u);
+	EXPECT_EQ(moves[0].from, 0);
+	fleet.Apply(moves);
+	EXPECT_TRUE(fleet.Plan().empty());
+	/* Limits that come and go move nothing more. */
+	for (int i = 0; i < 10; i++) {
+		for (size_t node : first)
+			fleet.nodes[node].limited = i % 2 == 0 && node != first.back();
+		EXPECT_TRUE(fleet.Plan().empty()) << i;
+	}
+}
+
 TEST(PlaceTest, TheSameViewGivesTheSamePlanInAnyOrder)
 {
 	Fleet f = Today();
--- a/place/worth.c
+++ b/place/worth.c
@@ -69,12 +69,23 @@
 	return &board->zone_speeds[board->zone_of[node] * board->layer_count + layer];
 }
 
+/*
+ * Requests begin at the first layer. An endpoint that takes few of them holds it in vain, and where
+ * all others are like it nothing is served, though each layer has its holders.
+ */
+static bool pw_is_in_vain(const struct pw_board *board, int node, int layer)
+{
+	return layer == 0 && board->nodes[node].limited;
+}
+
 static void pw_change(struct pw_board *board, int node, int from, int to, int sign)
 {
 	double speed = pw_speed(board, node, to - from) * sign;
 	double room = pl_token_room(board->engine, board->nodes[node].memory_mb, to - from) * sign;
 
 	for (int i = MAX(from, 0); i < MIN(to, board->layer_count); i++) {
+		if (pw_is_in_vain(board, node, i))
+			continue;
 		board->layers[i].holders += sign;
 		board->layers[i].speed += speed;
 		board->layers[i].room += room;
--- a/router/limit_ask.c
+++ b/router/limit_ask.c
@@ -77,6 +77,7 @@
 	ask->conn = NULL;
 	ask->asked_us = 0;
 	ask->heard_us = 0;
+	ask->soon = false;
 	g_clear_pointer(&ask->home, g_free);
 }
 
--- a/router/limit_home.c
+++ b/router/limit_home.c
@@ -54,7 +54,7 @@
 	home->limits = limits;
 	home->divided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, limit_divided_free);
 	home->askers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	lim_members_init(&home->members, tmr_boot_now());
+	lim_members_init(&home->members);
 	return home;
 }
 
@@ -252,7 +252,8 @@
 	if (now_us < home->look_us)
 		return;
 	home->look_us = now_us + tmr_ms(LIMIT_HOME_LOOK_MS);
-	limit_home_list(home, now_us);
+	if (home->rc->hosts_heard)
+		limit_home_list(home, now_us);
 	g_hash_table_iter_init(&iter, home->divided);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct limit_divided *divided = value;
--- a/router/limits.c
+++ b/router/limits.c
@@ -9,6 +9,8 @@
 
 enum {
 	LIMITS_PRUNE_MS = 10000,
+	/* After which a limit is taken to last: to load layers elsewhere takes some seconds. */
+	LIMITS_LAST_MS = 10000,
 	/* After which what is known of an endpoint that is not listed is forgotten. */
 	LIMITS_KEEP_MS = 60000
 };
@@ -19,6 +21,7 @@
 	int wanted;	      /* not yet told to the home */
 	int returned;
 	int64_t touched_us;
+	int64_t since_us; /* when the limit was first named; 0: none is */
 };
 
 struct limits {
@@ -117,6 +120,10 @@
 	known = limits_of(limits, note->endpoint);
 	if (!lim_part_hear(&known->part, &note->news))
 		return;
+	if (!note->news.named)
+		known->since_us = 0;
+	else if (known->since_us == 0)
+		known->since_us = tmr_boot_now();
 	if (source)
 		tf_limit_post(limits->rc->router->tf, note);
 	limits_pass_on(limits, note, source);
@@ -280,6 +287,14 @@
 	limits_prune(limits, now_us);
 }
 
+bool limits_last(const struct limits *limits, const char *endpoint)
+{
+	const struct limit_known *known = g_hash_table_lookup(limits->known, endpoint);
+
+	return known && known->since_us > 0 &&
+	       tmr_boot_now() - known->since_us > tmr_ms(LIMITS_LAST_MS);
+}
+
 struct limit_home *limits_home(const struct limits *limits)
 {
 	return limits->home;
--- a/router/limits.h
+++ b/router/limits.h
@@ -51,6 +51,9 @@
 /* Tells a host that has just connected all that is known. */
 void limits_send_all(struct limits *limits, struct frm_conn *conn);
 
+/* Whether the endpoint has named a limit for long, so that its layers are of less use. */
+bool limits_last(const struct limits *limits, const char *endpoint);
+
 /* The part of this host as the home. */
 struct limit_home *limits_home(const struct limits *limits);
 
--- a/router/placer.c
+++ b/router/placer.c
@@ -181,6 +181,7 @@
 	node->from = order ? order->from : rec->layer_from;
 	node->to = order ? order->to : rec->layer_to;
 	node->usable = kind && !order && rec->state == EP_READY;
+	node->limited = limits_last(placer->rc->limits, rec->incarnation);
 	if (suspect_is_dead(placer->rc, rec->incarnation, now_us)) {
 		node->to = node->from;
 		node->usable = false;
