--- a/router/feed.c
+++ b/router/feed.c
@@ -336,23 +336,3 @@
 			fn(ctx, follower->conn);
 	}
 }
-
-void feed_send_suspect(struct feed *feed, const struct suspect *suspect, const void *source)
-{
-	for (guint i = 0; i < feed->followers->len; i++) {
-		const struct feed_follower *follower = feed->followers->pdata[i];
-
-		if (follower->asked && follower->conn != source)
-			suspect_send(follower->conn, suspect);
-	}
-}
-
-void feed_send_quarantine(struct feed *feed, const GPtrArray *entries, const void *source)
-{
-	for (guint i = 0; i < feed->followers->len; i++) {
-		const struct feed_follower *follower = feed->followers->pdata[i];
-
-		if (follower->asked && follower->conn != source)
-			quar_msg_send(follower->conn, entries, tmr_now());
-	}
-}
--- a/router/follow.c
+++ b/router/follow.c
@@ -391,15 +391,3 @@
 {
 	host_on_evidence(&follow->table, host, evidence, tmr_now());
 }
-
-void follow_send_suspect(struct follow *follow, const struct suspect *suspect, const void *source)
-{
-	if (follow->conn && follow->conn != source)
-		suspect_send(follow->conn, suspect);
-}
-
-void follow_send_quarantine(struct follow *follow, const GPtrArray *entries, const void *source)
-{
-	if (follow->conn && follow->conn != source)
-		quar_msg_send(follow->conn, entries, tmr_now());
-}
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -88,6 +88,11 @@
 	return news;
 }
 
+static void quarantine_send_to(void *ctx, struct frm_conn *conn)
+{
+	quar_msg_send(conn, ctx, tmr_now());
+}
+
 static void quarantine_pass_on(struct quarantine *quarantine, const GPtrArray *news,
 			       const void *source)
 {
@@ -95,8 +100,8 @@
 
 	if (news->len == 0)
 		return;
-	feed_send_quarantine(rc->feed, news, source);
-	follow_send_quarantine(rc->follow, news, source);
+	feed_each(rc->feed, source, quarantine_send_to, (void *)news);
+	follow_each(rc->follow, source, quarantine_send_to, (void *)news);
 }
 
 void quarantine_on_news(struct quarantine *quarantine, const GPtrArray *entries, const void *source)
--- a/router/rc.h
+++ b/router/rc.h
@@ -279,12 +279,7 @@
 /* Sends every follower what it does not have yet. */
 void feed_flush(struct feed *feed);
 
-/* To all followers but the connection it came from. */
-void feed_send_suspect(struct feed *feed, const struct suspect *suspect, const void *source);
-
-void feed_send_quarantine(struct feed *feed, const GPtrArray *entries, const void *source);
-
-/* Calls fn for each connection of a feed but source. */
+/* Calls fn for the connection of each follower but source, from which the news came. */
 typedef void (*feed_conn_fn)(void *ctx, struct frm_conn *conn);
 void feed_each(struct feed *feed, const void *source, feed_conn_fn fn, void *ctx);
 
@@ -299,8 +294,8 @@
 
 /* The host that feeds this one, or NULL. */
 const char *follow_feeder(const struct follow *follow);
-void follow_send_suspect(struct follow *follow, const struct suspect *suspect, const void *source);
-void follow_send_quarantine(struct follow *follow, const GPtrArray *entries, const void *source);
+
+/* The same for the connection to the feeder. */
 void follow_each(struct follow *follow, const void *source, feed_conn_fn fn, void *ctx);
 
 /* The host that all choose for the key, as far as they have found the same hosts silent. */
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -15,7 +15,6 @@
 	RQ_QUIET_US = 40000,  /* longer than most pauses; enough to look after a hint */
 	STATUS_ACCEPTED = 202,
 	STATUS_CONFLICT = 409,
-	RQ_SUSPECT_US = 3000000, /* that an endpoint which is certainly at fault is passed over */
 	STATUS_OK = 200
 };
 
@@ -107,7 +106,7 @@
 	if (ep) {
 		rq_avoid(rq, ep);
 		rq_cut(rq, ep);
-		tf_suspect(rq->tf, ep, RQ_SUSPECT_US, "stalled", rq->request.id);
+		tf_suspect(rq->tf, ep, TF_SUSPECT_US, "stalled", rq->request.id);
 	}
 	rq_recover(rq);
 }
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -98,6 +98,11 @@
 	return until && now_us < *until;
 }
 
+static void suspect_send_to(void *ctx, struct frm_conn *conn)
+{
+	suspect_send(conn, ctx);
+}
+
 /* The placer takes its layers to be held by nobody from now on. */
 static void suspect_log_dead(const struct suspect *suspect)
 {
@@ -125,8 +130,8 @@
 		tf_post_suspect(rc->router->tf, suspect->endpoint, suspect->for_ms, suspect->why);
 	if (++passed.hops > SUSPECT_HOPS_MAX)
 		return;
-	feed_send_suspect(rc->feed, &passed, source);
-	follow_send_suspect(rc->follow, &passed, source);
+	feed_each(rc->feed, source, suspect_send_to, &passed);
+	follow_each(rc->follow, source, suspect_send_to, &passed);
 }
 
 /* The message by which hosts tell each other of endpoints at fault; feeds carry it both ways. */
