--- a/router/rq.c
+++ b/router/rq.c
@@ -3,7 +3,6 @@
 #include "base/met.h"
 #include "router/rq_int.h"
 #include "router/tf_limit.h"
-#include "router/tf_quar.h"
 
 #include <ck_pr.h>
 #include <stdio.h>
@@ -13,8 +12,7 @@
 	RQ_CONNECT_MS = 300,  /* a connection to a live endpoint takes a few ms */
 	RQ_GAP_LEAST_MS = 70, /* silence that is no sign of anything: a batch that reads a prompt */
 	RQ_GAP_SHARE = 4,     /* weight of the newest gap in the mean, as one part of so many */
-	RQ_GAP_X = 3,	      /* gaps of that mean after which a stream is silent */
-	STATUS_UNAVAILABLE = 503
+	RQ_GAP_X = 3	      /* gaps of that mean after which a stream is silent */
 };
 
 static int rq_send(void *ctx, int attempt, const char *resume_after);
@@ -94,51 +92,11 @@
 	g_free(rq);
 }
 
-static const char *rq_account(const struct rq *rq)
+const char *rq_account(const struct rq *rq)
 {
 	return rq->account ? rq->account->name : "";
 }
 
-static struct quar_id rq_quar_id(const struct rq *rq)
-{
-	return (struct quar_id){rq->key, rq_account(rq)};
-}
-
-static bool rq_has_content(const struct rq *rq, const struct quar_key *key, const char *account)
-{
-	return quar_key_eq(&rq->key, key) && strcmp(rq_account(rq), account) == 0;
-}
-
-int64_t rq_quarantine_us(const struct rq *rq, int64_t now_us)
-{
-	const struct quar_id id = rq_quar_id(rq);
-
-	return quar_left_us(&rq->tf->quar, &id, now_us);
-}
-
-int64_t rq_crashes_back_us(const struct rq *rq, int64_t now_us)
-{
-	const struct quar_id id = rq_quar_id(rq);
-	int64_t left_us = rq_quarantine_us(rq, now_us);
-
-	return left_us > 0 ? left_us : quar_next_term_us(&rq->tf->quar, &id);
-}
-
-/*
- * A request that has ended three endpoints is refused before it reaches another: it can't be
- * served, and each endpoint that ends takes up to 192 others with it and is empty for some seconds.
- */
-static bool rq_is_quarantined(struct rq *rq)
-{
-	int64_t left_us = rq_quarantine_us(rq, tmr_now());
-
-	if (left_us == 0)
-		return false;
-	met_add(met_counter("bg_quarantine_refused_total", ""), 1);
-	rq_deny(rq, STATUS_UNAVAILABLE, fwd_cause_name(FWD_CRASHES), left_us);
-	return true;
-}
-
 void rq_start(struct tf *tf, struct hd_call *call, int64_t came_us)
 {
 	struct rq *rq = g_new0(struct rq, 1);
@@ -201,12 +159,6 @@
 	jl_end();
 }
 
-/* How long the attempt under way has gone on, as far as parts of its answer show. */
-static int64_t rq_lasted(const struct rq *rq)
-{
-	return rq->moved ? MAX(rq->part_us - rq->head_us, 0) : 0;
-}
-
 static int rq_pick(struct rq *rq, enum pa_trust trust, struct tf_target *target)
 {
 	const struct tf_ask ask = {
@@ -280,22 +232,6 @@
 	return 0;
 }
 
-bool rq_crashes_too_often(const struct rq *rq)
-{
-	const struct quar_id id = rq_quar_id(rq);
-	int weight = 0;
-
-	if (rq_quarantine_us(rq, tmr_now()) > 0)
-		return true;
-	for (int i = 0; i < rq->target.count; i++) {
-		const struct tf_ep *ep = rq->target.stages[i].ep;
-
-		if (ep == rq->cut_at && ep->crash)
-			weight = tf_quar_weight(rq->cut_progress);
-	}
-	return quar_points_after(&rq->tf->quar, &id, weight) >= QUAR_LIMIT;
-}
-
 /*
  * Nothing is taken from the budget where only endpoints are left that do not answer: they would
  * reject the request once more, and the budget is for those that can be served.
@@ -344,47 +280,6 @@
 	rq_avoid_clear(rq);
 }
 
-/* The same with the earlier attempts that it continues. */
-static int64_t rq_lasted_all(const struct rq *rq)
-{
-	return rq->lasted_before_us + rq_lasted(rq);
-}
-
-int64_t rq_lasted_us(const struct rq *rq, const struct quar_id *id)
-{
-	return rq_has_content(rq, &id->key, id->account) ? rq_lasted_all(rq) : 0;
-}
-
-/*
- * Plain services tell nothing before their answer; what they have taken they begin at once. An
- * engine may end before it has said anything of what it was just sent, and that may be the cause.
- */
-static enum crash_progress rq_progress(const struct rq *rq)
-{
-	if (rq_lasted(rq) >= QUAR_BEGIN_US)
-		return CRASH_RUNNING;
-	if (rq->headed || !rq->target.layered)
-		return CRASH_BEGUN;
-	return tmr_now() - rq->part_us < QUAR_BEGIN_US ? CRASH_SENT : CRASH_WAITING;
-}
-
-void rq_cut(struct rq *rq, struct tf_ep *ep)
-{
-	const struct crash_cut cut = {
-		.key = rq->key,
-		.account = (char *)rq_account(rq),
-		.id = rq->request.id,
-		.progress = rq_progress(rq),
-		.lasted_us = rq_lasted_all(rq),
-	};
-
-	if (rq->cut_at == ep)
-		return;
-	rq->cut_at = ep;
-	rq->cut_progress = cut.progress;
-	crash_on_cut(rq->tf, ep, &cut);
-}
-
 /* What the end of an attempt tells about its endpoints. */
 static void rq_learn(struct rq *rq, int err, bool sent)
 {
@@ -453,14 +348,6 @@
 	rq->fwd.rules.gap_us = CLAMP(limit_us, tmr_ms(RQ_GAP_LEAST_MS), most_us);
 }
 
-static void rq_note_part(struct rq *rq)
-{
-	const struct quar_id id = rq_quar_id(rq);
-
-	rq->moved = true;
-	tf_quar_on_part(rq->tf, &id, rq_lasted_all(rq));
-}
-
 static void rq_on_data(void *ctx, const char *data, size_t len)
 {
 	struct rq *rq = ctx;
@@ -534,22 +421,6 @@
 	g_free(labels);
 }
 
-static void rq_note_innocent(const struct rq *rq)
-{
-	const struct quar_id id = rq_quar_id(rq);
-
-	tf_quar_served(rq->tf, &id);
-}
-
-void rq_on_quarantine(struct rq *rq, const struct quar_entry *entry)
-{
-	if (!rq_has_content(rq, &entry->key, entry->account))
-		return;
-	/* One that goes on is no cause so far, and shows that if it ends well. */
-	if (rq->fwd.state != FWD_ENDED && rq_lasted(rq) < QUAR_BEGIN_US)
-		fwd_on_quarantine(&rq->fwd);
-}
-
 static void rq_on_free(void *ctx, int64_t now_us)
 {
 	(void)now_us;
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -5,8 +5,9 @@
 
 /*
  * One request on this host: rq_admit.c lets it in, rq.c is its way to endpoints and back,
- * rq_answer.c what its caller gets, rq_repair.c what is done when a stage of its pipeline fails or
- * slows down. What may be sent again is decided in fwd/fwd.c.
+ * rq_answer.c what its caller gets, rq_crash.c what it has to do with endpoints that end,
+ * rq_repair.c what is done when a stage of its pipeline fails or slows down. What may be sent again
+ * is decided in fwd/fwd.c.
  */
 enum {
 	/*
@@ -96,10 +97,16 @@
 /* rq_repair.c: the attempt is silent; as fwd_ops.on_silent. */
 bool rq_on_silent(void *ctx);
 
-/* rq.c: the attempt under way was cut at that endpoint, which may have ended. */
+/* Its client account; "": none. */
+const char *rq_account(const struct rq *rq);
+
+/* rq_crash.c: the attempt under way was cut at that endpoint, which may have ended. */
 void rq_cut(struct rq *rq, struct tf_ep *ep);
 
-/* For how long the request is refused since endpoints ended while they ran it; 0: it is not. */
+/* Whether it is refused since endpoints ended while they ran it; it is denied then. */
+bool rq_is_quarantined(struct rq *rq);
+
+/* For how long it is refused for that; 0: it is not. */
 int64_t rq_quarantine_us(const struct rq *rq, int64_t now_us);
 
 /*
@@ -111,6 +118,13 @@
 /* When its caller may come back: after the term that holds, or that is about to begin. */
 int64_t rq_crashes_back_us(const struct rq *rq, int64_t now_us);
 
+/* How long the attempt under way has gone on, as far as parts of its answer show. */
+int64_t rq_lasted(const struct rq *rq);
+
+/* A part of its answer came; it was answered whole: both speak for it. */
+void rq_note_part(struct rq *rq);
+void rq_note_innocent(const struct rq *rq);
+
 /* Ends an order that is under way. */
 void rq_drop_order(struct rq *rq);
 
