A case waits for the refusal that it is about, not only for service

The log tells why: the third engine ended at 3967.7 s, the request was in quarantine at 3967.947 s, and the case had looked for that just before. It then waited for a stream, which could not be served: the three engines that begin pipelines had all ended, and none registers while the store is away. So the case was wrong, not the router. It now waits until the request is refused or a stream is served, and still fails if it is not refused within six tries.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -624,12 +624,14 @@
 
 
 def learn(stack, repeats, host="host-0"):
-    """Asks at one host until the request is in quarantine there."""
+    """Asks at one host until the request is in quarantine there. That an endpoint has ended is found some ms
+    after the answer; and where all that begin pipelines have, no stream is served while the store is away."""
     for _ in range(6):
         repeats.ask(host)
-        if any(e["refused_ms"] > 0 for e in stack.state(host)["quarantine"]):
+        eventually(host + " refuses it, or serves streams",
+                   lambda: refused_ms(stack, host) > 0 or stack.serves_stream(host))
+        if refused_ms(stack, host) > 0:
             return
-        eventually(host + " serves streams", lambda: stack.serves_stream(host))
     raise Failure("%s did not refuse it: %r" % (host, repeats.answers[-1]))
 
 
