A limit that was named before this host was booted holds on it, too

Seen while reading: times are counted from the host's own boot, so what another host heard a minute ago lies before that on a host that was booted a moment ago, and was taken for no news: it would have sent there as without a limit until an answer of its own named it.

--- a/router/limit_msg.c
+++ b/router/limit_msg.c
@@ -45,7 +45,8 @@
 	note->endpoint = from->endpoint;
 	note->news.named = from->named;
 	note->news.rate = readable ? from->rate : 0;
-	note->news.said_us = now_us - tmr_ms(MAX(from->age_ms, 0));
+	/* What was said before this host was booted is news to it all the same. */
+	note->news.said_us = MAX(now_us - tmr_ms(MAX(from->age_ms, 0)), 1);
 	note->wanted = CLAMP(from->wanted, 0, LIMIT_COUNT_MAX);
 	note->returned = CLAMP(from->returned, 0, LIMIT_COUNT_MAX);
 	note->permits = CLAMP(from->permits, 0, LIMIT_COUNT_MAX);
