A case reads log lines by their members, not by their order; whole logs are kept when one fails

Cause: the case looked for '"store_returned","era":2' and '"endpoints_noted","status":200' as text. Any line may say first how many lines were left out before it ("left_out"), which stands between the two. The case asks the hosts without pause, so on a machine that does nothing else they pass 300 lines a second, leave lines out, and the one line that it waits for carries the count. Ruled out by reading: each way in which no host would note the endpoints after the return.

Change: lines are parsed and compared by member, here and in crashing_all_start, where the same stood; as strict as before. A case that fails keeps the whole logs of its processes and says where.

The case passes (one play beside other work); the failure itself was not seen again, so that this was its cause is concluded from the format of the lines, not shown by a second failure.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -235,18 +235,29 @@
             expect("runs", stack.ledger()["runs"].get("v-%d" % i), 1)
 
 
-def events(stack, host, name):
-    """The lines of that event in the host's log."""
+def lines(stack, host):
+    """The host's log. Members are looked up by name: any line may say first how many were left out before."""
     found = []
     for line in stack.log(host).splitlines():
-        if '"event":"%s"' % name in line:
-            try:
-                found.append(json.loads(line))
-            except ValueError:
-                pass    # the last line may be under way
+        try:
+            found.append(json.loads(line))
+        except ValueError:
+            pass    # the last line may be under way
     return found
 
 
+def events(stack, host, name):
+    """The lines of that event in the host's log."""
+    return [e for e in lines(stack, host) if e["event"] == name]
+
+
+def after(stack, host, name, **members):
+    """The lines after the last one of that event with those members; none if there is no such line."""
+    found = lines(stack, host)
+    at = [i for i, e in enumerate(found) if e["event"] == name and members.items() <= e.items()]
+    return found[at[-1] + 1:] if at else []
+
+
 def silent_engines(stack, host):
     """Addresses of engines that gave the host no report twice, 250 ms each time. Streams through one that
     stands still go on elsewhere; case_engine_stands_still has them."""
@@ -684,8 +695,8 @@
     learn(stack, repeats)
     crashes = len(repeats.crashes())
     eventually("its refusal is written down",
-               lambda: stack.log("host-0").rsplit('"event":"quarantined"', 1)[-1].count(
-                   '"quarantine_noted","status":200') > 0)
+               lambda: any(e["event"] == "quarantine_noted" and e["status"] == 200
+                           for e in after(stack, "host-0", "quarantined")))
     for host in stack.hosts:
         stack.signal(host, signal.SIGKILL)
         stack.procs[host].wait()
@@ -892,9 +903,10 @@
     try:
         cases[name](stack)
     except Exception:
-        for log in ("host-0", "host-1", "host-2", "engine", "store"):
-            if log in stack.procs:
-                sys.stderr.write("--- %s\n%s\n" % (log, stack.log(log)[-4000:]))
+        for log in stack.procs:
+            sys.stderr.write("--- %s\n%s\n" % (log, stack.log(log)[-4000:]))
+        kept = stack.keep_logs(name)
+        sys.stderr.write("the whole logs are in %s\n" % kept)
         stack.down()
         raise
     stack.down()
--- a/regress/soak/cases_copy.py
+++ b/regress/soak/cases_copy.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from cases import believed, expect, run
+from cases import after, believed, expect, run
 from proxy import Proxy
 from stack import Failure, call, eventually
 
@@ -53,8 +53,8 @@
 def returned_whole(stack, era):
     """The time for coming back is over: a host has noted the endpoints anew after that."""
     for host in stack.hosts:
-        text = stack.log(host).rsplit('"store_returned","era":%d' % era, 1)
-        if len(text) > 1 and '"endpoints_noted","status":200' in text[1]:
+        if any(e["event"] == "endpoints_noted" and e["status"] == 200
+               for e in after(stack, host, "store_returned", era=era)):
             return True
     return False
 
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -4,6 +4,7 @@
 processes that the set itself began are ended, by their ids.
 """
 import fcntl
+import glob
 import http.client
 import json
 import os
@@ -167,6 +168,13 @@
         if not keep:
             shutil.rmtree(self.dir, ignore_errors=True)
 
+    def keep_logs(self, name):
+        """Copies the logs to where they outlive the set; returns the folder."""
+        kept = tempfile.mkdtemp(prefix="bgsoak-failed-%s." % name)
+        for log in glob.glob(os.path.join(self.dir, "*.log")):
+            shutil.copy(log, kept)
+        return kept
+
     def config(self):
         def route(name, prefix, kind, service, **more):
             return dict({"name": name, "hostname": HOST_NAME, "pathPrefix": prefix,
