An endpoint that only seemed to have ended is taken back from the quarantine, on all hosts

Symptom: five times, two seconds apart, all endpoints are cut off and refuse connections for half a second when one stream has just begun. Three seconds after the last cut the same request is refused for ten minutes (503 crashes_endpoints), with all endpoints well.

Cause: a refused connection is taken for the end of the process. Since an endpoint that seems to have ended is passed over for 3 s, so the next attempt meets another one, and the fifth cut is the third endpoint. Before, it was mostly the same one again, which hid that a cut of the network refuses connections just as an ended process does.

Change: one that seems to have ended is asked again after 0.3, 0.6, ... 4.8 s. If it answers under the start that it had, what was counted at it is taken back: a crash is marked as one of an endpoint that lives, which is the greatest of its weights, so hosts merge to the same whatever comes first. A refusal that stood on it ends.

Not covered: plain endpoints, whose health answers tell no start, and endpoints that tell none.

--- a/quar/quar.c
+++ b/quar/quar.c
@@ -94,12 +94,19 @@
 	return entry->lasted_us >= QUAR_GOES_ON_US;
 }
 
+static int quar_crash_points(const struct quar_entry *entry, const struct quar_crash *crash)
+{
+	if (crash->weight == QUAR_LIVES)
+		return 0;
+	return quar_goes_on(entry) ? QUAR_WEAK : crash->weight;
+}
+
 int quar_entry_points(const struct quar_entry *entry)
 {
 	int points = entry->base;
 
 	for (int i = 0; i < entry->n; i++)
-		points += quar_goes_on(entry) ? QUAR_WEAK : entry->crashes[i].weight;
+		points += quar_crash_points(entry, &entry->crashes[i]);
 	return points;
 }
 
@@ -124,7 +131,7 @@
 {
 	if (entry->epoch > 0 || entry->n > 1)
 		return true;
-	return entry->n > 0 && entry->crashes[0].weight == QUAR_STRONG;
+	return entry->n > 0 && entry->crashes[0].weight >= QUAR_STRONG;
 }
 
 bool quar_is_kept(const struct quar_entry *entry)
@@ -179,22 +186,39 @@
 	return entry;
 }
 
-/* Adds the crash, or raises its weight. Returns whether that changed anything. */
-static bool quar_add_crash(struct quar_entry *entry, uint64_t endpoint, int weight)
+static struct quar_crash *quar_crash_at(struct quar_entry *entry, uint64_t endpoint)
 {
 	for (int i = 0; i < entry->n; i++) {
-		struct quar_crash *crash = &entry->crashes[i];
+		if (entry->crashes[i].endpoint == endpoint)
+			return &entry->crashes[i];
+	}
+	return NULL;
+}
 
-		if (crash->endpoint != endpoint)
-			continue;
-		if (crash->weight >= weight)
-			return false;
-		crash->weight = weight;
-		return true;
+/* A place for one more crash: endpoints that live give way. NULL: all have ended. */
+static struct quar_crash *quar_crash_room(struct quar_entry *entry)
+{
+	if (entry->n < QUAR_CRASHES_MAX)
+		return &entry->crashes[entry->n++];
+	for (int i = 0; i < entry->n; i++) {
+		if (entry->crashes[i].weight == QUAR_LIVES)
+			return &entry->crashes[i];
 	}
-	if (entry->n == QUAR_CRASHES_MAX)
+	return NULL;
+}
+
+/* Adds the crash, or raises its weight. Returns whether that changed anything. */
+static bool quar_add_crash(struct quar_entry *entry, uint64_t endpoint, int weight)
+{
+	struct quar_crash *crash = quar_crash_at(entry, endpoint);
+
+	if (crash && crash->weight >= weight)
+		return false;
+	if (!crash && (weight != QUAR_LIVES || entry->n < QUAR_CRASHES_MAX))
+		crash = quar_crash_room(entry);
+	if (!crash)
 		return false;
-	entry->crashes[entry->n++] = (struct quar_crash){endpoint, weight};
+	*crash = (struct quar_crash){endpoint, weight};
 	return true;
 }
 
@@ -215,6 +239,15 @@
 	entry->terms++;
 }
 
+/* Without the endpoints that live the request is not refused any more. */
+static void quar_end_refusal(const struct quar *quar, struct quar_entry *entry)
+{
+	if (entry->until_us == 0 || quar_entry_points(entry) >= quar->limit)
+		return;
+	entry->until_us = 0;
+	entry->terms = MAX(entry->terms - 1, 0);
+}
+
 int64_t quar_next_term_us(const struct quar *quar, const struct quar_id *id)
 {
 	const struct quar_entry *entry = quar_lookup(quar, id);
@@ -294,6 +327,25 @@
 	return entry;
 }
 
+void quar_on_lives(struct quar *quar, uint64_t endpoint, int64_t now_us, quar_fn fn, void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, quar->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct quar_entry *entry = value;
+		struct quar_crash *crash = quar_crash_at(entry, endpoint);
+
+		if (!crash || crash->weight == QUAR_LIVES)
+			continue;
+		crash->weight = QUAR_LIVES;
+		quar_end_refusal(quar, entry);
+		quar_touch(quar, entry, now_us);
+		fn(ctx, entry);
+	}
+}
+
 /* The other one is of a later epoch: it replaces all. */
 static void quar_replace(struct quar_entry *entry, const struct quar_entry *other)
 {
@@ -328,6 +380,7 @@
 	quar_set_lasted(entry, other->lasted_us);
 	news |= quar_merge_term(entry, other);
 	quar_touch(quar, entry, other->last_us);
+	quar_end_refusal(quar, entry);
 	quar_begin_term(quar, entry, now_us);
 	return news;
 }
--- a/quar/quar.h
+++ b/quar/quar.h
@@ -29,6 +29,11 @@
 	QUAR_STRONG = 2,
 	/* Those that had gone on, or may have waited for their turn. */
 	QUAR_WEAK = 1,
+	/*
+	 * Instead of a weight, and the greatest of them: the endpoint has turned out to live, and
+	 * counts no more. Hosts that heard of its end before merge to the same.
+	 */
+	QUAR_LIVES = 3,
 	/*
 	 * For how long an attempt has just begun: at recorded ends of endpoints the request that
 	 * caused them had run for 60 to 130 ms, and most of the others there for seconds.
@@ -50,7 +55,7 @@
 
 struct quar_crash {
 	uint64_t endpoint; /* hash of its incarnation */
-	int weight;	   /* QUAR_STRONG or QUAR_WEAK */
+	int weight;	   /* QUAR_STRONG, QUAR_WEAK or QUAR_LIVES */
 };
 
 struct quar_entry {
@@ -114,6 +119,13 @@
  */
 const struct quar_entry *quar_clear(struct quar *quar, const struct quar_id *id, int64_t now_us);
 
+/*
+ * The endpoint has not ended, as it had seemed: a cut of the network refuses connections, too. What
+ * was counted at it is taken back; fn is called for each entry that this changes.
+ */
+typedef void (*quar_fn)(void *ctx, const struct quar_entry *entry);
+void quar_on_lives(struct quar *quar, uint64_t endpoint, int64_t now_us, quar_fn fn, void *ctx);
+
 /* Merges what another host knows. Returns the entry if that is news, else NULL. */
 const struct quar_entry *quar_take(struct quar *quar, const struct quar_entry *other,
 				   int64_t now_us);
@@ -141,7 +153,6 @@
 bool quar_is_kept(const struct quar_entry *entry);
 
 /* Drops what is outdated; fn is called for each before it goes. */
-typedef void (*quar_fn)(void *ctx, const struct quar_entry *entry);
 void quar_expire(struct quar *quar, int64_t now_us, quar_fn fn, void *ctx);
 
 void quar_each(const struct quar *quar, quar_fn fn, void *ctx);
--- a/quar/quar_test.cc
+++ b/quar/quar_test.cc
@@ -111,6 +111,59 @@
 	EXPECT_TRUE(Refused(id));
 }
 
+static void AddEntry(void *ctx, const quar_entry *entry)
+{
+	static_cast<std::vector<quar_entry> *>(ctx)->push_back(*entry);
+}
+
+/* Guards against refusing a request for endpoints that were only cut off when it had begun there. */
+TEST_F(QuarTest, EndpointsThatTurnOutToLiveAreTakenBack)
+{
+	const struct {
+		const char *what;
+		std::vector<uint64_t> ended;
+		std::vector<uint64_t> lives;
+		int points;
+		bool refused;
+	} cases[] = {
+		{"none lives", {1, 2, 3}, {}, 6, true},
+		{"one of three lives", {1, 2, 3}, {2}, 4, false},
+		{"all live", {1, 2, 3}, {1, 2, 3}, 0, false},
+		{"one of four lives", {1, 2, 3, 4}, {4}, 6, true},
+		{"another endpoint lives", {1, 2, 3}, {9}, 6, true},
+	};
+	uint64_t low = 100;
+
+	for (const auto &c : cases) {
+		const quar_id id = Id(low++);
+		std::vector<quar_entry> told;
+
+		for (uint64_t endpoint : c.ended)
+			Crash(id, 10 * low + endpoint);
+		for (uint64_t endpoint : c.lives)
+			quar_on_lives(&quar_, 10 * low + endpoint, now_, AddEntry, &told);
+		EXPECT_EQ(Refused(id), c.refused) << c.what;
+		EXPECT_EQ(quar_points(&quar_, &id), c.points) << c.what;
+	}
+}
+
+/* Guards against endpoints that live using up the places of those that end. */
+TEST_F(QuarTest, OnesThatLiveLeaveRoomForThoseThatEnd)
+{
+	const quar_id id = Id();
+	std::vector<quar_entry> told;
+
+	for (uint64_t endpoint = 1; endpoint <= 20; endpoint++) {
+		Crash(id, endpoint);
+		quar_on_lives(&quar_, endpoint, now_, AddEntry, &told);
+		EXPECT_FALSE(Refused(id));
+	}
+	EXPECT_EQ(told.size(), 20U);
+	for (uint64_t endpoint = 21; endpoint <= 23; endpoint++)
+		Crash(id, endpoint);
+	EXPECT_TRUE(Refused(id));
+}
+
 /*
  * Symptom: the one request that all callers of an account send was refused for ten minutes.
  * Sequence: another request ends three of eight endpoints within a second; each time the popular
@@ -328,6 +381,33 @@
 	}
 }
 
+/* Guards against a count that comes back with older news of a host that has not heard of it. */
+TEST(QuarMergeTest, WhatIsTakenBackStaysSoInEveryOrder)
+{
+	std::vector<int> order = {0, 1, 2, 3};
+
+	do {
+		Host hosts[3];
+		Host all;
+		const quar_id id = {{1, 2}, "farm"};
+		std::vector<quar_entry> told;
+
+		for (uint64_t i = 0; i < 3; i++)
+			hosts[i].Say(quar_on_crash(&hosts[i].table, &id, i + 1, QUAR_STRONG, 0,
+						   SEC));
+		quar_on_lives(&hosts[1].table, 2, 2 * SEC, AddEntry, &told);
+		hosts[1].Say(quar_find(&hosts[1].table, &id));
+		std::vector<quar_entry *> news = {hosts[0].says[0], hosts[1].says[0],
+						  hosts[1].says[1], hosts[2].says[0]};
+		for (int round = 0; round < 2; round++) {
+			for (int i : order)
+				quar_take(&all.table, news[(size_t)i], 3 * SEC);
+		}
+		EXPECT_EQ(quar_points(&all.table, &id), 2 * QUAR_STRONG);
+		EXPECT_EQ(quar_left_us(&all.table, &id, 4 * SEC), 0);
+	} while (std::next_permutation(order.begin(), order.end()));
+}
+
 /* News that change nothing are not passed on, so that they end on a ring of hosts. */
 TEST(QuarMergeTest, NewsAreNewsOnce)
 {
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -738,6 +738,38 @@
         link.close()
 
 
+def case_crashing_all_cut(stack):
+    """A request was refused for ten minutes that had ended nothing: five times all endpoints were cut off for
+    half a second when it had just begun."""
+    stack.hosts.append("host-3")
+    links = []
+    for i, (name, port, *_) in enumerate(stack.points):
+        stack.known_as[name] = stack.base + 60 + i
+        links.append(Proxy(stack.known_as[name], port))
+    stack.store_via["host-3"] = stack.store_port
+    stack.up()
+    repeats = Repeats(stack, "all-cut")
+    for _ in range(5):
+        serves_all(stack)
+        began = len(stack.log("host-0"))
+        thread = threading.Thread(target=repeats.ask, args=("host-0",))
+        thread.start()
+        eventually("it has begun", lambda: stack.ledger()["streams"] > 0)
+        for link in links:
+            link.set("away")
+        eventually("the cut is seen", lambda: '"cut_checked"' in stack.log("host-0")[began:])
+        for link in links:
+            link.set("pass")
+        thread.join()
+        eventually("they are known to live", lambda: '"endpoint_lives"' in stack.log("host-0")[began:])
+    for _ in range(20):
+        expect("status", repeats.ask("host-0")[0], 200)
+    for host in stack.hosts:
+        expect("refused at " + host, refused_ms(stack, host), 0)
+    for link in links:
+        link.close()
+
+
 def case_crashing_later(stack):
     """Symptom: endpoints went on ending under requests that end a later stage of their pipeline, or that
     end the first one only after a second of answers.
--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -4,31 +4,41 @@
 import threading
 import time
 
-MODES = ("pass", "delay", "refuse", "silent", "deaf", "reset")
+MODES = ("pass", "delay", "refuse", "silent", "deaf", "reset", "away")
 
 
 class Proxy:
     """Forwards a port to another. Modes: pass; delay (each piece waits); refuse (new connections are
     reset); silent (open connections carry nothing more, new ones neither); deaf (only what comes
-    back is dropped); reset (open connections are reset once, then pass)."""
+    back is dropped); reset (open connections are reset once, then pass); away (open connections are reset,
+    nobody listens)."""
 
     DELAY_S = 0.3
 
     def __init__(self, port, target):
         self.target = target
         self.mode = "pass"
+        self.port = port
         self.pairs = set()
         self.guard = threading.Lock()
+        self.open = True
+        self.listen()
+
+    def listen(self):
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(("127.0.0.1", port))
+        self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(128)
-        self.open = True
-        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
     def set(self, mode):
-        self.mode = "pass" if mode == "reset" else mode
-        if mode in ("reset", "refuse"):
+        before, self.mode = self.mode, "pass" if mode == "reset" else mode
+        if mode == "away":
+            self.kill(self.listener)
+            self.listener.close()
+        elif before == "away":
+            self.listen()
+        if mode in ("reset", "refuse", "away"):
             with self.guard:
                 pairs = list(self.pairs)
             for pair in pairs:
@@ -43,10 +53,10 @@
         except OSError:
             pass
 
-    def accept(self):
+    def accept(self, listener):
         while self.open:
             try:
-                near, _ = self.listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return
             if self.mode == "refuse":
@@ -65,7 +75,7 @@
         with self.guard:
             self.pairs.add(pair)
         # One that was accepted just before the mode changed is not among those that were cut then.
-        if self.mode == "refuse":
+        if self.mode in ("refuse", "away"):
             self.kill(near)
             self.kill(far)
         try:
--- a/router/crash.c
+++ b/router/crash.c
@@ -15,9 +15,11 @@
 	/* Between two tries, where the first one told nothing: the endpoint's queue was full. */
 	CRASH_AGAIN_MS = 100,
 	CRASH_TRIES = 3,
-	/* How often one that vanished is asked once more, until it tells that it has started again.
+	/*
+	 * How often one that seems to have ended is asked once more, until it tells that it has
+	 * started again, or that it lives; each pause is twice as long, 9 s in all.
 	 */
-	CRASH_PROOFS = 10,
+	CRASH_PROOFS = 5,
 	CRASH_PROOF_MS = 300,
 	/* For which one that has ended is passed over; missed reports tell of it from then on. */
 	CRASH_ENDED_MS = 3000,
@@ -26,7 +28,8 @@
 
 enum crash_finding {
 	CRASH_ALIVE,
-	CRASH_ENDED,	/* proved */
+	CRASH_LIVES,	/* proved: the same incarnation goes on */
+	CRASH_ENDED,	/* it takes no connections, or another incarnation stands there */
 	CRASH_VANISHED, /* it takes no connections; an endpoint that is very busy may do that, too
 			 */
 	CRASH_UNCLEAR	/* this host may be the one that is cut off, or the endpoint is busy */
@@ -34,6 +37,7 @@
 
 static const char *const crash_findings[] = {
 	[CRASH_ALIVE] = "alive",
+	[CRASH_LIVES] = "lives",
 	[CRASH_ENDED] = "ended",
 	[CRASH_VANISHED] = "vanished",
 	[CRASH_UNCLEAR] = "unclear",
@@ -47,7 +51,7 @@
 	struct tmr timer;
 	int64_t began_us;
 	int tries;
-	int proofs;   /* tries after it had vanished */
+	int proofs;   /* tries after it had seemed to end */
 	bool counted; /* what was cut counts, as far as that goes without a proof */
 };
 
@@ -113,17 +117,38 @@
 	g_free(url);
 }
 
-/* Whether the report is of a later start than the one at which the attempts were cut. */
-static bool crash_has_restarted(const struct crash_check *check, struct str body)
+/* The start that the report tells; 0: none. */
+static int64_t crash_born_ms(const struct crash_check *check, struct str body)
 {
 	struct seam_report report;
-	bool restarted;
+	int64_t born_ms;
 
 	if (check->tf->router->seam->engine.parse_report(body, &report) < 0)
-		return false;
-	restarted = report.born_ms > check->ep->rec->born_ms && check->ep->rec->born_ms != 0;
+		return 0;
+	born_ms = report.born_ms;
 	seam_report_finish(&report);
-	return restarted;
+	return born_ms;
+}
+
+/* Whether the report is of a later start than the one at which the attempts were cut. */
+static bool crash_has_restarted(const struct crash_check *check, struct str body)
+{
+	int64_t known_ms = check->ep->rec->born_ms;
+
+	return known_ms != 0 && crash_born_ms(check, body) > known_ms;
+}
+
+/*
+ * Whether one that seemed to have ended goes on. A cut of the network refuses connections as an
+ * ended process does; five such cuts, each when the same request had just begun, had it refused for
+ * ten minutes. The start that it tells is the same then.
+ */
+static bool crash_lives(const struct crash_check *check, int status, struct str body)
+{
+	int64_t known_ms = check->ep->rec->born_ms;
+
+	return check->counted && status == HTTP_OK && known_ms != 0 &&
+	       crash_born_ms(check, body) == known_ms;
 }
 
 /* Another endpoint, or its own next incarnation, stands at its address. */
@@ -133,13 +158,15 @@
 }
 
 /*
- * Only a refused connection proves by itself that the process has ended. Silence does only where
+ * Only a refused connection shows by itself that the process has ended. Silence does only where
  * this host has heard others meanwhile. A connection that is closed may be one too many for a busy
  * endpoint; several in a row, and nothing else from there, are its end behind a proxy.
  */
 static enum crash_finding crash_find(const struct crash_check *check, int status, int err,
 				     struct str body)
 {
+	if (crash_lives(check, status, body))
+		return CRASH_LIVES;
 	if (check->ep->progress_us > check->began_us)
 		return CRASH_ALIVE;
 	if (crash_is_replaced(check->tf, check->ep))
@@ -157,11 +184,6 @@
 	return CRASH_UNCLEAR;
 }
 
-static bool crash_is_proof(enum crash_finding finding)
-{
-	return finding == CRASH_ENDED || finding == CRASH_ALIVE;
-}
-
 static bool crash_is_end(enum crash_finding finding)
 {
 	return finding == CRASH_ENDED || finding == CRASH_VANISHED;
@@ -253,7 +275,7 @@
 	check->counted = true;
 }
 
-/* One that had vanished tells that it has started again: what had just been sent counts in full. */
+/* It has ended, or has again: what was cut since counts, and what had just been sent in full. */
 static void crash_prove(struct crash_check *check)
 {
 	for (guint i = 0; i < check->cuts->len; i++)
@@ -261,12 +283,20 @@
 	tf_quar_crashed(check->tf, check->ep, check->cuts);
 }
 
-/* Returns whether the endpoint is asked once more. */
-static bool crash_goes_on(struct crash_check *check, enum crash_finding finding)
+/* Another incarnation stands at its address, or its entry has gone with it. */
+static bool crash_is_over(const struct crash_check *check, int status, enum crash_finding finding)
 {
-	if (check->counted)
-		return !crash_is_proof(finding) && check->proofs++ < CRASH_PROOFS;
-	return finding == CRASH_UNCLEAR && check->tries < CRASH_TRIES;
+	return finding == CRASH_LIVES || !check->ep->listed ||
+	       (finding == CRASH_ENDED && status > 0);
+}
+
+/* One that seemed to end is looked after until it is certain, or for some seconds. */
+static void crash_follow(struct crash_check *check, int status, enum crash_finding finding)
+{
+	if (crash_is_over(check, status, finding) || check->proofs == CRASH_PROOFS)
+		crash_check_free(check);
+	else
+		crash_ask_in(check, CRASH_PROOF_MS << check->proofs++);
 }
 
 /*
@@ -281,6 +311,17 @@
 	suspect_post(check->tf->router->rc, endpoint, CRASH_ENDED_MS, SUSPECT_ENDED);
 }
 
+/* It had seemed to end before. */
+static void crash_on_checked_again(struct crash_check *check, int status,
+				   enum crash_finding finding)
+{
+	if (finding == CRASH_ENDED)
+		crash_prove(check);
+	if (finding == CRASH_LIVES)
+		tf_quar_lives(check->tf, check->ep);
+	crash_follow(check, status, finding);
+}
+
 static void crash_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -288,23 +329,23 @@
 	enum crash_finding finding = crash_find(check, status, err, str_make(body, len));
 
 	(void)sent;
-	if (crash_goes_on(check, finding)) {
-		crash_ask_in(check, check->counted ? CRASH_PROOF_MS : CRASH_AGAIN_MS);
+	if (check->counted) {
+		crash_on_checked_again(check, status, finding);
+		return;
+	}
+	if (finding == CRASH_UNCLEAR && check->tries < CRASH_TRIES) {
+		crash_ask_in(check, CRASH_AGAIN_MS);
 		return;
 	}
 	crash_log(check, finding, err);
-	if (check->counted && finding == CRASH_ENDED)
-		crash_prove(check);
 	if (finding == CRASH_ENDED)
 		crash_tell_ended(check);
-	if (!check->counted && crash_is_end(finding)) {
-		crash_count_cuts(check, finding);
-		if (finding == CRASH_VANISHED && crash_count(check, CRASH_SENT) > 0) {
-			crash_ask_in(check, CRASH_PROOF_MS);
-			return;
-		}
+	if (!crash_is_end(finding)) {
+		crash_check_free(check);
+		return;
 	}
-	crash_check_free(check);
+	crash_count_cuts(check, finding);
+	crash_follow(check, status, finding);
 }
 
 /* One that is leaving ends on its own account; one that is replaced at its address has ended. */
--- a/router/quar_msg.c
+++ b/router/quar_msg.c
@@ -61,7 +61,7 @@
 	for (size_t i = 0; i < item->n_crashes && entry->n < QUAR_CRASHES_MAX; i++)
 		entry->crashes[entry->n++] = (struct quar_crash){
 			item->crashes[i]->endpoint,
-			CLAMP(item->crashes[i]->weight, QUAR_WEAK, QUAR_STRONG)};
+			CLAMP(item->crashes[i]->weight, QUAR_WEAK, QUAR_LIVES)};
 	return entry;
 }
 
--- a/router/tf_quar.c
+++ b/router/tf_quar.c
@@ -1,4 +1,5 @@
 #include "router/tf_quar.h"
+#include "base/jl.h"
 #include "base/met.h"
 #include "base/str.h"
 #include "router/quarantine.h"
@@ -37,6 +38,13 @@
 	return quar_is_told(entry) || cut->progress == CRASH_SENT;
 }
 
+static uint64_t tf_quar_endpoint(const struct tf_ep *ep)
+{
+	const char *incarnation = ep->rec->incarnation;
+
+	return str_hash(incarnation, strlen(incarnation), 0);
+}
+
 /*
  * The request is refused from now on. What is under way of it anywhere on this host would end the
  * endpoints where it waits as soon as it begins there, so it is ended too.
@@ -95,8 +103,7 @@
 
 void tf_quar_crashed(struct tf *tf, const struct tf_ep *ep, const GArray *cuts)
 {
-	const char *incarnation = ep->rec->incarnation;
-	uint64_t endpoint = str_hash(incarnation, strlen(incarnation), 0);
+	uint64_t endpoint = tf_quar_endpoint(ep);
 	GPtrArray *told = quarantine_list_new();
 
 	for (guint i = 0; i < cuts->len; i++)
@@ -106,6 +113,25 @@
 	g_ptr_array_unref(told);
 }
 
+static void tf_quar_add_told(void *ctx, const struct quar_entry *entry)
+{
+	g_ptr_array_add(ctx, quar_entry_dup(entry));
+}
+
+void tf_quar_lives(struct tf *tf, const struct tf_ep *ep)
+{
+	GPtrArray *told = quarantine_list_new();
+
+	quar_on_lives(&tf->quar, tf_quar_endpoint(ep), tmr_now(), tf_quar_add_told, told);
+	jl_begin(JL_KEEP, "endpoint_lives");
+	jl_str("endpoint", ep->rec->incarnation);
+	jl_int("taken_back", told->len);
+	jl_end();
+	if (told->len > 0)
+		quarantine_post(tf->router->rc, g_ptr_array_ref(told));
+	g_ptr_array_unref(told);
+}
+
 /* What speaks for a request is told like what speaks against it. */
 static void tf_quar_tell(struct tf *tf, const struct quar_entry *entry, bool refused_before)
 {
--- a/router/tf_quar.h
+++ b/router/tf_quar.h
@@ -11,6 +11,9 @@
 /* The endpoint ended with these attempts (struct crash_cut) under way. */
 void tf_quar_crashed(struct tf *tf, const struct tf_ep *ep, const GArray *cuts);
 
+/* The endpoint lives after all: what was counted at it is taken back, on all hosts. */
+void tf_quar_lives(struct tf *tf, const struct tf_ep *ep);
+
 /* An attempt of the request has brought a part, after so long. */
 void tf_quar_on_part(struct tf *tf, const struct quar_id *id, int64_t lasted_us);
 
