--- a/Makefile
+++ b/Makefile
@@ -49,19 +49,18 @@
 	$(CXX) $(CFLAGS) $(CXXWARN) $(CPPFLAGS) -std=gnu++17 -MMD -MP -c -o $@ $<
 
 # Each program is prog/NAME.c, with the modules named for it beside it (NAME without "bg").
-$(BUILD)/bgrouterd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/router*.c prog/common*.c))
-$(BUILD)/bgentryd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/entry*.c prog/common*.c))
-$(BUILD)/bgcontrold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/control*.c prog/common*.c))
+$(BUILD)/bgrouterd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/router*.c))
+$(BUILD)/bgentryd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/entry*.c))
+$(BUILD)/bgcontrold: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/control*.c))
 $(BUILD)/bgctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/ctl*.c))
-$(BUILD)/bgload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/load*.c prog/common*.c))
-$(BUILD)/bgscript: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/script*.c prog/common*.c))
+$(BUILD)/bgload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/load*.c))
+$(BUILD)/bgscript: $(patsubst %.c,$(BUILD)/%.o,$(wildcard prog/script*.c))
 # Stand-ins for the users' platform; they know its names, so they stand in its folder.
-$(BUILD)/bgstand-store: $(BUILD)/platform/stand_store.o $(BUILD)/prog/common.o
-$(BUILD)/bgstand-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/stand_engine*.c)) \
-	$(BUILD)/prog/common.o
+$(BUILD)/bgstand-store: $(BUILD)/platform/stand_store.o
+$(BUILD)/bgstand-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/stand_engine*.c))
 
-$(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c prog/common*.c))
-$(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c prog/common*.c))
+$(BUILD)/bgfake-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/platform*.c))
+$(BUILD)/bgfake-engine: $(patsubst %.c,$(BUILD)/%.o,$(wildcard fake/engine*.c fake/sim*.c))
 
 $(PROGRAMS:%=$(BUILD)/%): $(LIB)
 	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LIBS)
--- a/prog/common.c
+++ b/base/prog.c
@@ -1,4 +1,4 @@
-#include "prog/common.h"
+#include "base/prog.h"
 #include "base/log.h"
 
 #include <signal.h>
--- a/prog/common.h
+++ b/base/prog.h
@@ -1,5 +1,5 @@
-#ifndef PROG_COMMON_H
-#define PROG_COMMON_H
+#ifndef BASE_PROG_H
+#define BASE_PROG_H
 
 #include "base/hd.h"
 #include "base/loop.h"
--- a/fake/engine.h
+++ b/fake/engine.h
@@ -2,7 +2,7 @@
 #define FAKE_ENGINE_H
 
 #include "fake/sim.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 /* Stand-in for model engines and plain services; shared by the files fake/engine*.c. */
 struct engine_settings {
--- a/fake/platform.c
+++ b/fake/platform.c
@@ -1,6 +1,6 @@
 #include "base/err.h"
 #include "base/log.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 #include <string.h>
 
--- a/prog/control.h
+++ b/prog/control.h
@@ -8,7 +8,7 @@
 #include "once/once.h"
 #include "order/order.h"
 #include "pool/pool.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 /*
  * bgcontrold: one thread holds all state here; the HTTP library's threads only hand over operators'
--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -1,6 +1,6 @@
 #include "prog/ctl.h"
 #include "conf/conf.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
--- a/prog/entry.h
+++ b/prog/entry.h
@@ -6,7 +6,7 @@
 #include "conf/clog.h"
 #include "host/host.h"
 #include "pool/pool.h"
-#include "prog/common.h"
+#include "base/prog.h"
 #include "req/req.h"
 
 /*
--- a/prog/load.h
+++ b/prog/load.h
@@ -4,7 +4,7 @@
 #include "base/hc.h"
 #include "base/loop.h"
 #include "conf/conf.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 /* bgload: open-loop or closed-loop load, and what became of it. */
 enum {
--- a/prog/router.c
+++ b/prog/router.c
@@ -1,7 +1,7 @@
 #include "base/jl.h"
 #include "base/met.h"
 #include "platform/pf.h"
-#include "prog/common.h"
+#include "base/prog.h"
 #include "router/router.h"
 
 #include <ck_pr.h>
--- a/prog/script.c
+++ b/prog/script.c
@@ -7,7 +7,7 @@
 #include "msg/kind.h"
 #include "msg/once.pb-c.h"
 #include "msg/pool.pb-c.h"
-#include "prog/common.h"
+#include "base/prog.h"
 
 #include <math.h>
 #include <stdio.h>
