Heartbeats of endpoints are not handed on from host to host

Cause: of the whole fleet's 3,001 endpoints each writes its entry every 5 s: 600 records a second, all read by three readers, packed and sent to each of 981 followers, where each batch made a new view ten times a second.

Change: ep_on_record() tells news from heartbeats, and only news are fed or make a view. A follower still hears every 5 s how far the store was read. What is packed for those that ask for the whole list stays good over heartbeats; it was packed anew at each. With a removal the last heartbeat is told, since a copy of the store is compared by it.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -240,8 +240,8 @@
 }
 
 /* The endpoint is listed, but what the record says of it is not news. */
-static bool ep_keep(const struct ep_list *list, struct ep_entry *entry, int64_t place,
-		    struct ep_rec *rec)
+static enum ep_news ep_keep(const struct ep_list *list, struct ep_entry *entry, int64_t place,
+			    struct ep_rec *rec)
 {
 	entry->seen = true;
 	if (place > entry->place && ep_is_of_copy(list, entry, rec)) {
@@ -250,13 +250,20 @@
 	}
 	if (rec)
 		ep_rec_unref(rec);
-	return false;
+	return EP_NOTHING;
 }
 
-bool ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
-		  int64_t now_us)
+/* Whether the entry says what the record says, and stands in the store. */
+static bool ep_is_heartbeat(const struct ep_entry *entry, const struct ep_rec *rec)
+{
+	return entry && !entry->lapsed && ep_is_same(entry->rec, rec);
+}
+
+enum ep_news ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
+			  int64_t now_us)
 {
 	struct ep_entry *entry = g_hash_table_lookup(list->entries, id);
+	bool heartbeat;
 
 	if (place >= list->next)
 		list->next = place + 1;
@@ -267,11 +274,11 @@
 		ep_note_removal(list, id, place, entry, now_us);
 		if (entry)
 			ep_remove(list, entry, now_us);
-		return true;
+		return EP_NEWS;
 	}
 	if (era_of_place(place) < list->era || ep_is_outdated(list, place, rec)) {
 		ep_rec_unref(rec);
-		return false;
+		return EP_NOTHING;
 	}
 	ep_take_addr(list, place, rec, now_us);
 	if (rec->state == EP_DRAINING)
@@ -280,13 +287,14 @@
 		rec->state = EP_DRAINING;
 	if (!entry || !ep_is_same(entry->rec, rec))
 		list->version++;
+	heartbeat = ep_is_heartbeat(entry, rec);
 	entry = g_new0(struct ep_entry, 1);
 	entry->rec = rec;
 	entry->place = place;
 	entry->seen = true;
 	g_hash_table_replace(list->entries, rec->id, entry);
-	list->changed = true;
-	return true;
+	list->changed = list->changed || !heartbeat;
+	return heartbeat ? EP_HEARTBEAT : EP_NEWS;
 }
 
 bool ep_on_recalled(struct ep_list *list, int64_t place, struct ep_rec *rec, int64_t now_us)
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -96,12 +96,16 @@
 GHashTable *ep_incarnations(const struct ep_list *list);
 void ep_list_finish(struct ep_list *list);
 
-/*
- * One record of the log: rec is taken over; NULL: the entry is removed. Returns false if something
- * newer is known of the endpoint or its address, so that the record says nothing.
- */
-bool ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
-		  int64_t now_us);
+/* What a record told. */
+enum ep_news {
+	EP_NOTHING,   /* something newer is known of the endpoint or its address */
+	EP_HEARTBEAT, /* that the endpoint lives; it says the same as before */
+	EP_NEWS
+};
+
+/* One record of the log: rec is taken over; NULL: the entry is removed. */
+enum ep_news ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
+			  int64_t now_us);
 
 /* A whole listing follows, entry by entry, with ep_on_record(); then ep_on_listed(). */
 void ep_on_listing(struct ep_list *list);
--- a/router/feed.c
+++ b/router/feed.c
@@ -14,6 +14,12 @@
 	 */
 	FEED_HEARTBEAT_MS = 2000,
 	FEED_SILENT_MS = 6000,
+	/*
+	 * Followers hear at least so often how far the store has been read, so that one that loses
+	 * its feed can go on from there. Heartbeats of endpoints are not handed on: 3,000 endpoints
+	 * send 600 a second, and each host would take them in for nothing.
+	 */
+	FEED_PLACE_MS = 5000,
 	FEED_NOTHING = -1
 };
 
@@ -26,7 +32,8 @@
 	uint64_t conf_digest;
 	int64_t era;
 	int64_t endpoints_next;
-	guint listing; /* number of the listing that it has */
+	int64_t place_us; /* when it was last told that */
+	guint listing;	  /* number of the listing that it has */
 	guint hosts_version;
 	guint loads_version;
 	int64_t round;
@@ -178,7 +185,7 @@
 	if (!feed->rc->listed)
 		return;
 	msg->listing = fp_needs_whole(fp, follower->listing, follower->endpoints_next);
-	if (msg->listing || follower->endpoints_next < list->next) {
+	if (msg->listing || fp_has_news(fp, follower->endpoints_next)) {
 		fp_pack(fp, list, msg->listing, follower->endpoints_next);
 		msg->endpoints.data = fp->packed->data;
 		msg->endpoints.len = fp->packed->len;
@@ -186,6 +193,20 @@
 	}
 	follower->listing = fp->listing;
 	follower->endpoints_next = MAX(follower->endpoints_next, list->next);
+	follower->place_us = tmr_now();
+}
+
+static bool feed_owes_endpoints(const struct feed *feed, const struct feed_follower *follower)
+{
+	const struct rc *rc = feed->rc;
+
+	if (!rc->listed)
+		return false;
+	if (follower->listing != feed->endpoints.listing ||
+	    fp_has_news(&feed->endpoints, follower->endpoints_next))
+		return true;
+	return follower->endpoints_next < rc->endpoints.next &&
+	       tmr_now() - follower->place_us >= tmr_ms(FEED_PLACE_MS);
 }
 
 /* A newer version, or another text under the same one: the follower knows which is later. */
@@ -230,10 +251,7 @@
 	    follower->hosts_version != rc->hosts_version ||
 	    follower->loads_version != rc->loads_version || follower->round != rc->round.number)
 		return true;
-	if (feed_owes_conf(rc, follower))
-		return true;
-	return rc->listed && (follower->listing != feed->endpoints.listing ||
-			      follower->endpoints_next < rc->endpoints.next);
+	return feed_owes_conf(rc, follower) || feed_owes_endpoints(feed, follower);
 }
 
 static void feed_put_gone(void *ctx, char *name)
--- a/router/feed_pack.c
+++ b/router/feed_pack.c
@@ -49,6 +49,7 @@
 	record->id = g_strdup(id);
 	record->text = text.data ? str_dup(text) : NULL;
 	g_queue_push_tail(fp->records, record);
+	fp->records_next = MAX(fp->records_next, offset + 1);
 	if (fp->records->length > FP_RECORDS_MAX) {
 		struct fp_record *oldest = g_queue_pop_head(fp->records);
 
@@ -61,6 +62,7 @@
 {
 	g_queue_clear_full(fp->records, fp_record_free);
 	fp->records_from = list->next;
+	fp->records_next = list->next;
 	fp->listing++;
 }
 
@@ -69,6 +71,11 @@
 	return listing != fp->listing || from < fp->records_from;
 }
 
+bool fp_has_news(const struct fp *fp, int64_t from)
+{
+	return from < fp->records_next;
+}
+
 /* The texts still belong to the list or the records. */
 static void fp_add(GArray *items, int64_t offset, char *id, char *text)
 {
@@ -105,10 +112,10 @@
 	}
 }
 
-static bool fp_is_packed(const struct fp *fp, const struct ep_list *list, bool whole, int64_t from)
+static bool fp_is_packed(const struct fp *fp, bool whole, int64_t from)
 {
 	return fp->packed_listing == fp->listing && fp->packed_whole == whole &&
-	       fp->packed_next == list->next && (whole || fp->packed_from == from);
+	       fp->packed_next == fp->records_next && (whole || fp->packed_from == from);
 }
 
 /* A message of the items, deflated where that is worth it. */
@@ -155,7 +162,7 @@
 {
 	GArray *items;
 
-	if (fp_is_packed(fp, list, whole, from))
+	if (fp_is_packed(fp, whole, from))
 		return;
 	items = g_array_new(FALSE, FALSE, sizeof(Feed__Endpoint));
 	if (whole)
@@ -166,6 +173,6 @@
 	fp->packed_listing = fp->listing;
 	fp->packed_whole = whole;
 	fp->packed_from = from;
-	fp->packed_next = list->next;
+	fp->packed_next = fp->records_next;
 	g_array_unref(items);
 }
--- a/router/feed_pack.h
+++ b/router/feed_pack.h
@@ -18,13 +18,14 @@
 struct fp {
 	GQueue *records;      /* struct fp_record, oldest first, without gaps */
 	int64_t records_from; /* who wants an older one gets the whole list */
+	int64_t records_next; /* place after the newest one */
 	guint listing;	      /* number of the newest listing, from 1 */
 	GByteArray *packed;   /* what was packed last */
 	gsize whole_len;      /* of it before it was deflated; 0: it was not deflated */
 	bool packed_whole;    /* it is the whole list */
 	guint packed_listing; /* 0: nothing has been packed */
 	int64_t packed_from;
-	int64_t packed_next;
+	int64_t packed_next; /* records_next then */
 };
 
 void fp_init(struct fp *fp);
@@ -39,6 +40,9 @@
 /* Whether a follower that has that listing up to the record before "from" needs the whole list. */
 bool fp_needs_whole(const struct fp *fp, guint listing, int64_t from);
 
+/* Whether there is anything to tell a follower that has what came before "from". */
+bool fp_has_news(const struct fp *fp, int64_t from);
+
 /* Fills packed and whole_len: the whole list, or the records from that offset on. */
 void fp_pack(struct fp *fp, const struct ep_list *list, bool whole, int64_t from);
 
--- a/router/rc.c
+++ b/router/rc.c
@@ -257,14 +257,28 @@
 	g_hash_table_replace(rc->unreadable, g_strdup(id), error);
 }
 
+/*
+ * Followers don't get heartbeats, but they compare heartbeats with what a copy of the store has of
+ * an endpoint that has gone. So they hear of the last one with its removal.
+ */
+static void rc_feed_removal(struct rc *rc, int64_t place, const char *id, const struct ep_rec *last)
+{
+	if (last && last->text)
+		feed_on_record(rc->feed, place, id, str_of(last->text));
+	feed_on_record(rc->feed, place, id, str_make(NULL, 0));
+}
+
 /*
  * An entry that can't be read names nobody, so for this host and those that it feeds it is the same
  * as none: kept as it was before, it would be used for as long as the other writer goes on.
  */
 void rc_take_endpoint(struct rc *rc, int64_t place, const char *id, struct str text)
 {
-	char *error = NULL;
+	const struct ep_entry *entry = g_hash_table_lookup(rc->endpoints.entries, id);
+	struct ep_rec *last = entry ? ep_rec_ref(entry->rec) : NULL;
 	struct ep_rec *rec = NULL;
+	char *error = NULL;
+	bool news;
 
 	if (text.data) {
 		rec = rc->router->seam->decl.read_endpoint(id, text, &error);
@@ -277,8 +291,13 @@
 		}
 	}
 	/* What says nothing here would be believed by a follower that has just started. */
-	if (ep_on_record(&rc->endpoints, place, id, rec, tmr_now()))
+	news = ep_on_record(&rc->endpoints, place, id, rec, tmr_now()) == EP_NEWS;
+	if (news && text.data)
 		feed_on_record(rc->feed, place, id, text);
+	else if (news)
+		rc_feed_removal(rc, place, id, last);
+	if (last)
+		ep_rec_unref(last);
 }
 
 static void rc_host_free(gpointer data)
