Followers are told which hosts have come or gone, not the whole list each time

Cause: 60 KB at 984 hosts, to each follower, with each change, while all of them list themselves; and each host of a list rebuilt the table of feeders, n times n.

Change: router/host_news.c numbers changes; a follower gets those after the number that it has. The table is rebuilt once a tick.

--- a/host/host.c
+++ b/host/host.c
@@ -45,16 +45,23 @@
 void host_on_list(struct host_table *table, const struct host *items, size_t n)
 {
 	GPtrArray *next = g_ptr_array_new_with_free_func(g_free);
+	GHashTable *before = g_hash_table_new(g_str_hash, g_str_equal);
 
+	for (guint i = 0; i < table->hosts->len; i++) {
+		struct host *host = table->hosts->pdata[i];
+
+		g_hash_table_insert(before, host->name, host);
+	}
 	for (size_t i = 0; i < n; i++) {
 		struct host *copy = g_memdup2(&items[i], sizeof(items[i]));
-		const struct host *old = host_find(table, copy->name);
+		const struct host *old = g_hash_table_lookup(before, copy->name);
 
 		copy->seed = str_hash(copy->name, strlen(copy->name), 0);
 		copy->suspect_until_us = old ? old->suspect_until_us : 0;
 		copy->failures = old ? old->failures : 0;
 		g_ptr_array_add(next, copy);
 	}
+	g_hash_table_destroy(before);
 	g_ptr_array_sort(next, host_cmp);
 	g_ptr_array_free(table->hosts, TRUE);
 	table->hosts = next;
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -1054,7 +1054,7 @@
   (ProtobufCMessageInit) feed__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__update__field_descriptors[13] =
+static const ProtobufCFieldDescriptor feed__update__field_descriptors[14] =
 {
   {
     "away",
@@ -1212,6 +1212,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts_whole",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Update, hosts_whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__update__field_indices_by_name[] = {
   0,   /* field[0] = away */
@@ -1224,6 +1236,7 @@
   12,   /* field[12] = era */
   5,   /* field[5] = generation */
   4,   /* field[4] = hosts */
+  13,   /* field[13] = hosts_whole */
   2,   /* field[2] = listing */
   6,   /* field[6] = loads */
   10,   /* field[10] = round */
@@ -1232,7 +1245,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor feed__update__descriptor =
 {
@@ -1242,7 +1255,7 @@
   "Feed__Update",
   "feed",
   sizeof(Feed__Update),
-  13,
+  14,
   feed__update__field_descriptors,
   feed__update__field_indices_by_name,
   2,  feed__update__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -195,10 +195,14 @@
    */
   int64_t endpoints_next;
   /*
-   * all hosts; none: no change
+   * that have come or gone; none: no change
    */
   size_t n_hosts;
   Feed__Host **hosts;
+  /*
+   * hosts are all that are known
+   */
+  protobuf_c_boolean hosts_whole;
   /*
    * fencing number for orders, see era/era.h
    */
@@ -223,7 +227,7 @@
 };
 #define FEED__UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__update__descriptor) \
-    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, {0,NULL}, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/router/feed.c
+++ b/router/feed.c
@@ -34,7 +34,7 @@
 	int64_t endpoints_next;
 	int64_t place_us; /* when it was last told that */
 	guint listing;	  /* number of the listing that it has */
-	guint hosts_version;
+	guint hosts_version; /* up to which it was told of hosts */
 	guint loads_version;
 	int64_t round;
 	int64_t generation;
@@ -248,41 +248,43 @@
 
 	if (!follower->greeted || follower->away != feed_is_away(rc) ||
 	    follower->generation != rc->lead.newest || follower->era != rc_era_for_msg(rc) ||
-	    follower->hosts_version != rc->hosts_version ||
+	    follower->hosts_version != rc->host_news.version ||
 	    follower->loads_version != rc->loads_version || follower->round != rc->round.number)
 		return true;
 	return feed_owes_conf(rc, follower) || feed_owes_endpoints(feed, follower);
 }
 
-static void feed_put_gone(void *ctx, char *name)
-{
-	Feed__Host host = FEED__HOST__INIT;
-
-	host.name = name;
-	g_array_append_val((GArray *)ctx, host);
-}
+/* The hosts of one update. */
+struct feed_hosts {
+	const struct rc *rc;
+	GArray *items; /* Feed__Host */
+	GPtrArray *refs;
+};
 
-static void feed_put_hosts(const struct rc *rc, Feed__Update *msg, GArray *hosts, GPtrArray *refs)
+static void feed_put_host(void *ctx, const char *name, bool gone)
 {
-	GHashTableIter iter;
-	gpointer name;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, rc->hosts);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct rc_host *from = value;
-		Feed__Host host = FEED__HOST__INIT;
+	struct feed_hosts *hosts = ctx;
+	const struct rc_host *from = gone ? NULL : g_hash_table_lookup(hosts->rc->hosts, name);
+	Feed__Host host = FEED__HOST__INIT;
 
-		host.name = name;
+	host.name = (char *)name;
+	if (from) {
 		host.addr = from->addr;
 		host.capacity = from->capacity;
-		g_array_append_val(hosts, host);
 	}
-	hosts_each_gone(rc->hostlist, feed_put_gone, hosts);
-	for (guint i = 0; i < hosts->len; i++)
-		g_ptr_array_add(refs, &g_array_index(hosts, Feed__Host, i));
-	msg->hosts = (Feed__Host **)refs->pdata;
-	msg->n_hosts = refs->len;
+	g_array_append_val(hosts->items, host);
+}
+
+static void feed_put_hosts(struct feed_hosts *hosts, guint since, Feed__Update *msg)
+{
+	const struct hn *news = &hosts->rc->host_news;
+
+	msg->hosts_whole = hn_needs_whole(news, since);
+	hn_each_since(news, msg->hosts_whole ? 0 : since, feed_put_host, hosts);
+	for (guint i = 0; i < hosts->items->len; i++)
+		g_ptr_array_add(hosts->refs, &g_array_index(hosts->items, Feed__Host, i));
+	msg->hosts = (Feed__Host **)hosts->refs->pdata;
+	msg->n_hosts = hosts->refs->len;
 }
 
 static void feed_put_loads(const struct rc *rc, Feed__Update *msg, GArray *loads, GPtrArray *refs)
@@ -305,8 +307,8 @@
 static void feed_update(struct feed *feed, struct feed_follower *follower)
 {
 	struct rc *rc = feed->rc;
-	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(Feed__Host));
-	GPtrArray *refs = g_ptr_array_new();
+	struct feed_hosts hosts = {rc, g_array_new(FALSE, FALSE, sizeof(Feed__Host)),
+				   g_ptr_array_new()};
 	GArray *loads = g_array_new(FALSE, FALSE, sizeof(Feed__Load));
 	GPtrArray *load_refs = g_ptr_array_new();
 	Feed__Update msg = FEED__UPDATE__INIT;
@@ -318,19 +320,19 @@
 	follower->era = msg.era;
 	feed_put_conf(feed, follower, &msg);
 	feed_put_endpoints(feed, follower, &msg);
-	if (follower->hosts_version != rc->hosts_version)
-		feed_put_hosts(rc, &msg, hosts, refs);
+	if (follower->hosts_version != rc->host_news.version)
+		feed_put_hosts(&hosts, follower->hosts_version, &msg);
 	if (follower->loads_version != rc->loads_version)
 		feed_put_loads(rc, &msg, loads, load_refs);
 	msg.round = rc->round.number;
 	follower->round = rc->round.number;
 	follower->loads_version = rc->loads_version;
-	follower->hosts_version = rc->hosts_version;
+	follower->hosts_version = rc->host_news.version;
 	follower->generation = rc->lead.newest;
 	follower->greeted = true;
 	frm_send(follower->conn, MSG_FEED_UPDATE, &msg.base);
-	g_array_unref(hosts);
-	g_ptr_array_unref(refs);
+	g_array_unref(hosts.items);
+	g_ptr_array_unref(hosts.refs);
 	g_array_unref(loads);
 	g_ptr_array_unref(load_refs);
 }
--- a/router/feed_pack_test.cc
+++ b/router/feed_pack_test.cc
@@ -122,4 +122,45 @@
 	EXPECT_EQ(fp_.packed->data[0], changed);
 }
 
+/*
+ * The load: heartbeats of all endpoints between two changes. Followers get the change, and who asks
+ * for the whole list gets what was packed before them.
+ */
+TEST_F(FeedPackTest, HeartbeatsAreNotHandedOn)
+{
+	for (int endpoints : {93, 915, 3001, 6002}) {
+		ep_list list;
+		fp pack;
+		size_t told = 0;
+		int64_t place = 0;
+
+		ep_list_init(&list);
+		fp_init(&pack);
+		for (int beat = 0; beat < 10; beat++) {
+			for (int i = 0; i < endpoints; i++) {
+				std::string id = std::to_string(i);
+				ep_rec *rec = ep_rec_new(id.c_str(), 0);
+
+				rec->service = g_strdup("s");
+				rec->addr = g_strdup(("a" + id).c_str());
+				rec->zone = g_strdup("z");
+				rec->text = g_strdup(id.c_str());
+				rec->heartbeat = beat + 1;
+				rec->layer_to = beat >= 5 && i == 7 ? 8 : 0;
+				if (ep_on_record(&list, place, id.c_str(), rec, 0) == EP_NEWS) {
+					fp_on_record(&pack, place, id.c_str(),
+						     str_of(id.c_str()));
+					told++;
+				}
+				place++;
+			}
+		}
+		EXPECT_EQ(told, (size_t)endpoints + 1) << endpoints;
+		EXPECT_FALSE(fp_has_news(&pack, list.next));
+		EXPECT_TRUE(fp_has_news(&pack, 5 * endpoints));
+		fp_finish(&pack);
+		ep_list_finish(&list);
+	}
+}
+
 } // namespace
--- a/router/follow.c
+++ b/router/follow.c
@@ -42,7 +42,8 @@
 	unsigned int turn; /* feeders that were of no use so far */
 	int64_t next_try_us;
 	int64_t settled_us;
-	guint seed; /* of the seeds, the one to ask next */
+	guint seed;	/* of the seeds, the one to ask next */
+	bool hosts_due; /* the table is older than the list of hosts */
 };
 
 static int follow_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
@@ -94,6 +95,12 @@
 }
 
 void follow_on_hosts(struct follow *follow)
+{
+	follow->hosts_due = true;
+}
+
+/* Once for all hosts that have come or gone: a list brings a thousand. */
+static void follow_update_table(struct follow *follow)
 {
 	GArray *hosts = g_array_new(FALSE, TRUE, sizeof(struct host));
 	double least = follow_least_capacity(follow->rc);
@@ -115,6 +122,7 @@
 	}
 	host_on_list(&follow->table, (const struct host *)(void *)hosts->data, hosts->len);
 	g_array_unref(hosts);
+	follow->hosts_due = false;
 }
 
 static void follow_drop(struct follow *follow)
@@ -206,6 +214,8 @@
 	struct rank_host host;
 
 	rc->settled = now_us >= follow->settled_us;
+	if (follow->hosts_due)
+		follow_update_table(follow);
 	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
 	rc_rank_host(rc, &host);
@@ -276,7 +286,8 @@
 
 	if (msg->n_hosts == 0)
 		return;
-	rc->feed_lacks_self = true;
+	if (msg->hosts_whole)
+		rc->feed_lacks_self = true;
 	for (size_t i = 0; i < msg->n_hosts; i++)
 		follow_take_host(rc, msg->hosts[i]);
 	rc_on_hosts_heard(rc);
--- a/router/hosts.c
+++ b/router/hosts.c
@@ -6,8 +6,6 @@
 enum {
 	HOSTS_CALL_MS = 1000,
 	HOSTS_RETRY_MS = 500,
-	/* Names of hosts that have left; 310 are restarted or replaced a day, under 64 KB. */
-	HOSTS_GONE_MAX = 1024,
 	HTTP_OK = 200
 };
 
@@ -62,7 +60,7 @@
 		g_hash_table_remove(hosts->gone, name);
 		return;
 	}
-	if (g_hash_table_size(hosts->gone) >= HOSTS_GONE_MAX)
+	if (g_hash_table_size(hosts->gone) >= HN_GONE_MAX)
 		g_hash_table_remove_all(hosts->gone);
 	g_hash_table_add(hosts->gone, g_strdup(name));
 }
@@ -112,17 +110,7 @@
 			hosts_set_due(hosts, name, HOSTS_ADD);
 	}
 	/* Followers look whether they are in the list. */
-	hosts->rc->hosts_version++;
-}
-
-void hosts_each_gone(const struct hosts *hosts, hosts_gone_fn fn, void *ctx)
-{
-	GHashTableIter iter;
-	gpointer name;
-
-	g_hash_table_iter_init(&iter, hosts->gone);
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		fn(ctx, name);
+	hn_on_compared(&hosts->rc->host_news);
 }
 
 static void hosts_add_record(const struct hosts *hosts, const char *name, enum hosts_due due,
--- a/router/rank_test.cc
+++ b/router/rank_test.cc
@@ -1,6 +1,9 @@
 #include "router/rank.h"
 
 #include <gtest/gtest.h>
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
 #include <map>
 #include <set>
 #include <string>
@@ -46,32 +49,41 @@
 {
 	const struct {
 		const char *what;
-		rank_host host; /* reader, first start, settled, fed, knows all, reached */
+		/* reader, first start, settled, fed, knows all, reached, patient */
+		rank_host host;
 		bool reads, feeds;
 	} cases[] = {
-		{"a reader", {true, false, false, true, true, true}, true, true},
+		{"a reader", {true, false, false, true, true, true, false}, true, true},
 		{"a reader that the store turns away",
-		 {true, false, true, true, true, false},
+		 {true, false, true, true, true, false, false},
 		 true,
 		 false},
 		{"it starts, and has a feed",
-		 {false, false, false, true, false, true},
+		 {false, false, false, true, false, true, false},
 		 true,
 		 false},
-		{"it starts, and knows all", {false, false, false, true, true, true}, false, false},
+		{"it starts, and knows all", {false, false, false, true, true, true, false}, false, false},
 		{"it starts without a feed",
-		 {false, false, false, false, false, true},
+		 {false, false, false, false, false, true, false},
 		 true,
 		 false},
-		{"as usual", {false, false, true, true, true, false}, false, false},
-		{"it has lost its feed", {false, false, true, false, true, true}, true, true},
+		{"as usual", {false, false, true, true, true, false, false}, false, false},
+		{"it has lost its feed", {false, false, true, false, true, true, false}, true, true},
+		{"it has just lost its feed",
+		 {false, false, true, false, true, true, true},
+		 false,
+		 true},
+		{"it has just lost its feed, and does not know all",
+		 {false, false, true, false, false, true, true},
+		 true,
+		 true},
 		{"it has a feed, late in a start",
-		 {false, false, true, true, false, true},
+		 {false, false, true, true, false, true, false},
 		 true,
 		 true},
-		{"the first start", {false, true, false, true, false, true}, true, false},
+		{"the first start", {false, true, false, true, false, true, false}, true, false},
 		{"the first start, fed and settled",
-		 {false, true, true, true, false, false},
+		 {false, true, true, true, false, false, false},
 		 false,
 		 false},
 	};
@@ -149,6 +161,158 @@
 	}
 }
 
+TEST_F(RankTest, WhoWaitsForAnotherFeed)
+{
+	const struct {
+		const char *what;
+		rank place;
+		int64_t news_ms, patience_ms;
+	} cases[] = {
+		{"a follower with five seconds", {}, 5000, 1500},
+		{"with three", {}, 3000, 500},
+		{"with two", {}, 2000, 0},
+		{"with one", {}, 1000, 0},
+		{"a reader", {true, false, false, nullptr}, 5000, 0},
+		{"a spare feeder", {false, false, true, nullptr}, 5000, 0},
+	};
+	Hosts(1);
+	for (const auto &c : cases)
+		EXPECT_EQ(rank_patience_us(&c.place, c.news_ms * 1000), c.patience_ms * 1000)
+			<< c.what;
+}
+
+/* Hosts of one deployment before a store that turns some of them away, a tenth of a second a step. */
+class RankSim
+{
+      public:
+	RankSim(int hosts, int64_t news_ms) : hosts_((size_t)hosts), news_us_(news_ms * 1000)
+	{
+		std::vector<host> list((size_t)hosts);
+
+		for (int i = 0; i < hosts; i++)
+			snprintf(list[(size_t)i].name, sizeof(list[0].name), "host-%d", i);
+		host_table_init(&table_, 4000000);
+		host_on_list(&table_, list.data(), list.size());
+	}
+	~RankSim()
+	{
+		host_table_finish(&table_);
+	}
+	void TurnAway(int part)
+	{
+		for (size_t i = 0; i < hosts_.size(); i++)
+			hosts_[i].away = part > 0 && (i * 7919 + 3) % (size_t)part == 0;
+	}
+	void Run(int steps)
+	{
+		for (int i = 0; i < steps; i++)
+			Step();
+	}
+	double CallsPerHost() const
+	{
+		return (double)calls_ / (double)hosts_.size();
+	}
+	/* The longest that a host was without news, of those that some way leads to. */
+	int64_t OldestMs() const
+	{
+		return oldest_us_ / 1000;
+	}
+
+      private:
+	struct Host {
+		bool away = false, reads = false, reached = false, fed = true;
+		unsigned int turn = 0;
+		int64_t stale_us = 0, fed_us = 0, news_us = 0, read_from_us = 0;
+	};
+	enum {
+		STEP_US = 100000,
+		STALE_US = 400000,	  /* for which a feeder that is away is kept */
+		CALLS_OF_A_START = 2,	  /* configuration and endpoints */
+		STEPS_OF_A_CALL = 3	  /* of a host that goes on reading */
+	};
+
+	Host &At(const host *h)
+	{
+		return hosts_[(size_t)atoi(h->name + strlen("host-"))];
+	}
+	void Read(Host *h, const rank &place)
+	{
+		const rank_host state = {place.reader, false, true, h->fed, true, h->reached,
+					 now_ - h->fed_us < rank_patience_us(&place, news_us_)};
+		bool reads = rank_reads(&state);
+
+		if (reads && !h->reads)
+			h->read_from_us = now_;
+		if (reads && !h->reads)
+			calls_ += CALLS_OF_A_START;
+		else if (reads && (now_ - h->read_from_us) / STEP_US % STEPS_OF_A_CALL == 0)
+			calls_++;
+		h->reached = reads && !h->away;
+		h->reads = reads;
+	}
+	void Follow(Host *h, const rank &place)
+	{
+		const Host &feeder = At(place.feeder);
+
+		h->fed = feeder.reached;
+		if (h->fed) {
+			h->fed_us = now_;
+			h->stale_us = 0;
+			h->turn = 0;
+		} else if (h->stale_us == 0) {
+			h->stale_us = now_;
+		} else if (now_ - h->stale_us > STALE_US) {
+			h->turn++;
+			h->stale_us = 0;
+		}
+	}
+	void Step()
+	{
+		now_ += STEP_US;
+		for (size_t i = 0; i < hosts_.size(); i++) {
+			Host *h = &hosts_[i];
+			rank place;
+
+			rank_choose(&table_, ("host-" + std::to_string(i)).c_str(), h->turn, now_,
+				    &place);
+			Follow(h, place);
+			Read(h, place);
+			if (h->fed || h->reached)
+				h->news_us = now_;
+			oldest_us_ = std::max(oldest_us_, now_ - h->news_us);
+		}
+	}
+
+	host_table table_;
+	std::vector<Host> hosts_;
+	int64_t news_us_;
+	int64_t now_ = 0;
+	int64_t oldest_us_ = 0;
+	long calls_ = 0;
+};
+
+/*
+ * The load: the store turns a third of the hosts away for nine seconds, a reader among them. All
+ * that followed it have other feeds; what they ask the store meanwhile falls with their number.
+ */
+TEST(RankSimTest, HostsThatTheStoreTurnsAwayDoNotMakeTheOthersRead)
+{
+	double before = 1e9;
+
+	for (int hosts : {30, 300, 984, 1968}) {
+		RankSim sim(hosts, 5000);
+
+		sim.Run(10);
+		sim.TurnAway(3);
+		sim.Run(90);
+		sim.TurnAway(0);
+		sim.Run(30);
+		EXPECT_LT(sim.CallsPerHost(), std::min(before, 10.0)) << hosts;
+		EXPECT_LT(sim.OldestMs(), 2500) << hosts;
+		before = sim.CallsPerHost();
+	}
+}
+
 /*
  * Symptom: in an outage of the store, engines that had died were sent to for ten seconds.
  * Sequence: the first reader dies; the second, fed by a third host, forgets after 4 s that it found
--- a/router/rc.c
+++ b/router/rc.c
@@ -76,6 +76,7 @@
 	rc->start_us = tmr_now();
 	rc->round.heard_us = tmr_now();
 	rc->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, rc_host_free);
+	hn_init(&rc->host_news);
 	ep_list_init(&rc->endpoints);
 	rc->conf_packed = g_byte_array_new();
 	rc->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -117,6 +118,7 @@
 	g_hash_table_destroy(rc->store_calls);
 	ep_list_finish(&rc->endpoints);
 	g_hash_table_destroy(rc->hosts);
+	hn_finish(&rc->host_news);
 	g_hash_table_destroy(rc->seen);
 	g_hash_table_destroy(rc->dead);
 	g_hash_table_destroy(rc->unreadable);
@@ -337,7 +339,7 @@
 		}
 		g_hash_table_replace(rc->hosts, g_strdup(name), host);
 	}
-	rc->hosts_version++;
+	hn_on_change(&rc->host_news, name, !g_hash_table_contains(rc->hosts, name));
 	follow_on_hosts(rc->follow);
 	rc_view_due(rc);
 }
--- a/router/rc.h
+++ b/router/rc.h
@@ -5,6 +5,7 @@
 #include "era/era.h"
 #include "lead/lead.h"
 #include "router/quarantine.h"
+#include "router/host_news.h"
 #include "router/limits.h"
 #include "router/rank.h"
 #include "router/router.h"
@@ -55,7 +56,7 @@
 	bool listed;	   /* the endpoints have been read whole once */
 	bool hosts_heard;  /* so have the hosts */
 	GHashTable *hosts; /* name -> struct rc_host */
-	guint hosts_version;
+	struct hn host_news;	   /* what followers are told of them */
 	struct sf_topic topics[SEAM_HOSTS + 1]; /* that are followed */
 	bool direct;				/* this host reads the store itself */
 	bool settled;	  /* it has had the time to find a host that feeds it */
@@ -156,10 +157,6 @@
 void hosts_on_record(struct hosts *hosts, const char *name, struct str text);
 void hosts_on_listed(struct hosts *hosts);
 
-/* Names of hosts that have left; followers are told, they don't see the removals. */
-typedef void (*hosts_gone_fn)(void *ctx, char *name);
-void hosts_each_gone(const struct hosts *hosts, hosts_gone_fn fn, void *ctx);
-
 /* member.c: this host in the store's list of hosts, and in the group that has a leader. */
 void member_start(struct rc *rc);
 
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -87,7 +87,7 @@
 {
 	const struct rc *rc = t->rc;
 
-	if (rc->router->settings.first_start && rc->hosts_version == 0)
+	if (rc->router->settings.first_start && rc->host_news.version == 0)
 		return t->topic == SEAM_HOSTS ? SF_FIRST_HOSTS_MS : SF_WAIT_MS;
 	if (t->topic == SEAM_HOSTS && rc->hosts_heard && !rc->rank.reader)
 		return SF_HOSTS_PAUSE_MS;
