--- a/router/member.c
+++ b/router/member.c
@@ -111,6 +111,12 @@
 		member_log_failed("group_not_left", answer);
 }
 
+/* Of what all hosts would else do in the same moment. */
+static int64_t member_spread_ms(const struct rc *rc)
+{
+	return g_str_hash(rc->router->settings.name) % MEMBER_LIST_SPREAD_MS;
+}
+
 static void member_on_listed(void *ctx, const struct store_answer *answer)
 {
 	struct rc *rc = ctx;
@@ -119,8 +125,9 @@
 	if (!rc->list_failed)
 		return;
 	if (!rc->stopping)
-		loop_after(rc->loop, &rc->list_timer, tmr_ms(MEMBER_LIST_RETRY_MS),
-			   member_list_again, rc);
+		loop_after(rc->loop, &rc->list_timer,
+			   tmr_ms(MEMBER_LIST_RETRY_MS + member_spread_ms(rc)), member_list_again,
+			   rc);
 	member_log_failed("host_not_listed", answer);
 }
 
@@ -250,7 +257,7 @@
 	if (rc->stopping || member_is_listed(rc) || tmr_is_set(&rc->list_timer))
 		return;
 	if (rc->listed_self_us > 0)
-		delay_us = tmr_ms(g_str_hash(rc->router->settings.name) % MEMBER_LIST_SPREAD_MS);
+		delay_us = tmr_ms(member_spread_ms(rc));
 	if (rc->listed_self_us > 0 && rc->listed_self_era == rc->era.now)
 		delay_us += MAX(rc->listed_self_us + tmr_ms(MEMBER_LIST_AGAIN_MS) - tmr_now(), 0);
 	loop_after(rc->loop, &rc->list_timer, delay_us, member_list_again, rc);
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -51,7 +51,11 @@
 	 */
 	SF_MANY_HOSTS = 100,
 	SF_LIST_OTHERS_MS = 1200,
-	SF_FIRST_OTHERS_MS = 2500, /* when a host that nobody feeds reads all the same */
+	/*
+	 * When a host that nobody feeds reads all the same. The store takes the entries of hosts
+	 * one by one, 2 ms each; before the list is whole, hosts disagree on who feeds them.
+	 */
+	SF_FIRST_OTHERS_MS = 5000,
 	/* After its first look at the configuration a host mostly is fed within this time. */
 	SF_CONF_PAUSE_START_MS = 400,
 	HTTP_OK = 200,
