In the first start most hosts are written into the store's list by the first reader, in one call

Change: a host tells its address to the one that feeds it, and the first reader writes all it was told of at once.

--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -682,7 +682,7 @@
   assert(message->base.descriptor == &feed__limit_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor feed__ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor feed__ask__field_descriptors[7] =
 {
   {
     "host",
@@ -744,8 +744,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "addr",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Ask, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Ask, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__ask__field_indices_by_name[] = {
+  5,   /* field[5] = addr */
+  6,   /* field[6] = capacity */
   3,   /* field[3] = conf_digest */
   1,   /* field[1] = conf_version */
   2,   /* field[2] = endpoints_next */
@@ -755,7 +781,7 @@
 static const ProtobufCIntRange feed__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor feed__ask__descriptor =
 {
@@ -765,7 +791,7 @@
   "Feed__Ask",
   "feed",
   sizeof(Feed__Ask),
-  5,
+  7,
   feed__ask__field_descriptors,
   feed__ask__field_indices_by_name,
   1,  feed__ask__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -60,10 +60,18 @@
    * of the store, plus one; 0: not known
    */
   int64_t era;
+  /*
+   * of the follower, for other hosts
+   */
+  char *addr;
+  /*
+   * Mbit/s of its link x cores
+   */
+  double capacity;
 };
 #define FEED__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/router/feed.c
+++ b/router/feed.c
@@ -119,6 +119,15 @@
 	return follower;
 }
 
+/* A host of the version before does not tell its address. */
+static void feed_note_host(struct feed *feed, const Feed__Ask *ask)
+{
+	const struct rc_host host = {ask->addr, ask->capacity};
+
+	if (ask->host[0] && ask->addr[0])
+		hosts_on_asked(feed->rc->hostlist, ask->host, &host);
+}
+
 static int feed_on_ask(struct feed *feed, struct frm_conn *conn, const uint8_t *body, size_t len)
 {
 	struct feed_follower *follower = feed_follower_of(feed, conn);
@@ -133,6 +142,7 @@
 	follower->conf_digest = ask->conf_digest;
 	follower->era = FEED_NOTHING;
 	rc_hear_era(feed->rc, rc_era_of_msg(ask->era), ask->host);
+	feed_note_host(feed, ask);
 	follower->endpoints_next = ask->endpoints_next;
 	follower->listing = ask->endpoints_next < 0 ? 0 : feed->endpoints.listing;
 	follower->generation = FEED_NOTHING;
--- a/router/follow.c
+++ b/router/follow.c
@@ -150,6 +150,10 @@
 	ask.conf_digest = rc->conf_origin.digest;
 	ask.era = rc_era_for_msg(rc);
 	ask.endpoints_next = rc->listed ? rc->endpoints.next : -1;
+	/* One that stops has left the list. */
+	if (!rc->stopping)
+		ask.addr = (char *)member_addr(&rc->router->settings);
+	ask.capacity = member_capacity(&rc->router->settings);
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
 	quarantine_send_all(rc->quarantine, follow->conn);
 	limits_send_all(rc->limits, follow->conn);
--- a/router/hosts.c
+++ b/router/hosts.c
@@ -20,6 +20,7 @@
 	GHashTable *gone; /* names of hosts that have left */
 	GHashTable *seen; /* names in the listing that is read */
 	GHashTable *due;  /* name -> enum hosts_due */
+	GHashTable *kept; /* names that the store has, as far as this host has read */
 	bool returned;	  /* the next listing is compared with what is known */
 	bool comparing;	  /* this one is */
 	struct store_call *write;
@@ -41,6 +42,7 @@
 	hosts->gone = hosts_names();
 	hosts->seen = hosts_names();
 	hosts->due = hosts_names();
+	hosts->kept = hosts_names();
 	return hosts;
 }
 
@@ -51,6 +53,7 @@
 	g_hash_table_destroy(hosts->gone);
 	g_hash_table_destroy(hosts->seen);
 	g_hash_table_destroy(hosts->due);
+	g_hash_table_destroy(hosts->kept);
 	g_free(hosts);
 }
 
@@ -88,8 +91,12 @@
 		hosts_set_due(hosts, name, HOSTS_REMOVE);
 		return;
 	}
-	if (text.data)
+	if (text.data) {
 		g_hash_table_add(hosts->seen, g_strdup(name));
+		g_hash_table_add(hosts->kept, g_strdup(name));
+	} else {
+		g_hash_table_remove(hosts->kept, name);
+	}
 	g_hash_table_remove(hosts->due, name);
 	hosts_note_gone(hosts, name, !text.data);
 	rc_take_host(hosts->rc, name, text);
@@ -113,6 +120,18 @@
 	hn_on_compared(&hosts->rc->host_news);
 }
 
+/* Only the first reader writes it, and only if the store has no entry of it by then. */
+void hosts_on_asked(struct hosts *hosts, const char *name, const struct rc_host *host)
+{
+	char *text = rc_host_text(host);
+
+	if (!g_hash_table_contains(hosts->kept, name))
+		hosts_set_due(hosts, name, HOSTS_ADD);
+	hosts_note_gone(hosts, name, false);
+	rc_take_host(hosts->rc, name, str_of(text));
+	g_free(text);
+}
+
 static void hosts_add_record(const struct hosts *hosts, const char *name, enum hosts_due due,
 			     GString *body)
 {
--- a/router/member.c
+++ b/router/member.c
@@ -1,4 +1,5 @@
 #include "base/jl.h"
+#include "router/listing.h"
 #include "router/rc.h"
 
 #include <string.h>
@@ -47,18 +48,22 @@
 	return call;
 }
 
-/* Where other hosts reach this one's control thread. */
-static const char *member_addr(const struct router_settings *s)
+const char *member_addr(const struct router_settings *s)
 {
 	return s->control_known_as[0] ? s->control_known_as : s->control;
 }
 
+double member_capacity(const struct router_settings *s)
+{
+	return s->link_mbps * s->cores;
+}
+
 /* Puts this host into the store's list of hosts, or out of it. */
 static void member_list_self(struct rc *rc, bool listed)
 {
 	const struct router_settings *s = &rc->router->settings;
 	const struct seam_store *store = &rc->router->seam->store;
-	char *text = g_strdup_printf("%s %.3f", member_addr(s), s->link_mbps * s->cores);
+	char *text = g_strdup_printf("%s %.3f", member_addr(s), member_capacity(s));
 	GString *record = store->make_record(s->name, listed ? str_of(text) : str_make(NULL, 0));
 	struct store_request request = {
 		.path = store->append_path(SEAM_HOSTS),
@@ -238,12 +243,25 @@
 	member_leave(rc);
 }
 
-/* In the first start of all there is no list yet; the others need this host's entry for theirs. */
+/* In the first start of all there is no list yet; see listing.h. */
+static bool member_is_first(const struct rc *rc)
+{
+	return rc->router->settings.first_start && rc->listed_self_us == 0;
+}
+
+static void member_list_first(struct rc *rc)
+{
+	int64_t delay_us = ls_wait_us(rc->router->settings.name, g_hash_table_size(rc->hosts),
+				      tmr_now() - rc->start_us);
+
+	loop_after(rc->loop, &rc->list_timer, delay_us, member_list_again, rc);
+}
+
 void member_start(struct rc *rc)
 {
 	lead_init(&rc->lead, tmr_ms(MEMBER_LEASE_MS));
-	if (rc->router->settings.first_start)
-		member_list_self(rc, true);
+	if (member_is_first(rc))
+		member_list_first(rc);
 }
 
 /*
@@ -254,7 +272,11 @@
 {
 	int64_t delay_us = 0;
 
-	if (rc->stopping || member_is_listed(rc) || tmr_is_set(&rc->list_timer))
+	if (rc->stopping || member_is_listed(rc))
+		return;
+	if (member_is_first(rc))
+		member_list_first(rc);
+	if (tmr_is_set(&rc->list_timer))
 		return;
 	if (rc->listed_self_us > 0)
 		delay_us = tmr_ms(member_spread_ms(rc));
--- a/router/rc.h
+++ b/router/rc.h
@@ -157,9 +157,16 @@
 void hosts_on_record(struct hosts *hosts, const char *name, struct str text);
 void hosts_on_listed(struct hosts *hosts);
 
+/* Another host tells of itself; it may not be in the store's list yet. */
+void hosts_on_asked(struct hosts *hosts, const char *name, const struct rc_host *host);
+
 /* member.c: this host in the store's list of hosts, and in the group that has a leader. */
 void member_start(struct rc *rc);
 
+/* Where other hosts reach this one's control thread, and what it can bear. */
+const char *member_addr(const struct router_settings *s);
+double member_capacity(const struct router_settings *s);
+
 /* The list of hosts is known: this host puts itself there unless it already is. */
 void member_on_hosts(struct rc *rc);
 void member_stop(struct rc *rc);
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -386,13 +386,6 @@
 	return true;
 }
 
-/* The log of the hosts has been read from its beginning to its end. */
-static void sf_on_first_hosts(struct rc *rc)
-{
-	if (!rc->hosts_heard)
-		rc_on_hosts_heard(rc);
-}
-
 static bool sf_on_reading(struct sf_topic *t, struct str body)
 {
 	struct seam_read read;
@@ -405,7 +398,7 @@
 	t->next = read.end < era_offset(t->next) ? -1 : era_place(t->rc->era.now, read.next);
 	t->reads++;
 	if (t->topic == SEAM_HOSTS && read.next == read.end)
-		sf_on_first_hosts(t->rc);
+		rc_on_hosts_heard(t->rc);
 	sf_again(t, read.next < read.end ? 0 : sf_pause_us(t));
 	return true;
 }
