Engines are asked in rounds of at most a second

Change: router/poll_pass.c cuts a pass into even rounds of 150 engines at most; each is a numbered round. One that does not answer comes first in the next. What was reported is kept by engine.

Test: EachIsAskedOnceAPass, 0 to 5,820 engines.

--- a/router/loads.c
+++ b/router/loads.c
@@ -27,18 +27,6 @@
 	feed_flush(rc->feed);
 }
 
-static GHashTable *loads_index(const GArray *loads)
-{
-	GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; i < loads->len; i++) {
-		struct router_load *load = &g_array_index(loads, struct router_load, i);
-
-		g_hash_table_insert(index, load->endpoint, load);
-	}
-	return index;
-}
-
 /* old: NULL is an engine that nothing was heard of, which is taken to be as usual. */
 static bool loads_differ(const struct router_load *old, const struct router_load *load)
 {
@@ -48,27 +36,56 @@
 	return (old ? old->pace : 1) != load->pace || old_full != full;
 }
 
-/* What the others should hear: what has changed, and after a while again what is not as usual. */
-static GArray *loads_news(const struct rc *rc, const GArray *loads, bool again, bool *changed)
+static void loads_add(GArray *loads, const struct router_load *load)
 {
-	GHashTable *before = loads_index(rc->polled);
-	GArray *news = loads_new();
+	struct router_load copy = *load;
 
-	*changed = false;
-	for (guint i = 0; i < loads->len; i++) {
-		const struct router_load *load = &g_array_index(loads, struct router_load, i);
-		const struct router_load *old = g_hash_table_lookup(before, load->endpoint);
-		bool differs = loads_differ(old, load);
-		struct router_load copy = *load;
-
-		if (!differs && !(again && loads_differ(NULL, load)))
-			continue;
-		*changed = *changed || differs;
-		copy.endpoint = g_strdup(load->endpoint);
-		g_array_append_val(news, copy);
+	copy.endpoint = g_strdup(load->endpoint);
+	g_array_append_val(loads, copy);
+}
+
+/* Notes what an engine reported. Returns whether the others should hear of it. */
+static bool loads_note(struct rc *rc, const struct router_load *load)
+{
+	struct router_load *old = g_hash_table_lookup(rc->polled, load->endpoint);
+	bool differs = loads_differ(old, load);
+
+	if (!old) {
+		old = g_new0(struct router_load, 1);
+		old->endpoint = g_strdup(load->endpoint);
+		g_hash_table_insert(rc->polled, old->endpoint, old);
+	}
+	old->pace = load->pace;
+	old->full = load->full;
+	return differs;
+}
+
+static gboolean loads_is_gone(gpointer endpoint, gpointer load, gpointer listed)
+{
+	(void)load;
+	return !g_hash_table_contains(listed, endpoint);
+}
+
+/* All engines that are not as usual, for those that have not heard of them. */
+static void loads_add_unusual(struct rc *rc, GArray *loads)
+{
+	GHashTable *listed = ep_incarnations(&rc->endpoints);
+	GHashTableIter iter;
+	gpointer load;
+
+	g_hash_table_foreach_remove(rc->polled, loads_is_gone, listed);
+	g_hash_table_destroy(listed);
+	g_hash_table_iter_init(&iter, rc->polled);
+	while (g_hash_table_iter_next(&iter, NULL, &load)) {
+		if (loads_differ(NULL, load))
+			loads_add(loads, load);
 	}
-	g_hash_table_destroy(before);
-	return news;
+}
+
+void loads_free(gpointer data)
+{
+	loads_clear(data);
+	g_free(data);
 }
 
 /*
@@ -80,13 +97,19 @@
 void loads_take_round(struct rc *rc, GArray *loads)
 {
 	bool again = tmr_now() - rc->loads_us >= tmr_ms(LOADS_AGAIN_MS);
-	bool changed;
-	GArray *news = loads_news(rc, loads, again, &changed);
+	GArray *news = loads_new();
 
 	rank_round_done(&rc->round);
-	g_array_unref(rc->polled);
-	rc->polled = loads;
-	if (news->len > 0 && (changed || again))
+	for (guint i = 0; i < loads->len; i++) {
+		const struct router_load *load = &g_array_index(loads, struct router_load, i);
+
+		if (loads_note(rc, load) && !again)
+			loads_add(news, load);
+	}
+	if (again)
+		loads_add_unusual(rc, news);
+	g_array_unref(loads);
+	if (news->len > 0)
 		loads_take(rc, news);
 	else
 		g_array_unref(news);
--- a/router/poll.c
+++ b/router/poll.c
@@ -1,18 +1,14 @@
 #include "base/jl.h"
 #include "base/met.h"
+#include "router/poll_pass.h"
 #include "router/rc.h"
 
 #include <string.h>
 
 enum {
-	/*
-	 * Between two rounds. Each asks every engine once; engines report with a lag of some
-	 * hundred ms, so more often brings little.
-	 */
-	POLL_ROUND_MS = 1000,
-	/* Reports a second at most: one costs some 250 us, so these 4 % of a core. */
-	POLL_PER_S = 150,
 	POLL_CALL_MS = 600, /* what has not answered by then is left out of the round */
+	/* Engines close a connection that is idle for so long, so it is not kept for the next. */
+	POLL_KEEP_MS = 3000,
 	/*
 	 * Rounds in a row without an answer after which an engine is taken to be dead, on all
 	 * hosts. While the store is away its list does not shrink: in an outage of 11 s, two dead
@@ -37,8 +33,10 @@
 	GArray *loads;	    /* struct router_load, of the present round; NULL: between rounds */
 	guint asked;	    /* engines in the present round */
 	guint misses;	    /* of the last round that was logged */
-	GHashTable *missed; /* incarnation -> rounds in a row without an answer */
-	GHashTable *listed; /* incarnations that are asked in the present round */
+	GHashTable *missed; /* incarnation -> times in a row without an answer */
+	GPtrArray *silent;  /* incarnations that did not answer in the present round */
+	struct pp pass;
+	guint engines; /* in the present pass */
 	int64_t next_us;
 };
 
@@ -63,7 +61,8 @@
 	poll->rc = rc;
 	poll->calls = g_ptr_array_new_with_free_func(poll_call_free);
 	poll->missed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	poll->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	poll->silent = g_ptr_array_new_with_free_func(g_free);
+	pp_init(&poll->pass);
 	return poll;
 }
 
@@ -71,7 +70,8 @@
 {
 	g_ptr_array_unref(poll->calls);
 	g_hash_table_destroy(poll->missed);
-	g_hash_table_destroy(poll->listed);
+	g_ptr_array_unref(poll->silent);
+	pp_finish(&poll->pass);
 	g_clear_pointer(&poll->loads, g_array_unref);
 	g_free(poll);
 }
@@ -87,13 +87,13 @@
 		.url = url,
 		.connect_ms = POLL_CALL_MS,
 		.total_ms = POLL_CALL_MS,
+		.close = pp_pass_us(poll->engines) > tmr_ms(POLL_KEEP_MS),
 	};
 
 	call->poll = poll;
 	call->endpoint = g_strdup(rec->incarnation);
 	call->born_ms = rec->born_ms;
 	g_ptr_array_add(poll->calls, call);
-	g_hash_table_add(poll->listed, g_strdup(rec->incarnation));
 	call->call = hc_start(rc->hc, &request, &poll_ops, call);
 	g_free(url);
 }
@@ -105,26 +105,59 @@
 	return service && rt_is_layered(service) && rec->layer_to > rec->layer_from;
 }
 
-static void poll_begin(struct poll *poll)
+static gboolean poll_is_gone(gpointer incarnation, gpointer missed, gpointer listed)
 {
+	(void)missed;
+	return !g_hash_table_contains(listed, incarnation);
+}
+
+/* All engines that are listed now. */
+static void poll_begin_pass(struct poll *poll)
+{
+	GHashTable *listed = ep_incarnations(&poll->rc->endpoints);
+	GPtrArray *engines = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
-	poll->loads = loads_new();
-	g_hash_table_remove_all(poll->listed);
 	g_hash_table_iter_init(&iter, poll->rc->endpoints.entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct ep_entry *entry = value;
 
 		if (poll_is_engine(poll->rc, entry->rec))
-			poll_ask(poll, entry->rec);
+			g_ptr_array_add(engines, entry->rec->incarnation);
 	}
+	g_hash_table_foreach_remove(poll->missed, poll_is_gone, listed);
+	poll->engines = engines->len;
+	pp_begin(&poll->pass, engines);
+	g_ptr_array_unref(engines);
+	g_hash_table_destroy(listed);
+}
+
+static const struct ep_rec *poll_listed(const struct poll *poll, const char *incarnation)
+{
+	char *id = g_strndup(incarnation, (gsize)(strrchr(incarnation, '@') - incarnation));
+	const struct ep_entry *entry = g_hash_table_lookup(poll->rc->endpoints.entries, id);
+
+	g_free(id);
+	return entry && strcmp(entry->rec->incarnation, incarnation) == 0 ? entry->rec : NULL;
 }
 
-/* Between the beginnings of two rounds. */
-static int64_t poll_interval_us(const struct poll *poll)
+static void poll_begin(struct poll *poll)
 {
-	return MAX(tmr_ms(POLL_ROUND_MS), tmr_s(poll->asked) / POLL_PER_S);
+	GPtrArray *round;
+
+	if (pp_is_over(&poll->pass))
+		poll_begin_pass(poll);
+	round = pp_take(&poll->pass);
+	poll->loads = loads_new();
+	g_ptr_array_set_size(poll->silent, 0);
+	for (guint i = 0; i < round->len; i++) {
+		const struct ep_rec *rec = poll_listed(poll, round->pdata[i]);
+
+		if (rec)
+			poll_ask(poll, rec);
+	}
+	g_ptr_array_unref(round);
 }
 
 /*
@@ -133,21 +166,18 @@
  */
 static void poll_tell_dead(struct poll *poll, guint answered)
 {
-	GHashTableIter iter;
-	gpointer id;
-	gpointer missed;
-	int64_t for_ms = POLL_DEAD_MS + poll_interval_us(poll) / TMR_US_PER_MS;
+	int64_t for_ms = POLL_DEAD_MS + pp_pass_us(poll->engines) / TMR_US_PER_MS;
 
 	if (answered * 2 < poll->asked)
 		return;
-	g_hash_table_iter_init(&iter, poll->missed);
-	while (g_hash_table_iter_next(&iter, &id, &missed)) {
+	for (guint i = 0; i < poll->silent->len; i++) {
+		const char *id = poll->silent->pdata[i];
 		const struct suspect suspect = {id, for_ms, SUSPECT_NO_REPORT, 0};
 
-		if (!g_hash_table_contains(poll->listed, id))
-			g_hash_table_iter_remove(&iter);
-		else if (GPOINTER_TO_INT(missed) >= POLL_MISSES)
+		if (GPOINTER_TO_INT(g_hash_table_lookup(poll->missed, id)) >= POLL_MISSES)
 			suspect_on_news(poll->rc, &suspect, poll);
+		else
+			pp_ask_again(&poll->pass, id);
 	}
 }
 
@@ -193,7 +223,7 @@
 		return;
 	poll_begin(poll);
 	poll->asked = poll->calls->len;
-	poll->next_us = now_us + poll_interval_us(poll);
+	poll->next_us = now_us + poll->pass.round_us;
 	if (poll->calls->len == 0)
 		poll_end(poll);
 }
@@ -212,6 +242,7 @@
 
 	g_hash_table_replace(poll->missed, g_strdup(endpoint),
 			     GINT_TO_POINTER(GPOINTER_TO_INT(missed) + 1));
+	g_ptr_array_add(poll->silent, g_strdup(endpoint));
 }
 
 /* Takes the report of an engine that is as it is listed. */
--- a/router/rc.c
+++ b/router/rc.c
@@ -83,7 +83,7 @@
 	rc->dead = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->unreadable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->loads = loads_new();
-	rc->polled = loads_new();
+	rc->polled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, loads_free);
 	rc->placer = placer_new(rc);
 	rc->poll = poll_new(rc);
 	rc->feed = feed_new(rc);
@@ -113,7 +113,7 @@
 	placer_free(rc->placer);
 	poll_free(rc->poll);
 	g_array_unref(rc->loads);
-	g_array_unref(rc->polled);
+	g_hash_table_destroy(rc->polled);
 	hc_free(rc->hc);
 	g_hash_table_destroy(rc->store_calls);
 	ep_list_finish(&rc->endpoints);
--- a/router/rc.h
+++ b/router/rc.h
@@ -89,7 +89,7 @@
 	GArray *loads;		/* struct router_load, as last heard */
 	guint loads_version;
 	int64_t loads_us; /* when they were last handed on */
-	GArray *polled;	  /* struct router_load, this host's last round */
+	GHashTable *polled; /* incarnation -> struct router_load, as this host heard it last */
 	int64_t fed_us;	  /* when this host last had a feed; 0: never */
 	int64_t fresh_us; /* when the store was last reached, by this host or its feeder; 0: never
 			   */
@@ -192,7 +192,10 @@
 /* Takes the newest loads (struct router_load) and hands them on; the array is taken over. */
 void loads_take(struct rc *rc, GArray *loads);
 
-/* The same for a round of this host's own, of which only what is new is handed on. */
+/* Of a struct router_load that was made by itself. */
+void loads_free(gpointer load);
+
+/* Reports of a round of this host's own, of which only what is new is handed on; taken over. */
 void loads_take_round(struct rc *rc, GArray *loads);
 
 /* suspect.c: endpoints at fault, told from host to host; feeds carry that both ways. */
