--- a/prog/router.c
+++ b/prog/router.c
@@ -44,6 +44,7 @@
 	ITEM("store", "address", SET_ADDR, store, NULL, 0, 0),
 	ITEM("store", "apply_ms", SET_INT, apply_ms, "2000", 10, 600000),
 	ITEM("endpoints", "drain_ms", SET_INT, drain_ms, "2000", 10, 600000),
+	ITEM("endpoints", "heartbeat_ms", SET_INT, heartbeat_ms, "1200", 10, 600000),
 	ITEM("repeats", "ratio", SET_REAL, repeat_ratio, "0.2", 0, 1000),
 	ITEM("repeats", "window_s", SET_REAL, repeat_window_s, "10", 1, 3600),
 	ITEM("repeats", "fixed", SET_REAL, repeat_fixed, "10", 0, 1000000),
--- a/router/loads.c
+++ b/router/loads.c
@@ -103,7 +103,7 @@
 	for (guint i = 0; i < loads->len; i++) {
 		const struct router_load *load = &g_array_index(loads, struct router_load, i);
 
-		if (loads_note(rc, load) && !again)
+		if (loads_note(rc, load))
 			loads_add(news, load);
 	}
 	if (again)
--- a/router/placer.c
+++ b/router/placer.c
@@ -27,8 +27,12 @@
 	PLACER_AT_ONCE = 128,
 	PLACER_CALL_MS = 1000,
 	PLACER_CONNECT_MS = 500,
-	/* An order without an effect in the endpoint's entry is given again after this time. */
-	PLACER_PATIENCE_US = 4000000,
+	/*
+	 * An order without an effect in the endpoint's entry is given again after this time, or
+	 * after two heartbeats of the endpoint, which writes its entry only then.
+	 */
+	PLACER_PATIENCE_MS = 4000,
+	PLACER_HEARTBEATS = 2,
 	HTTP_OK = 200,
 	HTTP_ACCEPTED = 202,
 	HTTP_CONFLICT = 409,
@@ -134,6 +138,13 @@
 	}
 }
 
+static int64_t placer_patience_us(const struct placer *placer)
+{
+	int64_t heartbeat_ms = placer->rc->router->settings.heartbeat_ms;
+
+	return tmr_ms(MAX((int64_t)PLACER_PATIENCE_MS, PLACER_HEARTBEATS * heartbeat_ms));
+}
+
 /* Orders that wait for an answer. */
 static guint placer_waiting(const struct placer *placer)
 {
@@ -158,12 +169,13 @@
 		g_hash_table_remove(placer->orders, rec->incarnation);
 }
 
-static gboolean placer_is_over(gpointer id, gpointer value, gpointer now_us)
+/* Whether the order was given before that time. */
+static gboolean placer_is_over(gpointer id, gpointer value, gpointer before_us)
 {
 	const struct placer_order *order = value;
 
 	(void)id;
-	return *(const int64_t *)now_us - order->given_us >= PLACER_PATIENCE_US;
+	return order->given_us <= *(const int64_t *)before_us;
 }
 
 /* One that is dead, though it is still listed, holds nothing. */
@@ -206,10 +218,11 @@
 	GArray *nodes = g_array_new(FALSE, TRUE, sizeof(struct pl_node));
 	GPtrArray *of_nodes = g_ptr_array_new();
 	GArray *moves = g_array_new(FALSE, TRUE, sizeof(struct pl_move));
+	int64_t before_us = now_us - placer_patience_us(placer);
 	guint room;
 
 	/* Endpoints may vanish before an order to them shows any effect. */
-	g_hash_table_foreach_remove(placer->orders, placer_is_over, &now_us);
+	g_hash_table_foreach_remove(placer->orders, placer_is_over, &before_us);
 	for (guint i = 0; i < recs->len; i++) {
 		struct ep_rec *rec = recs->pdata[i];
 		struct pl_node node;
@@ -358,5 +371,5 @@
 	if (status == HTTP_FENCED)
 		lead_on_refused(&placer->rc->lead, order->fence);
 	if (!sent || status == HTTP_CONFLICT || status == HTTP_FENCED)
-		order->given_us -= PLACER_PATIENCE_US * 3 / 4;
+		order->given_us -= placer_patience_us(placer) * 3 / 4;
 }
--- a/router/router.h
+++ b/router/router.h
@@ -32,6 +32,7 @@
 	char *seeds;
 	char *store;
 	int64_t drain_ms; /* after which an endpoint that is leaving must get no requests */
+	int64_t heartbeat_ms; /* between two entries of an endpoint that say the same */
 	int64_t apply_ms; /* after which a configuration must be in force */
 	int64_t grace_s;
 	double repeat_ratio;
