Beyond 300 hosts others relay what the readers feed

Change: so many relays by rank that each has 50 followers; a host follows one of its own zone, then others, then readers. A host that follows a reader though there are relays goes over after two to five seconds. What a relay hears it hands on at once.

--- a/host/host.c
+++ b/host/host.c
@@ -158,6 +158,31 @@
 	return host_least_suspected(table);
 }
 
+unsigned int host_homes(const struct host_table *table, const char *key, const struct host **homes,
+			unsigned int most, int64_t now_us)
+{
+	uint64_t hash = str_hash(key, strlen(key), 0);
+	unsigned int n = 0;
+
+	for (guint i = 0; i < table->hosts->len; i++) {
+		const struct host *host = table->hosts->pdata[i];
+		uint64_t weight = host_weight(host, hash);
+		unsigned int at;
+
+		if (!host_usable(host, now_us))
+			continue;
+		for (at = MIN(n, most); at > 0 && host_weight(homes[at - 1], hash) < weight; at--) {
+			if (at < most)
+				homes[at] = homes[at - 1];
+		}
+		if (at == most)
+			continue;
+		homes[at] = host;
+		n = MIN(n + 1, most);
+	}
+	return n;
+}
+
 unsigned int host_live_count(const struct host_table *table)
 {
 	unsigned int n = 0;
--- a/host/host.h
+++ b/host/host.h
@@ -59,6 +59,13 @@
 const struct host *host_home(const struct host_table *table, const char *key, unsigned int rank,
 			     int64_t now_us);
 
+/*
+ * The first homes of a key, the highest first: what host_home() gives for the ranks from 0 on, where
+ * hosts are usable. Fills at most "most" of them; returns how many.
+ */
+unsigned int host_homes(const struct host_table *table, const char *key, const struct host **homes,
+			unsigned int most, int64_t now_us);
+
 /* Hosts that are not leaving by the list. */
 unsigned int host_live_count(const struct host_table *table);
 
--- a/msg/feed.pb-c.c
+++ b/msg/feed.pb-c.c
@@ -682,7 +682,7 @@
   assert(message->base.descriptor == &feed__limit_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor feed__ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor feed__ask__field_descriptors[8] =
 {
   {
     "host",
@@ -768,6 +768,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Ask, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__ask__field_indices_by_name[] = {
   5,   /* field[5] = addr */
@@ -777,11 +789,12 @@
   2,   /* field[2] = endpoints_next */
   4,   /* field[4] = era */
   0,   /* field[0] = host */
+  7,   /* field[7] = zone */
 };
 static const ProtobufCIntRange feed__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor feed__ask__descriptor =
 {
@@ -791,7 +804,7 @@
   "Feed__Ask",
   "feed",
   sizeof(Feed__Ask),
-  7,
+  8,
   feed__ask__field_descriptors,
   feed__ask__field_indices_by_name,
   1,  feed__ask__number_ranges,
@@ -951,7 +964,7 @@
   (ProtobufCMessageInit) feed__note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor feed__host__field_descriptors[3] =
+static const ProtobufCFieldDescriptor feed__host__field_descriptors[4] =
 {
   {
     "name",
@@ -989,16 +1002,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Feed__Host, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned feed__host__field_indices_by_name[] = {
   1,   /* field[1] = addr */
   2,   /* field[2] = capacity */
   0,   /* field[0] = name */
+  3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange feed__host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor feed__host__descriptor =
 {
@@ -1008,7 +1034,7 @@
   "Feed__Host",
   "feed",
   sizeof(Feed__Host),
-  3,
+  4,
   feed__host__field_descriptors,
   feed__host__field_indices_by_name,
   1,  feed__host__number_ranges,
--- a/msg/feed.pb-c.h
+++ b/msg/feed.pb-c.h
@@ -68,10 +68,14 @@
    * Mbit/s of its link x cores
    */
   double capacity;
+  /*
+   * its availability zone
+   */
+  char *zone;
 };
 #define FEED__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -138,10 +142,14 @@
    * Mbit/s of its link x cores
    */
   double capacity;
+  /*
+   * its availability zone
+   */
+  char *zone;
 };
 #define FEED__HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&feed__host__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/router/feed.c
+++ b/router/feed.c
@@ -122,7 +122,7 @@
 /* A host of the version before does not tell its address. */
 static void feed_note_host(struct feed *feed, const Feed__Ask *ask)
 {
-	const struct rc_host host = {ask->addr, ask->capacity};
+	const struct rc_host host = {ask->addr, ask->capacity, ask->zone};
 
 	if (ask->host[0] && ask->addr[0])
 		hosts_on_asked(feed->rc->hostlist, ask->host, &host);
@@ -281,6 +281,7 @@
 	if (from) {
 		host.addr = from->addr;
 		host.capacity = from->capacity;
+		host.zone = from->zone;
 	}
 	g_array_append_val(hosts->items, host);
 }
--- a/router/follow.c
+++ b/router/follow.c
@@ -20,6 +20,14 @@
 	FOLLOW_SUSPECT_MS = 4000, /* a host that did not answer is passed over for this time */
 	FOLLOW_RETRY_MS = 300,
 	FOLLOW_STALE_MS = 400, /* for which a feeder that can't reach the store is kept */
+	/* The same for a relay, which looks for another feed itself. */
+	FOLLOW_STALE_RELAY_MS = 900,
+	/*
+	 * When a host that is well fed goes over to the relay that is for it. Hosts that start
+	 * together find each other over some seconds, and follow readers until then.
+	 */
+	FOLLOW_MOVE_MS = 2000,
+	FOLLOW_MOVE_SPREAD_MS = 3000,
 	/*
 	 * The same when no feeder reaches it. Hosts that went from one to the next all through an
 	 * outage missed what others found out about endpoints.
@@ -44,6 +52,7 @@
 	int64_t settled_us;
 	guint seed;	/* of the seeds, the one to ask next */
 	bool hosts_due; /* the table is older than the list of hosts */
+	int64_t elsewhere_us; /* since when it is fed by another one than the relay for it; 0 */
 };
 
 static int follow_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
@@ -118,6 +127,7 @@
 		memset(&host, 0, sizeof(host));
 		g_strlcpy(host.name, name, sizeof(host.name));
 		g_strlcpy(host.control_addr, from->addr, sizeof(host.control_addr));
+		g_strlcpy(host.zone, from->zone, sizeof(host.zone));
 		g_array_append_val(hosts, host);
 	}
 	host_on_list(&follow->table, (const struct host *)(void *)hosts->data, hosts->len);
@@ -154,6 +164,7 @@
 	if (!rc->stopping)
 		ask.addr = (char *)member_addr(&rc->router->settings);
 	ask.capacity = member_capacity(&rc->router->settings);
+	ask.zone = rc->router->settings.zone;
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
 	quarantine_send_all(rc->quarantine, follow->conn);
 	limits_send_all(rc->limits, follow->conn);
@@ -180,9 +191,20 @@
  * is asked. The store may turn away both this host and its feeder, and serve others; when all have
  * been asked, it is away.
  */
+static int64_t follow_bear_ms(const struct follow *follow)
+{
+	const struct rank *rank = &follow->rc->rank;
+	unsigned int all = RANK_FEEDERS + (rank->relayed ? RANK_RELAYS_TRIED : 0);
+
+	if (follow->turn >= all)
+		return FOLLOW_OUTAGE_MS;
+	return rank->relayed && follow->turn < RANK_RELAYS_TRIED ? FOLLOW_STALE_RELAY_MS
+								 : FOLLOW_STALE_MS;
+}
+
 static bool follow_is_useless(const struct follow *follow, int64_t now_us)
 {
-	int64_t bear_ms = follow->turn < RANK_FEEDERS ? FOLLOW_STALE_MS : FOLLOW_OUTAGE_MS;
+	int64_t bear_ms = follow_bear_ms(follow);
 
 	return follow->stale_us > 0 && now_us - follow->stale_us > tmr_ms(bear_ms);
 }
@@ -193,6 +215,26 @@
 	follow_drop(follow);
 }
 
+static bool follow_is_at(const struct follow *follow, const struct host *feeder)
+{
+	return strcmp(follow->host, feeder->name) == 0;
+}
+
+/* A host that follows a reader though there are relays; not all go over at once. */
+static bool follow_should_move(struct follow *follow, const struct host *feeder, int64_t now_us)
+{
+	const char *name = follow->rc->router->settings.name;
+	int64_t after_us = tmr_ms(FOLLOW_MOVE_MS + g_str_hash(name) % FOLLOW_MOVE_SPREAD_MS);
+
+	if (!follow->rc->rank.relayed || !follow->fed || !feeder || follow_is_at(follow, feeder)) {
+		follow->elsewhere_us = 0;
+		return false;
+	}
+	if (follow->elsewhere_us == 0)
+		follow->elsewhere_us = now_us;
+	return now_us - follow->elsewhere_us > after_us;
+}
+
 static void follow_reconnect(struct follow *follow, const struct host *feeder, int64_t now_us)
 {
 	if (follow->conn && !follow->fed && follow_is_useless(follow, now_us)) {
@@ -200,7 +242,9 @@
 		follow_leave(follow);
 		return;
 	}
-	if (follow->conn && feeder && strcmp(follow->host, feeder->name) != 0 && !follow->fed)
+	if (follow->conn && feeder && !follow_is_at(follow, feeder) && !follow->fed)
+		follow_leave(follow);
+	if (follow->conn && follow_should_move(follow, feeder, now_us))
 		follow_leave(follow);
 	if (follow->conn || now_us < follow->next_try_us)
 		return;
@@ -215,12 +259,18 @@
 {
 	struct rc *rc = follow->rc;
 	const struct rank *rank = &rc->rank;
+	const struct rank_self self = {
+		.name = rc->router->settings.name,
+		.zone = rc->router->settings.zone,
+		.hosts = g_hash_table_size(rc->hosts),
+		.turn = follow->turn,
+	};
 	struct rank_host host;
 
 	rc->settled = now_us >= follow->settled_us;
 	if (follow->hosts_due)
 		follow_update_table(follow);
-	rank_choose(&follow->table, rc->router->settings.name, follow->turn, now_us, &rc->rank);
+	rank_choose(&follow->table, &self, now_us, &rc->rank);
 	follow_reconnect(follow, rank->feeder, now_us);
 	rc_rank_host(rc, &host);
 	rc_set_direct(rc, rank_reads(&host));
@@ -273,7 +323,7 @@
 /* A host that is told without its address has left. */
 static void follow_take_host(struct rc *rc, const Feed__Host *host)
 {
-	const struct rc_host from = {host->addr, host->capacity};
+	const struct rc_host from = {host->addr, host->capacity, host->zone};
 	char *text = host->addr[0] ? rc_host_text(&from) : NULL;
 	bool self = strcmp(host->name, rc->router->settings.name) == 0;
 
@@ -358,6 +408,7 @@
 		member_on_fence(rc, msg->generation);
 	feed__update__free_unpacked(msg, NULL);
 	rc_first_view(rc);
+	feed_flush(rc->feed);
 	return 0;
 }
 
--- a/router/member.c
+++ b/router/member.c
@@ -28,6 +28,8 @@
 	MEMBER_LIST_AGAIN_MS = 6000,
 	/* Hosts that miss their entries together write them over this time. */
 	MEMBER_LIST_SPREAD_MS = 1000,
+	/* For which a host that has just started leaves that to those that feed it. */
+	MEMBER_LIST_FED_MS = 1500,
 	HTTP_OK = 200
 };
 
@@ -63,7 +65,8 @@
 {
 	const struct router_settings *s = &rc->router->settings;
 	const struct seam_store *store = &rc->router->seam->store;
-	char *text = g_strdup_printf("%s %.3f", member_addr(s), member_capacity(s));
+	const struct rc_host self = {(char *)member_addr(s), member_capacity(s), s->zone};
+	char *text = rc_host_text(&self);
 	GString *record = store->make_record(s->name, listed ? str_of(text) : str_make(NULL, 0));
 	struct store_request request = {
 		.path = store->append_path(SEAM_HOSTS),
@@ -280,6 +283,9 @@
 		return;
 	if (rc->listed_self_us > 0)
 		delay_us = tmr_ms(member_spread_ms(rc));
+	else
+		delay_us = MAX(rc->start_us + tmr_ms(MEMBER_LIST_FED_MS) - tmr_now(),
+			       tmr_ms(member_spread_ms(rc)));
 	if (rc->listed_self_us > 0 && rc->listed_self_era == rc->era.now)
 		delay_us += MAX(rc->listed_self_us + tmr_ms(MEMBER_LIST_AGAIN_MS) - tmr_now(), 0);
 	loop_after(rc->loop, &rc->list_timer, delay_us, member_list_again, rc);
--- a/router/rank.c
+++ b/router/rank.c
@@ -11,53 +11,129 @@
 /* Three rounds that were not heard of; one may be late, as a feed that has to be changed may be. */
 static const int64_t rank_silent_us = 3000000;
 
-static unsigned int rank_list(const struct host_table *table, const struct host **hosts,
-			      int64_t now_us)
+/* The hosts with a part in handing on, by rank. */
+struct rank_list {
+	const struct host *hosts[RANK_FEEDERS + RANK_RELAYS_MAX];
+	unsigned int n;
+	unsigned int readers; /* the first ones */
+	unsigned int feeders; /* readers and spares; relays follow */
+};
+
+unsigned int rank_relays(unsigned int hosts)
 {
-	unsigned int n = 0;
+	if (hosts <= RANK_READERS * RANK_FOLLOWERS)
+		return 0;
+	return MIN((hosts + RANK_RELAYED - 1) / RANK_RELAYED, (unsigned int)RANK_RELAYS_MAX);
+}
 
-	while (n < RANK_FEEDERS) {
-		const struct host *host = host_home(table, rank_key, n, now_us);
+static void rank_fill(const struct host_table *table, unsigned int hosts, int64_t now_us,
+		      struct rank_list *list)
+{
+	unsigned int most = table->hosts->len <= RANK_FEW_HOSTS ? RANK_READERS_FEW : RANK_READERS;
+	unsigned int wanted = RANK_FEEDERS + rank_relays(hosts);
 
-		if (!host)
+	list->n = host_homes(table, rank_key, list->hosts, wanted, now_us);
+	if (list->n == 0 && table->hosts->len > 0)
+		list->hosts[list->n++] = host_home(table, rank_key, 0, now_us);
+	list->feeders = MIN(list->n, (unsigned int)RANK_FEEDERS);
+	list->readers = MIN(list->n, most);
+}
+
+/* What the host itself is. Returns its place in the list, or the list's length. */
+static unsigned int rank_place(const struct rank_list *list, const char *name, struct rank *rank)
+{
+	unsigned int at = 0;
+
+	while (at < list->n && strcmp(list->hosts[at]->name, name) != 0)
+		at++;
+	rank->reader = at < list->readers;
+	rank->first = at == 0 && list->readers > 0;
+	rank->spare = at >= list->readers && at < list->feeders;
+	rank->relay = at >= list->feeders && at < list->n;
+	return at;
+}
+
+/* The readers come first, from the host's own one on, then the spares. */
+static const struct host *rank_feeder(const struct rank_list *list, const char *name,
+				      unsigned int start, unsigned int turn)
+{
+	for (unsigned int i = 0; i < list->feeders; i++) {
+		unsigned int at = (i + turn) % list->feeders;
+		const struct host *host =
+			at < list->readers ? list->hosts[(start + at) % list->readers]
+					   : list->hosts[at];
+
+		if (strcmp(host->name, name) != 0)
+			return host;
+	}
+	return NULL;
+}
+
+/* Hosts spread over relays by their names; one of their own zone is nearer, and costs less. */
+static bool rank_is_better(const struct rank_self *self, uint64_t hash, const struct host *a,
+			   const struct host *b)
+{
+	bool near_a = strcmp(a->zone, self->zone) == 0;
+	bool near_b = strcmp(b->zone, self->zone) == 0;
+
+	if (near_a != near_b)
+		return near_a;
+	return host_weight(a, hash) > host_weight(b, hash);
+}
+
+/* The relay that the host tries after so many others; NULL: no more. */
+static const struct host *rank_relay(const struct rank_list *list, const struct rank_self *self)
+{
+	uint64_t hash = str_hash(self->name, strlen(self->name), 0);
+	const struct host *tried = NULL;
+
+	for (unsigned int turn = 0; turn <= self->turn; turn++) {
+		const struct host *best = NULL;
+
+		for (unsigned int i = list->feeders; i < list->n; i++) {
+			const struct host *host = list->hosts[i];
+
+			if (tried && !rank_is_better(self, hash, tried, host))
+				continue;
+			if (!best || rank_is_better(self, hash, host, best))
+				best = host;
+		}
+		tried = best;
+		if (!tried)
 			break;
-		hosts[n++] = host;
 	}
-	return n;
+	return tried;
 }
 
-/* Readers follow the next reader, so that one that the store turns away has a feed. */
-void rank_choose(const struct host_table *table, const char *self, unsigned int turn,
-		 int64_t now_us, struct rank *rank)
+/*
+ * Readers follow the next reader, so that one that the store turns away has a feed. Spares and
+ * relays follow readers; all others follow relays, where there are some.
+ */
+void rank_choose(const struct host_table *table, const struct rank_self *self, int64_t now_us,
+		 struct rank *rank)
 {
-	const struct host *hosts[RANK_FEEDERS];
-	unsigned int n = rank_list(table, hosts, now_us);
-	unsigned int most = table->hosts->len <= RANK_FEW_HOSTS ? RANK_READERS_FEW : RANK_READERS;
-	unsigned int readers = MIN(n, most);
+	struct rank_list list;
+	unsigned int turn = self->turn;
 	unsigned int start;
+	unsigned int at;
 
 	memset(rank, 0, sizeof(*rank));
-	if (n == 0)
+	rank_fill(table, self->hosts, now_us, &list);
+	if (list.n == 0)
 		return;
-	start = (unsigned int)(str_hash(self, strlen(self), 0) % MAX(readers, 1));
-	for (unsigned int i = 0; i < readers; i++) {
-		if (strcmp(hosts[i]->name, self) != 0)
-			continue;
-		rank->reader = true;
-		rank->first = i == 0;
-		start = (i + 1) % readers;
-	}
-	for (unsigned int i = readers; i < n; i++)
-		rank->spare = rank->spare || strcmp(hosts[i]->name, self) == 0;
-	for (unsigned int i = 0; i < n && !rank->feeder; i++) {
-		unsigned int at = i + turn;
-		/* The readers come first, from this host's own one on; the others follow. */
-		const struct host *host =
-			at % n < readers ? hosts[(start + at % n) % readers] : hosts[at % n];
-
-		if (strcmp(host->name, self) != 0)
-			rank->feeder = host;
+	at = rank_place(&list, self->name, rank);
+	rank->relayed = at == list.n && list.n > list.feeders;
+	if (rank->relayed && turn < RANK_RELAYS_TRIED) {
+		rank->feeder = rank_relay(&list, self);
+		if (rank->feeder)
+			return;
 	}
+	if (rank->relayed)
+		turn -= MIN(turn, (unsigned int)RANK_RELAYS_TRIED);
+	start = rank->reader ? at + 1
+			     : (unsigned int)(str_hash(self->name, strlen(self->name), 0) %
+					      list.readers);
+	rank->feeder = rank_feeder(&list, self->name, start, turn);
 }
 
 bool rank_reads(const struct rank_host *host)
@@ -78,6 +154,8 @@
 
 bool rank_may_feed(const struct rank_host *host)
 {
+	if (host->relay && host->fed)
+		return true;
 	return host->reached && (host->reader || host->settled);
 }
 
--- a/router/rank.h
+++ b/router/rank.h
@@ -21,13 +21,33 @@
 	 * Hosts that are asked for a feed, one after the other. Beyond the readers: when the store
 	 * turns these away, the next ones have no feed, read by themselves, and can feed others.
 	 */
-	RANK_FEEDERS = 6
+	RANK_FEEDERS = 6,
+	/*
+	 * Followers of one host. Where the readers would have more, other hosts relay what they
+	 * get: so many that each has half of that, and a reader as many relays as it can have
+	 * followers. What a host sends then grows with that number, not with the deployment.
+	 */
+	RANK_FOLLOWERS = 100,
+	RANK_RELAYED = RANK_FOLLOWERS / 2,
+	RANK_RELAYS_MAX = RANK_READERS * RANK_FOLLOWERS,
+	/* Relays that a host tries, one after the other, before the readers. */
+	RANK_RELAYS_TRIED = 3
+};
+
+/* Who chooses. */
+struct rank_self {
+	const char *name;
+	const char *zone;
+	unsigned int hosts; /* that it knows, also those that can't feed others */
+	unsigned int turn;  /* feeders that have proved to be of no use so far */
 };
 
 struct rank {
 	bool reader;		   /* this host reads the store */
 	bool first;		   /* it is the first of the readers */
 	bool spare;		   /* it is asked for a feed when no reader is of use */
+	bool relay;		   /* it hands its feed on */
+	bool relayed;		   /* it follows a relay, if one is of use */
 	const struct host *feeder; /* that this host should follow; NULL: nobody else */
 };
 
@@ -40,6 +60,7 @@
 	bool knows_all; /* what it needs to serve */
 	bool reached;	/* its own reads of the store succeed */
 	bool patient;	/* its feed was lost so lately that another one may take its place */
+	bool relay;
 };
 
 /*
@@ -56,7 +77,7 @@
 
 /*
  * Whether others may follow the host. One that is no reader reads for a moment when it starts; who
- * follows it then loses its feed again.
+ * follows it then loses its feed again. A relay has what its own feed brings.
  */
 bool rank_may_feed(const struct rank_host *host);
 
@@ -67,9 +88,11 @@
  */
 int64_t rank_patience_us(const struct rank *rank, int64_t news_us);
 
-/* turn: how many feeders have proved to be of no use so far. */
-void rank_choose(const struct host_table *table, const char *self, unsigned int turn,
-		 int64_t now_us, struct rank *rank);
+/* Hosts that relay where there are so many; 0: the readers feed all. */
+unsigned int rank_relays(unsigned int hosts);
+
+void rank_choose(const struct host_table *table, const struct rank_self *self, int64_t now_us,
+		 struct rank *rank);
 
 /*
  * Who asks all engines for their reports: the first reader, in rounds of a second. Each round has a
--- a/router/rc.c
+++ b/router/rc.c
@@ -8,6 +8,7 @@
 
 enum {
 	RC_TICK_MS = 100,
+	RC_HOST_WORDS = 3, /* of a host's entry */
 	/* Ids of unreadable entries that are remembered, so that each is logged once; 100 KB. */
 	RC_UNREADABLE_MAX = 1024
 };
@@ -307,20 +308,21 @@
 	struct rc_host *host = data;
 
 	g_free(host->addr);
+	g_free(host->zone);
 	g_free(host);
 }
 
 char *rc_host_text(const struct rc_host *host)
 {
-	return g_strdup_printf("%s %.3f", host->addr, host->capacity);
+	return g_strdup_printf("%s %.3f %s", host->addr, host->capacity, host->zone);
 }
 
-/* The text is "ADDRESS CAPACITY". */
+/* The text is "ADDRESS CAPACITY ZONE"; hosts of the version before leave out the zone. */
 void rc_take_host(struct rc *rc, const char *name, struct str text)
 {
 	const struct rc_host *before = g_hash_table_lookup(rc->hosts, name);
 	char *copy = text.data ? str_dup(text) : NULL;
-	char **words = copy ? g_strsplit(copy, " ", 2) : NULL;
+	char **words = copy ? g_strsplit(copy, " ", RC_HOST_WORDS) : NULL;
 	struct rc_host *host;
 
 	g_free(copy);
@@ -332,6 +334,7 @@
 		host = g_new0(struct rc_host, 1);
 		host->addr = g_strdup(words[0]);
 		host->capacity = words[1] ? g_ascii_strtod(words[1], NULL) : 0;
+		host->zone = g_strdup(words[1] && words[2] ? words[2] : "");
 		g_strfreev(words);
 		if (before && strcmp(before->addr, host->addr) == 0) {
 			rc_host_free(host);
@@ -409,6 +412,7 @@
 		.knows_all = rc->view_whole,
 		.reached = sf_is_reached(rc),
 		.patient = tmr_now() - rc->fed_us < rank_patience_us(&rc->rank, rc_news_us(rc)),
+		.relay = rc->rank.relay,
 	};
 }
 
--- a/router/rc.h
+++ b/router/rc.h
@@ -38,6 +38,7 @@
 struct rc_host {
 	char *addr;	 /* of its control thread */
 	double capacity; /* Mbit/s of its link x cores; hosts differ tenfold */
+	char *zone;	 /* its availability zone; "": not told */
 };
 
 struct rc {
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -10,7 +10,8 @@
 	SUSPECT_NEWS_MS = 500,	 /* in which the same news is passed on once */
 	SUSPECT_MANY = 1024,	 /* endpoints from which on those of long ago are dropped */
 	SUSPECT_KEPT_MS = 60000, /* what "long ago" is; more than anything here lasts */
-	SUSPECT_HOPS_MAX = 5	 /* follower, its reader, the other readers, their followers */
+	/* Follower, its relay, its reader, the other readers, their relays, their followers. */
+	SUSPECT_HOPS_MAX = 7
 };
 
 struct router_suspect *router_suspect_new(void *to, const char *endpoint, int64_t for_ms,
