--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -197,6 +197,15 @@
 	return t->read_us == 0 || t->failures > 0;
 }
 
+/* In the first start a host looks who the others are only until it is told by its feed. */
+static bool sf_is_told_of_hosts(const struct sf_topic *t)
+{
+	const struct rc *rc = t->rc;
+
+	return t->topic == SEAM_HOSTS && rc->router->settings.first_start && rc->hosts_heard &&
+	       !rc->rank.reader && follow_is_fed(rc->follow);
+}
+
 /* Whether the list of endpoints may come sooner from a feed. */
 static bool sf_list_may_be_fed(const struct rc *rc, int64_t now_us)
 {
@@ -240,7 +249,7 @@
 {
 	struct sf_topic *t = ctx;
 
-	if (sf_waits(t, now_us))
+	if (sf_waits(t, now_us) || sf_is_told_of_hosts(t))
 		sf_again(t, tmr_ms(SF_WAIT_MS));
 	else
 		sf_ask(t);
