News of endpoints wait for a part of what their leaving may take, and are handed on together

Registrations come at 180 a second in a start; each made an update to each host. At 5 s for an endpoint's leaving they wait for 0.5 s at a host; at 2 s not at all.

--- a/router/feed.c
+++ b/router/feed.c
@@ -209,14 +209,14 @@
 static bool feed_owes_endpoints(const struct feed *feed, const struct feed_follower *follower)
 {
 	const struct rc *rc = feed->rc;
+	int64_t since_us = tmr_now() - follower->place_us;
 
-	if (!rc->listed)
+	if (!rc->listed || since_us < tmr_ms(rc_endpoints_slack_ms(rc)))
 		return false;
 	if (follower->listing != feed->endpoints.listing ||
 	    fp_has_news(&feed->endpoints, follower->endpoints_next))
 		return true;
-	return follower->endpoints_next < rc->endpoints.next &&
-	       tmr_now() - follower->place_us >= tmr_ms(FEED_PLACE_MS);
+	return follower->endpoints_next < rc->endpoints.next && since_us >= tmr_ms(FEED_PLACE_MS);
 }
 
 /* A newer version, or another text under the same one: the follower knows which is later. */
--- a/router/rc.c
+++ b/router/rc.c
@@ -9,6 +9,9 @@
 enum {
 	RC_TICK_MS = 100,
 	RC_HOST_WORDS = 3, /* of a host's entry */
+	/* Where endpoints take longer to leave than this, their news wait for a part of the rest. */
+	RC_LEAVE_MS = 2000,
+	RC_SLACK_PART = 6,
 	/* Ids of unreadable entries that are remembered, so that each is logged once; 100 KB. */
 	RC_UNREADABLE_MAX = 1024
 };
@@ -416,6 +419,13 @@
 	};
 }
 
+int64_t rc_endpoints_slack_ms(const struct rc *rc)
+{
+	int64_t longer_ms = rc->router->settings.drain_ms - RC_LEAVE_MS;
+
+	return MAX(longer_ms, (int64_t)0) / RC_SLACK_PART;
+}
+
 bool rc_polls(const struct rc *rc)
 {
 	return rank_round_is_ours(&rc->round, &rc->rank, tmr_now());
--- a/router/rc.h
+++ b/router/rc.h
@@ -139,6 +139,12 @@
 /* Reads the store from now on, or leaves that to the feed. */
 void rc_set_direct(struct rc *rc, bool direct);
 
+/*
+ * For how long news of endpoints may wait, so that more of them are read or handed on together: a
+ * part of what an endpoint's leaving may take beyond two seconds, within which they don't wait.
+ */
+int64_t rc_endpoints_slack_ms(const struct rc *rc);
+
 /* Whether this host asks all engines for their reports. */
 bool rc_polls(const struct rc *rc);
 
--- a/router/store_follow.c
+++ b/router/store_follow.c
@@ -16,12 +16,10 @@
 	SF_CALL_MS = 1000,  /* for a call that the store does not hold */
 	/*
 	 * Reads of endpoints. Their records come in groups, so a read is not made at once after
-	 * another. Where endpoints take longer to leave than that, it waits for a part of the rest.
+	 * another.
 	 */
 	SF_ENDPOINTS_WAIT_MS = 1000,
 	SF_ENDPOINTS_PAUSE_MS = 150,
-	SF_ENDPOINTS_LEAVE_MS = 2000,
-	SF_ENDPOINTS_PAUSE_PART = 6,
 	/*
 	 * The same between a host's start and its feed, after which it reads no more: 66 hosts that
 	 * start together made most of the 1,000 calls of a calm minute in that second.
@@ -318,12 +316,9 @@
 
 static int64_t sf_endpoints_pause_us(const struct rc *rc)
 {
-	int64_t longer_ms;
-
 	if (!rc->rank.reader && !rc->settled)
 		return tmr_ms(SF_ENDPOINTS_PAUSE_START_MS);
-	longer_ms = MAX(rc->router->settings.drain_ms - SF_ENDPOINTS_LEAVE_MS, (int64_t)0);
-	return tmr_ms(SF_ENDPOINTS_PAUSE_MS + longer_ms / SF_ENDPOINTS_PAUSE_PART);
+	return tmr_ms(SF_ENDPOINTS_PAUSE_MS + rc_endpoints_slack_ms(rc));
 }
 
 static int64_t sf_pause_us(struct sf_topic *t)
