What a relay is told of its followers goes up to the first reader

Cause: a host that first asked a relay was known to that relay only; hosts counted 380 to 493 of 493, took a different number of hosts for relays, and were turned away. Change: what is news goes up to the feeder.

--- a/router/feed.c
+++ b/router/feed.c
@@ -128,6 +128,22 @@
 		hosts_on_asked(feed->rc->hostlist, ask->host, &host);
 }
 
+/* A follower has a follower of its own. */
+static int feed_on_host(struct feed *feed, const uint8_t *body, size_t len)
+{
+	Feed__Host *msg = feed__host__unpack(NULL, len, body);
+
+	if (!msg)
+		return BASE_EFRAME;
+	if (msg->name[0] && msg->addr[0]) {
+		const struct rc_host host = {msg->addr, msg->capacity, msg->zone};
+
+		hosts_on_asked(feed->rc->hostlist, msg->name, &host);
+	}
+	feed__host__free_unpacked(msg, NULL);
+	return 0;
+}
+
 static int feed_on_ask(struct feed *feed, struct frm_conn *conn, const uint8_t *body, size_t len)
 {
 	struct feed_follower *follower = feed_follower_of(feed, conn);
@@ -161,6 +177,8 @@
 	switch (kind) {
 	case MSG_FEED_ASK:
 		return feed_on_ask(ctx, conn, body, len);
+	case MSG_FEED_HOST:
+		return feed_on_host(ctx, body, len);
 	case MSG_FEED_SUSPECT:
 		return suspect_on_msg(((struct feed *)ctx)->rc, conn, body, len);
 	case MSG_FEED_QUARANTINE:
--- a/router/follow.c
+++ b/router/follow.c
@@ -166,6 +166,7 @@
 	ask.capacity = member_capacity(&rc->router->settings);
 	ask.zone = rc->router->settings.zone;
 	frm_send(follow->conn, MSG_FEED_ASK, &ask.base);
+	hosts_tell_feeder(rc->hostlist);
 	quarantine_send_all(rc->quarantine, follow->conn);
 	limits_send_all(rc->limits, follow->conn);
 }
@@ -448,6 +449,19 @@
 		fn(ctx, follow->conn);
 }
 
+void follow_tell_host(struct follow *follow, const char *name, const struct rc_host *host)
+{
+	Feed__Host msg = FEED__HOST__INIT;
+
+	if (!follow->conn)
+		return;
+	msg.name = (char *)name;
+	msg.addr = host->addr;
+	msg.capacity = host->capacity;
+	msg.zone = host->zone;
+	frm_send(follow->conn, MSG_FEED_HOST, &msg.base);
+}
+
 const struct host *follow_home(const struct follow *follow, const char *key)
 {
 	return host_home(&follow->table, key, 0, tmr_now());
--- a/router/hosts.c
+++ b/router/hosts.c
@@ -128,10 +128,25 @@
 	if (!g_hash_table_contains(hosts->kept, name))
 		hosts_set_due(hosts, name, HOSTS_ADD);
 	hosts_note_gone(hosts, name, false);
-	rc_take_host(hosts->rc, name, str_of(text));
+	if (rc_take_host(hosts->rc, name, str_of(text)))
+		follow_tell_host(hosts->rc->follow, name, host);
 	g_free(text);
 }
 
+void hosts_tell_feeder(const struct hosts *hosts)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, hosts->due);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		const struct rc_host *host = g_hash_table_lookup(hosts->rc->hosts, name);
+
+		if (host)
+			follow_tell_host(hosts->rc->follow, name, host);
+	}
+}
+
 static void hosts_add_record(const struct hosts *hosts, const char *name, enum hosts_due due,
 			     GString *body)
 {
--- a/router/rc.c
+++ b/router/rc.c
@@ -321,7 +321,7 @@
 }
 
 /* The text is "ADDRESS CAPACITY ZONE"; hosts of the version before leave out the zone. */
-void rc_take_host(struct rc *rc, const char *name, struct str text)
+bool rc_take_host(struct rc *rc, const char *name, struct str text)
 {
 	const struct rc_host *before = g_hash_table_lookup(rc->hosts, name);
 	char *copy = text.data ? str_dup(text) : NULL;
@@ -332,7 +332,7 @@
 	if (!words || !words[0]) {
 		g_strfreev(words);
 		if (!g_hash_table_remove(rc->hosts, name))
-			return;
+			return false;
 	} else {
 		host = g_new0(struct rc_host, 1);
 		host->addr = g_strdup(words[0]);
@@ -341,13 +341,14 @@
 		g_strfreev(words);
 		if (before && strcmp(before->addr, host->addr) == 0) {
 			rc_host_free(host);
-			return;
+			return false;
 		}
 		g_hash_table_replace(rc->hosts, g_strdup(name), host);
 	}
 	hn_on_change(&rc->host_news, name, !g_hash_table_contains(rc->hosts, name));
 	follow_on_hosts(rc->follow);
 	rc_view_due(rc);
+	return true;
 }
 
 void rc_on_hosts_heard(struct rc *rc)
--- a/router/rc.h
+++ b/router/rc.h
@@ -128,7 +128,8 @@
 /* Take what the store, or another host, says; "from" is for the log. Older news change nothing. */
 void rc_take_conf(struct rc *rc, int64_t place, struct str text, const char *from);
 void rc_take_endpoint(struct rc *rc, int64_t place, const char *id, struct str text);
-void rc_take_host(struct rc *rc, const char *name, struct str text);
+/* Returns whether that changed the list of hosts. */
+bool rc_take_host(struct rc *rc, const char *name, struct str text);
 
 /* What rc_take_host() reads. */
 char *rc_host_text(const struct rc_host *host);
@@ -164,9 +165,15 @@
 void hosts_on_record(struct hosts *hosts, const char *name, struct str text);
 void hosts_on_listed(struct hosts *hosts);
 
-/* Another host tells of itself; it may not be in the store's list yet. */
+/*
+ * A host that this one feeds tells of itself, or of one that it feeds itself. It may not be in the
+ * store's list yet. What is news goes on up to the first reader, which writes it there.
+ */
 void hosts_on_asked(struct hosts *hosts, const char *name, const struct rc_host *host);
 
+/* The same once more for all such hosts; after this host has found a feed. */
+void hosts_tell_feeder(const struct hosts *hosts);
+
 /* member.c: this host in the store's list of hosts, and in the group that has a leader. */
 void member_start(struct rc *rc);
 
@@ -307,6 +314,9 @@
 /* Whether the feed brings what the store holds now. */
 bool follow_is_fed(const struct follow *follow);
 
+/* Tells the host that feeds this one of another host. */
+void follow_tell_host(struct follow *follow, const char *name, const struct rc_host *host);
+
 /* The host that feeds this one, or NULL. */
 const char *follow_feeder(const struct follow *follow);
 
