--- a/host/host.h
+++ b/host/host.h
@@ -60,8 +60,8 @@
 			     int64_t now_us);
 
 /*
- * The first homes of a key, the highest first: what host_home() gives for the ranks from 0 on, where
- * hosts are usable. Fills at most "most" of them; returns how many.
+ * The first homes of a key, the highest first: what host_home() gives for the ranks from 0 on,
+ * where hosts are usable. Fills at most "most" of them; returns how many.
  */
 unsigned int host_homes(const struct host_table *table, const char *key, const struct host **homes,
 			unsigned int most, int64_t now_us);
--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -40,7 +40,6 @@
 	{"no_route", "Refused, not run: no route of the configuration matches host and path."},
 	{"unknown_key", "Refused, not run: no client account of the configuration holds the key."},
 	{"no_service", "Refused, not run: its route names no service that exists."},
-	{"no_room", "Refused, not run: engines keep memory for more urgent ones; see the 'no_room' line."},
 	{"overload", "Refused, not run: it would have begun too late; see the 'overload' line."},
 	{"crashes_endpoints",
 	 "It is in quarantine: endpoints ended while they ran a request with its 'content'; see "
--- a/quar/quar_test.cc
+++ b/quar/quar_test.cc
@@ -116,7 +116,8 @@
 	static_cast<std::vector<quar_entry> *>(ctx)->push_back(*entry);
 }
 
-/* Guards against refusing a request for endpoints that were only cut off when it had begun there. */
+/* Guards against refusing a request for endpoints that were only cut off when it had begun there.
+ */
 TEST_F(QuarTest, EndpointsThatTurnOutToLiveAreTakenBack)
 {
 	const struct {
@@ -393,8 +394,8 @@
 		std::vector<quar_entry> told;
 
 		for (uint64_t i = 0; i < 3; i++)
-			hosts[i].Say(quar_on_crash(&hosts[i].table, &id, i + 1, QUAR_STRONG, 0,
-						   SEC));
+			hosts[i].Say(
+				quar_on_crash(&hosts[i].table, &id, i + 1, QUAR_STRONG, 0, SEC));
 		quar_on_lives(&hosts[1].table, 2, 2 * SEC, AddEntry, &told);
 		hosts[1].Say(quar_find(&hosts[1].table, &id));
 		std::vector<quar_entry *> news = {hosts[0].says[0], hosts[1].says[0],
--- a/router/crash.c
+++ b/router/crash.c
@@ -36,11 +36,8 @@
 };
 
 static const char *const crash_findings[] = {
-	[CRASH_ALIVE] = "alive",
-	[CRASH_LIVES] = "lives",
-	[CRASH_ENDED] = "ended",
-	[CRASH_VANISHED] = "vanished",
-	[CRASH_UNCLEAR] = "unclear",
+	[CRASH_ALIVE] = "alive",       [CRASH_LIVES] = "lives",	    [CRASH_ENDED] = "ended",
+	[CRASH_VANISHED] = "vanished", [CRASH_UNCLEAR] = "unclear",
 };
 
 /* An endpoint at which attempts were cut, being asked whether it lives. */
--- a/router/feed.c
+++ b/router/feed.c
@@ -32,8 +32,8 @@
 	uint64_t conf_digest;
 	int64_t era;
 	int64_t endpoints_next;
-	int64_t place_us; /* when it was last told that */
-	guint listing;	  /* number of the listing that it has */
+	int64_t place_us;    /* when it was last told that */
+	guint listing;	     /* number of the listing that it has */
 	guint hosts_version; /* up to which it was told of hosts */
 	guint loads_version;
 	int64_t round;
--- a/router/feed_pack_test.cc
+++ b/router/feed_pack_test.cc
@@ -148,8 +148,7 @@
 				rec->heartbeat = beat + 1;
 				rec->layer_to = beat >= 5 && i == 7 ? 8 : 0;
 				if (ep_on_record(&list, place, id.c_str(), rec, 0) == EP_NEWS) {
-					fp_on_record(&pack, place, id.c_str(),
-						     str_of(id.c_str()));
+					fp_on_record(&pack, place, id.c_str(), str_of(id.c_str()));
 					told++;
 				}
 				place++;
--- a/router/follow.c
+++ b/router/follow.c
@@ -50,8 +50,8 @@
 	unsigned int turn; /* feeders that were of no use so far */
 	int64_t next_try_us;
 	int64_t settled_us;
-	guint seed;	/* of the seeds, the one to ask next */
-	bool hosts_due; /* the table is older than the list of hosts */
+	guint seed;	      /* of the seeds, the one to ask next */
+	bool hosts_due;	      /* the table is older than the list of hosts */
 	int64_t elsewhere_us; /* since when it is fed by another one than the relay for it; 0 */
 };
 
--- a/router/host_news.h
+++ b/router/host_news.h
@@ -7,8 +7,8 @@
 G_BEGIN_DECLS
 
 /*
- * Which hosts have come or gone since a follower was last told. Each change has a number; a follower
- * that has been told up to one gets those after it. Pure.
+ * Which hosts have come or gone since a follower was last told. Each change has a number; a
+ * follower that has been told up to one gets those after it. Pure.
  *
  * The whole list with each change was 60 KB to each of 984 hosts while these list themselves, which
  * was more than half of all that crossed between availability zones.
--- a/router/host_news_test.cc
+++ b/router/host_news_test.cc
@@ -95,7 +95,8 @@
 	EXPECT_EQ(g_hash_table_size(news_.links), (guint)HN_GONE_MAX + 1);
 }
 
-/* The load: all hosts list themselves over two seconds, and a reader tells each of its followers. */
+/* The load: all hosts list themselves over two seconds, and a reader tells each of its followers.
+ */
 TEST_F(HostNewsTest, AStartOfManyHostsIsToldOnceAFollower)
 {
 	for (int hosts : {30, 300, 984, 1968}) {
--- a/router/listing.h
+++ b/router/listing.h
@@ -7,12 +7,12 @@
 G_BEGIN_DECLS
 
 /*
- * When a host writes itself into the store's list of hosts, in the first start of all. The store takes
- * these entries one after the other, 2 ms each, and rejects what has to wait for 2 s: with all hosts
- * writing at once, 984 of them know each other only after 2 s, and of 1,968 a part is rejected. Only
- * some have to be found there: a host tells its name to the one that feeds it, and the first reader
- * writes all that it was told of in one call. So hosts write themselves over some seconds, and those
- * that have been told of meanwhile don't. Pure.
+ * When a host writes itself into the store's list of hosts, in the first start of all. The store
+ * takes these entries one after the other, 2 ms each, and rejects what has to wait for 2 s: with
+ * all hosts writing at once, 984 of them know each other only after 2 s, and of 1,968 a part is
+ * rejected. Only some have to be found there: a host tells its name to the one that feeds it, and
+ * the first reader writes all that it was told of in one call. So hosts write themselves over some
+ * seconds, and those that have been told of meanwhile don't. Pure.
  */
 enum {
 	LS_SPREAD_MS = 5000,
--- a/router/poll_pass.h
+++ b/router/poll_pass.h
@@ -18,7 +18,7 @@
 };
 
 struct pp {
-	GQueue due;	/* incarnations that are still to be asked, in this order; owned */
+	GQueue due; /* incarnations that are still to be asked, in this order; owned */
 	guint per_round;
 	int64_t round_us; /* between the beginnings of two rounds */
 };
--- a/router/quar_msg.c
+++ b/router/quar_msg.c
@@ -59,9 +59,9 @@
 	if (item->left_ms > 0)
 		entry->until_us = now_us + tmr_ms(item->left_ms);
 	for (size_t i = 0; i < item->n_crashes && entry->n < QUAR_CRASHES_MAX; i++)
-		entry->crashes[entry->n++] = (struct quar_crash){
-			item->crashes[i]->endpoint,
-			CLAMP(item->crashes[i]->weight, QUAR_WEAK, QUAR_LIVES)};
+		entry->crashes[entry->n++] =
+			(struct quar_crash){item->crashes[i]->endpoint,
+					    CLAMP(item->crashes[i]->weight, QUAR_WEAK, QUAR_LIVES)};
 	return entry;
 }
 
--- a/router/rank.c
+++ b/router/rank.c
@@ -31,10 +31,11 @@
 {
 	unsigned int most = table->hosts->len <= RANK_FEW_HOSTS ? RANK_READERS_FEW : RANK_READERS;
 	unsigned int wanted = RANK_FEEDERS + rank_relays(hosts);
+	const struct host *least = host_home(table, rank_key, 0, now_us);
 
 	list->n = host_homes(table, rank_key, list->hosts, wanted, now_us);
-	if (list->n == 0 && table->hosts->len > 0)
-		list->hosts[list->n++] = host_home(table, rank_key, 0, now_us);
+	if (list->n == 0 && least)
+		list->hosts[list->n++] = least;
 	list->feeders = MIN(list->n, (unsigned int)RANK_FEEDERS);
 	list->readers = MIN(list->n, most);
 }
@@ -59,9 +60,9 @@
 {
 	for (unsigned int i = 0; i < list->feeders; i++) {
 		unsigned int at = (i + turn) % list->feeders;
-		const struct host *host =
-			at < list->readers ? list->hosts[(start + at) % list->readers]
-					   : list->hosts[at];
+		const struct host *host = at < list->readers
+						  ? list->hosts[(start + at) % list->readers]
+						  : list->hosts[at];
 
 		if (strcmp(host->name, name) != 0)
 			return host;
@@ -81,28 +82,26 @@
 	return host_weight(a, hash) > host_weight(b, hash);
 }
 
+/* How many relays the host would rather follow than that one. */
+static unsigned int rank_better(const struct rank_list *list, const struct rank_self *self,
+				const struct host *relay)
+{
+	uint64_t hash = str_hash(self->name, strlen(self->name), 0);
+	unsigned int better = 0;
+
+	for (unsigned int i = list->feeders; i < list->n; i++)
+		better += rank_is_better(self, hash, list->hosts[i], relay);
+	return better;
+}
+
 /* The relay that the host tries after so many others; NULL: no more. */
 static const struct host *rank_relay(const struct rank_list *list, const struct rank_self *self)
 {
-	uint64_t hash = str_hash(self->name, strlen(self->name), 0);
-	const struct host *tried = NULL;
-
-	for (unsigned int turn = 0; turn <= self->turn; turn++) {
-		const struct host *best = NULL;
-
-		for (unsigned int i = list->feeders; i < list->n; i++) {
-			const struct host *host = list->hosts[i];
-
-			if (tried && !rank_is_better(self, hash, tried, host))
-				continue;
-			if (!best || rank_is_better(self, hash, host, best))
-				best = host;
-		}
-		tried = best;
-		if (!tried)
-			break;
+	for (unsigned int i = list->feeders; i < list->n; i++) {
+		if (rank_better(list, self, list->hosts[i]) == self->turn)
+			return list->hosts[i];
 	}
-	return tried;
+	return NULL;
 }
 
 /*
--- a/router/rank_test.cc
+++ b/router/rank_test.cc
@@ -65,13 +65,19 @@
 		 {false, false, false, true, false, true, false, false},
 		 true,
 		 false},
-		{"it starts, and knows all", {false, false, false, true, true, true, false, false}, false, false},
+		{"it starts, and knows all",
+		 {false, false, false, true, true, true, false, false},
+		 false,
+		 false},
 		{"it starts without a feed",
 		 {false, false, false, false, false, true, false, false},
 		 true,
 		 false},
 		{"as usual", {false, false, true, true, true, false, false, false}, false, false},
-		{"it has lost its feed", {false, false, true, false, true, true, false, false}, true, true},
+		{"it has lost its feed",
+		 {false, false, true, false, true, true, false, false},
+		 true,
+		 true},
 		{"it has just lost its feed",
 		 {false, false, true, false, true, true, true, false},
 		 false,
@@ -84,9 +90,18 @@
 		 {false, false, true, true, false, true, false, false},
 		 true,
 		 true},
-		{"the first start", {false, true, false, true, false, true, false, false}, true, false},
-		{"a relay with a feed", {false, false, true, true, true, false, false, true}, false, true},
-		{"a relay without", {false, false, true, false, true, false, true, true}, false, false},
+		{"the first start",
+		 {false, true, false, true, false, true, false, false},
+		 true,
+		 false},
+		{"a relay with a feed",
+		 {false, false, true, true, true, false, false, true},
+		 false,
+		 true},
+		{"a relay without",
+		 {false, false, true, false, true, false, true, true},
+		 false,
+		 false},
 		{"the first start, fed and settled",
 		 {false, true, true, true, false, false, false, false},
 		 false,
@@ -167,7 +182,8 @@
 	Hosts(1);
 }
 
-/* Guards against a host that stays without a feed when its relay, and the next ones, are of no use. */
+/* Guards against a host that stays without a feed when its relay, and the next ones, are of no use.
+ */
 TEST_F(RankTest, AfterSomeRelaysTheReadersAreTried)
 {
 	Hosts(984);
@@ -237,7 +253,8 @@
 			<< c.what;
 }
 
-/* Hosts of one deployment before a store that turns some of them away, a tenth of a second a step. */
+/* Hosts of one deployment before a store that turns some of them away, a tenth of a second a step.
+ */
 class RankSim
 {
       public:
@@ -285,10 +302,10 @@
 	};
 	enum {
 		STEP_US = 100000,
-		STALE_US = 400000,	  /* for which a feeder that is away is kept */
-		STALE_RELAY_US = 900000,  /* the same of a relay, which looks for another feed */
-		CALLS_OF_A_START = 2,	  /* configuration and endpoints */
-		STEPS_OF_A_CALL = 3	  /* of a host that goes on reading */
+		STALE_US = 400000,	 /* for which a feeder that is away is kept */
+		STALE_RELAY_US = 900000, /* the same of a relay, which looks for another feed */
+		CALLS_OF_A_START = 2,	 /* configuration and endpoints */
+		STEPS_OF_A_CALL = 3	 /* of a host that goes on reading */
 	};
 
 	Host &At(const host *h)
@@ -297,7 +314,12 @@
 	}
 	void Read(Host *h, const rank &place)
 	{
-		const rank_host state = {place.reader, false, true, h->fed, true, h->reached,
+		const rank_host state = {place.reader,
+					 false,
+					 true,
+					 h->fed,
+					 true,
+					 h->reached,
 					 now_ - h->fed_us < rank_patience_us(&place, news_us_),
 					 place.relay};
 		bool reads = rank_reads(&state);
@@ -310,8 +332,8 @@
 			calls_++;
 		h->reached = reads && !h->away;
 		h->reads = reads;
-		const rank_host after = {place.reader, false, true, h->fed, true, h->reached, false,
-					 place.relay};
+		const rank_host after = {place.reader, false,	   true,  h->fed,
+					 true,	       h->reached, false, place.relay};
 		h->feeds = rank_may_feed(&after);
 	}
 	void Follow(Host *h, const rank &place)
--- a/router/rc.c
+++ b/router/rc.c
@@ -9,7 +9,8 @@
 enum {
 	RC_TICK_MS = 100,
 	RC_HOST_WORDS = 3, /* of a host's entry */
-	/* Where endpoints take longer to leave than this, their news wait for a part of the rest. */
+	/* Where endpoints take longer to leave than this, their news wait for a part of the rest.
+	 */
 	RC_LEAVE_MS = 2000,
 	RC_SLACK_PART = 6,
 	/* Ids of unreadable entries that are remembered, so that each is logged once; 100 KB. */
--- a/router/rc.h
+++ b/router/rc.h
@@ -54,10 +54,10 @@
 	gsize conf_len;		 /* of the text */
 	struct router_origin conf_origin;
 	struct ep_list endpoints;
-	bool listed;	   /* the endpoints have been read whole once */
-	bool hosts_heard;  /* so have the hosts */
-	GHashTable *hosts; /* name -> struct rc_host */
-	struct hn host_news;	   /* what followers are told of them */
+	bool listed;				/* the endpoints have been read whole once */
+	bool hosts_heard;			/* so have the hosts */
+	GHashTable *hosts;			/* name -> struct rc_host */
+	struct hn host_news;			/* what followers are told of them */
 	struct sf_topic topics[SEAM_HOSTS + 1]; /* that are followed */
 	bool direct;				/* this host reads the store itself */
 	bool settled;	  /* it has had the time to find a host that feeds it */
@@ -89,11 +89,11 @@
 	GHashTable *unreadable; /* endpoint -> why its entry can't be read, as last logged */
 	GArray *loads;		/* struct router_load, as last heard */
 	guint loads_version;
-	int64_t loads_us; /* when they were last handed on */
+	int64_t loads_us;   /* when they were last handed on */
 	GHashTable *polled; /* incarnation -> struct router_load, as this host heard it last */
-	int64_t fed_us;	  /* when this host last had a feed; 0: never */
-	int64_t fresh_us; /* when the store was last reached, by this host or its feeder; 0: never
-			   */
+	int64_t fed_us;	    /* when this host last had a feed; 0: never */
+	int64_t fresh_us;   /* when the store was last reached, by this host or its feeder; 0: never
+			     */
 	bool view_due;
 	bool view_whole; /* a view with configuration and endpoints has been posted */
 	bool stopping;
--- a/router/router.h
+++ b/router/router.h
@@ -31,9 +31,9 @@
 	char *control_known_as; /* that other hosts reach it at; "": the same */
 	char *seeds;
 	char *store;
-	int64_t drain_ms; /* after which an endpoint that is leaving must get no requests */
+	int64_t drain_ms;     /* after which an endpoint that is leaving must get no requests */
 	int64_t heartbeat_ms; /* between two entries of an endpoint that say the same */
-	int64_t apply_ms; /* after which a configuration must be in force */
+	int64_t apply_ms;     /* after which a configuration must be in force */
 	int64_t grace_s;
 	double repeat_ratio;
 	double repeat_window_s;
