crashing_plain waits until all hosts know before it asks the next one

Traced by the kept logs: host-1 saw the third end at 2690.398 s, the case asked host-2 at 2690.399, host-0 heard of it at 2690.401. News take some ms from host to host, and the case asked the next one as fast as the machine allowed; users allow three more arrivals meanwhile. The case now waits for the event, each host holding as many ended endpoints against the request as have ended, and is as strict: exactly three end.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -831,6 +831,20 @@
             for line in stack.log(h).splitlines() if '"endpoint_dead"' in line))
 
 
+def held_against(stack, host):
+    """Digest of each request in the host's quarantine table -> endpoints that ended under it."""
+    return {e["content"]: e["crashes"] for e in stack.state(host)["quarantine"]}
+
+
+def told_all(stack, repeats, before):
+    """News take some ms from host to host; case_crashing_in_flight has what is asked for meanwhile.
+    before: digests that were held against other requests."""
+    ended = min(len(repeats.crashes()), 3)
+    eventually("all hosts hold the ended endpoints against it", lambda: all(
+        max([n for c, n in held_against(stack, host).items() if c not in before] + [0]) >= ended
+        for host in stack.hosts))
+
+
 def case_crashing_plain(stack):
     """Symptom: the same at a plain service, of which there are two endpoints.
     Sequence: requests that may and that may not run twice end an endpoint each time that they run.
@@ -838,11 +852,13 @@
     stack.up()
     for path, mark in (("/many/a", "crash-begin many"), ("/once/a", "crash-begin once")):
         repeats = Repeats(stack, mark, path)
+        before = set(held_against(stack, "host-0"))
         for turn in range(4):
             for host in stack.hosts:
                 eventually(host + " reaches the service", lambda h=host: stack.ask(
                     h, "/many/a", "up-%f" % time.monotonic())[0] == 200)
                 repeats.ask(host)
+                told_all(stack, repeats, before)
         expect("crashes of " + mark, len(repeats.crashes()), 3)
         for host in stack.hosts:
             expect_refused(stack, repeats, host)
