What was cut at an ended endpoint is counted once, also when it is asked again

Trace: the request was refused at 4405.399 s, an operator cleared it on all hosts by 4405.448, and at 4405.700 host-0 counted all three ends once more and refused it again. Cause: since the change that asks endpoints again after they seem to have ended, each further refused connection counted all that had been cut there; the clearing begins a new epoch, in which these were news. Change: only cuts since the last count, and those that were counted without a proof, are counted then.

--- a/router/crash.c
+++ b/router/crash.c
@@ -50,6 +50,7 @@
 	int tries;
 	int proofs;   /* tries after it had seemed to end */
 	bool counted; /* what was cut counts, as far as that goes without a proof */
+	guint told;   /* cuts that were counted */
 };
 
 static void crash_ask(struct crash_check *check);
@@ -270,14 +271,29 @@
 	crash_log_begun(check);
 	tf_quar_crashed(check->tf, check->ep, check->cuts);
 	check->counted = true;
+	check->told = check->cuts->len;
 }
 
-/* It has ended, or has again: what was cut since counts, and what had just been sent in full. */
+/*
+ * It has ended, or has again: what was cut since counts, and what had just been sent in full. What
+ * was counted before is not counted once more: an operator may have cleared it meanwhile.
+ */
 static void crash_prove(struct crash_check *check)
 {
-	for (guint i = 0; i < check->cuts->len; i++)
-		g_array_index(check->cuts, struct crash_cut, i).unproved = false;
-	tf_quar_crashed(check->tf, check->ep, check->cuts);
+	GArray *news = g_array_new(FALSE, FALSE, sizeof(struct crash_cut));
+
+	for (guint i = 0; i < check->cuts->len; i++) {
+		struct crash_cut *cut = &g_array_index(check->cuts, struct crash_cut, i);
+
+		if (i < check->told && !cut->unproved)
+			continue;
+		cut->unproved = false;
+		g_array_append_val(news, *cut);
+	}
+	check->told = check->cuts->len;
+	if (news->len > 0)
+		tf_quar_crashed(check->tf, check->ep, news);
+	g_array_unref(news);
 }
 
 /* Another incarnation stands at its address, or its entry has gone with it. */
