Heads of answers are read in one table: rests, leaving, and a line for what nobody knows

Cause looked for: an endpoint asked a host for rest and got ten requests in that time. The logs couldn't tell whether an answer bore Retry-After, with which value, or that an endpoint says it leaves: headers that the router doesn't read were handed to the caller without a trace.

Change: the wire reads Retry-After of a 503 and Server-Leaving, and names a header of the platform's families (Bronzegauge-, Server-, At-) that stands in no table. tf_heard.c is where such news are handed out. attempt_failed tells rest_ms; rest_unreadable and header_unknown are said once an endpoint and once a header, and counted. Nothing acts on a rest or on leaving yet.

--- a/router/rq.c
+++ b/router/rq.c
@@ -2,6 +2,7 @@
 #include "base/jl.h"
 #include "base/met.h"
 #include "router/rq_int.h"
+#include "router/tf_heard.h"
 #include "router/tf_limit.h"
 
 #include <ck_pr.h>
@@ -322,8 +323,8 @@
 	seam_answer_finish(&rq->answer);
 	rq->tf->router->seam->wire.read_answer(status, headers, rq->request.id, &rq->answer);
 	if (rq->target.count > 0)
-		tf_limit_on_answer(rq->tf, rq->target.stages[0].ep, &rq->answer, rq->attempt_us,
-				   rq->request.id);
+		tf_heard(rq->tf, rq->target.stages[0].ep, &rq->answer, rq->attempt_us,
+			 rq->request.id);
 	if (status / 100 == 2) {
 		rq_note_served(rq);
 		bk_on_served(tf_back(rq->tf, rq->service->name), tmr_now());
@@ -380,6 +381,8 @@
 		jl_int("not_run", rq->answer.head.not_run || !sent);
 		jl_str("error", err < 0 ? base_strerror(err) : NULL);
 		jl_str("culprit", rq->answer.culprit);
+		if (rq->answer.rest == SEAM_REST_FOR)
+			jl_int("rest_ms", rq->answer.rest_us / TMR_US_PER_MS);
 		jl_int("parts", (int64_t)rq->fwd.parts);
 		rq_log_content(rq);
 		jl_end();
--- a/router/tf.c
+++ b/router/tf.c
@@ -62,6 +62,7 @@
 	tf->adms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	lim_fair_init(&tf->limit_fair);
 	tf->limit_turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	tf->unknown_headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tf->zone_names = g_ptr_array_new();
 	tf->reqs = g_ptr_array_new();
--- a/router/tf.h
+++ b/router/tf.h
@@ -42,6 +42,7 @@
 	int64_t limit_used;	   /* requests sent there with a permit */
 	bool limit_unreadable;	   /* it named something that is no rate, and that was logged */
 	int64_t limit_told_us;	   /* when the control thread was last told */
+	bool rest_unreadable;	   /* it asked for rest in a way that can't be read; that was logged */
 	double failures;	   /* recent ones, fading; see tf_ep_failed() */
 	int64_t failed_us;	   /* when failures was last brought up to date */
 };
@@ -83,6 +84,7 @@
 	GHashTable *adms;	    /* service -> struct adm */
 	struct lim_fair limit_fair; /* who may use what limits leave */
 	GHashTable *limit_turns;    /* service -> struct lim_turn */
+	GHashTable *unknown_headers; /* a set of names in lower case; see tf_heard.h */
 	GHashTable *zones;	    /* name -> number, from 1 */
 	GPtrArray *zone_names;
 	GPtrArray *reqs; /* struct rq */
--- /dev/null
+++ b/router/tf_heard.h
@@ -0,0 +1,21 @@
+#ifndef ROUTER_TF_HEARD_H
+#define ROUTER_TF_HEARD_H
+
+#include "router/tf.h"
+
+G_BEGIN_DECLS
+
+/*
+ * What the heads of endpoints' answers say of the endpoints themselves, in the traffic thread. All
+ * that is known of it is read in one place, by the wire of the deployment, and handed out in one
+ * place, here. What nobody knows gets a line in the log, once a header, so that an endpoint that
+ * begins to say something new does not go unnoticed.
+ */
+
+/* The head of an answer to a request that was sent at sent_us, by tmr_boot_now(). */
+void tf_heard(struct tf *tf, struct tf_ep *ep, const struct seam_answer *answer, int64_t sent_us,
+	      const char *request);
+
+G_END_DECLS
+
+#endif
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -49,6 +49,13 @@
 	SEAM_LIMIT_UNREADABLE /* there is one, but not how much; what was known of it holds */
 };
 
+/* What the head of a rejection says of the time in which the endpoint wants nothing of this host. */
+enum seam_rest {
+	SEAM_REST_NONE,
+	SEAM_REST_FOR,
+	SEAM_REST_UNREADABLE
+};
+
 /* The head of an endpoint's answer. Texts are valid as long as the header lines. */
 struct seam_answer {
 	struct fwd_head head;
@@ -61,6 +68,11 @@
 	enum seam_limit limit;
 	double limit_rate; /* requests a second */
 	int limit_values;  /* that were named; more than one is a fault of the endpoint's */
+	enum seam_rest rest;
+	int64_t rest_us;
+	int rest_values; /* as limit_values */
+	bool leaving;
+	char *unknown; /* a header by which the deployment tells something new; owned; NULL: none */
 };
 
 /* What an engine reports of itself. */
