copy.sh, case orders: the leader is the one that the wait has seen

Traced: 18 plays of the case beside each other (6 at a time) with who leads sampled 15 times after each such wait: once nobody led at the 13th sample, for 0.397 s. The logs of that moment: host-2 had led (era 3, generation 9) and had just stopped reading the store (reads_store false); it left the group, as a host that is no candidate does, and host-1 led from its next join on (generation 10). That is the hand-over as it is meant: joins are 0.5 s apart. Ruled out: a newer generation heard of alone (all three hosts knew 9), a lapsed lease, a start.

--- a/regress/soak/cases_copy.py
+++ b/regress/soak/cases_copy.py
@@ -26,6 +26,19 @@
     return next((h for h in stack.hosts if stack.state(h)["places_layers"]), None)
 
 
+def await_leader(stack):
+    """The host that leads. One that has stopped reading the store gives the lead up, and nobody has it until the
+    next host joins: who leads is asked once, not looked at twice."""
+    seen = []
+
+    def one_leads():
+        seen[:] = [leader(stack)]
+        return seen[0] is not None
+
+    eventually("one host leads", one_leads)
+    return seen[0]
+
+
 def has_era(stack, host, era):
     """A host of the version before doesn't tell."""
     return stack.state(host).get("era", era) == era
@@ -178,16 +191,16 @@
     is lower; once more with the leader killed, and twice in a row.
     Cause: only a greater generation was believed, and engines refuse a lower fencing number."""
     stack.up()
-    eventually("one host leads", lambda: leader(stack) is not None)
+    await_leader(stack)
     stack.copy_store()
     for turn, kill in ((0, False), (1, True), (2, False)):
         for _ in range(2):
-            former = leader(stack)
+            former = await_leader(stack)
             stack.signal(former, signal.SIGKILL)
             stack.procs[former].wait()
             stack.begin_host(former)
-            eventually("another one leads", lambda: leader(stack) is not None)
-        former = leader(stack)
+            await_leader(stack)
+        former = await_leader(stack)
         stack.rewind_store(seed=turn)
         if kill:
             stack.signal(former, signal.SIGKILL)
