--- /dev/null
+++ b/regress/proc/rest.sh
@@ -0,0 +1,10 @@
+# The router before endpoints that ask a host for rest; see regress/soak/cases_rest.py.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+for case in engine_asks nobody_left used_again reports_wait starts_anew other_statuses longest_holds; do
+	python3 cases_rest.py "$case" || {
+		echo "rest.sh: case $case failed" >&2
+		exit 1
+	}
+done
--- /dev/null
+++ b/regress/soak/cases_rest.py
@@ -0,0 +1,300 @@
+"""Cases of endpoints that ask hosts for rest, and that say they leave: python3 regress/soak/cases_rest.py NAME."""
+import http.client
+import signal
+import time
+
+from cases import expect, run
+from cases_limit import Callers, go_on, plain_only
+from rest import AT_MOST, HEARD_S, late_at_leaving, most_within, rests
+from stack import Failure, eventually
+
+REST_S = 3.0
+SOON_S = 1.0    # after the end of a rest, until the endpoint is used like the others
+FAIR_PART = 0.4  # of the mean of the others, which an endpoint gets that is used like them
+
+
+class Sent(Callers):
+    """Callers that note when each request was sent, and which hosts have passed on that an endpoint leaves."""
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.sent, self.left = {}, {}
+
+    def ask(self, host):
+        request_id = "%s-%d" % (host, next(self.asked))
+        self.sent[request_id] = time.monotonic()
+        try:
+            status, headers, _ = self.stack.ask(host, self.path, request_id)
+        except (OSError, http.client.HTTPException):
+            status, headers = 0, {}
+        with self.lock:
+            self.answers.append((time.monotonic(), host, status, headers))
+            if headers.get("Server-Leaving", "0") not in ("", "0"):
+                self.left.setdefault(host, time.monotonic())
+
+
+def heard(stack):
+    return stack.ledger()["heard"]
+
+
+def check_rest(stack, rest_s=REST_S, **more):
+    got, host, endpoint = most_within(heard(stack), rest_s, **more)
+    print("most of one host within a rest: %d of %d allowed" % (got, AT_MOST))
+    if got > AT_MOST:
+        raise Failure("%d requests of %s reached %s within its rest" % (got, host, endpoint))
+
+
+def rested_at(stack, endpoint):
+    """host -> when the endpoint last asked it for rest."""
+    return {host: at for e, host, at in sorted(rests(heard(stack), REST_S), key=lambda r: r[2]) if e == endpoint}
+
+
+def all_rest(stack, endpoint):
+    eventually("%s has asked all hosts for rest" % endpoint,
+               lambda: set(rested_at(stack, endpoint)) == set(stack.hosts))
+
+
+def share(stack, endpoint, since):
+    """Requests that the endpoint has run since then, by endpoint of its answers."""
+    return sum(1 for a in heard(stack) if a["endpoint"] == endpoint and a["answer"] == "taken" and
+               a["ms"] / 1000.0 >= since)
+
+
+def first_engines(stack):
+    """Those at which pipelines begin."""
+    return [e["id"].split("-")[1] for e in stack.state("host-0")["endpoints"]
+            if e["service"] == "llm" and e["from"] == 0 and e["to"] > 0]
+
+
+def one_host(stack):
+    """A set with engines, and with one host, so that all that comes to them is of that host."""
+    stack.hosts = ["host-0"]
+    stack.store_via = {"host-0": stack.store_port}
+    stack.up()
+
+
+def case_engine_asks(stack):
+    """Guards against streams that go on being sent to an engine that has asked their host for rest."""
+    stack.up()
+    with Callers(stack, per_s=6, path="/stream/a") as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 30)
+        for name in first_engines(stack)[1:]:
+            stack.fault_engine(name, "ok", rest="3")
+        eventually("somebody is asked for rest", lambda: rests(heard(stack), REST_S))
+        go_on(callers, 2 * REST_S)
+    check_rest(stack)
+    expect("violations", stack.ledger()["violations"], "")
+
+
+def case_nobody_left(stack):
+    """Guards against callers that are sent to endpoints which all want rest, or not told when that ends."""
+    plain_only(stack)
+    names = ["p%d" % i for i in range(4)]
+    with Callers(stack, per_s=10) as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 80)
+        began = time.monotonic()
+        for name in names:
+            stack.fault_engine(name, "ok", rest="3", times=1)
+        for name in names:
+            all_rest(stack, name)
+        go_on(callers, REST_S + SOON_S)
+    check_rest(stack)
+    ends = {h: min(rested_at(stack, n)[h] for n in names) + REST_S for h in stack.hosts}
+    refused = [(at, host, headers) for at, host, status, headers in callers.answers
+               if status == 503 and at > began]
+    known = {h: max(rested_at(stack, n)[h] for n in names) + HEARD_S for h in stack.hosts}
+    told = [(at + float(headers.get("Retry-After", 0)) - ends[host]) for at, host, headers in refused
+            if known[host] < at < ends[host] - 1]
+    if not told:
+        raise Failure("nobody was refused while all endpoints wanted rest")
+    print("told to come back %.2f to %.2f s after the end of the first rest" % (min(told), max(told)))
+    if min(told) < 0 or max(told) > 2 * SOON_S:
+        raise Failure("the time to come back is not that of the rest")
+
+
+def case_used_again(stack):
+    """Guards against an endpoint that stays unused for long after its rest, or after a single rejection."""
+    plain_only(stack)
+    with Callers(stack, per_s=10) as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 80)
+        for rest, wait_s in (("1", 1 + SOON_S), ("soon", 4 * SOON_S)):
+            stack.fault_engine("p0", "ok", rest=rest, times=1)
+            all_rest(stack, "p0")
+            go_on(callers, wait_s)
+            began = time.monotonic()
+            go_on(callers, 4)
+            asked = sum(1 for at, _, _, _ in callers.answers if at >= began)
+            got = share(stack, "p0", began)
+            print("after Retry-After: %s it gets %d of %d" % (rest, got, asked))
+            if got < FAIR_PART * asked / 4:
+                raise Failure("it gets %d of %d requests after its rest" % (got, asked))
+
+
+def case_starts_anew(stack):
+    """Guards against the rest of an endpoint that is held against its next start at the same address."""
+    plain_only(stack)
+    with Callers(stack, per_s=10) as callers:
+        for fault in ("reborn", "restarted"):
+            stack.fault_engine("p0", "ok", rest="60")
+            all_rest(stack, "p0")
+            stack.fault_engine("p0", fault)
+            began = time.monotonic()
+
+            def serves():
+                return any(e["addr"].endswith(":%d" % (stack.base + 20)) and e["in_flight"] >= 0 and
+                           not e["rest_ms"] for e in stack.state("host-1")["endpoints"])
+            eventually("its new start is listed", serves)
+            served = [0]
+
+            def again():
+                served[0] += 1
+                return stack.ask("host-1", "/many/a", "again%s-%d" % (fault, served[0]))[2].endswith(b"at p0")
+            eventually("the new start serves", again)
+            if time.monotonic() - began > REST_S + SOON_S:
+                print("only after %.1f s" % (time.monotonic() - began))
+
+
+def case_other_statuses(stack):
+    """Guards against a rest that is taken from what is no promise: zero, no number, a negative one."""
+    plain_only(stack)
+    with Callers(stack, per_s=10) as callers:
+        for value in ("0", "-5", "Fri, 31 Dec 1999 23:59:59 GMT", ""):
+            stack.fault_engine("p0", "ok", rest=value, times=1)
+            all_rest(stack, "p0")
+            for host in stack.hosts:
+                expect("rest at " + host, [e["rest_ms"] for e in stack.state(host)["endpoints"]
+                                           if e["id"] == "i-p0-0"], [0])
+    expect("answers", callers.statuses(), [200])
+    for host in stack.hosts:
+        expect("lines of " + host, stack.log(host).count('"rest_unreadable"'), 1)
+
+
+def case_longest_holds(stack):
+    """Guards against a shorter rest that ends a longer one."""
+    plain_only(stack)
+    with Callers(stack, per_s=10) as callers:
+        stack.fault_engine("p0", "ok", rest="8", times=1)
+        all_rest(stack, "p0")
+        stack.fault_engine("p0", "ok", rest="0.2", times=1)
+        go_on(callers, 5)
+        got = share(stack, "p0", 0)
+        if got > AT_MOST * len(stack.hosts):
+            raise Failure("%d requests within the longer rest" % got)
+
+
+def case_reports_wait(stack):
+    """Guards against reports and orders that reach an engine within the rest that it asked for."""
+    one_host(stack)
+    with Callers(stack, per_s=20, path="/stream/a") as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 30)
+        for name in first_engines(stack):
+            stack.fault_engine(name, "ok", rest="6", times=1)
+        eventually("somebody is asked for rest", lambda: rests(heard(stack), 6))
+        name, _, asked = rests(heard(stack), 6)[0]
+        go_on(callers, 6)
+    calls = [a for a in heard(stack) if a["answer"] != "rest" and a["endpoint"] == name and
+             asked + HEARD_S <= a["ms"] / 1000.0 < asked + 6]
+    print("%d requests, reports and orders" % len(calls))
+    if len(calls) > AT_MOST:
+        raise Failure("%d requests, reports and orders reached the engine within its rest" % len(calls))
+
+
+def check_leaving(stack, callers, name):
+    late = late_at_leaving(heard(stack), name, callers.sent, callers.left, stack.drain_ms / 1000.0)
+    print("%d requests too late at the one that leaves" % len(late))
+    if late:
+        raise Failure("%d requests reached %s though it had said that it leaves" % (len(late), name))
+
+
+def case_leaving(stack):
+    """Guards against requests that are sent to an endpoint which says in its answers that it leaves."""
+    plain_only(stack)
+    with Sent(stack, per_s=10) as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 80)
+        stack.fault_engine("p0", "ok", leaving="1")
+        eventually("it is said", lambda: callers.left)
+        for host in stack.hosts:
+            eventually(host + " knows", lambda h=host: is_draining(stack, h, "i-p0-0"))
+        go_on(callers, 2 * stack.drain_ms / 1000.0)
+    expect("answers", callers.statuses(), [200])
+    check_leaving(stack, callers, "p0")
+
+
+def is_draining(stack, host, endpoint):
+    return [e["state"] for e in stack.state(host)["endpoints"] if e["id"] == endpoint] == ["draining"]
+
+
+def case_leaving_engine(stack):
+    """Guards against an engine that says that it leaves and goes on being a stage of new pipelines."""
+    stack.up()
+    with Sent(stack, per_s=6, path="/stream/a") as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 30)
+        name = first_engines(stack)[0]
+        for other in first_engines(stack)[1:]:
+            stack.fault_engine(other, "slow")
+        stack.fault_engine(name, "ok", leaving="1")
+        for host in stack.hosts:
+            eventually(host + " knows", lambda h=host: is_draining(stack, h, "i-%s-0" % name))
+        go_on(callers, 2 * stack.drain_ms / 1000.0)
+    check_leaving(stack, callers, name)
+    expect("violations", stack.ledger()["violations"], "")
+
+
+def case_not_leaving(stack):
+    """Guards against an endpoint that is taken to leave for 0, or for nothing."""
+    plain_only(stack)
+    with Sent(stack, per_s=10) as callers:
+        for value in ("0", ""):
+            stack.fault_engine("p0", "ok", leaving=value)
+            before = len(callers.answers)
+            eventually("the load goes on", lambda: len(callers.answers) >= before + 80)
+    for host in stack.hosts:
+        expect("draining at " + host, is_draining(stack, host, "i-p0-0"), False)
+
+
+def case_leaving_stays(stack):
+    """Guards against an entry, a start of a host or a return of the store that undoes an endpoint's leaving."""
+    plain_only(stack)
+    with Sent(stack, per_s=10) as callers:
+        stack.fault_engine("p0", "ok", leaving="1")
+        for host in stack.hosts:
+            eventually(host + " knows", lambda h=host: is_draining(stack, h, "i-p0-0"))
+        stack.signal("host-3", signal.SIGKILL)
+        stack.procs["host-3"].wait()
+        stack.begin_host("host-3")
+        eventually("host-3 is told", lambda: is_draining(stack, "host-3", "i-p0-0"))
+        stack.copy_store()
+        era = stack.store_era()
+        stack.rewind_store()
+        stack.wait_for_era(era + 1)
+        for host in stack.hosts:
+            eventually(host + " knows of the return", lambda h=host: stack.state(h)["era"] == era + 1)
+            expect("leaving at " + host, is_draining(stack, host, "i-p0-0"), True)
+        stack.fault_engine("p0", "reborn")
+        served = [0]
+
+        def again():
+            served[0] += 1
+            return stack.ask("host-1", "/many/a", "again-%d" % served[0])[2].endswith(b"at p0")
+        eventually("its next start serves", again)
+
+
+def case_unknown_header(stack):
+    """Guards against an endpoint that begins to say something new, and no log shows it."""
+    plain_only(stack, hosts=1)
+    stack.fault_engine("p0", "ok", more="Server-Mood: tired")
+    served = [0]
+
+    def logged():
+        served[0] += 1
+        stack.ask("host-0", "/many/a", "host-0-%d" % served[0])
+        return '"header_unknown"' in stack.log("host-0")
+    eventually("a line names it", logged)
+    for _ in range(20):
+        served[0] += 1
+        stack.ask("host-0", "/many/a", "host-0-%d" % served[0])
+    expect("lines", stack.log("host-0").count('"header_unknown"'), 1)
+
+
+if __name__ == "__main__":
+    run({name[5:]: fn for name, fn in globals().items() if name.startswith("case_")})
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -229,9 +229,11 @@
     def wait_for_era(self, era):
         eventually("the store is back", lambda: self.store_era() == era)
 
-    def fault_engine(self, name, kind, limit=None):
-        """limit: the text that it names as its limit from now on; None: it names none."""
-        more = "" if limit is None else "&limit=" + urllib.parse.quote(limit)
+    def fault_engine(self, name, kind, **says):
+        """What it says in the heads of its answers from now on; what is not given it does not say. limit: the
+        text that it names as its limit; leaving: what it says of that; rest: the text with which it rejects
+        requests, times: so many of each host."""
+        more = "".join("&%s=%s" % (k, urllib.parse.quote(str(v))) for k, v in says.items() if v is not None)
         call(self.engine_control, "POST", "/fault?endpoint=%s&kind=%s%s" % (name, kind, more))
 
     def ledger(self):
--- a/router/tf_heard.c
+++ b/router/tf_heard.c
@@ -22,9 +22,8 @@
 {
 	met_add(met_counter("bg_headers_unknown_total", ""), 1);
 	if (g_hash_table_size(tf->unknown_headers) >= TF_HEARD_UNKNOWN_MAX ||
-	    g_hash_table_contains(tf->unknown_headers, name))
+	    !g_hash_table_add(tf->unknown_headers, g_ascii_strdown(name, -1)))
 		return;
-	g_hash_table_add(tf->unknown_headers, g_ascii_strdown(name, -1));
 	tf_heard_begin("header_unknown", ep);
 	jl_str("header", name);
 	jl_str("id", request);
