What an endpoint says itself of its leaving holds against its entry

An endpoint that leaves says so in its answers; its entry may say ready for as long as it is not written, or be written anew. ep_on_leaving() counts the incarnation as leaving from then on, whatever entries come; its next start is ready. The record is copied: other threads hold the old one.

EpTest.WhatAnEndpointSaysOfItsLeavingHolds, LeavingMayBeHeardBeforeTheEntry.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -111,11 +111,60 @@
 			.born_ms = rec->born_ms, .heartbeat = rec->heartbeat, .at_us = now_us});
 }
 
+static bool ep_start_has_left(const struct ep_list *list, const char *id, int64_t born_ms)
+{
+	const struct ep_note *note = g_hash_table_lookup(list->left, id);
+
+	return note && born_ms <= note->born_ms;
+}
+
 static bool ep_has_left(const struct ep_list *list, const struct ep_rec *rec)
 {
-	const struct ep_note *note = g_hash_table_lookup(list->left, rec->id);
+	return ep_start_has_left(list, rec->id, rec->born_ms);
+}
+
+/* The record once more, as of an endpoint that is leaving: other threads may have the old one. */
+static struct ep_rec *ep_rec_leaving(const struct ep_rec *rec)
+{
+	struct ep_rec *copy = ep_rec_new(rec->id, rec->born_ms);
 
-	return note && rec->born_ms <= note->born_ms;
+	copy->service = g_strdup(rec->service);
+	copy->addr = g_strdup(rec->addr);
+	copy->zone = g_strdup(rec->zone);
+	copy->kind = g_strdup(rec->kind);
+	copy->state = EP_DRAINING;
+	copy->slots = rec->slots;
+	copy->layer_from = rec->layer_from;
+	copy->layer_to = rec->layer_to;
+	copy->heartbeat = rec->heartbeat;
+	copy->cold_ms = rec->cold_ms;
+	copy->text = g_strdup(rec->text);
+	return copy;
+}
+
+bool ep_on_leaving(struct ep_list *list, const char *incarnation, int64_t now_us)
+{
+	const char *at = strrchr(incarnation, '@');
+	char *id = g_strndup(incarnation, at ? (gsize)(at - incarnation) : strlen(incarnation));
+	int64_t born_ms = at ? g_ascii_strtoll(at + 1, NULL, 10) : 0;
+	struct ep_entry *entry = g_hash_table_lookup(list->entries, id);
+	bool news = !ep_start_has_left(list, id, born_ms);
+	struct ep_rec *rec;
+
+	if (news)
+		ep_note(list->left, id, (struct ep_note){.born_ms = born_ms, .at_us = now_us});
+	if (news && entry && entry->rec->born_ms == born_ms) {
+		/* The table's key is the record's own text. */
+		g_hash_table_steal(list->entries, id);
+		rec = ep_rec_leaving(entry->rec);
+		ep_rec_unref(entry->rec);
+		entry->rec = rec;
+		g_hash_table_insert(list->entries, rec->id, entry);
+		list->changed = true;
+		list->version++;
+	}
+	g_free(id);
+	return news;
 }
 
 /* Whether both say the same of the endpoint: one is a heartbeat after the other. */
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -107,6 +107,12 @@
 enum ep_news ep_on_record(struct ep_list *list, int64_t place, const char *id, struct ep_rec *rec,
 			  int64_t now_us);
 
+/*
+ * The endpoint said itself that it is leaving, whatever its entry says; for good, as far as this
+ * incarnation goes. Returns whether that was news.
+ */
+bool ep_on_leaving(struct ep_list *list, const char *incarnation, int64_t now_us);
+
 /* A whole listing follows, entry by entry, with ep_on_record(); then ep_on_listed(). */
 void ep_on_listing(struct ep_list *list);
 void ep_on_listed(struct ep_list *list, int64_t end, int64_t now_us);
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -160,6 +160,50 @@
 	EXPECT_EQ(Ids(), "(a)");
 }
 
+/* Guards against an entry, whenever it was written, that undoes what an endpoint has said itself.
+ */
+TEST_F(EpTest, WhatAnEndpointSaysOfItsLeavingHolds)
+{
+	const char *const a = "a@7";
+	born_ = 7;
+	Put("a", SEC);
+	Put("b", SEC);
+	guint before = list_.version;
+	EXPECT_TRUE(ep_on_leaving(&list_, a, SEC));
+	EXPECT_EQ(Ids(), "(a)b");
+	EXPECT_GT(list_.version, before);
+	EXPECT_TRUE(list_.changed);
+	EXPECT_FALSE(ep_on_leaving(&list_, a, SEC)) << "it is known";
+	Put("a", 2 * SEC);
+	EXPECT_EQ(Ids(), "(a)b") << "a heartbeat";
+	ep_on_listing(&list_);
+	Put("a", 3 * SEC);
+	Put("b", 3 * SEC);
+	ep_on_listed(&list_, offset_, 3 * SEC);
+	EXPECT_EQ(Ids(), "(a)b") << "the list was read anew";
+	Remove("a", 4 * SEC);
+	Put("a", 4 * SEC);
+	EXPECT_EQ(Ids(), "(a)b") << "an entry written anew";
+	born_ = 8;
+	Put("a", 5 * SEC);
+	EXPECT_EQ(Ids(), "ab") << "its next start";
+	EXPECT_FALSE(ep_on_leaving(&list_, "a@6", SEC)) << "of a start before";
+	EXPECT_EQ(Ids(), "ab");
+}
+
+/* Guards against an endpoint that another host knows to leave, and that is used once it is listed.
+ */
+TEST_F(EpTest, LeavingMayBeHeardBeforeTheEntry)
+{
+	born_ = 7;
+	EXPECT_TRUE(ep_on_leaving(&list_, "a@7", SEC));
+	EXPECT_EQ(Ids(), "");
+	Put("a", SEC);
+	EXPECT_EQ(Ids(), "(a)");
+	EXPECT_TRUE(ep_on_leaving(&list_, "no-start", SEC));
+	EXPECT_EQ(Ids(), "(a)");
+}
+
 /*
  * Symptom: one host sent requests to an endpoint that was gone, for good.
  * Sequence: a host hears of records from the store and from another host; the removal of an entry
