The time in which an endpoint wants nothing of a host, as a module; requests that wait for its end

RestTest.*: until the end nothing is sent, then over 0.3 s one request of each host, whose answer opens the endpoint, or 0.4 s; the latest end holds; one report in a rest. FwdTest.ARequestWaitsForARestThatEndsInTimeOrIsRefused- AtOnce: with the cause 'resting'.

Each host by itself finds out by one rejection at each endpoint, which many hosts before shared endpoints can't pay from the budget of repeats.

--- /dev/null
+++ b/ep/rest_test.cc
@@ -0,0 +1,112 @@
+#include "ep/rest.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const int64_t MS = 1000;
+const int64_t SEC = 1000 * MS;
+
+/* Guards against requests to an endpoint that has asked for rest, and against one unused after it.
+ */
+TEST(RestTest, NothingIsSentUntilTheEndAndOneRequestGoesFirst)
+{
+	const struct {
+		int64_t for_us;
+		double spread;
+		int64_t open_us; /* the first moment at which a request may be sent */
+	} cases[] = {
+		{3 * SEC, 0, 3 * SEC},
+		{3 * SEC, 0.5, 3 * SEC + RST_SPREAD_US / 2},
+		{250 * MS, 0, 250 * MS},
+		{86400 * SEC, 0, 86400 * SEC},
+		{0, 0.9, 0},
+	};
+	for (const auto &c : cases) {
+		rst rest{};
+		int64_t now = 10 * SEC;
+		EXPECT_EQ(rst_on_asked(&rest, c.for_us, now, c.spread), c.for_us > 0);
+		EXPECT_EQ(rst_open_us(&rest, now), now + c.open_us) << c.for_us;
+		EXPECT_EQ(rst_is_open(&rest, now + c.open_us - 1), c.for_us == 0) << c.for_us;
+		EXPECT_TRUE(rst_is_open(&rest, now + c.open_us)) << c.for_us;
+		rst_on_sent(&rest, now + c.open_us);
+		EXPECT_EQ(rst_is_open(&rest, now + c.open_us), c.for_us == 0) << c.for_us;
+	}
+}
+
+/* Guards against an endpoint that is held back for long by a trial that nobody answers. */
+TEST(RestTest, ATrialThatIsNotAnsweredHoldsTheOthersUpForAMoment)
+{
+	rst rest{};
+	rst_on_asked(&rest, SEC, 0, 0);
+	rst_on_sent(&rest, SEC);
+	EXPECT_FALSE(rst_is_open(&rest, SEC + RST_TRIAL_US - 1));
+	EXPECT_TRUE(rst_is_open(&rest, SEC + RST_TRIAL_US));
+	rst_on_sent(&rest, SEC + RST_TRIAL_US);
+	EXPECT_TRUE(rst_is_open(&rest, SEC + RST_TRIAL_US));
+	EXPECT_LE(RST_SPREAD_US + RST_TRIAL_US, SEC);
+}
+
+/* The trial was taken: the endpoint is used like the others. */
+TEST(RestTest, ATrialThatIsTakenEndsIt)
+{
+	rst rest{};
+	rst_on_asked(&rest, SEC, 0, 0);
+	EXPECT_FALSE(rst_on_taken(&rest, 500 * MS)) << "an older request's answer";
+	rst_on_sent(&rest, SEC);
+	EXPECT_TRUE(rst_on_taken(&rest, SEC + 5 * MS));
+	for (int i = 0; i < 3; i++) {
+		EXPECT_TRUE(rst_is_open(&rest, SEC + 5 * MS));
+		rst_on_sent(&rest, SEC + 5 * MS);
+	}
+}
+
+/* Guards against a shorter rest that ends a longer one; each answer is a promise of its own. */
+TEST(RestTest, TheLatestEndHolds)
+{
+	const struct {
+		int64_t first_us, second_us, at_us; /* of the second answer */
+		int64_t until_us;
+	} cases[] = {
+		{3 * SEC, SEC, SEC, 3 * SEC},	  {3 * SEC, 2 * SEC, SEC, 3 * SEC},
+		{3 * SEC, 3 * SEC, SEC, 4 * SEC}, {3 * SEC, 10 * SEC, SEC, 11 * SEC},
+		{3 * SEC, 0, SEC, 3 * SEC},
+	};
+	for (const auto &c : cases) {
+		rst rest{};
+		EXPECT_TRUE(rst_on_asked(&rest, c.first_us, 0, 0));
+		EXPECT_FALSE(rst_on_asked(&rest, c.second_us, c.at_us, 0))
+			<< "the same rest goes on";
+		EXPECT_EQ(rest.until_us, c.until_us);
+	}
+}
+
+/* Another rest after the trial was rejected is kept as the first one was. */
+TEST(RestTest, ATrialThatIsRejectedBeginsAnotherRest)
+{
+	rst rest{};
+	rst_on_asked(&rest, 3 * SEC, 0, 0);
+	rst_on_sent(&rest, 3 * SEC);
+	EXPECT_TRUE(rst_on_asked(&rest, 3 * SEC, 3 * SEC + MS, 0));
+	EXPECT_FALSE(rst_is_open(&rest, 6 * SEC));
+	EXPECT_TRUE(rst_is_open(&rest, 6 * SEC + MS));
+}
+
+/* Guards against reports and checks that make up more than the two requests that are allowed. */
+TEST(RestTest, OneCallInARest)
+{
+	rst rest{};
+	EXPECT_TRUE(rst_may_call(&rest, 0));
+	EXPECT_TRUE(rst_may_call(&rest, 0));
+	rst_on_asked(&rest, 3 * SEC, 0, 0);
+	EXPECT_TRUE(rst_may_call(&rest, SEC));
+	EXPECT_FALSE(rst_may_call(&rest, SEC));
+	rst_on_asked(&rest, 3 * SEC, 2 * SEC, 0);
+	EXPECT_FALSE(rst_may_call(&rest, 4 * SEC)) << "the same rest goes on";
+	EXPECT_TRUE(rst_may_call(&rest, 5 * SEC));
+	rst_on_asked(&rest, SEC, 6 * SEC, 0);
+	EXPECT_TRUE(rst_may_call(&rest, 6 * SEC));
+}
+
+} // namespace
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -35,6 +35,7 @@
 	[FWD_FAILED] = "endpoint_failed",
 	[FWD_CRASHES] = "crashes_endpoints",
 	[FWD_LIMITED] = "limited",
+	[FWD_RESTING] = "resting",
 };
 
 static void fwd_end(struct fwd *fwd, enum fwd_cause cause);
@@ -184,27 +185,44 @@
 /* Until when a request that was sent nowhere yet waits for an endpoint. */
 static int64_t fwd_nobody_until(const struct fwd *fwd, int err)
 {
-	if (err == FWD_ELIMIT)
+	switch (err) {
+	case FWD_ELIMIT:
 		return fwd->rules.limit_us;
-	return err == FWD_ELIMITED ? 0 : fwd->rules.listing_us;
+	case FWD_ELIMITED:
+		return 0;
+	case FWD_ERESTS:
+		return fwd->rules.rest_us < fwd->rules.limit_us ? fwd->rules.limit_us : 0;
+	default:
+		return fwd->rules.listing_us;
+	}
+}
+
+static enum fwd_cause fwd_cause_of_nobody(int err)
+{
+	if (err == FWD_ELIMIT || err == FWD_ELIMITED)
+		return FWD_LIMITED;
+	return err == FWD_ERESTS ? FWD_RESTING : FWD_NO_ENDPOINT;
 }
 
 /*
  * There is no endpoint for a request that was sent nowhere yet. While the list may lack some that
- * live, or limits may leave room in a moment, it is looked for again; this costs neither an attempt
- * nor a repeat.
+ * live, or limits may leave room or rests end in a moment, it is looked for again; this costs
+ * neither an attempt nor a repeat.
  */
 static void fwd_on_nobody(struct fwd *fwd, int err, int64_t now_us)
 {
 	int64_t until_us = fwd_nobody_until(fwd, err);
 
-	fwd->failure = err == FWD_ELIMIT || err == FWD_ELIMITED ? FWD_LIMITED : FWD_NO_ENDPOINT;
+	fwd->failure = fwd_cause_of_nobody(err);
 	if (now_us >= until_us) {
 		fwd_wait_or_close(fwd, now_us);
 		return;
 	}
 	fwd->state = FWD_WAITING;
-	fwd->again_us = MIN(now_us + FWD_LISTING_US, until_us);
+	fwd->again_us = now_us + FWD_LISTING_US;
+	if (err == FWD_ERESTS)
+		fwd->again_us = MAX(fwd->again_us, fwd->rules.rest_us);
+	fwd->again_us = MIN(fwd->again_us, until_us);
 	fwd_arm(fwd);
 }
 
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -28,7 +28,8 @@
 	FWD_EBUDGET = -901,	/* the budget of repeats is spent */
 	FWD_ECRASHES = -902, /* endpoints ended while they ran it; it is sent to no more of them */
 	FWD_ELIMIT = -903,   /* endpoints take no more now; one may take it in a moment */
-	FWD_ELIMITED = -904  /* the same, and too many wait for that moment */
+	FWD_ELIMITED = -904, /* the same, and too many wait for that moment */
+	FWD_ERESTS = -905    /* all endpoints for it want nothing of this host now */
 };
 
 /* Why a request ended as it did; also the text in the log. */
@@ -45,6 +46,7 @@
 	FWD_FAILED,  /* the endpoint's own failure was handed on */
 	FWD_CRASHES, /* it is in quarantine: endpoints ended while they ran it */
 	FWD_LIMITED, /* all endpoints for it have named limits, which leave no room */
+	FWD_RESTING, /* all endpoints for it want nothing of this host now */
 	FWD_CAUSES
 };
 
@@ -58,7 +60,8 @@
 	int64_t first_us;    /* silence allowed before the first byte or event */
 	int64_t gap_us;	     /* silence allowed between events */
 	int64_t listing_us;  /* until then it waits where there is no endpoint for it */
-	int64_t limit_us;    /* until then it waits where limits leave no room for it */
+	int64_t limit_us;    /* until then it waits where limits or rests leave none for it */
+	int64_t rest_us;     /* after FWD_ERESTS: when one of them is to be had */
 };
 
 /* What the head of an endpoint's answer says. */
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -1,6 +1,7 @@
 #include "fwd/fwd.h"
 
 #include <gtest/gtest.h>
+#include <string.h>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
 		rules.gap_us = 100 * MS;
 		rules.listing_us = listing_us_;
 		rules.limit_us = limit_us_;
+		rules.rest_us = rest_us_;
 		fwd_init(&fwd_, &rules, &ops_, this);
 		live_ = true;
 		fwd_start(&fwd_, now_);
@@ -108,6 +110,7 @@
 	int repeat_error_ = 0;
 	int64_t listing_us_ = 0;
 	int64_t limit_us_ = 0;
+	int64_t rest_us_ = 0;
 	bool keep_silent_ = false;
 	bool end_silent_ = false; /* the request ends while it is asked what to do about silence */
 	int timers_ = 0;
@@ -624,6 +627,42 @@
 	live_ = false;
 }
 
+/* Guards against a request that waits for a rest whose end is known to come too late for it. */
+TEST_F(FwdTest, ARequestWaitsForARestThatEndsInTimeOrIsRefusedAtOnce)
+{
+	const struct {
+		const char *name;
+		int64_t ends_us, limit_us;
+		const char *did;
+		int64_t at_us; /* when it ends, or is sent */
+	} cases[] = {
+		{"it ends in time", 120 * MS, 300 * MS, "send", 120 * MS},
+		{"it ends at once", 5 * MS, 300 * MS, "send", 50 * MS},
+		{"it ends too late", 301 * MS, 300 * MS, "refuse503! resting", 0},
+		{"a day", 86400000 * MS, 300 * MS, "refuse503! resting", 0},
+		{"no time", 10 * MS, 0, "refuse503! resting", 0},
+		{"another rest follows", 120 * MS, 300 * MS, "refuse503! resting", 300 * MS},
+	};
+	for (const auto &c : cases) {
+		bool follows = strcmp(c.name, "another rest follows") == 0;
+
+		now_ = 1000 * MS;
+		limit_us_ = now_ + c.limit_us;
+		rest_us_ = now_ + c.ends_us;
+		send_error_ = FWD_ERESTS;
+		Start(false, false);
+		for (int looks = 0; fwd_.state == FWD_WAITING && looks < 100; looks++) {
+			if (!follows)
+				send_error_ = 0;
+			Wait(fwd_.again_us - now_);
+		}
+		EXPECT_EQ(Did(), c.did) << c.name;
+		EXPECT_EQ(now_, 1000 * MS + c.at_us) << c.name;
+		fwd_finish(&fwd_);
+	}
+	live_ = false;
+}
+
 /* Each try costs an engine a call, so the pauses grow until something is handed on again. */
 TEST_F(FwdTest, PausesGrowAndTheDeadlineEndsThem)
 {
