Endpoints that ask for rest are left alone, and those that say they leave are not chosen

What callers and endpoints saw: up to 17 requests of one host within 3 s of rest where 2 are allowed, 112 callers refused within 8 s for a spent budget of repeats; 48 to 65 requests at an endpoint that had said it leaves.

Cause: nobody read either header.

Change: tf_heard.c hands out what heads say, of answers to requests, reports, checks and orders of both threads. Choice of pipelines, plain endpoints and replaced stages leave out those that rest or leave, also as later stages; a repair is not ordered from a first stage that rests; reports, checks and orders wait, but for one check in a rest. A request that only rests keep from being served waits for their end if that comes in time, else it is refused at once with that time as Retry-After, spread over a second. To want rest is no failure. Leaving counts as draining for choice, repair and placement.

--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -47,6 +47,8 @@
 	{"limited",
 	 "Refused, not run: all endpoints for it have named limits, and nothing was left of them; "
 	 "see the 'limit_refused' line and 'limit_named' lines of that time."},
+	{"resting", "Refused, not run: all endpoints for it had asked this host for rest; see its "
+		    "'rest_refused' line and 'rest_asked' lines of that host before."},
 	{"stopping", "Refused, not run: the host was about to stop and could not have ended it."},
 };
 
--- a/regress/soak/cases_rest.py
+++ b/regress/soak/cases_rest.py
@@ -49,9 +49,9 @@
     return {host: at for e, host, at in sorted(rests(heard(stack), REST_S), key=lambda r: r[2]) if e == endpoint}
 
 
-def all_rest(stack, endpoint):
+def all_rest(stack, endpoint, since=0):
     eventually("%s has asked all hosts for rest" % endpoint,
-               lambda: set(rested_at(stack, endpoint)) == set(stack.hosts))
+               lambda: {h for h, at in rested_at(stack, endpoint).items() if at >= since} == set(stack.hosts))
 
 
 def share(stack, endpoint, since):
@@ -118,8 +118,9 @@
     with Callers(stack, per_s=10) as callers:
         eventually("all are served", lambda: len(callers.answers) >= 80)
         for rest, wait_s in (("1", 1 + SOON_S), ("soon", 4 * SOON_S)):
+            began = time.monotonic()
             stack.fault_engine("p0", "ok", rest=rest, times=1)
-            all_rest(stack, "p0")
+            all_rest(stack, "p0", began)
             go_on(callers, wait_s)
             began = time.monotonic()
             go_on(callers, 4)
@@ -135,8 +136,9 @@
     plain_only(stack)
     with Callers(stack, per_s=10) as callers:
         for fault in ("reborn", "restarted"):
+            began = time.monotonic()
             stack.fault_engine("p0", "ok", rest="60")
-            all_rest(stack, "p0")
+            all_rest(stack, "p0", began)
             stack.fault_engine("p0", fault)
             began = time.monotonic()
 
@@ -159,8 +161,9 @@
     plain_only(stack)
     with Callers(stack, per_s=10) as callers:
         for value in ("0", "-5", "Fri, 31 Dec 1999 23:59:59 GMT", ""):
+            began = time.monotonic()
             stack.fault_engine("p0", "ok", rest=value, times=1)
-            all_rest(stack, "p0")
+            all_rest(stack, "p0", began)
             for host in stack.hosts:
                 expect("rest at " + host, [e["rest_ms"] for e in stack.state(host)["endpoints"]
                                            if e["id"] == "i-p0-0"], [0])
@@ -173,12 +176,13 @@
     """Guards against a shorter rest that ends a longer one."""
     plain_only(stack)
     with Callers(stack, per_s=10) as callers:
-        stack.fault_engine("p0", "ok", rest="8", times=1)
+        stack.fault_engine("p0", "ok", rest="60", times=1)
         all_rest(stack, "p0")
-        stack.fault_engine("p0", "ok", rest="0.2", times=1)
+        stack.fault_engine("p0", "ok", rest="0.2")
+        began = time.monotonic()
         go_on(callers, 5)
-        got = share(stack, "p0", 0)
-        if got > AT_MOST * len(stack.hosts):
+        got = sum(1 for a in heard(stack) if a["endpoint"] == "p0" and a["ms"] / 1000.0 >= began + HEARD_S)
+        if got > AT_MOST:
             raise Failure("%d requests within the longer rest" % got)
 
 
--- a/router/crash.c
+++ b/router/crash.c
@@ -4,7 +4,9 @@
 #include "base/met.h"
 #include "router/rc.h"
 #include "router/tf.h"
+#include "router/tf_heard.h"
 #include "router/tf_quar.h"
+#include "router/tf_rest.h"
 
 #include <string.h>
 
@@ -54,10 +56,12 @@
 };
 
 static void crash_ask(struct crash_check *check);
+static void crash_on_again(void *ctx, int64_t now_us);
+static bool crash_on_head(void *ctx, int status, const GPtrArray *headers);
 static void crash_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len);
 
-static const struct hc_ops crash_ops = {.on_done = crash_on_checked};
+static const struct hc_ops crash_ops = {.on_head = crash_on_head, .on_done = crash_on_checked};
 
 static void crash_cut_clear(gpointer data)
 {
@@ -251,15 +255,20 @@
 	}
 }
 
-static void crash_on_again(void *ctx, int64_t now_us)
+static void crash_ask_in(struct crash_check *check, int64_t delay_ms)
 {
-	(void)now_us;
-	crash_ask(ctx);
+	loop_after(&check->tf->loop, &check->timer, tmr_ms(delay_ms), crash_on_again, check);
 }
 
-static void crash_ask_in(struct crash_check *check, int64_t delay_ms)
+/* One that wants rest is asked once, and then when the rest is over. */
+static void crash_on_again(void *ctx, int64_t now_us)
 {
-	loop_after(&check->tf->loop, &check->timer, tmr_ms(delay_ms), crash_on_again, check);
+	struct crash_check *check = ctx;
+
+	if (tf_rest_may_call(check->ep))
+		crash_ask(check);
+	else
+		crash_ask_in(check, (check->ep->rest.until_us - now_us) / TMR_US_PER_MS + 1);
 }
 
 /* The endpoint has ended, or so it seems: what was cut there counts. */
@@ -335,6 +344,14 @@
 	crash_follow(check, status, finding);
 }
 
+static bool crash_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	const struct crash_check *check = ctx;
+
+	tf_heard_call(check->tf, check->ep, status, headers);
+	return true;
+}
+
 static void crash_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -377,7 +394,7 @@
 	copy.id = g_strdup(cut->id);
 	if (!ep->crash) {
 		ep->crash = crash_check_new(tf, ep);
-		crash_ask(ep->crash);
+		crash_on_again(ep->crash, tmr_now());
 	}
 	g_array_append_val(ep->crash->cuts, copy);
 }
--- a/router/feed.c
+++ b/router/feed.c
@@ -168,6 +168,7 @@
 	feed_update(feed, follower);
 	quarantine_send_all(feed->rc->quarantine, conn);
 	limits_send_all(feed->rc->limits, conn);
+	heard_send_all(feed->rc, conn);
 	return 0;
 }
 
--- a/router/follow.c
+++ b/router/follow.c
@@ -169,6 +169,7 @@
 	hosts_tell_feeder(rc->hostlist);
 	quarantine_send_all(rc->quarantine, follow->conn);
 	limits_send_all(rc->limits, follow->conn);
+	heard_send_all(rc, follow->conn);
 }
 
 /* While no other host is known, the seeds are asked in turn. */
--- a/router/pick.c
+++ b/router/pick.c
@@ -42,14 +42,14 @@
 
 bool tf_ep_is_good(const struct tf_ep *ep, int64_t now_us)
 {
-	return ep->listed && ep->rec->state == EP_READY && ep->suspect_us <= now_us;
+	return ep->listed && ep->rec->state == EP_READY && !ep->leaving && ep->suspect_us <= now_us;
 }
 
 /* Suspected ones are used when there is nobody else: a suspicion may be wrong, a refusal is sure.
  */
 static bool pick_usable(const struct tf_ep *ep, const struct rt_service *service)
 {
-	return ep->listed && ep->rec->state == EP_READY &&
+	return ep->listed && ep->rec->state == EP_READY && !ep->leaving &&
 	       strcmp(ep->rec->service, service->name) == 0;
 }
 
@@ -176,6 +176,7 @@
 	struct pa_node *nodes;
 	struct tf_ep **eps;
 	int n;
+	int resting; /* endpoints that are left out, since they want nothing now */
 	struct pa_ask ask;
 	struct pa_path path;
 };
@@ -186,9 +187,13 @@
 	g_free(pick->eps);
 }
 
-/* Endpoints of the service that may be used, without those to be avoided. */
+/*
+ * Endpoints of the service that may be used at that time, without those to be avoided. One that
+ * wants nothing of this host is no stage either: a pipeline would bring it this host's requests.
+ */
 static void pick_init(struct pick *pick, struct tf *tf, const struct rt_service *service,
-		      const struct seam_request *request, const struct tf_target *avoid)
+		      const struct seam_request *request, const struct tf_target *avoid,
+		      int64_t at_us)
 {
 	guint n = g_hash_table_size(tf->eps);
 	GHashTableIter iter;
@@ -208,6 +213,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (!pick_usable(value, service) || pick_avoided(avoid, value))
 			continue;
+		if (!rst_is_open(&((struct tf_ep *)value)->rest, at_us)) {
+			pick->resting++;
+			continue;
+		}
 		pick->eps[pick->n] = value;
 		pick_node(tf, service, value, now_us, &pick->nodes[pick->n++]);
 	}
@@ -291,9 +300,11 @@
 	struct pick pick;
 	int err;
 
-	pick_init(&pick, tf, service, ask->request, ask->avoid);
+	pick_init(&pick, tf, service, ask->request, ask->avoid, tmr_now());
 	pick.ask.trust = ask->trust;
 	err = pick_search_open(&pick, tf, ask);
+	if (err == FWD_ENOENDPOINT && pick.resting > 0)
+		err = FWD_ERESTS;
 	if (err == 0) {
 		target->layered = true;
 		target->tokens = pick.ask.prompt + pick.ask.answer / 2;
@@ -352,10 +363,11 @@
 	int err = 0;
 
 	memset(target, 0, sizeof(*target));
-	if (pick_avoided(avoid, now->stages[0].ep) || now->stages[0].ep->suspect_us > now_us)
+	if (pick_avoided(avoid, now->stages[0].ep) || now->stages[0].ep->suspect_us > now_us ||
+	    rst_is_asked(&now->stages[0].ep->rest, now_us))
 		return FWD_ENOENDPOINT;
 	pick_without(now, avoid, &without);
-	pick_init(&pick, tf, service, request, &without);
+	pick_init(&pick, tf, service, request, &without, now_us);
 	pick.ask.trust = PA_DOUBTED;
 	for (int i = 0; err == 0 && i < now->count;) {
 		int next = i;
@@ -394,7 +406,7 @@
 {
 	double load = (double)(ep->in_flight + 1) / MAX(ep->rec->slots, 1);
 
-	load *= 1 + pick_plain_failure * tf_ep_failures(ep, now_us);
+	load *= 1 + pick_plain_failure * flg_recent(&ep->failing, now_us);
 	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
 		load *= pick_plain_far;
 	return load * (1 + pick_plain_spread * rnd_unit(&tf->seed));
@@ -414,6 +426,31 @@
 	*best = (struct pick_best){ep, trust, cost};
 }
 
+/*
+ * One that has failed lately, and is passed over for that, gets a request now and then; only one
+ * that may run again elsewhere if it fails there.
+ */
+static struct tf_ep *pick_trial(struct tf *tf, const struct tf_ask *ask, struct tf_ep *chosen,
+				int64_t now_us)
+{
+	struct tf_ep *trial = chosen;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (ask->may_repeat && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tf_ep *ep = value;
+
+		if (ep == chosen || !pick_usable(ep, ask->service) ||
+		    pick_avoided(ask->avoid, ep) || pick_trust(ep, now_us) != PA_GOOD ||
+		    !rst_is_open(&ep->rest, now_us) || !tf_limit_is_open(tf, ep, ask->account))
+			continue;
+		if (flg_on_passed(&ep->failing, now_us))
+			trial = ep;
+	}
+	return trial;
+}
+
 static int pick_plain(struct tf *tf, const struct tf_ask *ask, struct tf_target *target)
 {
 	struct pick_best best = {NULL, PA_FAULTY, 0};
@@ -421,6 +458,7 @@
 	GHashTableIter iter;
 	gpointer value;
 	int64_t now_us = tmr_now();
+	int resting = 0;
 
 	g_hash_table_iter_init(&iter, tf->eps);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -430,21 +468,102 @@
 		if (!pick_usable(value, ask->service) || pick_avoided(ask->avoid, value) ||
 		    trust > ask->trust)
 			continue;
+		if (!rst_is_open(&((struct tf_ep *)value)->rest, now_us)) {
+			resting++;
+			continue;
+		}
 		cost = pick_plain_cost(tf, value, now_us);
 		pick_better(&best, value, trust, cost);
 		if (tf_limit_is_open(tf, value, ask->account))
 			pick_better(&open, value, trust, cost);
 	}
 	if (!best.ep)
-		return FWD_ENOENDPOINT;
+		return resting > 0 ? FWD_ERESTS : FWD_ENOENDPOINT;
 	if (best.ep != open.ep)
 		tf_limit_lacked(tf, best.ep);
 	if (!open.ep)
 		return FWD_ELIMIT;
-	pick_add_stage(target, open.ep, 0, 0);
+	pick_add_stage(target, pick_trial(tf, ask, open.ep, now_us), 0, 0);
 	return 0;
 }
 
+static gint pick_by_time(gconstpointer a, gconstpointer b)
+{
+	int64_t ta = *(const int64_t *)a;
+	int64_t tb = *(const int64_t *)b;
+
+	return ta < tb ? -1 : ta > tb;
+}
+
+/* The times, in order, at which endpoints of the service may be sent to; now is the first. */
+static GArray *pick_openings(struct tf *tf, const struct tf_ask *ask)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	int64_t now_us = tmr_now();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_array_append_val(times, now_us);
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		int64_t at_us = rst_open_us(&((const struct tf_ep *)value)->rest, now_us);
+
+		if (at_us > now_us && pick_usable(value, ask->service) &&
+		    !pick_avoided(ask->avoid, value))
+			g_array_append_val(times, at_us);
+	}
+	g_array_sort(times, pick_by_time);
+	return times;
+}
+
+static bool pick_has_trusted(const struct pick *pick)
+{
+	for (int i = 0; i < pick->n; i++) {
+		if (pick->nodes[i].trust <= pick->ask.trust)
+			return true;
+	}
+	return false;
+}
+
+/* Whether those that are open at that time are enough for the request. */
+static bool pick_is_served_at(struct tf *tf, const struct tf_ask *ask, int64_t at_us)
+{
+	struct pick pick;
+	bool served;
+
+	pick_init(&pick, tf, ask->service, ask->request, ask->avoid, at_us);
+	pick.ask.trust = ask->trust;
+	if (rt_is_layered(ask->service))
+		served = pick_search(&pick, tf, ask->service) == 0;
+	else
+		served = pick_has_trusted(&pick);
+	pick_finish(&pick);
+	return served;
+}
+
+int64_t tf_pick_opens_us(struct tf *tf, const struct tf_ask *ask)
+{
+	GArray *times = pick_openings(tf, ask);
+	guint low = 0;
+	guint high = times->len;
+	int64_t opens_us;
+
+	/* Nobody rests, so there is nothing to search for. */
+	if (high == 1)
+		high = 0;
+	while (low < high) {
+		guint middle = (low + high) / 2;
+
+		if (pick_is_served_at(tf, ask, g_array_index(times, int64_t, middle)))
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	opens_us = low < times->len ? g_array_index(times, int64_t, low) : -1;
+	g_array_unref(times);
+	return opens_us;
+}
+
 int tf_pick(struct tf *tf, const struct tf_ask *ask, struct tf_target *target)
 {
 	int err;
--- a/router/placer.c
+++ b/router/placer.c
@@ -62,6 +62,7 @@
 	int64_t next_us; /* when a plan is made without a change */
 };
 
+static bool placer_on_head(void *ctx, int status, const GPtrArray *headers);
 static void placer_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void placer_on_report(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len);
@@ -70,8 +71,9 @@
 static void placer_order(struct placer *placer, const struct ep_rec *rec,
 			 const struct pl_move *move, int64_t now_us);
 
-static const struct hc_ops placer_ops = {.on_done = placer_on_done};
-static const struct hc_ops placer_report_ops = {.on_done = placer_on_report};
+static const struct hc_ops placer_ops = {.on_head = placer_on_head, .on_done = placer_on_done};
+static const struct hc_ops placer_report_ops = {.on_head = placer_on_head,
+						.on_done = placer_on_report};
 
 static void placer_order_free(gpointer data)
 {
@@ -192,7 +194,8 @@
 	node->pace = kind ? kind->pace : 1;
 	node->from = order ? order->from : rec->layer_from;
 	node->to = order ? order->to : rec->layer_to;
-	node->usable = kind && !order && rec->state == EP_READY;
+	node->usable = kind && !order && rec->state == EP_READY &&
+		       !heard_rests(placer->rc, rec->incarnation, now_us);
 	node->limited = limits_last(placer->rc->limits, rec->incarnation);
 	if (suspect_is_dead(placer->rc, rec->incarnation, now_us)) {
 		node->to = node->from;
@@ -300,6 +303,14 @@
 	g_free(url);
 }
 
+static bool placer_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	const struct placer_order *order = ctx;
+
+	heard_head(order->placer->rc, order->incarnation, status, headers);
+	return true;
+}
+
 static void placer_on_report(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len)
 {
@@ -320,7 +331,8 @@
 	expect = report.sequence;
 	reborn = report.born_ms != 0 && report.born_ms != order->born_ms;
 	seam_report_finish(&report);
-	if (!busy && !reborn && member_may_order(placer->rc))
+	if (!busy && !reborn && member_may_order(placer->rc) &&
+	    !heard_rests(placer->rc, order->incarnation, tmr_now()))
 		placer_send(order, expect);
 }
 
--- a/router/poll.c
+++ b/router/poll.c
@@ -40,9 +40,10 @@
 	int64_t next_us;
 };
 
+static bool poll_on_head(void *ctx, int status, const GPtrArray *headers);
 static void poll_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 
-static const struct hc_ops poll_ops = {.on_done = poll_on_done};
+static const struct hc_ops poll_ops = {.on_head = poll_on_head, .on_done = poll_on_done};
 
 static void poll_call_free(gpointer data)
 {
@@ -154,7 +155,8 @@
 	for (guint i = 0; i < round->len; i++) {
 		const struct ep_rec *rec = poll_listed(poll, round->pdata[i]);
 
-		if (rec)
+		/* One that wants nothing is asked in the next pass after that. */
+		if (rec && !heard_rests(poll->rc, rec->incarnation, tmr_now()))
 			poll_ask(poll, rec);
 	}
 	g_ptr_array_unref(round);
@@ -267,6 +269,14 @@
 	suspect_on_news(poll->rc, &suspect, poll);
 }
 
+static bool poll_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	const struct poll_call *call = ctx;
+
+	heard_head(call->poll->rc, call->endpoint, status, headers);
+	return true;
+}
+
 static void poll_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct poll_call *call = ctx;
--- a/router/rc.c
+++ b/router/rc.c
@@ -86,6 +86,7 @@
 	rc->conf_packed = g_byte_array_new();
 	rc->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->dead = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rc->rests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->unreadable = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rc->loads = loads_new();
 	rc->polled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, loads_free);
@@ -126,6 +127,7 @@
 	hn_finish(&rc->host_news);
 	g_hash_table_destroy(rc->seen);
 	g_hash_table_destroy(rc->dead);
+	g_hash_table_destroy(rc->rests);
 	g_hash_table_destroy(rc->unreadable);
 	g_byte_array_unref(rc->conf_packed);
 	rt_conf_unref(rc->conf);
--- a/router/rc.h
+++ b/router/rc.h
@@ -5,6 +5,7 @@
 #include "era/era.h"
 #include "lead/lead.h"
 #include "router/quarantine.h"
+#include "router/heard.h"
 #include "router/host_news.h"
 #include "router/limits.h"
 #include "router/rank.h"
@@ -86,6 +87,9 @@
 			     int64_t */
 	GHashTable *
 		dead; /* incarnation of an endpoint -> until when it is taken to be dead, int64_t */
+	double hints; /* of rests that may be handed on now; heard.c */
+	int64_t hints_us;	/* when that was last brought up to date */
+	GHashTable *rests;	/* incarnation -> until when it wants nothing, int64_t; heard.c */
 	GHashTable *unreadable; /* endpoint -> why its entry can't be read, as last logged */
 	GArray *loads;		/* struct router_load, as last heard */
 	guint loads_version;
@@ -229,6 +233,17 @@
 /* Why one is at fault whose report is of a later incarnation than its entry. */
 #define SUSPECT_RESTARTED "restarted"
 
+/* Not a fault: it wants nothing of some host for a while, so others had better go elsewhere. */
+#define SUSPECT_RESTS "rests_elsewhere"
+
+/* Not a fault: what the endpoint says itself. It is not chosen; what runs there goes on. */
+#define SUSPECT_LEAVING "leaving"
+
+enum {
+	/* Follower, its relay, its reader, the other readers, their relays, their followers. */
+	SUSPECT_HOPS_MAX = 7
+};
+
 struct suspect {
 	const char *endpoint; /* its incarnation */
 	int64_t for_ms;
--- a/router/rq.c
+++ b/router/rq.c
@@ -160,17 +160,40 @@
 	jl_end();
 }
 
-static int rq_pick(struct rq *rq, enum pa_trust trust, struct tf_target *target)
+static void rq_ask(const struct rq *rq, enum pa_trust trust, struct tf_ask *ask)
 {
-	const struct tf_ask ask = {
+	*ask = (struct tf_ask){
 		.service = rq->service,
 		.request = &rq->request,
 		.account = rq_account(rq),
 		.avoid = &rq->avoid,
 		.trust = trust,
+		.may_repeat = rq->fwd.rules.may_repeat,
 	};
+}
+
+static int rq_pick(struct rq *rq, enum pa_trust trust, struct tf_target *target)
+{
+	struct tf_ask ask;
+	int err;
+
+	rq_ask(rq, trust, &ask);
+	err = tf_pick(rq->tf, &ask, target);
+	if (err != FWD_ERESTS)
+		return err;
+	rq->fwd.rules.rest_us = tf_pick_opens_us(rq->tf, &ask);
+	return rq->fwd.rules.rest_us < 0 ? FWD_ENOENDPOINT : err;
+}
+
+int64_t rq_rest_left_us(const struct rq *rq)
+{
+	struct tf_ask ask;
+	int64_t opens_us;
 
-	return tf_pick(rq->tf, &ask, target);
+	rq_ask(rq, PA_DOUBTED, &ask);
+	ask.avoid = NULL;
+	opens_us = tf_pick_opens_us(rq->tf, &ask);
+	return MAX(opens_us - tmr_now(), 0);
 }
 
 bool rq_waits_for_limit(const struct rq *rq, const char *service)
@@ -223,6 +246,8 @@
 	rq->part_us = tmr_now();
 	rq->attempt_us = tmr_boot_now();
 	tf_limit_took(tf, rq->target.stages[0].ep, rq_account(rq));
+	rst_on_sent(&rq->target.stages[0].ep->rest, rq->part_us);
+	flg_on_chosen(&rq->target.stages[0].ep->failing);
 	if (rq->sent_us == 0)
 		rq->sent_us = rq->part_us;
 	rq_log_sent(rq, attempt, pipeline, resume_after);
@@ -300,7 +325,9 @@
 	if (!first || err == 0)
 		return;
 	rq_avoid(rq, first);
-	tf_ep_failed(first, now_us);
+	/* To want rest is no failure. */
+	if (rq->answer.rest != SEAM_REST_FOR)
+		flg_on_failed(&first->failing, now_us);
 	if (!sent)
 		tf_unreached(rq->tf, first, "unreachable", rq->request.id);
 }
@@ -327,6 +354,8 @@
 			 rq->request.id);
 	if (status / 100 == 2) {
 		rq_note_served(rq);
+		if (rq->target.count > 0)
+			flg_on_served(&rq->target.stages[0].ep->failing, rq->head_us);
 		bk_on_served(tf_back(rq->tf, rq->service->name), tmr_now());
 	}
 	go_on = fwd_on_head(&rq->fwd, &rq->answer.head, tmr_now());
--- a/router/rq_answer.c
+++ b/router/rq_answer.c
@@ -1,5 +1,6 @@
 #include "router/rq_int.h"
 #include "router/tf_limit.h"
+#include "router/tf_rest.h"
 #include "base/jl.h"
 #include "base/met.h"
 
@@ -87,22 +88,30 @@
 	hd_abort(((struct rq *)ctx)->call);
 }
 
+/* When the caller of a request that has not run may come back. */
+static int64_t rq_back_us(struct rq *rq, int64_t now_us)
+{
+	struct tf *tf = rq->tf;
+	struct bk *back = tf_back(tf, rq->service->name);
+	int64_t left_us = rq->fwd.rules.deadline_us - now_us;
+	int64_t rest_us;
+
+	bk_on_refused(back, now_us);
+	if (rq->fwd.failure == FWD_LIMITED)
+		return tf_limit_back_us(tf, rq->service->name, rq->request.id,
+					bk_heeded_us(left_us));
+	rest_us = rq_rest_left_us(rq);
+	if (rest_us > 0)
+		return tf_rest_back_us(tf, rq->service->name, rq->request.id, rest_us);
+	return bk_delay_us(back, left_us, now_us, &tf->seed);
+}
+
 void rq_refuse(void *ctx, int status, bool not_run)
 {
 	struct rq *rq = ctx;
 	int64_t now_us = tmr_now();
-	int64_t back_us = 0;
+	int64_t back_us = not_run ? rq_back_us(rq, now_us) : 0;
 
-	if (not_run) {
-		struct bk *back = tf_back(rq->tf, rq->service->name);
-
-		bk_on_refused(back, now_us);
-		back_us = bk_delay_us(back, rq->fwd.rules.deadline_us - now_us, now_us,
-				      &rq->tf->seed);
-	}
-	if (rq->fwd.failure == FWD_LIMITED && not_run)
-		back_us = tf_limit_back_us(rq->tf, rq->service->name, rq->request.id,
-					   bk_heeded_us(rq->fwd.rules.deadline_us - now_us));
 	if (rq->fwd.failure == FWD_CRASHES)
 		back_us = rq_crashes_back_us(rq, now_us);
 	rq_tell(rq, status, fwd_cause_name(rq->fwd.failure), back_us);
--- a/router/rq_int.h
+++ b/router/rq_int.h
@@ -91,6 +91,9 @@
 void rq_answer_abort(void *ctx);
 void rq_refuse(void *ctx, int status, bool not_run);
 
+/* How long rests leave nobody who could serve the request; 0: they are not the reason. */
+int64_t rq_rest_left_us(const struct rq *rq);
+
 /* The request is not sent to that endpoint again, nor through it. */
 void rq_avoid(struct rq *rq, struct tf_ep *ep);
 
--- a/router/rq_repair.c
+++ b/router/rq_repair.c
@@ -2,6 +2,7 @@
 #include "base/jl.h"
 #include "base/met.h"
 #include "router/rq_int.h"
+#include "router/tf_heard.h"
 
 #include <string.h>
 
@@ -19,9 +20,10 @@
 };
 
 static void rq_recover(struct rq *rq);
+static bool rq_on_order_head(void *ctx, int status, const GPtrArray *headers);
 static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 
-static const struct hc_ops rq_order_ops = {.on_done = rq_on_ordered};
+static const struct hc_ops rq_order_ops = {.on_head = rq_on_order_head, .on_done = rq_on_ordered};
 
 /* The stage that the endpoint is of the request's pipeline, or -1. */
 static int rq_stage_of(const struct rq *rq, const struct tf_ep *ep)
@@ -75,7 +77,7 @@
 
 	if (!rq->target.layered) {
 		rq_avoid(rq, rq->target.stages[0].ep);
-		tf_ep_failed(rq->target.stages[0].ep, now_us);
+		flg_on_failed(&rq->target.stages[0].ep->failing, now_us);
 		return false;
 	}
 	if (rq_hangs_alone(rq, now_us)) {
@@ -212,6 +214,14 @@
 	return true;
 }
 
+static bool rq_on_order_head(void *ctx, int status, const GPtrArray *headers)
+{
+	struct rq *rq = ctx;
+
+	tf_heard_call(rq->tf, rq->target.stages[0].ep, status, headers);
+	return true;
+}
+
 static void rq_on_ordered(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct rq *rq = ctx;
--- a/router/stall.c
+++ b/router/stall.c
@@ -1,6 +1,7 @@
 #include "base/tmr.h"
 #include "router/rc.h"
-#include "router/tf.h"
+#include "router/tf_heard.h"
+#include "router/tf_rest.h"
 
 #include <string.h>
 
@@ -39,8 +40,11 @@
 static void stall_on_checked(void *ctx, int status, int err, bool sent, const char *body,
 			     size_t len);
 
-static const struct hc_ops stall_ops = {.on_done = stall_on_report};
-static const struct hc_ops stall_check_ops = {.on_done = stall_on_checked};
+static bool stall_on_head(void *ctx, int status, const GPtrArray *headers);
+
+static const struct hc_ops stall_ops = {.on_head = stall_on_head, .on_done = stall_on_report};
+static const struct hc_ops stall_check_ops = {.on_head = stall_on_head,
+					      .on_done = stall_on_checked};
 
 static struct hc_call *stall_call(struct tf *tf, struct tf_ep *ep, int64_t limit_ms,
 				  const struct hc_ops *ops)
@@ -65,6 +69,14 @@
 	return call;
 }
 
+static bool stall_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	struct stall *stall = ctx;
+
+	tf_heard_call(stall->tf, stall->first, status, headers);
+	return true;
+}
+
 static bool stall_may_check(struct tf *tf, int64_t now_us)
 {
 	double rate = stall_checks_per_s / MAX(tf->view->hosts, 1);
@@ -81,7 +93,7 @@
 /* Asks the endpoint whether it answers at all, unless it was asked just now. */
 static void stall_check(struct tf *tf, struct tf_ep *ep, int64_t now_us)
 {
-	if (ep->check || now_us - ep->check_us < STALL_CHECK_PAUSE_US ||
+	if (ep->check || now_us - ep->check_us < STALL_CHECK_PAUSE_US || !tf_rest_may_call(ep) ||
 	    !stall_may_check(tf, now_us))
 		return;
 	ep->check_us = now_us;
@@ -112,7 +124,8 @@
 	struct tf_ep *first = target->stages[0].ep;
 	int64_t now_us = tmr_now();
 
-	if (!first->report && now_us - first->report_us >= STALL_PAUSE_US) {
+	if (!first->report && now_us - first->report_us >= STALL_PAUSE_US &&
+	    tf_rest_may_call(first)) {
 		first->report_us = now_us;
 		first->report = stall_call(tf, first, STALL_CALL_MS, &stall_ops);
 	}
--- a/router/state.c
+++ b/router/state.c
@@ -134,17 +134,43 @@
 	const struct ep_rec *rec = ep->rec;
 
 	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I, "
-			 "s:i, s:I}",
+			 "s:I, s:i, s:I}",
 			 "id", rec->id, "born_ms", (json_int_t)rec->born_ms, "service",
 			 rec->service, "addr", rec->addr, "zone", rec->zone, "kind", rec->kind,
 			 "state", state_names[rec->state], "from", rec->layer_from, "to",
 			 rec->layer_to, "in_flight", ep->in_flight, "pace",
 			 ep->load_us > 0 ? ep->pace : 1.0, "full", ep->full, "doubted_ms",
 			 (json_int_t)state_left_ms(ep->doubt.until_us, now_us), "suspected_ms",
-			 (json_int_t)state_left_ms(ep->suspect_us, now_us), "permits",
+			 (json_int_t)state_left_ms(ep->suspect_us, now_us), "rest_ms",
+			 (json_int_t)state_left_ms(ep->rest.until_us, now_us), "permits",
 			 ep->limit.permits, "permits_used", (json_int_t)ep->limit_used);
 }
 
+/* Endpoints that want nothing of this host, until when, and whose answer said so. */
+static json_t *state_rests(const struct tf *tf, int64_t now_us)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct tf_ep *ep = value;
+		int64_t left_ms = state_left_ms(ep->rest.until_us, now_us);
+
+		if (left_ms > 0)
+			json_array_append_new(
+				list,
+				json_pack("{s:s, s:s, s:s, s:I, s:I, s:s?}", "endpoint",
+					  ep->rec->incarnation, "addr", ep->rec->addr, "host",
+					  tf->router->settings.name, "left_ms", (json_int_t)left_ms,
+					  "age_ms",
+					  (json_int_t)(now_us - ep->rest_since_us) / TMR_US_PER_MS,
+					  "said_to", ep->rest_by));
+	}
+	return list;
+}
+
 static json_t *state_endpoints(const struct tf *tf, int64_t now_us)
 {
 	json_t *list = json_array();
@@ -195,6 +221,7 @@
 
 	json_object_set_new(state->json, "requests", json_integer(tf->reqs->len));
 	json_object_set_new(state->json, "endpoints", state_endpoints(tf, now_us));
+	json_object_set_new(state->json, "rests", state_rests(tf, now_us));
 	json_object_set_new(state->json, "accounts", state_accounts(tf, now_us));
 	json_object_set_new(state->json, "budgets", state_budgets(tf, now_us));
 	text = json_dumps(state->json, JSON_COMPACT | JSON_REAL_PRECISION(4));
--- a/router/suspect.c
+++ b/router/suspect.c
@@ -7,11 +7,9 @@
 #include <string.h>
 
 enum {
-	SUSPECT_NEWS_MS = 500,	 /* in which the same news is passed on once */
-	SUSPECT_MANY = 1024,	 /* endpoints from which on those of long ago are dropped */
-	SUSPECT_KEPT_MS = 60000, /* what "long ago" is; more than anything here lasts */
-	/* Follower, its relay, its reader, the other readers, their relays, their followers. */
-	SUSPECT_HOPS_MAX = 7
+	SUSPECT_NEWS_MS = 500,	/* in which the same news is passed on once */
+	SUSPECT_MANY = 1024,	/* endpoints from which on those of long ago are dropped */
+	SUSPECT_KEPT_MS = 60000 /* what "long ago" is; more than anything here lasts */
 };
 
 struct router_suspect *router_suspect_new(void *to, const char *endpoint, int64_t for_ms,
@@ -131,6 +129,8 @@
 		tf_post_suspect(rc->router->tf, suspect->endpoint, suspect->for_ms, suspect->why);
 	if (++passed.hops > SUSPECT_HOPS_MAX)
 		return;
+	if (strcmp(suspect->why, SUSPECT_RESTS) == 0 && !heard_may_hint(rc, tmr_now()))
+		return;
 	feed_each(rc->feed, source, suspect_send_to, &passed);
 	follow_each(rc->follow, source, suspect_send_to, &passed);
 }
@@ -144,7 +144,10 @@
 	if (!msg)
 		return BASE_EFRAME;
 	suspect = (struct suspect){msg->endpoint, msg->for_ms, msg->why, msg->hops};
-	suspect_on_news(rc, &suspect, conn);
+	if (strcmp(suspect.why, SUSPECT_LEAVING) == 0)
+		heard_take_leaving(rc, suspect.endpoint, suspect.hops, conn);
+	else
+		suspect_on_news(rc, &suspect, conn);
 	feed__suspect__free_unpacked(msg, NULL);
 	return 0;
 }
--- a/router/tf.c
+++ b/router/tf.c
@@ -3,6 +3,7 @@
 #include "base/met.h"
 #include "router/tf_limit.h"
 #include "router/tf_quar.h"
+#include "router/tf_rest.h"
 
 #include <ck_pr.h>
 #include <string.h>
@@ -112,6 +113,7 @@
 	tf_gauges(tf, now_us);
 	tf_quar_on_sweep(tf, now_us);
 	tf_limit_on_sweep(tf);
+	tf_rest_on_sweep(tf);
 	for (guint i = tf->reqs->len; i > 0; i--)
 		rq_on_sweep(tf->reqs->pdata[i - 1]);
 	loop_after(&tf->loop, &tf->sweep, tmr_ms(TF_SWEEP_MS), tf_on_sweep, tf);
@@ -140,6 +142,7 @@
 	if (--ep->refs > 0)
 		return;
 	ep_rec_unref(ep->rec);
+	g_free(ep->rest_by);
 	g_free(ep);
 }
 
--- a/router/tf.h
+++ b/router/tf.h
@@ -4,6 +4,8 @@
 #include "adm/adm.h"
 #include "back/back.h"
 #include "ep/doubt.h"
+#include "ep/failing.h"
+#include "ep/rest.h"
 #include "lim/fair.h"
 #include "lim/part.h"
 #include "lim/turn.h"
@@ -42,9 +44,13 @@
 	int64_t limit_used;	   /* requests sent there with a permit */
 	bool limit_unreadable;	   /* it named something that is no rate, and that was logged */
 	int64_t limit_told_us;	   /* when the control thread was last told */
-	bool rest_unreadable;	   /* it asked for rest in a way that can't be read; that was logged */
-	double failures;	   /* recent ones, fading; see tf_ep_failed() */
-	int64_t failed_us;	   /* when failures was last brought up to date */
+	struct rst rest;	   /* that it asked this host for */
+	int64_t rest_since_us;	   /* when it last asked; 0: never */
+	char *rest_by;		   /* request whose answer said so; owned; NULL: a report's */
+	bool rest_told;		   /* that this rest is over was logged */
+	bool rest_unreadable;	   /* it asked in a way that can't be read, and that was logged */
+	bool leaving;		   /* it said so itself */
+	struct flg failing;	   /* recent failures of a plain service's */
 };
 
 enum {
@@ -73,19 +79,19 @@
 	pthread_t thread;
 	struct hc *hc;
 	struct router_view *view;
-	GHashTable *eps;	    /* incarnation -> struct tf_ep */
-	GHashTable *by_addr;	    /* address -> struct tf_ep; of those that are listed */
-	struct sh share;	    /* what client accounts have used */
-	struct served served;	    /* requests that this host has served whole lately */
-	struct quar quar;	    /* requests that crash endpoints */
-	int64_t quar_expire_us;	    /* when it is next looked through for what is outdated */
-	GHashTable *budgets;	    /* service -> struct bud */
-	GHashTable *backs;	    /* service -> struct bk */
-	GHashTable *adms;	    /* service -> struct adm */
-	struct lim_fair limit_fair; /* who may use what limits leave */
-	GHashTable *limit_turns;    /* service -> struct lim_turn */
+	GHashTable *eps;	     /* incarnation -> struct tf_ep */
+	GHashTable *by_addr;	     /* address -> struct tf_ep; of those that are listed */
+	struct sh share;	     /* what client accounts have used */
+	struct served served;	     /* requests that this host has served whole lately */
+	struct quar quar;	     /* requests that crash endpoints */
+	int64_t quar_expire_us;	     /* when it is next looked through for what is outdated */
+	GHashTable *budgets;	     /* service -> struct bud */
+	GHashTable *backs;	     /* service -> struct bk */
+	GHashTable *adms;	     /* service -> struct adm */
+	struct lim_fair limit_fair;  /* who may use what limits leave */
+	GHashTable *limit_turns;     /* service -> struct lim_turn */
 	GHashTable *unknown_headers; /* a set of names in lower case; see tf_heard.h */
-	GHashTable *zones;	    /* name -> number, from 1 */
+	GHashTable *zones;	     /* name -> number, from 1 */
 	GPtrArray *zone_names;
 	GPtrArray *reqs; /* struct rq */
 	struct hop hop;	 /* what hops between zones cost */
@@ -108,6 +114,7 @@
 	const char *account;	       /* "": none */
 	const struct tf_target *avoid; /* endpoints that it must not go to; or NULL */
 	enum pa_trust trust;	       /* endpoints are trusted as little as that at the least */
+	bool may_repeat;	       /* the request may run more than once */
 };
 
 /* pick.c: 0, or a negative FWD_E. The target holds references until tf_target_clear(). */
@@ -122,6 +129,12 @@
 		   const struct seam_request *request, const struct tf_target *now,
 		   const struct tf_target *avoid, struct tf_target *target);
 
+/*
+ * When rests leave an endpoint or a pipeline for such a request; now, if they do or nobody rests;
+ * -1: there is none, whatever rests.
+ */
+int64_t tf_pick_opens_us(struct tf *tf, const struct tf_ask *ask);
+
 /* Whether the endpoint is listed as ready and not known to be at fault. */
 bool tf_ep_is_good(const struct tf_ep *ep, int64_t now_us);
 
@@ -149,9 +162,6 @@
 
 /* tf_suspect.c: what this host holds against endpoints, and what it hears from others. */
 
-/* The endpoint failed or answered a request; fades with time. */
-void tf_ep_failed(struct tf_ep *ep, int64_t now_us);
-double tf_ep_failures(struct tf_ep *ep, int64_t now_us);
 /* Does not choose the endpoint for that time, on this host only: for what may have other causes. */
 void tf_doubt(struct tf_ep *ep, int64_t for_us, const char *why, const char *request);
 
--- a/router/tf_heard.h
+++ b/router/tf_heard.h
@@ -16,6 +16,12 @@
 void tf_heard(struct tf *tf, struct tf_ep *ep, const struct seam_answer *answer, int64_t sent_us,
 	      const char *request);
 
+/* The head of an answer to a report or an order of the traffic thread's. */
+void tf_heard_call(struct tf *tf, struct tf_ep *ep, int status, const GPtrArray *headers);
+
+/* The same of the control thread's. Any thread. */
+void tf_heard_post(struct tf *tf, const char *endpoint, const struct seam_answer *answer);
+
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/router/tf_rest.c
@@ -0,0 +1,95 @@
+#include "router/tf_rest.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "base/rnd.h"
+#include "router/heard.h"
+
+enum {
+	/* Over which callers come back after a rest, so that they don't bring on the next one. */
+	TF_REST_BACK_US = 1000000
+};
+
+/* A busy service has many rests: these lines are bounded as those of requests are. */
+static void tf_rest_log(const struct tf_ep *ep, const char *event, int64_t for_us,
+			const char *request)
+{
+	jl_begin(JL_INFO, event);
+	jl_str("endpoint", ep->rec->incarnation);
+	jl_str("addr", ep->rec->addr);
+	jl_int("for_ms", for_us / TMR_US_PER_MS);
+	jl_int("in_flight", ep->in_flight);
+	jl_str("id", request);
+	jl_end();
+}
+
+void tf_rest_asked(struct tf *tf, struct tf_ep *ep, int64_t for_us, const char *request)
+{
+	int64_t now_us = tmr_now();
+	int64_t until_us = ep->rest.until_us;
+	bool is_new = rst_on_asked(&ep->rest, for_us, now_us, rnd_unit(&tf->seed));
+
+	if (is_new) {
+		tf_rest_log(ep, "rest_asked", for_us, request);
+		met_add(met_counter("bg_rests_asked_total", ""), 1);
+	}
+	if (ep->rest.until_us == until_us)
+		return;
+	ep->rest_since_us = now_us;
+	g_free(ep->rest_by);
+	ep->rest_by = g_strdup(request);
+	ep->rest_told = false;
+	heard_post_rest(tf->router->rc, ep->rec->incarnation, ep->rest.until_us, is_new);
+}
+
+void tf_rest_hint(struct tf *tf, struct tf_ep *ep, int64_t for_us)
+{
+	if (rst_is_asked(&ep->rest, tmr_now()))
+		return;
+	met_add(met_counter("bg_rest_hints_total", ""), 1);
+	for_us += (int64_t)(rnd_unit(&tf->seed) * RST_SPREAD_US);
+	dbt_set(&ep->doubt, for_us, tmr_now());
+}
+
+void tf_rest_taken(struct tf_ep *ep)
+{
+	rst_on_taken(&ep->rest, tmr_now());
+}
+
+bool tf_rest_may_call(struct tf_ep *ep)
+{
+	return rst_may_call(&ep->rest, tmr_now());
+}
+
+int64_t tf_rest_back_us(struct tf *tf, const char *service, const char *request, int64_t left_us)
+{
+	int64_t back_us = left_us + (int64_t)(rnd_unit(&tf->seed) * TF_REST_BACK_US);
+
+	jl_begin(JL_KEEP, "rest_refused");
+	jl_str("id", request);
+	jl_str("service", service);
+	jl_int("back_ms", back_us / TMR_US_PER_MS);
+	jl_end();
+	met_add(met_counter("bg_rest_refused_total", ""), 1);
+	return back_us;
+}
+
+void tf_rest_on_sweep(struct tf *tf)
+{
+	int64_t now_us = tmr_now();
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t rests = 0;
+
+	g_hash_table_iter_init(&iter, tf->eps);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct tf_ep *ep = value;
+
+		if (rst_is_asked(&ep->rest, now_us)) {
+			rests++;
+		} else if (ep->rest_since_us > 0 && !ep->rest_told) {
+			ep->rest_told = true;
+			tf_rest_log(ep, "rest_over", now_us - ep->rest_since_us, NULL);
+		}
+	}
+	met_set(met_gauge("bg_rests", ""), rests);
+}
--- a/router/tf_suspect.c
+++ b/router/tf_suspect.c
@@ -1,9 +1,8 @@
 #include "base/jl.h"
 #include "base/met.h"
 #include "router/rc.h"
-#include "router/tf.h"
+#include "router/tf_rest.h"
 
-#include <math.h>
 #include <string.h>
 
 enum {
@@ -12,22 +11,6 @@
 	TF_UNREACHED_US = 1500000    /* between two failures to reach it that count together */
 };
 
-/* Failures of an endpoint count half after this time. */
-static const double tf_fade_s = 4.0;
-
-double tf_ep_failures(struct tf_ep *ep, int64_t now_us)
-{
-	double age_s = (double)(now_us - ep->failed_us) / TMR_US_PER_S;
-
-	return ep->failures * exp2(-age_s / tf_fade_s);
-}
-
-void tf_ep_failed(struct tf_ep *ep, int64_t now_us)
-{
-	ep->failures = tf_ep_failures(ep, now_us) + 1;
-	ep->failed_us = now_us;
-}
-
 static void tf_log_suspect(const struct tf_ep *ep, const char *event, int64_t for_us,
 			   const char *why, const char *request)
 {
@@ -121,6 +104,8 @@
 
 	if (ep && strcmp(suspect->why, SUSPECT_NO_ANSWER) == 0)
 		tf_look_after(tf, ep);
+	else if (ep && strcmp(suspect->why, SUSPECT_RESTS) == 0)
+		tf_rest_hint(tf, ep, suspect->until_us - tmr_now());
 	else if (ep && !tf_serves(tf, ep))
 		tf_leave(tf, ep, suspect->until_us - tmr_now(), suspect->why, NULL);
 	router_suspect_free(suspect);
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -49,7 +49,8 @@
 	SEAM_LIMIT_UNREADABLE /* there is one, but not how much; what was known of it holds */
 };
 
-/* What the head of a rejection says of the time in which the endpoint wants nothing of this host. */
+/* What the head of a rejection says of the time in which the endpoint wants nothing of this host.
+ */
 enum seam_rest {
 	SEAM_REST_NONE,
 	SEAM_REST_FOR,
