An engine that rejects a stream by itself is doubted, as one that is named at fault is

What callers saw: 503 some 4 ms after they came, for a spent budget of repeats, with two engines of five well where pipelines begin; the busiest engine got eleven times the mean, all of it rejected. Cause: only plain services remembered rejections. An engine that rejects has nothing in flight, so it looks best to each next request.

Change: the doubt that an engine gets which another one names, doubling from 0.7 to 4 s, also for one that rejects by itself and names nobody.

--- a/regress/soak/cases_rest.py
+++ b/regress/soak/cases_rest.py
@@ -10,6 +10,7 @@
 
 REST_S = 3.0
 SOON_S = 1.0    # after the end of a rest, until the endpoint is used like the others
+DOUBT_MOST_S = 4.0  # between two tries of an engine that goes on rejecting; shorter before, 3 times
 FAIR_PART = 0.4  # of the mean of the others, which an endpoint gets that is used like them
 
 
@@ -86,6 +87,24 @@
     expect("violations", stack.ledger()["violations"], "")
 
 
+def case_engine_rejects(stack):
+    """Guards against streams that all go to an engine first which rejects them, since it has nothing to do."""
+    stack.up()
+    with Callers(stack, per_s=6, path="/stream/a") as callers:
+        eventually("all are served", lambda: len(callers.answers) >= 30)
+        for name in first_engines(stack)[1:]:
+            stack.fault_engine(name, "ok", rest="soon")
+        eventually("somebody is rejected", lambda: rests(heard(stack), REST_S))
+        began = time.monotonic()
+        go_on(callers, 2 * REST_S)
+    seconds = time.monotonic() - began
+    got = max(sum(1 for e, h, _ in rests(heard(stack), REST_S) if (e, h) == (name, host))
+              for name, host in {(e, h) for e, h, _ in rests(heard(stack), REST_S)})
+    print("most of one host at one engine: %d in %.1f s" % (got, seconds))
+    if got > 3 + seconds / DOUBT_MOST_S:
+        raise Failure("%d requests of one host went to an engine that rejects all" % got)
+
+
 def case_nobody_left(stack):
     """Guards against callers that are sent to endpoints which all want rest, or not told when that ends."""
     plain_only(stack)
--- a/router/rq.c
+++ b/router/rq.c
@@ -326,8 +326,12 @@
 		return;
 	rq_avoid(rq, first);
 	/* To want rest is no failure. */
-	if (rq->answer.rest != SEAM_REST_FOR)
+	if (rq->answer.rest != SEAM_REST_FOR) {
 		flg_on_failed(&first->failing, now_us);
+		/* It has nothing to do, so it would look best to the next request. */
+		if (rq->target.layered && rq->answer.head.not_run)
+			tf_on_named(first, "rejected", rq->request.id);
+	}
 	if (!sent)
 		tf_unreached(rq->tf, first, "unreachable", rq->request.id);
 }
