view_age_ms tells how old a host's knowledge may be, not when anything last changed

What on-call saw: in a quiet set view_age_ms of the line sent grew without end, 24 s after 24 s, though the host was fed all the while. Cause: heartbeats aren't handed on any more, so a view is taken only when something changes, and its age was that.

Change: the control thread tells the traffic thread once a second that what it knows is what the store holds. case_age_of_the_view failed before and passes.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -52,6 +52,19 @@
         expect("old key", stack.ask(host, "/many/a", "old-" + host)[0], 401)
 
 
+def case_age_of_the_view(stack):
+    """Guards against a line that calls a host's knowledge old since nothing has changed for long."""
+    stack.up()
+    began, asked = time.monotonic(), [0]
+
+    def is_young():
+        asked[0] += 1
+        stack.ask("host-0", "/many/a", "age-%d" % asked[0])
+        sent = [e for e in after(stack, "host-0", "start", first_start=1) if e["event"] == "sent"]
+        return time.monotonic() - began > 6 and sent[-1]["view_age_ms"] < 2000
+    eventually("what host-0 knows is young", is_young, patience_s=20)
+
+
 def case_store_away_at_start(stack):
     """Symptom: a host that started while the store was away refused everything.
     Sequence: all hosts run, the store goes silent, one host is killed and starts again.
--- a/router/rc.c
+++ b/router/rc.c
@@ -8,7 +8,8 @@
 
 enum {
 	RC_TICK_MS = 100,
-	RC_HOST_WORDS = 3, /* of a host's entry */
+	RC_HOST_WORDS = 3,  /* of a host's entry */
+	RC_FRESH_MS = 1000, /* between two messages that nothing has changed */
 	/* Where endpoints take longer to leave than this, their news wait for a part of the rest.
 	 */
 	RC_LEAVE_MS = 2000,
@@ -360,6 +361,18 @@
 	member_on_hosts(rc);
 }
 
+/* Nothing may change for long; what is known is not older for that, and the log tells its age. */
+static void rc_note_fresh(struct rc *rc, int64_t now_us)
+{
+	if (!follow_is_fed(rc->follow) && !sf_is_reached(rc))
+		return;
+	rc->fresh_us = now_us;
+	if (now_us - rc->fresh_told_us < tmr_ms(RC_FRESH_MS))
+		return;
+	rc->fresh_told_us = now_us;
+	tf_post_fresh(rc->router->tf, now_us);
+}
+
 static void rc_on_tick(void *ctx, int64_t now_us)
 {
 	struct rc *rc = ctx;
@@ -369,8 +382,7 @@
 	follow_on_tick(rc->follow, now_us);
 	if (follow_is_fed(rc->follow))
 		rc->fed_us = now_us;
-	if (follow_is_fed(rc->follow) || sf_is_reached(rc))
-		rc->fresh_us = now_us;
+	rc_note_fresh(rc, now_us);
 	placer_on_tick(rc->placer, now_us);
 	poll_on_tick(rc->poll, now_us);
 	recall_on_tick(rc->recall, now_us);
@@ -396,6 +408,7 @@
 	view->fence = rc->lead.newest;
 	view->listed = rc_is_listed(rc);
 	view->whole_us = ep_whole_us(&rc->endpoints);
+	view->fresh_us = rc->fresh_us;
 	rc->view_whole = view->conf && view->listed;
 	placer_on_change(rc->placer);
 	tf_post_view(rc->router->tf, view);
--- a/router/rc.h
+++ b/router/rc.h
@@ -98,6 +98,7 @@
 	int64_t fed_us;	    /* when this host last had a feed; 0: never */
 	int64_t fresh_us;   /* when the store was last reached, by this host or its feeder; 0: never
 			     */
+	int64_t fresh_told_us; /* when the traffic thread was last told that */
 	bool view_due;
 	bool view_whole; /* a view with configuration and endpoints has been posted */
 	bool stopping;
--- a/router/router.h
+++ b/router/router.h
@@ -51,6 +51,7 @@
 	int64_t fence;	      /* number that orders to engines carry; -1: none */
 	bool listed;	      /* the endpoints and the hosts have been read once */
 	int64_t whole_us;     /* until then, some that live may be missing */
+	int64_t fresh_us;     /* when this was last known to be what the store holds; 0: never */
 };
 
 void router_view_free(struct router_view *view);
@@ -135,6 +136,9 @@
 /* Takes a view; from the control thread. */
 void tf_post_view(struct tf *tf, struct router_view *view);
 
+/* At that time the last view was what the store holds; from the control thread. */
+void tf_post_fresh(struct tf *tf, int64_t fresh_us);
+
 /* Takes loads (struct router_load); from the control thread. */
 void tf_post_loads(struct tf *tf, GArray *loads);
 
--- a/router/tf.c
+++ b/router/tf.c
@@ -52,6 +52,7 @@
 
 	tf->router = router;
 	tf->start_us = tmr_now();
+	tf->view_us = tf->start_us;
 	tf->seed = TF_SEED ^ (uint32_t)g_str_hash(router->settings.name);
 	tf->eps = g_hash_table_new(g_str_hash, g_str_equal);
 	tf->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
@@ -286,7 +287,7 @@
 		tf_take_endpoint(tf, view->endpoints->pdata[i]);
 	router_view_free(tf->view);
 	tf->view = view;
-	tf->view_us = tmr_now();
+	tf->view_us = MAX(tf->view_us, view->fresh_us);
 	tf_drop_unlisted(tf);
 	tf_update_budgets(tf);
 	if (view->conf)
@@ -400,6 +401,28 @@
 	jl_end();
 }
 
+struct tf_fresh_msg {
+	struct tf *tf;
+	int64_t fresh_us;
+};
+
+static void tf_take_fresh(void *ctx)
+{
+	struct tf_fresh_msg *msg = ctx;
+
+	msg->tf->view_us = MAX(msg->tf->view_us, msg->fresh_us);
+	g_free(msg);
+}
+
+void tf_post_fresh(struct tf *tf, int64_t fresh_us)
+{
+	struct tf_fresh_msg *msg = g_new0(struct tf_fresh_msg, 1);
+
+	msg->tf = tf;
+	msg->fresh_us = fresh_us;
+	loop_post(&tf->loop, tf_take_fresh, msg);
+}
+
 struct tf_loads_msg {
 	struct tf *tf;
 	GArray *loads;
--- a/router/tf.h
+++ b/router/tf.h
@@ -104,7 +104,7 @@
 	int64_t heard_us;    /* when any endpoint last answered a request, or a part of one */
 	int64_t start_us;    /* when the process started */
 	unsigned int open;   /* atomic: requests that have not ended */
-	int64_t view_us;     /* when the view was taken */
+	int64_t view_us;     /* until when the view is known to be what the store holds */
 };
 
 /* What a choice is made for. */
