--- a/regress/soak/cases_rest.py
+++ b/regress/soak/cases_rest.py
@@ -1,11 +1,12 @@
 """Cases of endpoints that ask hosts for rest, and that say they leave: python3 regress/soak/cases_rest.py NAME."""
+import collections
 import http.client
 import signal
 import time
 
 from cases import expect, run
 from cases_limit import Callers, go_on, plain_only
-from rest import AT_MOST, HEARD_S, late_at_leaving, most_within, rests
+from rest import AT_MOST, HEARD_S, host_of, late_at_leaving, most_within, rests
 from stack import Failure, eventually
 
 REST_S = 3.0
@@ -47,7 +48,7 @@
 
 def rested_at(stack, endpoint):
     """host -> when the endpoint last asked it for rest."""
-    return {host: at for e, host, at in sorted(rests(heard(stack), REST_S), key=lambda r: r[2]) if e == endpoint}
+    return {host_of(request): at for e, request, at in rests(heard(stack)) if e == endpoint}
 
 
 def all_rest(stack, endpoint, since=0):
@@ -81,7 +82,7 @@
         eventually("all are served", lambda: len(callers.answers) >= 30)
         for name in first_engines(stack)[1:]:
             stack.fault_engine(name, "ok", rest="3")
-        eventually("somebody is asked for rest", lambda: rests(heard(stack), REST_S))
+        eventually("somebody is asked for rest", lambda: rests(heard(stack)))
         go_on(callers, 2 * REST_S)
     check_rest(stack)
     expect("violations", stack.ledger()["violations"], "")
@@ -94,12 +95,11 @@
         eventually("all are served", lambda: len(callers.answers) >= 30)
         for name in first_engines(stack)[1:]:
             stack.fault_engine(name, "ok", rest="soon")
-        eventually("somebody is rejected", lambda: rests(heard(stack), REST_S))
+        eventually("somebody is rejected", lambda: rests(heard(stack)))
         began = time.monotonic()
         go_on(callers, 2 * REST_S)
     seconds = time.monotonic() - began
-    got = max(sum(1 for e, h, _ in rests(heard(stack), REST_S) if (e, h) == (name, host))
-              for name, host in {(e, h) for e, h, _ in rests(heard(stack), REST_S)})
+    got = max(collections.Counter((e, host_of(r)) for e, r, _ in rests(heard(stack))).values())
     print("most of one host at one engine: %d in %.1f s" % (got, seconds))
     if got > 3 + seconds / DOUBT_MOST_S:
         raise Failure("%d requests of one host went to an engine that rejects all" % got)
@@ -212,8 +212,8 @@
         eventually("all are served", lambda: len(callers.answers) >= 30)
         for name in first_engines(stack):
             stack.fault_engine(name, "ok", rest="6", times=1)
-        eventually("somebody is asked for rest", lambda: rests(heard(stack), 6))
-        name, _, asked = rests(heard(stack), 6)[0]
+        eventually("somebody is asked for rest", lambda: rests(heard(stack)))
+        name, _, asked = rests(heard(stack))[0]
         go_on(callers, 6)
     calls = [a for a in heard(stack) if a["answer"] != "rest" and a["endpoint"] == name and
              asked + HEARD_S <= a["ms"] / 1000.0 < asked + 6]
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,6 +1,7 @@
 """A randomized fault soak of bgrouterd: real processes, faults from outside, promises checked.
 
-python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits] [--keep]
+python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits]
+                               [--rests] [--keep]
 
 Each seed gives one run: callers send streams and plain requests over connections that they keep, while
 hosts are killed, stopped, paused and started, engines fall silent, slow, empty or leave, the store and
@@ -16,6 +17,8 @@
   from hosts that were left alone
 - with --limits, endpoints name how many requests a second they take from all hosts; of hosts that were left
   alone and have handed such an answer on they get no more in 4 s than the users allow
+- with --rests, endpoints also ask hosts for rest, and say that they leave: a host that was left alone sends such
+  an endpoint no more than the users allow
 """
 import argparse
 import collections
@@ -27,6 +30,7 @@
 import time
 
 from limit import Period, most_over
+from rest import AT_MOST, late_at_leaving, most_within, rests
 from proxy import MODES, Proxy
 from stack import HOST_NAME, Failure, Stack, check_stream, eventually
 
@@ -37,6 +41,9 @@
 CRASH_REPEATS_MAX = 3   # what the users allow after the third crash, from hosts that were left alone
 HEARD_S = 3.0           # in which those hosts must have heard of it
 FAULT_GAP_S = 0.5
+DRAIN_S = 2.0       # after a host has passed on that an endpoint leaves, until nothing may reach it
+EXCUSED_S = 1.0     # after a host or the way to an endpoint is well again
+RESTS = ("0", "0.7", "2", "4", "soon")
 LIMITS = ("0", "0.3", "1", "3", "8")
 
 
@@ -85,6 +92,8 @@
         answer = self.conn.getresponse()
         if answer.getheader("Server-Limit") is not None:
             self.soak.told[request_id] = time.monotonic()
+        if answer.getheader("Server-Leaving") is not None:
+            self.soak.left[request_id] = time.monotonic()
         body = answer.read()
         self.check(kind, request_id, last, answer, body)
         if answer.getheader("Connection", "").lower() == "close":
@@ -148,7 +157,7 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False):
+    def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False, rests=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -166,6 +175,12 @@
         self.periods = []                                 # in which an endpoint named a limit
         self.sent = {}                                    # request -> (host, it was left alone)
         self.told = {}                                    # request -> when its answer named a limit
+        self.rests = rests
+        self.asks = []                                    # (endpoint, seconds asked for, since when)
+        self.leaving = set()                              # endpoints that say so now
+        self.left = {}                                    # request -> when its answer said that the endpoint leaves
+        self.sent_at = {}                                 # request -> when its caller sent it
+        self.excused = []                                 # (host or endpoint, since when, until when)
         self.copies = copies
         self.away_until = 0.0                             # of a store that comes back from a copy
         self.links = {}
@@ -195,6 +210,11 @@
         for host in hosts:
             self.calm[host] = max(self.calm[host], until)
 
+    def excuse(self, names, seconds):
+        """Neither a store that is away nor a feed that is lost excuses requests to an endpoint that wants rest."""
+        now = time.monotonic()
+        self.excused += [(name, now, now + seconds + EXCUSED_S) for name in names]
+
     def others_alive(self, host):
         return any(h not in self.dead and h not in self.paused for h in self.stack.hosts
                    if h != host)
@@ -208,6 +228,7 @@
         self.dead[host] = time.monotonic() + self.random.uniform(0.1, 2.0)
         self.seen.pop(host, None)
         self.touch([host], 10.0)
+        self.excuse([host], self.dead[host] - time.monotonic())
 
     def fault_pause(self):
         name = self.random.choice(self.stack.hosts + ["store", "engine"])
@@ -216,6 +237,7 @@
         seconds = self.random.uniform(0.2, 3.0)
         self.stack.signal(name, signal.SIGSTOP)
         self.paused[name] = time.monotonic() + seconds
+        self.excuse([name] if name in self.calm else self.stack.hosts * (name == "engine"), seconds)
         self.touch([name] if name in self.calm else self.stack.hosts, seconds + 4.0)
 
     def fault_engine(self):
@@ -237,7 +259,54 @@
         self.faulty[name] = time.monotonic() + seconds
         self.periods.append(Period(name, float(limit), time.monotonic()))
 
+    def fault_rest(self):
+        name = self.random.choice(self.stack.points)[0]
+        if name in self.faulty:
+            return
+        rest = self.random.choice(RESTS)
+        self.asks.append((name, float(rest) if rest[0].isdigit() else 0, time.monotonic()))
+        self.stack.fault_engine(name, "ok", rest=rest)
+        self.faulty[name] = time.monotonic() + self.random.uniform(0.5, 4.0)
+
+    def fault_leaving(self):
+        """It says so; its next start, some seconds later, does not."""
+        name = self.random.choice(self.stack.points)[0]
+        if name in self.faulty:
+            return
+        self.stack.fault_engine(name, "ok", leaving="1")
+        self.faulty[name] = time.monotonic() + self.random.uniform(3.0, 6.0)
+        self.leaving.add(name)
+
+    def was_left_alone(self, host, endpoint, since, until):
+        return not any(name in (host, endpoint) and began < until and ended > since
+                       for name, began, ended in self.excused)
+
+    def check_rests(self, ledger):
+        def seconds(endpoint, at):
+            asked = [s for e, s, began in self.asks if e == endpoint and began <= at]
+            return asked[-1] if asked else 0
+
+        def host_of(request):
+            return self.sent[request][0] if request in self.sent else None
+
+        got, host, endpoint = most_within(ledger["heard"], seconds, host_of, self.was_left_alone)
+        self.count["rests"] += sum(self.was_left_alone(host_of(r), e, at, at + seconds(e, at))
+                                   for e, r, at in rests(ledger["heard"]))
+        if got > AT_MOST:
+            self.broken("%d requests of %s reached %s within its rest" % (got, host, endpoint))
+        for endpoint in {a["endpoint"] for a in ledger["heard"]}:
+            told = {}
+            for arrival in ledger["heard"]:
+                request = arrival["request"]
+                if arrival["endpoint"] == endpoint and request in self.left and request in self.sent:
+                    told.setdefault(self.sent[request][0], self.left[request])
+            late = late_at_leaving(ledger["heard"], endpoint, self.sent_at, told, DRAIN_S, host_of,
+                                   self.was_left_alone)
+            if late:
+                self.broken("%s reached %s, which had said that it leaves" % (late[:3], endpoint))
+
     def note_sent(self, request_id, host):
+        self.sent_at[request_id] = time.monotonic()
         self.sent[request_id] = (host, self.calm[host] < time.monotonic())
 
     def fault_store(self):
@@ -267,6 +336,7 @@
         seconds = self.random.uniform(0.3, 3.0)
         self.links[name].set(self.random.choice(MODES))
         self.link_until[name] = time.monotonic() + seconds
+        self.excuse([name[3:]], seconds)
         if name[3:] in self.calm:
             self.touch(self.stack.hosts, seconds + 5.0)
 
@@ -325,7 +395,8 @@
                 del self.dead[host]
         if "engine" not in self.paused:
             for name in [n for n, until in self.faulty.items() if now >= until]:
-                self.stack.fault_engine(name, "ok")
+                self.stack.fault_engine(name, "reborn" if name in self.leaving else "ok")
+                self.leaving.discard(name)
                 del self.faulty[name]
                 for period in self.periods:
                     period.end(name, now)
@@ -341,9 +412,11 @@
                    "config": 4}
         weights["copy"] = 3 * self.copies
         weights["limit"] = 6 * self.limits
+        weights["rest"] = 6 * self.rests
+        weights["leaving"] = 3 * self.rests
         away = time.monotonic() < self.away_until
         names = [n for n in weights
-                 if not ("engine" in self.paused and n in ("engine", "limit")) and
+                 if not ("engine" in self.paused and n in ("engine", "limit", "rest", "leaving")) and
                  not ("store" in self.paused and n in ("store", "config")) and
                  not (self.store_until and n == "store") and
                  not ((away or "store" in self.paused) and n in ("store", "config", "copy"))]
@@ -392,6 +465,8 @@
         ledger = self.stack.ledger()
         if self.crasher:
             self.crasher.check(ledger)
+        if self.rests:
+            self.check_rests(ledger)
         for period in self.periods:
             got, allowed = most_over(period, ledger["limited"], self.sent, self.told)
             self.count["windows with a limit"] += got > 0
@@ -418,12 +493,14 @@
     parser.add_argument("--copies", action="store_true",
                         help="the store also comes back from copies some seconds old")
     parser.add_argument("--limits", action="store_true", help="endpoints also name limits")
+    parser.add_argument("--rests", action="store_true", help="endpoints also ask for rest, and say that they leave")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits)
+        soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits,
+                    args.rests)
         try:
             soak.play()
         except Failure as failure:
