--- a/regress/proc/soak.sh
+++ b/regress/proc/soak.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/../soak"
 python3 soak.py --seeds 1-2 --seconds 8 --keep
 python3 soak.py --seeds 400-401 --seconds 12 --crashing --keep
+python3 soak.py --seeds 900 --seconds 12 --rests --keep
+python3 soak.py --seeds 903 --seconds 12 --rests --keep
 python3 soak.py --seeds 500-501 --seconds 12 --copies --keep
 while read -r seed _; do
 	case $seed in
