--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 FUZZ_RUNS ?= 100000
 FUZZ_BUILD = build-fuzz
 FUZZ_FLAGS = -O1 -g -fsanitize=fuzzer-no-link,address
-FUZZERS = statements frames records
+FUZZERS = statements frames records heads
 
 fuzz:
 	$(MAKE) CC=clang BUILD=$(FUZZ_BUILD) CFLAGS="$(FUZZ_FLAGS)" $(FUZZ_BUILD)/libbronzegauge.a
