Whole lists of endpoints go to a host once, not again to all as soon as many endpoints change

Cause, from logs of all hosts with a line for each whole list: 7,500 lists in the start where 984 are needed, twice to nearly all hosts when the layers were placed. A feed kept 512 records; with 3,001 endpoints more change between two updates of a relay that is busy, and then each follower is sent the whole list. And a relay that was sent one told all its followers to take one. Ruled out: ranks of hosts (0.05 ms a tick), sorting the list for a view (0.7 ms), looking through it for lapsed ones (0.04 ms); reading one whole list takes 31 ms of a core, 0.25 s at the share of a small host.

Change: a feed keeps as many records as there are endpoints while others are fed from it (512 without followers); a relay hands a list that comes again on as the records that changed by it, in the order of their places, and as a whole list only where records can't tell (places that were read before, a return of the store).

--- a/router/feed.c
+++ b/router/feed.c
@@ -98,9 +98,17 @@
 
 void feed_on_record(struct feed *feed, int64_t place, const char *id, struct str text)
 {
+	fp_set_length(&feed->endpoints, feed->followers->len > 0
+						? g_hash_table_size(feed->rc->endpoints.entries)
+						: 0);
 	fp_on_record(&feed->endpoints, place, id, text);
 }
 
+struct fp *feed_pack(struct feed *feed)
+{
+	return &feed->endpoints;
+}
+
 void feed_on_listing(struct feed *feed)
 {
 	fp_on_listing(&feed->endpoints, &feed->rc->endpoints);
--- a/router/feed_pack.c
+++ b/router/feed_pack.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 enum {
-	FP_RECORDS_MAX = 512, /* of the latest, for followers that come back after a moment */
-	FP_DEFLATE_MIN = 1024 /* bytes from which on deflating saves more than it costs */
+	FP_RECORDS_LEAST = 512, /* of the latest, for followers that come back after a moment */
+	FP_DEFLATE_MIN = 1024	/* bytes from which on deflating saves more than it costs */
 };
 
 struct fp_record {
@@ -29,6 +29,7 @@
 	memset(fp, 0, sizeof(*fp));
 	fp->records = g_queue_new();
 	fp->listing = 1;
+	fp->records_most = FP_RECORDS_LEAST;
 	fp->packed = g_byte_array_new();
 }
 
@@ -38,6 +39,11 @@
 	g_byte_array_unref(fp->packed);
 }
 
+void fp_set_length(struct fp *fp, guint endpoints)
+{
+	fp->records_most = MAX(endpoints, (guint)FP_RECORDS_LEAST);
+}
+
 void fp_on_record(struct fp *fp, int64_t offset, const char *id, struct str text)
 {
 	struct fp_record *record;
@@ -50,7 +56,7 @@
 	record->text = text.data ? str_dup(text) : NULL;
 	g_queue_push_tail(fp->records, record);
 	fp->records_next = MAX(fp->records_next, offset + 1);
-	if (fp->records->length > FP_RECORDS_MAX) {
+	while (fp->records->length > fp->records_most) {
 		struct fp_record *oldest = g_queue_pop_head(fp->records);
 
 		fp->records_from = oldest->offset + 1;
--- a/router/feed_pack.h
+++ b/router/feed_pack.h
@@ -17,6 +17,7 @@
  */
 struct fp {
 	GQueue *records;      /* struct fp_record, oldest first, without gaps */
+	guint records_most;   /* that are kept */
 	int64_t records_from; /* who wants an older one gets the whole list */
 	int64_t records_next; /* place after the newest one */
 	guint listing;	      /* number of the newest listing, from 1 */
@@ -31,6 +32,13 @@
 void fp_init(struct fp *fp);
 void fp_finish(struct fp *fp);
 
+/*
+ * The list is so long, and others are fed from it: as many records are kept, since the whole list
+ * costs a follower as much. With a fixed number of them all followers of a large fleet were sent
+ * the whole list again and again as soon as more endpoints changed between two updates.
+ */
+void fp_set_length(struct fp *fp, guint endpoints);
+
 /* A record was read; text.data is NULL when the entry was removed. */
 void fp_on_record(struct fp *fp, int64_t offset, const char *id, struct str text);
 
--- a/router/feed_pack_test.cc
+++ b/router/feed_pack_test.cc
@@ -122,6 +122,25 @@
 	EXPECT_EQ(fp_.packed->data[0], changed);
 }
 
+/* Guards against whole lists for all followers where many endpoints change between two updates. */
+TEST_F(FeedPackTest, AsManyRecordsAsEndpointsAreKeptForFollowers)
+{
+	for (int hosts : {30, 300, 984, 1968}) {
+		int endpoints = 3 * hosts, place = 0;
+		fp pack;
+
+		fp_init(&pack);
+		fp_set_length(&pack, endpoints);
+		for (int i = 0; i < 5 * endpoints; i++)
+			fp_on_record(&pack, place++, std::to_string(i % endpoints).c_str(),
+				     str_of("x"));
+		/* A follower that has all but what has changed since, once each. */
+		EXPECT_FALSE(fp_needs_whole(&pack, pack.listing, place - endpoints)) << hosts;
+		EXPECT_LE(pack.records->length, (guint)std::max(endpoints, 512)) << hosts;
+		fp_finish(&pack);
+	}
+}
+
 /*
  * The load: heartbeats of all endpoints between two changes. Followers get the change, and who asks
  * for the whole list gets what was packed before them.
--- a/router/follow.c
+++ b/router/follow.c
@@ -7,6 +7,7 @@
 #include "msg/kind.h"
 #include "router/feed_pack.h"
 #include "router/rank.h"
+#include "router/feed_take.h"
 #include "router/rc.h"
 
 #include <string.h>
@@ -289,16 +290,6 @@
 	jl_end();
 }
 
-static void follow_take_items(struct follow *follow, const Feed__Endpoints *items)
-{
-	for (size_t i = 0; i < items->n_items; i++) {
-		const Feed__Endpoint *e = items->items[i];
-		const char *text = e->text.len > 0 ? (const char *)e->text.data : NULL;
-
-		rc_take_endpoint(follow->rc, e->offset, e->id, str_make(text, e->text.len));
-	}
-}
-
 /* A whole list costs a host of a large fleet much; it is needed once, and after a feed was lost. */
 static void follow_log_listing(const struct follow *follow, size_t items)
 {
@@ -310,10 +301,16 @@
 	jl_end();
 }
 
+static void follow_take_record(void *ctx, int64_t place, const char *id, struct str text)
+{
+	rc_take_endpoint(ctx, place, id, text);
+}
+
 /* Returns 0 or BASE_EFRAME: what is damaged is asked for anew, on a new connection. */
 static int follow_take_endpoints(struct follow *follow, const Feed__Update *msg)
 {
 	struct rc *rc = follow->rc;
+	const struct ft take = {&rc->endpoints, feed_pack(rc->feed), follow_take_record, rc};
 	Feed__Endpoints *items;
 
 	if (msg->endpoints_next < 0 || (rc->listed && msg->endpoints_next < rc->endpoints.next))
@@ -321,18 +318,12 @@
 	items = fp_unpack(msg->endpoints.data, msg->endpoints.len, msg->endpoints_len);
 	if (!items)
 		return BASE_EFRAME;
-	if (msg->listing) {
+	if (msg->listing)
 		follow_log_listing(follow, items->n_items);
-		ep_on_listing(&rc->endpoints);
-	}
-	follow_take_items(follow, items);
-	feed__endpoints__free_unpacked(items, NULL);
-	if (msg->listing) {
-		ep_on_listed(&rc->endpoints, msg->endpoints_next, tmr_now());
-		rc->listed = true;
+	if (ft_take(&take, items, msg->listing, msg->endpoints_next, tmr_now()))
 		feed_on_listing(rc->feed);
-	}
-	rc->endpoints.next = MAX(rc->endpoints.next, msg->endpoints_next);
+	feed__endpoints__free_unpacked(items, NULL);
+	rc->listed = rc->listed || msg->listing;
 	return 0;
 }
 
--- a/router/rc.h
+++ b/router/rc.h
@@ -314,6 +314,9 @@
 /* The whole list has been read anew, or changed without a record. */
 void feed_on_listing(struct feed *feed);
 
+/* What followers are told of endpoints. */
+struct fp *feed_pack(struct feed *feed);
+
 /* Sends every follower what it does not have yet. */
 void feed_flush(struct feed *feed);
 
