--- a/router/pick.c
+++ b/router/pick.c
@@ -2,6 +2,7 @@
 #include "base/tmr.h"
 #include "fwd/fwd.h"
 #include "place/place.h"
+#include "router/pick_int.h"
 #include "router/tf_limit.h"
 
 #include <string.h>
@@ -47,20 +48,20 @@
 
 /* Suspected ones are used when there is nobody else: a suspicion may be wrong, a refusal is sure.
  */
-static bool pick_usable(const struct tf_ep *ep, const struct rt_service *service)
+bool pick_usable(const struct tf_ep *ep, const struct rt_service *service)
 {
 	return ep->listed && ep->rec->state == EP_READY && !ep->leaving &&
 	       strcmp(ep->rec->service, service->name) == 0;
 }
 
-static enum pa_trust pick_trust(const struct tf_ep *ep, int64_t now_us)
+enum pa_trust pick_trust(const struct tf_ep *ep, int64_t now_us)
 {
 	if (ep->suspect_us > now_us)
 		return PA_FAULTY;
 	return dbt_is_set(&ep->doubt, now_us) ? PA_DOUBTED : PA_GOOD;
 }
 
-static bool pick_avoided(const struct tf_target *avoid, const struct tf_ep *ep)
+bool pick_avoided(const struct tf_target *avoid, const struct tf_ep *ep)
 {
 	for (int i = 0; avoid && i < avoid->count; i++) {
 		if (avoid->stages[i].ep == ep)
@@ -171,29 +172,14 @@
 	node->trust = pick_trust(ep, now_us);
 }
 
-/* What a search for stages works on. */
-struct pick {
-	struct pa_node *nodes;
-	struct tf_ep **eps;
-	int n;
-	int resting; /* endpoints that are left out, since they want nothing now */
-	struct pa_ask ask;
-	struct pa_path path;
-};
-
-static void pick_finish(struct pick *pick)
+void pick_finish(struct pick *pick)
 {
 	g_free(pick->nodes);
 	g_free(pick->eps);
 }
 
-/*
- * Endpoints of the service that may be used at that time, without those to be avoided. One that
- * wants nothing of this host is no stage either: a pipeline would bring it this host's requests.
- */
-static void pick_init(struct pick *pick, struct tf *tf, const struct rt_service *service,
-		      const struct seam_request *request, const struct tf_target *avoid,
-		      int64_t at_us)
+void pick_init(struct pick *pick, struct tf *tf, const struct rt_service *service,
+	       const struct seam_request *request, const struct tf_target *avoid, int64_t at_us)
 {
 	guint n = g_hash_table_size(tf->eps);
 	GHashTableIter iter;
@@ -222,7 +208,7 @@
 	}
 }
 
-static int pick_search(struct pick *pick, struct tf *tf, const struct rt_service *service)
+int pick_search(struct pick *pick, struct tf *tf, const struct rt_service *service)
 {
 	struct pick_delays delays = {tf, service};
 	int err = pa_choose(&service->engine, pick->nodes, pick->n, &pick->ask, pick_delay, &delays,
@@ -231,7 +217,7 @@
 	return err == 0 ? 0 : FWD_ENOENDPOINT;
 }
 
-static void pick_add_stage(struct tf_target *target, struct tf_ep *ep, int from, int to)
+void pick_add_stage(struct tf_target *target, struct tf_ep *ep, int from, int to)
 {
 	const struct tf_stage stage = {ep, from, to};
 
@@ -392,178 +378,6 @@
 	return 0;
 }
 
-/*
- * Plain services: what a recent failure, another availability zone and chance add to the load of an
- * endpoint. A failure counts as four times the load, so one that fails half of its requests gets
- * few; the zone and chance only decide between endpoints that are alike.
- */
-static const double pick_plain_failure = 4;
-static const double pick_plain_far = 1.1;
-static const double pick_plain_spread = 0.2;
-
-/* Fewest requests under way for its places, failing ones last; nearest zone where alike. */
-static double pick_plain_cost(struct tf *tf, struct tf_ep *ep, int64_t now_us)
-{
-	double load = (double)(ep->in_flight + 1) / MAX(ep->rec->slots, 1);
-
-	load *= 1 + pick_plain_failure * flg_recent(&ep->failing, now_us);
-	if (strcmp(ep->rec->zone, tf->router->settings.zone) != 0)
-		load *= pick_plain_far;
-	return load * (1 + pick_plain_spread * rnd_unit(&tf->seed));
-}
-
-/* The best of the endpoints that were looked at. */
-struct pick_best {
-	struct tf_ep *ep;
-	enum pa_trust trust;
-	double cost;
-};
-
-static void pick_better(struct pick_best *best, struct tf_ep *ep, enum pa_trust trust, double cost)
-{
-	if (best->ep && (trust > best->trust || (trust == best->trust && cost >= best->cost)))
-		return;
-	*best = (struct pick_best){ep, trust, cost};
-}
-
-/*
- * One that has failed lately, and is passed over for that, gets a request now and then; only one
- * that may run again elsewhere if it fails there.
- */
-static struct tf_ep *pick_trial(struct tf *tf, const struct tf_ask *ask, struct tf_ep *chosen,
-				int64_t now_us)
-{
-	struct tf_ep *trial = chosen;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, tf->eps);
-	while (ask->may_repeat && g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct tf_ep *ep = value;
-
-		if (ep == chosen || !pick_usable(ep, ask->service) ||
-		    pick_avoided(ask->avoid, ep) || pick_trust(ep, now_us) != PA_GOOD ||
-		    !rst_is_open(&ep->rest, now_us) || !tf_limit_is_open(tf, ep, ask->account))
-			continue;
-		if (flg_on_passed(&ep->failing, now_us))
-			trial = ep;
-	}
-	return trial;
-}
-
-static int pick_plain(struct tf *tf, const struct tf_ask *ask, struct tf_target *target)
-{
-	struct pick_best best = {NULL, PA_FAULTY, 0};
-	struct pick_best open = {NULL, PA_FAULTY, 0};
-	GHashTableIter iter;
-	gpointer value;
-	int64_t now_us = tmr_now();
-	int resting = 0;
-
-	g_hash_table_iter_init(&iter, tf->eps);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		enum pa_trust trust = pick_trust(value, now_us);
-		double cost;
-
-		if (!pick_usable(value, ask->service) || pick_avoided(ask->avoid, value) ||
-		    trust > ask->trust)
-			continue;
-		if (!rst_is_open(&((struct tf_ep *)value)->rest, now_us)) {
-			resting++;
-			continue;
-		}
-		cost = pick_plain_cost(tf, value, now_us);
-		pick_better(&best, value, trust, cost);
-		if (tf_limit_is_open(tf, value, ask->account))
-			pick_better(&open, value, trust, cost);
-	}
-	if (!best.ep)
-		return resting > 0 ? FWD_ERESTS : FWD_ENOENDPOINT;
-	if (best.ep != open.ep)
-		tf_limit_lacked(tf, best.ep);
-	if (!open.ep)
-		return FWD_ELIMIT;
-	pick_add_stage(target, pick_trial(tf, ask, open.ep, now_us), 0, 0);
-	return 0;
-}
-
-static gint pick_by_time(gconstpointer a, gconstpointer b)
-{
-	int64_t ta = *(const int64_t *)a;
-	int64_t tb = *(const int64_t *)b;
-
-	return ta < tb ? -1 : ta > tb;
-}
-
-/* The times, in order, at which endpoints of the service may be sent to; now is the first. */
-static GArray *pick_openings(struct tf *tf, const struct tf_ask *ask)
-{
-	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	int64_t now_us = tmr_now();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_array_append_val(times, now_us);
-	g_hash_table_iter_init(&iter, tf->eps);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		int64_t at_us = rst_open_us(&((const struct tf_ep *)value)->rest, now_us);
-
-		if (at_us > now_us && pick_usable(value, ask->service) &&
-		    !pick_avoided(ask->avoid, value))
-			g_array_append_val(times, at_us);
-	}
-	g_array_sort(times, pick_by_time);
-	return times;
-}
-
-static bool pick_has_trusted(const struct pick *pick)
-{
-	for (int i = 0; i < pick->n; i++) {
-		if (pick->nodes[i].trust <= pick->ask.trust)
-			return true;
-	}
-	return false;
-}
-
-/* Whether those that are open at that time are enough for the request. */
-static bool pick_is_served_at(struct tf *tf, const struct tf_ask *ask, int64_t at_us)
-{
-	struct pick pick;
-	bool served;
-
-	pick_init(&pick, tf, ask->service, ask->request, ask->avoid, at_us);
-	pick.ask.trust = ask->trust;
-	if (rt_is_layered(ask->service))
-		served = pick_search(&pick, tf, ask->service) == 0;
-	else
-		served = pick_has_trusted(&pick);
-	pick_finish(&pick);
-	return served;
-}
-
-int64_t tf_pick_opens_us(struct tf *tf, const struct tf_ask *ask)
-{
-	GArray *times = pick_openings(tf, ask);
-	guint low = 0;
-	guint high = times->len;
-	int64_t opens_us;
-
-	/* Nobody rests, so there is nothing to search for. */
-	if (high == 1)
-		high = 0;
-	while (low < high) {
-		guint middle = (low + high) / 2;
-
-		if (pick_is_served_at(tf, ask, g_array_index(times, int64_t, middle)))
-			high = middle;
-		else
-			low = middle + 1;
-	}
-	opens_us = low < times->len ? g_array_index(times, int64_t, low) : -1;
-	g_array_unref(times);
-	return opens_us;
-}
-
 int tf_pick(struct tf *tf, const struct tf_ask *ask, struct tf_target *target)
 {
 	int err;
