--- a/router/heard.c
+++ b/router/heard.c
@@ -116,17 +116,24 @@
 	suspect_send(conn, ctx);
 }
 
+/* On the host that the endpoint told itself the traffic thread has written it down. */
+static void heard_log_leaving(const char *endpoint, int hops)
+{
+	jl_begin(JL_KEEP, "endpoint_leaving");
+	jl_str("endpoint", endpoint);
+	jl_str("from", "another host");
+	jl_int("hops", hops);
+	jl_end();
+}
+
 void heard_take_leaving(struct rc *rc, const char *endpoint, int hops, const void *source)
 {
 	const struct suspect passed = {endpoint, 0, SUSPECT_LEAVING, hops + 1};
 
 	if (!ep_on_leaving(&rc->endpoints, endpoint, tmr_now()))
 		return;
-	jl_begin(JL_KEEP, "endpoint_leaving");
-	jl_str("endpoint", endpoint);
-	jl_str("from", source ? "another host" : "endpoint");
-	jl_int("hops", hops);
-	jl_end();
+	if (source)
+		heard_log_leaving(endpoint, hops);
 	rc_view_due(rc);
 	if (passed.hops > SUSPECT_HOPS_MAX)
 		return;
