What rests leave is looked for once, and only for an attempt that may wait for it

Found reading the change: each choice that found everybody at rest searched for the end of the rests, also for repeats and resumed streams, which don't use it; with many rests that is some pipeline searches for nothing, and the refusal looks for it again anyhow. Now the first attempt alone does. A plain choice weighed trust and limits of each endpoint for a trial before it asked whether that one has failed at all; that comes first, and without failures no power is computed.

Behaviour is the same: an attempt after the first closes or waits on any error alike.

--- a/ep/failing.c
+++ b/ep/failing.c
@@ -20,7 +20,7 @@
 
 double flg_recent(const struct flg *flg, int64_t now_us)
 {
-	double recent = flg_faded(flg, now_us);
+	double recent = flg->recent > 0 ? flg_faded(flg, now_us) : 0;
 
 	return recent < flg_least ? 0 : recent;
 }
--- a/router/pick_plain.c
+++ b/router/pick_plain.c
@@ -53,9 +53,10 @@
 	while (ask->may_repeat && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct tf_ep *ep = value;
 
-		if (ep == chosen || !pick_usable(ep, ask->service) ||
-		    pick_avoided(ask->avoid, ep) || pick_trust(ep, now_us) != PA_GOOD ||
-		    !rst_is_open(&ep->rest, now_us) || !tf_limit_is_open(tf, ep, ask->account))
+		if (ep == chosen || flg_recent(&ep->failing, now_us) == 0 ||
+		    !pick_usable(ep, ask->service) || pick_avoided(ask->avoid, ep) ||
+		    pick_trust(ep, now_us) != PA_GOOD || !rst_is_open(&ep->rest, now_us) ||
+		    !tf_limit_is_open(tf, ep, ask->account))
 			continue;
 		if (flg_on_passed(&ep->failing, now_us))
 			trial = ep;
--- a/router/rq.c
+++ b/router/rq.c
@@ -175,14 +175,19 @@
 static int rq_pick(struct rq *rq, enum pa_trust trust, struct tf_target *target)
 {
 	struct tf_ask ask;
-	int err;
 
 	rq_ask(rq, trust, &ask);
-	err = tf_pick(rq->tf, &ask, target);
-	if (err != FWD_ERESTS)
-		return err;
+	return tf_pick(rq->tf, &ask, target);
+}
+
+/* Nobody was found for the first attempt, which may wait until rests leave somebody. */
+static int rq_await_rests(struct rq *rq, enum pa_trust trust)
+{
+	struct tf_ask ask;
+
+	rq_ask(rq, trust, &ask);
 	rq->fwd.rules.rest_us = tf_pick_opens_us(rq->tf, &ask);
-	return rq->fwd.rules.rest_us < 0 ? FWD_ENOENDPOINT : err;
+	return rq->fwd.rules.rest_us < 0 ? FWD_ENOENDPOINT : FWD_ERESTS;
 }
 
 int64_t rq_rest_left_us(const struct rq *rq)
@@ -212,12 +217,15 @@
 	GPtrArray *headers;
 	char *pipeline = NULL;
 	char *url;
+	enum pa_trust trust = attempt > 0 ? PA_DOUBTED : PA_FAULTY;
 	int err;
 
 	tf_target_clear(&rq->target);
 	if (rq_quarantine_us(rq, tmr_now()) > 0)
 		return FWD_ECRASHES;
-	err = rq_pick(rq, attempt > 0 ? PA_DOUBTED : PA_FAULTY, &rq->target);
+	err = rq_pick(rq, trust, &rq->target);
+	if (err == FWD_ERESTS && attempt == 0)
+		err = rq_await_rests(rq, trust);
 	if (err == FWD_ELIMIT && !tf_limit_waits(tf, rq->service->name, rq_account(rq)))
 		return FWD_ELIMITED;
 	if (err < 0)
