reach: the log tells when no endpoint answers a host any more

The lines of a host that has lost its connections speak of one endpoint each, so they don't tell a lost endpoint from a lost host. reach/ keeps which endpoints did not answer the last call and when a call that was answered began; the traffic thread logs no_endpoint_answers and endpoints_answer, and bg_endpoints_unanswered counts them. A call that began before the failures proves nothing: old connections may live on.

[host] source sets the address that a host's calls to endpoints and the store come from; tests with several hosts on one machine tell them apart by it.

No decision uses the new state. 386 unit tests passed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CXXWARN = -Wall -Wextra -Werror
 
 PROGRAMS = bgrouterd bgentryd bgcontrold bgctl bgload bgfake-platform bgfake-engine bgscript bgstand-store bgstand-engine
-SLICES = base era conf host pool fair req once order rt ep adm back lead place path sse bud share quar lim watch fwd seam platform router
+SLICES = base era conf host pool fair req once order rt ep adm back lead place path sse bud share quar lim watch reach fwd seam platform router
 
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CPPFLAGS += -I. $(PKG_CFLAGS)
--- a/base/hc.c
+++ b/base/hc.c
@@ -21,6 +21,7 @@
 	struct tmr deferred_timer; /* starts the deferred requests */
 	GPtrArray *deferred; /* requests (struct hc_call) that were started inside a callback */
 	bool in_callback;    /* a callback of the library is running */
+	char *source; /* IP address that connections come from, as the library has it; NULL: any */
 };
 
 /* A socket of the library that the loop watches. */
@@ -69,12 +70,22 @@
 	return hc;
 }
 
+void hc_set_source(struct hc *hc, const char *addr)
+{
+	const char *colon = strrchr(addr, ':');
+
+	g_clear_pointer(&hc->source, g_free);
+	if (colon)
+		hc->source = g_strdup_printf("host!%.*s", (int)(colon - addr), addr);
+}
+
 void hc_free(struct hc *hc)
 {
 	tmr_cancel(&hc->loop->tmr, &hc->timer);
 	tmr_cancel(&hc->loop->tmr, &hc->deferred_timer);
 	g_ptr_array_unref(hc->deferred);
 	curl_multi_cleanup(hc->multi);
+	g_free(hc->source);
 	g_free(hc);
 }
 
@@ -323,6 +334,8 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request->close ? 1L : 0L);
+	if (hc->source)
+		curl_easy_setopt(easy, CURLOPT_INTERFACE, hc->source);
 	if (request->target)
 		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
 	if (ops->on_head) {
--- a/base/hc.h
+++ b/base/hc.h
@@ -60,6 +60,9 @@
 /* Creates a client on the loop. */
 struct hc *hc_new(struct loop *loop);
 
+/* Sets the address that connections come from, "IP:0" (the port is ignored); "": any. */
+void hc_set_source(struct hc *hc, const char *addr);
+
 /* Frees the client, but not the requests that are still in progress. */
 void hc_free(struct hc *hc);
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -45,6 +45,7 @@
 	ITEM("host", "first_start", SETTINGS_INT, first_start, "0", 0, 1),
 	ITEM("host", "link_mbps", SETTINGS_REAL, link_mbps, "1000", 0, 1000000),
 	ITEM("host", "cores", SETTINGS_REAL, cores, "1", 0, 1024),
+	ITEM("host", "source", SETTINGS_ADDR, source, "", 0, 0),
 	ITEM("listen", "front", SETTINGS_ADDR, front, NULL, 0, 0),
 	ITEM("listen", "ready", SETTINGS_ADDR, ready, NULL, 0, 0),
 	ITEM("listen", "metrics", SETTINGS_ADDR, metrics, NULL, 0, 0),
--- a/router/crash.c
+++ b/router/crash.c
@@ -4,6 +4,7 @@
 #include "base/met.h"
 #include "router/ctrl.h"
 #include "router/traffic.h"
+#include "router/traffic_reach.h"
 #include "router/traffic_head.h"
 #include "router/traffic_quarantine.h"
 #include "router/traffic_rest.h"
@@ -372,6 +373,7 @@
 	enum crash_finding finding = crash_evaluate(check, status, err, str_make(body, len));
 
 	(void)sent;
+	traf_reach_on_call(check->traf, check->ep, check->began_us, status > 0);
 	if (check->counted) {
 		crash_on_confirm_probed(check, status, finding);
 		return;
--- a/router/ctrl.c
+++ b/router/ctrl.c
@@ -81,6 +81,7 @@
 	ctrl->router = router;
 	ctrl->loop = loop;
 	ctrl->hc = hc_new(loop);
+	hc_set_source(ctrl->hc, router->settings.source);
 	ctrl->store_calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	ctrl->conf_place = ERA_NONE;
 	ctrl->start_us = tmr_now();
--- a/router/router.h
+++ b/router/router.h
@@ -50,6 +50,8 @@
 	int64_t log_lines;	/* Maximum number of log lines a second */
 	double link_mbps;	/* Bandwidth of this host's network link, in Mbit/s */
 	double cores;		/* Number of processor cores of this host */
+	/* Address that calls to endpoints and the store come from, "IP:0"; "": any of this host */
+	char *source;
 };
 
 /*
--- a/router/stall.c
+++ b/router/stall.c
@@ -2,6 +2,7 @@
 #include "base/tmr.h"
 #include "router/ctrl.h"
 #include "router/traffic_head.h"
+#include "router/traffic_reach.h"
 #include "router/traffic_rest.h"
 
 #include <string.h>
@@ -246,6 +247,7 @@
 	(void)body;
 	(void)len;
 	stall->ep->check = NULL;
+	traf_reach_on_call(traf, stall->ep, stall->began_us, status > 0);
 	if (status == HTTP_OK)
 		stall_on_response(traf);
 	else if (wt_failure_counts(&traf->watch, &failure))
@@ -293,6 +295,7 @@
 	(void)err;
 	(void)sent;
 	stall->ep->report = NULL;
+	traf_reach_on_call(stall->traf, stall->ep, stall->began_us, status > 0);
 	if (status == HTTP_OK)
 		stall_on_response(stall->traf);
 	if (status != HTTP_OK || engine->parse_report(str_make(body, len), &report) < 0) {
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -4,6 +4,7 @@
 #include "base/rnd.h"
 #include "router/traffic_limit.h"
 #include "router/traffic_quarantine.h"
+#include "router/traffic_reach.h"
 #include "router/traffic_rest.h"
 
 #include <ck_pr.h>
@@ -80,8 +81,10 @@
 	traf->reqs = g_ptr_array_new();
 	traf->parked = g_queue_new();
 	hop_init(&traf->hop);
+	reach_init(&traf->reach);
 	loop_init(&traf->loop);
 	traf->hc = hc_new(&traf->loop);
+	hc_set_source(traf->hc, router->settings.source);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
 	pthread_create(&traf->thread, NULL, traf_main, traf);
@@ -127,6 +130,7 @@
 	traf_quar_on_sweep(traf, now_us);
 	traf_limit_on_sweep(traf);
 	traf_rest_on_sweep(traf);
+	traf_reach_on_sweep(traf);
 	for (guint i = traf->reqs->len; i > 0; i--)
 		txn_on_sweep(traf->reqs->pdata[i - 1]);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -13,6 +13,7 @@
 #include "path/path.h"
 #include "quar/quar.h"
 #include "quar/served.h"
+#include "reach/reach.h"
 #include "router/crash.h"
 #include "router/router.h"
 #include "share/share.h"
@@ -125,6 +126,8 @@
 	int64_t any_data_us;	   /* time of the last head or data from any endpoint, in us */
 	int64_t start_us;	   /* time at which the traffic thread was started, in us */
 	unsigned int open;	   /* atomic: number of requests received and not yet freed */
+	struct reach reach;	   /* which endpoints answer this host */
+	bool alone;		   /* the log says that no endpoint answers this host */
 	int64_t view_valid_us; /* last time at which the view was known to match the store, in us */
 };
 
--- a/router/txn.c
+++ b/router/txn.c
@@ -4,6 +4,7 @@
 #include "router/txn_int.h"
 #include "router/traffic_head.h"
 #include "router/traffic_limit.h"
+#include "router/traffic_reach.h"
 
 #include <ck_pr.h>
 #include <stdio.h>
@@ -259,6 +260,7 @@
 	txn->part_received = false;
 	txn->broken_at = NULL;
 	txn->last_activity_us = tmr_now();
+	txn->attempt_us = txn->last_activity_us;
 	txn->attempt_boot_us = tmr_boot_now();
 	traf_limit_use_permit(traf, txn->target.stages[0].ep, txn_account_name(txn));
 	rest_on_sent(&txn->target.stages[0].ep->rest, txn->last_activity_us);
@@ -379,6 +381,8 @@
 	txn->traf->any_data_us = tmr_now();
 	seam_answer_finish(&txn->answer);
 	txn->traf->router->seam->wire.read_answer(status, headers, txn->request.id, &txn->answer);
+	if (txn->target.count > 0)
+		traf_reach_on_call(txn->traf, txn->target.stages[0].ep, txn->attempt_us, true);
 	if (txn->target.count > 0)
 		traf_head_of_request(txn->traf, txn->target.stages[0].ep, &txn->answer,
 				     txn->attempt_boot_us, txn->request.id);
@@ -435,6 +439,8 @@
 	(void)len;
 	txn->attempt = NULL;
 	txn_cancel(txn);
+	if (!txn->head_received && txn->target.count > 0)
+		traf_reach_on_call(txn->traf, txn->target.stages[0].ep, txn->attempt_us, false);
 	if (failed) {
 		jl_begin(JL_UNLIMITED, "attempt_failed");
 		jl_str("id", txn->request.id);
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -36,6 +36,7 @@
 	struct traf_target repair;	  /* pipeline that the order under way asks for */
 	int repairs;			  /* number of orders sent for this request */
 	int64_t order_us;		  /* time at which the last order was sent, in us */
+	int64_t attempt_us;		  /* time at which the last attempt was sent, in us */
 	int64_t attempt_boot_us;  /* time at which the last attempt was sent, by tmr_boot_now() */
 	int64_t last_activity_us; /* time at which the last attempt was sent or last brought data,
 				   * in us */
