A failing test: hosts that are cut off from all endpoints serve nobody

Packets lost, connections made that pass nothing, resets, new connections refused while open ones live; three of five hosts. The bounds are those of the users' rule.

--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -92,7 +92,7 @@
         while self.open:
             ready, _, _ = select.select([near, far], [], [], 0.2)
             for sock in ready:
-                if self.mode == "silent":
+                if self.mode == "silent" or self.holds(near):
                     time.sleep(0.05)
                     continue
                 data = sock.recv(65536)
@@ -104,6 +104,10 @@
                     time.sleep(self.DELAY_S)
                 (far if sock is near else near).sendall(data)
 
+    def holds(self, _near):
+        """Whether this connection is kept open but passes nothing now."""
+        return False
+
     def close(self):
         self.open = False
         self.reset_connection(self.listener)
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -102,6 +102,7 @@
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
         self.store_via = {h: self.store_port for h in self.hosts}
+        self.sources = {}       # host -> address that its calls to endpoints and the store come from
         self.known_as = {}      # host or endpoint -> port at which its peers reach it, if not its own
         self.points = []
         for i in range(8):
@@ -132,6 +133,8 @@
         with open(path, "w") as ini:
             ini.write("[host]\nname = %s\nzone = z%d\n" % (host, self.hosts.index(host) % 2))
             ini.write("first_start = %d\n" % (host not in self.procs))
+            if host in self.sources:
+                ini.write("source = %s:0\n" % self.sources[host])
             ini.write("[listen]\n")
             for what in ("front", "ready", "metrics", "control"):
                 ini.write("%s = 127.0.0.1:%d\n" % (what, self.port(host, what)))
