hc: a request that is canceled in a callback of another one is freed after it

curl_multi_remove_handle() fails inside a callback of the library, and its handle was freed all the same, while the library still had it in its lists. HcTest.ARequestMayBeCanceledInACallbackOfAnother ends in a crash without the mend and passes with it.

--- a/base/hc.c
+++ b/base/hc.c
@@ -18,8 +18,9 @@
 	struct loop *loop;
 	CURLM *multi;
 	struct tmr timer;	   /* timeout that the library requested */
-	struct tmr deferred_timer; /* starts the deferred requests */
+	struct tmr deferred_timer; /* starts and frees the deferred requests */
 	GPtrArray *deferred; /* requests (struct hc_call) that were started inside a callback */
+	GPtrArray *canceled; /* requests that were canceled inside a callback of another one */
 	bool in_callback;    /* a callback of the library is running */
 	char *source; /* IP address that connections come from, as the library has it; NULL: any */
 };
@@ -50,7 +51,7 @@
 static void hc_on_timeout(void *ctx, int64_t now_us);
 static size_t hc_on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx);
-static void hc_start_deferred(void *ctx, int64_t now_us);
+static void hc_on_deferred(void *ctx, int64_t now_us);
 static void hc_finish_done_calls(struct hc *hc);
 static void hc_finish_call(struct hc_call *call, CURLcode code);
 static void hc_call_free(struct hc_call *call);
@@ -67,6 +68,7 @@
 	curl_multi_setopt(hc->multi, CURLMOPT_TIMERDATA, hc);
 	curl_multi_setopt(hc->multi, CURLMOPT_MAXCONNECTS, (long)HC_IDLE_CONNS_MAX);
 	hc->deferred = g_ptr_array_new();
+	hc->canceled = g_ptr_array_new();
 	return hc;
 }
 
@@ -84,6 +86,7 @@
 	tmr_cancel(&hc->loop->tmr, &hc->timer);
 	tmr_cancel(&hc->loop->tmr, &hc->deferred_timer);
 	g_ptr_array_unref(hc->deferred);
+	g_ptr_array_unref(hc->canceled);
 	curl_multi_cleanup(hc->multi);
 	g_free(hc->source);
 	g_free(hc);
@@ -170,6 +173,8 @@
 	long status = 0;
 	bool go_on;
 
+	if (call->canceled)
+		return 0;
 	if (call->on_head_called)
 		return len;
 	while (text > 0 && (data[text - 1] == '\n' || data[text - 1] == '\r'))
@@ -201,6 +206,8 @@
 	size_t len = size * n;
 	long status = 0;
 
+	if (call->canceled)
+		return CURL_WRITEFUNC_ERROR;
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->ops->on_data && (call->ops->all_data || status / 100 == 2)) {
 		call->callback_running = true;
@@ -296,6 +303,7 @@
 static void hc_call_free(struct hc_call *call)
 {
 	g_ptr_array_remove(call->hc->deferred, call);
+	g_ptr_array_remove(call->hc->canceled, call);
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -349,7 +357,7 @@
 	}
 	if (hc->in_callback) {
 		g_ptr_array_add(hc->deferred, call);
-		loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_start_deferred, hc);
+		loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_on_deferred, hc);
 	} else {
 		curl_multi_add_handle(hc->multi, easy);
 	}
@@ -358,13 +366,17 @@
 
 /*
  * curl_multi_add_handle() fails inside a callback of the library, and a request that was not added
- * would never end. Requests started there are added after the callback has returned.
+ * would never end; curl_multi_remove_handle() fails, too, and a request that was freed without it
+ * would still be used. Requests started or canceled there are added or freed after the callback has
+ * returned.
  */
-static void hc_start_deferred(void *ctx, int64_t now_us)
+static void hc_on_deferred(void *ctx, int64_t now_us)
 {
 	struct hc *hc = ctx;
 
 	(void)now_us;
+	while (hc->canceled->len > 0)
+		hc_call_free(hc->canceled->pdata[0]);
 	for (guint i = 0; i < hc->deferred->len; i++) {
 		struct hc_call *call = hc->deferred->pdata[i];
 
@@ -379,7 +391,15 @@
  */
 void hc_cancel(struct hc_call *call)
 {
+	struct hc *hc = call->hc;
+
 	call->canceled = true;
-	if (!call->callback_running)
+	if (call->callback_running)
+		return;
+	if (!hc->in_callback) {
 		hc_call_free(call);
+		return;
+	}
+	g_ptr_array_add(hc->canceled, call);
+	loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_on_deferred, hc);
 }
