base: a request may go to another address behind a preamble, a framed connection may end its framing

What a host needs to lead a call through another one: libcurl makes the connection to that host, the preamble names what follows, and the other side takes the socket over together with the bytes that came after the frame. A socket connected by us beforehand was tried first: libcurl 7.88 calls connect() on it again, which works on Linux only because the second call of a non-blocking connect() returns 0, and not elsewhere.

HcTest.APreambleGoesBeforeTheRequestToAnotherAddress.

--- a/base/frm.c
+++ b/base/frm.c
@@ -49,6 +49,7 @@
 static void frm_close_error(struct frm_conn *conn, int err);
 static void frm_free(void *ctx);
 static void frm_flush(struct frm_conn *conn);
+static guint frm_unsent(const struct frm_conn *conn);
 static void frm_read(struct frm_conn *conn);
 static int frm_handle_frame(struct frm_conn *conn);
 static void frm_append(struct frm_conn *conn, uint16_t kind, const uint8_t *body, size_t len);
@@ -212,19 +213,57 @@
 	g_free(conn);
 }
 
-void frm_close(struct frm_conn *conn)
+/* Ends the connection but keeps its socket open. */
+static void frm_release(struct frm_conn *conn)
 {
-	if (conn->closed)
-		return;
 	conn->closed = true;
 	tmr_cancel(&conn->loop->tmr, &conn->heartbeat);
 	loop_fd_del(conn->loop, &conn->lfd);
-	close(conn->lfd.fd);
 	if (conn->server)
 		g_ptr_array_remove_fast(conn->server->conns, conn);
 	loop_post(conn->loop, frm_free, conn);
 }
 
+void frm_close(struct frm_conn *conn)
+{
+	if (conn->closed)
+		return;
+	frm_release(conn);
+	close(conn->lfd.fd);
+}
+
+int frm_detach(struct frm_conn *conn, GByteArray *rest)
+{
+	uint16_t kind;
+	const uint8_t *body;
+	size_t len;
+	int frame = frm_parse(conn->in->data, conn->in->len, &kind, &body, &len);
+
+	if (conn->closed)
+		return BASE_EFRAME;
+	if (frame <= 0 || frm_unsent(conn) > 0) {
+		frm_close(conn);
+		return BASE_EFRAME;
+	}
+	g_byte_array_append(rest, conn->in->data + frame, conn->in->len - (guint)frame);
+	frm_release(conn);
+	return conn->lfd.fd;
+}
+
+GByteArray *frm_pack(uint16_t kind, const ProtobufCMessage *msg)
+{
+	size_t len = protobuf_c_message_get_packed_size(msg);
+	GByteArray *frame = g_byte_array_sized_new((guint)(FRM_HEADER_LEN + len));
+	uint32_t n = htonl((uint32_t)len);
+	uint16_t k = htons(kind);
+
+	g_byte_array_append(frame, (const uint8_t *)&n, sizeof(n));
+	g_byte_array_append(frame, (const uint8_t *)&k, sizeof(k));
+	g_byte_array_set_size(frame, (guint)(FRM_HEADER_LEN + len));
+	protobuf_c_message_pack(msg, frame->data + FRM_HEADER_LEN);
+	return frame;
+}
+
 /* Reports the error to the owner of the connection and closes it. */
 static void frm_close_error(struct frm_conn *conn, int err)
 {
--- a/base/frm.h
+++ b/base/frm.h
@@ -90,6 +90,17 @@
  */
 void frm_set_active(struct frm_conn *conn, bool active);
 
+/*
+ * Ends the framing within on_msg() and returns the connection's socket, which the caller then owns;
+ * conn must not be used afterwards and on_close() isn't called. The bytes that were received after
+ * the frame are appended to rest. Returns BASE_EFRAME, and closes the connection, if frames are
+ * queued for sending.
+ */
+int frm_detach(struct frm_conn *conn, GByteArray *rest);
+
+/* Returns the bytes of a frame that holds the message; free with g_byte_array_unref(). */
+GByteArray *frm_pack(uint16_t kind, const ProtobufCMessage *msg);
+
 /* Closes the connection without on_close(). */
 void frm_close(struct frm_conn *conn);
 
--- a/base/hc.c
+++ b/base/hc.c
@@ -1,10 +1,12 @@
 #include "base/hc.h"
+#include "base/addr.h"
 #include "base/err.h"
 #include "base/log.h"
 #include "base/met.h"
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 enum {
 	HC_BODY_MAX = 16 << 20,	  /* largest collected response body, in bytes */
@@ -42,7 +44,10 @@
 	GPtrArray *response_headers; /* header lines of the response; NULL without ops->on_head */
 	bool on_head_called;	     /* on_head() was called */
 	bool canceled; /* canceled inside its own callback; freed after the callback returns */
-	bool callback_running; /* a callback of this request is running */
+	bool callback_running;	/* a callback of this request is running */
+	struct sockaddr_in via; /* address to connect to instead of the host in the URL */
+	GByteArray *preamble;	/* bytes to send before the request; NULL: none */
+	int fd;			/* socket that the preamble is sent on */
 };
 
 static int hc_on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sock);
@@ -302,6 +307,8 @@
 
 static void hc_call_free(struct hc_call *call)
 {
+	if (call->preamble)
+		g_byte_array_unref(call->preamble);
 	g_ptr_array_remove(call->hc->deferred, call);
 	g_ptr_array_remove(call->hc->canceled, call);
 	curl_multi_remove_handle(call->hc->multi, call->easy);
@@ -312,6 +319,42 @@
 	g_free(call);
 }
 
+static curl_socket_t hc_on_open_socket(void *ctx, curlsocktype purpose, struct curl_sockaddr *addr)
+{
+	struct hc_call *call = ctx;
+
+	(void)purpose;
+	memcpy(&addr->addr, &call->via, sizeof(call->via));
+	addr->addrlen = sizeof(call->via);
+	call->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	return call->fd < 0 ? CURL_SOCKET_BAD : call->fd;
+}
+
+/* The connection has just been made, so its send buffer has room for the preamble. */
+static int hc_on_connected(void *ctx, char *to_ip, char *from_ip, int to_port, int from_port)
+{
+	const struct hc_call *call = ctx;
+	ssize_t n = send(call->fd, call->preamble->data, call->preamble->len, MSG_NOSIGNAL);
+
+	(void)to_ip;
+	(void)from_ip;
+	(void)to_port;
+	(void)from_port;
+	return n == (ssize_t)call->preamble->len ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+static void hc_connect_via(struct hc_call *call, const struct hc_request *request)
+{
+	if (addr_parse(request->via, &call->via) < 0)
+		return;
+	call->preamble = g_byte_array_new();
+	g_byte_array_append(call->preamble, request->preamble->data, request->preamble->len);
+	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETFUNCTION, hc_on_open_socket);
+	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, hc_on_connected);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+}
+
 struct hc_call *hc_start(struct hc *hc, const struct hc_request *request, const struct hc_ops *ops,
 			 void *ctx)
 {
@@ -342,7 +385,9 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request->close ? 1L : 0L);
-	if (hc->source)
+	if (request->via)
+		hc_connect_via(call, request);
+	else if (hc->source)
 		curl_easy_setopt(easy, CURLOPT_INTERFACE, hc->source);
 	if (request->target)
 		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
--- a/base/hc.h
+++ b/base/hc.h
@@ -55,6 +55,12 @@
 	bool fresh;
 	bool close;	    /* close the connection when the request has ended */
 	const char *target; /* request target to send instead of the one in url; may be NULL */
+	/*
+	 * Address "IP:PORT" to connect to instead of the host in url, and bytes to send there
+	 * before the request; with fresh and close. NULL: connect to the host in url.
+	 */
+	const char *via;
+	const GByteArray *preamble;
 };
 
 /* Creates a client on the loop. */
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -114,7 +114,7 @@
 		cancel_.clear();
 		return true;
 	}
-	void start(Call *call, const std::string &url)
+	void start(Call *call, const std::string &url, const char *via, const GByteArray *preamble)
 	{
 		hc_request request{};
 
@@ -124,6 +124,8 @@
 		request.total_ms = 5000;
 		request.fresh = true;
 		request.close = true;
+		request.via = via;
+		request.preamble = preamble;
 		call->test = this;
 		call->call = hc_start(hc_, &request, &ops_, call);
 	}
@@ -143,7 +145,7 @@
 
 		loop_.stopping = false;
 		for (Call &call : calls) {
-			start(&call, "http://" + server.addr + "/");
+			start(&call, "http://" + server.addr + "/", nullptr, nullptr);
 			cancel_.push_back(&call);
 		}
 		loop_run(&loop_);
@@ -151,4 +153,27 @@
 	}
 }
 
+/* Guards against a request that reaches the host in its URL, or arrives before the preamble. */
+TEST_F(HcTest, APreambleGoesBeforeTheRequestToAnotherAddress)
+{
+	const char *preamble = "preamble!";
+	GByteArray *bytes = g_byte_array_new();
+	Call call{};
+	std::string received;
+
+	g_byte_array_append(bytes, (const guint8 *)preamble, (guint)strlen(preamble));
+	{
+		Server server(1);
+
+		start(&call, "http://127.0.0.2:9/path", server.addr.c_str(), bytes);
+		loop_run(&loop_);
+		received = server.received.at(0);
+	}
+	g_byte_array_unref(bytes);
+	EXPECT_EQ(call.status, 200);
+	EXPECT_EQ(received.substr(0, strlen(preamble)), preamble);
+	EXPECT_EQ(received.substr(strlen(preamble), strlen("GET /path ")), "GET /path ");
+	EXPECT_NE(received.find("Host: 127.0.0.2:9\r\n"), std::string::npos);
+}
+
 } // namespace
