--- a/reach/reach.c
+++ b/reach/reach.c
@@ -2,9 +2,18 @@
 
 enum {
 	/* Endpoints in a row that must not answer before the host itself is in doubt. */
-	REACH_ALONE_MIN = 2,
+	REACH_IN_A_ROW = 2,
+	/* The same before requests are refused. */
+	REACH_ISOLATED_MIN = 4,
 	/* Time for which a failed call is remembered, in us. */
-	REACH_KEEP_US = 3000000
+	REACH_KEEP_US = 3000000,
+	/* Time for which other hosts are not asked again after they failed, in us. */
+	REACH_OPINION_US = 1000000,
+	/* Interval between two probes, in us. */
+	REACH_PROBE_US = 200000,
+	/* The same while endpoints answer again, and for how long that lasts, in us. */
+	REACH_REGAIN_PROBE_US = 20000,
+	REACH_REGAIN_US = 1000000
 };
 
 void reach_init(struct reach *reach)
@@ -18,33 +27,181 @@
 	g_hash_table_destroy(reach->points);
 }
 
-void reach_on_answer(struct reach *reach, const char *addr, int64_t began_us)
+bool reach_on_answer(struct reach *reach, const char *addr, enum reach_way way, int64_t began_us,
+		     int64_t now_us)
 {
-	const struct reach_point *point = g_hash_table_lookup(reach->points, addr);
+	struct reach_point *point = g_hash_table_lookup(reach->points, addr);
+	bool regained;
 
+	reach->heard_us = MAX(reach->heard_us, began_us);
+	if (way == REACH_TUNNEL) {
+		if (point)
+			point->verdict = REACH_NOT_HERE;
+		return false;
+	}
 	reach->answered_us = MAX(reach->answered_us, began_us);
-	if (point && began_us >= point->began_us)
-		g_hash_table_remove(reach->points, addr);
+	if (!point || began_us < point->began_us)
+		return false;
+	regained = point->verdict == REACH_NOT_HERE;
+	if (regained)
+		reach->regained_us = now_us;
+	g_hash_table_remove(reach->points, addr);
+	return regained;
 }
 
 void reach_on_failure(struct reach *reach, const char *addr, int64_t began_us, int64_t now_us)
 {
 	struct reach_point *point = g_hash_table_lookup(reach->points, addr);
 
-	if (reach->first_failed_us <= reach->answered_us && began_us > reach->answered_us)
-		reach->first_failed_us = began_us;
 	if (!point) {
 		point = g_new0(struct reach_point, 1);
+		point->verdict = REACH_UNCLEAR;
+		point->first_us = began_us;
 		g_hash_table_insert(reach->points, g_strdup(addr), point);
 	}
 	point->began_us = MAX(point->began_us, began_us);
 	point->failed_us = now_us;
 }
 
+void reach_on_tunnel_failure(struct reach *reach, const char *addr, int64_t now_us)
+{
+	struct reach_point *point = g_hash_table_lookup(reach->points, addr);
+
+	if (!point)
+		return;
+	point->verdict = REACH_SILENT;
+	point->silent_us = now_us;
+	point->failed_us = MAX(point->failed_us, now_us);
+}
+
+enum reach_verdict reach_judge(const struct reach *reach, const char *addr)
+{
+	const struct reach_point *point = g_hash_table_lookup(reach->points, addr);
+
+	return point ? point->verdict : REACH_ANSWERS;
+}
+
+enum reach_way reach_choose(const struct reach *reach, const char *addr)
+{
+	enum reach_verdict verdict = reach_judge(reach, addr);
+
+	if (verdict == REACH_NOT_HERE)
+		return REACH_TUNNEL;
+	return verdict != REACH_SILENT && reach_is_cut(reach) ? REACH_TUNNEL : REACH_DIRECT;
+}
+
+bool reach_wants_tunnel(const struct reach *reach, const char *addr, int64_t now_us)
+{
+	const struct reach_point *point = g_hash_table_lookup(reach->points, addr);
+
+	return !point || point->silent_us == 0 || now_us - point->silent_us >= REACH_OPINION_US;
+}
+
+/* Counts the endpoints with this verdict whose latest failed call began after that time. */
+static int reach_count_failing(const struct reach *reach, enum reach_verdict verdict,
+			       int64_t after_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, reach->points);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct reach_point *point = value;
+
+		n += point->verdict == verdict && point->began_us > after_us;
+	}
+	return n;
+}
+
+/*
+ * Counts the endpoints that have begun to fail since any was heard last; silent: only those that
+ * other hosts don't reach either. Endpoints that failed before, and still do, tell nothing.
+ */
+static int reach_count_in_a_row(const struct reach *reach, bool silent)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, reach->points);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct reach_point *point = value;
+
+		n += point->first_us > reach->heard_us &&
+		     (!silent || point->verdict == REACH_SILENT);
+	}
+	return n;
+}
+
+bool reach_is_cut(const struct reach *reach)
+{
+	return reach_count_failing(reach, REACH_NOT_HERE, reach->answered_us) >= REACH_IN_A_ROW;
+}
+
+bool reach_is_doubtful(const struct reach *reach)
+{
+	int n = reach_count_failing(reach, REACH_UNCLEAR, reach->answered_us) +
+		reach_count_failing(reach, REACH_NOT_HERE, reach->answered_us) +
+		reach_count_failing(reach, REACH_SILENT, reach->answered_us);
+
+	return n >= REACH_IN_A_ROW;
+}
+
+bool reach_is_alone(const struct reach *reach)
+{
+	return reach_count_in_a_row(reach, false) >= REACH_IN_A_ROW;
+}
+
+bool reach_is_isolated(const struct reach *reach)
+{
+	int min = CLAMP(reach->known, REACH_IN_A_ROW, REACH_ISOLATED_MIN);
+
+	return reach_count_in_a_row(reach, true) >= min;
+}
+
+int reach_count_not_here(const struct reach *reach)
+{
+	return reach_count_failing(reach, REACH_NOT_HERE, 0);
+}
+
+const char *reach_next_probe(struct reach *reach, int64_t now_us)
+{
+	bool regaining = reach->regained_us > 0 && now_us - reach->regained_us < REACH_REGAIN_US;
+	int64_t interval_us = regaining ? REACH_REGAIN_PROBE_US : REACH_PROBE_US;
+	bool isolated = reach_is_isolated(reach);
+	struct reach_point *next = NULL;
+	const char *next_addr = NULL;
+	GHashTableIter iter;
+	gpointer addr;
+	gpointer value;
+
+	if (now_us - reach->probe_us < interval_us)
+		return NULL;
+	g_hash_table_iter_init(&iter, reach->points);
+	while (g_hash_table_iter_next(&iter, &addr, &value)) {
+		struct reach_point *point = value;
+
+		if (point->verdict != REACH_NOT_HERE && !isolated)
+			continue;
+		if (!next || point->probe_us < next->probe_us) {
+			next = point;
+			next_addr = addr;
+		}
+	}
+	if (!next)
+		return NULL;
+	next->probe_us = now_us;
+	reach->probe_us = now_us;
+	return next_addr;
+}
+
 static gboolean reach_is_old(gpointer addr, gpointer value, gpointer before_us)
 {
+	const struct reach_point *point = value;
+
 	(void)addr;
-	return ((const struct reach_point *)value)->failed_us < *(const int64_t *)before_us;
+	return point->verdict != REACH_NOT_HERE && point->failed_us < *(const int64_t *)before_us;
 }
 
 void reach_expire(struct reach *reach, int64_t now_us)
@@ -54,16 +211,14 @@
 	g_hash_table_foreach_remove(reach->points, reach_is_old, &before_us);
 }
 
-bool reach_is_alone(const struct reach *reach)
+static gboolean reach_is_unlisted(gpointer addr, gpointer value, gpointer listed)
 {
-	GHashTableIter iter;
-	gpointer value;
-	int n = 0;
+	(void)value;
+	return !g_hash_table_contains(listed, addr);
+}
 
-	if (reach->first_failed_us <= reach->answered_us)
-		return false;
-	g_hash_table_iter_init(&iter, reach->points);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		n += ((const struct reach_point *)value)->began_us >= reach->first_failed_us;
-	return n >= REACH_ALONE_MIN;
+void reach_keep_listed(struct reach *reach, GHashTable *listed)
+{
+	g_hash_table_foreach_remove(reach->points, reach_is_unlisted, listed);
+	reach->known = (int)g_hash_table_size(listed);
 }
