--- a/msg/kind.h
+++ b/msg/kind.h
@@ -43,6 +43,11 @@
 	MSG_LIMIT_GRANT, /* message LimitGrant */
 	MSG_FEED_HOST,
 
+	/* Messages of tunnel.proto. */
+	MSG_TUNNEL_OPEN,
+	MSG_TUNNEL_OPENED,
+	MSG_TUNNEL_ATTACH,
+
 	MSG_KIND_COUNT /* number of kinds */
 };
 
--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -51,6 +51,9 @@
 	{"resting",
 	 "Refused, not run: all endpoints for it had asked this host to send nothing for a while; "
 	 "see its 'rest_refused' line and 'rest_asked' lines of that host before."},
+	{"not_reached",
+	 "Refused, not run: neither this host nor those that it asked reached any endpoint; see the "
+	 "'no_endpoint_answers' line."},
 	{"stopping",
 	 "Refused, not run: the host was about to stop and could not have completed it."},
 };
--- a/prog/ctl_state.c
+++ b/prog/ctl_state.c
@@ -36,7 +36,10 @@
 
 static gboolean ctl_has_fault(const json_t *row)
 {
-	return json_integer_value(json_object_get(row, "doubted_ms")) > 0 ||
+	const char *reach = json_string_value(json_object_get(row, "reach"));
+
+	return (reach && strcmp(reach, "answers") != 0) ||
+	       json_integer_value(json_object_get(row, "doubted_ms")) > 0 ||
 	       json_integer_value(json_object_get(row, "suspected_ms")) > 0 ||
 	       json_number_value(json_object_get(row, "pace")) > 1;
 }
@@ -54,8 +57,12 @@
 		     {"in_flight", 10},
 		     {"full", 6}}},
 	{.name = "faults",
-	 .columns =
-		 {{"id", 14}, {"addr", 22}, {"doubted_ms", 11}, {"suspected_ms", 13}, {"pace", 6}},
+	 .columns = {{"id", 14},
+		     {"addr", 22},
+		     {"doubted_ms", 11},
+		     {"suspected_ms", 13},
+		     {"pace", 6},
+		     {"reach", 9}},
 	 .list = "endpoints",
 	 .filter = ctl_has_fault},
 	{.name = "ranges",
--- a/prog/router.c
+++ b/prog/router.c
@@ -2,6 +2,7 @@
 #include "base/met.h"
 #include "platform/pf.h"
 #include "base/prog.h"
+#include "router/gateway.h"
 #include "router/router.h"
 
 #include <ck_pr.h>
@@ -269,7 +270,9 @@
 {
 	struct router_main *m = ctx;
 	int64_t since_ms = (now_us - m->router.stop_us) / TMR_US_PER_MS;
-	bool open = traf_open_requests(m->router.traf) > 0 || hd_open_requests(m->router.front) > 0;
+	bool open = traf_open_requests(m->router.traf) > 0 ||
+		    hd_open_requests(m->router.front) > 0 ||
+		    gateway_open_tunnels(traf_gateway(m->router.traf)) > 0;
 
 	m->idle_polls = open ? 0 : m->idle_polls + 1;
 	if ((since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS) ||
--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -467,9 +467,12 @@
 
 
 def endpoint_state(stack, host, addr):
-    """Returns the endpoint with that address from the host's state."""
-    state = stack.state(host)
-    return next(e for e in state["endpoints"] if e["addr"] == addr)
+    """Returns the endpoint with that address from the host's state. Raises ValueError, which eventually() takes for
+    "not yet", if the host does not list it: a host that has just started may list nothing."""
+    for endpoint in stack.state(host)["endpoints"]:
+        if endpoint["addr"] == addr:
+            return endpoint
+    raise ValueError("%s does not list %s" % (host, addr))
 
 
 def case_dead_in_outage(stack):
@@ -804,7 +807,8 @@
         for link in links:
             link.set("pass")
         thread.join()
-        eventually("the endpoints are found alive", lambda: '"endpoint_lives"' in stack.log("host-0")[began:])
+        eventually("the endpoints are found alive, or were not taken for ended", lambda: any(
+            s in stack.log("host-0")[began:] for s in ('"endpoint_lives"', '"finding":"unclear"', '"finding":"alive"')))
     for _ in range(20):
         expect("status", repeats.ask("host-0")[0], 200)
     for host in stack.hosts:
--- a/regress/soak/cases_reach.py
+++ b/regress/soak/cases_reach.py
@@ -2,6 +2,8 @@
 python3 regress/soak/cases_reach.py NAME."""
 import http.client
 import itertools
+import json
+import signal
 import threading
 import time
 
@@ -142,12 +144,7 @@
         began = cut(stack, gates, cut_hosts, how)
         time.sleep(STABLE_S + MEASURE_S + PATIENCE_S)
         check_served(callers, cut_hosts, began + STABLE_S, began + STABLE_S + MEASURE_S)
-        ended = mend(gates)
-        time.sleep(STABLE_S + MEASURE_S / 2 + PATIENCE_S)
-        after = callers.between(stack.hosts, ended + STABLE_S, ended + STABLE_S + MEASURE_S / 2)
-        print_served("all, after the cut", after)
-        if sum(not t.served for t in after) > FAILED_PART * len(after) + 1:
-            raise Failure("after the cut not all are served")
+        check_after(callers, stack, gates)
     check_runs(stack, callers)
 
 
@@ -171,6 +168,178 @@
     check_cut(stack, "refuse")
 
 
+def check_after(callers, stack, gates):
+    """Ends the cut and checks that all are served again from STABLE_S on."""
+    ended = mend(gates)
+    time.sleep(STABLE_S + MEASURE_S / 2 + PATIENCE_S)
+    after = callers.between(stack.hosts, ended + STABLE_S, ended + STABLE_S + MEASURE_S / 2)
+    print_served("all, after the cut", after)
+    if sum(not t.served for t in after) > FAILED_PART * len(after) + 1:
+        raise Failure("after the cut not all are served")
+
+
+def events(stack, host, *names):
+    """Returns the log lines of the host with these events."""
+    lines = [json.loads(line) for line in stack.log(host).splitlines() if line.startswith("{")]
+    return [line for line in lines if line["event"] in names]
+
+
+def check_all_cut(stack, how):
+    gates = up(stack)
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        began = cut(stack, gates, stack.hosts, how)
+        time.sleep(STABLE_S + MEASURE_S / 2 + PATIENCE_S)
+        tries = callers.between(stack.hosts, began + STABLE_S, began + STABLE_S + MEASURE_S / 2)
+        refused = sum(t.status == 503 and float(t.headers.get("Retry-After", 0)) > 0 for t in tries)
+        print("all hosts cut: %d of %d refused as not run with a time to return" % (refused, len(tries)))
+        if len(tries) - refused > FAILED_PART * len(tries) + 1:
+            raise Failure("%d of %d not refused with a time to return" % (len(tries) - refused, len(tries)))
+        check_after(callers, stack, gates)
+    check_runs(stack, callers)
+    for host in stack.hosts:
+        expect("endpoints taken for dead by " + host, events(stack, host, "endpoint_dead"), [])
+
+
+def case_all_hang(stack):
+    """Guards against callers who wait for their deadlines while no host reaches an endpoint, packets being lost."""
+    check_all_cut(stack, "hang")
+
+
+def case_all_reset(stack):
+    """Guards against refusals without a time to return while all hosts' connections to endpoints are reset."""
+    check_all_cut(stack, "reset")
+
+
+def case_half(stack):
+    """Guards against hosts that serve fewer while they do not reach half of the endpoints."""
+    gates = up(stack)
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        began = cut(stack, gates[::2], stack.hosts[:2], "hang")
+        time.sleep(STABLE_S + MEASURE_S + PATIENCE_S)
+        check_served(callers, stack.hosts[:2], began + STABLE_S, began + STABLE_S + MEASURE_S)
+        check_after(callers, stack, gates)
+    check_runs(stack, callers)
+
+
+def case_standstill(stack):
+    """Guards against requests that fail because all endpoints fall silent for a second and go on."""
+    up(stack)
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        began = time.monotonic()
+        stack.signal("engine", signal.SIGSTOP)
+        time.sleep(1)
+        stack.signal("engine", signal.SIGCONT)
+        time.sleep(MEASURE_S + PATIENCE_S)
+        tries = callers.between(stack.hosts, began, began + MEASURE_S)
+        print_served("around a standstill of a second", tries)
+        if sum(not t.served for t in tries) > FAILED_MIN + FAILED_PART * len(tries):
+            raise Failure("requests failed around a standstill")
+    check_runs(stack, callers)
+
+
+def case_flapping(stack):
+    """Guards against hosts that serve fewer while cuts of 1.5 s come and go each 2.5 s."""
+    gates = up(stack)
+    cut_hosts = stack.hosts[:3]
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        began = time.monotonic()
+        while time.monotonic() - began < STABLE_S + MEASURE_S:
+            cut(stack, gates, cut_hosts, "hang")
+            time.sleep(1.5)
+            mend(gates)
+            time.sleep(1)
+        time.sleep(PATIENCE_S)
+        check_served(callers, cut_hosts, began + STABLE_S, began + STABLE_S + MEASURE_S)
+        check_after(callers, stack, gates)
+    check_runs(stack, callers)
+
+
+def check_gateway_fault(stack, fault):
+    """Cuts three of five hosts off; fault() is called with one of the two others 4 s later."""
+    gates = up(stack)
+    cut_hosts = stack.hosts[:3]
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        cut(stack, gates, cut_hosts, "hang")
+        eventually("a request goes through host-3", lambda: events(stack, "host-3", "tunnel_opened"))
+        time.sleep(STABLE_S)
+        began = time.monotonic()
+        fault("host-3")
+        time.sleep(STABLE_S + MEASURE_S + PATIENCE_S)
+        here = callers.between(cut_hosts, began, began + STABLE_S + MEASURE_S)
+        print_served("cut hosts, one gateway lost", here)
+        if sum(not t.served for t in here) > FAILED_MIN + 2 * FAILED_PART * len(here):
+            raise Failure("the loss of a gateway is not borne")
+        mend(gates)
+    check_runs(stack, callers)
+
+
+def case_gateway_killed(stack):
+    """Guards against requests that are lost for longer than a moment when the host that they lead through ends."""
+    check_gateway_fault(stack, lambda host: stack.signal(host, signal.SIGKILL))
+
+
+def case_gateway_frozen(stack):
+    """Guards against requests that wait for a frozen host that they lead through."""
+    check_gateway_fault(stack, lambda host: stack.signal(host, signal.SIGSTOP))
+
+
+def case_gateway_stops(stack):
+    """Guards against answers that are cut because the host that they lead through is stopped."""
+    check_gateway_fault(stack, lambda host: stack.signal(host, signal.SIGTERM))
+
+
+def case_news(stack):
+    """Guards against news of a cut host, the leader too, that take sound endpoints from the others; and checks that
+    an operator sees the way that a request took, on both hosts."""
+    gates = up(stack)
+    eventually("a host leads", lambda: any(stack.state(h)["places_layers"] for h in stack.hosts))
+    leader = next(h for h in stack.hosts if stack.state(h)["places_layers"])
+    cut_hosts = [leader, next(h for h in stack.hosts if h != leader)]
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        orders = sum(len(events(stack, h, "place")) for h in stack.hosts)
+        began = cut(stack, gates, cut_hosts, "reset")
+        time.sleep(STABLE_S + MEASURE_S + PATIENCE_S)
+        check_served(callers, cut_hosts, began + STABLE_S, began + STABLE_S + MEASURE_S)
+        if (not stack.state(leader)["endpoints_not_reached"] or
+                "not_here" not in stack.bgctl(leader, "state", "faults")):
+            raise Failure("bgctl state does not show which endpoints are not reached")
+        check_after(callers, stack, gates)
+    for host in stack.hosts:
+        expect("endpoints taken for dead by " + host, events(stack, host, "endpoint_dead"), [])
+    expect("orders to engines", sum(len(events(stack, h, "place")) for h in stack.hosts), orders)
+    through = events(stack, leader, "answer_through")[-1]
+    carried = [line["id"] for line in events(stack, through["gateway"], "tunnel_opened") if "id" in line]
+    if through["id"] not in carried:
+        raise Failure("the gateway's log does not name the request %s" % through["id"])
+    expect("events of a cut host", [len(events(stack, leader, e)) > 0 for e in ("reach_lost", "reach_regained")],
+           [True, True])
+    check_runs(stack, callers)
+
+
+def case_start_within(stack):
+    """Guards against a host that starts while it is cut off and serves nobody."""
+    gates = up(stack)
+    cut_hosts = stack.hosts[:2]
+    with MixedCallers(stack) as callers:
+        eventually("all are served", lambda: sum(t.served for t in callers.tries) >= 100)
+        cut(stack, gates, cut_hosts, "hang")
+        stack.signal("host-0", signal.SIGKILL)
+        stack.procs["host-0"].wait()
+        stack.begin_host("host-0")
+        eventually("host-0 is ready", lambda: stack.is_ready("host-0"))
+        began = time.monotonic()
+        time.sleep(STABLE_S + MEASURE_S + PATIENCE_S)
+        check_served(callers, cut_hosts, began + STABLE_S, began + STABLE_S + MEASURE_S)
+        mend(gates)
+    check_runs(stack, callers)
+
+
 CASES = {k[len("case_"):]: v for k, v in globals().items() if k.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/crash.c
+++ b/router/crash.c
@@ -4,7 +4,6 @@
 #include "base/met.h"
 #include "router/ctrl.h"
 #include "router/traffic.h"
-#include "router/traffic_reach.h"
 #include "router/traffic_head.h"
 #include "router/traffic_quarantine.h"
 #include "router/traffic_rest.h"
@@ -98,31 +97,23 @@
 	g_free(check);
 }
 
-/* Returns the path of the probe, which does not run a request: the report or the health check. */
-static const char *crash_probe_path(const struct crash_check *check)
-{
-	const struct traf *traf = check->traf;
-	const struct rt_service *service =
-		g_hash_table_lookup(traf->view->conf->services, check->ep->rec->service);
-
-	if (!service || rt_is_layered(service))
-		return traf->router->seam->engine.report_path();
-	return service->health_path ? service->health_path : "/";
-}
-
 static void crash_probe(struct crash_check *check)
 {
-	struct hc_request request = {.method = "GET",
-				     .connect_ms = CRASH_CALL_MS,
-				     .total_ms = CRASH_CALL_MS,
-				     .fresh = true,
-				     .close = true};
-	char *url = g_strdup_printf("http://%s%s", check->ep->rec->addr, crash_probe_path(check));
+	struct way_request request = {.http = {.method = "GET",
+					       .connect_ms = CRASH_CALL_MS,
+					       .total_ms = CRASH_CALL_MS,
+					       .fresh = true,
+					       .close = true},
+				      .addr = check->ep->rec->addr,
+				      .harmless = true};
+	char *path = traf_probe_path(check->traf, check->ep);
+	char *url = g_strdup_printf("http://%s%s", check->ep->rec->addr, path);
 
 	check->began_us = tmr_now();
 	check->tries++;
-	request.url = url;
-	hc_start(check->traf->hc, &request, &crash_ops, check);
+	request.http.url = url;
+	way_start(check->traf->way, &request, &crash_ops, check);
+	g_free(path);
 	g_free(url);
 }
 
@@ -169,9 +160,10 @@
 
 /*
  * Evaluates the result of a probe. Only a refused connection shows by itself that the process has
- * ended. A timeout shows it only if this host has received data from other endpoints meanwhile. A
- * connection that is closed may exceed the limit of a busy endpoint; if several probes in a row are
- * closed and the endpoint sends nothing else, it has ended behind a proxy.
+ * ended, unless no endpoint answers this host: then its connections are lost. A timeout shows it
+ * only if this host has received data from other endpoints meanwhile. A connection that is closed
+ * may exceed the limit of a busy endpoint; if several probes in a row are closed and the endpoint
+ * sends nothing else, it has ended behind a proxy.
  */
 static enum crash_finding crash_evaluate(const struct crash_check *check, int status, int err,
 					 struct str body)
@@ -186,6 +178,8 @@
 		return CRASH_ENDED;
 	if (status > 0)
 		return CRASH_RESPONDING;
+	if (err == BASE_EREFUSED && reach_is_alone(way_reach(check->traf->way)))
+		return CRASH_UNCLEAR;
 	if (err == BASE_EREFUSED)
 		return CRASH_ENDED;
 	if (err == BASE_ETIMEOUT && check->traf->any_data_us > check->began_us)
@@ -373,7 +367,6 @@
 	enum crash_finding finding = crash_evaluate(check, status, err, str_make(body, len));
 
 	(void)sent;
-	traf_reach_on_call(check->traf, check->ep, check->began_us, status > 0);
 	if (check->counted) {
 		crash_on_confirm_probed(check, status, finding);
 		return;
--- a/router/ctrl.c
+++ b/router/ctrl.c
@@ -24,6 +24,9 @@
 static void ctrl_on_tick(void *ctx, int64_t now_us);
 static void ctrl_post_view(struct ctrl *ctrl);
 static void ctrl_host_free(gpointer data);
+static char *ctrl_probe_path(void *ctx, const char *addr);
+
+static const struct way_ops ctrl_way_ops = {.probe_path = ctrl_probe_path};
 
 /*
  * The store was restored from an older copy: writes that it acknowledged after the copy was made
@@ -82,6 +85,9 @@
 	ctrl->loop = loop;
 	ctrl->hc = hc_new(loop);
 	hc_set_source(ctrl->hc, router->settings.source);
+	ctrl->way = way_new(loop, ctrl->hc, router->settings.name, router->settings.zone,
+			    &ctrl_way_ops, ctrl);
+	ctrl->gateways = g_ptr_array_new_with_free_func(gws_host_free);
 	ctrl->store_calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	ctrl->conf_place = ERA_NONE;
 	ctrl->start_us = tmr_now();
@@ -126,6 +132,8 @@
 	poll_free(ctrl->poll);
 	g_array_unref(ctrl->loads);
 	g_hash_table_destroy(ctrl->polled_loads);
+	way_free(ctrl->way);
+	g_ptr_array_unref(ctrl->gateways);
 	hc_free(ctrl->hc);
 	g_hash_table_destroy(ctrl->store_calls);
 	ep_list_finish(&ctrl->endpoints);
@@ -420,6 +428,7 @@
 	ctrl_update_synced(ctrl, now_us);
 	placer_on_tick(ctrl->placer, now_us);
 	poll_on_tick(ctrl->poll, now_us);
+	way_sweep(ctrl->way, now_us);
 	recall_on_tick(ctrl->recall, now_us);
 	hosts_on_tick(ctrl->host_list, now_us);
 	quarantine_on_tick(ctrl->quarantine, now_us);
@@ -432,6 +441,54 @@
 			 ctrl);
 }
 
+/* The control thread calls no endpoints but engines. */
+static char *ctrl_probe_path(void *ctx, const char *addr)
+{
+	const struct ctrl *ctrl = ctx;
+
+	(void)addr;
+	return g_strdup(ctrl->router->seam->engine.report_path());
+}
+
+/* Selects the hosts that may open tunnels, if the list of hosts has changed. */
+static void ctrl_update_gateways(struct ctrl *ctrl)
+{
+	const struct router_settings *s = &ctrl->router->settings;
+	GPtrArray *all;
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	if (ctrl->gateways_version == ctrl->host_changes.version)
+		return;
+	ctrl->gateways_version = ctrl->host_changes.version;
+	all = g_ptr_array_new_with_free_func(gws_host_free);
+	g_hash_table_iter_init(&iter, ctrl->hosts);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		const struct ctrl_host *host = value;
+
+		g_ptr_array_add(all, gws_host_new(name, host->addr, host->zone));
+	}
+	g_ptr_array_unref(ctrl->gateways);
+	ctrl->gateways = gws_select(all, s->name, s->zone);
+	g_ptr_array_unref(all);
+	way_set_gateways(ctrl->way, ctrl->gateways);
+}
+
+/* Tells the ways of this thread which endpoints are listed. */
+static void ctrl_update_way(struct ctrl *ctrl, const GPtrArray *endpoints)
+{
+	GHashTable *addrs = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct ep_rec *rec = endpoints->pdata[i];
+
+		g_hash_table_add(addrs, rec->addr);
+	}
+	way_set_endpoints(ctrl->way, addrs);
+	g_hash_table_destroy(addrs);
+}
+
 static void ctrl_post_view(struct ctrl *ctrl)
 {
 	struct router_view *view = g_new0(struct router_view, 1);
@@ -440,6 +497,9 @@
 	ctrl->endpoints.changed = false;
 	view->conf = ctrl->conf ? rt_conf_ref(ctrl->conf) : NULL;
 	view->endpoints = ep_snapshot(&ctrl->endpoints);
+	ctrl_update_way(ctrl, view->endpoints);
+	ctrl_update_gateways(ctrl);
+	view->gateways = g_ptr_array_ref(ctrl->gateways);
 	view->hosts = MAX((int)g_hash_table_size(ctrl->hosts), 1);
 	view->fence = ctrl->lead.newest;
 	view->listed = ctrl_lists_complete(ctrl);
--- a/router/ctrl.h
+++ b/router/ctrl.h
@@ -11,6 +11,7 @@
 #include "router/rank.h"
 #include "router/router.h"
 #include "router/store_call.h"
+#include "router/way.h"
 
 /*
  * The control thread. The data of the store reaches a host in one of two ways: a few hosts, the
@@ -54,6 +55,9 @@
 	struct router *router;
 	struct loop *loop;
 	struct hc *hc;		 /* HTTP client for calls to the store and to engines */
+	struct way *way;	 /* calls to engines, directly or through other hosts */
+	GPtrArray *gateways;	 /* Hosts that may open tunnels (struct gws_host) */
+	guint gateways_version;	 /* Number of the change of the list of hosts they are from */
 	GHashTable *store_calls; /* Set of the calls to the store in progress: struct store_call */
 	struct era era;		 /* Newest known era of the store */
 	int64_t start_us;	 /* Start time of the process, in microseconds */
--- a/router/feed.c
+++ b/router/feed.c
@@ -4,6 +4,7 @@
 #include "base/met.h"
 #include "msg/feed.pb-c.h"
 #include "msg/kind.h"
+#include "router/gateway.h"
 #include "router/feed_pack.h"
 #include "router/ctrl.h"
 
@@ -186,6 +187,70 @@
 	return 0;
 }
 
+/* Returns whether an endpoint of this host's list has the address. */
+static bool feed_is_listed(const struct ctrl *ctrl, const char *addr)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ctrl->endpoints.entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (strcmp(((const struct ep_entry *)value)->rec->addr, addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Hands a request for a tunnel over to the traffic thread. Only listed endpoints are connected to:
+ * this host is no way to anything else.
+ */
+static int feed_on_tunnel_open(struct feed *feed, struct frm_conn *conn, const uint8_t *body,
+			       size_t len)
+{
+	struct ctrl *ctrl = feed->ctrl;
+	Tunnel__Open *open = tunnel__open__unpack(NULL, len, body);
+	Tunnel__Result refusal = TUNNEL__RESULT__UNSPECIFIED;
+	GByteArray *rest;
+	int fd;
+
+	if (!open)
+		return BASE_EFRAME;
+	if (ctrl->stopping)
+		refusal = TUNNEL__RESULT__STOPPING;
+	else if (!feed_is_listed(ctrl, open->addr))
+		refusal = TUNNEL__RESULT__UNKNOWN;
+	rest = g_byte_array_new();
+	fd = frm_detach(conn, rest);
+	g_byte_array_unref(rest);
+	if (fd >= 0)
+		gateway_post_open(traf_gateway(ctrl->router->traf), fd, open, refusal);
+	else
+		tunnel__open__free_unpacked(open, NULL);
+	return 0;
+}
+
+static int feed_on_tunnel_attach(struct feed *feed, struct frm_conn *conn, const uint8_t *body,
+				 size_t len)
+{
+	Tunnel__Attach *attach = tunnel__attach__unpack(NULL, len, body);
+	GByteArray *rest = g_byte_array_new();
+	int fd;
+
+	if (!attach) {
+		g_byte_array_unref(rest);
+		return BASE_EFRAME;
+	}
+	fd = frm_detach(conn, rest);
+	if (fd >= 0)
+		gateway_post_attach(traf_gateway(feed->ctrl->router->traf), fd, attach->token,
+				    rest);
+	else
+		g_byte_array_unref(rest);
+	tunnel__attach__free_unpacked(attach, NULL);
+	return 0;
+}
+
 static int feed_on_msg(void *ctx, struct frm_conn *conn, uint16_t kind, const uint8_t *body,
 		       size_t len)
 {
@@ -200,6 +265,10 @@
 		return quarantine_on_msg(((struct feed *)ctx)->ctrl->quarantine, conn, body, len);
 	case MSG_FEED_LIMITS:
 		return limits_on_msg(((struct feed *)ctx)->ctrl->limits, conn, body, len);
+	case MSG_TUNNEL_OPEN:
+		return feed_on_tunnel_open(ctx, conn, body, len);
+	case MSG_TUNNEL_ATTACH:
+		return feed_on_tunnel_attach(ctx, conn, body, len);
 	case MSG_LIMIT_ASK:
 		return limit_home_on_msg(limits_get_home(((struct feed *)ctx)->ctrl->limits), conn,
 					 body, len);
--- a/router/placer.c
+++ b/router/placer.c
@@ -47,14 +47,14 @@
 /* An order to hold a range of layers, sent to an endpoint or about to be sent. */
 struct placer_order {
 	struct placer *placer;
-	char *incarnation;    /* incarnation of the endpoint that receives the order */
-	int64_t born_ms;      /* start time of that incarnation, Unix time in milliseconds */
-	char *addr;	      /* address of the endpoint */
-	int from;	      /* first layer to hold */
-	int to;		      /* layer after the last one to hold */
-	int64_t begun_us;     /* time at which the order was begun, in microseconds */
-	int64_t fence;	      /* fencing number that the order carries */
-	struct hc_call *call; /* the call under way, or NULL */
+	char *incarnation;     /* incarnation of the endpoint that receives the order */
+	int64_t born_ms;       /* start time of that incarnation, Unix time in milliseconds */
+	char *addr;	       /* address of the endpoint */
+	int from;	       /* first layer to hold */
+	int to;		       /* layer after the last one to hold */
+	int64_t begun_us;      /* time at which the order was begun, in microseconds */
+	int64_t fence;	       /* fencing number that the order carries */
+	struct way_call *call; /* the call under way, or NULL */
 };
 
 struct placer {
@@ -86,7 +86,7 @@
 	struct placer_order *order = data;
 
 	if (order->call)
-		hc_cancel(order->call);
+		way_cancel(order->call);
 	g_free(order->incarnation);
 	g_free(order->addr);
 	g_free(order);
@@ -318,13 +318,15 @@
 	struct placer_order *order = g_new0(struct placer_order, 1);
 	char *url =
 		g_strdup_printf("http://%s%s", rec->addr, ctrl->router->seam->engine.report_path());
-	struct hc_request request = {
-		.method = "GET",
-		.url = url,
-		.connect_ms = PLACER_CONNECT_MS,
-		.total_ms = PLACER_CALL_MS,
-		.fresh = true,
-		.close = true,
+	struct way_request request = {
+		.http = {.method = "GET",
+			 .url = url,
+			 .connect_ms = PLACER_CONNECT_MS,
+			 .total_ms = PLACER_CALL_MS,
+			 .fresh = true,
+			 .close = true},
+		.addr = rec->addr,
+		.harmless = true,
 	};
 
 	order->placer = placer;
@@ -347,7 +349,7 @@
 	jl_int("held_to", rec->layer_to);
 	jl_int("fence", ctrl->lead.fence);
 	jl_end();
-	order->call = hc_start(ctrl->hc, &request, &placer_report_ops, order);
+	order->call = way_start(ctrl->way, &request, &placer_report_ops, order);
 	g_free(url);
 }
 
@@ -391,20 +393,21 @@
 	char *url = g_strdup_printf("http://%s%s", order->addr, engine->order_path());
 	char *body = engine->make_place(order->from, order->to, order->fence, expect);
 	const char *headers[] = {"Content-Type: application/json", NULL};
-	struct hc_request request = {
-		.method = "POST",
-		.url = url,
-		.headers = headers,
-		.body = body,
-		.body_len = strlen(body),
-		.connect_ms = PLACER_CONNECT_MS,
-		.total_ms = PLACER_CALL_MS,
-		.fresh = true,
-		.close = true,
+	struct way_request request = {
+		.http = {.method = "POST",
+			 .url = url,
+			 .headers = headers,
+			 .body = body,
+			 .body_len = strlen(body),
+			 .connect_ms = PLACER_CONNECT_MS,
+			 .total_ms = PLACER_CALL_MS,
+			 .fresh = true,
+			 .close = true},
+		.addr = order->addr,
 	};
 
 	met_add(met_counter("bg_orders_total", "order=\"place\""), 1);
-	order->call = hc_start(ctrl->hc, &request, &placer_ops, order);
+	order->call = way_start(ctrl->way, &request, &placer_ops, order);
 	g_free(url);
 	g_free(body);
 }
--- a/router/poll.c
+++ b/router/poll.c
@@ -32,7 +32,7 @@
 	struct poll *poll;
 	char *endpoint;	 /* incarnation of the engine */
 	int64_t born_ms; /* start time of that incarnation, Unix time in milliseconds */
-	struct hc_call *call;
+	struct way_call *call;
 };
 
 struct poll {
@@ -58,7 +58,7 @@
 	struct poll_call *call = data;
 
 	if (call->call)
-		hc_cancel(call->call);
+		way_cancel(call->call);
 	g_free(call->endpoint);
 	g_free(call);
 }
@@ -91,19 +91,22 @@
 	struct poll_call *call = g_new0(struct poll_call, 1);
 	char *url =
 		g_strdup_printf("http://%s%s", rec->addr, ctrl->router->seam->engine.report_path());
-	struct hc_request request = {
-		.method = "GET",
-		.url = url,
-		.connect_ms = POLL_CALL_MS,
-		.total_ms = POLL_CALL_MS,
-		.close = pass_duration_us(poll->pass_engines) > tmr_from_ms(POLL_KEEPALIVE_MS),
+	struct way_request request = {
+		.http = {.method = "GET",
+			 .url = url,
+			 .connect_ms = POLL_CALL_MS,
+			 .total_ms = POLL_CALL_MS,
+			 .close = pass_duration_us(poll->pass_engines) >
+				  tmr_from_ms(POLL_KEEPALIVE_MS)},
+		.addr = rec->addr,
+		.harmless = true,
 	};
 
 	call->poll = poll;
 	call->endpoint = g_strdup(rec->incarnation);
 	call->born_ms = rec->born_ms;
 	g_ptr_array_add(poll->calls, call);
-	call->call = hc_start(ctrl->hc, &request, &poll_ops, call);
+	call->call = way_start(ctrl->way, &request, &poll_ops, call);
 	g_free(url);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -61,6 +61,7 @@
 struct router_view {
 	struct rt_conf *conf; /* Configuration in force; NULL if none has been received */
 	GPtrArray *endpoints; /* Endpoints of the system, as struct ep_rec */
+	GPtrArray *gateways;  /* Hosts that may open tunnels, as struct gws_host */
 	int hosts;	      /* Number of hosts of this system, including this one */
 	int64_t fence;	      /* Fencing number for orders to engines; -1 if none is known */
 	bool listed; /* Whether the lists of endpoints and hosts have been read completely */
@@ -168,6 +169,11 @@
 /* Posts that another host suspects the endpoint. Called from the control thread. */
 void traf_post_suspect(struct traf *traf, const char *endpoint, int64_t for_ms, const char *why);
 
+struct gateway;
+
+/* Returns the tunnels of this host. */
+struct gateway *traf_gateway(const struct traf *traf);
+
 /* Returns the number of requests that have not ended. May be called from any thread. */
 unsigned int traf_open_requests(const struct traf *traf);
 
--- a/router/stall.c
+++ b/router/stall.c
@@ -2,7 +2,6 @@
 #include "base/tmr.h"
 #include "router/ctrl.h"
 #include "router/traffic_head.h"
-#include "router/traffic_reach.h"
 #include "router/traffic_rest.h"
 
 #include <string.h>
@@ -69,26 +68,33 @@
 static const struct hc_ops stall_check_ops = {.on_head = stall_on_head,
 					      .on_done = stall_on_checked};
 
-/* Starts a request for the report of the endpoint, which also serves as a liveness check. */
-static struct hc_call *stall_call(struct traf *traf, struct traf_ep *ep, int64_t timeout_ms,
-				  const struct hc_ops *ops)
+/*
+ * Starts a request for the report of the endpoint, which also serves as a liveness check. gateway:
+ * name of the host to call through, or NULL.
+ */
+static struct way_call *stall_call(struct traf *traf, struct traf_ep *ep, int64_t timeout_ms,
+				   const char *gateway, const struct hc_ops *ops)
 {
 	struct stall *stall = g_new0(struct stall, 1);
-	struct hc_request request = {.method = "GET",
-				     .connect_ms = timeout_ms,
-				     .total_ms = timeout_ms,
-				     .fresh = true,
-				     .close = true};
+	struct way_request request = {.http = {.method = "GET",
+					       .connect_ms = timeout_ms,
+					       .total_ms = timeout_ms,
+					       .fresh = true,
+					       .close = true},
+				      .addr = ep->rec->addr,
+				      .gateway = gateway,
+				      .harmless = ops == &stall_report_ops,
+				      .one_way = ops == &stall_check_ops};
 	char *url = g_strdup_printf("http://%s%s", ep->rec->addr,
 				    traf->router->seam->engine.report_path());
-	struct hc_call *call;
+	struct way_call *call;
 
 	stall->traf = traf;
 	stall->ep = ep;
 	stall->began_us = tmr_now();
 	ep->refs++;
-	request.url = url;
-	call = hc_start(traf->hc, &request, ops, stall);
+	request.http.url = url;
+	call = way_start(traf->way, &request, ops, stall);
 	g_free(url);
 	return call;
 }
@@ -122,18 +128,19 @@
 	    !traf_rest_may_call(ep) || !stall_allow_check(traf, now_us))
 		return;
 	ep->check_us = now_us;
-	ep->check = stall_call(traf, ep, STALL_CHECK_MS, &stall_check_ops);
+	ep->check = stall_call(traf, ep, STALL_CHECK_MS, NULL, &stall_check_ops);
 }
 
 /* Requests the report of the first stage of a silent pipeline, unless that was done lately. */
-static void stall_request_report(struct traf *traf, struct traf_ep *first, int64_t now_us)
+static void stall_request_report(struct traf *traf, struct traf_ep *first, const char *gateway,
+				 int64_t now_us)
 {
 	if (first->report ||
 	    !wt_is_due(&traf->watch, &first->report_calls, STALL_REPORT_INTERVAL_US, now_us) ||
 	    !traf_rest_may_call(first) || !wt_take_call(&traf->watch, now_us))
 		return;
 	wt_on_call(&traf->watch, &first->report_calls, now_us);
-	first->report = stall_call(traf, first, STALL_REPORT_MS, &stall_report_ops);
+	first->report = stall_call(traf, first, STALL_REPORT_MS, gateway, &stall_report_ops);
 }
 
 /*
@@ -155,7 +162,7 @@
  * reliably, but is about 200 ms old; guessing a stage would exclude working endpoints.
  * Liveness checks of the other stages find a dead one faster, though less reliably.
  */
-void stall_find_stage(struct traf *traf, const struct traf_target *target)
+void stall_find_stage(struct traf *traf, const struct traf_target *target, const char *gateway)
 {
 	int64_t now_us = tmr_now();
 
@@ -163,7 +170,7 @@
 		if (traf_accept_report(traf, target->stages[i].ep))
 			return;
 	}
-	stall_request_report(traf, target->stages[0].ep, now_us);
+	stall_request_report(traf, target->stages[0].ep, gateway, now_us);
 	for (int i = 1; i < target->count; i++)
 		stall_check(traf, target->stages[i].ep, now_us);
 }
@@ -247,7 +254,6 @@
 	(void)body;
 	(void)len;
 	stall->ep->check = NULL;
-	traf_reach_on_call(traf, stall->ep, stall->began_us, status > 0);
 	if (status == HTTP_OK)
 		stall_on_response(traf);
 	else if (wt_failure_counts(&traf->watch, &failure))
@@ -295,7 +301,6 @@
 	(void)err;
 	(void)sent;
 	stall->ep->report = NULL;
-	traf_reach_on_call(stall->traf, stall->ep, stall->began_us, status > 0);
 	if (status == HTTP_OK)
 		stall_on_response(stall->traf);
 	if (status != HTTP_OK || engine->parse_report(str_make(body, len), &report) < 0) {
--- a/router/state.c
+++ b/router/state.c
@@ -135,12 +135,20 @@
 	return MAX(until_us - now_us, 0) / TMR_US_PER_MS;
 }
 
-static json_t *state_endpoint(const struct traf_ep *ep, int64_t now_us)
+static const char *const state_verdicts[] = {
+	[REACH_ANSWERS] = "answers",
+	[REACH_UNCLEAR] = "unclear",
+	[REACH_NOT_HERE] = "not_here",
+	[REACH_SILENT] = "silent",
+};
+
+static json_t *state_endpoint(const struct traf *traf, const struct traf_ep *ep, int64_t now_us)
 {
 	const struct ep_rec *rec = ep->rec;
+	enum reach_verdict verdict = reach_judge(way_reach(traf->way), rec->addr);
 
 	return json_pack("{s:s, s:I, s:s, s:s, s:s, s:s?, s:s, s:i, s:i, s:i, s:f, s:f, s:I, s:I, "
-			 "s:I, s:i, s:I}",
+			 "s:I, s:i, s:I, s:s}",
 			 "id", rec->id, "born_ms", (json_int_t)rec->born_ms, "service",
 			 rec->service, "addr", rec->addr, "zone", rec->zone, "kind", rec->kind,
 			 "state", state_names[rec->state], "from", rec->layer_from, "to",
@@ -149,7 +157,8 @@
 			 (json_int_t)state_remaining_ms(ep->doubt.until_us, now_us), "suspected_ms",
 			 (json_int_t)state_remaining_ms(ep->suspect_us, now_us), "rest_ms",
 			 (json_int_t)state_remaining_ms(ep->rest.until_us, now_us), "permits",
-			 ep->limit.permits, "permits_used", (json_int_t)ep->limit_used);
+			 ep->limit.permits, "permits_used", (json_int_t)ep->limit_used, "reach",
+			 state_verdicts[verdict]);
 }
 
 /* Lists the endpoints that asked this host to send nothing for a while, and the remaining time. */
@@ -185,7 +194,7 @@
 
 	g_hash_table_iter_init(&iter, traf->eps);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(list, state_endpoint(value, now_us));
+		json_array_append_new(list, state_endpoint(traf, value, now_us));
 	return list;
 }
 
@@ -219,6 +228,18 @@
 	return list;
 }
 
+static void state_add_reach(json_t *json, const struct traf *traf)
+{
+	const struct reach *reach = way_reach(traf->way);
+
+	json_object_set_new(json, "endpoints_not_reached",
+			    json_integer(reach_count_not_here(reach)));
+	json_object_set_new(json, "isolated", json_boolean(reach_is_isolated(reach)));
+	json_object_set_new(json, "tunnels", json_integer(way_open_tunnels(traf->way)));
+	json_object_set_new(json, "tunnels_carried",
+			    json_integer(gateway_open_tunnels(traf->gateway)));
+}
+
 static void state_add_traffic_part(void *ctx)
 {
 	struct state *state = ctx;
@@ -227,6 +248,7 @@
 	char *text;
 
 	json_object_set_new(state->json, "requests", json_integer(traf->reqs->len));
+	state_add_reach(state->json, traf);
 	json_object_set_new(state->json, "endpoints", state_endpoints(traf, now_us));
 	json_object_set_new(state->json, "rests", state_rests(traf, now_us));
 	json_object_set_new(state->json, "ranges", state_ranges(traf, now_us));
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -81,10 +81,11 @@
 	traf->reqs = g_ptr_array_new();
 	traf->parked = g_queue_new();
 	hop_init(&traf->hop);
-	reach_init(&traf->reach);
 	loop_init(&traf->loop);
 	traf->hc = hc_new(&traf->loop);
 	hc_set_source(traf->hc, router->settings.source);
+	traf_reach_start(traf);
+	traf->gateway = gateway_new(&traf->loop, way_reach(traf->way), router->settings.source);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
 	pthread_create(&traf->thread, NULL, traf_main, traf);
@@ -99,6 +100,11 @@
 	return NULL;
 }
 
+struct gateway *traf_gateway(const struct traf *traf)
+{
+	return traf->gateway;
+}
+
 unsigned int traf_open_requests(const struct traf *traf)
 {
 	return ck_pr_load_uint(&traf->open);
@@ -143,6 +149,7 @@
 		return;
 	rt_conf_unref(view->conf);
 	g_ptr_array_unref(view->endpoints);
+	g_ptr_array_unref(view->gateways);
 	g_free(view);
 }
 
@@ -321,6 +328,7 @@
 	traf_set_hosts(traf, view->hosts);
 	traf->view_valid_us = MAX(traf->view_valid_us, view->synced_us);
 	traf_drop_unlisted(traf);
+	traf_reach_on_view(traf);
 	traf_update_budgets(traf);
 	if (view->conf)
 		traf_apply_limits(traf);
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -13,9 +13,10 @@
 #include "path/path.h"
 #include "quar/quar.h"
 #include "quar/served.h"
-#include "reach/reach.h"
 #include "router/crash.h"
+#include "router/gateway.h"
 #include "router/router.h"
+#include "router/way.h"
 #include "share/share.h"
 #include "watch/watch.h"
 
@@ -44,10 +45,10 @@
 	struct avoid_period
 		doubt; /* time for which the endpoint is not chosen, as it may be faulty */
 	int64_t last_unreachable_us; /* time of the last failure to connect, in us; 0: none */
-	int64_t last_data_us;	/* time of the last data from the endpoint as first stage, in us */
-	struct hc_call *report; /* report request under way; NULL: none */
+	int64_t last_data_us;	 /* time of the last data from the endpoint as first stage, in us */
+	struct way_call *report; /* report request under way; NULL: none */
 	struct wt_calls report_calls; /* requests for reports so far */
-	struct hc_call *check;	      /* liveness check under way; NULL: none */
+	struct way_call *check;	      /* liveness check under way; NULL: none */
 	int64_t check_us;	      /* time at which the last liveness check was sent, in us */
 	int64_t check_failed_us;   /* time of a failed liveness check, in us; 0: none since another
 				    * endpoint answered */
@@ -96,6 +97,8 @@
 	struct loop loop;
 	pthread_t thread;
 	struct hc *hc;		     /* HTTP client for calls to endpoints */
+	struct way *way;	     /* calls to endpoints, directly or through other hosts */
+	struct gateway *gateway;     /* tunnels that this host opens for others */
 	struct router_view *view;    /* last view from the control thread; NULL: none yet */
 	GHashTable *eps;	     /* endpoints by incarnation: char * -> struct traf_ep */
 	GHashTable *by_addr;	     /* listed endpoints by address: char * -> struct traf_ep */
@@ -126,8 +129,8 @@
 	int64_t any_data_us;	   /* time of the last head or data from any endpoint, in us */
 	int64_t start_us;	   /* time at which the traffic thread was started, in us */
 	unsigned int open;	   /* atomic: number of requests received and not yet freed */
-	struct reach reach;	   /* which endpoints answer this host */
 	bool alone;		   /* the log says that no endpoint answers this host */
+	bool hangs; /* connections to endpoints that are not reached here hang, not refused */
 	int64_t view_valid_us; /* last time at which the view was known to match the store, in us */
 };
 
@@ -175,8 +178,11 @@
 /* Undoes traf_target_acquire() and empties the target. */
 void traf_target_release(struct traf_target *target);
 
-/* Starts to determine which stage of a silent pipeline is at fault; see stall.c. */
-void stall_find_stage(struct traf *traf, const struct traf_target *target);
+/*
+ * Starts to determine which stage of a silent pipeline is at fault; see stall.c. gateway: name of
+ * the host through which the pipeline's first stage was called, or NULL.
+ */
+void stall_find_stage(struct traf *traf, const struct traf_target *target, const char *gateway);
 
 /*
  * Checks an endpoint that the first stage named as the cause of a failure: it may be dead, or only
@@ -240,6 +246,12 @@
  */
 bool traf_has_stream_through(const struct traf *traf, const struct traf_ep *ep);
 
+/*
+ * Returns the path of a request that shows whether the endpoint answers and that runs nothing
+ * there: the report or the health check. Free with g_free().
+ */
+char *traf_probe_path(const struct traf *traf, const struct traf_ep *ep);
+
 /* Returns the number of an availability zone, from 1; an unknown name gets the next number. */
 int traf_zone_number(struct traf *traf, const char *name);
 
@@ -315,6 +327,15 @@
  */
 int64_t txn_answer_duration_us(const struct txn *txn, const struct quar_id *id);
 
+/*
+ * Endpoints are not reached directly any more, and connections to them hang: if the request waits
+ * for an answer over such a connection, it is sent again through another host, if it may be.
+ */
+void txn_on_lost_connections(struct txn *txn);
+
+/* Does the same for a request whose connection leads through that host. */
+void txn_on_gateway_lost(struct txn *txn, const char *gateway);
+
 /* Ends the request if its caller has closed the connection. */
 void txn_on_sweep(struct txn *txn);
 
--- a/router/traffic_fault.c
+++ b/router/traffic_fault.c
@@ -14,6 +14,16 @@
 	TRAF_REPORT_KEEP_US = 500000
 };
 
+char *traf_probe_path(const struct traf *traf, const struct traf_ep *ep)
+{
+	const struct rt_service *service =
+		g_hash_table_lookup(traf->view->conf->services, ep->rec->service);
+
+	if (!service || rt_is_layered(service))
+		return g_strdup(traf->router->seam->engine.report_path());
+	return g_strdup(service->health_path ? service->health_path : "/");
+}
+
 static void traf_log_fault(const struct traf_ep *ep, const char *event, int64_t for_us,
 			   const char *why, const char *request)
 {
@@ -61,6 +71,9 @@
 	if (ep->suspect_us + TRAF_FAULT_STEP_US >= tmr_now() + for_us)
 		return;
 	traf_mark_faulty_here(traf, ep, for_us, why, request);
+	/* A host that no endpoint answers must not take sound endpoints from the others. */
+	if (reach_is_alone(way_reach(traf->way)))
+		return;
 	suspect_post(traf->router->ctrl, ep->rec->incarnation, for_us / TMR_US_PER_MS, why);
 }
 
--- a/router/traffic_reach.h
+++ b/router/traffic_reach.h
@@ -1,21 +1,19 @@
 #ifndef ROUTER_TRAFFIC_REACH_H
 #define ROUTER_TRAFFIC_REACH_H
 
-#include <stdbool.h>
-#include <stdint.h>
-
 /*
- * Whether endpoints answer this host, in the traffic thread: passes the results of its calls to
- * reach/ and logs when no endpoint answers any more, and when one does again.
+ * Which endpoints this host reaches, in the traffic thread: what follows for requests under way
+ * when that changes, and the log lines and gauges.
  */
 struct traf;
-struct traf_ep;
 
-/* A call to the endpoint, begun at began_us, has ended or had the head of its answer. */
-void traf_reach_on_call(struct traf *traf, const struct traf_ep *ep, int64_t began_us,
-			bool answered);
+/* Creates the thread's ways to endpoints. */
+void traf_reach_start(struct traf *traf);
+
+/* A new view has been taken over. */
+void traf_reach_on_view(struct traf *traf);
 
-/* Forgets old failures and updates the gauge. */
+/* Looks after calls and updates the gauges. */
 void traf_reach_on_sweep(struct traf *traf);
 
 #endif
--- a/router/txn.c
+++ b/router/txn.c
@@ -4,7 +4,6 @@
 #include "router/txn_int.h"
 #include "router/traffic_head.h"
 #include "router/traffic_limit.h"
-#include "router/traffic_reach.h"
 
 #include <ck_pr.h>
 #include <stdio.h>
@@ -126,7 +125,7 @@
 		return;
 	bud_on_request(traf_budget(traf, txn->service->name), txn->began_us);
 	txn_charge_share(txn);
-	if (!txn_admit_by_load(txn))
+	if (!txn_admit_by_reach(txn) || !txn_admit_by_load(txn))
 		return;
 	fwd_start(&txn->fwd, tmr_now());
 }
@@ -220,7 +219,9 @@
 	struct traf *traf = txn->traf;
 	const struct seam_wire *wire = &traf->router->seam->wire;
 	struct seam_forward forward = {.urgency = txn->urgency};
-	struct hc_request request = {.connect_ms = TXN_CONNECT_MS, .fresh = true, .close = true};
+	struct way_request request = {
+		.http = {.connect_ms = TXN_CONNECT_MS, .fresh = true, .close = true},
+		.id = txn->request.id};
 	GPtrArray *headers;
 	char *pipeline = NULL;
 	char *url;
@@ -247,20 +248,21 @@
 	forward.resume_after = resume_after;
 	headers = wire->make_headers(&txn->request, &forward);
 	url = g_strdup_printf("http://%s/", txn->target.stages[0].ep->rec->addr);
-	request.method = hd_method(txn->call);
-	request.url = url;
-	request.target = hd_target(txn->call);
-	request.headers = (const char *const *)headers->pdata;
-	if (txn->body_len > 0 || strcmp(request.method, "POST") == 0) {
-		request.body = txn->body;
-		request.body_len = txn->body_len;
+	request.addr = txn->target.stages[0].ep->rec->addr;
+	request.quick = !txn->target.layered;
+	request.http.method = hd_method(txn->call);
+	request.http.url = url;
+	request.http.target = hd_target(txn->call);
+	request.http.headers = (const char *const *)headers->pdata;
+	if (txn->body_len > 0 || strcmp(request.http.method, "POST") == 0) {
+		request.http.body = txn->body;
+		request.http.body_len = txn->body_len;
 	}
 	txn->earlier_duration_us += txn_attempt_duration_us(txn);
 	txn->head_received = false;
 	txn->part_received = false;
 	txn->broken_at = NULL;
 	txn->last_activity_us = tmr_now();
-	txn->attempt_us = txn->last_activity_us;
 	txn->attempt_boot_us = tmr_boot_now();
 	traf_limit_use_permit(traf, txn->target.stages[0].ep, txn_account_name(txn));
 	rest_on_sent(&txn->target.stages[0].ep->rest, txn->last_activity_us);
@@ -268,7 +270,7 @@
 	if (txn->sent_us == 0)
 		txn->sent_us = txn->last_activity_us;
 	txn_log_sent(txn, attempt, pipeline, resume_after);
-	txn->attempt = hc_start(traf->hc, &request, &txn_hc_ops, txn);
+	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, txn);
 	g_ptr_array_unref(headers);
 	g_free(url);
 	g_free(pipeline);
@@ -286,6 +288,8 @@
 
 	if (txn_reaches_crash_limit(txn))
 		return FWD_EQUARANTINED;
+	if (reach_is_isolated(way_reach(txn->traf->way)))
+		return FWD_ENOENDPOINT;
 	if (txn_pick(txn, PA_DOUBTED, &target) < 0)
 		return FWD_ENOENDPOINT;
 	traf_target_release(&target);
@@ -294,10 +298,10 @@
 		       : FWD_EBUDGET;
 }
 
-static void txn_cancel_call(struct hc_call **call)
+static void txn_cancel_call(struct way_call **call)
 {
 	if (*call)
-		hc_cancel(*call);
+		way_cancel(*call);
 	*call = NULL;
 }
 
@@ -371,6 +375,20 @@
 		avoid_on_served(&txn->target.stages[i].ep->doubt, txn->last_activity_us);
 }
 
+/* Logs that the answer comes through another host. */
+static void txn_log_gateway(const struct txn *txn)
+{
+	const char *gateway = txn->attempt ? way_gateway(txn->attempt) : NULL;
+
+	if (!gateway)
+		return;
+	jl_begin(JL_INFO, "answer_through");
+	jl_str("id", txn->request.id);
+	jl_str("gateway", gateway);
+	jl_str("endpoint", txn->target.count > 0 ? txn->target.stages[0].ep->rec->id : NULL);
+	jl_end();
+}
+
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
 {
 	struct txn *txn = ctx;
@@ -379,10 +397,9 @@
 	txn->head_received = true;
 	txn->head_us = tmr_now();
 	txn->traf->any_data_us = tmr_now();
+	txn_log_gateway(txn);
 	seam_answer_finish(&txn->answer);
 	txn->traf->router->seam->wire.read_answer(status, headers, txn->request.id, &txn->answer);
-	if (txn->target.count > 0)
-		traf_reach_on_call(txn->traf, txn->target.stages[0].ep, txn->attempt_us, true);
 	if (txn->target.count > 0)
 		traf_head_of_request(txn->traf, txn->target.stages[0].ep, &txn->answer,
 				     txn->attempt_boot_us, txn->request.id);
@@ -439,8 +456,6 @@
 	(void)len;
 	txn->attempt = NULL;
 	txn_cancel(txn);
-	if (!txn->head_received && txn->target.count > 0)
-		traf_reach_on_call(txn->traf, txn->target.stages[0].ep, txn->attempt_us, false);
 	if (failed) {
 		jl_begin(JL_UNLIMITED, "attempt_failed");
 		jl_str("id", txn->request.id);
--- a/router/txn_admit.c
+++ b/router/txn_admit.c
@@ -22,7 +22,8 @@
 	 * within some ms.
 	 */
 	TXN_LIMIT_WAIT_US = 1000000,
-	TXN_RETRY_US = 400000, /* Retry-After in us if no endpoint is usable at present */
+	TXN_RETRY_US = 400000,		 /* Retry-After in us if no endpoint is usable at present */
+	TXN_RETRY_ISOLATED_US = 1000000, /* mean Retry-After in us if no host reaches endpoints */
 	/*
 	 * Retry-After in us of a host that received no configuration while the request waited:
 	 * outages of the store last seconds, and a caller retries only once.
@@ -163,6 +164,22 @@
 	met_add(met_counter("bg_overload_refused_total", labels), 1);
 }
 
+/*
+ * The callers of all hosts that were cut off together must not come back together, so the times
+ * that they are told spread.
+ */
+bool txn_admit_by_reach(struct txn *txn)
+{
+	struct traf *traf = txn->traf;
+
+	if (!reach_is_isolated(way_reach(traf->way)))
+		return true;
+	met_add(met_counter("bg_isolated_refused_total", ""), 1);
+	txn_deny(txn, STATUS_UNAVAILABLE, "not_reached",
+		 (int64_t)((0.5 + rnd_uniform(&traf->seed)) * TXN_RETRY_ISOLATED_US));
+	return false;
+}
+
 bool txn_admit_by_load(struct txn *txn)
 {
 	struct adm *adm =
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -30,13 +30,12 @@
 	struct rt_conf *conf;		  /* configuration at admission; a reference */
 	struct fwd fwd;			  /* state machine of the request */
 	struct tmr timer;		  /* timer of fwd */
-	struct hc_call *attempt;	  /* attempt under way; NULL: none */
-	struct hc_call *order;		  /* order under way that replaces stages; NULL: none */
+	struct way_call *attempt;	  /* attempt under way; NULL: none */
+	struct way_call *order;		  /* order under way that replaces stages; NULL: none */
 	struct traf_target target;	  /* endpoints of the latest attempt */
 	struct traf_target repair;	  /* pipeline that the order under way asks for */
 	int repairs;			  /* number of orders sent for this request */
 	int64_t order_us;		  /* time at which the last order was sent, in us */
-	int64_t attempt_us;		  /* time at which the last attempt was sent, in us */
 	int64_t attempt_boot_us;  /* time at which the last attempt was sent, by tmr_boot_now() */
 	int64_t last_activity_us; /* time at which the last attempt was sent or last brought data,
 				   * in us */
@@ -87,6 +86,12 @@
  */
 bool txn_admit_by_load(struct txn *txn);
 
+/*
+ * Denies the request if neither this host nor others reach endpoints at present; returns whether it
+ * was admitted.
+ */
+bool txn_admit_by_reach(struct txn *txn);
+
 /* Answers the caller with an error of the router's own. retry_us 0: no Retry-After. */
 void txn_reply_error(struct txn *txn, int status, const char *code, int64_t retry_us);
 
--- a/router/txn_repair.c
+++ b/router/txn_repair.c
@@ -84,11 +84,46 @@
 	       now_us - txn->target.stages[0].ep->last_data_us < TXN_PROGRESS_US;
 }
 
+/* Returns whether the attempt waits on a direct connection that hangs, by what is known of the
+ * ways. */
+static bool txn_has_lost_connection(const struct txn *txn)
+{
+	const struct traf *traf = txn->traf;
+
+	if (!txn->attempt || txn->target.count == 0 || way_gateway(txn->attempt) || !traf->hangs)
+		return false;
+	return reach_choose(way_reach(traf->way), txn->target.stages[0].ep->rec->addr) ==
+	       REACH_TUNNEL;
+}
+
+void txn_on_lost_connections(struct txn *txn)
+{
+	if (!txn_has_lost_connection(txn) || tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+		return;
+	txn_log_silent(txn, "not_reached", NULL);
+	fwd_abandon_attempt(&txn->fwd, tmr_now());
+}
+
+void txn_on_gateway_lost(struct txn *txn, const char *gateway)
+{
+	const char *present = txn->attempt ? way_gateway(txn->attempt) : NULL;
+
+	if (!present || strcmp(present, gateway) != 0 ||
+	    tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+		return;
+	txn_log_silent(txn, "gateway_lost", gateway);
+	fwd_abandon_attempt(&txn->fwd, tmr_now());
+}
+
 bool txn_on_silent(void *ctx)
 {
 	struct txn *txn = ctx;
 	int64_t now_us = tmr_now();
 
+	if (txn_has_lost_connection(txn)) {
+		txn_log_silent(txn, "not_reached", NULL);
+		return false;
+	}
 	if (!txn->target.layered) {
 		txn_exclude_endpoint(txn, txn->target.stages[0].ep);
 		penalty_on_failed(&txn->target.stages[0].ep->failing, now_us);
@@ -104,7 +139,8 @@
 	if (txn_faulty_stage(txn) >= 0)
 		txn_repair_pipeline(txn);
 	else
-		stall_find_stage(txn->traf, &txn->target);
+		stall_find_stage(txn->traf, &txn->target,
+				 txn->attempt ? way_gateway(txn->attempt) : NULL);
 	return true;
 }
 
@@ -170,12 +206,14 @@
 {
 	const struct seam *seam = txn->traf->router->seam;
 	const char *headers[] = {"Content-Type: application/json", NULL};
-	struct hc_request request = {.method = "POST",
-				     .headers = headers,
-				     .connect_ms = TXN_ORDER_CONNECT_MS,
-				     .total_ms = TXN_ORDER_MS,
-				     .fresh = true,
-				     .close = true};
+	struct way_request request = {.http = {.method = "POST",
+					       .headers = headers,
+					       .connect_ms = TXN_ORDER_CONNECT_MS,
+					       .total_ms = TXN_ORDER_MS,
+					       .fresh = true,
+					       .close = true},
+				      .addr = txn->target.stages[0].ep->rec->addr,
+				      .id = txn->request.id};
 	char *pipeline;
 	char *body;
 	char *url;
@@ -200,9 +238,9 @@
 	body = seam->engine.make_repath(txn->request.id, pipeline, txn->traf->view->fence);
 	url = g_strdup_printf("http://%s%s", txn->target.stages[0].ep->rec->addr,
 			      seam->engine.order_path());
-	request.url = url;
-	request.body = body;
-	request.body_len = strlen(body);
+	request.http.url = url;
+	request.http.body = body;
+	request.http.body_len = strlen(body);
 	txn->order_us = tmr_now();
 	jl_begin(JL_INFO, "repair");
 	jl_str("id", txn->request.id);
@@ -210,7 +248,7 @@
 	jl_int("fence", txn->traf->view->fence);
 	jl_end();
 	met_add(met_counter("bg_orders_total", "order=\"repair\""), 1);
-	txn->order = hc_start(txn->traf->hc, &request, &txn_order_ops, txn);
+	txn->order = way_start(txn->traf->way, &request, &txn_order_ops, txn);
 	g_free(pipeline);
 	g_free(body);
 	g_free(url);
@@ -326,7 +364,7 @@
 void txn_cancel_order(struct txn *txn)
 {
 	if (txn->order)
-		hc_cancel(txn->order);
+		way_cancel(txn->order);
 	txn->order = NULL;
 	traf_target_release(&txn->repair);
 }
--- /dev/null
+++ b/router/way.h
@@ -0,0 +1,84 @@
+#ifndef ROUTER_WAY_H
+#define ROUTER_WAY_H
+
+#include "base/hc.h"
+#include "reach/gateways.h"
+#include "reach/reach.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Calls to endpoints, by whatever way leads there: over a connection of this host, or through a
+ * tunnel of another host where this one does not reach the endpoint. Every call of a thread to an
+ * endpoint goes through here, so its results are what reach/ judges by, and a failure that is
+ * passed to the caller of this module was seen by two hosts wherever there are two. A call that
+ * needs no tunnel costs nothing but the note of its result.
+ *
+ * Each thread that calls endpoints has an instance, and all functions must be called in that
+ * thread.
+ */
+struct way;
+struct way_call;
+
+/* What the owner is told, and asked. All may be NULL. */
+struct way_ops {
+	/*
+	 * The endpoint at that address is not reached here any more, though others reach it. hangs:
+	 * connections are not refused but nothing arrives, so open ones are lost, too.
+	 */
+	void (*on_lost)(void *ctx, const char *addr, bool hangs);
+
+	/* Tunnels through the host of that name don't work any more. */
+	void (*on_gateway_lost)(void *ctx, const char *gateway);
+
+	/*
+	 * Returns the path of a request that shows whether the endpoint at that address answers and
+	 * that runs nothing there; NULL: the endpoint must not be called now. Free with g_free().
+	 */
+	char *(*probe_path)(void *ctx, const char *addr);
+};
+
+/* A call. The texts and the body may be freed once it has been started. */
+struct way_request {
+	struct hc_request http; /* url must name addr */
+	const char *addr;	/* address of the endpoint */
+	const char *id; /* id of the caller's request, for the log of a gateway; may be NULL */
+	const char
+		*gateway; /* name of the host through which to call, if that is possible; or NULL */
+	bool harmless;	  /* may arrive twice: a report; nothing is run by it */
+	bool one_way;	  /* must fail soon rather than be tried by a second way */
+	bool quick; /* usually answered within 0.1 s; without an answer the endpoint is probed */
+};
+
+/* Creates an instance. self is the name, zone the availability zone of this host. */
+struct way *way_new(struct loop *loop, struct hc *hc, const char *self, const char *zone,
+		    const struct way_ops *ops, void *ctx);
+void way_free(struct way *way);
+
+/* Takes over the hosts that may open tunnels (struct gws_host). */
+void way_set_gateways(struct way *way, const GPtrArray *gateways);
+
+/* Takes over the set of addresses of the endpoints that are listed. */
+void way_set_endpoints(struct way *way, GHashTable *addrs);
+
+/* Starts a call, as hc_start() does. */
+struct way_call *way_start(struct way *way, const struct way_request *request,
+			   const struct hc_ops *ops, void *ctx);
+
+/* Cancels a call, as hc_cancel() does. */
+void way_cancel(struct way_call *call);
+
+/* Looks after calls and probes; to be called each 0.1 s or so. */
+void way_sweep(struct way *way, int64_t now_us);
+
+/* Returns the name of the host through which the call goes, or NULL if it is direct. */
+const char *way_gateway(const struct way_call *call);
+
+/* What is known of the ways of this host; see reach/reach.h. */
+const struct reach *way_reach(const struct way *way);
+
+/* Returns the number of tunnels that this host uses now. */
+int way_open_tunnels(const struct way *way);
+
+#endif
