--- a/base/hc.c
+++ b/base/hc.c
@@ -421,7 +421,7 @@
 
 	(void)now_us;
 	while (hc->canceled->len > 0)
-		hc_call_free(hc->canceled->pdata[0]);
+		hc_call_free(g_ptr_array_steal_index_fast(hc->canceled, 0));
 	for (guint i = 0; i < hc->deferred->len; i++) {
 		struct hc_call *call = hc->deferred->pdata[i];
 
--- a/router/gateway.c
+++ b/router/gateway.c
@@ -341,10 +341,22 @@
 	gateway_watch(&tunnel->endpoint);
 }
 
+/* Returns false if the socket can't have the address that connections shall come from. */
+static bool gateway_bind_source(const struct gateway *gateway, int fd)
+{
+	struct sockaddr_in from;
+
+	if (!gateway->source[0])
+		return true;
+	if (addr_parse(gateway->source, &from) < 0)
+		return false;
+	from.sin_port = 0;
+	return bind(fd, (struct sockaddr *)&from, sizeof(from)) == 0;
+}
+
 /* Starts to connect to the endpoint. Returns the socket, or -1. */
 static int gateway_connect(const struct gateway *gateway, const char *addr)
 {
-	struct sockaddr_in from;
 	struct sockaddr_in to;
 	int fd;
 
@@ -353,11 +365,8 @@
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return -1;
-	if (gateway->source[0] && addr_parse(gateway->source, &from) == 0) {
-		from.sin_port = 0;
-		bind(fd, (struct sockaddr *)&from, sizeof(from));
-	}
-	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 && errno != EINPROGRESS) {
+	if (!gateway_bind_source(gateway, fd) ||
+	    (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 && errno != EINPROGRESS)) {
 		close(fd);
 		return -1;
 	}
