way: the list of endpoints is read only when one has to be looked for; calls are kept while their owner is told

Each view copied all addresses in both threads, and each change of the list of hosts selected gateways anew: 3,001 endpoints and 984 hosts ten times a second while all start. Now the owner lists its endpoints when asked, and gateways are selected once a second at most. A call whose owner is told of lost ways while it is in one of its own callbacks is freed after that.

--- a/regress/proc/soak.sh
+++ b/regress/proc/soak.sh
@@ -9,6 +9,7 @@
 python3 soak.py --seeds 903 --seconds 12 --rests --keep
 python3 soak.py --seeds 1100 --seconds 8 --classes --keep
 python3 soak.py --seeds 500-501 --seconds 12 --copies --keep
+python3 soak.py --seeds 2000 --seconds 10 --hosts 4 --cuts --keep
 while read -r seed _; do
 	case $seed in
 	'#'* | '') ;;
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,7 +1,7 @@
 """Randomized fault injection soak test of bgrouterd, run with real processes.
 
 python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits]
-                               [--rests] [--classes] [--keep]
+                               [--rests] [--classes] [--cuts] [--keep]
 
 Each seed gives one run. Callers send streams and plain requests over persistent connections. Meanwhile
 hosts are killed, stopped, paused and started; engines stop answering, slow down, restart without layers or
@@ -21,6 +21,8 @@
   undisturbed hosts that have forwarded such an answer send no more in 4 s than the requirement allows
 - with --rests, endpoints also reject requests with a Retry-After time (a rest) and announce that they are
   leaving; an undisturbed host sends such an endpoint no more requests than the requirement allows
+- with --cuts, some or all hosts are also cut off from all or half of the endpoints, in each way that
+  gate.py knows
 """
 import argparse
 import collections
@@ -31,6 +33,7 @@
 import threading
 import time
 
+from gate import CUTS, Gate
 from limit import Period, max_in_window
 from rest import REST_REQUESTS_MAX, max_during_rest, rests, sent_after_drain
 from proxy import MODES, Proxy
@@ -173,7 +176,8 @@
 class Soak:
     """One run of a seed: the deployment, the faults in progress, and the records for the checks."""
 
-    def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False, rests=False):
+    def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False, rests=False,
+                 cuts=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -202,21 +206,25 @@
         self.copies = copies
         # time until which the store is unavailable because it is restored from a copy
         self.away_until = 0.0
+        self.cuts = cuts
+        self.cut_until = 0.0                              # time at which the cut of hosts ends; 0 if none
         self.links = {}                                   # link name -> Proxy
         self.link_until = {}                              # link name -> time at which its fault is cleared
         self.seen = {}                                    # host -> routes that it has served
         self.crasher = Crasher(self) if crashing else None
         base = self.stack.base
+        if cuts:
+            self.stack.sources = {h: "127.0.0.%d" % (11 + i) for i, h in enumerate(self.stack.hosts)}
         for i, host in enumerate(self.stack.hosts):
             self.links[host] = Proxy(base + 80 + i, self.stack.store_port)
             self.stack.store_via[host] = base + 80 + i
             self.add_link(host, base + 85 + i, self.stack.port(host, "control"))
         for i, point in enumerate(self.stack.points):
-            self.add_link(point[0], base + 60 + i, point[1])
+            self.add_link(point[0], base + 60 + i, point[1], Gate if cuts else Proxy)
 
-    def add_link(self, name, port, target):
+    def add_link(self, name, port, target, proxy=Proxy):
         """Routes connections to a host's control port, or to an endpoint, through a proxy."""
-        self.links["to " + name] = Proxy(port, target)
+        self.links["to " + name] = proxy(port, target)
         self.stack.known_as[name] = port
 
     def record_failure(self, what):
@@ -360,6 +368,23 @@
         if name[3:] in self.disturbed_until:
             self.mark_disturbed(self.stack.hosts, seconds + 5.0)
 
+    def gates(self):
+        return [self.links["to " + point[0]] for point in self.stack.points]
+
+    def fault_cut(self):
+        """Cuts some or all hosts off from all endpoints, or from half of them."""
+        if self.cut_until:
+            return
+        hosts = self.random.sample(self.stack.hosts, self.random.randint(1, len(self.stack.hosts)))
+        gates = self.gates()[::self.random.choice((1, 1, 2))]
+        how = self.random.choice(CUTS)
+        seconds = self.random.uniform(0.3, 6.0)
+        for gate in gates:
+            gate.cut([self.stack.sources[h] for h in hosts], how)
+        self.cut_until = time.monotonic() + seconds
+        self.exempt(hosts, seconds)
+        self.mark_disturbed(hosts, seconds + 1.0)
+
     def fault_config(self):
         route = "r%d" % len(self.stack.extra_routes)
         self.stack.extra_routes.append(route)
@@ -423,6 +448,10 @@
         if self.store_until and now >= self.store_until and "store" not in self.paused:
             self.stack.fault_store("ok")
             self.store_until = 0.0
+        if self.cut_until and now >= self.cut_until:
+            for gate in self.gates():
+                gate.mend()
+            self.cut_until = 0.0
         for host in [h for h, until in self.link_until.items() if now >= until]:
             self.links[host].set("pass")
             del self.link_until[host]
@@ -434,6 +463,7 @@
         weights["limit"] = 6 * self.limits
         weights["rest"] = 6 * self.rests
         weights["leaving"] = 3 * self.rests
+        weights["cut"] = 6 * self.cuts
         away = time.monotonic() < self.away_until
         names = [n for n in weights
                  if not ("engine" in self.paused and n in ("engine", "limit", "rest", "leaving")) and
@@ -468,11 +498,12 @@
             for name in until:
                 until[name] = 0.0
         self.store_until = self.store_until and 0.001
+        self.cut_until = self.cut_until and 0.001
 
         def all_repaired():
             self.repair_due(time.monotonic())
             return not (self.paused or self.dead or self.faulty or self.link_until or
-                        self.store_until)
+                        self.store_until or self.cut_until)
 
         eventually("all faults are repaired", all_repaired)
         for host in self.stack.hosts:
@@ -517,13 +548,14 @@
                         help="endpoints also ask for rests and announce that they leave")
     parser.add_argument("--classes", action="store_true",
                         help="also send streams of more and of less urgent classes")
+    parser.add_argument("--cuts", action="store_true", help="also cut hosts off from endpoints")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
         soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits,
-                    args.rests)
+                    args.rests, args.cuts)
         if args.classes:
             soak.stack.classes = {"urgent": 0, "later": 2}
         try:
--- a/router/ctrl.c
+++ b/router/ctrl.c
@@ -11,6 +11,8 @@
 	CTRL_HOST_WORDS = 3, /* Number of words in a host's entry in the store */
 	/* Interval of posting synced_us to the traffic thread, in milliseconds */
 	CTRL_SYNCED_MS = 1000,
+	/* Least interval between two selections of hosts that may open tunnels, in milliseconds */
+	CTRL_GATEWAYS_MS = 1000,
 	/*
 	 * If drain_ms is longer than CTRL_LEAVE_MS, changes of endpoints may be delayed by the
 	 * excess divided by CTRL_DELAY_DIVISOR.
@@ -23,10 +25,14 @@
 
 static void ctrl_on_tick(void *ctx, int64_t now_us);
 static void ctrl_post_view(struct ctrl *ctrl);
+static void ctrl_update_gateways(struct ctrl *ctrl, int64_t now_us);
 static void ctrl_host_free(gpointer data);
 static char *ctrl_probe_path(void *ctx, const char *addr);
 
-static const struct way_ops ctrl_way_ops = {.probe_path = ctrl_probe_path};
+static void ctrl_each_endpoint(void *ctx, way_addr_fn fn, void *fn_ctx);
+
+static const struct way_ops ctrl_way_ops = {.probe_path = ctrl_probe_path,
+					    .each_endpoint = ctrl_each_endpoint};
 
 /*
  * The store was restored from an older copy: writes that it acknowledged after the copy was made
@@ -429,6 +435,7 @@
 	placer_on_tick(ctrl->placer, now_us);
 	poll_on_tick(ctrl->poll, now_us);
 	way_sweep(ctrl->way, now_us);
+	ctrl_update_gateways(ctrl, now_us);
 	recall_on_tick(ctrl->recall, now_us);
 	hosts_on_tick(ctrl->host_list, now_us);
 	quarantine_on_tick(ctrl->quarantine, now_us);
@@ -450,8 +457,24 @@
 	return g_strdup(ctrl->router->seam->engine.report_path());
 }
 
-/* Selects the hosts that may open tunnels, if the list of hosts has changed. */
-static void ctrl_update_gateways(struct ctrl *ctrl)
+static void ctrl_each_endpoint(void *ctx, way_addr_fn fn, void *fn_ctx)
+{
+	const struct ctrl *ctrl = ctx;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ctrl->endpoints.entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!fn(fn_ctx, ((const struct ep_entry *)value)->rec->addr))
+			return;
+	}
+}
+
+/*
+ * Selects the hosts that may open tunnels, if the list of hosts has changed; not for each of the
+ * many changes while all hosts start.
+ */
+static void ctrl_update_gateways(struct ctrl *ctrl, int64_t now_us)
 {
 	const struct router_settings *s = &ctrl->router->settings;
 	GPtrArray *all;
@@ -459,9 +482,11 @@
 	gpointer name;
 	gpointer value;
 
-	if (ctrl->gateways_version == ctrl->host_changes.version)
+	if (ctrl->gateways_version == ctrl->host_changes.version ||
+	    (ctrl->gateways->len > 0 && now_us - ctrl->gateways_us < tmr_from_ms(CTRL_GATEWAYS_MS)))
 		return;
 	ctrl->gateways_version = ctrl->host_changes.version;
+	ctrl->gateways_us = now_us;
 	all = g_ptr_array_new_with_free_func(gws_host_free);
 	g_hash_table_iter_init(&iter, ctrl->hosts);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
@@ -473,20 +498,7 @@
 	ctrl->gateways = gws_select(all, s->name, s->zone);
 	g_ptr_array_unref(all);
 	way_set_gateways(ctrl->way, ctrl->gateways);
-}
-
-/* Tells the ways of this thread which endpoints are listed. */
-static void ctrl_update_way(struct ctrl *ctrl, const GPtrArray *endpoints)
-{
-	GHashTable *addrs = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; i < endpoints->len; i++) {
-		const struct ep_rec *rec = endpoints->pdata[i];
-
-		g_hash_table_add(addrs, rec->addr);
-	}
-	way_set_endpoints(ctrl->way, addrs);
-	g_hash_table_destroy(addrs);
+	ctrl_schedule_view(ctrl);
 }
 
 static void ctrl_post_view(struct ctrl *ctrl)
@@ -497,8 +509,7 @@
 	ctrl->endpoints.changed = false;
 	view->conf = ctrl->conf ? rt_conf_ref(ctrl->conf) : NULL;
 	view->endpoints = ep_snapshot(&ctrl->endpoints);
-	ctrl_update_way(ctrl, view->endpoints);
-	ctrl_update_gateways(ctrl);
+	way_on_list(ctrl->way, (int)view->endpoints->len);
 	view->gateways = g_ptr_array_ref(ctrl->gateways);
 	view->hosts = MAX((int)g_hash_table_size(ctrl->hosts), 1);
 	view->fence = ctrl->lead.newest;
--- a/router/ctrl.h
+++ b/router/ctrl.h
@@ -58,6 +58,7 @@
 	struct way *way;	 /* calls to engines, directly or through other hosts */
 	GPtrArray *gateways;	 /* Hosts that may open tunnels (struct gws_host) */
 	guint gateways_version;	 /* Number of the change of the list of hosts they are from */
+	int64_t gateways_us;	 /* Time at which they were selected, in microseconds; 0 if never */
 	GHashTable *store_calls; /* Set of the calls to the store in progress: struct store_call */
 	struct era era;		 /* Newest known era of the store */
 	int64_t start_us;	 /* Start time of the process, in microseconds */
--- a/router/traffic_reach.c
+++ b/router/traffic_reach.c
@@ -7,11 +7,13 @@
 static void traf_reach_on_lost(void *ctx, const char *addr, bool hangs);
 static void traf_reach_on_gateway_lost(void *ctx, const char *gateway);
 static char *traf_reach_probe_path(void *ctx, const char *addr);
+static void traf_reach_each_endpoint(void *ctx, way_addr_fn fn, void *fn_ctx);
 
 static const struct way_ops traf_way_ops = {
 	.on_lost = traf_reach_on_lost,
 	.on_gateway_lost = traf_reach_on_gateway_lost,
 	.probe_path = traf_reach_probe_path,
+	.each_endpoint = traf_reach_each_endpoint,
 };
 
 void traf_reach_start(struct traf *traf)
@@ -24,7 +26,7 @@
 void traf_reach_on_view(struct traf *traf)
 {
 	way_set_gateways(traf->way, traf->view->gateways);
-	way_set_endpoints(traf->way, traf->by_addr);
+	way_on_list(traf->way, (int)g_hash_table_size(traf->by_addr));
 }
 
 /*
@@ -60,6 +62,19 @@
 	return ep && traf_rest_may_call(ep) ? traf_probe_path(traf, ep) : NULL;
 }
 
+static void traf_reach_each_endpoint(void *ctx, way_addr_fn fn, void *fn_ctx)
+{
+	const struct traf *traf = ctx;
+	GHashTableIter iter;
+	gpointer addr;
+
+	g_hash_table_iter_init(&iter, traf->by_addr);
+	while (g_hash_table_iter_next(&iter, &addr, NULL)) {
+		if (!fn(fn_ctx, addr))
+			return;
+	}
+}
+
 static void traf_reach_log(struct traf *traf)
 {
 	const struct reach *reach = way_reach(traf->way);
--- a/router/way.c
+++ b/router/way.c
@@ -80,7 +80,6 @@
 	struct tmr tick;
 	GQueue unanswered;	/* quick direct calls without an answer, oldest first */
 	struct way_call *probe; /* probe under way; NULL: none */
-	GPtrArray *addrs;	/* addresses of the listed endpoints */
 	int64_t alone_probe_us; /* time of the last probe that shows whether any answers */
 	uint32_t seed;
 	int open;	  /* tunnels in use */
@@ -96,6 +95,7 @@
 static void way_send_direct(struct way_call *call);
 static void way_send_dial(struct way_call *call);
 static void way_probe_any(struct way *way);
+static void way_call_free(struct way_call *call);
 
 /*
  * Callbacks given to the HTTP client: of a call whose owner takes parts of the body, and of one
@@ -119,7 +119,6 @@
 	reach_init(&way->reach);
 	gws_init(&way->gws, zone);
 	g_queue_init(&way->unanswered);
-	way->addrs = g_ptr_array_new_with_free_func(g_free);
 	return way;
 }
 
@@ -130,7 +129,6 @@
 		way_cancel(way->probe);
 	reach_finish(&way->reach);
 	gws_finish(&way->gws);
-	g_ptr_array_unref(way->addrs);
 	g_free(way->self);
 	g_free(way);
 }
@@ -140,16 +138,24 @@
 	gws_set_hosts(&way->gws, gateways);
 }
 
-void way_set_endpoints(struct way *way, GHashTable *addrs)
+static bool way_add_addr(void *set, const char *addr)
 {
-	GHashTableIter iter;
-	gpointer addr;
+	g_hash_table_add(set, (char *)addr);
+	return true;
+}
 
+/* The whole list is read only if an endpoint has to be looked for in it. */
+void way_on_list(struct way *way, int n)
+{
+	GHashTable *addrs;
+
+	way->reach.known = n;
+	if (g_hash_table_size(way->reach.points) == 0)
+		return;
+	addrs = g_hash_table_new(g_str_hash, g_str_equal);
+	way->ops->each_endpoint(way->ctx, way_add_addr, addrs);
 	reach_keep_listed(&way->reach, addrs);
-	g_ptr_array_set_size(way->addrs, 0);
-	g_hash_table_iter_init(&iter, addrs);
-	while (g_hash_table_iter_next(&iter, &addr, NULL))
-		g_ptr_array_add(way->addrs, g_strdup(addr));
+	g_hash_table_destroy(addrs);
 }
 
 const struct reach *way_reach(const struct way *way)
@@ -234,6 +240,22 @@
 	g_free(call);
 }
 
+/* Keeps the call while its owner is told something, as the owner may cancel it then. */
+static void way_hold(struct way_call *call)
+{
+	call->callback_running = true;
+}
+
+/* Ends way_hold(). Returns false if the call was canceled, and is freed now. */
+static bool way_release(struct way_call *call)
+{
+	call->callback_running = false;
+	if (!call->canceled)
+		return true;
+	way_call_free(call);
+	return false;
+}
+
 static void way_copy_request(struct way_call *call, const struct way_request *from)
 {
 	struct hc_request *http = &call->request.http;
@@ -411,10 +433,12 @@
 	http.close = true;
 	call->http = hc_start(way->hc, &http, way_http_ops(call), call);
 	g_byte_array_unref(preamble);
+	way_hold(call);
 	if (call->direct_failed && !call->sent)
 		way_on_reached(call, call->began_us);
 	if (call->missed)
 		way_notify_gateway_lost(way, call->missed);
+	way_release(call);
 }
 
 static void way_on_tunnel(void *ctx, const struct tunnel_answer *answer)
@@ -438,9 +462,11 @@
 	call->cut_off = call->cut_off || answer->result == GWS_CUT_OFF;
 	if (!call->direct_failed)
 		call->err = answer->refused ? BASE_EREFUSED : BASE_ETIMEOUT;
+	way_hold(call);
 	if (answer->result == GWS_NO_ANSWER)
 		way_notify_gateway_lost(way, call->gateway);
-	way_send_dial(call);
+	if (way_release(call))
+		way_send_dial(call);
 }
 
 static void way_note_answer(struct way_call *call)
@@ -461,26 +487,21 @@
 	bool go_on = true;
 
 	call->headed = true;
+	way_hold(call);
 	way_note_answer(call);
-	call->callback_running = true;
-	if (call->ops->on_head)
+	if (call->ops->on_head && !call->canceled)
 		go_on = call->ops->on_head(call->ctx, status, headers);
-	call->callback_running = false;
-	go_on = go_on && !call->canceled;
-	if (!go_on)
-		way_call_free(call);
-	return go_on;
+	call->canceled = call->canceled || !go_on;
+	return way_release(call);
 }
 
 static void way_on_data(void *ctx, const char *data, size_t len)
 {
 	struct way_call *call = ctx;
 
-	call->callback_running = true;
+	way_hold(call);
 	call->ops->on_data(call->ctx, data, len);
-	call->callback_running = false;
-	if (call->canceled)
-		way_call_free(call);
+	way_release(call);
 }
 
 /*
@@ -615,6 +636,28 @@
 	g_free(url);
 }
 
+/* The choice of an endpoint to probe: the first one after some that are skipped, else the last one.
+ */
+struct way_any {
+	struct way *way;
+	guint skip; /* endpoints still to skip */
+	char *addr; /* chosen so far; NULL: none */
+};
+
+static bool way_choose_any(void *ctx, const char *addr)
+{
+	struct way_any *any = ctx;
+
+	if (reach_judge(&any->way->reach, addr) != REACH_SILENT) {
+		g_free(any->addr);
+		any->addr = g_strdup(addr);
+	}
+	if (any->skip == 0)
+		return any->addr == NULL;
+	any->skip--;
+	return true;
+}
+
 /*
  * Probes any endpoint that may answer if several others in a row did not. In quiet times no other
  * call would show whether those have ended or this host is cut off, and calls that may arrive only
@@ -622,22 +665,18 @@
  */
 static void way_probe_any(struct way *way)
 {
+	struct way_any any = {.way = way};
 	int64_t now_us = tmr_now();
-	guint n = way->addrs->len;
-	guint first = n > 0 ? rnd_next(&way->seed) % n : 0;
 
 	if (way->probe || now_us - way->alone_probe_us < WAY_ALONE_PROBE_US ||
 	    !reach_is_alone(&way->reach))
 		return;
 	way->alone_probe_us = now_us;
-	for (guint i = 0; i < n; i++) {
-		const char *addr = way->addrs->pdata[(first + i) % n];
-
-		if (reach_judge(&way->reach, addr) == REACH_SILENT)
-			continue;
-		way_probe(way, addr);
-		return;
-	}
+	any.skip = way->reach.known > 0 ? rnd_next(&way->seed) % (guint)way->reach.known : 0;
+	way->ops->each_endpoint(way->ctx, way_choose_any, &any);
+	if (any.addr)
+		way_probe(way, any.addr);
+	g_free(any.addr);
 }
 
 /* Probes endpoints that are not reached, until all answer directly again. */
--- a/router/way.h
+++ b/router/way.h
@@ -21,7 +21,10 @@
 struct way;
 struct way_call;
 
-/* What the owner is told, and asked. All may be NULL. */
+/* Is given the address of an endpoint; returns false to get no more. */
+typedef bool (*way_addr_fn)(void *ctx, const char *addr);
+
+/* What the owner is told, and asked. on_lost and on_gateway_lost may be NULL. */
 struct way_ops {
 	/*
 	 * The endpoint at that address is not reached here any more, though others reach it. hangs:
@@ -37,6 +40,9 @@
 	 * that runs nothing there; NULL: the endpoint must not be called now. Free with g_free().
 	 */
 	char *(*probe_path)(void *ctx, const char *addr);
+
+	/* Calls fn(fn_ctx, addr) for the address of each listed endpoint until it returns false. */
+	void (*each_endpoint)(void *ctx, way_addr_fn fn, void *fn_ctx);
 };
 
 /* A call. The texts and the body may be freed once it has been started. */
@@ -59,8 +65,8 @@
 /* Takes over the hosts that may open tunnels (struct gws_host). */
 void way_set_gateways(struct way *way, const GPtrArray *gateways);
 
-/* Takes over the set of addresses of the endpoints that are listed. */
-void way_set_endpoints(struct way *way, GHashTable *addrs);
+/* The list of endpoints has changed; n: number of listed endpoints. */
+void way_on_list(struct way *way, int n);
 
 /* Starts a call, as hc_start() does. */
 struct way_call *way_start(struct way *way, const struct way_request *request,
