--- a/reach/gateways.c
+++ b/reach/gateways.c
@@ -2,7 +2,6 @@
 #include "base/rnd.h"
 #include "base/str.h"
 
-#include <stdbool.h>
 #include <string.h>
 
 enum {
@@ -117,6 +116,7 @@
 			host->open = known->open;
 			host->stated = known->stated;
 			host->not_reached = known->not_reached;
+			host->cut_off = known->cut_off;
 			host->avoid_until_us = known->avoid_until_us;
 		}
 		g_ptr_array_add(fresh, host);
@@ -180,6 +180,20 @@
 	return best;
 }
 
+bool gws_none_reaches(const struct gws *gws, int64_t now_us)
+{
+	bool cut_off = false;
+
+	for (guint i = 0; i < gws->hosts->len; i++) {
+		const struct gws_host *host = gws->hosts->pdata[i];
+
+		if (host->avoid_until_us <= now_us)
+			return false;
+		cut_off = cut_off || host->cut_off;
+	}
+	return cut_off;
+}
+
 static int64_t gws_avoid_us(const struct gws_host *host, enum gws_result result)
 {
 	switch (result) {
@@ -205,11 +219,14 @@
 	if (result == GWS_OPENED) {
 		host->stated = stated;
 		host->not_reached = 0;
+		host->cut_off = false;
 		return;
 	}
 	if (result == GWS_NOT_REACHED)
 		host->not_reached++;
 	avoid_us = gws_avoid_us(host, result);
+	if (avoid_us > 0)
+		host->cut_off = result == GWS_CUT_OFF || result == GWS_NOT_REACHED;
 	if (avoid_us > 0)
 		host->avoid_until_us = MAX(host->avoid_until_us, now_us + avoid_us);
 }
--- a/reach/gateways.h
+++ b/reach/gateways.h
@@ -2,6 +2,7 @@
 #define REACH_GATEWAYS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 G_BEGIN_DECLS
@@ -30,12 +31,13 @@
 
 /* A possible gateway. */
 struct gws_host {
-	char *name;		/* name of the host */
-	char *addr;		/* address of its control thread */
-	char *zone;		/* its availability zone */
-	int open;		/* tunnels through it that this host has now */
-	int stated;		/* tunnels of all hosts that it had when it last answered */
-	int not_reached;	/* endpoints in a row that it did not reach */
+	char *name;	 /* name of the host */
+	char *addr;	 /* address of its control thread */
+	char *zone;	 /* its availability zone */
+	int open;	 /* tunnels through it that this host has now */
+	int stated;	 /* tunnels of all hosts that it had when it last answered */
+	int not_reached; /* endpoints in a row that it did not reach */
+	bool cut_off;	 /* the last answer showed that it is cut off itself, or seems to be */
 	int64_t avoid_until_us; /* not chosen until then */
 };
 
@@ -72,6 +74,12 @@
 struct gws_host *gws_choose(const struct gws *gws, const struct gws_host *tried, uint32_t *seed,
 			    int64_t now_us);
 
+/*
+ * Returns whether no gateway can be chosen, and not only because none answers: some are cut off
+ * themselves.
+ */
+bool gws_none_reaches(const struct gws *gws, int64_t now_us);
+
 /* Returns the host of that name, or NULL. */
 struct gws_host *gws_find(const struct gws *gws, const char *name);
 
--- a/reach/gateways_test.cc
+++ b/reach/gateways_test.cc
@@ -120,6 +120,24 @@
 	g_ptr_array_unref(all);
 }
 
+/* Guards against a host that never learns that nobody reaches an endpoint. */
+TEST(GatewaysTest, OnceAllAreCutOffNoneReaches)
+{
+	GPtrArray *all = make_hosts(3, 1);
+	gws gws;
+
+	init(&gws, all, 0, 1);
+	EXPECT_FALSE(gws_none_reaches(&gws, T));
+	gws_on_result(gws_find(&gws, "h1"), GWS_CUT_OFF, 0, T);
+	EXPECT_FALSE(gws_none_reaches(&gws, T));
+	gws_on_result(gws_find(&gws, "h2"), GWS_NO_ANSWER, 0, T);
+	EXPECT_TRUE(gws_none_reaches(&gws, T));
+	gws_on_result(gws_find(&gws, "h1"), GWS_NO_ANSWER, 0, T);
+	EXPECT_FALSE(gws_none_reaches(&gws, T));
+	gws_finish(&gws);
+	g_ptr_array_unref(all);
+}
+
 /* Guards against the loss of what is known of gateways whenever a host joins. */
 TEST(GatewaysTest, ANewListKeepsWhatIsKnown)
 {
--- a/router/way.c
+++ b/router/way.c
@@ -377,6 +377,7 @@
 	call->stage = WAY_STAGE_DIAL;
 	call->began_us = tmr_now();
 	if (!host) {
+		call->cut_off = call->cut_off || gws_none_reaches(&way->gws, call->began_us);
 		way_end_dial(call);
 		return;
 	}
