--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -2,6 +2,7 @@
 case guards against."""
 import base64
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -919,6 +920,59 @@
             raise Failure("%s ran %d times" % (request_id, runs))
 
 
+def case_crashing_popular(stack):
+    """Guards against a quarantine at all hosts for a harmless request that many callers send: a host that has not
+    served it since its start had just sent it to three engines that ended one after the other."""
+    stack.up()
+
+    def popular(host, name, events=5):
+        try:
+            return stack.ask(host, "/stream/x", name, timeout=10, Bronzegauge_Token_Counts="50,%d" % events)[0]
+        except (OSError, http.client.HTTPException):
+            return 0    # the stream was cut
+
+    def counted():
+        """Whether host-2 has put a request into quarantine by its own count that host-0 has served."""
+        served = {e["content"] for e in lines(stack, "host-0")
+                  if e["event"] == "ended" and e["id"].startswith("popular-0-host-0")}
+        return any(e["event"] == "quarantined" and e["content"] in served and e["from"] == "this host"
+                   for e in lines(stack, "host-2"))
+
+    def engine_in_use(ended):
+        """Returns the name of an engine that runs the first stage of streams of host-2, and has not ended yet."""
+        return next((e["id"].split("-")[1] for e in stack.state("host-2")["endpoints"]
+                     if e["service"] == "llm" and e["from"] == 0 and e["in_flight"] > 0 and
+                     e["id"].split("-")[1] not in ended), None)
+
+    for turn in range(5):
+        serves_all(stack)
+        for host in ("host-0", "host-1"):
+            expect("status", popular(host, "popular-0-%s-%d" % (host, turn)), 200)
+        stack.signal("host-2", signal.SIGKILL)
+        stack.procs["host-2"].wait()
+        stack.begin_host("host-2")
+        eventually("host-2 is ready", lambda: stack.is_ready("host-2"))
+        threads, ended = [], []
+        while len(ended) < 3:
+            for i in range(8):
+                threads.append(threading.Thread(target=popular, args=(
+                    "host-2", "popular-2-%d-%d" % (turn, len(threads)), 200)))
+                threads[-1].start()
+            eventually("another engine runs streams of host-2", lambda: engine_in_use(ended))
+            ended.append(engine_in_use(ended))
+            stack.fault_engine(ended[-1], "reborn")
+        for thread in threads:
+            thread.join()
+        if counted():
+            break
+    if not counted():
+        raise Failure("host-2 has not counted three crashes of the popular request")
+    for host in stack.hosts:
+        number = itertools.count()
+        eventually("%s serves the popular request" % host, lambda h=host: popular(
+            h, "popular-9-%s-%d" % (h, next(number))) == 200, patience_s=30)
+
+
 def case_crashing_account(stack):
     """Symptom: a client account's request was refused because of crashes caused by another account.
     Sequence: the request of one account is quarantined; another account sends the same body to the same path.
