A call that is still asking for a tunnel does not count as lost with direct connections; one function counts failing endpoints

A request that asked a gateway for longer than its allowed silence, 0.25 s, was taken for one that waits on a connection that hangs: it was abandoned, which counts as a run and charges the budget though nothing had been sent. Read, not seen; way_is_direct() tells them apart.

--- a/reach/reach.c
+++ b/reach/reach.c
@@ -97,28 +97,18 @@
 	return !point || point->silent_us == 0 || now_us - point->silent_us >= REACH_OPINION_US;
 }
 
-/* Counts the endpoints with this verdict whose latest failed call began after that time. */
-static int reach_count_failing(const struct reach *reach, enum reach_verdict verdict,
-			       int64_t after_us)
+/* Returns the bit of the verdict in a set of verdicts. */
+static unsigned int reach_bit(enum reach_verdict verdict)
 {
-	GHashTableIter iter;
-	gpointer value;
-	int n = 0;
-
-	g_hash_table_iter_init(&iter, reach->points);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct reach_point *point = value;
-
-		n += point->verdict == verdict && point->began_us > after_us;
-	}
-	return n;
+	return 1U << verdict;
 }
 
 /*
- * Counts the endpoints that have begun to fail since any was heard last; silent: only those that
- * other hosts don't reach either. Endpoints that failed before, and still do, tell nothing.
+ * Counts the endpoints with one of the verdicts whose first failed call since an answer, or whose
+ * latest one, began after that time.
  */
-static int reach_count_in_a_row(const struct reach *reach, bool silent)
+static int reach_count(const struct reach *reach, unsigned int verdicts, bool first,
+		       int64_t after_us)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -128,41 +118,44 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct reach_point *point = value;
 
-		n += point->first_us > reach->heard_us &&
-		     (!silent || point->verdict == REACH_SILENT);
+		n += (verdicts & reach_bit(point->verdict)) != 0 &&
+		     (first ? point->first_us : point->began_us) > after_us;
 	}
 	return n;
 }
 
+static unsigned int reach_any_verdict(void)
+{
+	return reach_bit(REACH_UNCLEAR) | reach_bit(REACH_NOT_HERE) | reach_bit(REACH_SILENT);
+}
+
 bool reach_is_cut(const struct reach *reach)
 {
-	return reach_count_failing(reach, REACH_NOT_HERE, reach->answered_us) >= REACH_IN_A_ROW;
+	return reach_count(reach, reach_bit(REACH_NOT_HERE), false, reach->answered_us) >=
+	       REACH_IN_A_ROW;
 }
 
 bool reach_is_doubtful(const struct reach *reach)
 {
-	int n = reach_count_failing(reach, REACH_UNCLEAR, reach->answered_us) +
-		reach_count_failing(reach, REACH_NOT_HERE, reach->answered_us) +
-		reach_count_failing(reach, REACH_SILENT, reach->answered_us);
-
-	return n >= REACH_IN_A_ROW;
+	return reach_count(reach, reach_any_verdict(), false, reach->answered_us) >= REACH_IN_A_ROW;
 }
 
+/* Endpoints that failed before any was heard last, and still fail, tell nothing about this host. */
 bool reach_is_alone(const struct reach *reach)
 {
-	return reach_count_in_a_row(reach, false) >= REACH_IN_A_ROW;
+	return reach_count(reach, reach_any_verdict(), true, reach->heard_us) >= REACH_IN_A_ROW;
 }
 
 bool reach_is_isolated(const struct reach *reach)
 {
 	int min = CLAMP(reach->known, REACH_IN_A_ROW, REACH_ISOLATED_MIN);
 
-	return reach_count_in_a_row(reach, true) >= min;
+	return reach_count(reach, reach_bit(REACH_SILENT), true, reach->heard_us) >= min;
 }
 
 int reach_count_not_here(const struct reach *reach)
 {
-	return reach_count_failing(reach, REACH_NOT_HERE, 0);
+	return reach_count(reach, reach_bit(REACH_NOT_HERE), false, 0);
 }
 
 const char *reach_next_probe(struct reach *reach, int64_t now_us)
--- a/router/txn_repair.c
+++ b/router/txn_repair.c
@@ -84,13 +84,12 @@
 	       now_us - txn->target.stages[0].ep->last_data_us < TXN_PROGRESS_US;
 }
 
-/* Returns whether the attempt waits on a direct connection that hangs, by what is known of the
- * ways. */
+/* Returns whether the attempt waits on a direct connection that hangs with others of this host. */
 static bool txn_has_lost_connection(const struct txn *txn)
 {
 	const struct traf *traf = txn->traf;
 
-	if (!txn->attempt || txn->target.count == 0 || way_gateway(txn->attempt) || !traf->hangs)
+	if (!txn->attempt || txn->target.count == 0 || !way_is_direct(txn->attempt) || !traf->hangs)
 		return false;
 	return reach_choose(way_reach(traf->way), txn->target.stages[0].ep->rec->addr) ==
 	       REACH_TUNNEL;
--- a/router/way.c
+++ b/router/way.c
@@ -173,6 +173,11 @@
 	return call->stage == WAY_STAGE_TUNNEL ? call->gateway : NULL;
 }
 
+bool way_is_direct(const struct way_call *call)
+{
+	return call->stage == WAY_STAGE_DIRECT;
+}
+
 /* Logs when endpoints are not reached any more, and when all are again. */
 static void way_log_reach(struct way *way)
 {
--- a/router/way.h
+++ b/router/way.h
@@ -75,6 +75,9 @@
 /* Cancels a call, as hc_cancel() does. */
 void way_cancel(struct way_call *call);
 
+/* Returns whether the call has been sent, or is being sent, over a connection of this host. */
+bool way_is_direct(const struct way_call *call);
+
 /* Looks after calls and probes; to be called each 0.1 s or so. */
 void way_sweep(struct way *way, int64_t now_us);
 
