--- a/regress/soak/cases_reach.py
+++ b/regress/soak/cases_reach.py
@@ -9,7 +9,7 @@
 
 from cases import expect, run
 from gate import Gate
-from stack import Failure, check_stream, eventually
+from stack import HOST_NAME, Failure, check_stream, eventually
 
 STABLE_S = 3.0      # time from the beginning of a cut after which callers must be served again, in seconds
 MEASURE_S = 6.0     # time for which answers are counted after that, in seconds
@@ -322,6 +322,26 @@
     check_runs(stack, callers)
 
 
+def case_caller_leaves(stack):
+    """Guards against engines that work on for a caller who has left, when the request came through another host."""
+    gates = up(stack)
+    cut(stack, gates, ["host-0"], "hang")
+    eventually("a stream goes through another host", lambda: stack.serves_stream("host-0") and
+               events(stack, "host-0", "answer_through"))
+    conn = http.client.HTTPConnection("127.0.0.1", stack.port("host-0", "front"), timeout=10)
+    conn.request("POST", "/stream/a", body=b"{}", headers={
+        "Host": HOST_NAME, "Bronzegauge-Request-Id": "leaves", "Bronzegauge-Key": "key-farm",
+        "Bronzegauge-Deadline-Ms": "8000", "Bronzegauge-Token-Counts": "50,2000"})
+    answer = conn.getresponse()
+    answer.read(10)
+    expect("streams at engines", stack.ledger()["streams"], 1)
+    answer.close()
+    conn.close()
+    eventually("no engine works on", lambda: stack.ledger()["streams"] == 0)
+    eventually("no tunnel is left", lambda: all(stack.state(h)["tunnels_carried"] == 0 for h in stack.hosts))
+    mend(gates)
+
+
 def case_start_within(stack):
     """Guards against a host that starts while it is cut off and serves nobody."""
     gates = up(stack)
