--- a/router/way.c
+++ b/router/way.c
@@ -17,11 +17,11 @@
 	WAY_TUNNEL_MS = 150,
 	WAY_ANSWER_MS = 150,
 	/*
-	 * Gateways that must not reach the endpoint before it counts as silent: one, but if no
-	 * endpoint answers this host, the gateway may be cut off with it.
+	 * Gateways that must not reach the endpoint before it counts as silent: one, but if this
+	 * host itself does not reach some endpoints, gateways may be cut off with it.
 	 */
 	WAY_OPINIONS = 1,
-	WAY_OPINIONS_ALONE = 2,
+	WAY_OPINIONS_IN_DOUBT = 3,
 	WAY_ASKED_MAX = 4, /* most gateways that are asked for one call */
 	/* Interval in ms of looking whether endpoints that are not reached answer again. */
 	WAY_PROBE_TICK_MS = 20,
@@ -338,7 +338,8 @@
 static struct gws_host *way_choose_gateway(const struct way_call *call)
 {
 	struct way *way = call->way;
-	int most = reach_is_alone(&way->reach) ? WAY_OPINIONS_ALONE : WAY_OPINIONS;
+	bool in_doubt = reach_is_alone(&way->reach) || reach_count_not_here(&way->reach) > 0;
+	int most = in_doubt ? WAY_OPINIONS_IN_DOUBT : WAY_OPINIONS;
 	struct gws_host *tried = call->gateway ? gws_find(&way->gws, call->gateway) : NULL;
 	struct gws_host *wanted =
 		call->request.gateway ? gws_find(&way->gws, call->request.gateway) : NULL;
