--- a/regress/soak/gate.py
+++ b/regress/soak/gate.py
@@ -1,6 +1,7 @@
 """Gates: TCP proxies on loopback that cut single hosts off from an endpoint. They tell hosts apart by the address
 that their connections come from ([host] source)."""
 import ctypes
+import errno
 import socket
 import struct
 import time
@@ -17,13 +18,18 @@
 
 
 def drop_packets(sock, sources):
-    """Makes the kernel drop the packets to the socket that come from these addresses."""
+    """Makes the kernel drop the packets to the socket that come from these addresses. A socket that has just been
+    closed is left alone."""
     ops = [(LOAD_WORD, 0, 0, SOURCE_OFFSET)]
     for i, source in enumerate(sources):
         ops.append((JUMP_IF_EQUAL, len(sources) - i, 0, struct.unpack("!I", socket.inet_aton(source))[0]))
     ops += [(RETURN, 0, 0, KEEP_ALL), (RETURN, 0, 0, DROP)]
     code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *op) for op in ops))
-    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HL", len(ops), ctypes.addressof(code)))
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("HL", len(ops), ctypes.addressof(code)))
+    except OSError as error:
+        if error.errno != errno.EBADF:
+            raise
 
 
 def keep_packets(sock):
@@ -43,6 +49,11 @@
         self.cut_sources, self.how = frozenset(), None
         super().__init__(port, target)
 
+    def listen(self):
+        super().listen()
+        if self.how == "hang":
+            drop_packets(self.listener, sorted(self.cut_sources))
+
     def cut(self, sources, how):
         self.cut_sources, self.how = frozenset(sources), how
         with self.lock:
