--- a/base/frm.c
+++ b/base/frm.c
@@ -250,15 +250,22 @@
 	return conn->lfd.fd;
 }
 
+/* Appends the header of a frame whose message has len bytes. */
+static void frm_append_header(GByteArray *bytes, uint16_t kind, size_t len)
+{
+	uint32_t n = htonl((uint32_t)len);
+	uint16_t k = htons(kind);
+
+	g_byte_array_append(bytes, (const uint8_t *)&n, sizeof(n));
+	g_byte_array_append(bytes, (const uint8_t *)&k, sizeof(k));
+}
+
 GByteArray *frm_pack(uint16_t kind, const ProtobufCMessage *msg)
 {
 	size_t len = protobuf_c_message_get_packed_size(msg);
 	GByteArray *frame = g_byte_array_sized_new((guint)(FRM_HEADER_LEN + len));
-	uint32_t n = htonl((uint32_t)len);
-	uint16_t k = htons(kind);
 
-	g_byte_array_append(frame, (const uint8_t *)&n, sizeof(n));
-	g_byte_array_append(frame, (const uint8_t *)&k, sizeof(k));
+	frm_append_header(frame, kind, len);
 	g_byte_array_set_size(frame, (guint)(FRM_HEADER_LEN + len));
 	protobuf_c_message_pack(msg, frame->data + FRM_HEADER_LEN);
 	return frame;
@@ -275,14 +282,8 @@
 
 static void frm_append(struct frm_conn *conn, uint16_t kind, const uint8_t *body, size_t len)
 {
-	uint8_t head[FRM_HEADER_LEN];
-	uint32_t n = htonl((uint32_t)len);
-	uint16_t k = htons(kind);
-
-	memcpy(head, &n, sizeof(n));
-	memcpy(head + sizeof(n), &k, sizeof(k));
 	conn->sent_us = tmr_now();
-	g_byte_array_append(conn->out, head, sizeof(head));
+	frm_append_header(conn->out, kind, len);
 	if (len > 0)
 		g_byte_array_append(conn->out, body, (guint)len);
 	frm_count(FRM_SENT, 1);
--- a/router/way.c
+++ b/router/way.c
@@ -281,8 +281,8 @@
 	call->request.gateway = g_strdup(from->gateway);
 }
 
-struct way_call *way_start(struct way *way, const struct way_request *request,
-			   const struct hc_ops *ops, void *ctx)
+static struct way_call *way_call_new(struct way *way, const struct way_request *request,
+				     const struct hc_ops *ops, void *ctx)
 {
 	struct way_call *call = g_new0(struct way_call, 1);
 
@@ -291,6 +291,14 @@
 	call->ctx = ctx;
 	call->link.data = call;
 	way_copy_request(call, request);
+	return call;
+}
+
+struct way_call *way_start(struct way *way, const struct way_request *request,
+			   const struct hc_ops *ops, void *ctx)
+{
+	struct way_call *call = way_call_new(way, request, ops, ctx);
+
 	if (request->gateway || reach_choose(&way->reach, request->addr) == REACH_TUNNEL)
 		way_send_dial(call);
 	else
@@ -628,16 +636,9 @@
 	};
 
 	if (path) {
-		struct way_call *call = g_new0(struct way_call, 1);
-
-		call->way = way;
-		call->ops = &way_probe_ops;
-		call->ctx = way;
-		call->link.data = call;
-		way_copy_request(call, &request);
-		way->probe = call;
+		way->probe = way_call_new(way, &request, &way_probe_ops, way);
 		met_add(met_counter("bg_reach_probes_total", ""), 1);
-		way_send_direct(call);
+		way_send_direct(way->probe);
 	}
 	g_free(path);
 	g_free(url);
