--- a/base/hd.c
+++ b/base/hd.c
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <string.h>
@@ -49,6 +50,8 @@
 	GString *pending;   /* bytes of the response that the library hasn't read yet */
 	GPtrArray *headers; /* response headers: name, value, name, value, ... */
 	char *type;	    /* Content-Type of the response; may be NULL */
+	char *label;	    /* names the request to hd_config.on_end; may be NULL */
+	uint64_t sent;	    /* bytes of the response body that the library has read */
 	int status;	    /* HTTP status of the response */
 	bool streaming;	    /* the response is sent in parts */
 	bool answered;	    /* the status and the response headers are set */
@@ -56,6 +59,7 @@
 	bool ended;	    /* the response body is complete */
 	bool aborted;	    /* hd_abort() was called */
 	bool closed;	    /* the library has finished the request */
+	bool client_closed; /* hd_client_closed() found that the client has closed */
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
 };
 
@@ -71,6 +75,17 @@
 static enum MHD_Result hd_queue_response(struct hd_call *call);
 static void hd_resume(struct hd_call *call);
 
+const char *hd_end_name(enum hd_end end)
+{
+	static const char *const names[HD_END_COUNT] = {
+		[HD_END_WHOLE] = "whole",   [HD_END_ABORTED] = "aborted",
+		[HD_END_CLIENT] = "client", [HD_END_TIMEOUT] = "timeout",
+		[HD_END_ERROR] = "error",   [HD_END_SHUTDOWN] = "shutdown",
+	};
+
+	return names[end];
+}
+
 static enum MHD_Result hd_on_connection(void *ctx, const struct sockaddr *addr, socklen_t len)
 {
 	const struct hd *hd = ctx;
@@ -216,6 +231,7 @@
 	g_free(call->path);
 	g_free(call->target);
 	g_free(call->type);
+	g_free(call->label);
 	g_free(call);
 }
 
@@ -273,18 +289,65 @@
 	return result;
 }
 
+/* Returns whether the client has closed or reset the connection. */
+static bool hd_is_peer_gone(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+/* The library reports a failed send as it reports failures of its own, so the socket is asked. */
+static enum hd_end hd_end_of(const struct hd_call *call, enum MHD_RequestTerminationCode code)
+{
+	if (call->client_closed)
+		return HD_END_CLIENT;
+	if (call->aborted)
+		return HD_END_ABORTED;
+	switch (code) {
+	case MHD_REQUEST_TERMINATED_COMPLETED_OK:
+		return HD_END_WHOLE;
+	case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+		return HD_END_TIMEOUT;
+	case MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN:
+		return HD_END_SHUTDOWN;
+	case MHD_REQUEST_TERMINATED_READ_ERROR:
+	case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+		return HD_END_CLIENT;
+	case MHD_REQUEST_TERMINATED_WITH_ERROR:
+		break;
+	}
+	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
+}
+
+static void hd_report_end(struct hd *hd, const struct hd_call *call,
+			  enum MHD_RequestTerminationCode code)
+{
+	struct hd_outcome outcome = {
+		.end = hd_end_of(call, code),
+		.received = call->handler_called,
+		.begun = call->queued,
+		.status = call->status,
+		.sent = call->sent,
+		.unsent = call->streaming ? call->pending->len : 0,
+	};
+
+	if (hd->config.on_end)
+		hd->config.on_end(hd->config.ctx, call->label, &outcome);
+}
+
 static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
 			    enum MHD_RequestTerminationCode code)
 {
 	struct hd_call *call = *state;
 
-	(void)ctx;
 	(void)conn;
-	(void)code;
 	if (!call)
 		return;
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
+	hd_report_end(ctx, call, code);
 	pthread_mutex_unlock(&call->lock);
 	*state = NULL;
 	ck_pr_dec_uint(&call->hd->open_requests);
@@ -302,6 +365,7 @@
 		n = (ssize_t)MIN(max, call->pending->len);
 		memcpy(buf, call->pending->str, (size_t)n);
 		g_string_erase(call->pending, 0, n);
+		call->sent += (uint64_t)n;
 	} else if (call->aborted) {
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (call->ended) {
@@ -349,6 +413,14 @@
 	MHD_resume_connection(call->conn);
 }
 
+void hd_set_label(struct hd_call *call, const char *label)
+{
+	pthread_mutex_lock(&call->lock);
+	g_free(call->label);
+	call->label = g_strdup(label);
+	pthread_mutex_unlock(&call->lock);
+}
+
 void hd_set_header(struct hd_call *call, const char *name, const char *value)
 {
 	pthread_mutex_lock(&call->lock);
@@ -423,6 +495,7 @@
 	gone = call->closed;
 	if (!gone && call->fd >= 0)
 		gone = recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+	call->client_closed |= gone;
 	pthread_mutex_unlock(&call->lock);
 	return gone;
 }
--- a/base/hd.h
+++ b/base/hd.h
@@ -22,6 +22,36 @@
 /* Handles a request. The handler owns a reference to call, which it releases by hd_unref(). */
 typedef void (*hd_handler)(void *ctx, struct hd_call *call);
 
+/* How a request ended, for its client. */
+enum hd_end {
+	HD_END_WHOLE,	 /* the whole response was passed to the kernel */
+	HD_END_ABORTED,	 /* hd_abort() closed the connection */
+	HD_END_CLIENT,	 /* the client closed the connection first */
+	HD_END_TIMEOUT,	 /* the library closed the connection, as it was idle for too long */
+	HD_END_ERROR,	 /* the library closed the connection for another reason */
+	HD_END_SHUTDOWN, /* the server was stopped */
+	HD_END_COUNT
+};
+
+/* Returns the name of the end for the log. */
+const char *hd_end_name(enum hd_end end);
+
+/* What is known of a request when it has ended. */
+struct hd_outcome {
+	enum hd_end end;
+	bool received;	 /* the whole request was received and passed to the handler */
+	bool begun;	 /* a response was passed to the library */
+	int status;	 /* HTTP status of the response; 0: none */
+	uint64_t sent;	 /* bytes of the response body that were passed to the library */
+	uint64_t unsent; /* bytes of the response body that were not */
+};
+
+/*
+ * Is told of the end of each request, in one of the library's threads. label is the text of
+ * hd_set_label(), or NULL.
+ */
+typedef void (*hd_end_fn)(void *ctx, const char *label, const struct hd_outcome *outcome);
+
 /* Configuration of a server. */
 struct hd_config {
 	const char *addr; /* listening address IP:PORT; NULL: only hd_adopt() adds connections */
@@ -32,7 +62,8 @@
 	hd_handler handler;    /* called for each request */
 	bool (*may_accept)(void *ctx); /* whether to take a new connection or to close it unread,
 					* from one of the library's threads; NULL: always */
-	void *ctx;		       /* first argument of handler */
+	hd_end_fn on_end;	       /* called at the end of each request; NULL: none */
+	void *ctx;		       /* first argument of the functions above */
 };
 
 /* Starts a server. Returns NULL if it can't listen on the address or the library fails. */
@@ -98,6 +129,9 @@
 /* Returns the local TCP port of the connection; 0 if unknown. */
 int hd_local_port(const struct hd_call *call);
 
+/* Sets a text that names the request to hd_config.on_end; it is copied. */
+void hd_set_label(struct hd_call *call, const char *label);
+
 /* Adds a header to the response. Only allowed before hd_reply() or hd_reply_begin(). */
 void hd_set_header(struct hd_call *call, const char *name, const char *value);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -24,6 +24,9 @@
 		config.pending_max = 10000;
 		config.too_large = "{}";
 		config.handler = [](void *ctx, hd_call *call) { ((HdTest *)ctx)->OnRequest(call); };
+		config.on_end = [](void *ctx, const char *label, const hd_outcome *outcome) {
+			((HdTest *)ctx)->OnEnd(label, outcome);
+		};
 		config.ctx = this;
 		hd_ = hd_start(&config);
 		ASSERT_NE(hd_, nullptr);
@@ -58,6 +61,25 @@
 		call_ = call;
 		request_received_.notify_all();
 	}
+	void OnEnd(const char *label, const hd_outcome *outcome)
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+		label_ = label ? label : "";
+		outcome_ = *outcome;
+		ended_ = true;
+		request_received_.notify_all();
+	}
+	bool HasEnded()
+	{
+		std::lock_guard<std::mutex> lock(mutex_);
+		return ended_;
+	}
+	hd_outcome WaitForEnd()
+	{
+		std::unique_lock<std::mutex> lock(mutex_);
+		request_received_.wait(lock, [this]() { return ended_; });
+		return outcome_;
+	}
 	hd_call *Send(const std::string &request)
 	{
 		send(client_, request.data(), request.size(), 0);
@@ -80,6 +102,9 @@
 	std::mutex mutex_;
 	std::condition_variable request_received_;
 	hd_call *call_ = nullptr;
+	std::string label_;
+	hd_outcome outcome_{};
+	bool ended_ = false;
 };
 
 /* Returns the decoded body of a chunked response, or a description of its first error. */
@@ -242,6 +267,45 @@
 	EXPECT_EQ(call_, nullptr) << "the handler is not called";
 }
 
+/* Guards against ends of connections by the library that nobody is told of. */
+TEST_F(HdTest, EndOfARequestIsReported)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	hd_set_label(call, "request-1");
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	hd_outcome outcome = WaitForEnd();
+	EXPECT_EQ(outcome.end, HD_END_WHOLE);
+	EXPECT_TRUE(outcome.received && outcome.begun);
+	EXPECT_EQ(label_, "request-1");
+}
+
+/* Guards against an idle timeout within an answer that looks like any other end. */
+TEST_F(HdTest, IdleTimeoutWithinAnAnswerIsReported)
+{
+	hd_set_limits(hd_, 100, 1);
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	const std::string part(9000, 'x');
+	hd_reply_begin(call, 200, "text/plain");
+	while (!HasEnded())
+		hd_reply_write(call, part.data(), part.size());
+	hd_outcome outcome = WaitForEnd();
+	hd_unref(call);
+	EXPECT_EQ(outcome.end, HD_END_TIMEOUT);
+	EXPECT_GT(outcome.unsent, 0U);
+}
+
+/* Guards against answers that this process broke off being counted as its caller's doing. */
+TEST_F(HdTest, AbortIsReported)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	hd_reply_begin(call, 200, "text/plain");
+	hd_reply_write(call, "x", 1);
+	hd_abort(call);
+	EXPECT_EQ(WaitForEnd().end, HD_END_ABORTED);
+	hd_unref(call);
+}
+
 /* Guards against requests that are read by a server that can't serve them. */
 TEST(HdAcceptTest, ConnectionThatIsNotAcceptedIsClosedUnread)
 {
--- a/prog/router.c
+++ b/prog/router.c
@@ -2,6 +2,7 @@
 #include "base/met.h"
 #include "platform/pf.h"
 #include "base/prog.h"
+#include "router/ends.h"
 #include "router/gateway.h"
 #include "router/router.h"
 
@@ -127,7 +128,7 @@
 }
 
 static struct hd *router_listen(const char *addr, hd_handler handler, bool (*may_accept)(void *ctx),
-				struct router *router)
+				hd_end_fn on_end, struct router *router)
 {
 	struct hd_config config = {
 		.addr = addr,
@@ -136,6 +137,7 @@
 		.pending_max = ROUTER_PENDING_MAX,
 		.handler = handler,
 		.may_accept = may_accept,
+		.on_end = on_end,
 		.ctx = router,
 	};
 	struct hd *hd = hd_start(&config);
@@ -263,6 +265,15 @@
 			 router_on_settings_timer, m);
 }
 
+/* Logs what is still open when the process ends: callers of these requests get no whole answer. */
+static void router_log_cut(const struct router_main *m)
+{
+	jl_begin(JL_UNLIMITED, "stop_cuts");
+	jl_int("requests", hd_open_requests(m->router.front));
+	jl_int("tunnels", gateway_open_tunnels(traf_gateway(m->router.traf)));
+	jl_end();
+}
+
 /*
  * Ends the process when no request has been open for several consecutive checks and the balancer
  * has had time to stop sending connections, or shortly before the grace time ends and the process
@@ -279,6 +290,8 @@
 	m->idle_polls = open ? 0 : m->idle_polls + 1;
 	if ((since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS) ||
 	    since_ms >= m->router.settings.grace_s * 1000 - ROUTER_EXIT_RESERVE_MS) {
+		if (open)
+			router_log_cut(m);
 		loop_stop(&m->loop);
 		return;
 	}
@@ -316,12 +329,12 @@
 	/* A request may arrive as soon as a server listens, and its handler needs both. */
 	router->ctrl = ctrl_new(router, &m->loop);
 	router->traf = traf_start(router);
-	router->front =
-		router_listen(router->settings.front, traf_on_call, traf_may_accept, router);
+	router->front = router_listen(router->settings.front, traf_on_call, traf_may_accept,
+				      ends_on_request, router);
 	router->ready_hd =
-		router_listen(router->settings.ready, router_on_ready_call, NULL, router);
+		router_listen(router->settings.ready, router_on_ready_call, NULL, NULL, router);
 	router->metrics_hd =
-		router_listen(router->settings.metrics, router_on_metrics_call, NULL, router);
+		router_listen(router->settings.metrics, router_on_metrics_call, NULL, NULL, router);
 	ctrl_start(router->ctrl);
 	router_set_origin(router, "start");
 	loop_start_timer(&m->loop, &m->settings_timer, tmr_from_ms(ROUTER_SETTINGS_POLL_MS),
--- a/router/txn.c
+++ b/router/txn.c
@@ -113,6 +113,7 @@
 	fwd_init(&txn->fwd, &rules, &txn_fwd_ops, txn);
 	seam_request_init(&txn->request);
 	hd_each_header(call, txn_on_header, txn);
+	hd_set_label(call, txn->request.id);
 	g_ptr_array_add(traf->reqs, txn);
 	if (!txn_admit(txn))
 		return;
