--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -445,6 +445,7 @@
 	}
 	fwd->failure = FWD_SILENT;
 	fwd->ops->cancel(fwd->ctx);
+	fwd->abandoned++;
 	fwd->runs++;
 	fwd_send(fwd, now_us);
 }
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -199,6 +199,8 @@
 	int sends;
 	/* Number of these attempts in which an endpoint may have run the request. */
 	int runs;
+	/* Number of attempts that were abandoned, although they might have gone on. */
+	int abandoned;
 	/* Whether the caller has received the head of an answer. */
 	bool begun;
 	/* Whether the current answer is a stream of events. */
--- a/router/txn.c
+++ b/router/txn.c
@@ -552,6 +552,7 @@
 	jl_int("version", txn->conf->version);
 	jl_int("sends", txn->fwd.sends);
 	jl_int("runs", txn->fwd.runs);
+	jl_int("abandoned", txn->fwd.abandoned);
 	jl_int("parts", (int64_t)txn->fwd.parts);
 	jl_int("first_ms",
 	       txn->first_us > 0 ? (txn->first_us - txn->began_us) / TMR_US_PER_MS : -1);
@@ -559,6 +560,8 @@
 	jl_end();
 	if (cause == FWD_OK)
 		txn_on_served_whole(txn);
+	if (bad && txn->fwd.abandoned > 0)
+		met_add(met_counter("bg_abandoned_in_vain_total", ""), 1);
 	snprintf(labels, sizeof(labels), "cause=\"%s\"", fwd_cause_name(cause));
 	met_add(met_counter("bg_requests_total", labels), 1);
 	txn_record_times(txn, now_us);
--- a/router/txn_repair.c
+++ b/router/txn_repair.c
@@ -124,6 +124,7 @@
 		return false;
 	}
 	if (!txn->target.layered) {
+		txn_log_silent(txn, "no_answer", NULL);
 		txn_exclude_endpoint(txn, txn->target.stages[0].ep);
 		penalty_on_failed(&txn->target.stages[0].ep->failing, now_us);
 		return false;
