--- /dev/null
+++ b/regress/soak/cases_lost.py
@@ -0,0 +1,148 @@
+"""Test cases for requests that end without an answer: python3 regress/soak/cases_lost.py NAME. Each docstring names
+the failure that the case guards against."""
+import itertools
+import signal
+import socket
+import threading
+
+from cases import run
+from stack import HOST_NAME, Failure
+
+# What a caller gets for a request that it has sent whole.
+WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
+UNSENT = "not sent"     # the connection was refused, or closed before all was sent
+
+
+def request_bytes(path, request_id, body=b"{}", close=False, **headers):
+    """The bytes of a request as callers send it."""
+    head = {"Host": HOST_NAME, "Bronzegauge-Request-Id": request_id, "Bronzegauge-Deadline-Ms": "8000",
+            "Bronzegauge-Key": "key-farm", "Bronzegauge-Token-Counts": "50,12", "Content-Length": len(body)}
+    if close:
+        head["Connection"] = "close"
+    head.update({k.replace("_", "-"): v for k, v in headers.items()})
+    lines = "".join("%s: %s\r\n" % field for field in head.items())
+    return ("POST %s HTTP/1.1\r\n%s\r\n" % (path, lines)).encode() + body
+
+
+class Connection:
+    """A caller's connection. It reads only when it is told to, so that callers which read slowly can be played."""
+
+    def __init__(self, port, timeout=15, receive_buffer=None):
+        self.sock = socket.socket()
+        self.sock.settimeout(timeout)
+        if receive_buffer:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.sock.connect(("127.0.0.1", port))
+        self.data = b""         # what was received and is not part of an answer that was returned
+
+    def close(self):
+        self.sock.close()
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def fill(self):
+        """Receives some more bytes; false once the connection has ended."""
+        try:
+            more = self.sock.recv(1 << 16)
+        except OSError:
+            return False
+        self.data += more
+        return bool(more)
+
+    def take(self, n):
+        """Takes n bytes; None if the connection ends before."""
+        while len(self.data) < n:
+            if not self.fill():
+                return None
+        taken, self.data = self.data[:n], self.data[n:]
+        return taken
+
+    def take_line(self):
+        while b"\r\n" not in self.data:
+            if not self.fill():
+                return None
+        line, self.data = self.data.split(b"\r\n", 1)
+        return line
+
+    def read_answer(self):
+        """Reads an answer; returns (what the caller got, status, headers, body). Body: as far as it came."""
+        began = self.data or self.fill()
+        first = self.take_line() if began else None
+        if first is None:
+            return (BROKEN if self.data else LOST), 0, {}, b""
+        status, headers = int(first.split()[1]), {}
+        while True:
+            line = self.take_line()
+            if line is None:
+                return BROKEN, status, headers, b""
+            if not line:
+                break
+            name, value = line.decode().split(":", 1)
+            headers[name.lower()] = value.strip()
+        whole, body = self.read_body(headers)
+        return (WHOLE if whole else BROKEN), status, headers, body
+
+    def read_body(self, headers):
+        if "content-length" in headers:
+            n = int(headers["content-length"])
+            body = self.take(n)
+            return (True, body) if body is not None else (False, self.data)
+        parts = []
+        while True:
+            line = self.take_line()
+            n = int(line, 16) if line else -1
+            part = self.take(n + 2) if n >= 0 else None
+            if part is None:
+                return False, b"".join(parts) + (self.data if n >= 0 else b"")
+            if n == 0:
+                return True, b"".join(parts)
+            parts.append(part[:-2])
+
+
+def ask_once(port, data):
+    """Sends a request on a connection of its own; returns what the caller got, and the status."""
+    try:
+        conn = Connection(port)
+    except OSError:
+        return UNSENT, 0
+    try:
+        conn.send(data)
+        return conn.read_answer()[:2]
+    except OSError:
+        return UNSENT, 0
+    finally:
+        conn.close()
+
+
+def case_stopping_crowd(stack):
+    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
+    end with its process."""
+    stack.up()
+    lost, answered, ids = [], [], itertools.count()
+    refused = threading.Event()
+
+    def keep_asking():
+        while not refused.is_set():
+            name = "stop-%d" % next(ids)
+            got, status = ask_once(stack.port("host-0", "front"), request_bytes("/many/a", name, close=True))
+            if got == UNSENT:
+                refused.set()
+            else:
+                (answered if got == WHOLE else lost).append((name, got, status))
+    threads = [threading.Thread(target=keep_asking) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    stack.signal("host-0", signal.SIGTERM)
+    stack.procs["host-0"].wait()
+    for thread in threads:
+        thread.join()
+    if lost:
+        raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
+
+
+CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
+
+
+if __name__ == "__main__":
+    run(CASES)
