A host that stops accepts no connections before its process ends, and answers what it has read

What callers saw: a request sent whole to a host that stops got no byte; the connection ended. Cause: the process ended while it still accepted connections. What arrived between the last check for open requests and the exit, or lay in the queue of the listening socket, ended with the process; at the end of the grace time requests that were read got neither an answer nor a refusal. Why this works: no request can arrive on a new connection once the queue is empty, and idle is checked after that. A request on a kept connection that crosses the exit is not read and not passed on. Not shown to be what the users saw.

--- a/base/hd.h
+++ b/base/hd.h
@@ -93,7 +93,11 @@
 /* Adds the header "Connection: close" to all further responses. Any thread may call this. */
 void hd_set_connection_close(struct hd *hd);
 
-/* Stops accepting connections; open ones are served further. Any thread may call this. */
+/*
+ * Stops accepting connections; open ones are served further, and so are those that clients have
+ * made but the server has not accepted yet: closing the listening socket would reset them, though
+ * their clients may have sent a request. Any thread may call this.
+ */
 void hd_quiesce(struct hd *hd);
 
 /* Returns the request target exactly as the client sent it. */
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -39,6 +39,7 @@
 	[FWD_BUDGET] = "budget",
 	[FWD_FAILED] = "endpoint_failed",
 	[FWD_CRASHES] = "crashes_endpoints",
+	[FWD_STOPPED] = "stopped",
 	[FWD_LIMITED] = "limited",
 	[FWD_RESTING] = "resting",
 };
@@ -465,6 +466,12 @@
 		fwd_cancel_and_end(fwd, FWD_CRASHES);
 }
 
+void fwd_on_stop(struct fwd *fwd)
+{
+	if (fwd->state != FWD_ENDED)
+		fwd_cancel_and_end(fwd, FWD_STOPPED);
+}
+
 void fwd_on_caller_disconnected(struct fwd *fwd)
 {
 	if (fwd->state == FWD_ENDED)
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -70,6 +70,8 @@
 	FWD_LIMITED,
 	/* All endpoints for the request asked this host to send nothing for some time. */
 	FWD_RESTING,
+	/* The process is about to end. */
+	FWD_STOPPED,
 	/* Number of causes. */
 	FWD_CAUSE_COUNT
 };
@@ -260,6 +262,12 @@
  */
 void fwd_on_quarantine(struct fwd *fwd);
 
+/*
+ * Ends the request because the process is about to end. Without this the caller's connection would
+ * end with the process and nothing would tell whether the request has run.
+ */
+void fwd_on_stop(struct fwd *fwd);
+
 /* The caller disconnected. */
 void fwd_on_caller_disconnected(struct fwd *fwd);
 
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -719,6 +719,36 @@
 	started_ = false;
 }
 
+/* Guards against requests whose connections end with the process, without a word on whether they
+ * ran. */
+TEST_F(FwdTest, StopEndsARequestInProgress)
+{
+	const struct {
+		const char *what;
+		bool headed, parts;
+		const char *actions;
+	} cases[] = {
+		{"it was sent", false, false, "cancel refuse502? stopped"},
+		{"it had begun", true, false, "cancel refuse502? stopped"},
+		{"its caller has a part", true, true, "cancel abort stopped"},
+	};
+
+	for (const auto &c : cases) {
+		Start(true, true);
+		if (c.headed)
+			Head(200);
+		if (c.parts)
+			Data("id: 1\n\n");
+		Actions();
+		fwd_on_stop(&fwd_);
+		EXPECT_EQ(Actions(), c.actions) << c.what;
+		fwd_on_stop(&fwd_);
+		EXPECT_EQ(Actions(), "") << c.what;
+		fwd_finish(&fwd_);
+	}
+	started_ = false;
+}
+
 /* A request that reached no endpoint has not run, and the error answer states that. */
 TEST_F(FwdTest, QuarantineEndsARequestThatWaitsForAnEndpoint)
 {
--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -56,6 +56,8 @@
 	{"not_reached",
 	 "Refused, not run: neither this host nor those that it asked reached any endpoint; see the "
 	 "'no_endpoint_answers' line."},
+	{"stopped",
+	 "The host stopped, and the grace time was over before the answer was complete."},
 	{"stopping",
 	 "Refused, not run: the host was about to stop and could not have completed it."},
 };
--- a/prog/router.c
+++ b/prog/router.c
@@ -27,6 +27,13 @@
 	/* Part of the grace time reserved for the exit itself, in milliseconds. */
 	ROUTER_EXIT_RESERVE_MS = 400,
 
+	/*
+	 * Time before the end of the grace time, in milliseconds, at which the host no longer
+	 * accepts connections and at which it ends what is still open.
+	 */
+	ROUTER_QUIESCE_RESERVE_MS = 1000,
+	ROUTER_END_RESERVE_MS = 600,
+
 	/* Interval of checks whether the settings file has changed, in milliseconds. */
 	ROUTER_SETTINGS_POLL_MS = 2000,
 
@@ -90,6 +97,8 @@
 	struct tmr stop_timer;	   /* Timer of the next check whether the host can exit. */
 	struct tmr settings_timer; /* Timer of the next check for a changed settings file. */
 	int idle_polls;		   /* Consecutive checks without open requests. */
+	bool quiesced;		   /* No connections are accepted any more. */
+	bool ended_requests;	   /* The requests that were open have been ended. */
 	struct router_file_stamp settings_file; /* The settings file when it was last checked. */
 };
 
@@ -274,27 +283,57 @@
 	jl_end();
 }
 
+/* Returns whether a request or a tunnel is open. */
+static bool router_is_open(const struct router *router)
+{
+	return traf_open_requests(router->traf) > 0 || hd_open_requests(router->front) > 0 ||
+	       gateway_open_tunnels(traf_gateway(router->traf)) > 0;
+}
+
+/* Stops accepting connections, so that no request arrives between the last check and the exit. */
+static void router_quiesce(struct router_main *m)
+{
+	if (m->quiesced)
+		return;
+	m->quiesced = true;
+	m->idle_polls = 0;
+	hd_quiesce(m->router.front);
+}
+
+static void router_end_requests(struct router_main *m)
+{
+	if (m->ended_requests)
+		return;
+	m->ended_requests = true;
+	traf_end_requests(m->router.traf);
+}
+
 /*
- * Ends the process when no request has been open for several consecutive checks and the balancer
- * has had time to stop sending connections, or shortly before the grace time ends and the process
- * would be killed.
+ * Takes the next step of a stop. Once no request has been open for several consecutive checks, and
+ * the balancer has had time to stop sending connections, the host stops accepting connections; when
+ * it has been idle once more, the process ends. Shortly before the end of the grace time, when the
+ * process would be killed, each step is taken in any case.
  */
 static void router_on_stop_timer(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
 	int64_t since_ms = (now_us - m->router.stop_us) / TMR_US_PER_MS;
-	bool open = traf_open_requests(m->router.traf) > 0 ||
-		    hd_open_requests(m->router.front) > 0 ||
-		    gateway_open_tunnels(traf_gateway(m->router.traf)) > 0;
+	int64_t grace_ms = m->router.settings.grace_s * 1000;
+	bool open = router_is_open(&m->router);
+	bool idle;
 
 	m->idle_polls = open ? 0 : m->idle_polls + 1;
-	if ((since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS) ||
-	    since_ms >= m->router.settings.grace_s * 1000 - ROUTER_EXIT_RESERVE_MS) {
+	idle = since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS;
+	if ((idle && m->quiesced) || since_ms >= grace_ms - ROUTER_EXIT_RESERVE_MS) {
 		if (open)
 			router_log_cut(m);
 		loop_stop(&m->loop);
 		return;
 	}
+	if (idle || since_ms >= grace_ms - ROUTER_QUIESCE_RESERVE_MS)
+		router_quiesce(m);
+	if (since_ms >= grace_ms - ROUTER_END_RESERVE_MS)
+		router_end_requests(m);
 	loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
 			 router_on_stop_timer, m);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -181,6 +181,12 @@
 /* Returns the number of requests that have not ended. May be called from any thread. */
 unsigned int traf_open_requests(const struct traf *traf);
 
+/*
+ * Ends all requests, as the process is about to end: each caller is answered, or its answer is
+ * broken off. May be called from any thread.
+ */
+void traf_end_requests(struct traf *traf);
+
 /*
  * Returns whether this host takes a new connection of a caller, see adm/accept.h. Called from a
  * thread of the HTTP library.
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -113,6 +113,20 @@
 	return ck_pr_load_uint(&traf->open);
 }
 
+static void traf_on_end_requests(void *ctx)
+{
+	struct traf *traf = ctx;
+
+	traf_start_parked(traf);
+	for (guint i = traf->reqs->len; i > 0; i--)
+		txn_on_stop(traf->reqs->pdata[i - 1]);
+}
+
+void traf_end_requests(struct traf *traf)
+{
+	loop_post(&traf->loop, traf_on_end_requests, traf);
+}
+
 static void traf_set_gauges(const struct traf *traf, int64_t now_us)
 {
 	GHashTableIter iter;
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -358,4 +358,7 @@
 /* Ends the request if its caller has closed the connection. */
 void txn_on_sweep(struct txn *txn);
 
+/* Ends the request, as the process is about to end. */
+void txn_on_stop(struct txn *txn);
+
 #endif
--- a/router/txn.c
+++ b/router/txn.c
@@ -514,6 +514,11 @@
 		fwd_on_caller_disconnected(&txn->fwd);
 }
 
+void txn_on_stop(struct txn *txn)
+{
+	fwd_on_stop(&txn->fwd);
+}
+
 static void txn_record_times(const struct txn *txn, int64_t now_us)
 {
 	char *labels = g_strdup_printf("account=\"%s\",class=\"%s\"",
