crashing_all_cut waits until the host reaches endpoints again

Trace, twelve cuts in a scratch copy of the case that asks without a pause: in seven of them host-0 refuses with not_reached for 5 to 128 ms after the links are whole, until its next probe (each 0.2 s) is answered, then serves; in each it was cut off from all endpoints, so the refusals are true, and are wanted. The case asked as soon as any line on the endpoints was there, which may come before the links are whole. Now it first waits for one answer, and then expects the same twenty: a quarantine, which the case guards against, lasts ten minutes, so the wait would fail as well.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -847,6 +847,8 @@
         thread.join()
         eventually("the endpoints are found alive, or were not taken for ended", lambda: any(
             s in stack.log("host-0")[began:] for s in ('"endpoint_lives"', '"finding":"unclear"', '"finding":"alive"')))
+    # Until its next probe is answered, the host truly refuses what it can't serve; a quarantine would last.
+    eventually("host-0 reaches endpoints again", lambda: repeats.ask("host-0")[0] == 200)
     for _ in range(20):
         expect("status", repeats.ask("host-0")[0], 200)
     for host in stack.hosts:
