Failing test: a host ends after an answer that bears the id of another request

Callers see their connections end without an answer: the host's process ends by SIGSEGV with all that it has under way, 1 ms after it answered 502 to a request whose endpoint answered with the id of another one. 3 of 3 plays, also on: one 502, one connection reset, the rest refused.

--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -5,7 +5,8 @@
 import socket
 import threading
 
-from cases import run
+from cases import expect, run
+from proxy import Proxy
 from stack import HOST_NAME, Failure
 
 # What a caller gets for a request that it has sent whole.
@@ -141,6 +142,33 @@
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+class Misnamer(Proxy):
+    """A proxy that passes on answers with the id of another request once it is told to."""
+
+    misnames = False
+
+    def alter(self, data):
+        return data.replace(b"Request-Id: foreign-", b"Request-Id: another-") if self.misnames else data
+
+
+def case_foreign_answer(stack):
+    """Guards against a host that ends, with all that it has under way, since an endpoint answers with the id of another
+    request."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(Misnamer(stack.base + 60 + i, point[1]))
+    stack.up()
+    for proxy in proxies:
+        proxy.misnames = True
+    for i in range(20):
+        for kind in ("once", "many"):
+            data = request_bytes("/%s/a" % kind, "foreign-%s-%d" % (kind, i), close=True)
+            expect("what the caller got", ask_once(stack.port("host-0", "front"), data), (WHOLE, 502))
+    expect("exit status of host-0", stack.procs["host-0"].poll(), None)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -102,7 +102,11 @@
                     continue
                 if self.mode == "delay":
                     time.sleep(self.DELAY_S)
-                (far if sock is near else near).sendall(data)
+                (far if sock is near else near).sendall(data if sock is near else self.alter(data))
+
+    def alter(self, data):
+        """Returns what is passed on in place of this data of the target."""
+        return data
 
     def resets(self, _near):
         """Whether open connections like this one have been reset."""
