txn: an attempt that is dropped at its head isn't cancelled once more

Callers lost their connections with the host: an answer that bears the id of another request makes the state machine drop the attempt, which frees the call, but the request kept the pointer and cancelled the freed call when it ended. The host ended by SIGSEGV.

The pointer is cleared where the call is dropped, unless the state machine has already started another attempt.

--- a/router/txn.c
+++ b/router/txn.c
@@ -409,6 +409,7 @@
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
 {
 	struct txn *txn = ctx;
+	struct way_call *call = txn->attempt;
 	bool go_on;
 
 	txn->head_received = true;
@@ -427,6 +428,9 @@
 		bk_on_served(traf_retry_delay(txn->traf, txn->service->name), tmr_now());
 	}
 	go_on = fwd_on_head(&txn->fwd, &txn->answer.head, tmr_now());
+	/* A call that is dropped frees itself; if it stayed here, it would be cancelled later. */
+	if (!go_on && txn->attempt == call)
+		txn->attempt = NULL;
 	return go_on;
 }
 
