fwd, txn: a silent attempt at a plain endpoint is kept until another brings an answer

Callers got 500 or 502 for requests that may repeat, although their first endpoint was sound and only silent for a second: the attempt was cancelled for another one, and when that failed the route allowed no further run.

The silent attempt is now set aside while the other runs, and cancelled when that brings a successful head. If the other is rejected, breaks off, fails or can't be sent, the first is taken back; if the first goes on before, the other is cancelled. As before, each of the two is charged to the budget and counts as a run, so there are as many arrivals as before; two attempts are under way only while both are silent. Pipelines are left out: engines hold memory for each attempt, and their silent stages are found and replaced in place.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -75,8 +75,17 @@
 	g_string_free(fwd->body, TRUE);
 }
 
+static void fwd_cancel_aside(struct fwd *fwd)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->has_aside = false;
+	fwd->ops->cancel_aside(fwd->ctx);
+}
+
 static void fwd_end(struct fwd *fwd, enum fwd_cause cause)
 {
+	fwd_cancel_aside(fwd);
 	fwd->state = FWD_ENDED;
 	fwd->ops->ended(fwd->ctx, cause);
 }
@@ -104,24 +113,47 @@
 	fwd_send(fwd, now_us);
 }
 
-static void fwd_send(struct fwd *fwd, int64_t now_us)
+/* Prepares for the answer of another attempt. */
+static void fwd_reset_answer(struct fwd *fwd)
 {
-	int err;
-
 	fwd->state = FWD_SENT;
 	fwd->is_event_stream = false;
 	fwd->passthrough = false;
-	fwd->last_received_us = now_us;
 	memset(&fwd->head, 0, sizeof(fwd->head));
 	g_string_truncate(fwd->body, 0);
 	sse_discard_pending(&fwd->sse);
+}
+
+/* The attempt that was set aside, which was counted as a run, is the current one again. */
+static void fwd_take_back(struct fwd *fwd)
+{
+	fwd->has_aside = false;
+	fwd->runs--;
+	fwd_reset_answer(fwd);
+	fwd->ops->take_back(fwd->ctx);
+}
+
+static void fwd_wait_for_aside(struct fwd *fwd, int64_t now_us)
+{
+	fwd_take_back(fwd);
+	fwd_restart_silence(fwd, now_us);
+}
+
+static void fwd_send(struct fwd *fwd, int64_t now_us)
+{
+	int err;
+
+	fwd->last_received_us = now_us;
+	fwd_reset_answer(fwd);
 	err = fwd->ops->send(fwd->ctx, fwd->sends, fwd->parts > 0 ? fwd->sse.last_id : NULL);
 	if (err == FWD_EQUARANTINED) {
 		fwd_end_with_cause(fwd, FWD_CRASHES);
 		return;
 	}
 	if (err < 0) {
-		if (fwd->sends == 0)
+		if (fwd->has_aside)
+			fwd_wait_for_aside(fwd, now_us);
+		else if (fwd->sends == 0)
 			fwd_on_no_endpoint(fwd, err, now_us);
 		else
 			fwd_wait_or_end(fwd, now_us);
@@ -273,6 +305,10 @@
 {
 	if (ran)
 		fwd->runs++;
+	if (fwd->has_aside) {
+		fwd_wait_for_aside(fwd, now_us);
+		return;
+	}
 	if (!fwd_may_send_again(fwd, fwd->runs, now_us)) {
 		fwd_wait_or_end(fwd, now_us);
 		return;
@@ -295,8 +331,10 @@
 		fwd_attempt_failed(fwd, true, now_us);
 		return false;
 	}
-	if (fwd->rules.streaming && head->status / 100 == 2 && fwd_is_deliverable(head))
-		fwd->is_event_stream = true;
+	if (head->status / 100 == 2 && fwd_is_deliverable(head)) {
+		fwd_cancel_aside(fwd);
+		fwd->is_event_stream = fwd->rules.streaming;
+	}
 	fwd->state = FWD_ANSWERING;
 	fwd_set_timer(fwd);
 	return true;
@@ -368,7 +406,7 @@
 	bool may_rerun = fwd->head.status >= 500 && fwd->rules.may_repeat;
 
 	fwd->failure = FWD_FAILED;
-	if (fwd->begun && !fwd->passthrough) {
+	if ((fwd->begun && !fwd->passthrough) || (may_rerun && fwd->has_aside)) {
 		fwd_attempt_failed(fwd, true, now_us);
 		return;
 	}
@@ -450,6 +488,18 @@
 	return fwd_may_send_again(fwd, fwd->runs + 1, now_us);
 }
 
+/*
+ * Keeps the current attempt beside the next one if nothing of its answer has arrived, else cancels
+ * it. At most two attempts are under way.
+ */
+static void fwd_set_aside_or_cancel(struct fwd *fwd)
+{
+	fwd_cancel_aside(fwd);
+	fwd->has_aside = fwd->state == FWD_SENT && !fwd->begun && fwd->ops->set_aside(fwd->ctx);
+	if (!fwd->has_aside)
+		fwd->ops->cancel(fwd->ctx);
+}
+
 /*
  * The retry budget is charged before the attempt is cancelled. In the opposite order, a stream that
  * is only slow would be aborted when the budget is exhausted.
@@ -463,12 +513,30 @@
 		return;
 	}
 	fwd->failure = FWD_SILENT;
-	fwd->ops->cancel(fwd->ctx);
+	fwd_set_aside_or_cancel(fwd);
 	fwd->abandoned++;
 	fwd->runs++;
 	fwd_send(fwd, now_us);
 }
 
+void fwd_on_aside_head(struct fwd *fwd)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->ops->cancel(fwd->ctx);
+	fwd->runs++;
+	fwd_take_back(fwd);
+}
+
+void fwd_on_aside_done(struct fwd *fwd, bool sent)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->has_aside = false;
+	if (!sent)
+		fwd->runs--;
+}
+
 /* Cancels the current attempt, which may have run, and ends the request. */
 static void fwd_cancel_and_end(struct fwd *fwd, enum fwd_cause cause)
 {
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -138,6 +138,22 @@
 	/* Cancels the current attempt; fwd_on_done() must not be called for it. */
 	void (*cancel)(void *ctx);
 
+	/*
+	 * Keeps the current attempt, of whose answer nothing has arrived, beside the next one.
+	 * Returns false if it can't be kept. Without this, a request whose endpoint is only silent
+	 * for a moment is lost if the next attempt fails.
+	 */
+	bool (*set_aside)(void *ctx);
+
+	/*
+	 * The current attempt has ended or was cancelled; the one that was set aside takes its
+	 * place.
+	 */
+	void (*take_back)(void *ctx);
+
+	/* Cancels the attempt that was set aside; fwd_on_aside_done() must not be called for it. */
+	void (*cancel_aside)(void *ctx);
+
 	/*
 	 * No endpoint accepts the request at present. It will be sent again later; endpoints that
 	 * rejected it may then be chosen again.
@@ -203,6 +219,8 @@
 	int runs;
 	/* Number of attempts that were abandoned, although they might have gone on. */
 	int abandoned;
+	/* Whether a silent attempt is kept beside the current one; it counts as a run. */
+	bool has_aside;
 	/* Whether the caller has received the head of an answer. */
 	bool begun;
 	/* Whether the current answer is a stream of events. */
@@ -252,9 +270,25 @@
 /* Restarts the allowed silence, after a sign of progress other than data of the answer. */
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us);
 
-/* Abandons the current attempt and sends the request again, if possible; else does nothing. */
+/*
+ * Sends the request again, if possible, in place of the current attempt; else does nothing. An
+ * attempt of whose answer nothing has arrived may be set aside until the next one brings a
+ * successful head.
+ */
 void fwd_abandon_attempt(struct fwd *fwd, int64_t now_us);
 
+/*
+ * The head of the answer to the attempt that was set aside arrives: that attempt becomes the
+ * current one, and the other one is cancelled. fwd_on_head() must be called next.
+ */
+void fwd_on_aside_head(struct fwd *fwd);
+
+/*
+ * The attempt that was set aside ended without the head of an answer. sent states that the endpoint
+ * may have received the request.
+ */
+void fwd_on_aside_done(struct fwd *fwd, bool sent);
+
 /*
  * Ends the request because it was put in quarantine. An attempt that is still queued would crash
  * its endpoint once it starts, so it is cancelled. The answer states whether the request may have
--- a/fwd/fwd_model_test.cc
+++ b/fwd/fwd_model_test.cc
@@ -64,6 +64,7 @@
 		large_ = !streaming_ && Chance(30);
 		keeps_ = Chance(50);
 		limits_ = Chance(30);
+		sets_aside_ = Chance(70);
 		fwd_init(&fwd_, &rules, &ops_, this);
 		/* A newer version of the configuration must not change an admitted request. */
 		rules.deadline_us = START_US;
@@ -217,7 +218,7 @@
 		Check(!in_progress_, "sent while an attempt is in progress");
 		if (Chance(15))
 			return errors[Draw(0, 4)];
-		attempt_++;
+		attempt_ = ++attempts_;
 		in_progress_ = true;
 		ran_ = false;
 		Note("send@" + std::to_string(after));
@@ -247,6 +248,29 @@
 		in_progress_ = false;
 		Note("cancel");
 	}
+	bool SetAside()
+	{
+		Check(in_progress_ && aside_ == 0, "two attempts are set aside");
+		if (!sets_aside_)
+			return false;
+		Note("aside");
+		aside_ = attempt_;
+		in_progress_ = false;
+		return true;
+	}
+	void TakeBack()
+	{
+		Check(!in_progress_ && aside_ > 0, "taken back beside another attempt");
+		Note("back");
+		attempt_ = aside_;
+		aside_ = 0;
+		in_progress_ = true;
+	}
+	void CancelAside()
+	{
+		Note("cancel_aside");
+		aside_ = 0;
+	}
 	bool OnSilent()
 	{
 		Note("silent");
@@ -265,6 +289,7 @@
 		Note("whole");
 		Check(body == (fwd_.head.status == 200 ? Whole() : failure_body_),
 		      "the answer is not the endpoint's");
+		left_aside_ = aside_ > 0 && fwd_.head.status >= 500;
 		Check(received_.empty(), "two answers");
 	}
 	void OnEnd()
@@ -293,6 +318,7 @@
 		Note("refuse" + std::to_string(status));
 		Check(not_run == (runs_ == 0) || !not_run, "stated as not run, but it ran");
 		Check(received_.empty(), "refused after a part of the answer");
+		left_aside_ = aside_ > 0;
 	}
 	void OnEnded(fwd_cause cause)
 	{
@@ -302,12 +328,30 @@
 		ends_++;
 		Note(fwd_cause_name(cause));
 		Check(answers_ == 1, "ended with " + std::to_string(answers_) + " answers");
+		Check(aside_ == 0, "an attempt is left");
+		Check(!left_aside_ || by_others || cause == FWD_DEADLINE,
+		      "ended by a failure while a silent attempt may go on");
 		Check(!could_continue_ || by_others, "a stream that could go on is aborted");
 		Check(now_ <= rules_.deadline_us, "ended after the deadline");
 		in_progress_ = false;
 	}
+	/* Returns whether the attempt has become the current one, so that the event is played. */
+	bool PlayAside(const Event &event)
+	{
+		if (event.kind == HEAD) {
+			fwd_on_aside_head(&fwd_);
+			return true;
+		}
+		Note("aside_done");
+		aside_ = 0;
+		fwd_on_aside_done(&fwd_, event.sent);
+		return false;
+	}
 	void Play(const Event &event)
 	{
+		if (event.kind <= DONE && aside_ > 0 && event.attempt == aside_ &&
+		    !PlayAside(event))
+			return;
 		if (event.kind <= DONE && (event.attempt != attempt_ || !in_progress_))
 			return;
 		switch (event.kind) {
@@ -353,6 +397,9 @@
 		[](void *ctx, int, const char *after) { return Self(ctx)->Send(after); },
 		[](void *ctx) { return Self(ctx)->Charge(); },
 		[](void *ctx) { Self(ctx)->Cancel(); },
+		[](void *ctx) { return Self(ctx)->SetAside(); },
+		[](void *ctx) { Self(ctx)->TakeBack(); },
+		[](void *ctx) { Self(ctx)->CancelAside(); },
 		[](void *ctx) { Self(ctx)->Note("wait"); },
 		[](void *ctx) { return Self(ctx)->OnSilent(); },
 		[](void *ctx, const char *body, size_t len) {
@@ -377,10 +424,13 @@
 	std::multimap<int64_t, Event> events_;
 	int64_t now_ = START_US;
 	int64_t timer_us_ = 0;
-	bool streaming_, large_, keeps_, limits_;
+	bool streaming_, large_, keeps_, limits_, sets_aside_;
 	int parts_;
 	std::string failure_body_;
+	/* Number of attempts, of the current one, and of the one that was set aside; 0: none. */
+	int attempts_ = 0;
 	int attempt_ = 0;
+	int aside_ = 0;
 	/* Whether an attempt was sent and has neither ended nor been cancelled. */
 	bool in_progress_ = false;
 	bool ran_ = false;
@@ -389,6 +439,7 @@
 	int answers_ = 0;
 	int ends_ = 0;
 	bool could_continue_ = false;
+	bool left_aside_ = false;
 	std::string faults_;
 	std::string trace_;
 };
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -83,6 +83,13 @@
 		},
 		[](void *ctx) { return Self(ctx)->repeat_error_; },
 		[](void *ctx) { Record(ctx, "cancel"); },
+		[](void *ctx) {
+			if (Self(ctx)->can_set_aside_)
+				Record(ctx, "aside");
+			return Self(ctx)->can_set_aside_;
+		},
+		[](void *ctx) { Record(ctx, "back"); },
+		[](void *ctx) { Record(ctx, "cancel_aside"); },
 		[](void *ctx) { Record(ctx, "wait"); },
 		[](void *ctx) {
 			Record(ctx, "silent");
@@ -115,6 +122,7 @@
 	int64_t limit_us_ = 0;
 	int64_t rest_us_ = 0;
 	bool keep_attempt_ = false;
+	bool can_set_aside_ = false;
 	/* Whether on_silent() puts the request in quarantine, which ends it. */
 	bool quarantine_on_silence_ = false;
 	int timers_ = 0;
@@ -386,6 +394,95 @@
 	EXPECT_EQ(Actions(), "send begin data7 silent cancel send@1");
 }
 
+/* Guards against requests that are lost with the endpoint that replaces a silent one. */
+TEST_F(FwdTest, SilentAttemptIsKeptUntilAnotherBringsAnAnswer)
+{
+	enum What {
+		HEAD,
+		REJECTED,
+		BROKEN,
+		UNREACHED,
+		FAILED,
+		FOREIGN,
+		ASIDE_HEAD,
+		ASIDE_GONE,
+		LEAVES
+	};
+	const struct {
+		const char *name;
+		What what;
+		const char *actions;
+	} cases[] = {
+		{"the other answers", HEAD, "cancel_aside whole:x ok"},
+		{"the other rejects it", REJECTED, "back whole:x ok"},
+		{"the other breaks off", BROKEN, "back whole:x ok"},
+		{"the other is not reached", UNREACHED, "back whole:x ok"},
+		{"the other fails", FAILED, "back whole:x ok"},
+		{"the other answers another request", FOREIGN, "back whole:x ok"},
+		{"the silent one goes on", ASIDE_HEAD, "cancel back whole:x ok"},
+		{"the silent one is gone", ASIDE_GONE, "whole:x ok"},
+		{"the caller leaves", LEAVES, "cancel abort cancel_aside caller_gone"},
+	};
+	can_set_aside_ = true;
+	for (const auto &c : cases) {
+		Start(true, false);
+		Wait(350 * MS);
+		EXPECT_EQ(Actions(), "send silent aside send") << c.name;
+		if (c.what == REJECTED || c.what == FAILED)
+			Head(c.what == REJECTED ? 503 : 500, true, true, c.what == REJECTED);
+		if (c.what == FOREIGN)
+			Head(200, true, false);
+		else if (c.what == ASIDE_HEAD)
+			fwd_on_aside_head(&fwd_);
+		else if (c.what == ASIDE_GONE)
+			fwd_on_aside_done(&fwd_, true);
+		else if (c.what == LEAVES)
+			fwd_on_caller_disconnected(&fwd_);
+		else if (c.what != HEAD)
+			Done(c.what == REJECTED || c.what == FAILED, c.what != UNREACHED);
+		if (c.what != LEAVES) {
+			Head(200);
+			Data("x");
+			Done(true);
+		}
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+	}
+	started_ = false;
+}
+
+/* Guards against more runs than the route allows, and against a second run of what may run once. */
+TEST_F(FwdTest, AttemptsThatAreKeptCountAsRuns)
+{
+	can_set_aside_ = true;
+	Start(false, false, 3);
+	Wait(350 * MS);
+	EXPECT_EQ(Actions(), "send silent");
+	fwd_finish(&fwd_);
+	Start(true, false, 3);
+	Wait(350 * MS);
+	Wait(350 * MS);
+	Wait(350 * MS);
+	EXPECT_EQ(Actions(), "send silent aside send silent cancel_aside aside send silent");
+	Done(false);
+	EXPECT_EQ(Actions(), "back");
+	Done(false);
+	EXPECT_EQ(Actions(), "refuse502? broken");
+	fwd_finish(&fwd_);
+	started_ = false;
+}
+
+/* A stream whose caller has a part is resumed, so only one attempt may go on. */
+TEST_F(FwdTest, AttemptIsNotKeptOnceTheAnswerHasBegun)
+{
+	can_set_aside_ = true;
+	Start(true, true);
+	Head(200);
+	Data("id: 1\n\n");
+	Wait(150 * MS);
+	EXPECT_EQ(Actions(), "send begin data7 silent cancel send@1");
+}
+
 TEST_F(FwdTest, ASilentAttemptThatIsBeingRepairedIsKept)
 {
 	keep_attempt_ = true;
--- a/router/txn.c
+++ b/router/txn.c
@@ -32,6 +32,9 @@
 	.send = txn_send,
 	.charge_retry = txn_charge_retry,
 	.cancel = txn_cancel,
+	.set_aside = txn_set_aside,
+	.take_back = txn_take_back,
+	.cancel_aside = txn_cancel_aside,
 	.on_wait = txn_on_wait,
 	.on_silent = txn_on_silent,
 	.answer_complete = txn_answer_whole,
@@ -83,6 +86,7 @@
 
 	tmr_cancel(&traf->loop.tmr, &txn->timer);
 	txn_cancel(txn);
+	txn_cancel_aside(txn);
 	traf_target_release(&txn->target);
 	txn_avoid_clear(txn);
 	seam_answer_finish(&txn->answer);
@@ -108,6 +112,7 @@
 
 	txn->traf = traf;
 	txn->call = call;
+	txn->sides[0].txn = txn->sides[1].txn = txn;
 	txn->began_us = received_us;
 	memset(&rules, 0, sizeof(rules));
 	fwd_init(&txn->fwd, &rules, &txn_fwd_ops, txn);
@@ -287,7 +292,7 @@
 	if (txn->sent_us == 0)
 		txn->sent_us = txn->last_activity_us;
 	txn_log_sent(txn, attempt, pipeline, resume_after);
-	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, txn);
+	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, &txn->sides[txn->side]);
 	g_ptr_array_unref(headers);
 	g_free(url);
 	g_free(pipeline);
@@ -408,10 +413,14 @@
 
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
 {
-	struct txn *txn = ctx;
-	struct way_call *call = txn->attempt;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
+	struct way_call *call;
 	bool go_on;
 
+	if (txn_is_aside(side))
+		fwd_on_aside_head(&txn->fwd);
+	call = txn->attempt;
 	txn->head_received = true;
 	txn->head_us = tmr_now();
 	txn->traf->any_data_us = tmr_now();
@@ -455,7 +464,7 @@
 
 static void txn_on_data(void *ctx, const char *data, size_t len)
 {
-	struct txn *txn = ctx;
+	struct txn *txn = ((const struct txn_side *)ctx)->txn;
 	uint64_t parts = txn->fwd.parts;
 
 	txn_update_gap_limit(txn, tmr_now());
@@ -470,11 +479,16 @@
 
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
-	struct txn *txn = ctx;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
 	bool failed = err < 0 || status >= 500 || txn->answer.head.not_run;
 
 	(void)body;
 	(void)len;
+	if (txn_is_aside(side)) {
+		txn_on_aside_done(txn, err, sent);
+		return;
+	}
 	txn->attempt = NULL;
 	txn_cancel(txn);
 	if (failed) {
--- /dev/null
+++ b/router/txn_aside.c
@@ -0,0 +1,79 @@
+#include "base/err.h"
+#include "base/jl.h"
+#include "base/met.h"
+#include "router/txn_int.h"
+
+#include <string.h>
+
+bool txn_set_aside(void *ctx)
+{
+	struct txn *txn = ctx;
+
+	/* An engine that is silent is repaired, and its pipeline holds memory for each attempt. */
+	if (txn->target.layered || !txn->attempt)
+		return false;
+	txn->aside.call = txn->attempt;
+	txn->aside.target = txn->target;
+	txn->aside.boot_us = txn->attempt_boot_us;
+	txn->attempt = NULL;
+	memset(&txn->target, 0, sizeof(txn->target));
+	txn->side = !txn->side;
+	return true;
+}
+
+void txn_take_back(void *ctx)
+{
+	struct txn *txn = ctx;
+
+	traf_target_release(&txn->target);
+	txn->attempt = txn->aside.call;
+	txn->target = txn->aside.target;
+	txn->attempt_boot_us = txn->aside.boot_us;
+	memset(&txn->aside, 0, sizeof(txn->aside));
+	txn->side = !txn->side;
+	txn->head_received = false;
+	txn->part_received = false;
+	txn->has_gone_on = false;
+	txn->broken_at = NULL;
+	txn->last_activity_us = tmr_now();
+	jl_begin(JL_INFO, "taken_back");
+	jl_str("id", txn->request.id);
+	jl_str("endpoint", txn->target.stages[0].ep->rec->id);
+	jl_end();
+	met_add(met_counter("bg_attempts_taken_back_total", ""), 1);
+}
+
+static void txn_forget_aside(struct txn *txn)
+{
+	traf_target_release(&txn->aside.target);
+	memset(&txn->aside, 0, sizeof(txn->aside));
+}
+
+void txn_cancel_aside(void *ctx)
+{
+	struct txn *txn = ctx;
+
+	if (txn->aside.call)
+		way_cancel(txn->aside.call);
+	txn_forget_aside(txn);
+}
+
+bool txn_is_aside(const struct txn_side *side)
+{
+	return side != &side->txn->sides[side->txn->side];
+}
+
+void txn_on_aside_done(struct txn *txn, int err, bool sent)
+{
+	struct traf_ep *ep = txn->aside.target.stages[0].ep;
+
+	jl_begin(JL_UNLIMITED, "attempt_failed");
+	jl_str("id", txn->request.id);
+	jl_str("endpoint", ep->rec->id);
+	jl_int("not_run", !sent);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_end();
+	penalty_on_failed(&ep->failing, tmr_now());
+	txn_forget_aside(txn);
+	fwd_on_aside_done(&txn->fwd, sent);
+}
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -20,6 +20,18 @@
 	TXN_LOGGED_BODY_MAX = 200 /* a refusal's body is logged if it has fewer bytes than this */
 };
 
+/* Context of the calls of one of two attempts that may be under way together. */
+struct txn_side {
+	struct txn *txn;
+};
+
+/* A silent attempt that is kept beside the current one. */
+struct txn_aside {
+	struct way_call *call;	   /* NULL: none */
+	struct traf_target target; /* endpoint of the attempt */
+	int64_t boot_us;	   /* time at which it was sent, by tmr_boot_now() */
+};
+
 struct txn {
 	struct traf *traf;
 	struct hd_call *call;		  /* the caller's HTTP request and the answer to it */
@@ -31,6 +43,9 @@
 	struct fwd fwd;			  /* state machine of the request */
 	struct tmr timer;		  /* timer of fwd */
 	struct way_call *attempt;	  /* attempt under way; NULL: none */
+	struct txn_aside aside;		  /* silent attempt that is kept */
+	struct txn_side sides[2];	  /* contexts of the calls of attempts */
+	int side;			  /* index in sides of the current attempt */
 	struct way_call *order;		  /* order under way that replaces stages; NULL: none */
 	struct traf_target target;	  /* endpoints of the latest attempt */
 	struct traf_target repair;	  /* pipeline that the order under way asks for */
@@ -122,6 +137,17 @@
 /* Returns the name of the request's client account; "": none. */
 const char *txn_account_name(const struct txn *txn);
 
+/* Callbacks of struct fwd_ops: an attempt that is kept beside the current one. */
+bool txn_set_aside(void *ctx);
+void txn_take_back(void *ctx);
+void txn_cancel_aside(void *ctx);
+
+/* Returns whether the call belongs to the attempt that is kept beside the current one. */
+bool txn_is_aside(const struct txn_side *side);
+
+/* The attempt that was kept beside the current one ended without the head of an answer. */
+void txn_on_aside_done(struct txn *txn, int err, bool sent);
+
 /* Handles an attempt that broke off at an endpoint, which may have crashed. */
 void txn_on_attempt_broken(struct txn *txn, struct traf_ep *ep);
 
