fwd, txn: a silent attempt is kept with what has arrived of its answer

Callers got an error although a sound endpoint had sent half of their answer, fell silent for a moment and would have gone on: only attempts without the head of an answer were set aside, others were cancelled. Now any attempt of whose answer the caller has nothing is set aside, with the head and the buffered part of its body; the first one that goes on, or brings a successful head, is the one that is answered. A part of an event that is not complete yet isn't kept.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -66,6 +66,7 @@
 	fwd->ops = ops;
 	fwd->ctx = ctx;
 	fwd->body = g_string_new(NULL);
+	fwd->aside_body = g_string_new(NULL);
 	sse_init(&fwd->sse);
 }
 
@@ -73,6 +74,7 @@
 {
 	sse_finish(&fwd->sse);
 	g_string_free(fwd->body, TRUE);
+	g_string_free(fwd->aside_body, TRUE);
 }
 
 static void fwd_cancel_aside(struct fwd *fwd)
@@ -113,6 +115,23 @@
 	fwd_send(fwd, now_us);
 }
 
+/* Returns whether the answer may be passed to the caller. */
+static bool fwd_is_deliverable(const struct fwd_head *head)
+{
+	return head->id_matches && !head->encoded && head->sealed;
+}
+
+/* Returns whether the current answer is a successful one that may be passed to the caller. */
+static bool fwd_has_success(const struct fwd *fwd)
+{
+	return fwd->head.status / 100 == 2 && fwd_is_deliverable(&fwd->head);
+}
+
+static bool fwd_has_event_stream(const struct fwd *fwd)
+{
+	return fwd->rules.streaming && fwd_has_success(fwd);
+}
+
 /* Prepares for the answer of another attempt. */
 static void fwd_reset_answer(struct fwd *fwd)
 {
@@ -124,12 +143,24 @@
 	sse_discard_pending(&fwd->sse);
 }
 
+static void fwd_swap_bodies(struct fwd *fwd)
+{
+	GString *body = fwd->body;
+
+	fwd->body = fwd->aside_body;
+	fwd->aside_body = body;
+}
+
 /* The attempt that was set aside, which was counted as a run, is the current one again. */
 static void fwd_take_back(struct fwd *fwd)
 {
 	fwd->has_aside = false;
 	fwd->runs--;
 	fwd_reset_answer(fwd);
+	fwd_swap_bodies(fwd);
+	fwd->state = fwd->aside_state;
+	fwd->head = fwd->aside_head;
+	fwd->is_event_stream = fwd_has_event_stream(fwd);
 	fwd->ops->take_back(fwd->ctx);
 }
 
@@ -316,12 +347,6 @@
 	fwd_send_again(fwd, now_us);
 }
 
-/* Returns whether the answer may be passed to the caller. */
-static bool fwd_is_deliverable(const struct fwd_head *head)
-{
-	return head->id_matches && !head->encoded && head->sealed;
-}
-
 bool fwd_on_head(struct fwd *fwd, const struct fwd_head *head, int64_t now_us)
 {
 	fwd->head = *head;
@@ -331,10 +356,9 @@
 		fwd_attempt_failed(fwd, true, now_us);
 		return false;
 	}
-	if (head->status / 100 == 2 && fwd_is_deliverable(head)) {
+	if (fwd_has_success(fwd))
 		fwd_cancel_aside(fwd);
-		fwd->is_event_stream = fwd->rules.streaming;
-	}
+	fwd->is_event_stream = fwd_has_event_stream(fwd);
 	fwd->state = FWD_ANSWERING;
 	fwd_set_timer(fwd);
 	return true;
@@ -489,15 +513,22 @@
 }
 
 /*
- * Keeps the current attempt beside the next one if nothing of its answer has arrived, else cancels
- * it. At most two attempts are under way.
+ * Keeps the current attempt beside the next one, unless the caller or the parser of events has a
+ * part of its answer; else cancels it. At most two attempts are under way.
  */
 static void fwd_set_aside_or_cancel(struct fwd *fwd)
 {
+	bool may_keep = !fwd->begun && sse_pending_bytes(&fwd->sse) == 0;
+
 	fwd_cancel_aside(fwd);
-	fwd->has_aside = fwd->state == FWD_SENT && !fwd->begun && fwd->ops->set_aside(fwd->ctx);
-	if (!fwd->has_aside)
+	fwd->has_aside = may_keep && fwd->ops->set_aside(fwd->ctx);
+	if (!fwd->has_aside) {
 		fwd->ops->cancel(fwd->ctx);
+		return;
+	}
+	fwd->aside_state = fwd->state;
+	fwd->aside_head = fwd->head;
+	fwd_swap_bodies(fwd);
 }
 
 /*
@@ -519,7 +550,7 @@
 	fwd_send(fwd, now_us);
 }
 
-void fwd_on_aside_head(struct fwd *fwd)
+void fwd_on_aside_progress(struct fwd *fwd)
 {
 	if (!fwd->has_aside)
 		return;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -139,7 +139,7 @@
 	void (*cancel)(void *ctx);
 
 	/*
-	 * Keeps the current attempt, of whose answer nothing has arrived, beside the next one.
+	 * Keeps the current attempt, of whose answer the caller has nothing, beside the next one.
 	 * Returns false if it can't be kept. Without this, a request whose endpoint is only silent
 	 * for a moment is lost if the next attempt fails.
 	 */
@@ -221,6 +221,10 @@
 	int abandoned;
 	/* Whether a silent attempt is kept beside the current one; it counts as a run. */
 	bool has_aside;
+	/* State of that attempt, and what has arrived of its answer. */
+	enum fwd_state aside_state;
+	struct fwd_head aside_head;
+	GString *aside_body;
 	/* Whether the caller has received the head of an answer. */
 	bool begun;
 	/* Whether the current answer is a stream of events. */
@@ -271,21 +275,22 @@
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us);
 
 /*
- * Sends the request again, if possible, in place of the current attempt; else does nothing. An
- * attempt of whose answer nothing has arrived may be set aside until the next one brings a
+ * Sends the request again, if possible, in place of the current attempt; else does nothing. If the
+ * caller has nothing of the answer yet, the attempt may be set aside until the next one brings a
  * successful head.
  */
 void fwd_abandon_attempt(struct fwd *fwd, int64_t now_us);
 
 /*
- * The head of the answer to the attempt that was set aside arrives: that attempt becomes the
- * current one, and the other one is cancelled. fwd_on_head() must be called next.
+ * More of the answer to the attempt that was set aside arrives, or its regular end: that attempt
+ * becomes the current one, and the other one is cancelled. The function for what arrived must be
+ * called next.
  */
-void fwd_on_aside_head(struct fwd *fwd);
+void fwd_on_aside_progress(struct fwd *fwd);
 
 /*
- * The attempt that was set aside ended without the head of an answer. sent states that the endpoint
- * may have received the request.
+ * The attempt that was set aside ended without a complete answer. sent states that the endpoint may
+ * have received the request.
  */
 void fwd_on_aside_done(struct fwd *fwd, bool sent);
 
--- a/fwd/fwd_model_test.cc
+++ b/fwd/fwd_model_test.cc
@@ -338,8 +338,8 @@
 	/* Returns whether the attempt has become the current one, so that the event is played. */
 	bool PlayAside(const Event &event)
 	{
-		if (event.kind == HEAD) {
-			fwd_on_aside_head(&fwd_);
+		if (event.kind != DONE || event.whole) {
+			fwd_on_aside_progress(&fwd_);
 			return true;
 		}
 		Note("aside_done");
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -433,7 +433,7 @@
 		if (c.what == FOREIGN)
 			Head(200, true, false);
 		else if (c.what == ASIDE_HEAD)
-			fwd_on_aside_head(&fwd_);
+			fwd_on_aside_progress(&fwd_);
 		else if (c.what == ASIDE_GONE)
 			fwd_on_aside_done(&fwd_, true);
 		else if (c.what == LEAVES)
@@ -451,6 +451,47 @@
 	started_ = false;
 }
 
+/* Guards against answers that lose what had arrived of them before their endpoint fell silent. */
+TEST_F(FwdTest, SilentAttemptKeepsWhatHasArrivedOfItsAnswer)
+{
+	enum What {
+		BROKEN,
+		FAILING,
+		ANSWERED
+	};
+	const struct {
+		const char *name;
+		What what;
+		const char *actions;
+	} cases[] = {
+		{"the other breaks off", BROKEN, "back whole:ab ok"},
+		{"the other is about to fail", FAILING, "cancel back whole:ab ok"},
+		{"the other answers", ANSWERED, "cancel_aside whole:b ok"},
+	};
+	can_set_aside_ = true;
+	for (const auto &c : cases) {
+		Start(true, false);
+		Head(200);
+		Data("a");
+		Wait(350 * MS);
+		EXPECT_EQ(Actions(), "send silent aside send") << c.name;
+		if (c.what == BROKEN) {
+			Done(false);
+		} else if (c.what == FAILING) {
+			Head(500);
+			Data("oops");
+			fwd_on_aside_progress(&fwd_);
+		} else {
+			Head(200);
+		}
+		Data("b");
+		Done(true);
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+	}
+	started_ = false;
+}
+
 /* Guards against more runs than the route allows, and against a second run of what may run once. */
 TEST_F(FwdTest, AttemptsThatAreKeptCountAsRuns)
 {
--- a/router/txn.c
+++ b/router/txn.c
@@ -419,7 +419,7 @@
 	bool go_on;
 
 	if (txn_is_aside(side))
-		fwd_on_aside_head(&txn->fwd);
+		fwd_on_aside_progress(&txn->fwd);
 	call = txn->attempt;
 	txn->head_received = true;
 	txn->head_us = tmr_now();
@@ -464,9 +464,12 @@
 
 static void txn_on_data(void *ctx, const char *data, size_t len)
 {
-	struct txn *txn = ((const struct txn_side *)ctx)->txn;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
 	uint64_t parts = txn->fwd.parts;
 
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
 	txn_update_gap_limit(txn, tmr_now());
 	txn->last_activity_us = tmr_now();
 	txn->traf->any_data_us = txn->last_activity_us;
@@ -481,14 +484,17 @@
 {
 	const struct txn_side *side = ctx;
 	struct txn *txn = side->txn;
-	bool failed = err < 0 || status >= 500 || txn->answer.head.not_run;
+	bool failed;
 
 	(void)body;
 	(void)len;
-	if (txn_is_aside(side)) {
+	if (txn_is_aside(side) && err < 0) {
 		txn_on_aside_done(txn, err, sent);
 		return;
 	}
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
+	failed = err < 0 || status >= 500 || txn->answer.head.not_run;
 	txn->attempt = NULL;
 	txn_cancel(txn);
 	if (failed) {
--- a/router/txn_aside.c
+++ b/router/txn_aside.c
@@ -14,9 +14,12 @@
 		return false;
 	txn->aside.call = txn->attempt;
 	txn->aside.target = txn->target;
+	txn->aside.answer = txn->answer;
 	txn->aside.boot_us = txn->attempt_boot_us;
+	txn->aside.head_received = txn->head_received;
 	txn->attempt = NULL;
 	memset(&txn->target, 0, sizeof(txn->target));
+	memset(&txn->answer, 0, sizeof(txn->answer));
 	txn->side = !txn->side;
 	return true;
 }
@@ -26,12 +29,14 @@
 	struct txn *txn = ctx;
 
 	traf_target_release(&txn->target);
+	seam_answer_finish(&txn->answer);
 	txn->attempt = txn->aside.call;
 	txn->target = txn->aside.target;
+	txn->answer = txn->aside.answer;
 	txn->attempt_boot_us = txn->aside.boot_us;
+	txn->head_received = txn->aside.head_received;
 	memset(&txn->aside, 0, sizeof(txn->aside));
 	txn->side = !txn->side;
-	txn->head_received = false;
 	txn->part_received = false;
 	txn->has_gone_on = false;
 	txn->broken_at = NULL;
@@ -46,6 +51,7 @@
 static void txn_forget_aside(struct txn *txn)
 {
 	traf_target_release(&txn->aside.target);
+	seam_answer_finish(&txn->aside.answer);
 	memset(&txn->aside, 0, sizeof(txn->aside));
 }
 
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -29,7 +29,9 @@
 struct txn_aside {
 	struct way_call *call;	   /* NULL: none */
 	struct traf_target target; /* endpoint of the attempt */
+	struct seam_answer answer; /* head of its answer, if that was received */
 	int64_t boot_us;	   /* time at which it was sent, by tmr_boot_now() */
+	bool head_received;	   /* it has received the head of an answer */
 };
 
 struct txn {
@@ -145,7 +147,7 @@
 /* Returns whether the call belongs to the attempt that is kept beside the current one. */
 bool txn_is_aside(const struct txn_side *side);
 
-/* The attempt that was kept beside the current one ended without the head of an answer. */
+/* The attempt that was kept beside the current one ended without a complete answer. */
 void txn_on_aside_done(struct txn *txn, int err, bool sent);
 
 /* Handles an attempt that broke off at an endpoint, which may have crashed. */
