soak: endpoints stand still beside versions of all kinds, a drain and stops of hosts

silence_beside_versions and silence_beside_stops check that each request sent whole is answered whole, refused, or ends at its deadline: one, a third or all endpoints of each kind stand still for 0.2 to 1.2 s (their gates hold both ways, the stand-in's new fault 'still' stalls them as later stages), while versions 60 ms apart change routes, timeouts, weights, priorities, keys, tenants, services and the idle timeout, and another endpoint drains; beside stops, each host in turn.

--- /dev/null
+++ b/regress/proc/silence_stops.sh
@@ -0,0 +1,5 @@
+# Tests answers of endpoints that stand still beside stops of hosts; see regress/soak/cases_silence.py.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+python3 cases_silence.py silence_beside_stops
--- a/regress/soak/cases_silence.py
+++ b/regress/soak/cases_silence.py
@@ -3,13 +3,14 @@
 import collections
 import itertools
 import random
+import signal
 import threading
 import time
 
 from cases import run
 from cases_lost import LOST, UNSENT, WHOLE, Connection, request_bytes
 from cases_reach import up
-from stack import Failure, check_stream, eventually
+from stack import HOST_NAME, Failure, check_stream, eventually
 
 # Kinds of requests: path prefix -> (type, resumable, attempts).
 KINDS = {"stream": ("streaming", True, 2), "stream1": ("streaming", True, 1), "plainstream": ("streaming", False, 1),
@@ -17,39 +18,54 @@
 EVENTS = 40             # events of a stream
 PAUSE_S = 0.6           # time between two silences, in seconds
 VERSION_S = 0.06        # time between two versions of the configuration, in seconds
-STALE_MS = 4000         # shorter of the timeouts of routes between which versions change
+SHORT_MS, LONG_MS = 6000, 8000  # timeouts of routes, between which versions change, in milliseconds
 SILENT_S = 1.2          # a silence of a sound endpoint, in seconds
+LAST_MOMENT_S = 0.3     # time before the deadline in which a request may be ended, in seconds
 RETRY_S = 0.05          # pause of a caller after a refusal, in seconds
 REFUSALS = (429, 503)
 
 
+class Changes:
+    """Versions of the configuration with a route of each kind. Once turned on, each one differs in routes, timeouts,
+    weights, priorities, keys, tenants, services and the idle timeout."""
+
+    def __init__(self, stack):
+        self.base, self.draw, self.on = stack.config, random.Random(1), False
+
+    def route(self, name, kind, resumable, attempts):
+        route = {"name": name, "hostname": HOST_NAME, "pathPrefix": "/%s/" % name, "routeType": kind,
+                 "timeoutMs": LONG_MS, "targetLatencyMs": 500, "maxAttempts": attempts, "priority": 1,
+                 "service": "llm" if kind == "streaming" else "plain"}
+        if kind == "streaming":
+            route.update(resumable=resumable, gapAimMs=200)
+        if self.on:
+            route.update(timeoutMs=self.draw.choice([SHORT_MS, LONG_MS]), priority=self.draw.choice([1, 2]),
+                         targetLatencyMs=self.draw.choice([300, 500, 800]))
+        if self.on and kind != "streaming":
+            route["trafficSplit"] = [{"service": "plain", "weight": self.draw.choice([1, 50])},
+                                     {"service": "spare", "weight": self.draw.choice([1, 2])}]
+            del route["service"]
+        return route
+
+    def config(self):
+        whole = self.base()
+        whole["routes"] = [self.route(name, *kind) for name, kind in KINDS.items()]
+        whole["services"].append({"name": "spare", "healthPath": "/health"})
+        if self.on:
+            whole["routes"] += [dict(self.route("more%d" % i, "idempotent", False, 2), pathPrefix="/more%d/" % i)
+                                for i in range(self.draw.randrange(4))]
+            whole["services"] += [{"name": "new%d" % i} for i in range(self.draw.randrange(3))]
+            whole["limits"]["idleTimeoutMs"] = self.draw.choice([4000, 15000])
+            whole["tenants"][0]["priority"] = self.draw.choice([1, 2])
+            whole["tenants"].append({"name": "guest", "apiKeys": ["key-%d" % self.draw.randrange(9)]})
+        return whole
+
+
 def with_routes(stack):
-    """Gives the stack a route of each kind, and versions that change in every respect."""
-    make = stack.config
-    draw = random.Random(1)
-    stack.changes = False
-
-    def config():
-        all_of = make()
-        routes = [r for r in all_of["routes"] if r["name"] not in KINDS]
-        for name, (kind, resumable, attempts) in KINDS.items():
-            route = {"name": name, "hostname": "local.test", "pathPrefix": "/%s/" % name, "routeType": kind,
-                     "service": "llm" if kind == "streaming" else "plain", "timeoutMs": 8000,
-                     "targetLatencyMs": 500, "maxAttempts": attempts, "priority": 1}
-            if kind == "streaming":
-                route.update(resumable=resumable, gapAimMs=200)
-            if stack.changes:
-                route.update(timeoutMs=draw.choice([STALE_MS, 8000]), targetLatencyMs=draw.choice([300, 500, 800]),
-                             priority=draw.choice([1, 2]))
-            routes.append(route)
-        if stack.changes:
-            routes += [dict(routes[-1], name="more%d" % i, pathPrefix="/more%d/" % i)
-                       for i in range(draw.randrange(4))]
-            all_of["limits"]["idleTimeoutMs"] = draw.choice([4000, 15000])
-            all_of["tenants"].append({"name": "guest", "apiKeys": ["key-%d" % draw.randrange(9)]})
-        all_of["routes"] = routes
-        return all_of
-    stack.config = config
+    """Gives the stack a route of each kind, and a service of its own to two of the plain endpoints."""
+    stack.points += [("s%d" % i, stack.base + 26 + i, "spare", "z%d" % i, "-") for i in range(2)]
+    stack.changes = Changes(stack)
+    stack.config = stack.changes.config
 
 
 class Asked:
@@ -126,10 +142,9 @@
     """Makes the endpoints stand still, to requests, checks and other stages alike."""
     for i in chosen:
         gates[i].begin_cut(list(stack.sources.values()), "accept")
-    stack.ledger()      # requests that had passed the gates have begun: a stage that is dark would drop them
     for i in chosen:
         if stack.points[i][4] != "-":
-            stack.fault_engine(stack.points[i][0], "dark")
+            stack.fault_engine(stack.points[i][0], "still")
 
 
 def go_on(stack, gates, chosen):
@@ -146,7 +161,7 @@
     def __init__(self, stack, wanted=True):
         self.stack, self.ending = stack, threading.Event()
         self.thread = threading.Thread(target=self.run) if wanted else None
-        stack.changes = wanted
+        stack.changes.on = wanted
 
     def run(self):
         while not self.ending.wait(VERSION_S):
@@ -162,36 +177,75 @@
             self.thread.join()
 
 
-def play(stack, for_s, silent_s=(0.2, 0.5, 1.2, 2.0), parts=("one", "third", "all"), versions=False, seed=1):
-    """Lets endpoints fall silent again and again while callers ask; returns the callers."""
+class Stops:
+    """Context manager: stops one host after another, and starts it again."""
+
+    def __init__(self, stack, wanted=True):
+        self.stack, self.ending = stack, threading.Event()
+        self.thread = threading.Thread(target=self.run) if wanted else None
+
+    def run(self):
+        for host in itertools.cycle(self.stack.hosts):
+            if self.ending.wait(PAUSE_S):
+                return
+            self.stack.signal(host, signal.SIGTERM)
+            self.stack.procs[host].wait()
+            self.stack.begin_host(host)
+            eventually(host + " is ready", lambda h=host: self.stack.is_ready(h))
+
+    def __enter__(self):
+        if self.thread:
+            self.thread.start()
+
+    def __exit__(self, *_):
+        self.ending.set()
+        if self.thread:
+            self.thread.join()
+
+
+def play(stack, for_s, silent_s=(0.2, 0.5, 1.2), parts=("one", "third", "all"), versions=False, stops=False, seed=1):
+    """Lets endpoints fall silent again and again while callers ask, and another one drain; returns the callers."""
     with_routes(stack)
     gates = up(stack, hosts=3)
     draw = random.Random(seed)
     indices = range(len(stack.points))
     with KeptCallers(stack) as callers:
-        time.sleep(1)
-        with Versions(stack, versions):
+        eventually("all kinds are served", lambda: len(callers.table()) == len(KINDS))
+        with Versions(stack, versions), Stops(stack, stops):
             end = time.monotonic() + for_s
             while time.monotonic() < end:
                 n = {"one": 1, "third": len(indices) // 3, "all": len(indices)}[draw.choice(parts)]
                 chosen = draw.sample(indices, n)
+                leaving = [stack.points[i][0] for i in indices if i not in chosen][:1]
+                for name in leaving:
+                    stack.fault_engine(name, "drain")
                 hold(stack, gates, chosen)
                 time.sleep(draw.choice(silent_s))
                 go_on(stack, gates, chosen)
+                for name in leaving:
+                    stack.fault_engine(name, "ok")
                 time.sleep(PAUSE_S)
     return callers
 
 
-def check_all_whole(callers, allowed=("whole", "refused", UNSENT)):
-    """Checks that each request that was sent whole was answered whole or refused, and prints what callers got."""
+def check_all_whole(stack, callers):
+    """Checks that each request that was sent whole was answered whole or refused, or had reached its deadline; prints
+    what callers got."""
+    runs = stack.ledger()["runs"]
+    lost = []
     for kind, outcomes in sorted(callers.table().items()):
         print("%-12s %s" % (kind, ", ".join("%s %d" % o for o in sorted(outcomes.items()))))
     for one in callers.asked:
-        if one.outcome() == "whole" and KINDS[one.kind][0] == "streaming":
+        outcome = one.outcome()
+        if outcome == "whole" and KINDS[one.kind][0] == "streaming":
             check_stream(one.id, one.body, last=EVENTS)
-    bad = [(one.id, one.outcome(), "%.1f s" % one.took_s) for one in callers.asked if one.outcome() not in allowed]
-    if bad:
-        raise Failure("%d of %d requests lost: %r" % (len(bad), len(callers.asked), bad[:6]))
+        # What ran did not just cross the close of its connection.
+        if outcome in ("whole", "refused") or (outcome == UNSENT and one.id not in runs):
+            continue
+        if one.took_s < SHORT_MS / 1000 - LAST_MOMENT_S:
+            lost.append((one.id, outcome, "%.1f s" % one.took_s))
+    if lost:
+        raise Failure("%d of %d requests lost: %r" % (len(lost), len(callers.asked), lost[:6]))
 
 
 def case_silent_beside_errors(stack):
@@ -207,12 +261,17 @@
             hold(stack, gates, still)
             time.sleep(SILENT_S)
             go_on(stack, gates, still)
-    check_all_whole(callers)
+    check_all_whole(stack, callers)
 
 
 def case_silence_beside_versions(stack):
     """Guards against answers that are lost when endpoints fall silent beside versions of the configuration."""
-    check_all_whole(play(stack, 15, versions=True))
+    check_all_whole(stack, play(stack, 15, versions=True))
+
+
+def case_silence_beside_stops(stack):
+    """Guards against answers that are lost when endpoints fall silent beside stops of hosts and versions."""
+    check_all_whole(stack, play(stack, 25, versions=True, stops=True))
 
 
 CASES = {k[len("case_"):]: v for k, v in globals().items() if k.startswith("case_")}
