soak: kept callers heed Connection: close

They sent further requests on connections that a stopping host had said to close, which looked like requests that cross the close: 350 of 4,000 requests of a kind, some of them after 0.1 s, in plays with stops.

--- a/regress/soak/cases_silence.py
+++ b/regress/soak/cases_silence.py
@@ -74,6 +74,7 @@
     def __init__(self, kind, request_id, at):
         self.kind, self.id, self.at = kind, request_id, at
         self.got, self.status, self.body, self.took_s = None, 0, b"", 0.0
+        self.closes = False     # the host said that it closes the connection
 
     def outcome(self):
         if self.got != WHOLE:
@@ -96,7 +97,8 @@
         one = Asked(kind, "%s-%d" % (kind, next(self.ids)), time.monotonic())
         try:
             conn.send(request_bytes("/%s/a" % kind, one.id, Bronzegauge_Token_Counts="50,%d" % EVENTS))
-            one.got, one.status, _, one.body = conn.read_answer()
+            one.got, one.status, headers, one.body = conn.read_answer()
+            one.closes = headers.get("connection", "").lower() == "close"
         except OSError:
             one.got = UNSENT
         one.took_s = time.monotonic() - one.at
@@ -114,7 +116,7 @@
                 self.ending.wait(RETRY_S)
                 continue
             one = self.ask(conn, kind)
-            if one.got != WHOLE:
+            if one.got != WHOLE or one.closes:
                 conn.close()
                 conn = None
             self.ending.wait(RETRY_S if one.outcome() != "whole" else 0.01)
