Entry and control daemons accept no connections before they end either

Both daemons ended as soon as no request was open, with the listening socket open. Change: the rule of the two rounds is a pure module (base/drain), which all three daemons ask; hd_quiesce() between.

--- a/prog/control.c
+++ b/prog/control.c
@@ -121,13 +121,16 @@
 static void control_on_stop_timer(void *ctx, int64_t now_us)
 {
 	struct control *c = ctx;
+	enum drain_step step = drain_check(&c->drain, hd_open_requests(c->operators) > 0, false);
 
 	(void)now_us;
-	if (hd_open_requests(c->operators) > 0)
-		loop_start_timer(&c->loop, &c->stop_timer, CONTROL_TICK_US, control_on_stop_timer,
-				 c);
-	else
+	if (step == DRAIN_END) {
 		loop_stop(&c->loop);
+		return;
+	}
+	if (step == DRAIN_QUIESCE)
+		hd_quiesce(c->operators);
+	loop_start_timer(&c->loop, &c->stop_timer, CONTROL_TICK_US, control_on_stop_timer, c);
 }
 
 /*
--- a/prog/control.h
+++ b/prog/control.h
@@ -1,6 +1,7 @@
 #ifndef PROG_CONTROL_H
 #define PROG_CONTROL_H
 
+#include "base/drain.h"
 #include "base/frm.h"
 #include "base/hc.h"
 #include "conf/clog.h"
@@ -123,6 +124,7 @@
 	bool order_reading;	    /* A read of the stream of leases is in progress. */
 	bool stopping;		    /* The daemon is shutting down. */
 	struct tmr stop_timer;	    /* Timer of the next check whether the daemon can exit. */
+	struct drain drain;	    /* Progress of a stop. */
 	int64_t started_us;	    /* Time at which the daemon started. */
 	int64_t cpu_us;		    /* CPU time used by the event loop's thread. */
 };
--- a/prog/entry.c
+++ b/prog/entry.c
@@ -58,11 +58,15 @@
 {
 	struct entry *e = ctx;
 	bool drain_over = now_us - e->stop_us >= e->settings.drain_ms * USEC_PER_MSEC;
+	bool open = ck_pr_load_uint(&e->open_calls) > 0 || hd_open_requests(e->hd) > 0;
+	enum drain_step step = drain_over ? drain_check(&e->drain, open, false) : DRAIN_WAIT;
 
-	if (drain_over && ck_pr_load_uint(&e->open_calls) == 0 && hd_open_requests(e->hd) == 0) {
+	if (step == DRAIN_END) {
 		loop_stop(&e->loop);
 		return;
 	}
+	if (step == DRAIN_QUIESCE)
+		hd_quiesce(e->hd);
 	loop_start_timer(&e->loop, &e->drain_timer, ENTRY_TICK_US, entry_on_drain_timer, e);
 }
 
--- a/prog/entry.h
+++ b/prog/entry.h
@@ -1,6 +1,7 @@
 #ifndef PROG_ENTRY_H
 #define PROG_ENTRY_H
 
+#include "base/drain.h"
 #include "base/frm.h"
 #include "base/hc.h"
 #include "conf/clog.h"
@@ -250,6 +251,7 @@
 	struct hd *hd;		 /* HTTP server for callers */
 	struct tmr tick_timer;	 /* fires when the control thread's periodic work is due */
 	struct tmr drain_timer;	 /* fires at each check whether a shutdown is complete */
+	struct drain drain;	 /* progress of a shutdown */
 	char *boot_id;		 /* prefix that makes request ids unique across restarts */
 	bool stopping;		 /* the daemon is shutting down */
 	int64_t stop_us;	 /* time of the stop signal, in microseconds */
--- a/prog/router.c
+++ b/prog/router.c
@@ -1,3 +1,4 @@
+#include "base/drain.h"
 #include "base/jl.h"
 #include "base/met.h"
 #include "platform/pf.h"
@@ -21,9 +22,6 @@
 	/* Interval of checks whether a stopping host can exit, in milliseconds. */
 	ROUTER_STOP_POLL_MS = 100,
 
-	/* Consecutive checks without open requests before the exit. */
-	ROUTER_STOP_IDLE_POLLS = 4,
-
 	/* Part of the grace time reserved for the exit itself, in milliseconds. */
 	ROUTER_EXIT_RESERVE_MS = 400,
 
@@ -96,8 +94,7 @@
 	struct loop loop;
 	struct tmr stop_timer;	   /* Timer of the next check whether the host can exit. */
 	struct tmr settings_timer; /* Timer of the next check for a changed settings file. */
-	int idle_polls;		   /* Consecutive checks without open requests. */
-	bool quiesced;		   /* No connections are accepted any more. */
+	struct drain drain;	   /* Progress of a stop. */
 	bool ended_requests;	   /* The requests that were open have been ended. */
 	struct router_file_stamp settings_file; /* The settings file when it was last checked. */
 };
@@ -290,16 +287,6 @@
 	       gateway_open_tunnels(traf_gateway(router->traf)) > 0;
 }
 
-/* Stops accepting connections, so that no request arrives between the last check and the exit. */
-static void router_quiesce(struct router_main *m)
-{
-	if (m->quiesced)
-		return;
-	m->quiesced = true;
-	m->idle_polls = 0;
-	hd_quiesce(m->router.front);
-}
-
 static void router_end_requests(struct router_main *m)
 {
 	if (m->ended_requests)
@@ -309,33 +296,32 @@
 }
 
 /*
- * Takes the next step of a stop. Once no request has been open for several consecutive checks, and
- * the balancer has had time to stop sending connections, the host stops accepting connections; when
- * it has been idle once more, the process ends. Shortly before the end of the grace time, when the
- * process would be killed, each step is taken in any case.
+ * Takes the next step of a stop, see base/drain.h. Connections are accepted until the balancer has
+ * had time to stop sending them. Shortly before the end of the grace time, when the process would
+ * be killed, each step is taken in any case.
  */
 static void router_on_stop_timer(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
 	int64_t since_ms = (now_us - m->router.stop_us) / TMR_US_PER_MS;
-	int64_t grace_ms = m->router.settings.grace_s * 1000;
+	int64_t left_ms = m->router.settings.grace_s * 1000 - since_ms;
 	bool open = router_is_open(&m->router);
-	bool idle;
-
-	m->idle_polls = open ? 0 : m->idle_polls + 1;
-	idle = since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS;
-	if ((idle && m->quiesced) || since_ms >= grace_ms - ROUTER_EXIT_RESERVE_MS) {
-		if (open)
-			router_log_cut(m);
-		loop_stop(&m->loop);
+	enum drain_step step = DRAIN_WAIT;
+
+	if (since_ms >= ROUTER_STOP_SERVE_MS)
+		step = drain_check(&m->drain, open, left_ms <= ROUTER_QUIESCE_RESERVE_MS);
+	if (step == DRAIN_QUIESCE)
+		hd_quiesce(m->router.front);
+	if (left_ms <= ROUTER_END_RESERVE_MS)
+		router_end_requests(m);
+	if (step != DRAIN_END && left_ms > ROUTER_EXIT_RESERVE_MS) {
+		loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
+				 router_on_stop_timer, m);
 		return;
 	}
-	if (idle || since_ms >= grace_ms - ROUTER_QUIESCE_RESERVE_MS)
-		router_quiesce(m);
-	if (since_ms >= grace_ms - ROUTER_END_RESERVE_MS)
-		router_end_requests(m);
-	loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
-			 router_on_stop_timer, m);
+	if (open)
+		router_log_cut(m);
+	loop_stop(&m->loop);
 }
 
 static void router_on_stop(void *ctx)
--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -1,8 +1,10 @@
 """Test cases for requests that end without an answer: python3 regress/soak/cases_lost.py NAME. Each docstring names
 the failure that the case guards against."""
 import itertools
+import os
 import signal
 import socket
+import sys
 import threading
 
 from cases import run
@@ -115,17 +117,16 @@
         conn.close()
 
 
-def case_stopping_crowd(stack):
-    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
-    end with its process."""
-    stack.up()
+def crowd_beside_a_stop(port, make_request, stop):
+    """Eight callers send requests on new connections while stop() ends the server at the port. Fails if one that was
+    sent whole gets no whole answer."""
     lost, answered, ids = [], [], itertools.count()
     refused = threading.Event()
 
     def keep_asking():
         while not refused.is_set():
             name = "stop-%d" % next(ids)
-            got, status = ask_once(stack.port("host-0", "front"), request_bytes("/many/a", name, close=True))
+            got, status = ask_once(port, make_request(name))
             if got == UNSENT:
                 refused.set()
             else:
@@ -133,16 +134,36 @@
     threads = [threading.Thread(target=keep_asking) for _ in range(8)]
     for thread in threads:
         thread.start()
-    stack.signal("host-0", signal.SIGTERM)
-    stack.procs["host-0"].wait()
+    stop()
     for thread in threads:
         thread.join()
     if lost:
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+def case_stopping_crowd(stack):
+    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
+    end with its process."""
+    stack.up()
+
+    def stop():
+        stack.signal("host-0", signal.SIGTERM)
+        stack.procs["host-0"].wait()
+    crowd_beside_a_stop(stack.port("host-0", "front"),
+                        lambda name: request_bytes("/many/a", name, close=True), stop)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
+def crowd_at_process(port, pid):
+    """The crowd at a process that another script has started."""
+    request = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    crowd_beside_a_stop(port, lambda name: request, lambda: os.kill(pid, signal.SIGTERM))
+
+
 if __name__ == "__main__":
-    run(CASES)
+    if sys.argv[1] == "crowd_at":
+        crowd_at_process(int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        run(CASES)
