--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -33,7 +33,7 @@
         if receive_buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.sock.connect(("127.0.0.1", port))
-        self.data = b""         # what was received and is not part of an answer that was returned
+        self.data = bytearray() # what was received and is not part of an answer that was returned
 
     def close(self):
         self.sock.close()
@@ -55,15 +55,15 @@
         while len(self.data) < n:
             if not self.fill():
                 return None
-        taken, self.data = self.data[:n], self.data[n:]
+        taken = bytes(self.data[:n])
+        del self.data[:n]
         return taken
 
     def take_line(self):
         while b"\r\n" not in self.data:
             if not self.fill():
                 return None
-        line, self.data = self.data.split(b"\r\n", 1)
-        return line
+        return self.take(self.data.index(b"\r\n") + 2)[:-2]
 
     def read_answer(self):
         """Reads an answer; returns (what the caller got, status, headers, body). Body: as far as it came."""
@@ -87,14 +87,14 @@
         if "content-length" in headers:
             n = int(headers["content-length"])
             body = self.take(n)
-            return (True, body) if body is not None else (False, self.data)
+            return (True, body) if body is not None else (False, bytes(self.data))
         parts = []
         while True:
             line = self.take_line()
             n = int(line, 16) if line else -1
             part = self.take(n + 2) if n >= 0 else None
             if part is None:
-                return False, b"".join(parts) + (self.data if n >= 0 else b"")
+                return False, b"".join(parts) + bytes(self.data if n >= 0 else b"")
             if n == 0:
                 return True, b"".join(parts)
             parts.append(part[:-2])
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -98,6 +98,8 @@
         self.extra_routes = []
         self.classes = {}       # further streaming routes of the engines' service -> their priority
         self.drain_ms = 2000
+        self.timeout_ms = 8000    # timeout of routes, in milliseconds
+        self.idle_ms = 15000      # idle timeout of connections, in milliseconds
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -184,7 +186,7 @@
     def config(self):
         def route(name, prefix, kind, service, **more):
             return dict({"name": name, "hostname": HOST_NAME, "pathPrefix": prefix,
-                         "routeType": kind, "service": service, "timeoutMs": 8000,
+                         "routeType": kind, "service": service, "timeoutMs": self.timeout_ms,
                          "targetLatencyMs": 500, "maxAttempts": 2, "priority": 1}, **more)
 
         routes = [route("stream", "/stream/", "streaming", "llm", resumable=True, gapAimMs=200),
@@ -204,7 +206,7 @@
                 "services": [{"name": "llm", "healthPath": "/health", "engine": engine},
                              {"name": "plain", "healthPath": "/health"}],
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
-                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": self.idle_ms},
                 "tenants": [{"name": n, "apiKeys": k} for n, k in self.keys.items()]}
 
     def put_config(self):
