--- /dev/null
+++ b/regress/proc/slow_bodies.sh
@@ -0,0 +1,5 @@
+# Tests many requests whose bodies come slowly; see regress/soak/cases_slow.py.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+python3 cases_slow.py slow_bodies
--- /dev/null
+++ b/regress/proc/slow_stop.sh
@@ -0,0 +1,5 @@
+# Tests a host that is stopped while callers read slowly; see regress/soak/cases_slow.py.
+set -euo pipefail
+
+cd "$(dirname "$0")/../soak"
+python3 cases_slow.py host_stops
--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -41,10 +41,10 @@
     def send(self, data):
         self.sock.sendall(data)
 
-    def fill(self):
+    def fill(self, n_max=1 << 16):
         """Receives some more bytes; false once the connection has ended."""
         try:
-            more = self.sock.recv(1 << 16)
+            more = self.sock.recv(n_max)
         except OSError:
             return False
         self.data += more
