Failing test: an id that is no UTF-8 text ends a whole host

Callers saw: a request with such an id streams through a pipeline, a stage after the first dies, and the host's process ends with signal 11. All its requests end without an answer, with no line and no counter.

--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -5,8 +5,8 @@
 import socket
 import threading
 
-from cases import run
-from stack import HOST_NAME, Failure
+from cases import endpoint_state, events, expect, run
+from stack import HOST_NAME, Failure, check_stream, eventually
 
 # What a caller gets for a request that it has sent whole.
 WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
@@ -141,6 +141,32 @@
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+def case_id_not_utf8(stack):
+    """Guards against a host that ends, with all of its requests, when a stage dies under a request whose id is no
+    UTF-8 text."""
+    stack.up()
+    results = {}
+    names = {i: "caf\xe9-%d" % i for i in range(12)}
+
+    def stream(i):
+        results[i] = stack.ask("host-%d" % (i % 3), "/stream/a", names[i], Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in names]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= len(names))
+    second = events(stack, "host-0", "sent")[-1]["pipeline"].split(",")[1].split("=")[0]
+    stack.fault_engine(endpoint_state(stack, "host-0", second)["id"].split("-")[1], "dark")
+    for thread in threads:
+        thread.join()
+    for host in stack.hosts:
+        expect("exit status of " + host, stack.procs[host].poll(), None)
+    for i, name in names.items():
+        status, _, body = results.get(i, (None, {}, b""))
+        expect("status of %r" % name, status, 200)
+        check_stream(name, body.decode("latin-1").encode(), last=40)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
