Changes to the list of hosts that come during a write are written by the next one

Operators saw: 'hosts_written_again' counted hosts that the write did not hold; those were missing in the store until the host noticed it itself (six seconds and more), and the removal of a host that had left was lost until the next era of the store. Cause: the end of a good write discarded all pending changes, also those that came after it was sent: what was written and what was owed were one table. Change: a write moves the pending changes to 'writing'; its end drops those, or, if it failed, schedules them again, except what was scheduled or read from the store since.

--- a/router/hosts.c
+++ b/router/hosts.c
@@ -22,6 +22,7 @@
 	GHashTable *removed;  /* names of hosts that have left */
 	GHashTable *listed;   /* names in the listing that is being read */
 	GHashTable *pending;  /* host name -> enum hosts_write_op, changes still to be written */
+	GHashTable *writing;  /* host name -> enum hosts_write_op, changes in the current write */
 	GHashTable *in_store; /* names that are in the store's list, as far as this host has read */
 	bool compare_next;    /* the next listing is to be compared with the known hosts */
 	bool comparing;	      /* the listing that is being read is compared with the known hosts */
@@ -44,6 +45,7 @@
 	hosts->removed = hosts_name_table();
 	hosts->listed = hosts_name_table();
 	hosts->pending = hosts_name_table();
+	hosts->writing = hosts_name_table();
 	hosts->in_store = hosts_name_table();
 	return hosts;
 }
@@ -55,6 +57,7 @@
 	g_hash_table_destroy(hosts->removed);
 	g_hash_table_destroy(hosts->listed);
 	g_hash_table_destroy(hosts->pending);
+	g_hash_table_destroy(hosts->writing);
 	g_hash_table_destroy(hosts->in_store);
 	g_free(hosts);
 }
@@ -100,6 +103,7 @@
 		g_hash_table_remove(hosts->in_store, name);
 	}
 	g_hash_table_remove(hosts->pending, name);
+	g_hash_table_remove(hosts->writing, name);
 	hosts_set_removed(hosts, name, !text.data);
 	ctrl_apply_host(hosts->ctrl, name, text);
 }
@@ -139,12 +143,12 @@
 	g_free(text);
 }
 
-void hosts_announce_to_feeder(const struct hosts *hosts)
+static void hosts_announce_changes(const struct hosts *hosts, GHashTable *changes)
 {
 	GHashTableIter iter;
 	gpointer name;
 
-	g_hash_table_iter_init(&iter, hosts->pending);
+	g_hash_table_iter_init(&iter, changes);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		const struct ctrl_host *host = g_hash_table_lookup(hosts->ctrl->hosts, name);
 
@@ -153,6 +157,12 @@
 	}
 }
 
+void hosts_announce_to_feeder(const struct hosts *hosts)
+{
+	hosts_announce_changes(hosts, hosts->writing);
+	hosts_announce_changes(hosts, hosts->pending);
+}
+
 static void hosts_append_record(const struct hosts *hosts, const char *name, enum hosts_write_op op,
 				GString *body)
 {
@@ -183,13 +193,31 @@
 	gpointer name;
 	gpointer op;
 
+	g_hash_table_remove_all(hosts->writing);
 	g_hash_table_iter_init(&iter, hosts->pending);
-	while (g_hash_table_iter_next(&iter, &name, &op))
+	while (g_hash_table_iter_next(&iter, &name, &op)) {
+		g_hash_table_insert(hosts->writing, g_strdup(name), op);
 		hosts_append_record(hosts, name, GPOINTER_TO_INT(op), body);
+	}
+	g_hash_table_remove_all(hosts->pending);
 	hosts->write = store_call(hosts->ctrl, &request, hosts_on_written, hosts);
 	g_string_free(body, TRUE);
 }
 
+/* Schedules the changes of a failed write again, except those that have been scheduled since. */
+static void hosts_reschedule(struct hosts *hosts)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer op;
+
+	g_hash_table_iter_init(&iter, hosts->writing);
+	while (g_hash_table_iter_next(&iter, &name, &op)) {
+		if (!g_hash_table_contains(hosts->pending, name))
+			hosts_schedule_write(hosts, name, GPOINTER_TO_INT(op));
+	}
+}
+
 static void hosts_on_written(void *ctx, const struct store_answer *answer)
 {
 	struct hosts *hosts = ctx;
@@ -200,10 +228,11 @@
 	jl_begin(JL_UNLIMITED, good ? "hosts_written_again" : "hosts_not_written");
 	jl_int("status", answer->status);
 	jl_str("error", answer->err < 0 ? store_strerror(answer->err) : NULL);
-	jl_int("hosts", g_hash_table_size(hosts->pending));
+	jl_int("hosts", g_hash_table_size(hosts->writing));
 	jl_end();
-	if (good)
-		g_hash_table_remove_all(hosts->pending);
+	if (!good)
+		hosts_reschedule(hosts);
+	g_hash_table_remove_all(hosts->writing);
 }
 
 void hosts_on_tick(struct hosts *hosts, int64_t now_us)
