Failing test: an idle connection is closed by an idle timeout that is no longer in force

The idle timeout of a connection is set when a request begins, and the HTTP library allows no change between two requests. A version that makes it longer, from 2 to 60 s, leaves connections to be closed after 2 s, though their callers use them for up to four fifths of the newest one. idle_limit_ends is the counterpart: idle connections do end.

--- a/regress/proc/lost_ways.sh
+++ b/regress/proc/lost_ways.sh
@@ -2,6 +2,6 @@
 set -euo pipefail
 
 cd "$(dirname "$0")/../soak"
-for name in half_closed; do
+for name in half_closed idle_limit_grows idle_limit_ends; do
 	python3 cases_lost.py $name
 done
--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -6,7 +6,7 @@
 import threading
 
 from cases import run
-from stack import HOST_NAME, Failure
+from stack import HOST_NAME, Failure, eventually
 
 # What a caller gets for a request that it has sent whole.
 WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
@@ -141,6 +141,45 @@
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+def is_open_for(conn, seconds):
+    """Whether the connection, on which nothing is awaited, stays open for that time."""
+    conn.sock.settimeout(seconds)
+    try:
+        return bool(conn.sock.recv(1))
+    except socket.timeout:
+        return True
+
+
+def case_idle_limit_grows(stack):
+    """Guards against connections that are closed by the idle timeout of their last request, though a longer one is in
+    force by which their callers still use them."""
+    stack.idle_ms = 2000
+    stack.up()
+    conn = Connection(stack.port("host-0", "front"))
+    conn.send(request_bytes("/many/a", "before"))
+    got = conn.read_answer()[:2]
+    stack.idle_ms = 60000
+    version = stack.put_config()
+    eventually("host-0 has the version", lambda: stack.state("host-0")["configuration"] == version)
+    if got != (WHOLE, 200) or not is_open_for(conn, 10):
+        raise Failure("%r, and then the connection was closed by the older timeout" % (got,))
+    conn.sock.settimeout(15)
+    conn.send(request_bytes("/many/a", "after"))
+    got = conn.read_answer()[:2]
+    if got != (WHOLE, 200):
+        raise Failure("a request on a connection that was kept got %r" % (got,))
+
+
+def case_idle_limit_ends(stack):
+    """Guards against connections that stay open for ever, since their idle timeout is not the HTTP library's."""
+    stack.idle_ms = 1000
+    stack.up()
+    conn = Connection(stack.port("host-0", "front"), timeout=60)
+    conn.send(request_bytes("/many/a", "idle"))
+    if conn.read_answer()[:2] != (WHOLE, 200) or conn.fill():
+        raise Failure("the connection did not end, or with bytes that nobody asked for")
+
+
 def case_half_closed(stack):
     """Guards against callers that shut down their sending direction behind a request, which HTTP allows, and get
     neither an answer nor a refusal; and against endpoints that go on working for callers that left."""
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -98,6 +98,7 @@
         self.extra_routes = []
         self.classes = {}       # further streaming routes of the engines' service -> their priority
         self.drain_ms = 2000
+        self.idle_ms = 15000    # idle timeout of callers' connections
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -204,7 +205,7 @@
                 "services": [{"name": "llm", "healthPath": "/health", "engine": engine},
                              {"name": "plain", "healthPath": "/health"}],
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
-                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": self.idle_ms},
                 "tenants": [{"name": n, "apiKeys": k} for n, k in self.keys.items()]}
 
     def put_config(self):
