Failing tests: gateways that can't open or watch a socket

Evidence: the tunnel stays open (1, expected 0) and passes nothing; a lack of descriptors is answered as REFUSED (2) instead of BUSY (5), which the asking host takes for evidence against the endpoint.

--- a/router/gateway.h
+++ b/router/gateway.h
@@ -5,6 +5,8 @@
 #include "msg/tunnel.pb-c.h"
 #include "reach/reach.h"
 
+G_BEGIN_DECLS
+
 /*
  * Tunnels that this host opens for others: a host that does not reach an endpoint asks for a
  * connection to it (msg/tunnel.proto), and bytes pass unchanged between the two connections. The
@@ -34,4 +36,6 @@
 /* Returns the number of open tunnels. May be called in any thread. */
 unsigned int gateway_open_tunnels(const struct gateway *gateway);
 
+G_END_DECLS
+
 #endif
--- /dev/null
+++ b/router/gateway_test.cc
@@ -0,0 +1,139 @@
+#include "base/frm.h"
+#include "msg/kind.h"
+#include "router/gateway.h"
+
+#include <arpa/inet.h>
+#include <cstdio>
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace
+{
+
+/* A gateway, an endpoint that accepts connections, and hosts that ask for tunnels to it. */
+class GatewayTest : public ::testing::Test
+{
+      protected:
+	GatewayTest() : endpoint_(socket(AF_INET, SOCK_STREAM, 0))
+	{
+		sockaddr_in sin{};
+		socklen_t len = sizeof(sin);
+
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(endpoint_, (sockaddr *)&sin, sizeof(sin)), 0);
+		EXPECT_EQ(listen(endpoint_, 4), 0);
+		getsockname(endpoint_, (sockaddr *)&sin, &len);
+		addr_ = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		loop_init(&loop_);
+		reach_init(&reach_);
+		gateway_ = gateway_new(&loop_, &reach_, "");
+	}
+	~GatewayTest() override
+	{
+		reach_finish(&reach_);
+		loop_finish(&loop_);
+		close(endpoint_);
+	}
+	/* Runs the loop until the condition holds. */
+	void RunUntil(std::function<bool()> done)
+	{
+		done_ = std::move(done);
+		loop_.stopping = false;
+		OnPoll(this, 0);
+		loop_run(&loop_);
+	}
+	static void OnPoll(void *ctx, int64_t)
+	{
+		GatewayTest *test = (GatewayTest *)ctx;
+
+		if (test->done_())
+			loop_stop(&test->loop_);
+		else
+			loop_start_timer(&test->loop_, &test->poll_, 1000, OnPoll, test);
+	}
+	/* Asks for a tunnel on one end of the pair of sockets. */
+	void Ask(const int *pair)
+	{
+		Tunnel__Open *open = (Tunnel__Open *)g_malloc(sizeof(Tunnel__Open));
+
+		tunnel__open__init(open);
+		open->addr = strdup(addr_.c_str());
+		open->request = strdup("r-1");
+		open->host = strdup("h1");
+		open->connect_ms = 1000;
+		gateway_post_open(gateway_, pair[0], open, TUNNEL__RESULT__UNSPECIFIED);
+	}
+	/* Waits for the gateway's answer. */
+	Tunnel__Result ReadAnswer(int fd, uint64_t *token)
+	{
+		uint8_t buf[256];
+		ssize_t n = 0;
+		uint16_t kind = 0;
+		const uint8_t *body = nullptr;
+		size_t len = 0;
+
+		RunUntil([&] { return (n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) >= 0; });
+		EXPECT_GT(frm_parse(buf, (size_t)n, &kind, &body, &len), 0);
+		Tunnel__Opened *opened = tunnel__opened__unpack(nullptr, len, body);
+		Tunnel__Result result = opened->result;
+		*token = opened->token;
+		tunnel__opened__free_unpacked(opened, nullptr);
+		return result;
+	}
+	loop loop_;
+	reach reach_{};
+	gateway *gateway_;
+	int endpoint_;
+	std::string addr_;
+	tmr poll_{};
+	std::function<bool()> done_;
+};
+
+/* A tunnel whose socket can't be watched passed nothing until the caller's deadline. */
+TEST_F(GatewayTest, TunnelThatCannotBeWatchedEnds)
+{
+	int pair[2];
+	uint64_t token = 0;
+	FILE *file = tmpfile(); /* the loop can't watch a regular file */
+
+	ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+	Ask(pair);
+	ASSERT_EQ(ReadAnswer(pair[1], &token), TUNNEL__RESULT__OPENED);
+	gateway_post_attach(gateway_, dup(fileno(file)), token, g_byte_array_new());
+	bool attached = false;
+	loop_post(
+		&loop_, [](void *ctx) { *(bool *)ctx = true; }, &attached);
+	RunUntil([&] { return attached; });
+	EXPECT_EQ(gateway_open_tunnels(gateway_), 0u);
+	fclose(file);
+	close(pair[1]);
+}
+
+/* A gateway without free descriptors told other hosts that the endpoint refuses connections. */
+TEST_F(GatewayTest, LackOfDescriptorsIsNotARefusalOfTheEndpoint)
+{
+	int pair[2];
+	uint64_t token;
+	rlimit old, low;
+
+	ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &old), 0);
+	int next = dup(0);
+	close(next);
+	low = old;
+	low.rlim_cur = (rlim_t)next;
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &low), 0);
+	Ask(pair);
+	Tunnel__Result result = ReadAnswer(pair[1], &token);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &old), 0);
+	EXPECT_EQ(result, TUNNEL__RESULT__BUSY);
+	EXPECT_EQ(gateway_open_tunnels(gateway_), 0u);
+	close(pair[1]);
+}
+
+} // namespace
