Gateways answer that they are busy, or end the tunnel, when they can't open or watch a socket

Callers saw: a request through such a tunnel waited until its deadline. Operators saw nothing; other hosts took a gateway's lack of descriptors or ports for evidence that the endpoint refuses connections. Cause: the results of loop_fd_add(), loop_fd_mod(), socket(), bind(), SO_LINGER and getsockopt(SO_ERROR) were dropped or counted as the endpoint's refusal; 'tunnel_opened' and its counter came before the socket was known to be watched. Change: each is asked. Before the answer: BUSY (the asking host goes on to another gateway) and a line 'tunnel_refused'; after it: the tunnel ends with 'not watched'. A tunnel whose socket would not be reset by a kill is not used, since its end could be taken for the end of an answer.

--- a/router/gateway.c
+++ b/router/gateway.c
@@ -97,15 +97,14 @@
 	return ck_pr_load_uint(&gateway->open);
 }
 
-static void gateway_side_init(struct gateway_side *side, int fd)
+/* Takes over the socket fd. Returns a negative base error if the loop can't watch it. */
+static int gateway_side_init(struct gateway_side *side, int fd, uint32_t events)
 {
 	const int one = 1;
 
 	side->lfd.fd = fd;
-	if (fd < 0)
-		return;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	loop_fd_add(side->tunnel->gateway->loop, &side->lfd, 0);
+	return loop_fd_add(side->tunnel->gateway->loop, &side->lfd, events);
 }
 
 static void gateway_side_close(struct gateway_side *side)
@@ -164,13 +163,13 @@
 /*
  * Makes the kernel reset the connection whenever it is closed. If this process is killed in the
  * middle of an answer without a length, the asking host must not take the end of the connection for
- * the end of the answer. A regular end is a shutdown before the close.
+ * the end of the answer. A regular end is a shutdown before the close. Returns -1 on failure.
  */
-static void gateway_reset_on_close(int fd)
+static int gateway_reset_on_close(int fd)
 {
 	const struct linger linger = {.l_onoff = 1, .l_linger = 0};
 
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	return setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
 /* Notices an asking host that is gone without having closed the connection. */
@@ -186,19 +185,28 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
-/* Sets the events that a connection is watched for: a side is read only while its peer takes all.
+/*
+ * Sets the events that a connection is watched for: a side is read only while its peer takes all.
+ * Returns a negative base error if the loop can't watch it.
  */
-static void gateway_watch(struct gateway_side *side)
+static int gateway_watch(struct gateway_side *side)
 {
 	uint32_t events = 0;
 
 	if (side->lfd.fd < 0)
-		return;
+		return 0;
 	if (!side->ended && side->peer->unsent->len == 0)
 		events |= EPOLLIN;
 	if (side->unsent->len > 0)
 		events |= EPOLLOUT;
-	loop_fd_mod(side->tunnel->gateway->loop, &side->lfd, events);
+	return loop_fd_mod(side->tunnel->gateway->loop, &side->lfd, events);
+}
+
+/* Watches both sides; ends the tunnel if that fails, as it would pass nothing any more. */
+static void gateway_watch_both(struct gateway_tunnel *tunnel)
+{
+	if (gateway_watch(&tunnel->host) < 0 || gateway_watch(&tunnel->endpoint) < 0)
+		gateway_close(tunnel, "not watched");
 }
 
 /* Sends bytes on the connection and keeps what it does not accept. Returns false on an error. */
@@ -299,13 +307,15 @@
 	int err = 0;
 	socklen_t len = sizeof(err);
 
-	getsockopt(tunnel->endpoint.lfd.fd, SOL_SOCKET, SO_ERROR, &err, &len);
-	if (err != 0) {
+	if (getsockopt(tunnel->endpoint.lfd.fd, SOL_SOCKET, SO_ERROR, &err, &len) < 0 || err != 0) {
 		gateway_refuse(tunnel, TUNNEL__RESULT__REFUSED);
 		return;
 	}
+	if (loop_fd_mod(loop, &tunnel->endpoint.lfd, 0) < 0) {
+		gateway_refuse(tunnel, TUNNEL__RESULT__BUSY);
+		return;
+	}
 	tunnel->state = GATEWAY_OPENED;
-	loop_fd_mod(loop, &tunnel->endpoint.lfd, 0);
 	loop_start_timer(loop, &tunnel->timer, tmr_from_ms(GATEWAY_ATTACH_MS), gateway_on_timeout,
 			 tunnel);
 	gateway_answer(tunnel, TUNNEL__RESULT__OPENED);
@@ -337,8 +347,7 @@
 		return;
 	}
 	gateway_pass_end(tunnel);
-	gateway_watch(&tunnel->host);
-	gateway_watch(&tunnel->endpoint);
+	gateway_watch_both(tunnel);
 }
 
 /* Returns false if the socket can't have the address that connections shall come from. */
@@ -354,23 +363,36 @@
 	return bind(fd, (struct sockaddr *)&from, sizeof(from)) == 0;
 }
 
-/* Starts to connect to the endpoint. Returns the socket, or -1. */
-static int gateway_connect(const struct gateway *gateway, const char *addr)
+/* Returns whether connect() failed because this host lacks something. */
+static bool gateway_lacks_resources(int err)
+{
+	return err == EADDRNOTAVAIL || err == EAGAIN || err == ENOBUFS || err == ENOMEM;
+}
+
+/*
+ * Starts to connect to the endpoint. Returns the result with which the tunnel is refused, or 0. A
+ * lack of this host's own is "busy": the asking host takes "refused" for evidence against the
+ * endpoint.
+ */
+static Tunnel__Result gateway_connect(struct gateway_tunnel *tunnel)
 {
 	struct sockaddr_in to;
 	int fd;
 
-	if (addr_parse(addr, &to) < 0)
-		return -1;
+	if (addr_parse(tunnel->addr, &to) < 0)
+		return TUNNEL__RESULT__REFUSED;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
-		return -1;
-	if (!gateway_bind_source(gateway, fd) ||
-	    (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 && errno != EINPROGRESS)) {
-		close(fd);
-		return -1;
-	}
-	return fd;
+		return TUNNEL__RESULT__BUSY;
+	if (gateway_side_init(&tunnel->endpoint, fd, 0) < 0 ||
+	    !gateway_bind_source(tunnel->gateway, fd))
+		return TUNNEL__RESULT__BUSY;
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 && errno != EINPROGRESS)
+		return gateway_lacks_resources(errno) ? TUNNEL__RESULT__BUSY
+						      : TUNNEL__RESULT__REFUSED;
+	if (loop_fd_mod(tunnel->gateway->loop, &tunnel->endpoint.lfd, EPOLLOUT) < 0)
+		return TUNNEL__RESULT__BUSY;
+	return TUNNEL__RESULT__UNSPECIFIED;
 }
 
 /* Returns the result with which a tunnel to the endpoint is refused, or 0. */
@@ -416,24 +438,33 @@
 	return tunnel;
 }
 
+/* Returns the result with which the tunnel is refused, or 0 if the connection is being made. */
+static Tunnel__Result gateway_begin(struct gateway_tunnel *tunnel, const struct gateway_msg *msg)
+{
+	/* The end of the connection asked on shows that the asking host has given up. */
+	int err = gateway_side_init(&tunnel->ask, msg->fd, EPOLLIN);
+	Tunnel__Result refusal = msg->refusal;
+
+	if (refusal == 0)
+		refusal = gateway_refusal(tunnel->gateway, tunnel->addr);
+	if (refusal != 0)
+		return refusal;
+	refusal = err < 0 ? TUNNEL__RESULT__BUSY : gateway_connect(tunnel);
+	if (refusal == TUNNEL__RESULT__BUSY)
+		gateway_log(tunnel, "tunnel_refused", "no free socket");
+	return refusal;
+}
+
 static void gateway_open(struct gateway *gateway, const struct gateway_msg *msg)
 {
 	struct gateway_tunnel *tunnel = gateway_tunnel_new(gateway, msg->open);
 	int64_t connect_ms = CLAMP(msg->open->connect_ms, 1, GATEWAY_CONNECT_MAX_MS);
-	Tunnel__Result refusal = msg->refusal;
+	Tunnel__Result refusal = gateway_begin(tunnel, msg);
 
-	gateway_side_init(&tunnel->ask, msg->fd);
-	if (refusal == 0)
-		refusal = gateway_refusal(gateway, tunnel->addr);
-	if (refusal == 0)
-		gateway_side_init(&tunnel->endpoint, gateway_connect(gateway, tunnel->addr));
-	if (tunnel->endpoint.lfd.fd < 0) {
-		gateway_refuse(tunnel, refusal ? refusal : TUNNEL__RESULT__REFUSED);
+	if (refusal != 0) {
+		gateway_refuse(tunnel, refusal);
 		return;
 	}
-	loop_fd_mod(gateway->loop, &tunnel->endpoint.lfd, EPOLLOUT);
-	/* The end of this connection shows that the asking host has given up. */
-	loop_fd_mod(gateway->loop, &tunnel->ask.lfd, EPOLLIN);
 	loop_start_timer(gateway->loop, &tunnel->timer, tmr_from_ms(connect_ms), gateway_on_timeout,
 			 tunnel);
 }
@@ -448,8 +479,11 @@
 	}
 	tmr_cancel(&gateway->loop->tmr, &tunnel->timer);
 	tunnel->state = GATEWAY_ATTACHED;
-	gateway_side_init(&tunnel->host, msg->fd);
-	gateway_reset_on_close(msg->fd);
+	if (gateway_side_init(&tunnel->host, msg->fd, 0) < 0 ||
+	    gateway_reset_on_close(msg->fd) < 0) {
+		gateway_close(tunnel, "not watched");
+		return;
+	}
 	gateway_set_keepalive(msg->fd);
 	gateway_log(tunnel, "tunnel_opened", NULL);
 	met_add(met_counter("bg_tunnels_carried_total", ""), 1);
@@ -458,8 +492,7 @@
 		gateway_close(tunnel, "broken");
 		return;
 	}
-	gateway_watch(&tunnel->host);
-	gateway_watch(&tunnel->endpoint);
+	gateway_watch_both(tunnel);
 }
 
 static void gateway_on_msg(void *ctx)
