A lack of descriptors is counted, logged and waited out where hosts accept each other's connections

Operators saw: a host that used a whole core and no longer took part in feeds, limits and tunnels, without a line. Cause: accept4() failed, nobody asked why, and the listening socket stayed readable. A connection that the loop could not watch was kept and stayed silent until its heartbeats ended it. Change: 'accept_failed' with errno, bg_accepts_failed_total, and no accept for 100 ms. A connection that can't be watched is closed at once; frm_connect() returns NULL for it, as its callers expect, and says why.

--- a/base/frm.c
+++ b/base/frm.c
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 enum {
+	FRM_ACCEPT_PAUSE_MS = 100,  /* time until the next accept after one that failed */
 	FRM_READ_LEN = 65536,	    /* bytes of the receive buffer */
 	FRM_IDLE_HEARTBEATS_MAX = 3 /* heartbeat intervals without received data after which an idle
 				       connection is closed */
@@ -44,6 +45,7 @@
 				const struct frm_limits *limits, void *ctx);
 static void frm_on_event(void *ctx, uint32_t events);
 static void frm_on_accept(void *ctx, uint32_t events);
+static void frm_on_accept_pause_end(void *ctx, int64_t now_us);
 static void frm_on_heartbeat(void *ctx, int64_t now_us);
 static void frm_set_timer(struct frm_conn *conn);
 static void frm_close_error(struct frm_conn *conn, int err);
@@ -67,6 +69,7 @@
 	FRM_SEGMENTS_RECEIVED,
 	FRM_REFUSED,
 	FRM_SILENT,
+	FRM_ACCEPTS_FAILED,
 	FRM_COUNTER_COUNT
 };
 
@@ -79,6 +82,7 @@
 	[FRM_SEGMENTS_RECEIVED] = "bg_frame_segments_received_total",
 	[FRM_REFUSED] = "bg_frames_refused_total",
 	[FRM_SILENT] = "bg_connections_silent_total",
+	[FRM_ACCEPTS_FAILED] = "bg_accepts_failed_total",
 };
 
 static struct met_ctr *frm_counters[FRM_COUNTER_COUNT];
@@ -149,8 +153,10 @@
 	if (addr_parse(addr, &sin) < 0)
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
+	if (fd < 0) {
+		log_msg(LOG_WARNING, "connect_failed addr=%s errno=%d", addr, errno);
 		return NULL;
+	}
 	conn = frm_new(loop, fd, ops, limits, ctx);
 	conn->connecting = true;
 	frm_set_timer(conn);
@@ -158,7 +164,11 @@
 		/* The loop then gets an error event for the socket, which leads to on_close(). */
 		log_msg(LOG_DEBUG, "connect_failed addr=%s errno=%d", addr, errno);
 	}
-	loop_fd_add(loop, &conn->lfd, EPOLLIN | EPOLLOUT);
+	if (loop_fd_add(loop, &conn->lfd, EPOLLIN | EPOLLOUT) < 0) {
+		log_msg(LOG_WARNING, "connect_failed addr=%s errno=%d", addr, errno);
+		frm_close(conn);
+		return NULL;
+	}
 	return conn;
 }
 
@@ -177,11 +187,13 @@
 	server->limits = *limits;
 	server->ctx = ctx;
 	server->conns = g_ptr_array_new();
+	memset(&server->accept_pause, 0, sizeof(server->accept_pause));
 	return loop_fd_add(loop, &server->lfd, EPOLLIN);
 }
 
 void frm_server_finish(struct frm_server *server)
 {
+	tmr_cancel(&server->loop->tmr, &server->accept_pause);
 	loop_fd_del(server->loop, &server->lfd);
 	close(server->lfd.fd);
 	while (server->conns->len > 0)
@@ -189,6 +201,36 @@
 	g_ptr_array_free(server->conns, TRUE);
 }
 
+/*
+ * Counts a connection that could not be accepted, and pauses the listening socket: without free
+ * descriptors it stays readable, and the loop would do nothing else.
+ */
+static void frm_on_accept_failed(struct frm_server *server, int error)
+{
+	pthread_once(&frm_counters_once, frm_counters_init);
+	frm_count(FRM_ACCEPTS_FAILED, 1);
+	log_msg(LOG_WARNING, "accept_failed fd=%d errno=%d", server->lfd.fd, error);
+	if (loop_fd_mod(server->loop, &server->lfd, 0) < 0)
+		log_msg(LOG_ERR, "accept_not_paused fd=%d", server->lfd.fd);
+	loop_start_timer(server->loop, &server->accept_pause, tmr_from_ms(FRM_ACCEPT_PAUSE_MS),
+			 frm_on_accept_pause_end, server);
+}
+
+static void frm_on_accept_pause_end(void *ctx, int64_t now_us)
+{
+	struct frm_server *server = ctx;
+
+	(void)now_us;
+	if (loop_fd_mod(server->loop, &server->lfd, EPOLLIN) < 0)
+		frm_on_accept_failed(server, errno);
+}
+
+/* Returns whether accept4() has no connection to return, because its peer has closed it. */
+static bool frm_is_none_waiting(int error)
+{
+	return error == EAGAIN || error == EINTR || error == ECONNABORTED;
+}
+
 static void frm_on_accept(void *ctx, uint32_t events)
 {
 	struct frm_server *server = ctx;
@@ -196,12 +238,18 @@
 	int fd = accept4(server->lfd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 	(void)events;
-	if (fd < 0)
+	if (fd < 0) {
+		if (!frm_is_none_waiting(errno))
+			frm_on_accept_failed(server, errno);
 		return;
+	}
 	conn = frm_new(server->loop, fd, server->ops, &server->limits, server->ctx);
 	conn->server = server;
 	g_ptr_array_add(server->conns, conn);
-	loop_fd_add(server->loop, &conn->lfd, EPOLLIN);
+	if (loop_fd_add(server->loop, &conn->lfd, EPOLLIN) < 0) {
+		frm_on_accept_failed(server, errno);
+		frm_close(conn);
+	}
 }
 
 static void frm_free(void *ctx)
--- a/base/frm.h
+++ b/base/frm.h
@@ -58,6 +58,7 @@
 	struct frm_limits limits;  /* heartbeat limits of accepted connections */
 	void *ctx;		   /* first argument of the callbacks */
 	GPtrArray *conns;	   /* open accepted connections (struct frm_conn) */
+	struct tmr accept_pause;   /* end of the pause after an accept that failed */
 };
 
 /*
