An answer of which a part was not taken is broken off, never ended as whole

Cause: hd_reply_write() took nothing once 4 MB were unsent, nobody asked, later parts were taken again and the end was sent as usual. Evidence: HdTest.ResponseThatLacksAPartIsAborted and ResponseOfAnotherLengthThanStatedIsAborted; a regular end was sent in both cases before. Change: hd_reply_write() returns 0 or an error and its result must be used; after a part that was not taken, no later part is, and hd_reply_end() aborts. The router states the length that it passed on (hd_expect_length()), which hd_reply_end() compares; router/ends.c logs answer_short and counts bg_answers_short_total if a caller got a regular end with another length. The entry daemon and the fake engines abort such answers, too. Sent bytes are removed from the buffer in larger steps: each block of 4 KB moved all bytes after it. Why it works: the regular end of a response is only sent by hd_reply_end(), which now knows whether all parts were taken.

--- a/base/err.c
+++ b/base/err.c
@@ -12,6 +12,7 @@
 	[-BASE_ETIMEOUT] = "timed out",
 	[-BASE_EFILE] = "settings file cannot be read",
 	[-BASE_ESETTING] = "settings file is wrong",
+	[-BASE_EFULL] = "too many bytes unsent",
 };
 
 const char *base_strerror(int err)
--- a/base/err.h
+++ b/base/err.h
@@ -11,16 +11,17 @@
  */
 enum base_err {
 	BASE_OK = 0,
-	BASE_ESYS = -1,	    /* a system call failed; errno has the cause */
-	BASE_EADDR = -2,    /* the text is not an address of the form IP:PORT */
-	BASE_EFRAME = -3,   /* the frame is too long, malformed or of an unknown kind */
-	BASE_ECLOSED = -4,  /* the peer closed the connection */
-	BASE_ESILENT = -5,  /* the peer sent nothing within the time limit */
-	BASE_EREFUSED = -6, /* the peer refused the connection */
-	BASE_EHTTP = -7,    /* the HTTP library reported another failure */
-	BASE_ETIMEOUT = -8, /* the response did not arrive within the time limit */
-	BASE_EFILE = -9,    /* the settings file can't be read */
-	BASE_ESETTING = -10 /* the settings file is invalid */
+	BASE_ESYS = -1,	     /* a system call failed; errno has the cause */
+	BASE_EADDR = -2,     /* the text is not an address of the form IP:PORT */
+	BASE_EFRAME = -3,    /* the frame is too long, malformed or of an unknown kind */
+	BASE_ECLOSED = -4,   /* the peer closed the connection */
+	BASE_ESILENT = -5,   /* the peer sent nothing within the time limit */
+	BASE_EREFUSED = -6,  /* the peer refused the connection */
+	BASE_EHTTP = -7,     /* the HTTP library reported another failure */
+	BASE_ETIMEOUT = -8,  /* the response did not arrive within the time limit */
+	BASE_EFILE = -9,     /* the settings file can't be read */
+	BASE_ESETTING = -10, /* the settings file is invalid */
+	BASE_EFULL = -11     /* more bytes would wait to be sent than allowed */
 };
 
 /* Returns a description of err, a value of enum base_err; never NULL. */
--- a/base/hd.c
+++ b/base/hd.c
@@ -48,7 +48,10 @@
 
 	/* lock guards all fields below. */
 	pthread_mutex_t lock;
-	GString *pending;   /* bytes of the response that the library hasn't read yet */
+	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
+			     * on */
+	size_t pending_at;  /* bytes of pending that the library has read */
+	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
 	GPtrArray *headers; /* response headers: name, value, name, value, ... */
 	char *type;	    /* Content-Type of the response; may be NULL */
 	char *label;	    /* names the request to hd_config.on_end; may be NULL */
@@ -58,7 +61,8 @@
 	bool answered;	    /* the status and the response headers are set */
 	bool queued;	    /* the response was passed to the library */
 	bool ended;	    /* the response body is complete */
-	bool aborted;	    /* hd_abort() was called */
+	bool aborted;	    /* the response ends with a close of the connection */
+	bool incomplete;    /* hd_reply_write() did not take a part of the response */
 	bool closed;	    /* the library has finished the request */
 	bool client_closed; /* hd_client_closed() found that the client has closed */
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
@@ -179,6 +183,7 @@
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->expected = HD_LENGTH_UNKNOWN;
 	call->refs = 1;
 	pthread_mutex_init(&call->lock, NULL);
 	ck_pr_inc_uint(&hd->open_requests);
@@ -341,6 +346,12 @@
 	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
 }
 
+/* Returns the number of bytes of the response that the library hasn't read yet. */
+static size_t hd_pending(const struct hd_call *call)
+{
+	return call->pending->len - call->pending_at;
+}
+
 static void hd_report_end(struct hd *hd, const struct hd_call *call,
 			  enum MHD_RequestTerminationCode code)
 {
@@ -350,7 +361,8 @@
 		.begun = call->queued,
 		.status = call->status,
 		.sent = call->sent,
-		.unsent = call->streaming ? call->pending->len : 0,
+		.unsent = call->streaming ? hd_pending(call) : 0,
+		.expected = call->expected,
 	};
 
 	if (hd->config.on_end)
@@ -374,6 +386,24 @@
 	hd_unref(call);
 }
 
+/*
+ * Copies unsent bytes of the response to buf. Those that were read are removed once they are the
+ * greater part: removed one block at a time, a large response would be moved once for each block.
+ */
+static size_t hd_take_pending(struct hd_call *call, char *buf, size_t max)
+{
+	size_t n = MIN(max, hd_pending(call));
+
+	memcpy(buf, call->pending->str + call->pending_at, n);
+	call->pending_at += n;
+	call->sent += n;
+	if (call->pending_at * 2 >= call->pending->len) {
+		g_string_erase(call->pending, 0, (gssize)call->pending_at);
+		call->pending_at = 0;
+	}
+	return n;
+}
+
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max)
 {
 	struct hd_call *call = ctx;
@@ -381,11 +411,8 @@
 
 	(void)pos;
 	pthread_mutex_lock(&call->lock);
-	if (call->pending->len > 0) {
-		n = (ssize_t)MIN(max, call->pending->len);
-		memcpy(buf, call->pending->str, (size_t)n);
-		g_string_erase(call->pending, 0, n);
-		call->sent += (uint64_t)n;
+	if (hd_pending(call) > 0) {
+		n = (ssize_t)hd_take_pending(call, buf, max);
 	} else if (call->aborted) {
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (call->ended) {
@@ -472,25 +499,55 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
-bool hd_reply_write(struct hd_call *call, const char *data, size_t len)
+static int hd_append(struct hd_call *call, const char *data, size_t len)
+{
+	size_t max = call->hd->config.pending_max;
+
+	if (call->closed || call->incomplete || call->aborted)
+		return BASE_ECLOSED;
+	if (max > 0 && hd_pending(call) + len > max)
+		return BASE_EFULL;
+	g_string_append_len(call->pending, data, (gssize)len);
+	return 0;
+}
+
+int hd_reply_write(struct hd_call *call, const char *data, size_t len)
 {
-	bool ok;
+	int err;
 
 	pthread_mutex_lock(&call->lock);
-	ok = !call->closed && call->pending->len + len <= call->hd->config.pending_max;
-	if (ok)
-		g_string_append_len(call->pending, data, (gssize)len);
+	err = hd_append(call, data, len);
+	if (err < 0)
+		call->incomplete = true;
 	hd_resume(call);
 	pthread_mutex_unlock(&call->lock);
-	return ok;
+	return err;
 }
 
-void hd_reply_end(struct hd_call *call)
+void hd_expect_length(struct hd_call *call, uint64_t len)
 {
 	pthread_mutex_lock(&call->lock);
-	call->ended = true;
+	call->expected = len;
+	pthread_mutex_unlock(&call->lock);
+}
+
+int hd_reply_end(struct hd_call *call)
+{
+	uint64_t written;
+	int err = 0;
+
+	pthread_mutex_lock(&call->lock);
+	written = call->sent + hd_pending(call);
+	if (call->incomplete || call->aborted ||
+	    (call->expected != HD_LENGTH_UNKNOWN && call->expected != written)) {
+		call->aborted = true;
+		err = BASE_ECLOSED;
+	} else {
+		call->ended = true;
+	}
 	hd_resume(call);
 	pthread_mutex_unlock(&call->lock);
+	return err;
 }
 
 void hd_abort(struct hd_call *call)
--- a/base/hd.h
+++ b/base/hd.h
@@ -22,6 +22,9 @@
 /* Handles a request. The handler owns a reference to call, which it releases by hd_unref(). */
 typedef void (*hd_handler)(void *ctx, struct hd_call *call);
 
+/* Length of a response body that is not known. */
+#define HD_LENGTH_UNKNOWN UINT64_MAX
+
 /* How a request ended, for its client. */
 enum hd_end {
 	HD_END_WHOLE,	 /* the whole response was passed to the kernel */
@@ -39,11 +42,13 @@
 /* What is known of a request when it has ended. */
 struct hd_outcome {
 	enum hd_end end;
-	bool received;	 /* the whole request was received and passed to the handler */
-	bool begun;	 /* a response was passed to the library */
-	int status;	 /* HTTP status of the response; 0: none */
-	uint64_t sent;	 /* bytes of the response body that were passed to the library */
-	uint64_t unsent; /* bytes of the response body that were not */
+	bool received;	   /* the whole request was received and passed to the handler */
+	bool begun;	   /* a response was passed to the library */
+	int status;	   /* HTTP status of the response; 0: none */
+	uint64_t sent;	   /* bytes of the response body that were passed to the library */
+	uint64_t unsent;   /* bytes of the response body that were not */
+	uint64_t expected; /* bytes of the response body as stated by hd_expect_length();
+			    * HD_LENGTH_UNKNOWN: not stated */
 };
 
 /*
@@ -57,7 +62,8 @@
 	const char *addr; /* listening address IP:PORT; NULL: only hd_adopt() adds connections */
 	unsigned int threads;  /* number of the library's threads */
 	size_t body_max;       /* largest request body in bytes; a larger one gets status 413 */
-	size_t pending_max;    /* unsent bytes of a response above which hd_reply_write() fails */
+	size_t pending_max;    /* unsent bytes of a response above which hd_reply_write() fails;
+				* 0: no limit */
 	const char *too_large; /* body of the response with status 413, JSON */
 	hd_handler handler;    /* called for each request */
 	bool (*may_accept)(void *ctx); /* whether to take a new connection or to close it unread,
@@ -152,13 +158,23 @@
 void hd_reply_begin(struct hd_call *call, int status, const char *type);
 
 /*
- * Sends a part of the response. Returns false if the client has disconnected, or if more than
- * pending_max bytes would be unsent.
+ * Sends a part of the response: takes all of it and returns 0, or takes none of it and returns
+ * BASE_ECLOSED if the client has disconnected, or BASE_EFULL if more than pending_max bytes would
+ * be unsent. A response that lacks a part can only be aborted.
+ */
+int hd_reply_write(struct hd_call *call, const char *data, size_t len) G_GNUC_WARN_UNUSED_RESULT;
+
+/*
+ * States how many bytes of the response the caller has passed to hd_reply_write(). If that many
+ * were not taken, hd_reply_end() aborts the response.
  */
-bool hd_reply_write(struct hd_call *call, const char *data, size_t len);
+void hd_expect_length(struct hd_call *call, uint64_t len);
 
-/* Ends a response in parts. */
-void hd_reply_end(struct hd_call *call);
+/*
+ * Ends a response in parts. It is aborted instead if hd_reply_write() has failed, as its client
+ * would take it for whole. Returns 0, or BASE_ECLOSED if the response was or is aborted.
+ */
+int hd_reply_end(struct hd_call *call);
 
 /*
  * Closes the connection without the last chunk, so that the client doesn't take a response in parts
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -1,4 +1,5 @@
 #include "base/hd.h"
+#include "base/err.h"
 
 #include <arpa/inet.h>
 #include <condition_variable>
@@ -21,7 +22,7 @@
 		hd_config config{};
 		config.threads = 1;
 		config.body_max = 100;
-		config.pending_max = 10000;
+		config.pending_max = pending_max_;
 		config.too_large = "{}";
 		config.handler = [](void *ctx, hd_call *call) { ((HdTest *)ctx)->OnRequest(call); };
 		config.on_end = [](void *ctx, const char *label, const hd_outcome *outcome) {
@@ -96,6 +97,7 @@
 			all.append(buf, (size_t)n);
 		return all;
 	}
+	size_t pending_max_ = 10000;
 	hd *hd_ = nullptr;
 	void (*handler_hook_)(hd_call *call) = nullptr;
 	int listener_ = -1, client_ = -1;
@@ -107,6 +109,16 @@
 	bool ended_ = false;
 };
 
+/* The same with a server that takes all parts of a response. */
+class HdUnlimitedTest : public HdTest
+{
+      protected:
+	HdUnlimitedTest()
+	{
+		pending_max_ = 0;
+	}
+};
+
 /* Returns the decoded body of a chunked response, or a description of its first error. */
 std::string Body(const std::string &answer)
 {
@@ -134,8 +146,8 @@
 	EXPECT_STREQ(hd_path(call), "/x");
 	EXPECT_STREQ(hd_query(call, "a"), "b");
 	hd_reply_begin(call, 200, "text/plain");
-	EXPECT_TRUE(hd_reply_write(call, "one ", 4));
-	EXPECT_TRUE(hd_reply_write(call, "two", 3));
+	EXPECT_EQ(hd_reply_write(call, "one ", 4), 0);
+	EXPECT_EQ(hd_reply_write(call, "two", 3), 0);
 	hd_reply_end(call);
 	hd_unref(call);
 	std::string answer = ReadAll();
@@ -153,7 +165,7 @@
 	 */
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
 	hd_reply_begin(call, 200, "text/plain");
-	hd_reply_write(call, "half", 4);
+	EXPECT_EQ(hd_reply_write(call, "half", 4), 0);
 	hd_abort(call);
 	hd_unref(call);
 	std::string answer = ReadAll();
@@ -170,15 +182,63 @@
 	 */
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 	std::string part(1000, 'x');
-	bool ok = true;
+	int err = 0;
 	hd_reply_begin(call, 200, "text/plain");
-	for (int i = 0; ok && i < 100000; i++)
-		ok = hd_reply_write(call, part.data(), part.size());
-	EXPECT_FALSE(ok);
+	for (int i = 0; err == 0 && i < 100000; i++)
+		err = hd_reply_write(call, part.data(), part.size());
+	EXPECT_EQ(err, BASE_EFULL);
 	hd_abort(call);
 	hd_unref(call);
 }
 
+/* Guards against a response that lacks a part and that its client takes for whole. */
+TEST_F(HdTest, ResponseThatLacksAPartIsAborted)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	const std::string part(9000, 'x'), too_long(10001, 'y');
+	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	EXPECT_EQ(hd_reply_write(call, too_long.data(), too_long.size()), BASE_EFULL);
+	EXPECT_EQ(hd_reply_write(call, "z", 1), BASE_ECLOSED) << "nothing goes after a gap";
+	EXPECT_EQ(hd_reply_end(call), BASE_ECLOSED);
+	hd_unref(call);
+	EXPECT_EQ(Body(ReadAll()).substr(0, 3), "cut");
+	EXPECT_EQ(WaitForEnd().end, HD_END_ABORTED);
+}
+
+/* Guards against bytes that are lost between the sender of a response and the server. */
+TEST_F(HdTest, ResponseOfAnotherLengthThanStatedIsAborted)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, "half", 4), 0);
+	hd_expect_length(call, 8);
+	EXPECT_EQ(hd_reply_end(call), BASE_ECLOSED);
+	hd_unref(call);
+	EXPECT_EQ(Body(ReadAll()).substr(0, 3), "cut");
+	hd_outcome outcome = WaitForEnd();
+	EXPECT_EQ(outcome.end, HD_END_ABORTED);
+	EXPECT_EQ(outcome.expected, 8U);
+	EXPECT_EQ(outcome.sent, 4U);
+}
+
+/* Guards against a server without a limit that drops parts, and against one that is quadratic. */
+TEST_F(HdUnlimitedTest, LargeResponseToASlowReaderArrivesWhole)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	std::string body(12 << 20, 'x');
+	hd_reply_begin(call, 200, "text/plain");
+	for (size_t i = 0; i < body.size(); i += 4096) {
+		body[i] = (char)('a' + i / 4096 % 26);
+		ASSERT_EQ(hd_reply_write(call, body.data() + i, 4096), 0);
+	}
+	hd_expect_length(call, body.size());
+	EXPECT_EQ(hd_reply_end(call), 0);
+	hd_unref(call);
+	EXPECT_TRUE(Body(ReadAll()) == body);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+}
+
 TEST_F(HdTest, ClientDisconnectIsDetectedBeforeResponse)
 {
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -287,8 +347,9 @@
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 	const std::string part(9000, 'x');
 	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
 	while (!HasEnded())
-		hd_reply_write(call, part.data(), part.size());
+		(void)!hd_reply_write(call, part.data(), part.size());
 	hd_outcome outcome = WaitForEnd();
 	hd_unref(call);
 	EXPECT_EQ(outcome.end, HD_END_TIMEOUT);
@@ -300,7 +361,7 @@
 {
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 	hd_reply_begin(call, 200, "text/plain");
-	hd_reply_write(call, "x", 1);
+	EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
 	hd_abort(call);
 	EXPECT_EQ(WaitForEnd().end, HD_END_ABORTED);
 	hd_unref(call);
--- a/fake/engine_model.c
+++ b/fake/engine_model.c
@@ -51,8 +51,10 @@
 					     run->attempt, i + run->first_index,
 					     (char *)run->texts->pdata[i]);
 
-		if (!hd_reply_write(stream->call, line, strlen(line)))
+		if (hd_reply_write(stream->call, line, strlen(line)) < 0) {
+			hd_abort(stream->call);
 			stream->muted = true;
+		}
 		g_free(line);
 	}
 }
@@ -86,8 +88,10 @@
 			"data: {\"attempt\":%u,\"error\":\"%s\",\"endpoint\":\"%s\"}\n\n",
 			run->attempt, run->state == SIM_FAILED ? "failed" : "canceled",
 			run->failed_at ? run->failed_at : "");
-	hd_reply_write(stream->call, line, strlen(line));
-	hd_reply_end(stream->call);
+	if (hd_reply_write(stream->call, line, strlen(line)) == 0)
+		hd_reply_end(stream->call);
+	else
+		hd_abort(stream->call);
 	g_free(line);
 }
 
--- a/prog/entry_answer.c
+++ b/prog/entry_answer.c
@@ -111,7 +111,7 @@
 {
 	char *text = json_dumps(json, JSON_COMPACT);
 	char *line = g_strdup_printf("data: %s\n\n", text);
-	bool ok = hd_reply_write(call->http, line, strlen(line));
+	bool ok = hd_reply_write(call->http, line, strlen(line)) == 0;
 
 	g_free(line);
 	free(text);
@@ -160,9 +160,11 @@
 	last = entry_answer_object(call, entry_formats[call->kind].chunk_object,
 				   entry_answer_choice(call, "", 0, "length"));
 	json_object_set_new(last, "usage", entry_answer_usage(call));
-	entry_answer_event(call, last);
-	hd_reply_write(call->http, done, sizeof(done) - 1);
-	hd_reply_end(call->http);
+	if (entry_answer_event(call, last) &&
+	    hd_reply_write(call->http, done, sizeof(done) - 1) == 0)
+		hd_reply_end(call->http);
+	else
+		hd_abort(call->http);
 }
 
 static void entry_finish_whole(struct entry_call *call)
--- a/router/ends.c
+++ b/router/ends.c
@@ -37,6 +37,26 @@
 	jl_end();
 }
 
+bool ends_is_short(const struct hd_outcome *outcome)
+{
+	return outcome->end == HD_END_WHOLE && outcome->expected != HD_LENGTH_UNKNOWN &&
+	       outcome->expected != outcome->sent + outcome->unsent;
+}
+
+static void ends_note_short(const char *label, const struct hd_outcome *outcome)
+{
+	bool is_short = ends_is_short(outcome);
+
+	met_add(met_counter("bg_answers_short_total", ""), is_short ? 1 : 0);
+	if (!is_short)
+		return;
+	jl_begin(JL_UNLIMITED, "answer_short");
+	jl_str("id", label);
+	jl_int("sent", (int64_t)outcome->sent);
+	jl_int("expected", (int64_t)outcome->expected);
+	jl_end();
+}
+
 void ends_on_request(void *ctx, const char *label, const struct hd_outcome *outcome)
 {
 	enum ends_kind kind;
@@ -45,6 +65,7 @@
 	(void)ctx;
 	if (!outcome->received)
 		return;
+	ends_note_short(label, outcome);
 	kind = ends_kind_of(outcome);
 	if (kind != ENDS_WHOLE)
 		ends_log(kind, label, outcome);
--- a/router/ends.h
+++ b/router/ends.h
@@ -23,6 +23,12 @@
 /* Returns the kind for a request that was read whole. */
 enum ends_kind ends_kind_of(const struct hd_outcome *outcome);
 
+/*
+ * Returns whether the caller took an answer for whole that has not the length which was passed to
+ * the HTTP server; must not happen.
+ */
+bool ends_is_short(const struct hd_outcome *outcome);
+
 /* Logs the end of a request if its caller got no whole answer, and counts it; see hd_end_fn. */
 void ends_on_request(void *ctx, const char *label, const struct hd_outcome *outcome);
 
--- a/router/ends_test.cc
+++ b/router/ends_test.cc
@@ -12,20 +12,32 @@
 };
 
 const EndsCase cases[] = {
-	{"a whole answer", {HD_END_WHOLE, true, true, 200, 10, 0}, ENDS_WHOLE},
-	{"a refusal", {HD_END_WHOLE, true, true, 503, 0, 0}, ENDS_WHOLE},
-	{"an end without an answer", {HD_END_WHOLE, true, false, 0, 0, 0}, ENDS_UNANSWERED},
+	{"a whole answer", {HD_END_WHOLE, true, true, 200, 10, 0, HD_LENGTH_UNKNOWN}, ENDS_WHOLE},
+	{"a refusal", {HD_END_WHOLE, true, true, 503, 0, 0, HD_LENGTH_UNKNOWN}, ENDS_WHOLE},
+	{"an end without an answer",
+	 {HD_END_WHOLE, true, false, 0, 0, 0, HD_LENGTH_UNKNOWN},
+	 ENDS_UNANSWERED},
 	{"an answer of which a part was not sent",
-	 {HD_END_WHOLE, true, true, 200, 10, 5},
+	 {HD_END_WHOLE, true, true, 200, 10, 5, HD_LENGTH_UNKNOWN},
+	 ENDS_UNANSWERED},
+	{"an answer that was broken off",
+	 {HD_END_ABORTED, true, true, 200, 10, 5, HD_LENGTH_UNKNOWN},
+	 ENDS_BROKEN},
+	{"a close in place of an answer",
+	 {HD_END_ABORTED, true, false, 0, 0, 0, HD_LENGTH_UNKNOWN},
 	 ENDS_UNANSWERED},
-	{"an answer that was broken off", {HD_END_ABORTED, true, true, 200, 10, 5}, ENDS_BROKEN},
-	{"a close in place of an answer", {HD_END_ABORTED, true, false, 0, 0, 0}, ENDS_UNANSWERED},
-	{"a caller that left", {HD_END_CLIENT, true, true, 200, 10, 5}, ENDS_CALLER},
+	{"a caller that left",
+	 {HD_END_CLIENT, true, true, 200, 10, 5, HD_LENGTH_UNKNOWN},
+	 ENDS_CALLER},
 	{"the idle timeout within an answer",
-	 {HD_END_TIMEOUT, true, true, 200, 10, 5},
+	 {HD_END_TIMEOUT, true, true, 200, 10, 5, HD_LENGTH_UNKNOWN},
+	 ENDS_UNANSWERED},
+	{"an error of the library",
+	 {HD_END_ERROR, true, true, 200, 10, 5, HD_LENGTH_UNKNOWN},
+	 ENDS_UNANSWERED},
+	{"a stop of the server",
+	 {HD_END_SHUTDOWN, true, false, 0, 0, 0, HD_LENGTH_UNKNOWN},
 	 ENDS_UNANSWERED},
-	{"an error of the library", {HD_END_ERROR, true, true, 200, 10, 5}, ENDS_UNANSWERED},
-	{"a stop of the server", {HD_END_SHUTDOWN, true, false, 0, 0, 0}, ENDS_UNANSWERED},
 };
 
 /* Guards against ends of requests without an answer that no counter shows. */
@@ -35,4 +47,25 @@
 		EXPECT_EQ(ends_kind_of(&c.outcome), c.kind) << c.name;
 }
 
+/* Guards against answers that their callers take for whole and that lack bytes. */
+TEST(EndsTest, ShortAnswersThatLookWholeAreNoticed)
+{
+	const struct {
+		const char *name;
+		hd_outcome outcome;
+		bool is_short;
+	} short_cases[] = {
+		{"all bytes", {HD_END_WHOLE, true, true, 200, 10, 0, 10}, false},
+		{"some bytes", {HD_END_WHOLE, true, true, 200, 10, 0, 12}, true},
+		{"more bytes", {HD_END_WHOLE, true, true, 200, 10, 0, 8}, true},
+		{"a length nobody stated",
+		 {HD_END_WHOLE, true, true, 200, 10, 0, HD_LENGTH_UNKNOWN},
+		 false},
+		{"a visible end", {HD_END_ABORTED, true, true, 200, 10, 0, 12}, false},
+	};
+
+	for (const auto &c : short_cases)
+		EXPECT_EQ(ends_is_short(&c.outcome), c.is_short) << c.name;
+}
+
 } // namespace
--- a/router/txn.c
+++ b/router/txn.c
@@ -544,9 +544,13 @@
 {
 	struct txn *txn = ctx;
 	int64_t now_us = tmr_now();
-	bool bad = cause != FWD_OK && cause != FWD_CALLER_DISCONNECTED;
+	bool bad;
 	char labels[64];
 
+	if (cause == FWD_OK && txn->answer_failed)
+		cause = FWD_CALLER_DISCONNECTED;
+	bad = cause != FWD_OK && cause != FWD_CALLER_DISCONNECTED;
+
 	jl_begin(bad ? JL_UNLIMITED : JL_INFO, "ended");
 	jl_str("id", txn->request.id);
 	jl_str("cause", fwd_cause_name(cause));
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -73,12 +73,19 @@
 {
 	struct txn *txn = ctx;
 
-	hd_reply_write(txn->call, data, len);
+	txn->answer_bytes += len;
+	if (hd_reply_write(txn->call, data, len) < 0)
+		txn->answer_failed = true;
 }
 
+/* The length is counted here, apart from the HTTP server, so that a loss between the two shows. */
 void txn_answer_end(void *ctx)
 {
-	hd_reply_end(((struct txn *)ctx)->call);
+	struct txn *txn = ctx;
+
+	hd_expect_length(txn->call, txn->answer_bytes);
+	if (hd_reply_end(txn->call) < 0)
+		txn->answer_failed = true;
 }
 
 void txn_answer_abort(void *ctx)
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -61,6 +61,8 @@
 					  * only compared; NULL: none */
 	enum crash_progress broken_progress; /* progress of the attempt when it broke off */
 	int status;			     /* HTTP status sent to the caller; 0: none yet */
+	uint64_t answer_bytes; /* bytes of an answer in parts that were passed to the caller */
+	bool answer_failed;    /* a part of the answer, or its end, could not be sent */
 };
 
 /* Frees the request. */
