hd: a handler can ask how much of a response is unsent and be told when it is drained

Part of the flow control from callers to endpoints: the sender of a response learns how far its client is behind (hd_unsent()), how much all clients are (hd_unsent_total()), and is told once when a response has drained to a mark (hd_watch_unsent()). IdleTimeoutWithinAnAnswerIsReported wrote parts until the end; no part is taken after one that was refused now, so it writes one part of 4 MB, more than the socket buffers hold, and checks the same.

--- a/base/hd.c
+++ b/base/hd.c
@@ -30,6 +30,7 @@
 	unsigned int idle_s;	    /* idle timeout of a connection in seconds, 0: none; atomic */
 	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
 	uint64_t body_max;	    /* largest request body in bytes; atomic */
+	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
 };
 
 struct hd_call {
@@ -45,6 +46,7 @@
 	int port;	       /* local TCP port; 0 if unknown */
 	int fd;		       /* socket of the connection; -1 if unknown */
 	unsigned int refs;     /* references to this struct; atomic */
+	void *owner;	       /* object of the handler, used by its thread only */
 
 	/* lock guards all fields below. */
 	pthread_mutex_t lock;
@@ -52,6 +54,8 @@
 			     * on */
 	size_t pending_at;  /* bytes of pending that the library has read */
 	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
+	size_t low;	    /* unsent bytes at which on_drained() is called */
+	bool watched;	    /* on_drained() is to be called */
 	GPtrArray *headers; /* response headers: name, value, name, value, ... */
 	char *type;	    /* Content-Type of the response; may be NULL */
 	char *label;	    /* names the request to hd_config.on_end; may be NULL */
@@ -352,6 +356,15 @@
 	return call->pending->len - call->pending_at;
 }
 
+/* Frees what is left of a response when the request has ended. */
+static void hd_drop_pending(struct hd_call *call)
+{
+	ck_pr_sub_64(&call->hd->unsent, hd_pending(call));
+	g_string_free(call->pending, TRUE);
+	call->pending = g_string_new(NULL);
+	call->pending_at = 0;
+}
+
 static void hd_report_end(struct hd *hd, const struct hd_call *call,
 			  enum MHD_RequestTerminationCode code)
 {
@@ -380,6 +393,8 @@
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
 	hd_report_end(ctx, call, code);
+	if (call->streaming)
+		hd_drop_pending(call);
 	pthread_mutex_unlock(&call->lock);
 	*state = NULL;
 	ck_pr_dec_uint(&call->hd->open_requests);
@@ -397,6 +412,7 @@
 	memcpy(buf, call->pending->str + call->pending_at, n);
 	call->pending_at += n;
 	call->sent += n;
+	ck_pr_sub_64(&call->hd->unsent, n);
 	if (call->pending_at * 2 >= call->pending->len) {
 		g_string_erase(call->pending, 0, (gssize)call->pending_at);
 		call->pending_at = 0;
@@ -404,10 +420,19 @@
 	return n;
 }
 
+static void hd_notify_drained(struct hd_call *call)
+{
+	const struct hd_config *config = &call->hd->config;
+
+	ck_pr_inc_uint(&call->refs);
+	config->on_drained(config->ctx, call);
+}
+
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max)
 {
 	struct hd_call *call = ctx;
 	ssize_t n = 0;
+	bool drained;
 
 	(void)pos;
 	pthread_mutex_lock(&call->lock);
@@ -421,7 +446,11 @@
 		call->suspended = true;
 		MHD_suspend_connection(call->conn);
 	}
+	drained = call->watched && hd_pending(call) <= call->low;
+	call->watched = call->watched && !drained;
 	pthread_mutex_unlock(&call->lock);
+	if (drained)
+		hd_notify_drained(call);
 	return n;
 }
 
@@ -508,6 +537,7 @@
 	if (max > 0 && hd_pending(call) + len > max)
 		return BASE_EFULL;
 	g_string_append_len(call->pending, data, (gssize)len);
+	ck_pr_add_64(&call->hd->unsent, len);
 	return 0;
 }
 
@@ -524,6 +554,43 @@
 	return err;
 }
 
+size_t hd_unsent(struct hd_call *call)
+{
+	size_t n;
+
+	pthread_mutex_lock(&call->lock);
+	n = hd_pending(call);
+	pthread_mutex_unlock(&call->lock);
+	return n;
+}
+
+uint64_t hd_unsent_total(const struct hd *hd)
+{
+	return ck_pr_load_64(&hd->unsent);
+}
+
+bool hd_watch_unsent(struct hd_call *call, size_t low)
+{
+	bool watched;
+
+	pthread_mutex_lock(&call->lock);
+	watched = hd_pending(call) > low;
+	call->low = low;
+	call->watched = watched;
+	pthread_mutex_unlock(&call->lock);
+	return watched;
+}
+
+void hd_set_owner(struct hd_call *call, void *owner)
+{
+	call->owner = owner;
+}
+
+void *hd_owner(const struct hd_call *call)
+{
+	return call->owner;
+}
+
 void hd_expect_length(struct hd_call *call, uint64_t len)
 {
 	pthread_mutex_lock(&call->lock);
--- a/base/hd.h
+++ b/base/hd.h
@@ -57,6 +57,13 @@
  */
 typedef void (*hd_end_fn)(void *ctx, const char *label, const struct hd_outcome *outcome);
 
+/*
+ * Is told, in one of the library's threads, that the unsent bytes of a response have fallen to the
+ * mark of hd_watch_unsent(). The function owns a reference to call, which it releases by
+ * hd_unref().
+ */
+typedef void (*hd_drained_fn)(void *ctx, struct hd_call *call);
+
 /* Configuration of a server. */
 struct hd_config {
 	const char *addr; /* listening address IP:PORT; NULL: only hd_adopt() adds connections */
@@ -69,6 +76,7 @@
 	bool (*may_accept)(void *ctx); /* whether to take a new connection or to close it unread,
 					* from one of the library's threads; NULL: always */
 	hd_end_fn on_end;	       /* called at the end of each request; NULL: none */
+	hd_drained_fn on_drained;      /* needed by hd_watch_unsent(); NULL: none */
 	void *ctx;		       /* first argument of the functions above */
 };
 
@@ -164,6 +172,25 @@
  */
 int hd_reply_write(struct hd_call *call, const char *data, size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
+/* Returns the number of bytes of a response in parts that the library has not taken yet. */
+size_t hd_unsent(struct hd_call *call);
+
+/* Returns the sum of hd_unsent() over the requests in progress. Any thread may call this. */
+uint64_t hd_unsent_total(const struct hd *hd);
+
+/*
+ * Has hd_config.on_drained called once, when the unsent bytes of the response have fallen to low.
+ * Returns false, and has nothing called, if there are no more now. A later call replaces the mark.
+ */
+bool hd_watch_unsent(struct hd_call *call, size_t low);
+
+/*
+ * Attach an object of the handler to the request; NULL: none. They are for one thread only, as
+ * nothing guards the pointer.
+ */
+void hd_set_owner(struct hd_call *call, void *owner);
+void *hd_owner(const struct hd_call *call);
+
 /*
  * States how many bytes of the response the caller has passed to hd_reply_write(). If that many
  * were not taken, hd_reply_end() aborts the response.
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace
@@ -28,6 +29,9 @@
 		config.on_end = [](void *ctx, const char *label, const hd_outcome *outcome) {
 			((HdTest *)ctx)->OnEnd(label, outcome);
 		};
+		config.on_drained = [](void *ctx, hd_call *call) {
+			((HdTest *)ctx)->OnDrained(call);
+		};
 		config.ctx = this;
 		hd_ = hd_start(&config);
 		ASSERT_NE(hd_, nullptr);
@@ -70,10 +74,14 @@
 		ended_ = true;
 		request_received_.notify_all();
 	}
-	bool HasEnded()
+	void OnDrained(hd_call *call)
 	{
-		std::lock_guard<std::mutex> lock(mutex_);
-		return ended_;
+		{
+			std::lock_guard<std::mutex> lock(mutex_);
+			drained_++;
+			request_received_.notify_all();
+		}
+		hd_unref(call);
 	}
 	hd_outcome WaitForEnd()
 	{
@@ -107,6 +115,7 @@
 	std::string label_;
 	hd_outcome outcome_{};
 	bool ended_ = false;
+	int drained_ = 0;
 };
 
 /* The same with a server that takes all parts of a response. */
@@ -239,6 +248,49 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a sender that is never told that its client reads on. */
+TEST_F(HdUnlimitedTest, SenderIsToldOnceThatTheResponseIsDrained)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	const std::string part(4 << 20, 'x');
+	hd_reply_begin(call, 200, "text/plain");
+	ASSERT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	EXPECT_FALSE(hd_watch_unsent(call, part.size())) << "no more bytes than the mark";
+	EXPECT_TRUE(hd_watch_unsent(call, 1000));
+	EXPECT_GT(hd_unsent(call), 1000U);
+	EXPECT_EQ(hd_unsent_total(hd_), hd_unsent(call));
+	std::string body;
+	std::thread reader([&] { body = Body(ReadAll()); });
+	{
+		std::unique_lock<std::mutex> lock(mutex_);
+		request_received_.wait(lock, [this]() { return drained_ > 0; });
+	}
+	EXPECT_LE(hd_unsent(call), 1000U);
+	ASSERT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	EXPECT_EQ(hd_reply_end(call), 0);
+	reader.join();
+	EXPECT_EQ(body.size(), 2 * part.size());
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+	hd_unref(call);
+	EXPECT_EQ(drained_, 1);
+	EXPECT_EQ(hd_unsent_total(hd_), 0U);
+}
+
+/* Guards against a total that grows with each client that leaves. */
+TEST_F(HdUnlimitedTest, UnsentBytesOfAClientThatLeftAreNotCounted)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	const std::string part(4 << 20, 'x');
+	hd_reply_begin(call, 200, "text/plain");
+	ASSERT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	close(client_);
+	client_ = -1;
+	WaitForEnd();
+	hd_unref(call);
+	while (hd_unsent_total(hd_) > 0)
+		usleep(1000);
+}
+
 TEST_F(HdTest, ClientDisconnectIsDetectedBeforeResponse)
 {
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -341,15 +393,13 @@
 }
 
 /* Guards against an idle timeout within an answer that looks like any other end. */
-TEST_F(HdTest, IdleTimeoutWithinAnAnswerIsReported)
+TEST_F(HdUnlimitedTest, IdleTimeoutWithinAnAnswerIsReported)
 {
 	hd_set_limits(hd_, 100, 1);
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
-	const std::string part(9000, 'x');
+	const std::string part(4 << 20, 'x');
 	hd_reply_begin(call, 200, "text/plain");
 	EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
-	while (!HasEnded())
-		(void)!hd_reply_write(call, part.data(), part.size());
 	hd_outcome outcome = WaitForEnd();
 	hd_unref(call);
 	EXPECT_EQ(outcome.end, HD_END_TIMEOUT);
