hc, way: a call can be paused, so that its server is slowed down by TCP

hc_pause() lets the library keep the next part of the body and stop reading; a call that goes on is resumed by the loop, not in the caller's stack, since curl_easy_pause() calls back at once. Evidence: HcPauseTest.*: 1 MB in bodies with a length, until the close, in large and small chunks, paused over 100 times each, arrives whole; end, break and cancel while paused; another call goes on.

--- a/base/hc.c
+++ b/base/hc.c
@@ -23,6 +23,7 @@
 	struct tmr deferred_timer; /* starts and frees the deferred requests */
 	GPtrArray *deferred; /* requests (struct hc_call) that were started inside a callback */
 	GPtrArray *canceled; /* requests that were canceled inside a callback of another one */
+	GPtrArray *resumed;  /* requests that hc_pause() lets go on */
 	bool in_callback;    /* a callback of the library is running */
 	char *source; /* IP address that connections come from, as the library has it; NULL: any */
 };
@@ -45,6 +46,8 @@
 	bool on_head_called;	     /* on_head() was called */
 	bool canceled; /* canceled inside its own callback; freed after the callback returns */
 	bool callback_running;	/* a callback of this request is running */
+	bool paused;		/* by hc_pause() */
+	bool withheld;		/* the library holds a part of the body, as the request is paused */
 	struct sockaddr_in via; /* address to connect to instead of the host in the URL */
 	GByteArray *preamble;	/* bytes to send before the request; NULL: none */
 	int fd;			/* socket that the preamble is sent on */
@@ -74,6 +77,7 @@
 	curl_multi_setopt(hc->multi, CURLMOPT_MAXCONNECTS, (long)HC_IDLE_CONNS_MAX);
 	hc->deferred = g_ptr_array_new();
 	hc->canceled = g_ptr_array_new();
+	hc->resumed = g_ptr_array_new();
 	return hc;
 }
 
@@ -92,6 +96,7 @@
 	tmr_cancel(&hc->loop->tmr, &hc->deferred_timer);
 	g_ptr_array_unref(hc->deferred);
 	g_ptr_array_unref(hc->canceled);
+	g_ptr_array_unref(hc->resumed);
 	curl_multi_cleanup(hc->multi);
 	g_free(hc->source);
 	g_free(hc);
@@ -213,6 +218,10 @@
 
 	if (call->canceled)
 		return CURL_WRITEFUNC_ERROR;
+	if (call->paused) {
+		call->withheld = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->ops->on_data && (call->ops->all_data || status / 100 == 2)) {
 		call->callback_running = true;
@@ -311,6 +320,7 @@
 		g_byte_array_unref(call->preamble);
 	g_ptr_array_remove(call->hc->deferred, call);
 	g_ptr_array_remove(call->hc->canceled, call);
+	g_ptr_array_remove(call->hc->resumed, call);
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -409,11 +419,41 @@
 	return call;
 }
 
+void hc_pause(struct hc_call *call, bool on)
+{
+	struct hc *hc = call->hc;
+
+	call->paused = on;
+	if (on || !call->withheld || g_ptr_array_find(hc->resumed, call, NULL))
+		return;
+	g_ptr_array_add(hc->resumed, call);
+	loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_on_deferred, hc);
+}
+
+/*
+ * Passes on the part that the library holds, and what follows it. A request that is canceled in the
+ * callback of that part is freed here: the library doesn't end a transfer whose part was refused
+ * while it resumed.
+ */
+static void hc_resume(struct hc_call *call)
+{
+	CURLcode code;
+
+	if (call->paused)
+		return;
+	call->withheld = false;
+	code = curl_easy_pause(call->easy, CURLPAUSE_CONT);
+	if (call->canceled)
+		hc_call_free(call);
+	else if (code != CURLE_OK)
+		hc_finish_call(call, code);
+}
+
 /*
  * curl_multi_add_handle() fails inside a callback of the library, and a request that was not added
  * would never end; curl_multi_remove_handle() fails, too, and a request that was freed without it
  * would still be used. Requests started or canceled there are added or freed after the callback has
- * returned.
+ * returned. Paused ones go on here as well, since curl_easy_pause() calls back at once.
  */
 static void hc_on_deferred(void *ctx, int64_t now_us)
 {
@@ -428,6 +468,8 @@
 		curl_multi_add_handle(hc->multi, call->easy);
 	}
 	g_ptr_array_set_size(hc->deferred, 0);
+	while (hc->resumed->len > 0)
+		hc_resume(g_ptr_array_steal_index_fast(hc->resumed, 0));
 }
 
 /*
--- a/base/hc.h
+++ b/base/hc.h
@@ -79,6 +79,13 @@
 struct hc_call *hc_start(struct hc *hc, const struct hc_request *request, const struct hc_ops *ops,
 			 void *ctx);
 
+/*
+ * Pauses a request (on) or lets it go on. A paused request receives no part of the body, so that
+ * its server is slowed down by TCP; its head still arrives. Its end is not noticed until it goes
+ * on. May be called from callbacks.
+ */
+void hc_pause(struct hc_call *call, bool on);
+
 /* Cancels a request; on_done() isn't called. */
 void hc_cancel(struct hc_call *call);
 
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -1,5 +1,6 @@
 #include "base/hc.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstring>
 #include <gtest/gtest.h>
@@ -176,4 +177,270 @@
 	EXPECT_NE(received.find("Host: 127.0.0.2:9\r\n"), std::string::npos);
 }
 
+/* A call that notes what it receives and acts in its callback. */
+struct BodyCall {
+	struct loop *loop;
+	hc_call *call = nullptr;
+	std::string body;
+	int done = 0;
+	int err = 0;
+	size_t pause_at = SIZE_MAX;  /* bytes after which the call pauses itself */
+	size_t cancel_at = SIZE_MAX; /* bytes after which the call cancels itself */
+	int pauses = 0;
+};
+
+/* Sends a body to each connection, as fast as it is read, and closes it. */
+class BodyServer
+{
+      public:
+	BodyServer(int connections, const std::string &head, const std::string &body)
+		: listener_(socket(AF_INET, SOCK_STREAM, 0))
+	{
+		sockaddr_in sin{};
+		socklen_t len = sizeof(sin);
+
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
+		EXPECT_EQ(listen(listener_, 8), 0);
+		getsockname(listener_, (sockaddr *)&sin, &len);
+		url = "http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) + "/";
+		for (int i = 0; i < connections; i++)
+			threads_.emplace_back([this, head, body] { Serve(head + body); });
+	}
+	~BodyServer()
+	{
+		for (std::thread &thread : threads_)
+			thread.join();
+		close(listener_);
+	}
+	std::string url;
+
+      private:
+	void Serve(const std::string &text)
+	{
+		int fd = accept(listener_, nullptr, nullptr);
+		char buf[4096];
+		std::string request;
+
+		while (request.find("\r\n\r\n") == std::string::npos) {
+			ssize_t n = recv(fd, buf, sizeof(buf), 0);
+
+			if (n <= 0)
+				break;
+			request.append(buf, (size_t)n);
+		}
+		for (size_t at = 0; at < text.size();) {
+			ssize_t n = send(fd, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+
+			if (n <= 0)
+				break;
+			at += (size_t)n;
+		}
+		close(fd);
+	}
+
+	int listener_;
+	std::vector<std::thread> threads_;
+};
+
+class HcPauseTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		loop_init(&loop_);
+		hc_ = hc_new(&loop_);
+		ops_.on_data = [](void *ctx, const char *data, size_t len) {
+			BodyCall *call = (BodyCall *)ctx;
+			call->body.append(data, len);
+			if (call->body.size() >= call->cancel_at) {
+				hc_cancel(call->call);
+				call->done++;
+				loop_stop(call->loop);
+			} else if (call->body.size() >= call->pause_at) {
+				call->pauses++;
+				call->pause_at += PAUSE_STEP;
+				hc_pause(call->call, true);
+				loop_stop(call->loop);
+			}
+		};
+		ops_.all_data = true;
+		ops_.on_done = [](void *ctx, int, int err, bool, const char *, size_t) {
+			BodyCall *call = (BodyCall *)ctx;
+			call->done++;
+			call->err = err;
+			loop_stop(call->loop);
+		};
+	}
+	void TearDown() override
+	{
+		hc_free(hc_);
+		loop_finish(&loop_);
+	}
+	void Start(BodyCall *call, const std::string &url)
+	{
+		hc_request request{};
+
+		request.method = "GET";
+		request.url = url.c_str();
+		request.connect_ms = 5000;
+		request.fresh = true;
+		request.close = true;
+		call->loop = &loop_;
+		call->call = hc_start(hc_, &request, &ops_, call);
+	}
+	void Run()
+	{
+		loop_.stopping = false;
+		loop_run(&loop_);
+	}
+	static std::string Text(size_t len)
+	{
+		std::string text(len, 'x');
+
+		for (size_t i = 0; i < len; i++)
+			text[i] = (char)('a' + i * 7 / 5 % 26);
+		return text;
+	}
+	static std::string Chunked(const std::string &body, size_t step)
+	{
+		std::string text;
+		char line[32];
+
+		for (size_t at = 0; at < body.size(); at += step) {
+			size_t n = std::min(step, body.size() - at);
+
+			snprintf(line, sizeof(line), "%zx\r\n", n);
+			text += line + body.substr(at, n) + "\r\n";
+		}
+		return text + "0\r\n\r\n";
+	}
+
+	static const size_t PAUSE_STEP = 3000;
+	loop loop_{};
+	hc *hc_ = nullptr;
+	hc_ops ops_{};
+};
+
+const char *const length_head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+const char *const chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/* Guards against bytes that are lost, doubled or out of order when a request pauses and goes on. */
+TEST_F(HcPauseTest, BodyOfARequestThatPausesOftenIsWhole)
+{
+	const std::string body = Text(1 << 20);
+	const struct {
+		const char *name;
+		std::string head, sent;
+	} cases[] = {
+		{"length", length_head + std::to_string(body.size()) + "\r\n\r\n", body},
+		{"until the close", "HTTP/1.1 200 OK\r\n\r\n", body},
+		{"large chunks", chunked_head, Chunked(body, 100000)},
+		{"small chunks", chunked_head, Chunked(body, 37)},
+	};
+
+	for (const auto &c : cases) {
+		BodyServer server(1, c.head, c.sent);
+		BodyCall call;
+
+		call.pause_at = 1;
+		Start(&call, server.url);
+		for (Run(); call.done == 0; Run())
+			hc_pause(call.call, false);
+		EXPECT_TRUE(call.body == body) << c.name;
+		EXPECT_EQ(call.err, 0) << c.name;
+		EXPECT_GT(call.pauses, 100) << c.name;
+	}
+}
+
+/* Guards against an end that is missed, or a last part that is lost, if it comes while paused. */
+TEST_F(HcPauseTest, EndWhilePausedIsSeenAfterwards)
+{
+	for (const char *head : {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+				 "HTTP/1.1 200 OK\r\n\r\n", chunked_head}) {
+		const std::string body = Text(100);
+		const std::string sent = head == chunked_head ? Chunked(body, 10) : body;
+		BodyCall call;
+
+		{
+			BodyServer server(1, head, sent);
+
+			call.pause_at = 1;
+			Start(&call, server.url);
+			Run();
+		}
+		for (; call.done == 0; Run())
+			hc_pause(call.call, false);
+		EXPECT_EQ(call.body, body);
+		EXPECT_EQ(call.err, 0);
+	}
+}
+
+/* Guards against a break that is taken for the regular end if it comes while paused. */
+TEST_F(HcPauseTest, BreakWhilePausedIsAnError)
+{
+	BodyCall call;
+	{
+		BodyServer server(1, "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n", Text(100));
+
+		call.pause_at = 1;
+		Start(&call, server.url);
+		Run();
+	}
+	for (; call.done == 0; Run())
+		hc_pause(call.call, false);
+	EXPECT_LT(call.err, 0);
+}
+
+/* Guards against requests that are used after they were freed, or never freed. */
+TEST_F(HcPauseTest, PausedRequestMayBeCanceled)
+{
+	const std::string body = Text(1 << 20);
+	const std::string head = length_head + std::to_string(body.size()) + "\r\n\r\n";
+	/* Bytes after which the request is canceled in its callback; 0: while it is paused. */
+	for (size_t cancel_at : {(size_t)0, (size_t)1 + PAUSE_STEP, (size_t)100000}) {
+		BodyServer server(1, head, body);
+		BodyCall call;
+
+		call.pause_at = 1;
+		if (cancel_at > 0)
+			call.cancel_at = cancel_at;
+		Start(&call, server.url);
+		Run();
+		if (cancel_at == 0) {
+			hc_pause(call.call, false);
+			hc_pause(call.call, true);
+			hc_pause(call.call, false);
+			hc_cancel(call.call);
+			continue;
+		}
+		for (; call.done == 0; Run())
+			hc_pause(call.call, false);
+		EXPECT_GE(call.body.size(), cancel_at);
+		EXPECT_EQ(call.done, 1);
+	}
+}
+
+/* Guards against a slow caller that holds up the others. */
+TEST_F(HcPauseTest, OtherRequestsGoOnWhileOneIsPaused)
+{
+	const std::string body = Text(1 << 20);
+	const std::string head = length_head + std::to_string(body.size()) + "\r\n\r\n";
+	BodyServer server(2, head, body);
+	BodyCall paused, other;
+
+	Start(&paused, server.url);
+	hc_pause(paused.call, true);
+	Start(&other, server.url);
+	Run();
+	EXPECT_EQ(other.done, 1);
+	EXPECT_EQ(other.body.size(), body.size());
+	EXPECT_EQ(paused.body.size(), 0U);
+	EXPECT_EQ(paused.done, 0);
+	for (; paused.done == 0; Run())
+		hc_pause(paused.call, false);
+	EXPECT_TRUE(paused.body == body);
+}
+
 } // namespace
--- a/router/way.c
+++ b/router/way.c
@@ -62,6 +62,7 @@
 	bool sent;	    /* the endpoint may have received the request */
 	bool headed;	    /* the head of an answer has arrived */
 	bool counted;	    /* counts as an open tunnel of its gateway */
+	bool paused;	    /* by way_pause() */
 	int64_t began_us;   /* time at which the present way was begun */
 	GList link;	    /* in way->unanswered, while direct, quick and without an answer */
 	bool linked;
@@ -327,6 +328,12 @@
 	return call->ops->on_data ? &way_part_ops : &way_whole_ops;
 }
 
+static void way_start_http(struct way_call *call, const struct hc_request *http)
+{
+	call->http = hc_start(call->way->hc, http, way_http_ops(call), call);
+	hc_pause(call->http, call->paused);
+}
+
 static void way_send_direct(struct way_call *call)
 {
 	struct way *way = call->way;
@@ -340,7 +347,7 @@
 		g_queue_push_tail_link(&way->unanswered, &call->link);
 		call->linked = true;
 	}
-	call->http = hc_start(way->hc, &http, way_http_ops(call), call);
+	way_start_http(call, &http);
 }
 
 /* Chooses the gateway to ask next, or NULL if none is left. */
@@ -447,7 +454,7 @@
 	http.preamble = preamble;
 	http.fresh = true;
 	http.close = true;
-	call->http = hc_start(way->hc, &http, way_http_ops(call), call);
+	way_start_http(call, &http);
 	g_byte_array_unref(preamble);
 	way_hold(call);
 	if (call->direct_failed && !call->sent)
@@ -594,6 +601,13 @@
 	way_call_free(call);
 }
 
+void way_pause(struct way_call *call, bool on)
+{
+	call->paused = on;
+	if (call->http)
+		hc_pause(call->http, on);
+}
+
 void way_cancel(struct way_call *call)
 {
 	call->canceled = true;
--- a/router/way.h
+++ b/router/way.h
@@ -72,6 +72,9 @@
 struct way_call *way_start(struct way *way, const struct way_request *request,
 			   const struct hc_ops *ops, void *ctx);
 
+/* Pauses a call or lets it go on, as hc_pause() does; by whatever way it goes or will go. */
+void way_pause(struct way_call *call, bool on);
+
 /* Cancels a call, as hc_cancel() does. */
 void way_cancel(struct way_call *call);
 
