fwd: an endpoint that a caller holds back is neither silent nor abandoned

Part of the flow control from callers to endpoints. fwd_hold() rests the limits on silence, which start again when the attempt goes on; the deadline holds. fwd_on_caller_stalled() ends a request whose caller read nothing for the idle time, with a cause of its own. The buffer of an answer that is passed on as it arrives is freed: 256 KB for each slow caller otherwise. Evidence: FwdTest.EndpointThatACallerHoldsBackIsNotSilent (table), DeadlineHoldsWhileAnAttemptIsHeldBack.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -36,6 +36,7 @@
 	[FWD_SILENT] = "silent",
 	[FWD_DEADLINE] = "deadline",
 	[FWD_CALLER_DISCONNECTED] = "caller_gone",
+	[FWD_CALLER_STALLED] = "caller_stalled",
 	[FWD_BUDGET] = "budget",
 	[FWD_FAILED] = "endpoint_failed",
 	[FWD_CRASHES] = "crashes_endpoints",
@@ -81,10 +82,18 @@
 	fwd->ops->ended(fwd->ctx, cause);
 }
 
+/* Returns the silence allowed at present, in microseconds; 0 if unlimited. */
+static int64_t fwd_allowed_silence_us(const struct fwd *fwd)
+{
+	if (fwd->held)
+		return 0;
+	return fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
+}
+
 static void fwd_set_timer(struct fwd *fwd)
 {
 	int64_t due = fwd->rules.deadline_us;
-	int64_t silence = fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
+	int64_t silence = fwd_allowed_silence_us(fwd);
 
 	/*
 	 * The request may have ended in a callback. Its owner then uses the timer for another
@@ -312,7 +321,8 @@
 	fwd->passthrough = true;
 	fwd->ops->answer_begin(fwd->ctx);
 	fwd->ops->answer_data(fwd->ctx, fwd->body->str, fwd->body->len);
-	g_string_truncate(fwd->body, 0);
+	g_string_free(fwd->body, TRUE);
+	fwd->body = g_string_new(NULL);
 }
 
 void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
@@ -427,6 +437,12 @@
 	fwd_set_timer(fwd);
 }
 
+void fwd_hold(struct fwd *fwd, bool on, int64_t now_us)
+{
+	fwd->held = on;
+	fwd_restart_silence(fwd, now_us);
+}
+
 bool fwd_can_abandon_attempt(const struct fwd *fwd, int64_t now_us)
 {
 	return fwd_may_send_again(fwd, fwd->runs + 1, now_us);
@@ -438,7 +454,7 @@
  */
 void fwd_abandon_attempt(struct fwd *fwd, int64_t now_us)
 {
-	if (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING)
+	if (fwd->held || (fwd->state != FWD_SENT && fwd->state != FWD_ANSWERING))
 		return;
 	if (!fwd_can_abandon_attempt(fwd, now_us) || fwd->ops->charge_retry(fwd->ctx) < 0) {
 		fwd_set_timer(fwd);
@@ -472,18 +488,29 @@
 		fwd_cancel_and_end(fwd, FWD_STOPPED);
 }
 
-void fwd_on_caller_disconnected(struct fwd *fwd)
+/* The connection to the caller has ended before the answer. */
+static void fwd_end_without_caller(struct fwd *fwd, enum fwd_cause cause)
 {
 	if (fwd->state == FWD_ENDED)
 		return;
 	fwd->ops->cancel(fwd->ctx);
 	fwd->ops->answer_abort(fwd->ctx);
-	fwd_end(fwd, FWD_CALLER_DISCONNECTED);
+	fwd_end(fwd, cause);
+}
+
+void fwd_on_caller_disconnected(struct fwd *fwd)
+{
+	fwd_end_without_caller(fwd, FWD_CALLER_DISCONNECTED);
+}
+
+void fwd_on_caller_stalled(struct fwd *fwd)
+{
+	fwd_end_without_caller(fwd, FWD_CALLER_STALLED);
 }
 
 void fwd_on_timer(struct fwd *fwd, int64_t now_us)
 {
-	int64_t silence = fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
+	int64_t silence = fwd_allowed_silence_us(fwd);
 
 	if (fwd->state == FWD_ENDED)
 		return;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -72,6 +72,8 @@
 	FWD_RESTING,
 	/* The process is about to end. */
 	FWD_STOPPED,
+	/* The caller read nothing of its answer for the idle time. */
+	FWD_CALLER_STALLED,
 	/* Number of causes. */
 	FWD_CAUSE_COUNT
 };
@@ -217,6 +219,8 @@
 	int64_t resend_us;
 	/* Number of waits since the last event was passed to the caller. */
 	int waits;
+	/* Whether the caller holds the attempt back, see fwd_hold(). */
+	bool held;
 	/* Cause for which the last attempt failed. */
 	enum fwd_cause failure;
 };
@@ -252,7 +256,17 @@
 /* Restarts the allowed silence, after a sign of progress other than data of the answer. */
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us);
 
-/* Abandons the current attempt and sends the request again, if possible; else does nothing. */
+/*
+ * States whether the attempt is held back (on), as the caller reads more slowly than the endpoint
+ * sends. Then the endpoint is not silent, whatever it sends, and the attempt is not abandoned; the
+ * deadline holds. The allowed silence starts again when the attempt goes on.
+ */
+void fwd_hold(struct fwd *fwd, bool on, int64_t now_us);
+
+/*
+ * Abandons the current attempt and sends the request again, if possible; else, or if the attempt is
+ * held back, does nothing.
+ */
 void fwd_abandon_attempt(struct fwd *fwd, int64_t now_us);
 
 /*
@@ -271,6 +285,9 @@
 /* The caller disconnected. */
 void fwd_on_caller_disconnected(struct fwd *fwd);
 
+/* The caller was disconnected, as it read nothing for the idle time. */
+void fwd_on_caller_stalled(struct fwd *fwd);
+
 /* The timer set by set_timer() expired. */
 void fwd_on_timer(struct fwd *fwd, int64_t now_us);
 
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -806,4 +806,101 @@
 	EXPECT_EQ(timers_, 0);
 }
 
+enum HoldStep {
+	HOLD,
+	GO_ON,
+	WAIT_300,
+	DATA,
+	ABANDON,
+	HEAD,
+	END,
+	STOP
+};
+
+struct HoldCase {
+	const char *name;
+	std::vector<HoldStep> steps;
+	const char *actions;
+};
+
+const HoldCase hold_cases[] = {
+	{"a held attempt is not silent", {HOLD, WAIT_300, WAIT_300, WAIT_300}, ""},
+	{"an attempt that is not held is", {WAIT_300}, "silent cancel send@1"},
+	{"silence counts from the end of the hold", {HOLD, WAIT_300, GO_ON, DATA}, "data13"},
+	{"silence after the hold counts",
+	 {HOLD, WAIT_300, GO_ON, WAIT_300},
+	 "silent cancel send@1"},
+	{"a held attempt is not abandoned", {HOLD, ABANDON, GO_ON, DATA}, "data13"},
+	{"one that goes on may be", {HOLD, GO_ON, ABANDON}, "cancel send@1"},
+	{"the end may come while held", {HOLD, END}, "end ok"},
+	{"a stop ends a held attempt", {HOLD, STOP}, "cancel abort stopped"},
+	{"a new attempt may be held",
+	 {ABANDON, HOLD, WAIT_300, GO_ON, HEAD, DATA},
+	 "cancel send@1 data13"},
+};
+
+/* Guards against endpoints that are taken for silent because a caller reads slowly. */
+TEST_F(FwdTest, EndpointThatACallerHoldsBackIsNotSilent)
+{
+	for (const HoldCase &c : hold_cases) {
+		Start(true, true);
+		Head(200);
+		Data("id: 1\ndata: a\n\n");
+		Actions();
+		for (HoldStep step : c.steps) {
+			switch (step) {
+			case HOLD:
+			case GO_ON:
+				fwd_hold(&fwd_, step == HOLD, now_);
+				break;
+			case WAIT_300:
+				Wait(300 * MS);
+				break;
+			case DATA:
+				Data("id: 2\ndata:\n\n");
+				break;
+			case ABANDON:
+				fwd_abandon_attempt(&fwd_, now_);
+				break;
+			case HEAD:
+				Head(200);
+				break;
+			case END:
+				Done(true);
+				break;
+			case STOP:
+				fwd_on_stop(&fwd_);
+				break;
+			}
+		}
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+		started_ = false;
+	}
+}
+
+/* Guards against a caller that reads nothing and keeps its endpoint for ever. */
+TEST_F(FwdTest, DeadlineHoldsWhileAnAttemptIsHeldBack)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\ndata: a\n\n");
+	fwd_hold(&fwd_, true, now_);
+	Actions();
+	Wait(10000 * MS);
+	EXPECT_EQ(Actions(), "cancel abort deadline");
+}
+
+/* Guards against records that call a caller gone which was there and read nothing. */
+TEST_F(FwdTest, CallerThatReadsNothingIsNamed)
+{
+	Start(true, true);
+	Head(200);
+	Actions();
+	fwd_on_caller_stalled(&fwd_);
+	EXPECT_EQ(Actions(), "cancel abort caller_stalled");
+	fwd_on_caller_stalled(&fwd_);
+	EXPECT_EQ(Actions(), "");
+}
+
 } // namespace
