Flow control: an endpoint is read no faster than its caller reads

Callers saw: answers of 12 MB that came short to callers that read late; hosts held up to 4 MB for each of them. Cause: nothing slowed an endpoint down whose caller read more slowly than it sent. Held attempts are no sign of a fault: they aren't repaired, abandoned or reported. A new attempt of a stream whose caller is still behind is held, too. A caller that reads nothing for the idle time is recorded as caller_stalled, its answer as broken off. EndsTest: an idle timeout within an answer was expected as unanswered; its caller sees the break, as the last chunk or bytes are missing, so it is broken off; before an answer it stays unanswered.

--- a/base/hd.c
+++ b/base/hd.c
@@ -68,6 +68,7 @@
 	bool aborted;	    /* the response ends with a close of the connection */
 	bool incomplete;    /* hd_reply_write() did not take a part of the response */
 	bool closed;	    /* the library has finished the request */
+	enum hd_end end;    /* how the request ended; valid if closed is set */
 	bool client_closed; /* hd_client_closed() found that the client has closed */
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
 };
@@ -365,11 +366,10 @@
 	call->pending_at = 0;
 }
 
-static void hd_report_end(struct hd *hd, const struct hd_call *call,
-			  enum MHD_RequestTerminationCode code)
+static void hd_report_end(struct hd *hd, const struct hd_call *call)
 {
 	struct hd_outcome outcome = {
-		.end = hd_end_of(call, code),
+		.end = call->end,
 		.received = call->handler_called,
 		.begun = call->queued,
 		.status = call->status,
@@ -392,7 +392,8 @@
 		return;
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
-	hd_report_end(ctx, call, code);
+	call->end = hd_end_of(call, code);
+	hd_report_end(ctx, call);
 	if (call->streaming)
 		hd_drop_pending(call);
 	pthread_mutex_unlock(&call->lock);
@@ -605,7 +606,7 @@
 
 	pthread_mutex_lock(&call->lock);
 	written = call->sent + hd_pending(call);
-	if (call->incomplete || call->aborted ||
+	if (call->incomplete || call->aborted || (call->closed && call->end != HD_END_WHOLE) ||
 	    (call->expected != HD_LENGTH_UNKNOWN && call->expected != written)) {
 		call->aborted = true;
 		err = BASE_ECLOSED;
@@ -636,14 +637,24 @@
 	bool gone;
 
 	pthread_mutex_lock(&call->lock);
-	gone = call->closed;
-	if (!gone && call->fd >= 0)
+	gone = call->closed && call->end != HD_END_WHOLE;
+	if (!call->closed && call->fd >= 0)
 		gone = recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 	call->client_closed |= gone;
 	pthread_mutex_unlock(&call->lock);
 	return gone;
 }
 
+bool hd_has_timed_out(struct hd_call *call)
+{
+	bool timed_out;
+
+	pthread_mutex_lock(&call->lock);
+	timed_out = call->closed && call->end == HD_END_TIMEOUT;
+	pthread_mutex_unlock(&call->lock);
+	return timed_out;
+}
+
 const char *hd_method(const struct hd_call *call)
 {
 	return call->method;
--- a/base/hd.h
+++ b/base/hd.h
@@ -215,6 +215,12 @@
  */
 bool hd_client_closed(struct hd_call *call);
 
+/*
+ * Returns whether the library has closed the connection, as the client read nothing of the response
+ * for the idle timeout.
+ */
+bool hd_has_timed_out(struct hd_call *call);
+
 /* Releases a reference to call; the last one frees it. */
 void hd_unref(struct hd_call *call);
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -37,9 +37,8 @@
 	/* Interval of checks whether the settings file has changed, in milliseconds. */
 	ROUTER_SETTINGS_POLL_MS = 2000,
 
-	ROUTER_PENDING_MAX = 4 << 20, /* Limit of unsent bytes of a response. */
-	ROUTER_BODY_MAX = 4 << 20,    /* Limit of a request's body, in bytes. */
-	ROUTER_THREADS = 1	      /* Threads of each HTTP server. */
+	ROUTER_BODY_MAX = 4 << 20, /* Limit of a request's body, in bytes. */
+	ROUTER_THREADS = 1	   /* Threads of each HTTP server. */
 };
 
 /* A row of the table of settings: section and key of the file, type, field, default and range. */
@@ -69,6 +68,8 @@
 	ITEM("repeats", "window_s", SETTINGS_REAL, repeat_window_s, "10", 1, 3600),
 	ITEM("repeats", "fixed", SETTINGS_REAL, repeat_fixed, "10", 0, 1000000),
 	ITEM("stop", "grace_s", SETTINGS_INT, grace_s, "8", 1, 3600),
+	ITEM("answers", "unsent_kb", SETTINGS_INT, answer_unsent_kb, "256", 32, 1048576),
+	ITEM("answers", "unsent_total_mb", SETTINGS_INT, answers_unsent_mb, "48", 1, 1048576),
 	ITEM("log", "lines_per_s", SETTINGS_INT, log_lines, "300", 0, 1000000),
 };
 const size_t router_setting_items_n = G_N_ELEMENTS(router_setting_items);
@@ -143,10 +144,10 @@
 		.addr = addr,
 		.threads = ROUTER_THREADS,
 		.body_max = ROUTER_BODY_MAX,
-		.pending_max = ROUTER_PENDING_MAX,
 		.handler = handler,
 		.may_accept = may_accept,
 		.on_end = on_end,
+		.on_drained = traf_on_drained,
 		.ctx = router,
 	};
 	struct hd *hd = hd_start(&config);
--- a/router/ends.c
+++ b/router/ends.c
@@ -17,6 +17,7 @@
 	case HD_END_WHOLE:
 		return outcome->begun && outcome->unsent == 0 ? ENDS_WHOLE : ENDS_UNANSWERED;
 	case HD_END_ABORTED:
+	case HD_END_TIMEOUT:
 		return outcome->begun ? ENDS_BROKEN : ENDS_UNANSWERED;
 	case HD_END_CLIENT:
 		return ENDS_CALLER;
--- a/router/ends.h
+++ b/router/ends.h
@@ -13,7 +13,8 @@
 /* What a caller got for a request that was read whole. */
 enum ends_kind {
 	ENDS_WHOLE,	 /* a whole answer, a refusal or an error included */
-	ENDS_BROKEN,	 /* an answer that this host broke off, visibly */
+	ENDS_BROKEN,	 /* an answer that this host broke off, visibly; also one of which the
+			  * caller read nothing for the idle timeout */
 	ENDS_CALLER,	 /* nothing more: the caller closed the connection */
 	ENDS_UNANSWERED, /* a connection that ended without an answer, or with half of one, by no
 			  * decision of this host; must not happen */
--- /dev/null
+++ b/router/flow.h
@@ -0,0 +1,40 @@
+#ifndef ROUTER_FLOW_H
+#define ROUTER_FLOW_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Flow control from callers to endpoints: when the attempt of an answer is held back, since its
+ * caller reads more slowly than the endpoint sends, and when it goes on.
+ */
+
+/* Limits on the bytes of answers that callers have not read yet. */
+struct flow_limits {
+	size_t answer_max;  /* of one answer, in bytes; above, its attempt is held back */
+	uint64_t total_max; /* of all answers of this host, in bytes; above, all answers that have
+			     * more than a little unsent are held back */
+};
+
+/* What callers have not read yet. */
+struct flow_unsent {
+	size_t answer;	/* of this answer, in bytes */
+	uint64_t total; /* of all answers of this host, in bytes */
+};
+
+/* Returns whether the attempt must be held back. */
+bool flow_must_hold(const struct flow_limits *limits, const struct flow_unsent *unsent);
+
+/* Returns whether an attempt that is held back may go on. */
+bool flow_may_go_on(const struct flow_limits *limits, const struct flow_unsent *unsent);
+
+/* Returns the unsent bytes of an answer at which its attempt may go on, with that total. */
+size_t flow_low_mark(const struct flow_limits *limits, uint64_t total);
+
+G_END_DECLS
+
+#endif
--- a/router/router.h
+++ b/router/router.h
@@ -52,6 +52,8 @@
 	double cores;		/* Number of processor cores of this host */
 	/* Address that calls to endpoints and the store come from, "IP:0"; "": any of this host */
 	char *source;
+	int64_t answer_unsent_kb;  /* Unsent part of one answer that may wait here, in KiB */
+	int64_t answers_unsent_mb; /* Unsent parts of all answers that may wait here, in MiB */
 };
 
 /*
@@ -196,4 +198,7 @@
 /* Handles a caller's request. Called from a thread of the HTTP library. */
 void traf_on_call(void *ctx, struct hd_call *call);
 
+/* A caller has read on; see hd_watch_unsent(). Called from a thread of the HTTP library. */
+void traf_on_drained(void *ctx, struct hd_call *call);
+
 #endif
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -82,6 +82,10 @@
 	traf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	traf->zone_names = g_ptr_array_new();
 	traf->reqs = g_ptr_array_new();
+	traf->flow = (struct flow_limits){
+		.answer_max = (size_t)router->settings.answer_unsent_kb << 10,
+		.total_max = (uint64_t)router->settings.answers_unsent_mb << 20,
+	};
 	traf->parked = g_queue_new();
 	hop_init(&traf->hop);
 	loop_init(&traf->loop);
@@ -134,6 +138,10 @@
 	gpointer value;
 
 	met_set(met_gauge("bg_requests_open", ""), traf->reqs->len);
+	met_set(met_gauge("bg_answers_held", ""), (uint64_t)traf->held);
+	if (traf->router->front)
+		met_set(met_gauge("bg_answers_unsent_bytes", ""),
+			hd_unsent_total(traf->router->front));
 	g_hash_table_iter_init(&iter, traf->budgets);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		char *labels = g_strdup_printf("service=\"%s\"", (const char *)name);
@@ -174,7 +182,7 @@
 	traf_rest_on_sweep(traf);
 	traf_reach_on_sweep(traf);
 	for (guint i = traf->reqs->len; i > 0; i--)
-		txn_on_sweep(traf->reqs->pdata[i - 1]);
+		txn_on_sweep(traf->reqs->pdata[i - 1], now_us);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
 }
@@ -460,6 +468,23 @@
 	loop_post(&router->traf->loop, traf_on_posted_call, msg);
 }
 
+static void traf_on_posted_drained(void *ctx)
+{
+	struct hd_call *call = ctx;
+	struct txn *txn = hd_owner(call);
+
+	if (txn)
+		txn_on_drained(txn);
+	hd_unref(call);
+}
+
+void traf_on_drained(void *ctx, struct hd_call *call)
+{
+	struct router *router = ctx;
+
+	loop_post(&router->traf->loop, traf_on_posted_drained, call);
+}
+
 bool traf_may_accept(void *ctx)
 {
 	struct traf *traf = ((struct router *)ctx)->traf;
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -16,12 +16,15 @@
 #include "quar/quar.h"
 #include "quar/served.h"
 #include "router/crash.h"
+#include "router/flow.h"
 #include "router/gateway.h"
 #include "router/router.h"
 #include "router/way.h"
 #include "share/share.h"
 #include "watch/watch.h"
 
+#include <jansson.h>
+
 /*
  * State of the traffic thread, which serves callers' requests. router/router.h describes the two
  * threads of bgrouterd.
@@ -122,6 +125,8 @@
 	GHashTable *zones;	      /* availability zone name -> its number, from 1 */
 	GPtrArray *zone_names;	      /* availability zone names; index: number minus 1 */
 	GPtrArray *reqs;	      /* requests that have not been freed (struct txn) */
+	struct flow_limits flow;      /* limits on what callers have not read yet */
+	int held;		      /* requests whose attempt their caller holds back */
 	struct hop hop;		      /* measured cost of hops between availability zones */
 	GQueue *parked; /* requests received before the first complete view (struct traf_parked) */
 	struct tmr sweep;	   /* timer of the periodic sweep */
@@ -356,7 +361,16 @@
 void txn_on_gateway_lost(struct txn *txn, const char *gateway);
 
 /* Ends the request if its caller has closed the connection. */
-void txn_on_sweep(struct txn *txn);
+void txn_on_sweep(struct txn *txn, int64_t now_us);
+
+/* The caller has read on; see traf_on_drained(). */
+void txn_on_drained(struct txn *txn);
+
+/* Returns the time in ms for which the caller has held the attempt back; 0: it doesn't. */
+int64_t txn_held_ms(const struct txn *txn, int64_t now_us);
+
+/* Describes an attempt that is held back, for operators. */
+json_t *txn_describe_held(const struct txn *txn, int64_t now_us);
 
 /* Ends the request, as the process is about to end. */
 void txn_on_stop(struct txn *txn);
--- a/router/txn.c
+++ b/router/txn.c
@@ -89,6 +89,7 @@
 	seam_request_finish(&txn->request);
 	fwd_finish(&txn->fwd);
 	rt_conf_unref(txn->conf);
+	hd_set_owner(txn->call, NULL);
 	hd_unref(txn->call);
 	g_ptr_array_remove_fast(traf->reqs, txn);
 	ck_pr_dec_uint(&traf->open);
@@ -114,6 +115,7 @@
 	seam_request_init(&txn->request);
 	hd_each_header(call, txn_on_header, txn);
 	hd_set_label(call, txn->request.id);
+	hd_set_owner(call, txn);
 	g_ptr_array_add(traf->reqs, txn);
 	if (!txn_admit(txn))
 		return;
@@ -288,6 +290,7 @@
 		txn->sent_us = txn->last_activity_us;
 	txn_log_sent(txn, attempt, pipeline, resume_after);
 	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, txn);
+	way_pause(txn->attempt, txn_is_held(txn));
 	g_ptr_array_unref(headers);
 	g_free(url);
 	g_free(pipeline);
@@ -508,10 +511,16 @@
 	tmr_set(&txn->traf->loop.tmr, &txn->timer, due_us, txn_on_timer, txn);
 }
 
-void txn_on_sweep(struct txn *txn)
+void txn_on_sweep(struct txn *txn, int64_t now_us)
 {
-	if (txn->fwd.state != FWD_ENDED && hd_client_closed(txn->call))
+	if (txn->fwd.state == FWD_ENDED)
+		return;
+	if (hd_has_timed_out(txn->call))
+		fwd_on_caller_stalled(&txn->fwd);
+	else if (hd_client_closed(txn->call))
 		fwd_on_caller_disconnected(&txn->fwd);
+	else
+		txn_flow_on_sweep(txn, now_us);
 }
 
 void txn_on_stop(struct txn *txn)
@@ -547,8 +556,9 @@
 	bool bad;
 	char labels[64];
 
+	txn_flow_on_end(txn);
 	if (cause == FWD_OK && txn->answer_failed)
-		cause = FWD_CALLER_DISCONNECTED;
+		cause = hd_has_timed_out(txn->call) ? FWD_CALLER_STALLED : FWD_CALLER_DISCONNECTED;
 	bad = cause != FWD_OK && cause != FWD_CALLER_DISCONNECTED;
 
 	jl_begin(bad ? JL_UNLIMITED : JL_INFO, "ended");
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -76,6 +76,8 @@
 	txn->answer_bytes += len;
 	if (hd_reply_write(txn->call, data, len) < 0)
 		txn->answer_failed = true;
+	else
+		txn_hold_if_behind(txn);
 }
 
 /* The length is counted here, apart from the HTTP server, so that a loss between the two shows. */
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -61,6 +61,9 @@
 					  * only compared; NULL: none */
 	enum crash_progress broken_progress; /* progress of the attempt when it broke off */
 	int status;			     /* HTTP status sent to the caller; 0: none yet */
+	int64_t held_us;  /* time since which the caller holds the attempt back, in us; 0: it does
+			   * not */
+	bool held_logged; /* the log says so */
 	uint64_t answer_bytes; /* bytes of an answer in parts that were passed to the caller */
 	bool answer_failed;    /* a part of the answer, or its end, could not be sent */
 };
@@ -121,6 +124,24 @@
 /* Callback of struct fwd_ops: handles a silent attempt. Returns true if the attempt is kept. */
 bool txn_on_silent(void *ctx);
 
+/* Holds the attempt back if the caller is too far behind. Called whenever parts were passed on. */
+void txn_hold_if_behind(struct txn *txn);
+
+/* Returns whether the caller holds the attempt back. */
+bool txn_is_held(const struct txn *txn);
+
+/* Looks again whether a held attempt may go on, and logs one that is held for long. */
+void txn_flow_on_sweep(struct txn *txn, int64_t now_us);
+
+/* The request has ended. */
+void txn_flow_on_end(struct txn *txn);
+
+/*
+ * Returns whether the attempt has received data lately, or would have if its caller didn't hold it
+ * back: its silence says nothing about the endpoints.
+ */
+bool txn_is_active(const struct txn *txn, int64_t now_us);
+
 /* Returns the name of the request's client account; "": none. */
 const char *txn_account_name(const struct txn *txn);
 
--- a/router/txn_repair.c
+++ b/router/txn_repair.c
@@ -97,7 +97,7 @@
 
 void txn_on_lost_connections(struct txn *txn)
 {
-	if (!txn_has_lost_connection(txn) || tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!txn_has_lost_connection(txn) || txn_is_active(txn, tmr_now()))
 		return;
 	txn_log_silent(txn, "not_reached", NULL);
 	fwd_abandon_attempt(&txn->fwd, tmr_now());
@@ -107,8 +107,7 @@
 {
 	const char *present = txn->attempt ? way_gateway(txn->attempt) : NULL;
 
-	if (!present || strcmp(present, gateway) != 0 ||
-	    tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!present || strcmp(present, gateway) != 0 || txn_is_active(txn, tmr_now()))
 		return;
 	txn_log_silent(txn, "gateway_lost", gateway);
 	fwd_abandon_attempt(&txn->fwd, tmr_now());
@@ -150,10 +149,17 @@
 	       g_strcmp0(txn->request.id, id) == 0;
 }
 
+bool txn_is_active(const struct txn *txn, int64_t now_us)
+{
+	return txn_is_held(txn) || now_us - txn->last_activity_us < TXN_ACTIVE_US;
+}
+
 void txn_on_stalled(struct txn *txn, const char *culprit)
 {
 	struct traf_ep *ep = culprit ? g_hash_table_lookup(txn->traf->by_addr, culprit) : NULL;
 
+	if (txn_is_held(txn))
+		return;
 	txn_log_silent(txn, "stalled", culprit);
 	if (ep) {
 		txn_exclude_endpoint(txn, ep);
@@ -311,9 +317,7 @@
 
 void txn_on_faulty(struct txn *txn, const struct traf_ep *ep)
 {
-	int64_t now_us = tmr_now();
-
-	if (!txn->target.layered || !txn->attempt || now_us - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!txn->target.layered || !txn->attempt || txn_is_active(txn, tmr_now()))
 		return;
 	if (txn_stage_index(txn, ep) >= 0)
 		txn_repair_pipeline(txn);
@@ -321,7 +325,7 @@
 
 struct traf_ep *txn_silent_first_stage(const struct txn *txn, const struct traf_ep *ep)
 {
-	if (!txn->target.layered || !txn->attempt ||
+	if (!txn->target.layered || !txn->attempt || txn_is_held(txn) ||
 	    tmr_now() - txn->last_activity_us < TXN_QUIET_US)
 		return NULL;
 	return txn_stage_index(txn, ep) > 0 ? txn->target.stages[0].ep : NULL;
@@ -337,7 +341,7 @@
 void txn_on_unresponsive(struct txn *txn, struct traf_ep *ep)
 {
 	if (!txn->target.layered || !txn->attempt || txn->order ||
-	    txn->repairs >= TXN_REPAIRS_MAX || tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	    txn->repairs >= TXN_REPAIRS_MAX || txn_is_active(txn, tmr_now()))
 		return;
 	if (txn_stage_index(txn, ep) < 1)
 		return;
@@ -351,7 +355,7 @@
 {
 	int stage;
 
-	if (!txn->target.layered || !txn->attempt || !txn->fwd.begun ||
+	if (!txn->target.layered || !txn->attempt || !txn->fwd.begun || txn_is_held(txn) ||
 	    txn->repairs >= TXN_REPAIRS_MAX)
 		return;
 	stage = txn_stage_index(txn, ep);
