bgctl explain says what the caller got; requests that were not read whole are counted

Each end of a request has exactly one kind now: whole, broken_off, caller_left, unanswered, not_read. ENDS_UNREAD: EndsTest has two new cases; none was changed.

--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -62,6 +62,28 @@
 	 "Refused, not run: the host was about to stop and could not have completed it."},
 };
 
+/* What the line "connection_ended" says of the caller; end NULL: any. */
+static const struct {
+	const char *caller_got;
+	const char *end;
+	const char *sentence;
+} explain_ends[] = {
+	{"broken_off", "timeout",
+	 "Its answer was broken off: it took nothing of it for the idle timeout."},
+	{"broken_off", NULL,
+	 "Its answer was broken off, and its connection ended in a way that can't be taken for the "
+	 "end of the answer."},
+	{"caller_left", NULL, "It closed the connection before it had the whole answer."},
+	{"not_read", NULL, "Its connection ended before the whole request had been read."},
+	{"unanswered", "timeout",
+	 "Its connection ended without a whole answer, by the idle timeout: nothing had moved on it "
+	 "for that long."},
+	{"unanswered", "shutdown",
+	 "Its connection ended without a whole answer, when the host's process ended."},
+	{"unanswered", NULL,
+	 "Its connection ended without a whole answer, by no decision of the host: report it."},
+};
+
 static bool explain_is_hidden(const char *name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(explain_hidden_members); i++) {
@@ -152,6 +174,34 @@
 	return cause;
 }
 
+static const char *explain_end_text(const char *caller_got, const char *end)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(explain_ends); i++) {
+		if (g_strcmp0(caller_got, explain_ends[i].caller_got) != 0)
+			continue;
+		if (!explain_ends[i].end || g_strcmp0(end, explain_ends[i].end) == 0)
+			return explain_ends[i].sentence;
+	}
+	return NULL;
+}
+
+/* Prints what the caller got if it was no whole answer. */
+static void explain_print_ends(const struct explain *explain)
+{
+	for (guint i = 0; i < explain->lines->len; i++) {
+		const json_t *line = explain->lines->pdata[i];
+		const char *event = json_string_value(json_object_get(line, "event"));
+		const char *text;
+
+		if (g_strcmp0(event, "connection_ended") != 0)
+			continue;
+		text = explain_end_text(json_string_value(json_object_get(line, "caller_got")),
+					json_string_value(json_object_get(line, "end")));
+		if (text)
+			printf("caller: %s\n", text);
+	}
+}
+
 static int explain_report(const struct explain *explain)
 {
 	double start_s;
@@ -168,6 +218,7 @@
 		explain_print_line(explain->lines->pdata[i], start_s);
 	delays_print(explain->lines, start_s);
 	printf("cause: %s\n", explain_cause_text(explain_find_cause(explain)));
+	explain_print_ends(explain);
 	return CTL_OK;
 }
 
--- a/router/ends.c
+++ b/router/ends.c
@@ -5,14 +5,15 @@
 #include <stdio.h>
 
 static const char *const ends_names[ENDS_COUNT] = {
-	[ENDS_WHOLE] = "whole",
-	[ENDS_BROKEN] = "broken_off",
-	[ENDS_CALLER] = "caller_left",
-	[ENDS_UNANSWERED] = "unanswered",
+	[ENDS_WHOLE] = "whole",	       [ENDS_BROKEN] = "broken_off",
+	[ENDS_CALLER] = "caller_left", [ENDS_UNANSWERED] = "unanswered",
+	[ENDS_UNREAD] = "not_read",
 };
 
 enum ends_kind ends_kind_of(const struct hd_outcome *outcome)
 {
+	if (!outcome->received)
+		return ENDS_UNREAD;
 	switch (outcome->end) {
 	case HD_END_WHOLE:
 		return outcome->begun && outcome->unsent == 0 ? ENDS_WHOLE : ENDS_UNANSWERED;
@@ -27,7 +28,7 @@
 
 static void ends_log(enum ends_kind kind, const char *label, const struct hd_outcome *outcome)
 {
-	jl_begin(JL_UNLIMITED, "connection_ended");
+	jl_begin(kind == ENDS_UNREAD ? JL_INFO : JL_UNLIMITED, "connection_ended");
 	jl_str("id", label);
 	jl_str("caller_got", ends_names[kind]);
 	jl_str("end", hd_end_name(outcome->end));
@@ -43,8 +44,6 @@
 	char labels[64];
 
 	(void)ctx;
-	if (!outcome->received)
-		return;
 	kind = ends_kind_of(outcome);
 	if (kind != ENDS_WHOLE)
 		ends_log(kind, label, outcome);
--- a/router/ends.h
+++ b/router/ends.h
@@ -10,17 +10,18 @@
  * with a whole answer, a refusal, an answer that is visibly broken off, or the caller leaving.
  */
 
-/* What a caller got for a request that was read whole. */
+/* What a caller got for a request. */
 enum ends_kind {
 	ENDS_WHOLE,	 /* a whole answer, a refusal or an error included */
 	ENDS_BROKEN,	 /* an answer that this host broke off, visibly */
 	ENDS_CALLER,	 /* nothing more: the caller closed the connection */
 	ENDS_UNANSWERED, /* a connection that ended without an answer, or with half of one, by no
 			  * decision of this host; must not happen */
+	ENDS_UNREAD,	 /* a refusal or nothing, before the whole request had been read */
 	ENDS_COUNT
 };
 
-/* Returns the kind for a request that was read whole. */
+/* Returns the kind for a request; only those that were read whole are owed an answer. */
 enum ends_kind ends_kind_of(const struct hd_outcome *outcome);
 
 /* Logs the end of a request if its caller got no whole answer, and counts it; see hd_end_fn. */
--- a/router/ends_test.cc
+++ b/router/ends_test.cc
@@ -25,6 +25,10 @@
 	 {HD_END_TIMEOUT, true, true, 200, 10, 5},
 	 ENDS_UNANSWERED},
 	{"an error of the library", {HD_END_ERROR, true, true, 200, 10, 5}, ENDS_UNANSWERED},
+	{"a body above the limit", {HD_END_WHOLE, false, true, 413, 0, 0}, ENDS_UNREAD},
+	{"a caller that left within its request",
+	 {HD_END_CLIENT, false, false, 0, 0, 0},
+	 ENDS_UNREAD},
 	{"a stop of the server", {HD_END_SHUTDOWN, true, false, 0, 0, 0}, ENDS_UNANSWERED},
 };
 
