--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -1095,6 +1095,7 @@
     stack = Stack()
     try:
         cases[name](stack)
+        stack.check_answered()
     except Exception:
         for log in stack.procs:
             sys.stderr.write("--- %s\n%s\n" % (log, stack.log(log)[-4000:]))
--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -198,6 +198,68 @@
             raise Failure("a caller that sends no more got %s, status %d %r" % (got, status, body))
 
 
+def case_stop_beside_silence(stack):
+    """Guards against requests that just end with the process of a host that stops, as their endpoints answer only
+    after its grace time."""
+    stack.up()
+    front = stack.port("host-0", "front")
+    asked = {}
+
+    def ask(path, n):
+        for i in range(n):
+            name = "%s-%d" % (path.split("/")[1], i)
+            asked[name] = Connection(front)
+            asked[name].send(request_bytes(path, name, Bronzegauge_Deadline_Ms="30000"))
+    for point in stack.points:
+        stack.fault_engine(point[0], "slow")
+    ask("/stream/a", 4)
+    for conn in asked.values():
+        if not conn.fill():     # an answer has begun
+            raise Failure("a stream ended before its host was stopped")
+    for point in stack.points:
+        stack.fault_engine(point[0], "hang" if point[2] == "plain" else "dark")
+    ask("/many/a", 4)
+    ask("/once/a", 4)
+    eventually("all requests were passed on", lambda: stack.log("host-0").count('"event":"sent"') >= len(asked))
+    stack.signal("host-0", signal.SIGTERM)
+    got = {name: conn.read_answer() for name, conn in asked.items()}
+    stack.procs["host-0"].wait()
+    for name, (what, status, _, body) in got.items():
+        if what == LOST or (what == BROKEN and not name.startswith("stream")):
+            raise Failure("%s got %s, status %d, %r" % (name, what, status, body[-100:]))
+    if '"caller_got":"unanswered"' in stack.log("host-0"):
+        raise Failure("the host itself says that it left a request unanswered")
+
+
+def case_reload_under_load(stack):
+    """Guards against requests that are lost when hosts read their settings files again."""
+    stack.up()
+    rounds, callers = 40, 6
+    lost = []
+
+    def keep_asking(caller):
+        host = stack.hosts[caller % len(stack.hosts)]
+        conn = Connection(stack.port(host, "front"))
+        for i in range(rounds):
+            path = ("/many/a", "/stream/a", "/once/a")[i % 3]
+            conn.send(request_bytes(path, "hup-%d-%d" % (caller, i)))
+            got = conn.read_answer()[:2]
+            if got != (WHOLE, 200):
+                lost.append((caller, i, got))
+                return
+    threads = [threading.Thread(target=keep_asking, args=(i,)) for i in range(callers)]
+    for thread in threads:
+        thread.start()
+    while any(thread.is_alive() for thread in threads):
+        for host in stack.hosts:
+            stack.signal(host, signal.SIGHUP)
+        threads[0].join(0.1)
+    for thread in threads:
+        thread.join()
+    if lost:
+        raise Failure("lost beside SIGHUP: %r" % lost[:4])
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -568,6 +568,7 @@
             soak.stack.classes = {"urgent": 0, "later": 2}
         try:
             soak.play()
+            soak.stack.check_answered()
         except Failure as failure:
             soak.broken(str(failure))
         soak.done.set()     # stop its callers: the next seed reuses the same ports
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -164,6 +164,25 @@
                 eventually(host + " is ready", lambda h=host: self.is_ready(h))
                 eventually(host + " serves a stream", lambda h=host: self.serves_stream(h))
 
+    def unanswered(self):
+        """Returns the number of requests that hosts have read whole and that ended without an answer and without a
+        decision of the host: host -> number, of the hosts that still run and answer."""
+        found = {}
+        for host in self.hosts:
+            if host not in self.procs or self.procs[host].poll() is not None:
+                continue
+            try:
+                found[host] = self.metric(host, "bg_requests_unanswered_total")
+            except (OSError, StopIteration, http.client.HTTPException):
+                continue    # the host was stopped by the case, or has not ended a request
+        return {host: n for host, n in found.items() if n > 0}
+
+    def check_answered(self):
+        """Fails if a request that was read whole ended without an answer at a host that still runs."""
+        found = self.unanswered()
+        if found:
+            raise Failure("requests that ended without an answer: %r (lines connection_ended)" % found)
+
     def down(self, keep=False):
         for proc in self.procs.values():
             if proc.poll() is None:
