--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -1,12 +1,15 @@
 """Test cases for requests that end without an answer: python3 regress/soak/cases_lost.py NAME. Each docstring names
 the failure that the case guards against."""
 import itertools
+import os
 import signal
 import socket
+import sys
 import threading
 
-from cases import run
-from stack import HOST_NAME, Failure, eventually
+from cases import endpoint_state, events, expect, run
+from stack import HOST_NAME, Failure, check_stream, eventually
+from proxy import Proxy
 
 # What a caller gets for a request that it has sent whole.
 WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
@@ -33,7 +36,7 @@
         if receive_buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.sock.connect(("127.0.0.1", port))
-        self.data = b""         # what was received and is not part of an answer that was returned
+        self.data = bytearray() # what was received and is not part of an answer that was returned
 
     def close(self):
         self.sock.close()
@@ -41,10 +44,10 @@
     def send(self, data):
         self.sock.sendall(data)
 
-    def fill(self):
+    def fill(self, n_max=1 << 16):
         """Receives some more bytes; false once the connection has ended."""
         try:
-            more = self.sock.recv(1 << 16)
+            more = self.sock.recv(n_max)
         except OSError:
             return False
         self.data += more
@@ -55,15 +58,15 @@
         while len(self.data) < n:
             if not self.fill():
                 return None
-        taken, self.data = self.data[:n], self.data[n:]
+        taken = bytes(self.data[:n])
+        del self.data[:n]
         return taken
 
     def take_line(self):
         while b"\r\n" not in self.data:
             if not self.fill():
                 return None
-        line, self.data = self.data.split(b"\r\n", 1)
-        return line
+        return self.take(self.data.index(b"\r\n") + 2)[:-2]
 
     def read_answer(self):
         """Reads an answer; returns (what the caller got, status, headers, body). Body: as far as it came."""
@@ -87,14 +90,14 @@
         if "content-length" in headers:
             n = int(headers["content-length"])
             body = self.take(n)
-            return (True, body) if body is not None else (False, self.data)
+            return (True, body) if body is not None else (False, bytes(self.data))
         parts = []
         while True:
             line = self.take_line()
             n = int(line, 16) if line else -1
             part = self.take(n + 2) if n >= 0 else None
             if part is None:
-                return False, b"".join(parts) + (self.data if n >= 0 else b"")
+                return False, b"".join(parts) + bytes(self.data if n >= 0 else b"")
             if n == 0:
                 return True, b"".join(parts)
             parts.append(part[:-2])
@@ -115,17 +118,16 @@
         conn.close()
 
 
-def case_stopping_crowd(stack):
-    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
-    end with its process."""
-    stack.up()
+def crowd_beside_a_stop(port, make_request, stop):
+    """Eight callers send requests on new connections while stop() ends the server at the port. Fails if one that was
+    sent whole gets no whole answer."""
     lost, answered, ids = [], [], itertools.count()
     refused = threading.Event()
 
     def keep_asking():
         while not refused.is_set():
             name = "stop-%d" % next(ids)
-            got, status = ask_once(stack.port("host-0", "front"), request_bytes("/many/a", name, close=True))
+            got, status = ask_once(port, make_request(name))
             if got == UNSENT:
                 refused.set()
             else:
@@ -133,14 +135,51 @@
     threads = [threading.Thread(target=keep_asking) for _ in range(8)]
     for thread in threads:
         thread.start()
-    stack.signal("host-0", signal.SIGTERM)
-    stack.procs["host-0"].wait()
+    stop()
     for thread in threads:
         thread.join()
     if lost:
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+def case_stopping_crowd(stack):
+    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
+    end with its process."""
+    stack.up()
+
+    def stop():
+        stack.signal("host-0", signal.SIGTERM)
+        stack.procs["host-0"].wait()
+    crowd_beside_a_stop(stack.port("host-0", "front"),
+                        lambda name: request_bytes("/many/a", name, close=True), stop)
+
+
+def case_id_not_utf8(stack):
+    """Guards against a host that ends, with all of its requests, when a stage dies under a request whose id is no
+    UTF-8 text."""
+    stack.up()
+    results = {}
+    names = {i: "caf\xe9-%d" % i for i in range(12)}
+
+    def stream(i):
+        results[i] = stack.ask("host-%d" % (i % 3), "/stream/a", names[i], Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in names]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= len(names))
+    second = events(stack, "host-0", "sent")[-1]["pipeline"].split(",")[1].split("=")[0]
+    stack.fault_engine(endpoint_state(stack, "host-0", second)["id"].split("-")[1], "dark")
+    for thread in threads:
+        thread.join()
+    for host in stack.hosts:
+        expect("exit status of " + host, stack.procs[host].poll(), None)
+    for i, name in names.items():
+        status, _, body = results.get(i, (None, {}, b""))
+        expect("status of %r" % name, status, 200)
+        check_stream(name, body.decode("latin-1").encode(), last=40)
+
+
 def is_open_for(conn, seconds):
     """Whether the connection, on which nothing is awaited, stays open for that time."""
     conn.sock.settimeout(seconds)
@@ -260,8 +299,44 @@
         raise Failure("lost beside SIGHUP: %r" % lost[:4])
 
 
+class Misnamer(Proxy):
+    """A proxy that passes on answers with the id of another request once it is told to."""
+
+    misnames = False
+
+    def alter(self, data):
+        return data.replace(b"Request-Id: foreign-", b"Request-Id: another-") if self.misnames else data
+
+
+def case_foreign_answer(stack):
+    """Guards against a host that ends, with all that it has under way, since an endpoint answers with the id of another
+    request."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(Misnamer(stack.base + 60 + i, point[1]))
+    stack.up()
+    for proxy in proxies:
+        proxy.misnames = True
+    for i in range(20):
+        for kind in ("once", "many"):
+            data = request_bytes("/%s/a" % kind, "foreign-%s-%d" % (kind, i), close=True)
+            expect("what the caller got", ask_once(stack.port("host-0", "front"), data), (WHOLE, 502))
+    expect("exit status of host-0", stack.procs["host-0"].poll(), None)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
+def crowd_at_process(port, pid):
+    """The crowd at a process that another script has started."""
+    request = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    crowd_beside_a_stop(port, lambda name: request, lambda: os.kill(pid, signal.SIGTERM))
+
+
 if __name__ == "__main__":
-    run(CASES)
+    if sys.argv[1] == "crowd_at":
+        crowd_at_process(int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        run(CASES)
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -98,7 +98,8 @@
         self.extra_routes = []
         self.classes = {}       # further streaming routes of the engines' service -> their priority
         self.drain_ms = 2000
-        self.idle_ms = 15000    # idle timeout of callers' connections
+        self.timeout_ms = 8000    # timeout of routes, in milliseconds
+        self.idle_ms = 15000      # idle timeout of connections, in milliseconds
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -204,7 +205,7 @@
     def config(self):
         def route(name, prefix, kind, service, **more):
             return dict({"name": name, "hostname": HOST_NAME, "pathPrefix": prefix,
-                         "routeType": kind, "service": service, "timeoutMs": 8000,
+                         "routeType": kind, "service": service, "timeoutMs": self.timeout_ms,
                          "targetLatencyMs": 500, "maxAttempts": 2, "priority": 1}, **more)
 
         routes = [route("stream", "/stream/", "streaming", "llm", resumable=True, gapAimMs=200),
