--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -98,6 +98,8 @@
         self.extra_routes = []
         self.classes = {}       # further streaming routes of the engines' service -> their priority
         self.drain_ms = 2000
+        self.timeout_ms = 8000    # timeout of routes, in milliseconds
+        self.idle_ms = 15000      # idle timeout of connections, in milliseconds
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -163,6 +165,25 @@
                 eventually(host + " is ready", lambda h=host: self.is_ready(h))
                 eventually(host + " serves a stream", lambda h=host: self.serves_stream(h))
 
+    def unanswered(self):
+        """Returns the number of requests that hosts have read whole and that ended without an answer and without a
+        decision of the host: host -> number, of the hosts that still run and answer."""
+        found = {}
+        for host in self.hosts:
+            if host not in self.procs or self.procs[host].poll() is not None:
+                continue
+            try:
+                found[host] = self.metric(host, "bg_requests_unanswered_total")
+            except (OSError, StopIteration, http.client.HTTPException):
+                continue    # the host was stopped by the case, or has not ended a request
+        return {host: n for host, n in found.items() if n > 0}
+
+    def check_answered(self):
+        """Fails if a request that was read whole ended without an answer at a host that still runs."""
+        found = self.unanswered()
+        if found:
+            raise Failure("requests that ended without an answer: %r (lines connection_ended)" % found)
+
     def down(self, keep=False):
         for proc in self.procs.values():
             if proc.poll() is None:
@@ -184,7 +205,7 @@
     def config(self):
         def route(name, prefix, kind, service, **more):
             return dict({"name": name, "hostname": HOST_NAME, "pathPrefix": prefix,
-                         "routeType": kind, "service": service, "timeoutMs": 8000,
+                         "routeType": kind, "service": service, "timeoutMs": self.timeout_ms,
                          "targetLatencyMs": 500, "maxAttempts": 2, "priority": 1}, **more)
 
         routes = [route("stream", "/stream/", "streaming", "llm", resumable=True, gapAimMs=200),
@@ -204,7 +225,7 @@
                 "services": [{"name": "llm", "healthPath": "/health", "engine": engine},
                              {"name": "plain", "healthPath": "/health"}],
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
-                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": self.idle_ms},
                 "tenants": [{"name": n, "apiKeys": k} for n, k in self.keys.items()]}
 
     def put_config(self):
