A host that stops closes its kept connections a check before its process ends

Cause: between the last look at the open requests and the exit a request could still be read on a connection that its caller had kept, and end with the process; it was read, so it was owed an answer.

--- a/base/conns.c
+++ b/base/conns.c
@@ -67,17 +67,33 @@
 	g_queue_unlink(&conn->conns->idle, &conn->link);
 }
 
-static void conn_close_if_idle(struct conn *conn, int64_t now_us)
+static void conn_enter_idle(struct conn *conn, int64_t since_us)
 {
-	int64_t since_us = MAX(conn->idle_since_us, conn_data_us(conn));
+	conn->idle = true;
+	conn->idle_since_us = since_us;
+	g_queue_push_tail_link(&conn->conns->idle, &conn->link);
+}
 
-	if (conns_idle_until_us(&conn->conns->limits, since_us) > now_us)
-		return;
+static void conn_close(struct conn *conn)
+{
 	conn_leave_idle(conn);
 	conn->closed = true;
 	shutdown(conn->fd, SHUT_RDWR);
 }
 
+static bool conn_is_idle_too_long(const struct conn *conn, int64_t now_us)
+{
+	const struct recent *limits = &conn->conns->limits;
+	int64_t until_us;
+
+	if (conn->idle_since_us == CONNS_NO_REQUEST)
+		return false;
+	until_us = conns_idle_until_us(limits, conn->idle_since_us);
+	if (until_us == 0 || until_us > now_us)
+		return false;
+	return conns_idle_until_us(limits, MAX(conn->idle_since_us, conn_data_us(conn))) <= now_us;
+}
+
 void conns_close_idle(struct conns *conns, int64_t now_us)
 {
 	GList *link;
@@ -85,16 +101,21 @@
 
 	pthread_mutex_lock(&conns->lock);
 	for (link = conns->idle.head; link; link = next) {
-		struct conn *conn = link->data;
-		int64_t until_us = conns_idle_until_us(&conns->limits, conn->idle_since_us);
-
 		next = link->next;
-		if (until_us > 0 && until_us <= now_us)
-			conn_close_if_idle(conn, now_us);
+		if (conn_is_idle_too_long(link->data, now_us))
+			conn_close(link->data);
 	}
 	pthread_mutex_unlock(&conns->lock);
 }
 
+void conns_close_all_idle(struct conns *conns)
+{
+	pthread_mutex_lock(&conns->lock);
+	while (conns->idle.head)
+		conn_close(conns->idle.head->data);
+	pthread_mutex_unlock(&conns->lock);
+}
+
 struct conn *conn_new(struct conns *conns, int fd)
 {
 	struct conn *conn = g_new0(struct conn, 1);
@@ -102,6 +123,9 @@
 	conn->conns = conns;
 	conn->link.data = conn;
 	conn->fd = fd;
+	pthread_mutex_lock(&conns->lock);
+	conn_enter_idle(conn, CONNS_NO_REQUEST);
+	pthread_mutex_unlock(&conns->lock);
 	return conn;
 }
 
@@ -146,8 +170,6 @@
 {
 	pthread_mutex_lock(&conn->conns->lock);
 	conn_leave_idle(conn);
-	conn->idle = true;
-	conn->idle_since_us = now_us;
-	g_queue_push_tail_link(&conn->conns->idle, &conn->link);
+	conn_enter_idle(conn, now_us);
 	pthread_mutex_unlock(&conn->conns->lock);
 }
--- a/base/conns.h
+++ b/base/conns.h
@@ -19,10 +19,12 @@
 	CONNS_LIMIT_DELAY_US = 5000000
 };
 
+#define CONNS_NO_REQUEST INT64_MAX
+
 struct conns {
 	pthread_mutex_t lock; /* guards the fields below and those of each struct conn */
 	struct recent limits; /* idle timeouts in us; 0: none */
-	GQueue idle;	      /* struct conn, longest idle first */
+	GQueue idle;	      /* struct conn without an open request, longest idle first */
 };
 
 /* A connection. */
@@ -30,9 +32,9 @@
 	struct conns *conns;
 	GList link; /* in conns->idle */
 	int fd;
-	int64_t idle_since_us;
-	bool idle;   /* no request is open, and one has been */
-	bool closed; /* conns_close_idle() has closed it */
+	int64_t idle_since_us; /* end of the last request; CONNS_NO_REQUEST: there was none */
+	bool idle;	       /* no request is open */
+	bool closed;	       /* it has been closed here, and the library does not know it yet */
 };
 
 /* Returns the time until which a connection that is idle since then stays open; 0: for ever. */
@@ -50,6 +52,9 @@
 /* Closes the connections that have been idle for too long. Any thread may call this. */
 void conns_close_idle(struct conns *conns, int64_t now_us);
 
+/* Closes all connections without an open request. Any thread may call this. */
+void conns_close_all_idle(struct conns *conns);
+
 /* A connection was made, or is about to be closed by the library. */
 struct conn *conn_new(struct conns *conns, int fd);
 void conn_free(struct conn *conn);
--- a/base/hd.c
+++ b/base/hd.c
@@ -256,6 +256,11 @@
 	conns_close_idle(&hd->conns, now_us);
 }
 
+void hd_close_all_idle(struct hd *hd)
+{
+	conns_close_all_idle(&hd->conns);
+}
+
 void hd_set_connection_close(struct hd *hd)
 {
 	ck_pr_store_uint(&hd->closing, 1);
--- a/base/hd.h
+++ b/base/hd.h
@@ -92,6 +92,12 @@
 /* Closes connections that have been idle for too long between two requests. */
 void hd_close_idle(struct hd *hd, int64_t now_us);
 
+/*
+ * Closes all connections without an open request. A request that arrives there meanwhile is not
+ * read, so a process that ends soon after does not leave it unanswered. Any thread may call this.
+ */
+void hd_close_all_idle(struct hd *hd);
+
 /* Adds the header "Connection: close" to all further responses. Any thread may call this. */
 void hd_set_connection_close(struct hd *hd);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -313,6 +313,24 @@
 	EXPECT_EQ(ReadAll(), "");
 }
 
+/* Guards against requests that are read just before the process ends. */
+TEST_F(HdTest, ConnectionsWithoutARequestAreClosedUnread)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	hd_close_all_idle(hd_);
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	WaitForEnd();
+	char answer[1000];
+	ASSERT_GT(recv(client_, answer, sizeof(answer), 0), 0) << "an open request is answered";
+	call_ = nullptr;
+	hd_close_all_idle(hd_);
+	const std::string request = "GET /y HTTP/1.1\r\nHost: h\r\n\r\n";
+	send(client_, request.data(), request.size(), MSG_NOSIGNAL);
+	EXPECT_EQ(ReadAll(), "");
+	EXPECT_EQ(call_, nullptr) << "a request after the close is not read";
+}
+
 /* Guards against answers that this process broke off being counted as its caller's doing. */
 TEST_F(HdTest, AbortIsReported)
 {
--- a/prog/router.c
+++ b/prog/router.c
@@ -96,6 +96,7 @@
 	struct tmr settings_timer; /* Timer of the next check for a changed settings file. */
 	struct drain drain;	   /* Progress of a stop. */
 	bool ended_requests;	   /* The requests that were open have been ended. */
+	bool closed;		   /* Connections without an open request have been closed. */
 	struct router_file_stamp settings_file; /* The settings file when it was last checked. */
 };
 
@@ -295,6 +296,13 @@
 	traf_end_requests(m->router.traf);
 }
 
+/* Closes what callers keep open, so that no request is read between the last check and the exit. */
+static void router_close_idle(struct router_main *m)
+{
+	m->closed = true;
+	hd_close_all_idle(m->router.front);
+}
+
 /*
  * Takes the next step of a stop, see base/drain.h. Connections are accepted until the balancer has
  * had time to stop sending them. Shortly before the end of the grace time, when the process would
@@ -307,14 +315,18 @@
 	int64_t left_ms = m->router.settings.grace_s * 1000 - since_ms;
 	bool open = router_is_open(&m->router);
 	enum drain_step step = DRAIN_WAIT;
+	bool may_end;
 
 	if (since_ms >= ROUTER_STOP_SERVE_MS)
 		step = drain_check(&m->drain, open, left_ms <= ROUTER_QUIESCE_RESERVE_MS);
 	if (step == DRAIN_QUIESCE)
 		hd_quiesce(m->router.front);
+	may_end = step == DRAIN_END && m->closed;
 	if (left_ms <= ROUTER_END_RESERVE_MS)
 		router_end_requests(m);
-	if (step != DRAIN_END && left_ms > ROUTER_EXIT_RESERVE_MS) {
+	if (step == DRAIN_END || m->ended_requests)
+		router_close_idle(m);
+	if (!may_end && left_ms > ROUTER_EXIT_RESERVE_MS) {
 		loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
 				 router_on_stop_timer, m);
 		return;
