--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -121,7 +121,8 @@
 
 	if (txn->fwd.failure == FWD_CRASHES)
 		retry_us = txn_quarantine_retry_us(txn, now_us);
-	else if (not_run && txn->fwd.failure != FWD_CALLER_DISCONNECTED)
+	else if (not_run && txn->fwd.failure != FWD_CALLER_DISCONNECTED &&
+		 txn->fwd.failure != FWD_CALLER_STALLED)
 		retry_us = txn_retry_after_us(txn, now_us);
 	txn_reply_error(txn, status, fwd_cause_name(txn->fwd.failure), retry_us);
 }
