--- a/base/hd.c
+++ b/base/hd.c
@@ -29,10 +29,10 @@
 	char *too_large;	    /* body of the response with status 413, JSON */
 	unsigned int open_requests; /* requests in progress; atomic */
 	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
+	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
 	struct conns conns;
 	pthread_mutex_t body_lock; /* guards body_max */
 	struct recent body_max;	   /* largest request body in bytes */
-	uint64_t unsent;	   /* unsent bytes of all responses in parts; atomic */
 };
 
 struct hd_call {
