The first limit of bodies replaces the server's default

Seen: a body of 200,000 bytes was accepted (limit 100,000) within 5 s after a host's start, as the server's default of 4 MiB counted as a limit of late. No client was told of it.

--- a/base/hd.c
+++ b/base/hd.c
@@ -31,8 +31,9 @@
 	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
 	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
 	struct conns conns;
-	pthread_mutex_t body_lock; /* guards body_max */
+	pthread_mutex_t body_lock; /* guards the fields below */
 	struct recent body_max;	   /* largest request body in bytes */
+	bool body_max_set;	   /* hd_set_limits() has been called */
 };
 
 struct hd_call {
@@ -257,7 +258,11 @@
 
 	conns_set_limit(&hd->conns, (uint64_t)tmr_from_s(idle_s), now_us);
 	pthread_mutex_lock(&hd->body_lock);
-	recent_set(&hd->body_max, body_max, now_us);
+	if (hd->body_max_set)
+		recent_set(&hd->body_max, body_max, now_us);
+	else
+		recent_init(&hd->body_max, body_max);
+	hd->body_max_set = true;
 	pthread_mutex_unlock(&hd->body_lock);
 }
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -380,6 +380,17 @@
 	EXPECT_EQ(call_, nullptr) << "the handler is not called";
 }
 
+/* Guards against a default that no client was told of and that counts as a limit of late. */
+TEST_F(HdTest, FirstLimitReplacesTheDefault)
+{
+	hd_set_limits(hd_, 50, 30);
+	const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+				    "Content-Length: 80\r\n\r\n" +
+				    std::string(80, 'x');
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 413 "), std::string::npos);
+}
+
 /* Guards against ends of connections by the library that nobody is told of. */
 TEST_F(HdTest, EndOfARequestIsReported)
 {
