--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -173,9 +173,11 @@
             if host not in self.procs or self.procs[host].poll() is not None:
                 continue
             try:
-                found[host] = self.metric(host, "bg_requests_unanswered_total")
-            except (OSError, StopIteration, http.client.HTTPException):
-                continue    # the host was stopped by the case, or has not ended a request
+                text = call(self.port(host, "metrics"), "GET", "/metrics", timeout=5)[2].decode()
+            except (OSError, http.client.HTTPException):
+                continue    # the case has stopped the host
+            found[host] = sum(float(line.split()[-1]) for line in text.splitlines()
+                              if line.startswith("bg_requests_unanswered_total"))
         return {host: n for host, n in found.items() if n > 0}
 
     def check_answered(self):
