--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -1,8 +1,10 @@
 """Test cases for requests that end without an answer: python3 regress/soak/cases_lost.py NAME. Each docstring names
 the failure that the case guards against."""
 import itertools
+import os
 import signal
 import socket
+import sys
 import threading
 
 from cases import endpoint_state, events, expect, run
@@ -33,7 +35,7 @@
         if receive_buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.sock.connect(("127.0.0.1", port))
-        self.data = b""         # what was received and is not part of an answer that was returned
+        self.data = bytearray() # what was received and is not part of an answer that was returned
 
     def close(self):
         self.sock.close()
@@ -41,10 +43,10 @@
     def send(self, data):
         self.sock.sendall(data)
 
-    def fill(self):
+    def fill(self, n_max=1 << 16):
         """Receives some more bytes; false once the connection has ended."""
         try:
-            more = self.sock.recv(1 << 16)
+            more = self.sock.recv(n_max)
         except OSError:
             return False
         self.data += more
@@ -55,15 +57,15 @@
         while len(self.data) < n:
             if not self.fill():
                 return None
-        taken, self.data = self.data[:n], self.data[n:]
+        taken = bytes(self.data[:n])
+        del self.data[:n]
         return taken
 
     def take_line(self):
         while b"\r\n" not in self.data:
             if not self.fill():
                 return None
-        line, self.data = self.data.split(b"\r\n", 1)
-        return line
+        return self.take(self.data.index(b"\r\n") + 2)[:-2]
 
     def read_answer(self):
         """Reads an answer; returns (what the caller got, status, headers, body). Body: as far as it came."""
@@ -87,14 +89,14 @@
         if "content-length" in headers:
             n = int(headers["content-length"])
             body = self.take(n)
-            return (True, body) if body is not None else (False, self.data)
+            return (True, body) if body is not None else (False, bytes(self.data))
         parts = []
         while True:
             line = self.take_line()
             n = int(line, 16) if line else -1
             part = self.take(n + 2) if n >= 0 else None
             if part is None:
-                return False, b"".join(parts) + (self.data if n >= 0 else b"")
+                return False, b"".join(parts) + bytes(self.data if n >= 0 else b"")
             if n == 0:
                 return True, b"".join(parts)
             parts.append(part[:-2])
@@ -115,17 +117,16 @@
         conn.close()
 
 
-def case_stopping_crowd(stack):
-    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
-    end with its process."""
-    stack.up()
+def crowd_beside_a_stop(port, make_request, stop):
+    """Eight callers send requests on new connections while stop() ends the server at the port. Fails if one that was
+    sent whole gets no whole answer."""
     lost, answered, ids = [], [], itertools.count()
     refused = threading.Event()
 
     def keep_asking():
         while not refused.is_set():
             name = "stop-%d" % next(ids)
-            got, status = ask_once(stack.port("host-0", "front"), request_bytes("/many/a", name, close=True))
+            got, status = ask_once(port, make_request(name))
             if got == UNSENT:
                 refused.set()
             else:
@@ -133,8 +134,7 @@
     threads = [threading.Thread(target=keep_asking) for _ in range(8)]
     for thread in threads:
         thread.start()
-    stack.signal("host-0", signal.SIGTERM)
-    stack.procs["host-0"].wait()
+    stop()
     for thread in threads:
         thread.join()
     if lost:
@@ -167,8 +167,29 @@
         check_stream(name, body.decode("latin-1").encode(), last=40)
 
 
+def case_stopping_crowd(stack):
+    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
+    end with its process."""
+    stack.up()
+
+    def stop():
+        stack.signal("host-0", signal.SIGTERM)
+        stack.procs["host-0"].wait()
+    crowd_beside_a_stop(stack.port("host-0", "front"),
+                        lambda name: request_bytes("/many/a", name, close=True), stop)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
+def crowd_at_process(port, pid):
+    """The crowd at a process that another script has started."""
+    request = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    crowd_beside_a_stop(port, lambda name: request, lambda: os.kill(pid, signal.SIGTERM))
+
+
 if __name__ == "__main__":
-    run(CASES)
+    if sys.argv[1] == "crowd_at":
+        crowd_at_process(int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        run(CASES)
