Failing tests: messages between processes that vanish, or that no peer accepts

Evidence: FrmTest.MessageThatIsTooLongEndsItsConnectionHere: the peer refuses the frame (bg_frames_refused_total + 1) and closes; whoever sends on connect sends it again for ever. FrmTest.MessageAfterTheEndOfAConnectionIsCounted: no counter, no line.

--- a/base/frm_test.cc
+++ b/base/frm_test.cc
@@ -113,4 +113,39 @@
 	RunUntil([this] { return received_ > 0; });
 }
 
+/* A message that no peer accepts was sent for ever: each peer closed the connection, and it was
+ * sent on the next. */
+TEST_F(FrmTest, MessageThatIsTooLongEndsItsConnectionHere)
+{
+	const met_ctr *dropped = met_counter("bg_frames_dropped_total", "");
+	const met_ctr *refused = met_counter("bg_frames_refused_total", "");
+	const uint64_t before = met_get(dropped);
+	const uint64_t refused_before = met_get(refused);
+	std::string text(FRM_BODY_MAX + 1, 'x');
+	Tunnel__Open msg = TUNNEL__OPEN__INIT;
+
+	msg.addr = &text[0];
+	Connect();
+	frm_send(client_, KIND, &msg.base);
+	RunUntil([this] { return client_ == nullptr; });
+	EXPECT_EQ(closed_, BASE_EFRAME);
+	EXPECT_EQ(met_get(dropped) - before, 1u);
+	EXPECT_EQ(met_get(refused), refused_before);
+	EXPECT_EQ(received_, 0);
+}
+
+/* A message for a connection that has just ended vanished without a trace. */
+TEST_F(FrmTest, MessageAfterTheEndOfAConnectionIsCounted)
+{
+	const met_ctr *dropped = met_counter("bg_frames_dropped_total", "");
+	const uint64_t before = met_get(dropped);
+	const Tunnel__Attach msg = TUNNEL__ATTACH__INIT;
+
+	Connect();
+	frm_close(client_);
+	frm_send(client_, KIND, &msg.base);
+	client_ = nullptr;
+	EXPECT_EQ(met_get(dropped) - before, 1u);
+}
+
 } // namespace
