Messages that can't be queued for another process are logged and counted; one that no peer accepts ends its connection

Operators saw: nothing, or a connection between hosts that the peer refuses ('frame_refused' there) and that is made again for ever, since what is sent on connect is sent again. Cause: frm_send() returned in silence on a closed connection, and sent messages of any length. frm_flush() dropped the result of loop_fd_mod(): queued bytes then waited until the silence of the connection ended it. Change: 'frame_dropped' with kind, length and error, and bg_frames_dropped_total, in frm_send() itself: none of its callers could do more. After a message that is too long, or a socket that can't be watched, the connection ends in the loop, not within frm_send(): the owner may be walking over its connections. The test counts the error of the client's side only; the server sees the close too.

--- a/base/frm.c
+++ b/base/frm.c
@@ -38,6 +38,7 @@
 	int64_t active_us;	   /* time of the last change of active, in microseconds */
 	bool active;		   /* value set by frm_set_active() */
 	bool connecting;	   /* connect() has not finished yet */
+	int err;     /* error with which the connection ends at the next check; 0: none */
 	bool closed; /* closed, but freed later by the loop, as a callback may still be running */
 };
 
@@ -70,6 +71,7 @@
 	FRM_REFUSED,
 	FRM_SILENT,
 	FRM_ACCEPTS_FAILED,
+	FRM_DROPPED,
 	FRM_COUNTER_COUNT
 };
 
@@ -83,6 +85,7 @@
 	[FRM_REFUSED] = "bg_frames_refused_total",
 	[FRM_SILENT] = "bg_connections_silent_total",
 	[FRM_ACCEPTS_FAILED] = "bg_accepts_failed_total",
+	[FRM_DROPPED] = "bg_frames_dropped_total",
 };
 
 static struct met_ctr *frm_counters[FRM_COUNTER_COUNT];
@@ -338,13 +341,37 @@
 	frm_count(FRM_BYTES_SENT, FRM_HEADER_LEN + len);
 }
 
+static void frm_drop(uint16_t kind, size_t len, int err)
+{
+	frm_count(FRM_DROPPED, 1);
+	log_msg(LOG_WARNING, "frame_dropped kind=%d len=%zu error=%s", kind, len,
+		base_strerror(err));
+}
+
+/*
+ * Ends the connection in the loop: its owner may be sending, or walking over its connections, and
+ * must not lose conn meanwhile.
+ */
+static void frm_end_later(struct frm_conn *conn, int err)
+{
+	conn->err = err;
+	loop_start_timer(conn->loop, &conn->heartbeat, 0, frm_on_heartbeat, conn);
+}
+
 void frm_send(struct frm_conn *conn, uint16_t kind, const ProtobufCMessage *msg)
 {
 	size_t len = protobuf_c_message_get_packed_size(msg);
 	uint8_t *body;
 
-	if (conn->closed)
+	if (conn->closed || conn->err < 0) {
+		frm_drop(kind, len, conn->closed ? BASE_ECLOSED : conn->err);
+		return;
+	}
+	if (len > FRM_BODY_MAX) {
+		frm_drop(kind, len, BASE_EFRAME);
+		frm_end_later(conn, BASE_EFRAME);
 		return;
+	}
 	body = g_malloc(len + 1);
 	protobuf_c_message_pack(msg, body);
 	frm_append(conn, kind, body, len);
@@ -389,7 +416,9 @@
 		frm_count(FRM_SEGMENTS_SENT, 1);
 	}
 	frm_discard_sent(conn);
-	loop_fd_mod(conn->loop, &conn->lfd, frm_unsent(conn) > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN);
+	if (loop_fd_mod(conn->loop, &conn->lfd,
+			frm_unsent(conn) > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN) < 0)
+		frm_end_later(conn, BASE_ESYS);
 }
 
 /* Returns the interval of heartbeats in microseconds. */
@@ -402,6 +431,8 @@
 
 static void frm_set_timer(struct frm_conn *conn)
 {
+	if (conn->err < 0)
+		return;
 	loop_start_timer(conn->loop, &conn->heartbeat, frm_interval(conn), frm_on_heartbeat, conn);
 }
 
@@ -451,6 +482,10 @@
 {
 	struct frm_conn *conn = ctx;
 
+	if (conn->err < 0) {
+		frm_close_error(conn, conn->err);
+		return;
+	}
 	if (frm_was_paused(conn, now_us))
 		conn->received_us = now_us;
 	if (frm_is_silent(conn, now_us) || frm_unsent(conn) > FRM_UNSENT_MAX) {
--- a/base/frm.h
+++ b/base/frm.h
@@ -82,7 +82,12 @@
 struct frm_conn *frm_connect(struct loop *loop, const char *addr, const struct frm_ops *ops,
 			     const struct frm_limits *limits, void *ctx);
 
-/* Queues a message for sending. Errors are reported later by on_close(). */
+/*
+ * Queues a message for sending. Errors are reported later by on_close(); a message that can't be
+ * queued, as the connection has ended or the message is longer than FRM_BODY_MAX, is logged and
+ * counted in bg_frames_dropped_total. The second ends the connection with BASE_EFRAME, since the
+ * peer would miss it.
+ */
 void frm_send(struct frm_conn *conn, uint16_t kind, const ProtobufCMessage *msg);
 
 /*
--- a/base/frm_test.cc
+++ b/base/frm_test.cc
@@ -69,8 +69,9 @@
 	{
 		FrmTest *test = (FrmTest *)ctx;
 
-		if (conn == test->client_)
-			test->client_ = nullptr;
+		if (conn != test->client_)
+			return;
+		test->client_ = nullptr;
 		test->closed_ = err;
 	}
 	const frm_ops ops_ = {OnMsg, OnClose};
@@ -81,7 +82,7 @@
 	frm_conn *client_ = nullptr;
 	int received_ = 0;
 	size_t received_len_ = 0;
-	int closed_ = 0;
+	int closed_ = 0; /* error with which the client's connection ended */
 	tmr poll_{};
 	std::function<bool()> done_;
 };
