--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -453,7 +453,7 @@
 			     request_filler + "\r\n\r\n");
 	hd_set_header(call, "X-Filler", answer_filler.c_str());
 	hd_reply_begin(call, 200, "text/plain");
-	hd_reply_write(call, "x", 1);
+	EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
 	hd_reply_end(call);
 	hd_unref(call);
 	EXPECT_EQ(Body(ReadAll()), "x");
