The compiler refuses dropped results of loops, connections, parsers and choices; a process that can't start says so

Operators saw: a router without descriptors ended with signal 11 at its start, in most cases without a line, or would have run without its traffic thread, each request waiting for ever; signals that nobody watched. Cause: loop_init(), loop_fd_add(), loop_fd_mod(), pthread_create() and addr_parse() were not asked. 'start_failed' and exit status 1. Where libcurl's sockets can't be watched: 'socket_not_watched', and the time limit of the request ends it, since an error returned to the library would end all of its requests.

--- a/base/frm.h
+++ b/base/frm.h
@@ -66,11 +66,12 @@
  * or BASE_EFRAME if it is too long. body points into data.
  */
 int frm_parse(const uint8_t *data, size_t len, uint16_t *kind, const uint8_t **body,
-	      size_t *body_len);
+	      size_t *body_len) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Accepts connections on the address "IP:PORT". Returns 0 or a negative base error. */
 int frm_listen(struct frm_server *server, struct loop *loop, const char *addr,
-	       const struct frm_ops *ops, const struct frm_limits *limits, void *ctx);
+	       const struct frm_ops *ops, const struct frm_limits *limits,
+	       void *ctx) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Stops listening and closes all accepted connections without on_close(). */
 void frm_server_finish(struct frm_server *server);
@@ -80,7 +81,7 @@
  * Returns NULL if the address is invalid or no socket can be created.
  */
 struct frm_conn *frm_connect(struct loop *loop, const char *addr, const struct frm_ops *ops,
-			     const struct frm_limits *limits, void *ctx);
+			     const struct frm_limits *limits, void *ctx) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Queues a message for sending. Errors are reported later by on_close(); a message that can't be
@@ -102,7 +103,7 @@
  * the frame are appended to rest. Returns BASE_EFRAME, and closes the connection, if frames are
  * queued for sending.
  */
-int frm_detach(struct frm_conn *conn, GByteArray *rest);
+int frm_detach(struct frm_conn *conn, GByteArray *rest) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Returns the bytes of a frame that holds the message; free with g_byte_array_unref(). */
 GByteArray *frm_pack(uint16_t kind, const ProtobufCMessage *msg);
--- a/base/frm_test.cc
+++ b/base/frm_test.cc
@@ -22,7 +22,7 @@
       protected:
 	FrmTest()
 	{
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		EXPECT_EQ(frm_listen(&server_, &loop_, "127.0.0.1:0", &ops_, &limits_, this), 0);
 		sockaddr_in sin{};
 		socklen_t len = sizeof(sin);
--- a/base/hc.c
+++ b/base/hc.c
@@ -145,11 +145,15 @@
 		s->lfd.fn = hc_on_event;
 		s->lfd.ctx = s;
 		s->hc = hc;
-		loop_fd_add(hc->loop, &s->lfd, 0);
+		if (loop_fd_add(hc->loop, &s->lfd, 0) < 0)
+			log_msg(LOG_ERR, "socket_not_watched fd=%d", (int)fd);
 		curl_multi_assign(hc->multi, fd, s);
 	}
 	s->events = (what & CURL_POLL_IN ? EPOLLIN : 0) | (what & CURL_POLL_OUT ? EPOLLOUT : 0);
-	loop_fd_mod(hc->loop, &s->lfd, s->events);
+	/* An error returned to the library would end all of its requests; the timeout ends this
+	 * one. */
+	if (loop_fd_mod(hc->loop, &s->lfd, s->events) < 0)
+		log_msg(LOG_ERR, "socket_not_watched fd=%d", (int)fd);
 	return 0;
 }
 
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -85,7 +85,7 @@
 
 	void SetUp() override
 	{
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		hc_ = hc_new(&loop_);
 		ops_.on_head = [](void *ctx, int, const GPtrArray *) {
 			Call *call = (Call *)ctx;
@@ -249,7 +249,7 @@
       protected:
 	void SetUp() override
 	{
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		hc_ = hc_new(&loop_);
 		ops_.on_data = [](void *ctx, const char *data, size_t len) {
 			BodyCall *call = (BodyCall *)ctx;
--- a/base/loop.h
+++ b/base/loop.h
@@ -45,7 +45,7 @@
 };
 
 /* Initializes the loop. Returns 0 or BASE_ESYS. */
-int loop_init(struct loop *loop);
+int loop_init(struct loop *loop) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Closes the loop's descriptors and frees its memory. */
 void loop_finish(struct loop *loop);
@@ -63,10 +63,10 @@
  * Watches lfd->fd for events (EPOLLIN, EPOLLOUT). The caller owns lfd and keeps it until
  * loop_fd_del(). Returns 0 or BASE_ESYS.
  */
-int loop_fd_add(struct loop *loop, struct loop_fd *lfd, uint32_t events);
+int loop_fd_add(struct loop *loop, struct loop_fd *lfd, uint32_t events) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Changes the events for which lfd->fd is watched. Returns 0 or BASE_ESYS. */
-int loop_fd_mod(struct loop *loop, struct loop_fd *lfd, uint32_t events);
+int loop_fd_mod(struct loop *loop, struct loop_fd *lfd, uint32_t events) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Stops watching lfd->fd; its callback isn't called any more. */
 void loop_fd_del(struct loop *loop, struct loop_fd *lfd);
--- a/base/prog.c
+++ b/base/prog.c
@@ -1,6 +1,7 @@
 #include "base/prog.h"
 #include "base/log.h"
 
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -96,18 +97,27 @@
 		watch->fn(watch->ctx);
 }
 
+/* Ends a program that can't start: without its signals it could not be stopped. */
+static void prog_fail(const char *why)
+{
+	log_msg(LOG_ERR, "start_failed why=%s errno=%d", why, errno);
+	exit(PROG_EXIT_FAILED);
+}
+
 static void prog_watch_signals(struct loop *loop, const sigset_t *set, void (*fn)(void *ctx),
 			       void *ctx)
 {
 	struct prog_signal *watch = g_new0(struct prog_signal, 1);
 
-	pthread_sigmask(SIG_BLOCK, set, NULL);
+	if (pthread_sigmask(SIG_BLOCK, set, NULL) != 0)
+		prog_fail("signals not blocked");
 	watch->lfd.fd = signalfd(-1, set, SFD_NONBLOCK | SFD_CLOEXEC);
 	watch->lfd.fn = prog_on_signal;
 	watch->lfd.ctx = watch;
 	watch->fn = fn;
 	watch->ctx = ctx;
-	loop_fd_add(loop, &watch->lfd, EPOLLIN);
+	if (loop_fd_add(loop, &watch->lfd, EPOLLIN) < 0)
+		prog_fail("signals not watched");
 }
 
 void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx)
--- a/base/settings.h
+++ b/base/settings.h
@@ -37,7 +37,7 @@
  * Returns 0, BASE_EFILE or BASE_ESETTING. After an error the struct may only be cleared.
  */
 int settings_load(const char *path, const struct settings_item *items, size_t n, void *target,
-		  GString *errors);
+		  GString *errors) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Returns a hash of the effective values of all settings in the given sections, a list that ends
--- a/base/zip.h
+++ b/base/zip.h
@@ -13,7 +13,7 @@
  */
 
 /* Replaces the content of out by the compressed len bytes at data. Returns 0 or BASE_EFRAME. */
-int zip_pack(const void *data, size_t len, GByteArray *out);
+int zip_pack(const void *data, size_t len, GByteArray *out) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Decompresses the len bytes at data. Returns whole_len bytes followed by a NUL, which the caller
--- a/fake/engine.c
+++ b/fake/engine.c
@@ -122,7 +122,10 @@
 		exit(PROG_EXIT_FAILED);
 	}
 	port->listening = true;
-	loop_fd_add(&port->engine->loop, &port->listener, EPOLLIN);
+	if (loop_fd_add(&port->engine->loop, &port->listener, EPOLLIN) < 0) {
+		log_msg(LOG_ERR, "listen_failed addr=%s", port->address);
+		exit(PROG_EXIT_FAILED);
+	}
 }
 
 static void engine_add_port(struct engine *engine, struct sim_endpoint *endpoint,
@@ -131,7 +134,10 @@
 	struct engine_port *port = g_new0(struct engine_port, 1);
 	struct sockaddr_in sin;
 
-	addr_parse(address, &sin);
+	if (addr_parse(address, &sin) < 0) {
+		log_msg(LOG_ERR, "listen_failed addr=%s", address);
+		exit(PROG_EXIT_FAILED);
+	}
 	port->engine = engine;
 	port->endpoint = endpoint;
 	port->service = g_strdup(service);
--- a/prog/router.c
+++ b/prog/router.c
@@ -339,6 +339,15 @@
 	loop_start_timer(&m->loop, &m->stop_timer, 0, router_on_stop_timer, m);
 }
 
+/* Ends a process that can't start: callers would wait for answers that nobody gives. */
+static void router_fail_start(const char *part)
+{
+	jl_begin(JL_UNLIMITED, "start_failed");
+	jl_str("part", part);
+	jl_end();
+	exit(PROG_EXIT_FAILED);
+}
+
 int main(int argc, char **argv)
 {
 	struct router_main *m = &router_main;
@@ -348,13 +357,16 @@
 		   router_setting_items, router_setting_items_n, &router->settings);
 	jl_open(router->settings.name);
 	jl_set_rate(router->settings.log_lines);
-	loop_init(&m->loop);
+	if (loop_init(&m->loop) < 0)
+		router_fail_start("control loop");
 	prog_on_stop(&m->loop, router_on_stop, m);
 	prog_on_reload(&m->loop, router_on_reload, m);
 	router->seam = &pf_seam;
 	/* A request may arrive as soon as a server listens, and its handler needs both. */
 	router->ctrl = ctrl_new(router, &m->loop);
 	router->traf = traf_start(router);
+	if (!router->traf)
+		router_fail_start("traffic thread");
 	router->front = router_listen(router->settings.front, traf_on_call, traf_may_accept,
 				      ends_on_request, router);
 	router->ready_hd =
--- a/router/ctrl.h
+++ b/router/ctrl.h
@@ -313,7 +313,8 @@
 bool suspect_is_dead(const struct ctrl *ctrl, const char *endpoint, int64_t now_us);
 
 /* Processes a Suspect message of another host. Returns 0, or BASE_EFRAME if it is malformed. */
-int suspect_on_msg(struct ctrl *ctrl, struct frm_conn *conn, const uint8_t *body, size_t len);
+int suspect_on_msg(struct ctrl *ctrl, struct frm_conn *conn, const uint8_t *body,
+		   size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Sends a suspicion to one host. */
 void suspect_send(struct frm_conn *conn, const struct suspect *suspect);
--- a/router/gateway_test.cc
+++ b/router/gateway_test.cc
@@ -29,7 +29,7 @@
 		EXPECT_EQ(listen(endpoint_, 4), 0);
 		getsockname(endpoint_, (sockaddr *)&sin, &len);
 		addr_ = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		reach_init(&reach_);
 		gateway_ = gateway_new(&loop_, &reach_, "");
 	}
--- a/router/hosts_test.cc
+++ b/router/hosts_test.cc
@@ -126,7 +126,7 @@
 		router_.settings.source = g_strdup(empty);
 		router_.settings.store = g_strdup(store_.addr.c_str());
 		router_.seam = &pf_seam;
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		ctrl_ = ctrl_new(&router_, &loop_);
 		ctrl_->direct = true;
 		ctrl_->rank.first = true;
--- a/router/limits.h
+++ b/router/limits.h
@@ -63,7 +63,8 @@
  * Handles limits from another host; feeds carry this message in both directions. Returns 0 or
  * BASE_EFRAME.
  */
-int limits_on_msg(struct limits *limits, struct frm_conn *conn, const uint8_t *body, size_t len);
+int limits_on_msg(struct limits *limits, struct frm_conn *conn, const uint8_t *body,
+		  size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Sends all limits in force to a host that has just connected. */
 void limits_send_all(struct limits *limits, struct frm_conn *conn);
@@ -121,7 +122,7 @@
 
 /* Handles the message with the ask of another host. Returns 0 or BASE_EFRAME. */
 int limit_home_on_msg(struct limit_home *home, struct frm_conn *conn, const uint8_t *body,
-		      size_t len);
+		      size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
 /* Removes the host that asked over a connection that has been closed. */
 void limit_home_on_close(struct limit_home *home, const struct frm_conn *conn);
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -58,7 +58,7 @@
 
 /* Handles the message with entries of another host. Returns 0 or BASE_EFRAME. */
 int quarantine_on_msg(struct quarantine *quarantine, struct frm_conn *conn, const uint8_t *body,
-		      size_t len);
+		      size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Whether requests may be served, in regard of the quarantine; to be asked once the host has all
@@ -103,7 +103,8 @@
 };
 
 /* Returns 0, or BASE_EFRAME if the message is malformed; then there are no lists. */
-int quar_msg_unpack(const uint8_t *body, size_t len, int64_t now_us, struct quar_msg_list *list);
+int quar_msg_unpack(const uint8_t *body, size_t len, int64_t now_us,
+		    struct quar_msg_list *list) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Returns the record of an entry for the store; free it with g_byte_array_unref(). unix_ms is the
--- a/router/router.h
+++ b/router/router.h
@@ -161,6 +161,7 @@
 void state_clear_quarantine(struct router *router, struct hd_call *call);
 
 /* Traffic thread: traffic.c, with txn.c and pick.c. */
+/* Starts the traffic thread. Returns NULL if the system refuses its loop or the thread. */
 struct traf *traf_start(struct router *router);
 
 /* Posts a new view and passes its ownership. Called from the control thread. */
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -88,14 +88,16 @@
 	};
 	traf->parked = g_queue_new();
 	hop_init(&traf->hop);
-	loop_init(&traf->loop);
+	if (loop_init(&traf->loop) < 0)
+		return NULL;
 	traf->hc = hc_new(&traf->loop);
 	hc_set_source(traf->hc, router->settings.source);
 	traf_reach_start(traf);
 	traf->gateway = gateway_new(&traf->loop, way_reach(traf->way), router->settings.source);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
-	pthread_create(&traf->thread, NULL, traf_main, traf);
+	if (pthread_create(&traf->thread, NULL, traf_main, traf) != 0)
+		return NULL;
 	return traf;
 }
 
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -168,7 +168,8 @@
  * Chooses the endpoints for one attempt. Returns 0 or a negative FWD_E. The target holds
  * references until traf_target_release().
  */
-int traf_pick(struct traf *traf, const struct traf_pick_args *args, struct traf_target *target);
+int traf_pick(struct traf *traf, const struct traf_pick_args *args,
+	      struct traf_target *target) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Chooses other endpoints for the layers of the faulty stages of a pipeline and keeps the other
@@ -177,7 +178,8 @@
  */
 int traf_pick_repair(struct traf *traf, const struct rt_service *service,
 		     const struct seam_request *request, const struct traf_target *now,
-		     const struct traf_target *avoid, struct traf_target *target);
+		     const struct traf_target *avoid,
+		     struct traf_target *target) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Returns the earliest time, in us, at which rest periods leave enough endpoints for the request:
