--- a/base/err.h
+++ b/base/err.h
@@ -24,15 +24,6 @@
 	BASE_EFULL = -11     /* more bytes would wait to be sent than allowed */
 };
 
-/*
- * Drops a result that the compiler demands to be checked (G_GNUC_WARN_UNUSED_RESULT). A comment at
- * the call says why nobody needs it.
- */
-static inline void base_drop_result(int result)
-{
-	(void)result;
-}
-
 /* Returns a description of err, a value of enum base_err; never NULL. */
 const char *base_strerror(int err);
 
