cases_slow: stopped hosts and large crowds are checked as meant

What the first runs against flow control showed: host_stops waited for the line "stop", which a host writes as it ends, so its readers began too late; tunnel left a stream unread for longer than the idle timeout while others were read. Neither check was weaker for it; both are now equally strict and meant: readers read on from "stopping" on, all callers of the tunnel read together.

Events of 1.1 MB exceeded what the router takes for one event (1 MiB): now 1 MB. The crowd's answers have 16 MB in place of 24: eight of them still exceed the 64 MB by which a host may grow twice over. Resumed streams must have been sent to an endpoint again.

--- a/regress/soak/cases_slow.py
+++ b/regress/soak/cases_slow.py
@@ -21,9 +21,11 @@
 RECEIVE_BUFFER_BYTES = 65536    # receive buffer of a caller's connection
 TIMEOUT_MS = 60000          # timeout of routes and deadline of requests, in milliseconds
 CROWD = 8                   # number of callers that read slowly at the same time
+CROWD_ANSWER_BYTES = 16000000       # size of a plain answer to each of them
 CROWD_MEMORY_MAX_BYTES = 64 << 20   # by which the memory of a host may grow for that many
-# Size of an answer that doesn't fit into the kernel's buffers from an endpoint to a caller.
-HUGE_BYTES = 40000000
+# Sizes of a plain answer and of each event of a stream that don't fit into the kernel's buffers from an endpoint to a
+# caller.
+HUGE_BYTES, HUGE_EVENT_BYTES = 40000000, 1000000
 IDLE_MS = 2000              # short idle timeout, in milliseconds
 # A caller that reads a little: bytes a time, time between two reads and for how long, in seconds.
 SIP_BYTES, SIP_EVERY_S, SIPS_S = 65536, 0.25, 3 * IDLE_MS / 1000.0
@@ -36,32 +38,16 @@
     return b"".join(b"%08x" % offset for offset in range(0, n, WORD_BYTES))[:n]
 
 
-def check_words(request_id, body, n=ANSWER_BYTES):
-    """Checks that the body has the n bytes that the endpoint sent."""
-    want = words(n)
-    if body != want:
-        same = next((i for i, pair in enumerate(zip(body, want)) if pair[0] != pair[1]), min(len(body), n))
-        raise Failure("%s: %d of %d bytes; those from %d on are wrong or missing" % (request_id, len(body), n, same))
-
-
-def check_events(request_id, body, first=1, last=EVENTS, n=EVENT_BYTES):
-    """Checks that the body has exactly the events first..last, complete and in order."""
-    events = body.split(b"\n\n")
-    expect("end of the last event of " + request_id, events.pop(), b"")
-    for i, event in enumerate(events):
-        want = b"id: %d\ndata: %s %d %s" % (first + i, request_id.encode(), first + i, words(n))
-        if event != want:
-            raise Failure("%s: event %d is wrong: %d bytes %r" % (request_id, first + i, len(event), event[:60]))
-    expect("events of " + request_id, len(events), last - first + 1)
-
-
 class SlowCaller:
-    """A caller that has sent a request for a large answer and reads of it when it is told to."""
+    """A caller that has sent a request for a large answer and reads of it when it is told to. The size is that of a
+    plain answer, or that of each event of a stream."""
 
-    def __init__(self, stack, path, request_id, host="host-0", answer_bytes=ANSWER_BYTES, **headers):
-        self.id, self.answer_bytes = request_id, answer_bytes
+    def __init__(self, stack, path, request_id, host="host-0", answer_bytes=None, **headers):
+        self.id = request_id
+        self.is_stream = path.startswith("/stream/")
+        self.answer_bytes = answer_bytes or (EVENT_BYTES if self.is_stream else ANSWER_BYTES)
         self.conn = Connection(stack.port(host, "front"), timeout=30, receive_buffer=RECEIVE_BUFFER_BYTES)
-        self.conn.send(request_bytes(path, request_id, Stand_Answer_Bytes=answer_bytes,
+        self.conn.send(request_bytes(path, request_id, Stand_Answer_Bytes=self.answer_bytes,
                                      Bronzegauge_Deadline_Ms=TIMEOUT_MS,
                                      Bronzegauge_Token_Counts="50,%d" % EVENTS, **headers))
 
@@ -109,6 +95,30 @@
         self.conn.close()
 
 
+def check_words(request_id, body, n):
+    """Checks that the body has the n bytes that the endpoint sent."""
+    want = words(n)
+    if body != want:
+        same = next((i for i, pair in enumerate(zip(body, want)) if pair[0] != pair[1]), min(len(body), n))
+        raise Failure("%s: %d of %d bytes; those from %d on are wrong or missing" % (request_id, len(body), n, same))
+
+
+def check_events(request_id, body, n):
+    """Checks that the body has all events, with n bytes of data each, complete and in order."""
+    parts = body.split(b"\n\n")
+    expect("end of the last event of " + request_id, parts.pop(), b"")
+    for i, event in enumerate(parts, 1):
+        want = b"id: %d\ndata: %s %d %s" % (i, request_id.encode(), i, words(n))
+        if event != want:
+            raise Failure("%s: event %d is wrong: %d bytes %r" % (request_id, i, len(event), event[:60]))
+    expect("events of " + request_id, len(parts), EVENTS)
+
+
+def check_answer(caller, body):
+    """Checks that the body is what the endpoint sent to the caller."""
+    (check_events if caller.is_stream else check_words)(caller.id, body, caller.answer_bytes)
+
+
 def up(stack):
     stack.timeout_ms = TIMEOUT_MS
     stack.up()
@@ -157,6 +167,13 @@
     caller.read_broken()
 
 
+def read_resumed(stack, caller):
+    """Reads the rest of a stream, which must be whole though it was sent to endpoints more than once."""
+    check_answer(caller, caller.read_whole())
+    if sum(e["id"] == caller.id for e in events(stack, "host-0", "sent")) < 2:
+        raise Failure("%s was not resumed" % caller.id)
+
+
 def cut_off(stack):
     """Starts hosts of which host-0 reaches the endpoints through the others only; returns the gates."""
     stack.timeout_ms = TIMEOUT_MS
@@ -180,27 +197,27 @@
     for framing in ("length", "chunked"):
         caller = SlowCaller(stack, "/many/a", "short-" + framing, Stand_Answer_Framing=framing)
         caller.wait_until_full()
-        check_words(caller.id, caller.read_whole())
+        check_answer(caller, caller.read_whole())
 
 
 def case_short_stream(stack):
     """Guards against a stream that comes short to a caller that reads it late, and looks whole."""
     up(stack)
-    caller = SlowCaller(stack, "/stream/a", "short-1", answer_bytes=EVENT_BYTES)
+    caller = SlowCaller(stack, "/stream/a", "short-1")
     caller.wait_until_full()
-    check_events(caller.id, caller.read_whole())
+    check_answer(caller, caller.read_whole())
 
 
 def case_crowd(stack):
     """Guards against a host whose memory grows with what its callers don't read."""
     up(stack)
     before = memory_bytes(stack, "host-0")
-    crowd = fill_crowd(stack, "/many/a", answer_bytes=2 * ANSWER_BYTES)
+    crowd = fill_crowd(stack, "/many/a", answer_bytes=CROWD_ANSWER_BYTES)
     grown = memory_bytes(stack, "host-0") - before
     print("memory of host-0 grew by %d bytes" % grown)
     if grown > CROWD_MEMORY_MAX_BYTES:
         raise Failure("%d slow callers made host-0 grow by %d bytes" % (CROWD, grown))
-    read_together(crowd, lambda caller: check_words(caller.id, caller.read_whole(), caller.answer_bytes))
+    read_together(crowd, lambda caller: check_answer(caller, caller.read_whole()))
 
 
 def case_beside(stack):
@@ -212,11 +229,11 @@
         expect("status beside slow callers", stack.ask("host-0", "/many/a", "small-%d" % i)[0], 200)
     for i in range(3):
         fast = SlowCaller(stack, "/many/a", "fast-%d" % i)
-        check_words(fast.id, fast.read_whole())
+        check_answer(fast, fast.read_whole())
     for caller in crowd:
         if not caller.bytes_unread():
             raise Failure("%s has nothing to read" % caller.id)
-    read_together(crowd, lambda caller: check_words(caller.id, caller.read_whole()))
+    read_together(crowd, lambda caller: check_answer(caller, caller.read_whole()))
 
 
 def case_tunnel(stack):
@@ -224,16 +241,15 @@
     what the callers don't read."""
     gates = cut_off(stack)
     before = {h: memory_bytes(stack, h) for h in stack.hosts}
-    crowd = fill_crowd(stack, "/many/a", answer_bytes=2 * ANSWER_BYTES)
-    streamed = SlowCaller(stack, "/stream/a", "streamed", answer_bytes=EVENT_BYTES)
+    crowd = fill_crowd(stack, "/many/a", answer_bytes=CROWD_ANSWER_BYTES)
+    streamed = SlowCaller(stack, "/stream/a", "streamed")
     streamed.wait_until_full()
     for host in stack.hosts:
         grown = memory_bytes(stack, host) - before[host]
         print("memory of %s grew by %d bytes" % (host, grown))
         if grown > CROWD_MEMORY_MAX_BYTES:
             raise Failure("%d slow callers made %s grow by %d bytes" % (CROWD + 1, host, grown))
-    read_together(crowd, lambda caller: check_words(caller.id, caller.read_whole(), caller.answer_bytes))
-    check_events(streamed.id, streamed.read_whole())
+    read_together(crowd + [streamed], lambda caller: check_answer(caller, caller.read_whole()))
     for caller in crowd + [streamed]:
         if not gateways(stack, caller.id):
             raise Failure("%s went through no other host" % caller.id)
@@ -244,14 +260,14 @@
     """Guards against answers that come short and look whole when the host that they lead through is killed."""
     gates = cut_off(stack)
     plain = SlowCaller(stack, "/many/a", "plain")
-    streamed = SlowCaller(stack, "/stream/a", "streamed", answer_bytes=EVENT_BYTES)
+    streamed = SlowCaller(stack, "/stream/a", "streamed")
     for caller in (plain, streamed):
         caller.wait_until_full()
     stack.kill(gateways(stack, streamed.id)[-1])
-    check_events(streamed.id, streamed.read_whole())
+    read_resumed(stack, streamed)
     got, _, _, body = plain.conn.read_answer()
     if got == WHOLE:
-        check_words(plain.id, body)
+        check_answer(plain, body)
     cases_reach.mend(gates)
 
 
@@ -262,7 +278,7 @@
     up(stack)
     plain = SlowCaller(stack, "/many/a", "nothing-plain", answer_bytes=HUGE_BYTES)
     chunked = SlowCaller(stack, "/many/a", "nothing-chunked", answer_bytes=HUGE_BYTES, Stand_Answer_Framing="chunked")
-    streamed = SlowCaller(stack, "/stream/a", "nothing-stream", answer_bytes=HUGE_BYTES // EVENTS)
+    streamed = SlowCaller(stack, "/stream/a", "nothing-stream", answer_bytes=HUGE_EVENT_BYTES)
     for caller in (plain, chunked, streamed):
         expect_broken_off(stack, caller)
 
@@ -273,7 +289,7 @@
     up(stack)
     caller = SlowCaller(stack, "/many/a", "little")
     caller.sip(SIPS_S)
-    check_words(caller.id, caller.read_whole())
+    check_answer(caller, caller.read_whole())
 
 
 def case_resumed(stack):
@@ -281,25 +297,25 @@
     behind."""
     stack.timeout_ms = TIMEOUT_MS
     gates = cases_reach.up(stack, hosts=3, plain=2)
-    crowd = [SlowCaller(stack, "/stream/a", "resumed-%d" % i, answer_bytes=EVENT_BYTES) for i in range(2)]
+    crowd = [SlowCaller(stack, "/stream/a", "resumed-%d" % i) for i in range(2)]
     for caller in crowd:
         caller.wait_until_full()
     for gate in gates:
         gate.set("reset")
     for caller in crowd:
-        check_events(caller.id, caller.read_whole())
+        read_resumed(stack, caller)
 
 
 def case_engine_restarts(stack):
     """Guards against events that are lost or come twice when the engine of a stream restarts while its caller is
     behind."""
     up(stack)
-    caller = SlowCaller(stack, "/stream/a", "restarts", answer_bytes=EVENT_BYTES)
+    caller = SlowCaller(stack, "/stream/a", "restarts")
     eventually("the engine runs the stream", lambda: stack.ledger()["streams"] == 1)
     addr = events(stack, "host-0", "sent")[-1]["addr"]
     stack.fault_engine(next(p[0] for p in stack.points if addr == "127.0.0.1:%d" % p[1]), "reborn")
     caller.wait_until_full()
-    check_events(caller.id, caller.read_whole())
+    read_resumed(stack, caller)
 
 
 def case_host_stops(stack):
@@ -309,8 +325,8 @@
     crowd = fill_crowd(stack, "/many/a")
     readers, sleepers = crowd[::2], crowd[1::2]
     stack.signal("host-0", signal.SIGTERM)
-    eventually("host-0 has the signal", lambda: events(stack, "host-0", "stop"))
-    read_together(readers, lambda caller: check_words(caller.id, caller.read_whole()))
+    eventually("host-0 stops", lambda: events(stack, "host-0", "stopping"))
+    read_together(readers, lambda caller: check_answer(caller, caller.read_whole()))
     stack.procs["host-0"].wait()
     for caller in sleepers:
         caller.read_broken()
