soak: large answers, callers that read slowly, and requests without an answer

An answer with a length that ends early counts as broken off: HTTPResponse.read(n) takes it for whole.

The check of words moved to stack.py, beside that of streams, which now also checks events with words.

--- a/regress/soak/cases_slow.py
+++ b/regress/soak/cases_slow.py
@@ -2,7 +2,6 @@
 the failure that the case guards against."""
 import array
 import fcntl
-import functools
 import signal
 import termios
 import threading
@@ -11,11 +10,10 @@
 import cases_reach
 from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
-from stack import Failure, eventually
+from stack import Failure, check_stream, check_words, eventually
 
 ANSWER_BYTES = 12000000     # size of a large plain answer
 EVENTS, EVENT_BYTES = 36, 400000    # events of a large stream and size of the data of each
-WORD_BYTES = 8              # length of a word of an answer, see platform/stand_engine_size.c
 # Time for which no bytes may arrive at a socket before the buffers on the way to it are taken for full, in seconds.
 SETTLED_S = 0.5
 RECEIVE_BUFFER_BYTES = 65536    # receive buffer of a caller's connection
@@ -32,12 +30,6 @@
 BODY_BYTES, BODY_PART_BYTES = 96000, 4000   # size of a request's body that is sent in parts, and of a part
 
 
-@functools.lru_cache(maxsize=2)
-def words(n):
-    """The first n bytes that the stand-in for endpoints sends as an answer: each word tells its offset."""
-    return b"".join(b"%08x" % offset for offset in range(0, n, WORD_BYTES))[:n]
-
-
 class SlowCaller:
     """A caller that has sent a request for a large answer and reads of it when it is told to. The size is that of a
     plain answer, or that of each event of a stream."""
@@ -95,28 +87,12 @@
         self.conn.close()
 
 
-def check_words(request_id, body, n):
-    """Checks that the body has the n bytes that the endpoint sent."""
-    want = words(n)
-    if body != want:
-        same = next((i for i, pair in enumerate(zip(body, want)) if pair[0] != pair[1]), min(len(body), n))
-        raise Failure("%s: %d of %d bytes; those from %d on are wrong or missing" % (request_id, len(body), n, same))
-
-
-def check_events(request_id, body, n):
-    """Checks that the body has all events, with n bytes of data each, complete and in order."""
-    parts = body.split(b"\n\n")
-    expect("end of the last event of " + request_id, parts.pop(), b"")
-    for i, event in enumerate(parts, 1):
-        want = b"id: %d\ndata: %s %d %s" % (i, request_id.encode(), i, words(n))
-        if event != want:
-            raise Failure("%s: event %d is wrong: %d bytes %r" % (request_id, i, len(event), event[:60]))
-    expect("events of " + request_id, len(parts), EVENTS)
-
-
 def check_answer(caller, body):
     """Checks that the body is what the endpoint sent to the caller."""
-    (check_events if caller.is_stream else check_words)(caller.id, body, caller.answer_bytes)
+    if caller.is_stream:
+        check_stream(caller.id, body, last=EVENTS, event_bytes=caller.answer_bytes)
+    else:
+        check_words(caller.id, body, caller.answer_bytes)
 
 
 def up(stack):
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,7 +1,7 @@
 """Randomized fault injection soak test of bgrouterd, run with real processes.
 
 python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits]
-                               [--rests] [--classes] [--cuts] [--keep]
+                               [--rests] [--classes] [--cuts] [--slow] [--keep]
 
 Each seed gives one run. Callers send streams and plain requests over persistent connections. Meanwhile
 hosts are killed, stopped, paused and started; engines stop answering, slow down, restart without layers or
@@ -12,6 +12,8 @@
   has the endpoint's response seal
 - a request reported as not run has not run; a non-idempotent request ran at most once
 - no host returns to an older configuration; new ones take effect in time on undisturbed hosts
+- a request that was sent whole to a host that is neither killed nor paused gets an answer, whole or
+  visibly broken off; one that comes short never looks whole
 - at the end, after all faults are repaired, every host serves every route
 - with --copies, the store is also restored from a copy some seconds old, sometimes twice in a row
 - with --crashing, requests that crash the endpoints that run them are repeated at all hosts, and others
@@ -23,10 +25,12 @@
   leaving; an undisturbed host sends such an endpoint no more requests than the requirement allows
 - with --cuts, some or all hosts are also cut off from all or half of the endpoints, in each way that
   gate.py knows
+- with --slow, some answers are large, and some callers read them slowly or late
 """
 import argparse
 import collections
 import http.client
+import math
 import random
 import signal
 import sys
@@ -37,7 +41,7 @@
 from limit import Period, max_in_window
 from rest import REST_REQUESTS_MAX, max_during_rest, rests, sent_after_drain
 from proxy import MODES, Proxy
-from stack import HOST_NAME, Failure, Stack, check_stream, eventually
+from stack import HOST_NAME, Failure, Stack, check_stream, check_words, eventually
 
 # Status codes that state that the request has not run.
 NOT_RUN = (408, 421, 429, 503)
@@ -57,6 +61,11 @@
 EXEMPT_S = 1.0
 # Retry-After texts of rests, in seconds; "soon" is not a number.
 RESTS = ("0", "0.7", "2", "4", "soon")
+# Large answers: part of all, and sizes of a plain answer and of each event of a stream, in bytes.
+LARGE_PART = 0.3
+LARGE_BYTES = {"plain": (400000, 2000000, 6000000), "stream": (8000, 40000, 200000)}
+# Callers that read slowly: bytes a time, longest time between two reads and number of reads.
+SIP_BYTES, SIP_EVERY_S, SIPS = 65536, 0.2, 20
 # Announced limits, in requests per second.
 LIMITS = ("0", "0.3", "1", "3", "8")
 
@@ -71,6 +80,8 @@
         self.random = random.Random(soak.seed * 1000 + number)
         self.conn = None
         self.host = None
+        self.connected_at = 0.0
+        self.is_waiting = False     # a request was sent whole and no part of its answer has come
 
     def run(self):
         n = 0
@@ -82,9 +93,11 @@
                 self.send_request(kind, request_id)
             except Failure as failure:
                 self.soak.record_failure(str(failure))
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as error:
                 self.drop()
                 self.soak.count["cut " + kind] += 1
+                if self.is_waiting:
+                    self.soak.check_may_lose(request_id, self.host, self.connected_at, error)
 
     def drop(self):
         if self.conn:
@@ -100,25 +113,46 @@
         if not self.conn or self.random.random() < 0.1:
             self.drop()
             self.host = self.random.choice(self.soak.stack.hosts)
+            self.connected_at = time.monotonic()
             self.conn = http.client.HTTPConnection(
                 "127.0.0.1", self.soak.stack.port(self.host, "front"), timeout=10)
+        self.is_waiting = False
         last = self.random.randint(1, 30)
         self.soak.record_sent(request_id, self.host)
         headers = {"Host": HOST_NAME, "Bronzegauge-Request-Id": request_id,
                    "Bronzegauge-Key": "key-farm", "Bronzegauge-Deadline-Ms": "6000",
                    "Bronzegauge-Token-Counts": "50,%d" % last}
+        large = 0
+        if self.soak.slow and self.random.random() < LARGE_PART:
+            large = self.random.choice(LARGE_BYTES["stream" if kind == "stream" else "plain"])
+            headers["Stand-Answer-Bytes"] = str(large)
         self.conn.request("POST", "/%s/x" % self.route(kind), body=b"{}", headers=headers)
+        self.is_waiting = True
         answer = self.conn.getresponse()
+        self.is_waiting = False
         if answer.getheader("Server-Limit") is not None:
             self.soak.limit_seen_at[request_id] = time.monotonic()
         if answer.getheader("Server-Leaving") is not None:
             self.soak.leaving_seen_at[request_id] = time.monotonic()
-        body = answer.read()
-        self.check(kind, request_id, last, answer, body)
+        body = self.read(answer, sips=self.random.randint(0, SIPS) if large and answer.status == 200 else 0)
+        self.check(kind, request_id, last, answer, body, large)
         if answer.getheader("Connection", "").lower() == "close":
             self.drop()
 
-    def check(self, kind, request_id, last, answer, body):
+    def read(self, answer, sips):
+        """Reads the body of an answer, the first parts of it slowly."""
+        parts = []
+        for _ in range(sips):
+            time.sleep(self.random.uniform(0.0, SIP_EVERY_S))
+            parts.append(answer.read(SIP_BYTES))
+        body = b"".join(parts) + answer.read()
+        length = answer.getheader("Content-Length")
+        # HTTPResponse.read(n) takes a closed connection for the end of the answer.
+        if length is not None and len(body) < int(length):
+            raise http.client.IncompleteRead(body, int(length) - len(body))
+        return body
+
+    def check(self, kind, request_id, last, answer, body, large):
         self.soak.count["%s %d" % (kind, answer.status)] += 1
         if answer.status in NOT_RUN:
             self.soak.not_run.append(request_id)
@@ -131,7 +165,9 @@
                 raise Failure("%s: success without its response seal: %r %r" % (
                     request_id, answer.getheaders(), body[:80]))
             if kind == "stream":
-                check_stream(request_id, body, last=last)
+                check_stream(request_id, body, last=last, event_bytes=large)
+            elif large:
+                check_words(request_id, body, large)
             elif not body.startswith(request_id.encode() + b" at "):
                 raise Failure("%s: body of another request: %r" % (request_id, body[:60]))
 
@@ -186,7 +222,7 @@
     """One run of a seed: the deployment, the faults in progress, and the records for the checks."""
 
     def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False, rests=False,
-                 cuts=False):
+                 cuts=False, slow=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -215,6 +251,9 @@
         self.copies = copies
         # time until which the store is unavailable because it is restored from a copy
         self.away_until = 0.0
+        # host -> time until which its process was last killed or paused
+        self.down_until = {h: 0.0 for h in self.stack.hosts}
+        self.slow = slow
         self.cuts = cuts
         self.cut_until = 0.0                              # time at which the cut of hosts ends; 0 if none
         self.links = {}                                   # link name -> Proxy
@@ -239,6 +278,11 @@
     def record_failure(self, what):
         self.failures.append("%.1f s: %s" % (time.monotonic() - self.began, what))
 
+    def check_may_lose(self, request_id, host, connected_at, error):
+        """Records a failure if no process fault explains that a request on a connection to the host got no answer."""
+        if self.down_until[host] < connected_at:
+            self.record_failure("%s got no answer from %s: %r" % (request_id, host, error))
+
     # Faults. Each records the hosts that it disturbs.
 
     def mark_disturbed(self, hosts, seconds):
@@ -262,6 +306,7 @@
             return
         term = self.random.random() < 0.4
         self.stack.signal(host, signal.SIGTERM if term else signal.SIGKILL)
+        self.down_until[host] = math.inf
         self.dead[host] = time.monotonic() + self.random.uniform(0.1, 2.0)
         self.seen.pop(host, None)
         self.mark_disturbed([host], 10.0)
@@ -272,6 +317,8 @@
         if name in self.dead or name in self.paused:
             return
         seconds = self.random.uniform(0.2, 3.0)
+        if name in self.down_until:
+            self.down_until[name] = math.inf
         self.stack.signal(name, signal.SIGSTOP)
         self.paused[name] = time.monotonic() + seconds
         self.exempt([name] if name in self.disturbed_until else self.stack.hosts * (name == "engine"), seconds)
@@ -441,10 +488,13 @@
     def repair_due(self, now):
         for name in [n for n, until in self.paused.items() if now >= until]:
             self.stack.signal(name, signal.SIGCONT)
+            if name in self.down_until:
+                self.down_until[name] = now
             del self.paused[name]
         for host in [h for h, until in self.dead.items() if now >= until]:
             if self.stack.procs[host].poll() is not None:
                 self.stack.begin_host(host)
+                self.down_until[host] = now
                 del self.dead[host]
         if "engine" not in self.paused:
             for name in [n for n, until in self.faulty.items() if now >= until]:
@@ -557,13 +607,15 @@
     parser.add_argument("--classes", action="store_true",
                         help="also send streams of more and of less urgent classes")
     parser.add_argument("--cuts", action="store_true", help="also cut hosts off from endpoints")
+    parser.add_argument("--slow", action="store_true",
+                        help="some answers are large, and some callers read them slowly or late")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
         soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits,
-                    args.rests, args.cuts)
+                    args.rests, args.cuts, args.slow)
         if args.classes:
             soak.stack.classes = {"urgent": 0, "later": 2}
         try:
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -4,6 +4,7 @@
 processes that the deployment started are killed, by their process ids.
 """
 import fcntl
+import functools
 import glob
 import http.client
 import json
@@ -22,6 +23,7 @@
 PORTS_FIRST, PORTS_BLOCK, PORTS_BLOCKS = 10000, 100, 90
 LAYERS = 8          # number of layers of the model
 HOST_NAME = "local.test"
+WORD_BYTES = 8      # length of a word of an answer, see platform/stand_engine_size.c
 PATIENCE_S = 60     # default timeout of a wait for a condition, in seconds; a timeout fails the test
 
 
@@ -302,10 +304,26 @@
             return log.read()
 
 
-def check_stream(request_id, body, first=1, last=12):
-    """Checks that the body has exactly the events first..last of the request, complete and in order."""
-    want = "".join("id: %d\ndata: %s %d\n\n" % (i, request_id, i) for i in range(first, last + 1))
-    if body.decode() != want:
+@functools.lru_cache(maxsize=8)
+def words(n):
+    """The n bytes with which the stand-in for endpoints fills its answers: each word tells its offset."""
+    return b"".join(b"%08x" % offset for offset in range(0, n, WORD_BYTES))[:n]
+
+
+def check_words(request_id, body, n):
+    """Checks that the body has the n bytes that the endpoint sent."""
+    want = words(n)
+    if body != want:
+        same = next((i for i, pair in enumerate(zip(body, want)) if pair[0] != pair[1]), min(len(body), n))
+        raise Failure("%s: %d of %d bytes; those from %d on are wrong or missing" % (request_id, len(body), n, same))
+
+
+def check_stream(request_id, body, first=1, last=12, event_bytes=0):
+    """Checks that the body has exactly the events first..last of the request, complete and in order; event_bytes: size
+    of the words in the data of each."""
+    more = b" " + words(event_bytes) if event_bytes else b""
+    want = b"".join(b"id: %d\ndata: %s %d%s\n\n" % (i, request_id.encode(), i, more) for i in range(first, last + 1))
+    if body != want:
         raise Failure("stream of %s is incomplete or has wrong events: %r" % (request_id, body[-200:]))
 
 
