--- a/prog/router.c
+++ b/prog/router.c
@@ -1,3 +1,4 @@
+#include "base/drain.h"
 #include "base/jl.h"
 #include "base/met.h"
 #include "platform/pf.h"
@@ -21,9 +22,6 @@
 	/* Interval of checks whether a stopping host can exit, in milliseconds. */
 	ROUTER_STOP_POLL_MS = 100,
 
-	/* Consecutive checks without open requests before the exit. */
-	ROUTER_STOP_IDLE_POLLS = 4,
-
 	/* Part of the grace time reserved for the exit itself, in milliseconds. */
 	ROUTER_EXIT_RESERVE_MS = 400,
 
@@ -37,9 +35,8 @@
 	/* Interval of checks whether the settings file has changed, in milliseconds. */
 	ROUTER_SETTINGS_POLL_MS = 2000,
 
-	ROUTER_PENDING_MAX = 4 << 20, /* Limit of unsent bytes of a response. */
-	ROUTER_BODY_MAX = 4 << 20,    /* Limit of a request's body, in bytes. */
-	ROUTER_THREADS = 1	      /* Threads of each HTTP server. */
+	ROUTER_BODY_MAX = 4 << 20, /* Limit of a request's body, in bytes. */
+	ROUTER_THREADS = 1	   /* Threads of each HTTP server. */
 };
 
 /* A row of the table of settings: section and key of the file, type, field, default and range. */
@@ -69,6 +66,8 @@
 	ITEM("repeats", "window_s", SETTINGS_REAL, repeat_window_s, "10", 1, 3600),
 	ITEM("repeats", "fixed", SETTINGS_REAL, repeat_fixed, "10", 0, 1000000),
 	ITEM("stop", "grace_s", SETTINGS_INT, grace_s, "8", 1, 3600),
+	ITEM("answers", "unsent_kb", SETTINGS_INT, answer_unsent_kb, "256", 32, 1048576),
+	ITEM("answers", "unsent_total_mb", SETTINGS_INT, answers_unsent_mb, "48", 1, 1048576),
 	ITEM("log", "lines_per_s", SETTINGS_INT, log_lines, "300", 0, 1000000),
 };
 const size_t router_setting_items_n = G_N_ELEMENTS(router_setting_items);
@@ -96,8 +95,7 @@
 	struct loop loop;
 	struct tmr stop_timer;	   /* Timer of the next check whether the host can exit. */
 	struct tmr settings_timer; /* Timer of the next check for a changed settings file. */
-	int idle_polls;		   /* Consecutive checks without open requests. */
-	bool quiesced;		   /* No connections are accepted any more. */
+	struct drain drain;	   /* Progress of a stop. */
 	bool ended_requests;	   /* The requests that were open have been ended. */
 	struct router_file_stamp settings_file; /* The settings file when it was last checked. */
 };
@@ -143,10 +141,10 @@
 		.addr = addr,
 		.threads = ROUTER_THREADS,
 		.body_max = ROUTER_BODY_MAX,
-		.pending_max = ROUTER_PENDING_MAX,
 		.handler = handler,
 		.may_accept = may_accept,
 		.on_end = on_end,
+		.on_drained = traf_on_drained,
 		.ctx = router,
 	};
 	struct hd *hd = hd_start(&config);
@@ -290,16 +288,6 @@
 	       gateway_open_tunnels(traf_gateway(router->traf)) > 0;
 }
 
-/* Stops accepting connections, so that no request arrives between the last check and the exit. */
-static void router_quiesce(struct router_main *m)
-{
-	if (m->quiesced)
-		return;
-	m->quiesced = true;
-	m->idle_polls = 0;
-	hd_quiesce(m->router.front);
-}
-
 static void router_end_requests(struct router_main *m)
 {
 	if (m->ended_requests)
@@ -309,33 +297,32 @@
 }
 
 /*
- * Takes the next step of a stop. Once no request has been open for several consecutive checks, and
- * the balancer has had time to stop sending connections, the host stops accepting connections; when
- * it has been idle once more, the process ends. Shortly before the end of the grace time, when the
- * process would be killed, each step is taken in any case.
+ * Takes the next step of a stop, see base/drain.h. Connections are accepted until the balancer has
+ * had time to stop sending them. Shortly before the end of the grace time, when the process would
+ * be killed, each step is taken in any case.
  */
 static void router_on_stop_timer(void *ctx, int64_t now_us)
 {
 	struct router_main *m = ctx;
 	int64_t since_ms = (now_us - m->router.stop_us) / TMR_US_PER_MS;
-	int64_t grace_ms = m->router.settings.grace_s * 1000;
+	int64_t left_ms = m->router.settings.grace_s * 1000 - since_ms;
 	bool open = router_is_open(&m->router);
-	bool idle;
-
-	m->idle_polls = open ? 0 : m->idle_polls + 1;
-	idle = since_ms >= ROUTER_STOP_SERVE_MS && m->idle_polls >= ROUTER_STOP_IDLE_POLLS;
-	if ((idle && m->quiesced) || since_ms >= grace_ms - ROUTER_EXIT_RESERVE_MS) {
-		if (open)
-			router_log_cut(m);
-		loop_stop(&m->loop);
+	enum drain_step step = DRAIN_WAIT;
+
+	if (since_ms >= ROUTER_STOP_SERVE_MS)
+		step = drain_check(&m->drain, open, left_ms <= ROUTER_QUIESCE_RESERVE_MS);
+	if (step == DRAIN_QUIESCE)
+		hd_quiesce(m->router.front);
+	if (left_ms <= ROUTER_END_RESERVE_MS)
+		router_end_requests(m);
+	if (step != DRAIN_END && left_ms > ROUTER_EXIT_RESERVE_MS) {
+		loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
+				 router_on_stop_timer, m);
 		return;
 	}
-	if (idle || since_ms >= grace_ms - ROUTER_QUIESCE_RESERVE_MS)
-		router_quiesce(m);
-	if (since_ms >= grace_ms - ROUTER_END_RESERVE_MS)
-		router_end_requests(m);
-	loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
-			 router_on_stop_timer, m);
+	if (open)
+		router_log_cut(m);
+	loop_stop(&m->loop);
 }
 
 static void router_on_stop(void *ctx)
--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -1,12 +1,15 @@
 """Test cases for requests that end without an answer: python3 regress/soak/cases_lost.py NAME. Each docstring names
 the failure that the case guards against."""
 import itertools
+import os
 import signal
 import socket
+import sys
 import threading
 
-from cases import run
-from stack import HOST_NAME, Failure
+from cases import endpoint_state, events, expect, run
+from stack import HOST_NAME, Failure, check_stream, eventually
+from proxy import Proxy
 
 # What a caller gets for a request that it has sent whole.
 WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
@@ -115,17 +118,16 @@
         conn.close()
 
 
-def case_stopping_crowd(stack):
-    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
-    end with its process."""
-    stack.up()
+def crowd_beside_a_stop(port, make_request, stop):
+    """Eight callers send requests on new connections while stop() ends the server at the port. Fails if one that was
+    sent whole gets no whole answer."""
     lost, answered, ids = [], [], itertools.count()
     refused = threading.Event()
 
     def keep_asking():
         while not refused.is_set():
             name = "stop-%d" % next(ids)
-            got, status = ask_once(stack.port("host-0", "front"), request_bytes("/many/a", name, close=True))
+            got, status = ask_once(port, make_request(name))
             if got == UNSENT:
                 refused.set()
             else:
@@ -133,16 +135,146 @@
     threads = [threading.Thread(target=keep_asking) for _ in range(8)]
     for thread in threads:
         thread.start()
-    stack.signal("host-0", signal.SIGTERM)
-    stack.procs["host-0"].wait()
+    stop()
     for thread in threads:
         thread.join()
     if lost:
         raise Failure("%d of %d requests to a host that stopped: %r" % (len(lost), len(lost) + len(answered), lost[:4]))
 
 
+def case_stopping_crowd(stack):
+    """Guards against requests that a host which is stopping takes, or leaves in its queue of connections, and that
+    end with its process."""
+    stack.up()
+
+    def stop():
+        stack.signal("host-0", signal.SIGTERM)
+        stack.procs["host-0"].wait()
+    crowd_beside_a_stop(stack.port("host-0", "front"),
+                        lambda name: request_bytes("/many/a", name, close=True), stop)
+
+
+def case_id_not_utf8(stack):
+    """Guards against a host that ends, with all of its requests, when a stage dies under a request whose id is no
+    UTF-8 text."""
+    stack.up()
+    results = {}
+    names = {i: "caf\xe9-%d" % i for i in range(12)}
+
+    def stream(i):
+        results[i] = stack.ask("host-%d" % (i % 3), "/stream/a", names[i], Bronzegauge_Token_Counts="50,40")
+
+    threads = [threading.Thread(target=stream, args=(i,)) for i in names]
+    for thread in threads:
+        thread.start()
+    eventually("streams run", lambda: stack.ledger()["streams"] >= len(names))
+    second = events(stack, "host-0", "sent")[-1]["pipeline"].split(",")[1].split("=")[0]
+    stack.fault_engine(endpoint_state(stack, "host-0", second)["id"].split("-")[1], "dark")
+    for thread in threads:
+        thread.join()
+    for host in stack.hosts:
+        expect("exit status of " + host, stack.procs[host].poll(), None)
+    for i, name in names.items():
+        status, _, body = results.get(i, (None, {}, b""))
+        expect("status of %r" % name, status, 200)
+        check_stream(name, body.decode("latin-1").encode(), last=40)
+
+
+def is_open_for(conn, seconds):
+    """Whether the connection, on which nothing is awaited, stays open for that time."""
+    conn.sock.settimeout(seconds)
+    try:
+        return bool(conn.sock.recv(1))
+    except socket.timeout:
+        return True
+
+
+def case_idle_limit_grows(stack):
+    """Guards against connections that are closed by the idle timeout of their last request, though a longer one is in
+    force by which their callers still use them."""
+    stack.idle_ms = 2000
+    stack.up()
+    conn = Connection(stack.port("host-0", "front"))
+    conn.send(request_bytes("/many/a", "before"))
+    got = conn.read_answer()[:2]
+    stack.idle_ms = 60000
+    version = stack.put_config()
+    eventually("host-0 has the version", lambda: stack.state("host-0")["configuration"] == version)
+    if got != (WHOLE, 200) or not is_open_for(conn, 10):
+        raise Failure("%r, and then the connection was closed by the older timeout" % (got,))
+    conn.sock.settimeout(15)
+    conn.send(request_bytes("/many/a", "after"))
+    got = conn.read_answer()[:2]
+    if got != (WHOLE, 200):
+        raise Failure("a request on a connection that was kept got %r" % (got,))
+
+
+def case_idle_limit_ends(stack):
+    """Guards against connections that stay open for ever, since their idle timeout is not the HTTP library's."""
+    stack.idle_ms = 1000
+    stack.up()
+    conn = Connection(stack.port("host-0", "front"), timeout=60)
+    conn.send(request_bytes("/many/a", "idle"))
+    if conn.read_answer()[:2] != (WHOLE, 200) or conn.fill():
+        raise Failure("the connection did not end, or with bytes that nobody asked for")
+
+
+def case_half_closed(stack):
+    """Guards against callers that shut down their sending direction behind a request, which HTTP allows, and get
+    neither an answer nor a refusal; and against endpoints that go on working for callers that left."""
+    stack.up()
+    for point in stack.points:
+        stack.fault_engine(point[0], "hang")
+    conns = []
+    for i, path in enumerate(["/many/a", "/once/a", "/stream/a"]):
+        conn = Connection(stack.port("host-0", "front"))
+        conn.send(request_bytes(path, "half-%d" % i))
+        conn.sock.shutdown(socket.SHUT_WR)
+        conns.append(conn)
+    for conn in conns:
+        got, status, _, body = conn.read_answer()
+        if got != WHOLE or status != 502:
+            raise Failure("a caller that sends no more got %s, status %d %r" % (got, status, body))
+
+
+class Misnamer(Proxy):
+    """A proxy that passes on answers with the id of another request once it is told to."""
+
+    misnames = False
+
+    def alter(self, data):
+        return data.replace(b"Request-Id: foreign-", b"Request-Id: another-") if self.misnames else data
+
+
+def case_foreign_answer(stack):
+    """Guards against a host that ends, with all that it has under way, since an endpoint answers with the id of another
+    request."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(Misnamer(stack.base + 60 + i, point[1]))
+    stack.up()
+    for proxy in proxies:
+        proxy.misnames = True
+    for i in range(20):
+        for kind in ("once", "many"):
+            data = request_bytes("/%s/a" % kind, "foreign-%s-%d" % (kind, i), close=True)
+            expect("what the caller got", ask_once(stack.port("host-0", "front"), data), (WHOLE, 502))
+    expect("exit status of host-0", stack.procs["host-0"].poll(), None)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
+def crowd_at_process(port, pid):
+    """The crowd at a process that another script has started."""
+    request = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    crowd_beside_a_stop(port, lambda name: request, lambda: os.kill(pid, signal.SIGTERM))
+
+
 if __name__ == "__main__":
-    run(CASES)
+    if sys.argv[1] == "crowd_at":
+        crowd_at_process(int(sys.argv[2]), int(sys.argv[3]))
+    else:
+        run(CASES)
--- a/router/txn_repair.c
+++ b/router/txn_repair.c
@@ -97,7 +97,7 @@
 
 void txn_on_lost_connections(struct txn *txn)
 {
-	if (!txn_has_lost_connection(txn) || tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!txn_has_lost_connection(txn) || txn_is_active(txn, tmr_now()))
 		return;
 	txn_log_silent(txn, "not_reached", NULL);
 	fwd_abandon_attempt(&txn->fwd, tmr_now());
@@ -107,8 +107,7 @@
 {
 	const char *present = txn->attempt ? way_gateway(txn->attempt) : NULL;
 
-	if (!present || strcmp(present, gateway) != 0 ||
-	    tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!present || strcmp(present, gateway) != 0 || txn_is_active(txn, tmr_now()))
 		return;
 	txn_log_silent(txn, "gateway_lost", gateway);
 	fwd_abandon_attempt(&txn->fwd, tmr_now());
@@ -150,10 +149,17 @@
 	       g_strcmp0(txn->request.id, id) == 0;
 }
 
+bool txn_is_active(const struct txn *txn, int64_t now_us)
+{
+	return txn_is_held(txn) || now_us - txn->last_activity_us < TXN_ACTIVE_US;
+}
+
 void txn_on_stalled(struct txn *txn, const char *culprit)
 {
 	struct traf_ep *ep = culprit ? g_hash_table_lookup(txn->traf->by_addr, culprit) : NULL;
 
+	if (txn_is_held(txn))
+		return;
 	txn_log_silent(txn, "stalled", culprit);
 	if (ep) {
 		txn_exclude_endpoint(txn, ep);
@@ -192,19 +198,21 @@
 	return txn_faulty_stage(txn) >= 0;
 }
 
-/*
- * Orders the first stage to replace faulty stages after it within the running pipeline. The other
- * stages keep their cached context, no attempt and no repeat is spent, and the stream continues
- * from its present position. If that is impossible, the request is sent to other endpoints.
- *
- * A stage that is only leaving is kept: it works for a while longer, and most streams end by then.
- * Moving a stream makes it pause while its prompt is read again, and delays others on the same
- * links. Keeping the stage earned 0.720 of the value of all answers on days with failures at 39
- * endpoints, moving the streams 0.691. If the stage ends earlier, it is replaced as a dead one.
- */
-static void txn_repair_pipeline(struct txn *txn)
+/* Resumes the request elsewhere if a stage is known to be faulty; else the stream is kept. */
+static void txn_leave_faulty_pipeline(struct txn *txn, const char *why)
 {
-	const struct seam *seam = txn->traf->router->seam;
+	int stage = txn_faulty_stage(txn);
+
+	if (stage < 0)
+		return;
+	txn_exclude_endpoint(txn, txn->target.stages[stage].ep);
+	txn_resume(txn, why);
+}
+
+/* Sends the order for txn->repair. Returns -1 if no order can name the request. */
+static int txn_send_order(struct txn *txn)
+{
+	const struct seam_engine *engine = &txn->traf->router->seam->engine;
 	const char *headers[] = {"Content-Type: application/json", NULL};
 	struct way_request request = {.http = {.method = "POST",
 					       .headers = headers,
@@ -214,33 +222,19 @@
 					       .close = true},
 				      .addr = txn->target.stages[0].ep->rec->addr,
 				      .id = txn->request.id};
-	char *pipeline;
-	char *body;
+	char *pipeline = traf_format_pipeline(txn->traf, &txn->repair);
+	char *body = engine->make_repath(txn->request.id, pipeline, txn->traf->view->fence);
 	char *url;
 
-	if (txn->order)
-		return;
-	if (txn_has_faulty_stage(txn))
-		txn_on_attempt_broken(txn, txn->target.stages[txn_faulty_stage(txn)].ep);
-	if (txn_reaches_crash_limit(txn)) {
-		fwd_on_quarantine(&txn->fwd);
-		return;
-	}
-	if (!txn_pick_repair(txn)) {
-		if (txn_has_faulty_stage(txn)) {
-			txn_exclude_endpoint(txn, txn->target.stages[txn_faulty_stage(txn)].ep);
-			txn_resume(txn, "no_repair");
-		}
-		return;
+	if (!body) {
+		g_free(pipeline);
+		return -1;
 	}
-	txn->repairs++;
-	pipeline = traf_format_pipeline(txn->traf, &txn->repair);
-	body = seam->engine.make_repath(txn->request.id, pipeline, txn->traf->view->fence);
-	url = g_strdup_printf("http://%s%s", txn->target.stages[0].ep->rec->addr,
-			      seam->engine.order_path());
+	url = g_strdup_printf("http://%s%s", request.addr, engine->order_path());
 	request.http.url = url;
 	request.http.body = body;
 	request.http.body_len = strlen(body);
+	txn->repairs++;
 	txn->order_us = tmr_now();
 	jl_begin(JL_INFO, "repair");
 	jl_str("id", txn->request.id);
@@ -252,6 +246,37 @@
 	g_free(pipeline);
 	g_free(body);
 	g_free(url);
+	return 0;
+}
+
+/*
+ * Orders the first stage to replace faulty stages after it within the running pipeline. The other
+ * stages keep their cached context, no attempt and no repeat is spent, and the stream continues
+ * from its present position. If that is impossible, the request is sent to other endpoints.
+ *
+ * A stage that is only leaving is kept: it works for a while longer, and most streams end by then.
+ * Moving a stream makes it pause while its prompt is read again, and delays others on the same
+ * links. Keeping the stage earned 0.720 of the value of all answers on days with failures at 39
+ * endpoints, moving the streams 0.691. If the stage ends earlier, it is replaced as a dead one.
+ */
+static void txn_repair_pipeline(struct txn *txn)
+{
+	if (txn->order)
+		return;
+	if (txn_has_faulty_stage(txn))
+		txn_on_attempt_broken(txn, txn->target.stages[txn_faulty_stage(txn)].ep);
+	if (txn_reaches_crash_limit(txn)) {
+		fwd_on_quarantine(&txn->fwd);
+		return;
+	}
+	if (!txn_pick_repair(txn)) {
+		txn_leave_faulty_pipeline(txn, "no_repair");
+		return;
+	}
+	if (txn_send_order(txn) < 0) {
+		traf_target_release(&txn->repair);
+		txn_leave_faulty_pipeline(txn, "no_order");
+	}
 }
 
 /*
@@ -311,9 +336,7 @@
 
 void txn_on_faulty(struct txn *txn, const struct traf_ep *ep)
 {
-	int64_t now_us = tmr_now();
-
-	if (!txn->target.layered || !txn->attempt || now_us - txn->last_activity_us < TXN_ACTIVE_US)
+	if (!txn->target.layered || !txn->attempt || txn_is_active(txn, tmr_now()))
 		return;
 	if (txn_stage_index(txn, ep) >= 0)
 		txn_repair_pipeline(txn);
@@ -321,7 +344,7 @@
 
 struct traf_ep *txn_silent_first_stage(const struct txn *txn, const struct traf_ep *ep)
 {
-	if (!txn->target.layered || !txn->attempt ||
+	if (!txn->target.layered || !txn->attempt || txn_is_held(txn) ||
 	    tmr_now() - txn->last_activity_us < TXN_QUIET_US)
 		return NULL;
 	return txn_stage_index(txn, ep) > 0 ? txn->target.stages[0].ep : NULL;
@@ -337,7 +360,7 @@
 void txn_on_unresponsive(struct txn *txn, struct traf_ep *ep)
 {
 	if (!txn->target.layered || !txn->attempt || txn->order ||
-	    txn->repairs >= TXN_REPAIRS_MAX || tmr_now() - txn->last_activity_us < TXN_ACTIVE_US)
+	    txn->repairs >= TXN_REPAIRS_MAX || txn_is_active(txn, tmr_now()))
 		return;
 	if (txn_stage_index(txn, ep) < 1)
 		return;
@@ -351,7 +374,7 @@
 {
 	int stage;
 
-	if (!txn->target.layered || !txn->attempt || !txn->fwd.begun ||
+	if (!txn->target.layered || !txn->attempt || !txn->fwd.begun || txn_is_held(txn) ||
 	    txn->repairs >= TXN_REPAIRS_MAX)
 		return;
 	stage = txn_stage_index(txn, ep);
