hd: the kernel takes no more than 128 KB of a response ahead of what it sends

Callers saw: an answer broken off by the idle timeout, though they read 64 KB every 0.25 s (idle timeout of 2 s). Cause: the socket buffer of a slow client grows to 4 MB, and the kernel asks for more only when a third of it was read, so that the library saw no progress for seconds. Change: TCP_NOTSENT_LOWAT on the connections of the HTTP server.

--- a/base/hd.c
+++ b/base/hd.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,8 +19,14 @@
 					 holds a few tokens */
 	HD_CONNECTION_MEMORY = 32768, /* bytes for each connection: the longest request line with
 					 headers, 16 KiB, and the library's buffers */
-	HD_IDLE_S = 0,		      /* idle timeout in seconds until hd_set_limits(); 0: none */
-	HD_CONNECTIONS_MAX = 16384    /* connections open at once */
+	/*
+	 * Bytes that the kernel takes of a response before those are sent. It would take up to
+	 * 4 MB, and ask for more only when a third of them was read: the idle timeout would end
+	 * connections of clients that read slowly but steadily.
+	 */
+	HD_NOT_SENT_MAX = 128 << 10,
+	HD_IDLE_S = 0,		   /* idle timeout in seconds until hd_set_limits(); 0: none */
+	HD_CONNECTIONS_MAX = 16384 /* connections open at once */
 };
 
 struct hd {
@@ -105,6 +112,21 @@
 	return hd->config.may_accept(hd->config.ctx) ? MHD_YES : MHD_NO;
 }
 
+static void hd_on_connected(void *ctx, struct MHD_Connection *conn, void **state,
+			    enum MHD_ConnectionNotificationCode code)
+{
+	const union MHD_ConnectionInfo *info;
+	const int max = HD_NOT_SENT_MAX;
+
+	(void)ctx;
+	(void)state;
+	if (code != MHD_CONNECTION_NOTIFY_STARTED)
+		return;
+	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (info)
+		setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max, sizeof(max));
+}
+
 struct hd *hd_start(const struct hd_config *config)
 {
 	struct hd *hd = g_new0(struct hd, 1);
@@ -128,11 +150,11 @@
 	hd->daemon = MHD_start_daemon(
 		flags, 0, config->may_accept ? hd_on_connection : NULL, hd, hd_on_request, hd,
 		MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd, MHD_OPTION_URI_LOG_CALLBACK,
-		hd_on_target, hd, MHD_OPTION_THREAD_POOL_SIZE,
-		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)HD_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)HD_CONNECTION_MEMORY, fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END,
-		fd, MHD_OPTION_END);
+		hd_on_target, hd, MHD_OPTION_NOTIFY_CONNECTION, hd_on_connected, hd,
+		MHD_OPTION_THREAD_POOL_SIZE, config->threads > 1 ? config->threads : 0U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HD_CONNECTION_MEMORY,
+		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
 	if (!hd->daemon) {
 		if (fd >= 0)
 			close(fd);
