An answer that is passed on as it arrives is sent with its endpoint's length

Callers saw: large plain answers in chunks, whatever the endpoint sent, so that only the last chunk told a whole one. Change: hd_set_length(); a passed-on answer gets the Content-Length of its endpoint, and one that turns out shorter is aborted, which any client sees. Answers without a length, or with a transfer coding, stay chunked. A client that has its whole response by its length and closes no longer counts as one that left before the end.

--- a/base/hd.c
+++ b/base/hd.c
@@ -60,6 +60,7 @@
 	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
 			     * on */
 	size_t pending_at;  /* bytes of pending that the library has read */
+	uint64_t length;    /* Content-Length of a response in parts; HD_LENGTH_UNKNOWN: none */
 	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
 	size_t low;	    /* unsent bytes at which on_drained() is called */
 	bool watched;	    /* on_drained() is to be called */
@@ -210,6 +211,7 @@
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->length = HD_LENGTH_UNKNOWN;
 	call->expected = HD_LENGTH_UNKNOWN;
 	call->refs = 1;
 	pthread_mutex_init(&call->lock, NULL);
@@ -477,6 +479,8 @@
 	return n;
 }
 
+G_STATIC_ASSERT(HD_LENGTH_UNKNOWN == MHD_SIZE_UNKNOWN);
+
 /* Passes the response to the library. Called with the lock held, in the library's thread. */
 static enum MHD_Result hd_queue_response(struct hd_call *call)
 {
@@ -486,7 +490,7 @@
 	if (call->aborted && call->pending->len == 0)
 		return MHD_NO;
 	if (call->streaming)
-		resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, HD_BLOCK_LEN, hd_on_read,
+		resp = MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
 							 call, NULL);
 	else
 		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
@@ -540,6 +544,13 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+void hd_set_length(struct hd_call *call, uint64_t len)
+{
+	pthread_mutex_lock(&call->lock);
+	call->length = len;
+	pthread_mutex_unlock(&call->lock);
+}
+
 void hd_reply_begin(struct hd_call *call, int status, const char *type)
 {
 	pthread_mutex_lock(&call->lock);
@@ -621,15 +632,19 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+/* Returns whether the response body has the length that was stated, or none was. */
+static bool hd_has_length(const struct hd_call *call, uint64_t stated)
+{
+	return stated == HD_LENGTH_UNKNOWN || stated == call->sent + hd_pending(call);
+}
+
 int hd_reply_end(struct hd_call *call)
 {
-	uint64_t written;
 	int err = 0;
 
 	pthread_mutex_lock(&call->lock);
-	written = call->sent + hd_pending(call);
 	if (call->incomplete || call->aborted || (call->closed && call->end != HD_END_WHOLE) ||
-	    (call->expected != HD_LENGTH_UNKNOWN && call->expected != written)) {
+	    !hd_has_length(call, call->length) || !hd_has_length(call, call->expected)) {
 		call->aborted = true;
 		err = BASE_ECLOSED;
 	} else {
--- a/base/hd.h
+++ b/base/hd.h
@@ -159,6 +159,13 @@
  */
 void hd_reply(struct hd_call *call, int status, const char *type, const char *body, size_t len);
 
+/*
+ * States the length of a response in parts, which is sent as its Content-Length, so that any client
+ * sees whether it is whole; without it, the response is chunked. Only allowed before
+ * hd_reply_begin().
+ */
+void hd_set_length(struct hd_call *call, uint64_t len);
+
 /*
  * Starts a response in parts: hd_reply_begin(), then any number of hd_reply_write(), then
  * hd_reply_end(). type is the Content-Type; it is copied and may be NULL.
@@ -198,8 +205,9 @@
 void hd_expect_length(struct hd_call *call, uint64_t len);
 
 /*
- * Ends a response in parts. It is aborted instead if hd_reply_write() has failed, as its client
- * would take it for whole. Returns 0, or BASE_ECLOSED if the response was or is aborted.
+ * Ends a response in parts. It is aborted instead if hd_reply_write() has failed, or if it has not
+ * the length of hd_set_length(), as its client would take it for whole. Returns 0, or BASE_ECLOSED
+ * if the response was or is aborted.
  */
 int hd_reply_end(struct hd_call *call);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -231,6 +231,53 @@
 	EXPECT_EQ(outcome.sent, 4U);
 }
 
+/* Guards against a response whose length its client is not told, so that a short one looks whole.
+ */
+TEST_F(HdTest, ResponseInPartsWithALengthIsNotChunked)
+{
+	const struct {
+		const char *name;
+		uint64_t length;
+		int err;
+		hd_end end;
+	} cases[] = {
+		{"whole", 7, 0, HD_END_WHOLE},
+		{"short", 8, BASE_ECLOSED, HD_END_ABORTED},
+	};
+	for (const auto &c : cases) {
+		if (c.end != HD_END_WHOLE) {
+			TearDown();
+			call_ = nullptr;
+			ended_ = false;
+			SetUp();
+		}
+		hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+		hd_set_length(call, c.length);
+		hd_reply_begin(call, 200, "text/plain");
+		EXPECT_EQ(hd_reply_write(call, "one two", 7), 0);
+		EXPECT_EQ(hd_reply_end(call), c.err) << c.name;
+		hd_unref(call);
+		std::string answer = ReadAll();
+		EXPECT_NE(answer.find("Content-Length: " + std::to_string(c.length) + "\r\n"),
+			  std::string::npos);
+		EXPECT_EQ(answer.substr(answer.find("\r\n\r\n") + 4), "one two");
+		EXPECT_EQ(WaitForEnd().end, c.end) << c.name;
+	}
+}
+
+/* Guards against a request that counts as left by its client, which has the whole response. */
+TEST_F(HdTest, ClientWithAWholeResponseHasNotLeft)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_set_length(call, 3);
+	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, "one", 3), 0);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+	EXPECT_FALSE(hd_client_closed(call));
+	EXPECT_EQ(hd_reply_end(call), 0);
+	hd_unref(call);
+}
+
 /* Guards against a server without a limit that drops parts, and against one that is quadratic. */
 TEST_F(HdUnlimitedTest, LargeResponseToASlowReaderArrivesWhole)
 {
--- a/router/txn.c
+++ b/router/txn.c
@@ -409,12 +409,39 @@
 	jl_end();
 }
 
+/* Returns the value of the header, or NULL. */
+static const char *txn_find_header(const GPtrArray *headers, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (guint i = 0; i < headers->len; i++) {
+		const char *line = headers->pdata[i];
+
+		if (g_ascii_strncasecmp(line, name, len) == 0 && line[len] == ':')
+			return line + len + 1 + strspn(line + len + 1, " \t");
+	}
+	return NULL;
+}
+
+/* Returns the length of the body that the headers state, or HD_LENGTH_UNKNOWN. */
+static uint64_t txn_stated_length(const GPtrArray *headers)
+{
+	const char *text = txn_find_header(headers, "Content-Length");
+	guint64 len;
+
+	if (!text || txn_find_header(headers, "Transfer-Encoding") ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64, &len, NULL))
+		return HD_LENGTH_UNKNOWN;
+	return len;
+}
+
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
 {
 	struct txn *txn = ctx;
 	bool go_on;
 
 	txn->head_received = true;
+	txn->answer_length = txn_stated_length(headers);
 	txn->head_us = tmr_now();
 	txn->traf->any_data_us = tmr_now();
 	txn_log_gateway(txn);
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -66,6 +66,8 @@
 	txn_fill_limits(txn, &limits);
 	adm_service_on_first_token(traf_admission(txn->traf, txn->service->name), txn->class_rank,
 				   &limits, txn->first_us - txn->sent_us, txn->first_us);
+	if (txn->fwd.passthrough)
+		hd_set_length(txn->call, txn->answer_length);
 	hd_reply_begin(txn->call, txn->status, txn->answer.type);
 }
 
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -61,6 +61,8 @@
 					  * only compared; NULL: none */
 	enum crash_progress broken_progress; /* progress of the attempt when it broke off */
 	int status;			     /* HTTP status sent to the caller; 0: none yet */
+	uint64_t answer_length;		     /* Content-Length of the last attempt's answer;
+					      * HD_LENGTH_UNKNOWN: not stated */
 	int64_t held_us;  /* time since which the caller holds the attempt back, in us; 0: it does
 			   * not */
 	bool held_logged; /* the log says so */
