--- a/router/ends_test.cc
+++ b/router/ends_test.cc
@@ -41,6 +41,12 @@
 	{"a stop of the server",
 	 {HD_END_SHUTDOWN, true, false, 0, 0, 0, HD_LENGTH_UNKNOWN},
 	 ENDS_UNANSWERED},
+	{"a body above the limit",
+	 {HD_END_WHOLE, false, true, 413, 0, 0, HD_LENGTH_UNKNOWN},
+	 ENDS_UNREAD},
+	{"a caller that left within its request",
+	 {HD_END_CLIENT, false, false, 0, 0, 0, HD_LENGTH_UNKNOWN},
+	 ENDS_UNREAD},
 };
 
 /* Guards against ends of requests without an answer that no counter shows. */
