--- a/base/prog.c
+++ b/base/prog.c
@@ -1,4 +1,5 @@
 #include "base/prog.h"
+#include "base/err.h"
 #include "base/log.h"
 
 #include <signal.h>
@@ -19,6 +20,7 @@
 static gchar *prog_config;
 static gchar *prog_log_level;
 static gboolean prog_check;
+static prog_check_fn prog_check_settings; /* NULL: none */
 static gboolean prog_version;
 
 static GOptionEntry prog_options[] = {
@@ -37,7 +39,26 @@
 	exit(PROG_EXIT_USAGE);
 }
 
-static void prog_load_settings(const char *program, const struct settings_item *items, size_t n,
+void prog_set_check(prog_check_fn check)
+{
+	prog_check_settings = check;
+}
+
+int prog_load_settings(const struct settings_item *items, size_t n, void *settings, GString *errors)
+{
+	int err = settings_load(prog_config, items, n, settings, errors);
+	char *wrong = NULL;
+
+	if (err == 0 && prog_check_settings)
+		wrong = prog_check_settings(settings);
+	if (!wrong)
+		return err;
+	g_string_append_printf(errors, "%s: %s\n", prog_config, wrong);
+	g_free(wrong);
+	return BASE_ESETTING;
+}
+
+static void prog_read_settings(const char *program, const struct settings_item *items, size_t n,
 			       void *settings)
 {
 	GString *errors = g_string_new(NULL);
@@ -46,7 +67,7 @@
 		prog_config = g_strdup(g_getenv("BRONZEGAUGE_CONFIG"));
 	if (!prog_config)
 		prog_usage_error(program, "--config FILE is missing");
-	if (settings_load(prog_config, items, n, settings, errors) < 0) {
+	if (prog_load_settings(items, n, settings, errors) < 0) {
 		fputs(errors->str, stderr);
 		exit(PROG_EXIT_USAGE);
 	}
@@ -82,7 +103,7 @@
 	log_open(program, LOG_INFO);
 	if (prog_log_level && !log_set_level(prog_log_level))
 		prog_usage_error(program, "unknown log level");
-	prog_load_settings(program, items, n, settings);
+	prog_read_settings(program, items, n, settings);
 	g_option_context_free(context);
 }
 
--- a/base/prog.h
+++ b/base/prog.h
@@ -25,6 +25,22 @@
 void prog_start(int *argc, char ***argv, const char *summary, const struct settings_item *items,
 		size_t n, void *settings);
 
+/*
+ * Checks settings against each other. Returns what is wrong, with section and key, to be freed with
+ * g_free(); NULL: nothing.
+ */
+typedef char *(*prog_check_fn)(const void *settings);
+
+/* Sets a check of the settings, before prog_start(). */
+void prog_set_check(prog_check_fn check);
+
+/*
+ * Reads the settings file into settings, as prog_start() does, and checks it. Appends one line for
+ * each error to errors. Returns 0, BASE_EFILE or BASE_ESETTING.
+ */
+int prog_load_settings(const struct settings_item *items, size_t n, void *settings,
+		       GString *errors);
+
 /* Returns the path of the settings file. Only valid after prog_start(). */
 const char *prog_config_path(void);
 
--- a/prog/router.c
+++ b/prog/router.c
@@ -222,8 +222,7 @@
 	GString *errors = g_string_new(NULL);
 
 	memset(&fresh, 0, sizeof(fresh));
-	if (settings_load(prog_config_path(), router_setting_items, router_setting_items_n, &fresh,
-			  errors) < 0) {
+	if (prog_load_settings(router_setting_items, router_setting_items_n, &fresh, errors) < 0) {
 		g_strdelimit(errors->str, "\n", ' ');
 		router_log_event("reload_failed", errors->str);
 	} else if (router_apply_settings(&m->router, &fresh, cause) || requested) {
@@ -339,11 +338,24 @@
 	loop_start_timer(&m->loop, &m->stop_timer, 0, router_on_stop_timer, m);
 }
 
+/* A total below one answer would hold each answer at once, although it is alone. */
+static char *router_check_settings(const void *settings)
+{
+	const struct router_settings *s = settings;
+
+	if (s->answers_unsent_mb << 10 >= s->answer_unsent_kb)
+		return NULL;
+	return g_strdup_printf("[answers] unsent_total_mb = '%" G_GINT64_FORMAT
+			       "': less than one answer, unsent_kb = '%" G_GINT64_FORMAT "'",
+			       s->answers_unsent_mb, s->answer_unsent_kb);
+}
+
 int main(int argc, char **argv)
 {
 	struct router_main *m = &router_main;
 	struct router *router = &m->router;
 
+	prog_set_check(router_check_settings);
 	prog_start(&argc, &argv, "Request router of a bronzegauge host on the users' platform.",
 		   router_setting_items, router_setting_items_n, &router->settings);
 	jl_open(router->settings.name);
