--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -972,6 +972,7 @@
 {
 	Start(true, true);
 	Head(200);
+	Data("id: 1\ndata: a\n\n");
 	Actions();
 	fwd_on_caller_stalled(&fwd_);
 	EXPECT_EQ(Actions(), "cancel abort caller_stalled");
--- a/prog/ctl.c
+++ b/prog/ctl.c
@@ -49,7 +49,7 @@
 	 ctl_explain_command, TRUE},
 	{"state", "[WHAT]",
 	 "state of a bgrouterd (--control: its metrics address): hosts, endpoints, faults, "
-	 "ranges, classes, accounts, budgets, quarantine, parts, rests, limits, permits",
+	 "ranges, classes, accounts, budgets, quarantine, parts, rests, limits, permits, answers",
 	 ctl_state_command, FALSE},
 	{"clear", "CONTENT",
 	 "remove a request from quarantine (--control: a bgrouterd's metrics address)",
--- a/prog/ctl_explain.c
+++ b/prog/ctl_explain.c
@@ -35,6 +35,9 @@
 	{"silent", "It may have run: the endpoint sent nothing for too long."},
 	{"deadline", "The caller's deadline or the route's timeout passed."},
 	{"caller_gone", "The caller disconnected before the end."},
+	{"caller_stalled",
+	 "Broken off: the caller read nothing of the answer for the idle time of connections; see "
+	 "its 'held' and 'connection_ended' lines."},
 	{"budget",
 	 "It failed at an endpoint and was not sent again: the retry budget was used up."},
 	{"endpoint_failed", "The endpoint's error response was passed on to the caller."},
--- a/router/state.c
+++ b/router/state.c
@@ -268,6 +268,20 @@
 	return list;
 }
 
+/* Lists the requests whose callers hold their endpoint back. */
+static json_t *state_answers(const struct traf *traf, int64_t now_us)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < traf->reqs->len; i++) {
+		const struct txn *txn = traf->reqs->pdata[i];
+
+		if (txn_held_ms(txn, now_us) > 0)
+			json_array_append_new(list, txn_describe_held(txn, now_us));
+	}
+	return list;
+}
+
 static void state_add_reach(json_t *json, const struct traf *traf)
 {
 	const struct reach *reach = way_reach(traf->way);
@@ -291,6 +305,7 @@
 	state_add_reach(state->json, traf);
 	json_object_set_new(state->json, "endpoints", state_endpoints(traf, now_us));
 	json_object_set_new(state->json, "rests", state_rests(traf, now_us));
+	json_object_set_new(state->json, "answers", state_answers(traf, now_us));
 	json_object_set_new(state->json, "ranges", state_ranges(traf, now_us));
 	json_object_set_new(state->json, "classes", state_classes(traf, now_us));
 	json_object_set_new(state->json, "accounts", state_accounts(traf, now_us));
