--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -380,6 +380,17 @@
 	EXPECT_EQ(call_, nullptr) << "the handler is not called";
 }
 
+/* Guards against a default that no client was told of and that counts as a limit of late. */
+TEST_F(HdTest, FirstLimitReplacesTheDefault)
+{
+	hd_set_limits(hd_, 50, 30);
+	const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+				    "Content-Length: 80\r\n\r\n" +
+				    std::string(80, 'x');
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 413 "), std::string::npos);
+}
+
 /* Guards against ends of connections by the library that nobody is told of. */
 TEST_F(HdTest, EndOfARequestIsReported)
 {
@@ -424,6 +435,24 @@
 	EXPECT_EQ(ReadAll(), "");
 }
 
+/* Guards against requests that are read just before the process ends. */
+TEST_F(HdTest, ConnectionsWithoutARequestAreClosedUnread)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+	hd_close_all_idle(hd_);
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	WaitForEnd();
+	char answer[1000];
+	ASSERT_GT(recv(client_, answer, sizeof(answer), 0), 0) << "an open request is answered";
+	call_ = nullptr;
+	hd_close_all_idle(hd_);
+	const std::string request = "GET /y HTTP/1.1\r\nHost: h\r\n\r\n";
+	send(client_, request.data(), request.size(), MSG_NOSIGNAL);
+	EXPECT_EQ(ReadAll(), "");
+	EXPECT_EQ(call_, nullptr) << "a request after the close is not read";
+}
+
 /* Guards against answers that this process broke off being counted as its caller's doing. */
 TEST_F(HdTest, AbortIsReported)
 {
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -140,6 +140,22 @@
 	/* Cancels the current attempt; fwd_on_done() must not be called for it. */
 	void (*cancel)(void *ctx);
 
+	/*
+	 * Keeps the current attempt, of whose answer the caller has nothing, beside the next one.
+	 * Returns false if it can't be kept. Without this, a request whose endpoint is only silent
+	 * for a moment is lost if the next attempt fails.
+	 */
+	bool (*set_aside)(void *ctx);
+
+	/*
+	 * The current attempt has ended or was cancelled; the one that was set aside takes its
+	 * place.
+	 */
+	void (*take_back)(void *ctx);
+
+	/* Cancels the attempt that was set aside; fwd_on_aside_done() must not be called for it. */
+	void (*cancel_aside)(void *ctx);
+
 	/*
 	 * No endpoint accepts the request at present. It will be sent again later; endpoints that
 	 * rejected it may then be chosen again.
@@ -205,6 +221,12 @@
 	int runs;
 	/* Number of attempts that were abandoned, although they might have gone on. */
 	int abandoned;
+	/* Whether a silent attempt is kept beside the current one; it counts as a run. */
+	bool has_aside;
+	/* State of that attempt, and what has arrived of its answer. */
+	enum fwd_state aside_state;
+	struct fwd_head aside_head;
+	GString *aside_body;
 	/* Whether the caller has received the head of an answer. */
 	bool begun;
 	/* Whether the current answer is a stream of events. */
@@ -264,11 +286,25 @@
 void fwd_hold(struct fwd *fwd, bool on, int64_t now_us);
 
 /*
- * Abandons the current attempt and sends the request again, if possible; else, or if the attempt is
- * held back, does nothing.
+ * Sends the request again, if possible, in place of the current attempt; else, or if the attempt is
+ * held back, does nothing. If the caller has nothing of the answer yet, the attempt may be set
+ * aside until the next one brings a successful head.
  */
 void fwd_abandon_attempt(struct fwd *fwd, int64_t now_us);
 
+/*
+ * More of the answer to the attempt that was set aside arrives, or its regular end: that attempt
+ * becomes the current one, and the other one is cancelled. The function for what arrived must be
+ * called next.
+ */
+void fwd_on_aside_progress(struct fwd *fwd);
+
+/*
+ * The attempt that was set aside ended without a complete answer. sent states that the endpoint may
+ * have received the request.
+ */
+void fwd_on_aside_done(struct fwd *fwd, bool sent);
+
 /*
  * Ends the request because it was put in quarantine. An attempt that is still queued would crash
  * its endpoint once it starts, so it is cancelled. The answer states whether the request may have
