--- a/base/hd.c
+++ b/base/hd.c
@@ -10,6 +10,7 @@
 #include <errno.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -20,7 +21,13 @@
 					 holds a few tokens */
 	HD_CONNECTION_MEMORY = 32768, /* bytes for each connection: the longest request line with
 					 headers, 16 KiB, and the library's buffers */
-	HD_CONNECTIONS_MAX = 16384    /* connections open at once */
+	/*
+	 * Bytes that the kernel takes of a response before those are sent. It would take up to
+	 * 4 MB, and ask for more only when a third of them was read: the idle timeout would end
+	 * connections of clients that read slowly but steadily.
+	 */
+	HD_NOT_SENT_MAX = 128 << 10,
+	HD_CONNECTIONS_MAX = 16384 /* connections open at once */
 };
 
 struct hd {
@@ -57,6 +64,7 @@
 	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
 			     * on */
 	size_t pending_at;  /* bytes of pending that the library has read */
+	uint64_t length;    /* Content-Length of a response in parts; HD_LENGTH_UNKNOWN: none */
 	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
 	size_t low;	    /* unsent bytes at which on_drained() is called */
 	bool watched;	    /* on_drained() is to be called */
@@ -125,6 +133,13 @@
 	return info ? info->connect_fd : -1;
 }
 
+static void hd_limit_not_sent(int fd)
+{
+	const int max = HD_NOT_SENT_MAX;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max, sizeof(max));
+}
+
 static void hd_on_notify(void *ctx, struct MHD_Connection *conn, void **state,
 			 enum MHD_ConnectionNotificationCode code)
 {
@@ -132,6 +147,7 @@
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		*state = conn_new(&hd->conns, hd_fd(conn));
+		hd_limit_not_sent(hd_fd(conn));
 	} else if (*state) {
 		conn_free(*state);
 		*state = NULL;
@@ -228,6 +244,7 @@
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->length = HD_LENGTH_UNKNOWN;
 	call->expected = HD_LENGTH_UNKNOWN;
 	call->refs = 1;
 	pthread_mutex_init(&call->lock, NULL);
@@ -536,6 +553,8 @@
 	return n;
 }
 
+G_STATIC_ASSERT(HD_LENGTH_UNKNOWN == MHD_SIZE_UNKNOWN);
+
 /* Passes the response to the library. Called with the lock held, in the library's thread. */
 static enum MHD_Result hd_queue_response(struct hd_call *call)
 {
@@ -545,7 +564,7 @@
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
 	if (call->streaming)
-		resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, HD_BLOCK_LEN, hd_on_read,
+		resp = MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
 							 call, NULL);
 	else
 		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
@@ -599,6 +618,13 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+void hd_set_length(struct hd_call *call, uint64_t len)
+{
+	pthread_mutex_lock(&call->lock);
+	call->length = len;
+	pthread_mutex_unlock(&call->lock);
+}
+
 void hd_reply_begin(struct hd_call *call, int status, const char *type)
 {
 	pthread_mutex_lock(&call->lock);
@@ -680,15 +706,19 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+/* Returns whether the response body has the length that was stated, or none was. */
+static bool hd_has_length(const struct hd_call *call, uint64_t stated)
+{
+	return stated == HD_LENGTH_UNKNOWN || stated == call->sent + hd_pending(call);
+}
+
 int hd_reply_end(struct hd_call *call)
 {
-	uint64_t written;
 	int err = 0;
 
 	pthread_mutex_lock(&call->lock);
-	written = call->sent + hd_pending(call);
 	if (call->incomplete || call->aborted || (call->closed && call->end != HD_END_WHOLE) ||
-	    (call->expected != HD_LENGTH_UNKNOWN && call->expected != written)) {
+	    !hd_has_length(call, call->length) || !hd_has_length(call, call->expected)) {
 		call->aborted = true;
 		err = BASE_ECLOSED;
 	} else {
--- a/base/prog.c
+++ b/base/prog.c
@@ -1,6 +1,8 @@
 #include "base/prog.h"
+#include "base/err.h"
 #include "base/log.h"
 
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,6 +21,7 @@
 static gchar *prog_config;
 static gchar *prog_log_level;
 static gboolean prog_check;
+static prog_check_fn prog_check_settings; /* NULL: none */
 static gboolean prog_version;
 
 static GOptionEntry prog_options[] = {
@@ -37,7 +40,26 @@
 	exit(PROG_EXIT_USAGE);
 }
 
-static void prog_load_settings(const char *program, const struct settings_item *items, size_t n,
+void prog_set_check(prog_check_fn check)
+{
+	prog_check_settings = check;
+}
+
+int prog_load_settings(const struct settings_item *items, size_t n, void *settings, GString *errors)
+{
+	int err = settings_load(prog_config, items, n, settings, errors);
+	char *wrong = NULL;
+
+	if (err == 0 && prog_check_settings)
+		wrong = prog_check_settings(settings);
+	if (!wrong)
+		return err;
+	g_string_append_printf(errors, "%s: %s\n", prog_config, wrong);
+	g_free(wrong);
+	return BASE_ESETTING;
+}
+
+static void prog_read_settings(const char *program, const struct settings_item *items, size_t n,
 			       void *settings)
 {
 	GString *errors = g_string_new(NULL);
@@ -46,7 +68,7 @@
 		prog_config = g_strdup(g_getenv("BRONZEGAUGE_CONFIG"));
 	if (!prog_config)
 		prog_usage_error(program, "--config FILE is missing");
-	if (settings_load(prog_config, items, n, settings, errors) < 0) {
+	if (prog_load_settings(items, n, settings, errors) < 0) {
 		fputs(errors->str, stderr);
 		exit(PROG_EXIT_USAGE);
 	}
@@ -82,7 +104,7 @@
 	log_open(program, LOG_INFO);
 	if (prog_log_level && !log_set_level(prog_log_level))
 		prog_usage_error(program, "unknown log level");
-	prog_load_settings(program, items, n, settings);
+	prog_read_settings(program, items, n, settings);
 	g_option_context_free(context);
 }
 
@@ -96,18 +118,27 @@
 		watch->fn(watch->ctx);
 }
 
+/* Ends a program that can't start: without its signals it could not be stopped. */
+static void prog_fail(const char *why)
+{
+	log_msg(LOG_ERR, "start_failed why=%s errno=%d", why, errno);
+	exit(PROG_EXIT_FAILED);
+}
+
 static void prog_watch_signals(struct loop *loop, const sigset_t *set, void (*fn)(void *ctx),
 			       void *ctx)
 {
 	struct prog_signal *watch = g_new0(struct prog_signal, 1);
 
-	pthread_sigmask(SIG_BLOCK, set, NULL);
+	if (pthread_sigmask(SIG_BLOCK, set, NULL) != 0)
+		prog_fail("signals not blocked");
 	watch->lfd.fd = signalfd(-1, set, SFD_NONBLOCK | SFD_CLOEXEC);
 	watch->lfd.fn = prog_on_signal;
 	watch->lfd.ctx = watch;
 	watch->fn = fn;
 	watch->ctx = ctx;
-	loop_fd_add(loop, &watch->lfd, EPOLLIN);
+	if (loop_fd_add(loop, &watch->lfd, EPOLLIN) < 0)
+		prog_fail("signals not watched");
 }
 
 void prog_on_stop(struct loop *loop, void (*fn)(void *ctx), void *ctx)
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -1113,7 +1113,7 @@
 	Data("id: 1\n\n");
 	Actions();
 	fwd_on_caller_stalled(&fwd_);
-	EXPECT_EQ(Actions(), "cancel refuse502? caller_stalled");
+	EXPECT_EQ(Actions(), "cancel abort caller_stalled");
 	fwd_on_caller_stalled(&fwd_);
 	EXPECT_EQ(Actions(), "");
 }
