--- a/base/hd.h
+++ b/base/hd.h
@@ -99,8 +99,8 @@
 /*
  * Sets the largest request body in bytes and the idle timeout of connections in seconds; 0: none. A
  * client may go by an older limit, so the largest one of late counts. The first call replaces
- * hd_config.body_max. Within a request the timeout of its begin holds; between two requests it takes
- * hd_close_idle(). Any thread may call this.
+ * hd_config.body_max. Within a request the timeout of its begin holds; between two requests it
+ * takes hd_close_idle(). Any thread may call this.
  */
 void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s);
 
