--- a/base/frm_test.cc
+++ b/base/frm_test.cc
@@ -22,7 +22,7 @@
       protected:
 	FrmTest()
 	{
-		loop_init(&loop_);
+		EXPECT_EQ(loop_init(&loop_), 0);
 		EXPECT_EQ(frm_listen(&server_, &loop_, "127.0.0.1:0", &ops_, &limits_, this), 0);
 		sockaddr_in sin{};
 		socklen_t len = sizeof(sin);
@@ -69,8 +69,9 @@
 	{
 		FrmTest *test = (FrmTest *)ctx;
 
-		if (conn == test->client_)
-			test->client_ = nullptr;
+		if (conn != test->client_)
+			return;
+		test->client_ = nullptr;
 		test->closed_ = err;
 	}
 	const frm_ops ops_ = {OnMsg, OnClose};
@@ -81,7 +82,7 @@
 	frm_conn *client_ = nullptr;
 	int received_ = 0;
 	size_t received_len_ = 0;
-	int closed_ = 0;
+	int closed_ = 0; /* error with which the client's connection ended */
 	tmr poll_{};
 	std::function<bool()> done_;
 };
@@ -113,4 +114,39 @@
 	RunUntil([this] { return received_ > 0; });
 }
 
+/* A message that no peer accepts was sent for ever: each peer closed the connection, and it was
+ * sent on the next. */
+TEST_F(FrmTest, MessageThatIsTooLongEndsItsConnectionHere)
+{
+	const met_ctr *dropped = met_counter("bg_frames_dropped_total", "");
+	const met_ctr *refused = met_counter("bg_frames_refused_total", "");
+	const uint64_t before = met_get(dropped);
+	const uint64_t refused_before = met_get(refused);
+	std::string text(FRM_BODY_MAX + 1, 'x');
+	Tunnel__Open msg = TUNNEL__OPEN__INIT;
+
+	msg.addr = &text[0];
+	Connect();
+	frm_send(client_, KIND, &msg.base);
+	RunUntil([this] { return client_ == nullptr; });
+	EXPECT_EQ(closed_, BASE_EFRAME);
+	EXPECT_EQ(met_get(dropped) - before, 1u);
+	EXPECT_EQ(met_get(refused), refused_before);
+	EXPECT_EQ(received_, 0);
+}
+
+/* A message for a connection that has just ended vanished without a trace. */
+TEST_F(FrmTest, MessageAfterTheEndOfAConnectionIsCounted)
+{
+	const met_ctr *dropped = met_counter("bg_frames_dropped_total", "");
+	const uint64_t before = met_get(dropped);
+	const Tunnel__Attach msg = TUNNEL__ATTACH__INIT;
+
+	Connect();
+	frm_close(client_);
+	frm_send(client_, KIND, &msg.base);
+	client_ = nullptr;
+	EXPECT_EQ(met_get(dropped) - before, 1u);
+}
+
 } // namespace
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -67,6 +67,7 @@
 	fwd->ops = ops;
 	fwd->ctx = ctx;
 	fwd->body = g_string_new(NULL);
+	fwd->aside_body = g_string_new(NULL);
 	sse_init(&fwd->sse);
 }
 
@@ -74,10 +75,20 @@
 {
 	sse_finish(&fwd->sse);
 	g_string_free(fwd->body, TRUE);
+	g_string_free(fwd->aside_body, TRUE);
+}
+
+static void fwd_cancel_aside(struct fwd *fwd)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->has_aside = false;
+	fwd->ops->cancel_aside(fwd->ctx);
 }
 
 static void fwd_end(struct fwd *fwd, enum fwd_cause cause)
 {
+	fwd_cancel_aside(fwd);
 	fwd->state = FWD_ENDED;
 	fwd->ops->ended(fwd->ctx, cause);
 }
@@ -113,24 +124,76 @@
 	fwd_send(fwd, now_us);
 }
 
-static void fwd_send(struct fwd *fwd, int64_t now_us)
+/* Returns whether the answer may be passed to the caller. */
+static bool fwd_is_deliverable(const struct fwd_head *head)
 {
-	int err;
+	return head->id_matches && !head->encoded && head->sealed;
+}
+
+/* Returns whether the current answer is a successful one that may be passed to the caller. */
+static bool fwd_has_success(const struct fwd *fwd)
+{
+	return fwd->head.status / 100 == 2 && fwd_is_deliverable(&fwd->head);
+}
+
+static bool fwd_has_event_stream(const struct fwd *fwd)
+{
+	return fwd->rules.streaming && fwd_has_success(fwd);
+}
 
+/* Prepares for the answer of another attempt. */
+static void fwd_reset_answer(struct fwd *fwd)
+{
 	fwd->state = FWD_SENT;
 	fwd->is_event_stream = false;
 	fwd->passthrough = false;
-	fwd->last_received_us = now_us;
 	memset(&fwd->head, 0, sizeof(fwd->head));
 	g_string_truncate(fwd->body, 0);
 	sse_discard_pending(&fwd->sse);
+}
+
+static void fwd_swap_bodies(struct fwd *fwd)
+{
+	GString *body = fwd->body;
+
+	fwd->body = fwd->aside_body;
+	fwd->aside_body = body;
+}
+
+/* The attempt that was set aside, which was counted as a run, is the current one again. */
+static void fwd_take_back(struct fwd *fwd)
+{
+	fwd->has_aside = false;
+	fwd->runs--;
+	fwd_reset_answer(fwd);
+	fwd_swap_bodies(fwd);
+	fwd->state = fwd->aside_state;
+	fwd->head = fwd->aside_head;
+	fwd->is_event_stream = fwd_has_event_stream(fwd);
+	fwd->ops->take_back(fwd->ctx);
+}
+
+static void fwd_wait_for_aside(struct fwd *fwd, int64_t now_us)
+{
+	fwd_take_back(fwd);
+	fwd_restart_silence(fwd, now_us);
+}
+
+static void fwd_send(struct fwd *fwd, int64_t now_us)
+{
+	int err;
+
+	fwd->last_received_us = now_us;
+	fwd_reset_answer(fwd);
 	err = fwd->ops->send(fwd->ctx, fwd->sends, fwd->parts > 0 ? fwd->sse.last_id : NULL);
 	if (err == FWD_EQUARANTINED) {
 		fwd_end_with_cause(fwd, FWD_CRASHES);
 		return;
 	}
 	if (err < 0) {
-		if (fwd->sends == 0)
+		if (fwd->has_aside)
+			fwd_wait_for_aside(fwd, now_us);
+		else if (fwd->sends == 0)
 			fwd_on_no_endpoint(fwd, err, now_us);
 		else
 			fwd_wait_or_end(fwd, now_us);
@@ -282,6 +345,10 @@
 {
 	if (ran)
 		fwd->runs++;
+	if (fwd->has_aside) {
+		fwd_wait_for_aside(fwd, now_us);
+		return;
+	}
 	if (!fwd_may_send_again(fwd, fwd->runs, now_us)) {
 		fwd_wait_or_end(fwd, now_us);
 		return;
@@ -289,12 +356,6 @@
 	fwd_send_again(fwd, now_us);
 }
 
-/* Returns whether the answer may be passed to the caller. */
-static bool fwd_is_deliverable(const struct fwd_head *head)
-{
-	return head->id_matches && !head->encoded && head->sealed;
-}
-
 bool fwd_on_head(struct fwd *fwd, const struct fwd_head *head, int64_t now_us)
 {
 	fwd->head = *head;
@@ -304,8 +365,9 @@
 		fwd_attempt_failed(fwd, true, now_us);
 		return false;
 	}
-	if (fwd->rules.streaming && head->status / 100 == 2 && fwd_is_deliverable(head))
-		fwd->is_event_stream = true;
+	if (fwd_has_success(fwd))
+		fwd_cancel_aside(fwd);
+	fwd->is_event_stream = fwd_has_event_stream(fwd);
 	fwd->state = FWD_ANSWERING;
 	fwd_set_timer(fwd);
 	return true;
@@ -378,7 +440,7 @@
 	bool may_rerun = fwd->head.status >= 500 && fwd->rules.may_repeat;
 
 	fwd->failure = FWD_FAILED;
-	if (fwd->begun && !fwd->passthrough) {
+	if ((fwd->begun && !fwd->passthrough) || (may_rerun && fwd->has_aside)) {
 		fwd_attempt_failed(fwd, true, now_us);
 		return;
 	}
@@ -466,6 +528,25 @@
 	return fwd_may_send_again(fwd, fwd->runs + 1, now_us);
 }
 
+/*
+ * Keeps the current attempt beside the next one, unless the caller or the parser of events has a
+ * part of its answer; else cancels it. At most two attempts are under way.
+ */
+static void fwd_set_aside_or_cancel(struct fwd *fwd)
+{
+	bool may_keep = !fwd->begun && sse_pending_bytes(&fwd->sse) == 0;
+
+	fwd_cancel_aside(fwd);
+	fwd->has_aside = may_keep && fwd->ops->set_aside(fwd->ctx);
+	if (!fwd->has_aside) {
+		fwd->ops->cancel(fwd->ctx);
+		return;
+	}
+	fwd->aside_state = fwd->state;
+	fwd->aside_head = fwd->head;
+	fwd_swap_bodies(fwd);
+}
+
 /*
  * The retry budget is charged before the attempt is cancelled. In the opposite order, a stream that
  * is only slow would be aborted when the budget is exhausted.
@@ -479,12 +560,30 @@
 		return;
 	}
 	fwd->failure = FWD_SILENT;
-	fwd->ops->cancel(fwd->ctx);
+	fwd_set_aside_or_cancel(fwd);
 	fwd->abandoned++;
 	fwd->runs++;
 	fwd_send(fwd, now_us);
 }
 
+void fwd_on_aside_progress(struct fwd *fwd)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->ops->cancel(fwd->ctx);
+	fwd->runs++;
+	fwd_take_back(fwd);
+}
+
+void fwd_on_aside_done(struct fwd *fwd, bool sent)
+{
+	if (!fwd->has_aside)
+		return;
+	fwd->has_aside = false;
+	if (!sent)
+		fwd->runs--;
+}
+
 /* Cancels the current attempt, which may have run, and ends the request. */
 static void fwd_cancel_and_end(struct fwd *fwd, enum fwd_cause cause)
 {
