--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -1,10 +1,15 @@
 """Test cases for requests and answers of odd bytes: python3 regress/soak/cases_odd.py NAME. Each docstring names the
 failure that the case guards against."""
+import socket
+import struct
 import sys
 
 from cases import expect, run
-from cases_lost import WHOLE, Connection, ask_once, request_bytes
-from stack import Failure, check_stream
+from cases_lost import WHOLE, Connection, request_bytes
+from stack import Failure, eventually
+
+# Kinds of frames, as in msg/kind.h.
+FEED_ASK, LIMIT_ASK, TUNNEL_OPEN, TUNNEL_ATTACH = 18, 23, 26, 28
 
 
 def ask(stack, host, path, request_id, **headers):
@@ -32,6 +37,32 @@
         raise Failure("%d of 20 streams failed afterwards: %r" % (len(failed), failed[:3]))
 
 
+def frame(kind, body=b""):
+    """The bytes of a frame between hosts."""
+    return struct.pack(">IH", len(body), kind) + body
+
+
+def case_tunnel_after_feed(stack):
+    """Guards against a host that ends, with all that it has under way, since a peer asks for a tunnel on a connection by
+    which it followed the host's feed."""
+    stack.up()
+    for kind in [TUNNEL_OPEN, TUNNEL_ATTACH] * 20:
+        sock = socket.create_connection(("127.0.0.1", stack.port("host-0", "control")), timeout=5)
+        sock.sendall(frame(FEED_ASK) + frame(LIMIT_ASK) + frame(kind))
+        try:
+            while sock.recv(65536):
+                pass
+        except OSError:
+            pass
+        sock.close()
+    for _ in range(3):
+        version = stack.put_config()
+        for host in stack.hosts:
+            eventually(host + " has the version or has ended", lambda h=host, v=version: stack.procs[h].poll() is not None
+                       or stack.state(h)["configuration"] == v, 10)
+            expect("exit status of " + host, stack.procs[host].poll(), None)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
