feed: a connection that is handed over to a tunnel is forgotten as a follower

Operators saw (real processes, odd frames): a host that ended by SIGABRT, or took no further version, after a peer had asked for a tunnel on a connection by which it followed the feed; all its requests ended without an answer. Cause: frm_detach() frees the connection without on_close(), so the follower and the limits' home kept it, and the next update, suspicion or quarantine was sent on freed memory. Hosts send Open on connections of their own, so only a peer of another make or a faulty one can cause this. Change: what is kept of the connection is forgotten before it is handed over, by the function that on_close() uses.

--- a/router/feed.c
+++ b/router/feed.c
@@ -211,6 +211,27 @@
 	return false;
 }
 
+/* Forgets what is kept of a connection that ends or is handed over. */
+static void feed_forget(struct feed *feed, struct frm_conn *conn)
+{
+	struct feed_follower *follower = frm_user_data(conn);
+
+	limit_home_on_close(limits_get_home(feed->ctrl->limits), conn);
+	if (follower)
+		g_ptr_array_remove_fast(feed->followers, follower);
+	frm_set_user_data(conn, NULL);
+}
+
+/*
+ * Takes the socket of a connection, as frm_detach() does. A peer may have followed the feed or
+ * asked for limits on the same connection, which is freed now.
+ */
+static int feed_detach(struct feed *feed, struct frm_conn *conn, GByteArray *rest)
+{
+	feed_forget(feed, conn);
+	return frm_detach(conn, rest);
+}
+
 /*
  * Hands a request for a tunnel over to the traffic thread. Only listed endpoints are connected to:
  * this host is no way to anything else.
@@ -231,7 +252,7 @@
 	else if (!feed_is_listed(ctrl, open->addr))
 		refusal = TUNNEL__RESULT__UNKNOWN;
 	rest = g_byte_array_new();
-	fd = frm_detach(conn, rest);
+	fd = feed_detach(feed, conn, rest);
 	g_byte_array_unref(rest);
 	if (fd >= 0)
 		gateway_post_open(traf_gateway(ctrl->router->traf), fd, open, refusal);
@@ -251,7 +272,7 @@
 		g_byte_array_unref(rest);
 		return BASE_EFRAME;
 	}
-	fd = frm_detach(conn, rest);
+	fd = feed_detach(feed, conn, rest);
 	if (fd >= 0)
 		gateway_post_attach(traf_gateway(feed->ctrl->router->traf), fd, attach->token,
 				    rest);
@@ -289,13 +310,8 @@
 
 static void feed_on_close(void *ctx, struct frm_conn *conn, int err)
 {
-	struct feed *feed = ctx;
-	struct feed_follower *follower = frm_user_data(conn);
-
 	(void)err;
-	limit_home_on_close(limits_get_home(feed->ctrl->limits), conn);
-	if (follower)
-		g_ptr_array_remove_fast(feed->followers, follower);
+	feed_forget(ctx, conn);
 }
 
 static void feed_add_endpoints(struct feed *feed, struct feed_follower *follower, Feed__Update *msg)
