Failing tests: long heads of answers, long ids in the log, HEAD requests

Evidence, each run: an answer with a head of 40 kB or 100 kB is read whole by the host and its caller gets no byte (plain and once-only routes; 20 kB pass); lines on a request whose id has 12,000 bytes end in the middle of a field, so they are no JSON and bgctl skips them; HEAD to a plain service gets 504 after the whole deadline of 3 s, though the endpoint answered at once.

--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -349,6 +349,18 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a client that gets no byte since the head of its answer is long. */
+TEST_F(HdTest, DISABLED_AnswerWithTooLongAHeadIsReplaced)
+{
+	const std::string answer_filler(40000, 'y');
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_set_header(call, "X-Filler", answer_filler.c_str());
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find("HTTP/1.1 "), std::string::npos);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+}
+
 /* Guards against a head above the limit whose client gets no answer since it has sent more. */
 TEST_F(HdTest, HeadAboveLimitGets431)
 {
--- a/base/jl_test.cc
+++ b/base/jl_test.cc
@@ -72,6 +72,47 @@
 	}
 }
 
+/* Guards against lines that are no JSON, and lack the cause, since the id of a request is long. */
+TEST_F(JlTest, DISABLED_FieldsAfterLongValuesAreKept)
+{
+	const std::string plain(12000, 'y'), escaped(12000, '\x80');
+	for (const auto &id : {plain, escaped}) {
+		jl_begin(JL_UNLIMITED, "ended");
+		jl_str("id", id.c_str());
+		jl_str("account", id.c_str());
+		jl_str("cause", "broken");
+		jl_int("status", 502);
+		jl_end();
+		std::string line = Read();
+		json_t *json = json_loads(line.c_str(), 0, nullptr);
+		EXPECT_NE(json, nullptr) << line;
+		EXPECT_STREQ(json_string_value(json_object_get(json, "cause")), "broken");
+		EXPECT_EQ(json_integer_value(json_object_get(json, "status")), 502);
+		json_decref(json);
+	}
+}
+
+/* Guards against lines that are no JSON since they have more fields than fit. */
+TEST_F(JlTest, FieldThatDoesNotFitIsLeftOutWhole)
+{
+	const std::string text(400, 'z');
+	for (int extra = 0; extra < 40; extra++) {
+		jl_begin(JL_UNLIMITED, "event");
+		jl_str("pad", std::string((size_t)extra, 'p').c_str());
+		for (int i = 0; i < 6; i++)
+			jl_str("text", text.c_str());
+		jl_int("number", 123456789);
+		jl_hex("digest", 1);
+		jl_real("real", 1.5);
+		jl_end();
+		std::string line = Read();
+		json_t *json = json_loads(line.c_str(), 0, nullptr);
+		EXPECT_NE(json, nullptr) << line;
+		EXPECT_EQ(line.find('\n'), line.size() - 1);
+		json_decref(json);
+	}
+}
+
 /*
  * Failure: a host stopped serving because no process read its log.
  * Cause: standard output was a pipe that was full, and write() blocked until a process read from
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -63,6 +63,16 @@
             expect("exit status of " + host, stack.procs[host].poll(), None)
 
 
+def case_head_method(stack):
+    """Guards against HEAD requests that wait for a body, which no answer to them has, until their deadline."""
+    stack.up()
+    for path in ("/many/a", "/once/a"):
+        conn = Connection(stack.port("host-0", "front"))
+        conn.send(request_bytes(path, "head", body=b"", close=True).replace(b"POST", b"HEAD", 1))
+        expect("first line", conn.take_line(), b"HTTP/1.1 200 OK")
+        conn.close()
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
