hc: HEAD requests end with the head of their answer

Callers of HEAD got 504 after their whole deadline, though the endpoint had answered at once. Cause: the HTTP client library was given the method as a text only, so it waited for the body of the stated length.

--- a/base/hc.c
+++ b/base/hc.c
@@ -396,7 +396,10 @@
 		curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, hc_on_header);
 		curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	}
-	if (request->body) {
+	/* An answer to HEAD has no body, whatever length it states. */
+	if (strcmp(request->method, "HEAD") == 0) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	} else if (request->body) {
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body);
 	}
