--- a/base/hd.c
+++ b/base/hd.c
@@ -1,13 +1,16 @@
 #include "base/hd.h"
 #include "base/addr.h"
+#include "base/conns.h"
 #include "base/err.h"
 #include "base/met.h"
+#include "base/tmr.h"
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
 #include <errno.h>
 #include <linux/filter.h>
 #include <microhttpd.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,8 +21,13 @@
 					 holds a few tokens */
 	HD_CONNECTION_MEMORY = 32768, /* bytes for each connection: the longest request line with
 					 headers, 16 KiB, and the library's buffers */
-	HD_IDLE_S = 0,		      /* idle timeout in seconds until hd_set_limits(); 0: none */
-	HD_CONNECTIONS_MAX = 16384    /* connections open at once */
+	/*
+	 * Bytes that the kernel takes of a response before those are sent. It would take up to
+	 * 4 MB, and ask for more only when a third of them was read: the idle timeout would end
+	 * connections of clients that read slowly but steadily.
+	 */
+	HD_NOT_SENT_MAX = 128 << 10,
+	HD_CONNECTIONS_MAX = 16384 /* connections open at once */
 };
 
 struct hd {
@@ -27,9 +35,12 @@
 	struct hd_config config;
 	char *too_large;	    /* body of the response with status 413, JSON */
 	unsigned int open_requests; /* requests in progress; atomic */
-	unsigned int idle_s;	    /* idle timeout of a connection in seconds, 0: none; atomic */
 	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
-	uint64_t body_max;	    /* largest request body in bytes; atomic */
+	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
+	struct conns conns;
+	pthread_mutex_t body_lock; /* guards the fields below */
+	struct recent body_max;	   /* largest request body in bytes */
+	bool body_max_set;	   /* hd_set_limits() has been called */
 };
 
 struct hd_call {
@@ -44,11 +55,19 @@
 	bool handler_called;   /* the handler has been called */
 	int port;	       /* local TCP port; 0 if unknown */
 	int fd;		       /* socket of the connection; -1 if unknown */
+	int64_t began_us;      /* time at which the headers had been received */
 	unsigned int refs;     /* references to this struct; atomic */
+	void *owner;	       /* object of the handler, used by its thread only */
 
 	/* lock guards all fields below. */
 	pthread_mutex_t lock;
-	GString *pending;   /* bytes of the response that the library hasn't read yet */
+	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
+			     * on */
+	size_t pending_at;  /* bytes of pending that the library has read */
+	uint64_t length;    /* Content-Length of a response in parts; HD_LENGTH_UNKNOWN: none */
+	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
+	size_t low;	    /* unsent bytes at which on_drained() is called */
+	bool watched;	    /* on_drained() is to be called */
 	GPtrArray *headers; /* response headers: name, value, name, value, ... */
 	char *type;	    /* Content-Type of the response; may be NULL */
 	char *label;	    /* names the request to hd_config.on_end; may be NULL */
@@ -58,8 +77,10 @@
 	bool answered;	    /* the status and the response headers are set */
 	bool queued;	    /* the response was passed to the library */
 	bool ended;	    /* the response body is complete */
-	bool aborted;	    /* hd_abort() was called */
+	bool aborted;	    /* the response ends with a close of the connection */
+	bool incomplete;    /* hd_reply_write() did not take a part of the response */
 	bool closed;	    /* the library has finished the request */
+	enum hd_end end;    /* how the request ended; valid if closed is set */
 	bool client_closed; /* hd_client_closed() found that the client has closed */
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
 };
@@ -96,6 +117,51 @@
 	return hd->config.may_accept(hd->config.ctx) ? MHD_YES : MHD_NO;
 }
 
+static struct conn *hd_conn(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static int hd_fd(struct MHD_Connection *conn)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
+static void hd_limit_not_sent(int fd)
+{
+	const int max = HD_NOT_SENT_MAX;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max, sizeof(max));
+}
+
+static void hd_on_notify(void *ctx, struct MHD_Connection *conn, void **state,
+			 enum MHD_ConnectionNotificationCode code)
+{
+	struct hd *hd = ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		*state = conn_new(&hd->conns, hd_fd(conn));
+		hd_limit_not_sent(hd_fd(conn));
+	} else if (*state) {
+		conn_free(*state);
+		*state = NULL;
+	}
+}
+
+static void hd_free(struct hd *hd)
+{
+	pthread_mutex_destroy(&hd->body_lock);
+	conns_finish(&hd->conns);
+	g_free(hd->too_large);
+	g_free(hd);
+}
+
 struct hd *hd_start(const struct hd_config *config)
 {
 	struct hd *hd = g_new0(struct hd, 1);
@@ -104,13 +170,13 @@
 
 	hd->config = *config;
 	hd->too_large = g_strdup(config->too_large ? config->too_large : "{}");
-	hd->body_max = config->body_max;
-	hd->idle_s = HD_IDLE_S;
+	conns_init(&hd->conns);
+	pthread_mutex_init(&hd->body_lock, NULL);
+	recent_init(&hd->body_max, config->body_max);
 	if (config->addr) {
 		fd = addr_listen(config->addr);
 		if (fd < 0) {
-			g_free(hd->too_large);
-			g_free(hd);
+			hd_free(hd);
 			return NULL;
 		}
 	} else {
@@ -118,17 +184,16 @@
 	}
 	hd->daemon = MHD_start_daemon(
 		flags, 0, config->may_accept ? hd_on_connection : NULL, hd, hd_on_request, hd,
-		MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd, MHD_OPTION_URI_LOG_CALLBACK,
-		hd_on_target, hd, MHD_OPTION_THREAD_POOL_SIZE,
-		config->threads > 1 ? config->threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)HD_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)HD_CONNECTION_MEMORY, fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END,
-		fd, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd, MHD_OPTION_NOTIFY_CONNECTION,
+		hd_on_notify, hd, MHD_OPTION_URI_LOG_CALLBACK, hd_on_target, hd,
+		MHD_OPTION_THREAD_POOL_SIZE, config->threads > 1 ? config->threads : 0U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HD_CONNECTION_MEMORY,
+		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
 	if (!hd->daemon) {
 		if (fd >= 0)
 			close(fd);
-		g_free(hd->too_large);
-		g_free(hd);
+		hd_free(hd);
 		return NULL;
 	}
 	return hd;
@@ -137,8 +202,7 @@
 void hd_stop(struct hd *hd)
 {
 	MHD_stop_daemon(hd->daemon);
-	g_free(hd->too_large);
-	g_free(hd);
+	hd_free(hd);
 }
 
 unsigned int hd_open_requests(const struct hd *hd)
@@ -163,13 +227,14 @@
 /* Called for a new request. The library passes the result to its other callbacks as the state. */
 static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn)
 {
+	if (!conn_on_request(hd_conn(conn)))
+		return NULL;
 	return hd_call_new(ctx, conn, target);
 }
 
 static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target)
 {
 	struct hd_call *call = g_new0(struct hd_call, 1);
-	const union MHD_ConnectionInfo *info;
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
 
@@ -179,11 +244,12 @@
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->length = HD_LENGTH_UNKNOWN;
+	call->expected = HD_LENGTH_UNKNOWN;
 	call->refs = 1;
 	pthread_mutex_init(&call->lock, NULL);
 	ck_pr_inc_uint(&hd->open_requests);
-	info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	call->fd = info ? info->connect_fd : -1;
+	call->fd = hd_fd(conn);
 	memset(&sin, 0, sizeof(sin));
 	if (getsockname(call->fd, (struct sockaddr *)&sin, &len) == 0)
 		call->port = ntohs(sin.sin_port);
@@ -192,8 +258,10 @@
 
 static void hd_call_begin(struct hd_call *call, const char *url, const char *method)
 {
-	unsigned int idle_s = ck_pr_load_uint(&call->hd->idle_s);
+	unsigned int idle_s;
 
+	call->began_us = tmr_now();
+	idle_s = (unsigned int)(conns_limit_us(&call->hd->conns, call->began_us) / TMR_US_PER_S);
 	call->headers_received = true;
 	call->method = g_strdup(method);
 	call->path = g_strdup(url);
@@ -203,8 +271,26 @@
 
 void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s)
 {
-	ck_pr_store_64(&hd->body_max, body_max);
-	ck_pr_store_uint(&hd->idle_s, idle_s);
+	int64_t now_us = tmr_now();
+
+	conns_set_limit(&hd->conns, (uint64_t)tmr_from_s(idle_s), now_us);
+	pthread_mutex_lock(&hd->body_lock);
+	if (hd->body_max_set)
+		recent_set(&hd->body_max, body_max, now_us);
+	else
+		recent_init(&hd->body_max, body_max);
+	hd->body_max_set = true;
+	pthread_mutex_unlock(&hd->body_lock);
+}
+
+void hd_close_idle(struct hd *hd, int64_t now_us)
+{
+	conns_close_idle(&hd->conns, now_us);
+}
+
+void hd_close_all_idle(struct hd *hd)
+{
+	conns_close_all_idle(&hd->conns);
 }
 
 void hd_set_connection_close(struct hd *hd)
@@ -263,11 +349,25 @@
 
 	MHD_add_response_header(resp, "Content-Type", "application/json");
 	MHD_add_response_header(resp, "Bg-Ran", "no");
+	call->status = MHD_HTTP_CONTENT_TOO_LARGE;
+	call->queued = true;
 	result = MHD_queue_response(call->conn, MHD_HTTP_CONTENT_TOO_LARGE, resp);
 	MHD_destroy_response(resp);
 	return result;
 }
 
+/* Returns the largest body by any limit that the client may have gone by. */
+static uint64_t hd_body_max(struct hd_call *call)
+{
+	struct hd *hd = call->hd;
+	uint64_t max;
+
+	pthread_mutex_lock(&hd->body_lock);
+	max = recent_largest(&hd->body_max, call->began_us - CONNS_LIMIT_DELAY_US);
+	pthread_mutex_unlock(&hd->body_lock);
+	return max;
+}
+
 static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
 				     const char *method, const char *version, const char *data,
 				     size_t *len, void **state)
@@ -284,7 +384,7 @@
 		return MHD_YES;
 	}
 	if (*len > 0) {
-		if (call->body->len + *len > ck_pr_load_64(&hd->body_max))
+		if (call->body->len + *len > hd_body_max(call))
 			call->too_large = true;
 		else
 			g_string_append_len(call->body, data, (gssize)*len);
@@ -341,51 +441,102 @@
 	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
 }
 
-static void hd_report_end(struct hd *hd, const struct hd_call *call,
-			  enum MHD_RequestTerminationCode code)
+/* Returns the number of bytes of the response that the library hasn't read yet. */
+static size_t hd_pending(const struct hd_call *call)
+{
+	return call->pending->len - call->pending_at;
+}
+
+/* Frees what is left of a response when the request has ended. */
+static void hd_drop_pending(struct hd_call *call)
+{
+	ck_pr_sub_64(&call->hd->unsent, hd_pending(call));
+	g_string_free(call->pending, TRUE);
+	call->pending = g_string_new(NULL);
+	call->pending_at = 0;
+}
+
+static void hd_report_end(struct hd *hd, const struct hd_call *call)
 {
 	struct hd_outcome outcome = {
-		.end = hd_end_of(call, code),
+		.end = call->end,
 		.received = call->handler_called,
 		.begun = call->queued,
 		.status = call->status,
 		.sent = call->sent,
-		.unsent = call->streaming ? call->pending->len : 0,
+		.unsent = call->streaming ? hd_pending(call) : 0,
+		.expected = call->expected,
 	};
 
 	if (hd->config.on_end)
 		hd->config.on_end(hd->config.ctx, call->label, &outcome);
 }
 
+/* From here to the next request, conns_close_idle() closes the connection if need be. */
+static void hd_on_answered(struct MHD_Connection *conn)
+{
+	conn_on_answered(hd_conn(conn), tmr_now());
+	MHD_set_connection_option(conn, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+}
+
 static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
 			    enum MHD_RequestTerminationCode code)
 {
 	struct hd_call *call = *state;
 
-	(void)conn;
 	if (!call)
 		return;
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		hd_on_answered(conn);
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
-	hd_report_end(ctx, call, code);
+	call->end = hd_end_of(call, code);
+	hd_report_end(ctx, call);
+	if (call->streaming)
+		hd_drop_pending(call);
 	pthread_mutex_unlock(&call->lock);
 	*state = NULL;
 	ck_pr_dec_uint(&call->hd->open_requests);
 	hd_unref(call);
 }
 
+/*
+ * Copies unsent bytes of the response to buf. Those that were read are removed once they are the
+ * greater part: removed one block at a time, a large response would be moved once for each block.
+ */
+static size_t hd_take_pending(struct hd_call *call, char *buf, size_t max)
+{
+	size_t n = MIN(max, hd_pending(call));
+
+	memcpy(buf, call->pending->str + call->pending_at, n);
+	call->pending_at += n;
+	call->sent += n;
+	ck_pr_sub_64(&call->hd->unsent, n);
+	if (call->pending_at * 2 >= call->pending->len) {
+		g_string_erase(call->pending, 0, (gssize)call->pending_at);
+		call->pending_at = 0;
+	}
+	return n;
+}
+
+static void hd_notify_drained(struct hd_call *call)
+{
+	const struct hd_config *config = &call->hd->config;
+
+	ck_pr_inc_uint(&call->refs);
+	config->on_drained(config->ctx, call);
+}
+
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max)
 {
 	struct hd_call *call = ctx;
 	ssize_t n = 0;
+	bool drained;
 
 	(void)pos;
 	pthread_mutex_lock(&call->lock);
-	if (call->pending->len > 0) {
-		n = (ssize_t)MIN(max, call->pending->len);
-		memcpy(buf, call->pending->str, (size_t)n);
-		g_string_erase(call->pending, 0, n);
-		call->sent += (uint64_t)n;
+	if (hd_pending(call) > 0) {
+		n = (ssize_t)hd_take_pending(call, buf, max);
 	} else if (call->aborted) {
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (call->ended) {
@@ -394,10 +545,16 @@
 		call->suspended = true;
 		MHD_suspend_connection(call->conn);
 	}
+	drained = call->watched && hd_pending(call) <= call->low;
+	call->watched = call->watched && !drained;
 	pthread_mutex_unlock(&call->lock);
+	if (drained)
+		hd_notify_drained(call);
 	return n;
 }
 
+G_STATIC_ASSERT(HD_LENGTH_UNKNOWN == MHD_SIZE_UNKNOWN);
+
 /* Passes the response to the library. Called with the lock held, in the library's thread. */
 static enum MHD_Result hd_queue_response(struct hd_call *call)
 {
@@ -407,7 +564,7 @@
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
 	if (call->streaming)
-		resp = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, HD_BLOCK_LEN, hd_on_read,
+		resp = MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
 							 call, NULL);
 	else
 		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
@@ -461,6 +618,13 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
+void hd_set_length(struct hd_call *call, uint64_t len)
+{
+	pthread_mutex_lock(&call->lock);
+	call->length = len;
+	pthread_mutex_unlock(&call->lock);
+}
+
 void hd_reply_begin(struct hd_call *call, int status, const char *type)
 {
 	pthread_mutex_lock(&call->lock);
@@ -472,25 +636,97 @@
 	pthread_mutex_unlock(&call->lock);
 }
 
-bool hd_reply_write(struct hd_call *call, const char *data, size_t len)
+static int hd_append(struct hd_call *call, const char *data, size_t len)
+{
+	size_t max = call->hd->config.pending_max;
+
+	if (call->closed || call->incomplete || call->aborted)
+		return BASE_ECLOSED;
+	if (max > 0 && hd_pending(call) + len > max)
+		return BASE_EFULL;
+	g_string_append_len(call->pending, data, (gssize)len);
+	ck_pr_add_64(&call->hd->unsent, len);
+	return 0;
+}
+
+int hd_reply_write(struct hd_call *call, const char *data, size_t len)
 {
-	bool ok;
+	int err;
 
 	pthread_mutex_lock(&call->lock);
-	ok = !call->closed && call->pending->len + len <= call->hd->config.pending_max;
-	if (ok)
-		g_string_append_len(call->pending, data, (gssize)len);
+	err = hd_append(call, data, len);
+	if (err < 0)
+		call->incomplete = true;
 	hd_resume(call);
 	pthread_mutex_unlock(&call->lock);
-	return ok;
+	return err;
 }
 
-void hd_reply_end(struct hd_call *call)
+size_t hd_unsent(struct hd_call *call)
 {
+	size_t n;
+
 	pthread_mutex_lock(&call->lock);
-	call->ended = true;
+	n = hd_pending(call);
+	pthread_mutex_unlock(&call->lock);
+	return n;
+}
+
+uint64_t hd_unsent_total(const struct hd *hd)
+{
+	return ck_pr_load_64(&hd->unsent);
+}
+
+bool hd_watch_unsent(struct hd_call *call, size_t low)
+{
+	bool watched;
+
+	pthread_mutex_lock(&call->lock);
+	watched = hd_pending(call) > low;
+	call->low = low;
+	call->watched = watched;
+	pthread_mutex_unlock(&call->lock);
+	return watched;
+}
+
+void hd_set_owner(struct hd_call *call, void *owner)
+{
+	call->owner = owner;
+}
+
+void *hd_owner(const struct hd_call *call)
+{
+	return call->owner;
+}
+
+void hd_expect_length(struct hd_call *call, uint64_t len)
+{
+	pthread_mutex_lock(&call->lock);
+	call->expected = len;
+	pthread_mutex_unlock(&call->lock);
+}
+
+/* Returns whether the response body has the length that was stated, or none was. */
+static bool hd_has_length(const struct hd_call *call, uint64_t stated)
+{
+	return stated == HD_LENGTH_UNKNOWN || stated == call->sent + hd_pending(call);
+}
+
+int hd_reply_end(struct hd_call *call)
+{
+	int err = 0;
+
+	pthread_mutex_lock(&call->lock);
+	if (call->incomplete || call->aborted || (call->closed && call->end != HD_END_WHOLE) ||
+	    !hd_has_length(call, call->length) || !hd_has_length(call, call->expected)) {
+		call->aborted = true;
+		err = BASE_ECLOSED;
+	} else {
+		call->ended = true;
+	}
 	hd_resume(call);
 	pthread_mutex_unlock(&call->lock);
+	return err;
 }
 
 void hd_abort(struct hd_call *call)
@@ -512,14 +748,24 @@
 	bool gone;
 
 	pthread_mutex_lock(&call->lock);
-	gone = call->closed;
-	if (!gone && call->fd >= 0)
+	gone = call->closed && call->end != HD_END_WHOLE;
+	if (!call->closed && call->fd >= 0)
 		gone = recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 	call->client_closed |= gone;
 	pthread_mutex_unlock(&call->lock);
 	return gone;
 }
 
+bool hd_has_timed_out(struct hd_call *call)
+{
+	bool timed_out;
+
+	pthread_mutex_lock(&call->lock);
+	timed_out = call->closed && call->end == HD_END_TIMEOUT;
+	pthread_mutex_unlock(&call->lock);
+	return timed_out;
+}
+
 const char *hd_method(const struct hd_call *call)
 {
 	return call->method;
--- a/base/hd.h
+++ b/base/hd.h
@@ -22,6 +22,9 @@
 /* Handles a request. The handler owns a reference to call, which it releases by hd_unref(). */
 typedef void (*hd_handler)(void *ctx, struct hd_call *call);
 
+/* Length of a response body that is not known. */
+#define HD_LENGTH_UNKNOWN UINT64_MAX
+
 /* How a request ended, for its client. */
 enum hd_end {
 	HD_END_WHOLE,	 /* the whole response was passed to the kernel */
@@ -39,11 +42,13 @@
 /* What is known of a request when it has ended. */
 struct hd_outcome {
 	enum hd_end end;
-	bool received;	 /* the whole request was received and passed to the handler */
-	bool begun;	 /* a response was passed to the library */
-	int status;	 /* HTTP status of the response; 0: none */
-	uint64_t sent;	 /* bytes of the response body that were passed to the library */
-	uint64_t unsent; /* bytes of the response body that were not */
+	bool received;	   /* the whole request was received and passed to the handler */
+	bool begun;	   /* a response was passed to the library */
+	int status;	   /* HTTP status of the response; 0: none */
+	uint64_t sent;	   /* bytes of the response body that were passed to the library */
+	uint64_t unsent;   /* bytes of the response body that were not */
+	uint64_t expected; /* bytes of the response body as stated by hd_expect_length();
+			    * HD_LENGTH_UNKNOWN: not stated */
 };
 
 /*
@@ -52,17 +57,26 @@
  */
 typedef void (*hd_end_fn)(void *ctx, const char *label, const struct hd_outcome *outcome);
 
+/*
+ * Is told, in one of the library's threads, that the unsent bytes of a response have fallen to the
+ * mark of hd_watch_unsent(). The function owns a reference to call, which it releases by
+ * hd_unref().
+ */
+typedef void (*hd_drained_fn)(void *ctx, struct hd_call *call);
+
 /* Configuration of a server. */
 struct hd_config {
 	const char *addr; /* listening address IP:PORT; NULL: only hd_adopt() adds connections */
 	unsigned int threads;  /* number of the library's threads */
 	size_t body_max;       /* largest request body in bytes; a larger one gets status 413 */
-	size_t pending_max;    /* unsent bytes of a response above which hd_reply_write() fails */
+	size_t pending_max;    /* unsent bytes of a response above which hd_reply_write() fails;
+				* 0: no limit */
 	const char *too_large; /* body of the response with status 413, JSON */
 	hd_handler handler;    /* called for each request */
 	bool (*may_accept)(void *ctx); /* whether to take a new connection or to close it unread,
 					* from one of the library's threads; NULL: always */
 	hd_end_fn on_end;	       /* called at the end of each request; NULL: none */
+	hd_drained_fn on_drained;      /* needed by hd_watch_unsent(); NULL: none */
 	void *ctx;		       /* first argument of the functions above */
 };
 
@@ -83,13 +97,22 @@
 void hd_adopt(struct hd *hd, int fd);
 
 /*
- * Sets the largest request body in bytes and the idle timeout of connections in seconds. The body
- * limit is checked whenever body data arrives; the timeout is set when a request begins. An idle_s
- * of 0 leaves the timeout of a connection as it is; a new connection has none. Any thread may call
- * this.
+ * Sets the largest request body in bytes and the idle timeout of connections in seconds; 0: none. A
+ * client may go by an older limit, so the largest one of late counts. The first call replaces
+ * hd_config.body_max. Within a request the timeout of its begin holds; between two requests it takes
+ * hd_close_idle(). Any thread may call this.
  */
 void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s);
 
+/* Closes connections that have been idle for too long between two requests. */
+void hd_close_idle(struct hd *hd, int64_t now_us);
+
+/*
+ * Closes all connections without an open request. A request that arrives there meanwhile is not
+ * read, so a process that ends soon after does not leave it unanswered. Any thread may call this.
+ */
+void hd_close_all_idle(struct hd *hd);
+
 /* Adds the header "Connection: close" to all further responses. Any thread may call this. */
 void hd_set_connection_close(struct hd *hd);
 
@@ -145,6 +168,13 @@
  */
 void hd_reply(struct hd_call *call, int status, const char *type, const char *body, size_t len);
 
+/*
+ * States the length of a response in parts, which is sent as its Content-Length, so that any client
+ * sees whether it is whole; without it, the response is chunked. Only allowed before
+ * hd_reply_begin().
+ */
+void hd_set_length(struct hd_call *call, uint64_t len);
+
 /*
  * Starts a response in parts: hd_reply_begin(), then any number of hd_reply_write(), then
  * hd_reply_end(). type is the Content-Type; it is copied and may be NULL.
@@ -152,13 +182,43 @@
 void hd_reply_begin(struct hd_call *call, int status, const char *type);
 
 /*
- * Sends a part of the response. Returns false if the client has disconnected, or if more than
- * pending_max bytes would be unsent.
+ * Sends a part of the response: takes all of it and returns 0, or takes none of it and returns
+ * BASE_ECLOSED if the client has disconnected, or BASE_EFULL if more than pending_max bytes would
+ * be unsent. A response that lacks a part can only be aborted.
  */
-bool hd_reply_write(struct hd_call *call, const char *data, size_t len);
+int hd_reply_write(struct hd_call *call, const char *data, size_t len) G_GNUC_WARN_UNUSED_RESULT;
 
-/* Ends a response in parts. */
-void hd_reply_end(struct hd_call *call);
+/* Returns the number of bytes of a response in parts that the library has not taken yet. */
+size_t hd_unsent(struct hd_call *call);
+
+/* Returns the sum of hd_unsent() over the requests in progress. Any thread may call this. */
+uint64_t hd_unsent_total(const struct hd *hd);
+
+/*
+ * Has hd_config.on_drained called once, when the unsent bytes of the response have fallen to low.
+ * Returns false, and has nothing called, if there are no more now. A later call replaces the mark.
+ */
+bool hd_watch_unsent(struct hd_call *call, size_t low);
+
+/*
+ * Attach an object of the handler to the request; NULL: none. They are for one thread only, as
+ * nothing guards the pointer.
+ */
+void hd_set_owner(struct hd_call *call, void *owner);
+void *hd_owner(const struct hd_call *call);
+
+/*
+ * States how many bytes of the response the caller has passed to hd_reply_write(). If that many
+ * were not taken, hd_reply_end() aborts the response.
+ */
+void hd_expect_length(struct hd_call *call, uint64_t len);
+
+/*
+ * Ends a response in parts. It is aborted instead if hd_reply_write() has failed, or if it has not
+ * the length of hd_set_length(), as its client would take it for whole. Returns 0, or BASE_ECLOSED
+ * if the response was or is aborted.
+ */
+int hd_reply_end(struct hd_call *call);
 
 /*
  * Closes the connection without the last chunk, so that the client doesn't take a response in parts
@@ -173,6 +233,12 @@
  */
 bool hd_client_closed(struct hd_call *call);
 
+/*
+ * Returns whether the library has closed the connection, as the client read nothing of the response
+ * for the idle timeout.
+ */
+bool hd_has_timed_out(struct hd_call *call);
+
 /* Releases a reference to call; the last one frees it. */
 void hd_unref(struct hd_call *call);
 
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -83,6 +83,13 @@
 		},
 		[](void *ctx) { return Self(ctx)->repeat_error_; },
 		[](void *ctx) { Record(ctx, "cancel"); },
+		[](void *ctx) {
+			if (Self(ctx)->can_set_aside_)
+				Record(ctx, "aside");
+			return Self(ctx)->can_set_aside_;
+		},
+		[](void *ctx) { Record(ctx, "back"); },
+		[](void *ctx) { Record(ctx, "cancel_aside"); },
 		[](void *ctx) { Record(ctx, "wait"); },
 		[](void *ctx) {
 			Record(ctx, "silent");
@@ -115,6 +122,7 @@
 	int64_t limit_us_ = 0;
 	int64_t rest_us_ = 0;
 	bool keep_attempt_ = false;
+	bool can_set_aside_ = false;
 	/* Whether on_silent() puts the request in quarantine, which ends it. */
 	bool quarantine_on_silence_ = false;
 	int timers_ = 0;
@@ -386,6 +394,136 @@
 	EXPECT_EQ(Actions(), "send begin data7 silent cancel send@1");
 }
 
+/* Guards against requests that are lost with the endpoint that replaces a silent one. */
+TEST_F(FwdTest, SilentAttemptIsKeptUntilAnotherBringsAnAnswer)
+{
+	enum What {
+		HEAD,
+		REJECTED,
+		BROKEN,
+		UNREACHED,
+		FAILED,
+		FOREIGN,
+		ASIDE_HEAD,
+		ASIDE_GONE,
+		LEAVES
+	};
+	const struct {
+		const char *name;
+		What what;
+		const char *actions;
+	} cases[] = {
+		{"the other answers", HEAD, "cancel_aside whole:x ok"},
+		{"the other rejects it", REJECTED, "back whole:x ok"},
+		{"the other breaks off", BROKEN, "back whole:x ok"},
+		{"the other is not reached", UNREACHED, "back whole:x ok"},
+		{"the other fails", FAILED, "back whole:x ok"},
+		{"the other answers another request", FOREIGN, "back whole:x ok"},
+		{"the silent one goes on", ASIDE_HEAD, "cancel back whole:x ok"},
+		{"the silent one is gone", ASIDE_GONE, "whole:x ok"},
+		{"the caller leaves", LEAVES, "cancel refuse502? cancel_aside caller_gone"},
+	};
+	can_set_aside_ = true;
+	for (const auto &c : cases) {
+		Start(true, false);
+		Wait(350 * MS);
+		EXPECT_EQ(Actions(), "send silent aside send") << c.name;
+		if (c.what == REJECTED || c.what == FAILED)
+			Head(c.what == REJECTED ? 503 : 500, true, true, c.what == REJECTED);
+		if (c.what == FOREIGN)
+			Head(200, true, false);
+		else if (c.what == ASIDE_HEAD)
+			fwd_on_aside_progress(&fwd_);
+		else if (c.what == ASIDE_GONE)
+			fwd_on_aside_done(&fwd_, true);
+		else if (c.what == LEAVES)
+			fwd_on_caller_disconnected(&fwd_);
+		else if (c.what != HEAD)
+			Done(c.what == REJECTED || c.what == FAILED, c.what != UNREACHED);
+		if (c.what != LEAVES) {
+			Head(200);
+			Data("x");
+			Done(true);
+		}
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+	}
+	started_ = false;
+}
+
+/* Guards against answers that lose what had arrived of them before their endpoint fell silent. */
+TEST_F(FwdTest, SilentAttemptKeepsWhatHasArrivedOfItsAnswer)
+{
+	enum What {
+		BROKEN,
+		FAILING,
+		ANSWERED
+	};
+	const struct {
+		const char *name;
+		What what;
+		const char *actions;
+	} cases[] = {
+		{"the other breaks off", BROKEN, "back whole:ab ok"},
+		{"the other is about to fail", FAILING, "cancel back whole:ab ok"},
+		{"the other answers", ANSWERED, "cancel_aside whole:b ok"},
+	};
+	can_set_aside_ = true;
+	for (const auto &c : cases) {
+		Start(true, false);
+		Head(200);
+		Data("a");
+		Wait(350 * MS);
+		EXPECT_EQ(Actions(), "send silent aside send") << c.name;
+		if (c.what == BROKEN) {
+			Done(false);
+		} else if (c.what == FAILING) {
+			Head(500);
+			Data("oops");
+			fwd_on_aside_progress(&fwd_);
+		} else {
+			Head(200);
+		}
+		Data("b");
+		Done(true);
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+	}
+	started_ = false;
+}
+
+/* Guards against more runs than the route allows, and against a second run of what may run once. */
+TEST_F(FwdTest, AttemptsThatAreKeptCountAsRuns)
+{
+	can_set_aside_ = true;
+	Start(false, false, 3);
+	Wait(350 * MS);
+	EXPECT_EQ(Actions(), "send silent");
+	fwd_finish(&fwd_);
+	Start(true, false, 3);
+	Wait(350 * MS);
+	Wait(350 * MS);
+	Wait(350 * MS);
+	EXPECT_EQ(Actions(), "send silent aside send silent cancel_aside aside send silent");
+	Done(false);
+	EXPECT_EQ(Actions(), "back");
+	Done(false);
+	EXPECT_EQ(Actions(), "refuse502? broken");
+	fwd_finish(&fwd_);
+	started_ = false;
+}
+
+/* A stream whose caller has a part is resumed, so only one attempt may go on. */
+TEST_F(FwdTest, AttemptIsNotKeptOnceTheAnswerHasBegun)
+{
+	can_set_aside_ = true;
+	Start(true, true);
+	Head(200);
+	Data("id: 1\n\n");
+	Wait(150 * MS);
+	EXPECT_EQ(Actions(), "send begin data7 silent cancel send@1");
+}
+
 TEST_F(FwdTest, ASilentAttemptThatIsBeingRepairedIsKept)
 {
 	keep_attempt_ = true;
@@ -882,4 +1020,102 @@
 	EXPECT_EQ(timers_, 0);
 }
 
+enum HoldStep {
+	HOLD,
+	GO_ON,
+	WAIT_300,
+	DATA,
+	ABANDON,
+	HEAD,
+	END,
+	STOP
+};
+
+struct HoldCase {
+	const char *name;
+	std::vector<HoldStep> steps;
+	const char *actions;
+};
+
+const HoldCase hold_cases[] = {
+	{"a held attempt is not silent", {HOLD, WAIT_300, WAIT_300, WAIT_300}, ""},
+	{"an attempt that is not held is", {WAIT_300}, "silent cancel send@1"},
+	{"silence counts from the end of the hold", {HOLD, WAIT_300, GO_ON, DATA}, "data13"},
+	{"silence after the hold counts",
+	 {HOLD, WAIT_300, GO_ON, WAIT_300},
+	 "silent cancel send@1"},
+	{"a held attempt is not abandoned", {HOLD, ABANDON, GO_ON, DATA}, "data13"},
+	{"one that goes on may be", {HOLD, GO_ON, ABANDON}, "cancel send@1"},
+	{"the end may come while held", {HOLD, END}, "end ok"},
+	{"a stop ends a held attempt", {HOLD, STOP}, "cancel abort stopped"},
+	{"a new attempt may be held",
+	 {ABANDON, HOLD, WAIT_300, GO_ON, HEAD, DATA},
+	 "cancel send@1 data13"},
+};
+
+/* Guards against endpoints that are taken for silent because a caller reads slowly. */
+TEST_F(FwdTest, EndpointThatACallerHoldsBackIsNotSilent)
+{
+	for (const HoldCase &c : hold_cases) {
+		Start(true, true);
+		Head(200);
+		Data("id: 1\ndata: a\n\n");
+		Actions();
+		for (HoldStep step : c.steps) {
+			switch (step) {
+			case HOLD:
+			case GO_ON:
+				fwd_hold(&fwd_, step == HOLD, now_);
+				break;
+			case WAIT_300:
+				Wait(300 * MS);
+				break;
+			case DATA:
+				Data("id: 2\ndata:\n\n");
+				break;
+			case ABANDON:
+				fwd_abandon_attempt(&fwd_, now_);
+				break;
+			case HEAD:
+				Head(200);
+				break;
+			case END:
+				Done(true);
+				break;
+			case STOP:
+				fwd_on_stop(&fwd_);
+				break;
+			}
+		}
+		EXPECT_EQ(Actions(), c.actions) << c.name;
+		fwd_finish(&fwd_);
+		started_ = false;
+	}
+}
+
+/* Guards against a caller that reads nothing and keeps its endpoint for ever. */
+TEST_F(FwdTest, DeadlineHoldsWhileAnAttemptIsHeldBack)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\ndata: a\n\n");
+	fwd_hold(&fwd_, true, now_);
+	Actions();
+	Wait(10000 * MS);
+	EXPECT_EQ(Actions(), "cancel abort deadline");
+}
+
+/* Guards against records that call a caller gone which was there and read nothing. */
+TEST_F(FwdTest, CallerThatReadsNothingIsNamed)
+{
+	Start(true, true);
+	Head(200);
+	Data("id: 1\n\n");
+	Actions();
+	fwd_on_caller_stalled(&fwd_);
+	EXPECT_EQ(Actions(), "cancel abort caller_stalled");
+	fwd_on_caller_stalled(&fwd_);
+	EXPECT_EQ(Actions(), "");
+}
+
 } // namespace
--- a/prog/router.c
+++ b/prog/router.c
@@ -35,9 +35,8 @@
 	/* Interval of checks whether the settings file has changed, in milliseconds. */
 	ROUTER_SETTINGS_POLL_MS = 2000,
 
-	ROUTER_PENDING_MAX = 4 << 20, /* Limit of unsent bytes of a response. */
-	ROUTER_BODY_MAX = 4 << 20,    /* Limit of a request's body, in bytes. */
-	ROUTER_THREADS = 1	      /* Threads of each HTTP server. */
+	ROUTER_BODY_MAX = 4 << 20, /* Limit of a request's body, in bytes. */
+	ROUTER_THREADS = 1	   /* Threads of each HTTP server. */
 };
 
 /* A row of the table of settings: section and key of the file, type, field, default and range. */
@@ -67,6 +66,8 @@
 	ITEM("repeats", "window_s", SETTINGS_REAL, repeat_window_s, "10", 1, 3600),
 	ITEM("repeats", "fixed", SETTINGS_REAL, repeat_fixed, "10", 0, 1000000),
 	ITEM("stop", "grace_s", SETTINGS_INT, grace_s, "8", 1, 3600),
+	ITEM("answers", "unsent_kb", SETTINGS_INT, answer_unsent_kb, "256", 32, 1048576),
+	ITEM("answers", "unsent_total_mb", SETTINGS_INT, answers_unsent_mb, "48", 1, 1048576),
 	ITEM("log", "lines_per_s", SETTINGS_INT, log_lines, "300", 0, 1000000),
 };
 const size_t router_setting_items_n = G_N_ELEMENTS(router_setting_items);
@@ -96,6 +97,7 @@
 	struct tmr settings_timer; /* Timer of the next check for a changed settings file. */
 	struct drain drain;	   /* Progress of a stop. */
 	bool ended_requests;	   /* The requests that were open have been ended. */
+	bool closed;		   /* Connections without an open request have been closed. */
 	struct router_file_stamp settings_file; /* The settings file when it was last checked. */
 };
 
@@ -140,10 +142,10 @@
 		.addr = addr,
 		.threads = ROUTER_THREADS,
 		.body_max = ROUTER_BODY_MAX,
-		.pending_max = ROUTER_PENDING_MAX,
 		.handler = handler,
 		.may_accept = may_accept,
 		.on_end = on_end,
+		.on_drained = traf_on_drained,
 		.ctx = router,
 	};
 	struct hd *hd = hd_start(&config);
@@ -221,8 +223,7 @@
 	GString *errors = g_string_new(NULL);
 
 	memset(&fresh, 0, sizeof(fresh));
-	if (settings_load(prog_config_path(), router_setting_items, router_setting_items_n, &fresh,
-			  errors) < 0) {
+	if (prog_load_settings(router_setting_items, router_setting_items_n, &fresh, errors) < 0) {
 		g_strdelimit(errors->str, "\n", ' ');
 		router_log_event("reload_failed", errors->str);
 	} else if (router_apply_settings(&m->router, &fresh, cause) || requested) {
@@ -295,6 +296,13 @@
 	traf_end_requests(m->router.traf);
 }
 
+/* Closes what callers keep open, so that no request is read between the last check and the exit. */
+static void router_close_idle(struct router_main *m)
+{
+	m->closed = true;
+	hd_close_all_idle(m->router.front);
+}
+
 /*
  * Takes the next step of a stop, see base/drain.h. Connections are accepted until the balancer has
  * had time to stop sending them. Shortly before the end of the grace time, when the process would
@@ -307,14 +315,18 @@
 	int64_t left_ms = m->router.settings.grace_s * 1000 - since_ms;
 	bool open = router_is_open(&m->router);
 	enum drain_step step = DRAIN_WAIT;
+	bool may_end;
 
 	if (since_ms >= ROUTER_STOP_SERVE_MS)
 		step = drain_check(&m->drain, open, left_ms <= ROUTER_QUIESCE_RESERVE_MS);
 	if (step == DRAIN_QUIESCE)
 		hd_quiesce(m->router.front);
+	may_end = step == DRAIN_END && m->closed;
 	if (left_ms <= ROUTER_END_RESERVE_MS)
 		router_end_requests(m);
-	if (step != DRAIN_END && left_ms > ROUTER_EXIT_RESERVE_MS) {
+	if (step == DRAIN_END || m->ended_requests)
+		router_close_idle(m);
+	if (!may_end && left_ms > ROUTER_EXIT_RESERVE_MS) {
 		loop_start_timer(&m->loop, &m->stop_timer, tmr_from_ms(ROUTER_STOP_POLL_MS),
 				 router_on_stop_timer, m);
 		return;
@@ -338,22 +350,47 @@
 	loop_start_timer(&m->loop, &m->stop_timer, 0, router_on_stop_timer, m);
 }
 
+/* Ends a process that can't start: callers would wait for answers that nobody gives. */
+static void router_fail_start(const char *part)
+{
+	jl_begin(JL_UNLIMITED, "start_failed");
+	jl_str("part", part);
+	jl_end();
+	exit(PROG_EXIT_FAILED);
+}
+
+/* A total below one answer would hold each answer at once, although it is alone. */
+static char *router_check_settings(const void *settings)
+{
+	const struct router_settings *s = settings;
+
+	if (s->answers_unsent_mb << 10 >= s->answer_unsent_kb)
+		return NULL;
+	return g_strdup_printf("[answers] unsent_total_mb = '%" G_GINT64_FORMAT
+			       "': less than one answer, unsent_kb = '%" G_GINT64_FORMAT "'",
+			       s->answers_unsent_mb, s->answer_unsent_kb);
+}
+
 int main(int argc, char **argv)
 {
 	struct router_main *m = &router_main;
 	struct router *router = &m->router;
 
+	prog_set_check(router_check_settings);
 	prog_start(&argc, &argv, "Request router of a bronzegauge host on the users' platform.",
 		   router_setting_items, router_setting_items_n, &router->settings);
 	jl_open(router->settings.name);
 	jl_set_rate(router->settings.log_lines);
-	loop_init(&m->loop);
+	if (loop_init(&m->loop) < 0)
+		router_fail_start("control loop");
 	prog_on_stop(&m->loop, router_on_stop, m);
 	prog_on_reload(&m->loop, router_on_reload, m);
 	router->seam = &pf_seam;
 	/* A request may arrive as soon as a server listens, and its handler needs both. */
 	router->ctrl = ctrl_new(router, &m->loop);
 	router->traf = traf_start(router);
+	if (!router->traf)
+		router_fail_start("traffic thread");
 	router->front = router_listen(router->settings.front, traf_on_call, traf_may_accept,
 				      ends_on_request, router);
 	router->ready_hd =
--- a/router/router.h
+++ b/router/router.h
@@ -52,6 +52,8 @@
 	double cores;		/* Number of processor cores of this host */
 	/* Address that calls to endpoints and the store come from, "IP:0"; "": any of this host */
 	char *source;
+	int64_t answer_unsent_kb;  /* Unsent part of one answer that may wait here, in KiB */
+	int64_t answers_unsent_mb; /* Unsent parts of all answers that may wait here, in MiB */
 };
 
 /*
@@ -159,6 +161,7 @@
 void state_clear_quarantine(struct router *router, struct hd_call *call);
 
 /* Traffic thread: traffic.c, with txn.c and pick.c. */
+/* Starts the traffic thread. Returns NULL if the system refuses its loop or the thread. */
 struct traf *traf_start(struct router *router);
 
 /* Posts a new view and passes its ownership. Called from the control thread. */
@@ -196,4 +199,7 @@
 /* Handles a caller's request. Called from a thread of the HTTP library. */
 void traf_on_call(void *ctx, struct hd_call *call);
 
+/* A caller has read on; see hd_watch_unsent(). Called from a thread of the HTTP library. */
+void traf_on_drained(void *ctx, struct hd_call *call);
+
 #endif
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -82,16 +82,22 @@
 	traf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	traf->zone_names = g_ptr_array_new();
 	traf->reqs = g_ptr_array_new();
+	traf->flow = (struct flow_limits){
+		.answer_max = (size_t)router->settings.answer_unsent_kb << 10,
+		.total_max = (uint64_t)router->settings.answers_unsent_mb << 20,
+	};
 	traf->parked = g_queue_new();
 	hop_init(&traf->hop);
-	loop_init(&traf->loop);
+	if (loop_init(&traf->loop) < 0)
+		return NULL;
 	traf->hc = hc_new(&traf->loop);
 	hc_set_source(traf->hc, router->settings.source);
 	traf_reach_start(traf);
 	traf->gateway = gateway_new(&traf->loop, way_reach(traf->way), router->settings.source);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
-	pthread_create(&traf->thread, NULL, traf_main, traf);
+	if (pthread_create(&traf->thread, NULL, traf_main, traf) != 0)
+		return NULL;
 	return traf;
 }
 
@@ -134,6 +140,10 @@
 	gpointer value;
 
 	met_set(met_gauge("bg_requests_open", ""), traf->reqs->len);
+	met_set(met_gauge("bg_answers_held", ""), (uint64_t)traf->held);
+	if (traf->router->front)
+		met_set(met_gauge("bg_answers_unsent_bytes", ""),
+			hd_unsent_total(traf->router->front));
 	g_hash_table_iter_init(&iter, traf->budgets);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		char *labels = g_strdup_printf("service=\"%s\"", (const char *)name);
@@ -172,9 +182,11 @@
 	traf_quar_on_sweep(traf, now_us);
 	traf_limit_on_sweep(traf);
 	traf_rest_on_sweep(traf);
+	if (traf->router->front)
+		hd_close_idle(traf->router->front, now_us);
 	traf_reach_on_sweep(traf);
 	for (guint i = traf->reqs->len; i > 0; i--)
-		txn_on_sweep(traf->reqs->pdata[i - 1]);
+		txn_on_sweep(traf->reqs->pdata[i - 1], now_us);
 	loop_start_timer(&traf->loop, &traf->sweep, tmr_from_ms(TRAF_SWEEP_MS), traf_on_sweep,
 			 traf);
 }
@@ -460,6 +472,23 @@
 	loop_post(&router->traf->loop, traf_on_posted_call, msg);
 }
 
+static void traf_on_posted_drained(void *ctx)
+{
+	struct hd_call *call = ctx;
+	struct txn *txn = hd_owner(call);
+
+	if (txn)
+		txn_on_drained(txn);
+	hd_unref(call);
+}
+
+void traf_on_drained(void *ctx, struct hd_call *call)
+{
+	struct router *router = ctx;
+
+	loop_post(&router->traf->loop, traf_on_posted_drained, call);
+}
+
 bool traf_may_accept(void *ctx)
 {
 	struct traf *traf = ((struct router *)ctx)->traf;
--- a/router/txn.c
+++ b/router/txn.c
@@ -32,6 +32,9 @@
 	.send = txn_send,
 	.charge_retry = txn_charge_retry,
 	.cancel = txn_cancel,
+	.set_aside = txn_set_aside,
+	.take_back = txn_take_back,
+	.cancel_aside = txn_cancel_aside,
 	.on_wait = txn_on_wait,
 	.on_silent = txn_on_silent,
 	.answer_complete = txn_answer_whole,
@@ -83,12 +86,14 @@
 
 	tmr_cancel(&traf->loop.tmr, &txn->timer);
 	txn_cancel(txn);
+	txn_cancel_aside(txn);
 	traf_target_release(&txn->target);
 	txn_avoid_clear(txn);
 	seam_answer_finish(&txn->answer);
 	seam_request_finish(&txn->request);
 	fwd_finish(&txn->fwd);
 	rt_conf_unref(txn->conf);
+	hd_set_owner(txn->call, NULL);
 	hd_unref(txn->call);
 	g_ptr_array_remove_fast(traf->reqs, txn);
 	ck_pr_dec_uint(&traf->open);
@@ -108,12 +113,14 @@
 
 	txn->traf = traf;
 	txn->call = call;
+	txn->sides[0].txn = txn->sides[1].txn = txn;
 	txn->began_us = received_us;
 	memset(&rules, 0, sizeof(rules));
 	fwd_init(&txn->fwd, &rules, &txn_fwd_ops, txn);
 	seam_request_init(&txn->request);
 	hd_each_header(call, txn_on_header, txn);
 	hd_set_label(call, txn->request.id);
+	hd_set_owner(call, txn);
 	g_ptr_array_add(traf->reqs, txn);
 	if (!txn_admit(txn))
 		return;
@@ -287,7 +294,8 @@
 	if (txn->sent_us == 0)
 		txn->sent_us = txn->last_activity_us;
 	txn_log_sent(txn, attempt, pipeline, resume_after);
-	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, txn);
+	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, &txn->sides[txn->side]);
+	way_pause(txn->attempt, txn_is_held(txn));
 	g_ptr_array_unref(headers);
 	g_free(url);
 	g_free(pipeline);
@@ -406,13 +414,44 @@
 	jl_end();
 }
 
+/* Returns the value of the header, or NULL. */
+static const char *txn_find_header(const GPtrArray *headers, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (guint i = 0; i < headers->len; i++) {
+		const char *line = headers->pdata[i];
+
+		if (g_ascii_strncasecmp(line, name, len) == 0 && line[len] == ':')
+			return line + len + 1 + strspn(line + len + 1, " \t");
+	}
+	return NULL;
+}
+
+/* Returns the length of the body that the headers state, or HD_LENGTH_UNKNOWN. */
+static uint64_t txn_stated_length(const GPtrArray *headers)
+{
+	const char *text = txn_find_header(headers, "Content-Length");
+	guint64 len;
+
+	if (!text || txn_find_header(headers, "Transfer-Encoding") ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64, &len, NULL))
+		return HD_LENGTH_UNKNOWN;
+	return len;
+}
+
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
 {
-	struct txn *txn = ctx;
-	struct way_call *call = txn->attempt;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
+	struct way_call *call;
 	bool go_on;
 
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
+	call = txn->attempt;
 	txn->head_received = true;
+	txn->answer_length = txn_stated_length(headers);
 	txn->head_us = tmr_now();
 	txn->traf->any_data_us = tmr_now();
 	txn_log_gateway(txn);
@@ -455,9 +494,12 @@
 
 static void txn_on_data(void *ctx, const char *data, size_t len)
 {
-	struct txn *txn = ctx;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
 	uint64_t parts = txn->fwd.parts;
 
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
 	txn_update_gap_limit(txn, tmr_now());
 	txn->last_activity_us = tmr_now();
 	txn->traf->any_data_us = txn->last_activity_us;
@@ -470,11 +512,19 @@
 
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
-	struct txn *txn = ctx;
-	bool failed = err < 0 || status >= 500 || txn->answer.head.not_run;
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
+	bool failed;
 
 	(void)body;
 	(void)len;
+	if (txn_is_aside(side) && err < 0) {
+		txn_on_aside_done(txn, err, sent);
+		return;
+	}
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
+	failed = err < 0 || status >= 500 || txn->answer.head.not_run;
 	txn->attempt = NULL;
 	txn_cancel(txn);
 	if (failed) {
@@ -512,10 +562,16 @@
 	tmr_set(&txn->traf->loop.tmr, &txn->timer, due_us, txn_on_timer, txn);
 }
 
-void txn_on_sweep(struct txn *txn)
+void txn_on_sweep(struct txn *txn, int64_t now_us)
 {
-	if (txn->fwd.state != FWD_ENDED && hd_client_closed(txn->call))
+	if (txn->fwd.state == FWD_ENDED)
+		return;
+	if (hd_has_timed_out(txn->call))
+		fwd_on_caller_stalled(&txn->fwd);
+	else if (hd_client_closed(txn->call))
 		fwd_on_caller_disconnected(&txn->fwd);
+	else
+		txn_flow_on_sweep(txn, now_us);
 }
 
 void txn_on_stop(struct txn *txn)
@@ -548,9 +604,14 @@
 {
 	struct txn *txn = ctx;
 	int64_t now_us = tmr_now();
-	bool bad = cause != FWD_OK && cause != FWD_CALLER_DISCONNECTED;
+	bool bad;
 	char labels[64];
 
+	txn_flow_on_end(txn);
+	if (cause == FWD_OK && txn->answer_failed)
+		cause = hd_has_timed_out(txn->call) ? FWD_CALLER_STALLED : FWD_CALLER_DISCONNECTED;
+	bad = cause != FWD_OK && cause != FWD_CALLER_DISCONNECTED;
+
 	jl_begin(bad ? JL_UNLIMITED : JL_INFO, "ended");
 	jl_str("id", txn->request.id);
 	jl_str("cause", fwd_cause_name(cause));
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -66,6 +66,8 @@
 	txn_fill_limits(txn, &limits);
 	adm_service_on_first_token(traf_admission(txn->traf, txn->service->name), txn->class_rank,
 				   &limits, txn->first_us - txn->sent_us, txn->first_us);
+	if (txn->fwd.passthrough)
+		hd_set_length(txn->call, txn->answer_length);
 	hd_reply_begin(txn->call, txn->status, txn->answer.type);
 }
 
@@ -73,12 +75,21 @@
 {
 	struct txn *txn = ctx;
 
-	hd_reply_write(txn->call, data, len);
+	txn->answer_bytes += len;
+	if (hd_reply_write(txn->call, data, len) < 0)
+		txn->answer_failed = true;
+	else
+		txn_hold_if_behind(txn);
 }
 
+/* The length is counted here, apart from the HTTP server, so that a loss between the two shows. */
 void txn_answer_end(void *ctx)
 {
-	hd_reply_end(((struct txn *)ctx)->call);
+	struct txn *txn = ctx;
+
+	hd_expect_length(txn->call, txn->answer_bytes);
+	if (hd_reply_end(txn->call) < 0)
+		txn->answer_failed = true;
 }
 
 void txn_answer_abort(void *ctx)
@@ -112,7 +123,8 @@
 
 	if (txn->fwd.failure == FWD_CRASHES)
 		retry_us = txn_quarantine_retry_us(txn, now_us);
-	else if (not_run && txn->fwd.failure != FWD_CALLER_DISCONNECTED)
+	else if (not_run && txn->fwd.failure != FWD_CALLER_DISCONNECTED &&
+		 txn->fwd.failure != FWD_CALLER_STALLED)
 		retry_us = txn_retry_after_us(txn, now_us);
 	txn_reply_error(txn, status, fwd_cause_name(txn->fwd.failure), retry_us);
 }
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -20,6 +20,20 @@
 	TXN_LOGGED_BODY_MAX = 200 /* a refusal's body is logged if it has fewer bytes than this */
 };
 
+/* Context of the calls of one of two attempts that may be under way together. */
+struct txn_side {
+	struct txn *txn;
+};
+
+/* A silent attempt that is kept beside the current one. */
+struct txn_aside {
+	struct way_call *call;	   /* NULL: none */
+	struct traf_target target; /* endpoint of the attempt */
+	struct seam_answer answer; /* head of its answer, if that was received */
+	int64_t boot_us;	   /* time at which it was sent, by tmr_boot_now() */
+	bool head_received;	   /* it has received the head of an answer */
+};
+
 struct txn {
 	struct traf *traf;
 	struct hd_call *call;		  /* the caller's HTTP request and the answer to it */
@@ -31,6 +45,9 @@
 	struct fwd fwd;			  /* state machine of the request */
 	struct tmr timer;		  /* timer of fwd */
 	struct way_call *attempt;	  /* attempt under way; NULL: none */
+	struct txn_aside aside;		  /* silent attempt that is kept */
+	struct txn_side sides[2];	  /* contexts of the calls of attempts */
+	int side;			  /* index in sides of the current attempt */
 	struct way_call *order;		  /* order under way that replaces stages; NULL: none */
 	struct traf_target target;	  /* endpoints of the latest attempt */
 	struct traf_target repair;	  /* pipeline that the order under way asks for */
@@ -61,6 +78,13 @@
 					  * only compared; NULL: none */
 	enum crash_progress broken_progress; /* progress of the attempt when it broke off */
 	int status;			     /* HTTP status sent to the caller; 0: none yet */
+	uint64_t answer_length;		     /* Content-Length of the last attempt's answer;
+					      * HD_LENGTH_UNKNOWN: not stated */
+	int64_t held_us;  /* time since which the caller holds the attempt back, in us; 0: it does
+			   * not */
+	bool held_logged; /* the log says so */
+	uint64_t answer_bytes; /* bytes of an answer in parts that were passed to the caller */
+	bool answer_failed;    /* a part of the answer, or its end, could not be sent */
 };
 
 /* Frees the request. */
@@ -119,9 +143,38 @@
 /* Callback of struct fwd_ops: handles a silent attempt. Returns true if the attempt is kept. */
 bool txn_on_silent(void *ctx);
 
+/* Holds the attempt back if the caller is too far behind. Called whenever parts were passed on. */
+void txn_hold_if_behind(struct txn *txn);
+
+/* Returns whether the caller holds the attempt back. */
+bool txn_is_held(const struct txn *txn);
+
+/* Looks again whether a held attempt may go on, and logs one that is held for long. */
+void txn_flow_on_sweep(struct txn *txn, int64_t now_us);
+
+/* The request has ended. */
+void txn_flow_on_end(struct txn *txn);
+
+/*
+ * Returns whether the attempt has received data lately, or would have if its caller didn't hold it
+ * back: its silence says nothing about the endpoints.
+ */
+bool txn_is_active(const struct txn *txn, int64_t now_us);
+
 /* Returns the name of the request's client account; "": none. */
 const char *txn_account_name(const struct txn *txn);
 
+/* Callbacks of struct fwd_ops: an attempt that is kept beside the current one. */
+bool txn_set_aside(void *ctx);
+void txn_take_back(void *ctx);
+void txn_cancel_aside(void *ctx);
+
+/* Returns whether the call belongs to the attempt that is kept beside the current one. */
+bool txn_is_aside(const struct txn_side *side);
+
+/* The attempt that was kept beside the current one ended without a complete answer. */
+void txn_on_aside_done(struct txn *txn, int err, bool sent);
+
 /* Handles an attempt that broke off at an endpoint, which may have crashed. */
 void txn_on_attempt_broken(struct txn *txn, struct traf_ep *ep);
 
