--- /dev/null
+++ b/regress/soak/cases_odd.py
@@ -0,0 +1,79 @@
+"""Test cases for requests and answers of odd bytes: python3 regress/soak/cases_odd.py NAME. Each docstring names the
+failure that the case guards against."""
+import socket
+import struct
+import sys
+
+from cases import expect, run
+from cases_lost import WHOLE, Connection, request_bytes
+from stack import Failure, eventually
+
+# Kinds of frames, as in msg/kind.h.
+FEED_ASK, LIMIT_ASK, TUNNEL_OPEN, TUNNEL_ATTACH = 18, 23, 26, 28
+
+
+def ask(stack, host, path, request_id, **headers):
+    """Sends a request on a connection of its own; returns what the caller got, the status and the body."""
+    conn = Connection(stack.port(host, "front"))
+    conn.send(request_bytes(path, request_id, close=True, **headers))
+    got, status, _, body = conn.read_answer()
+    conn.close()
+    return got, status, body
+
+
+def case_token_counts(stack):
+    """Guards against a host that serves no further stream, since the sum of the tokens at its endpoints stopped being a
+    number after requests that state huge or infinite numbers of tokens."""
+    stack.up()
+    for i, counts in enumerate(["inf,12", "nan,12", "1e999,12", "12,inf", "50,nan", "-1e300,12", "1e300,1e300"] * 4):
+        ask(stack, "host-0", "/stream/a", "odd-%d" % i, Bronzegauge_Token_Counts=counts)
+    failed = []
+    for i in range(20):
+        name = "plain-%d" % i
+        got, status, body = ask(stack, "host-0", "/stream/a", name)
+        if (got, status) != (WHOLE, 200):
+            failed.append((name, got, status, body))
+    if failed:
+        raise Failure("%d of 20 streams failed afterwards: %r" % (len(failed), failed[:3]))
+
+
+def frame(kind, body=b""):
+    """The bytes of a frame between hosts."""
+    return struct.pack(">IH", len(body), kind) + body
+
+
+def case_tunnel_after_feed(stack):
+    """Guards against a host that ends, with all that it has under way, since a peer asks for a tunnel on a connection by
+    which it followed the host's feed."""
+    stack.up()
+    for kind in [TUNNEL_OPEN, TUNNEL_ATTACH] * 20:
+        sock = socket.create_connection(("127.0.0.1", stack.port("host-0", "control")), timeout=5)
+        sock.sendall(frame(FEED_ASK) + frame(LIMIT_ASK) + frame(kind))
+        try:
+            while sock.recv(65536):
+                pass
+        except OSError:
+            pass
+        sock.close()
+    for _ in range(3):
+        version = stack.put_config()
+        for host in stack.hosts:
+            eventually(host + " has the version or has ended", lambda h=host, v=version: stack.procs[h].poll() is not None
+                       or stack.state(h)["configuration"] == v, 10)
+            expect("exit status of " + host, stack.procs[host].poll(), None)
+
+
+def case_head_method(stack):
+    """Guards against HEAD requests that wait for a body, which no answer to them has, until their deadline."""
+    stack.up()
+    for path in ("/many/a", "/once/a"):
+        conn = Connection(stack.port("host-0", "front"))
+        conn.send(request_bytes(path, "head", body=b"", close=True).replace(b"POST", b"HEAD", 1))
+        expect("first line", conn.take_line(), b"HTTP/1.1 200 OK")
+        conn.close()
+
+
+CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
+
+if __name__ == "__main__":
+    run(CASES)
