txn: an order to repair a pipeline ends with the attempt whose answer bears another id

Every other end of an attempt cancels the order (txn_on_done()); so does this one now. No test of its own; lost_foreign and lost_id pass.

--- a/router/txn.c
+++ b/router/txn.c
@@ -466,6 +466,9 @@
 			penalty_on_served(&txn->target.stages[0].ep->failing, txn->head_us);
 		bk_on_served(traf_retry_delay(txn->traf, txn->service->name), tmr_now());
 	}
+	/* The order would replace the pipeline of the next attempt. */
+	if (!txn->answer.head.id_matches)
+		txn_cancel_order(txn);
 	go_on = fwd_on_head(&txn->fwd, &txn->answer.head, tmr_now());
 	/* A call that is dropped frees itself; if it stayed here, it would be cancelled later. */
 	if (!go_on && txn->attempt == call)
