flow: what is buffered of answers counts in the total, and shrinks with it

1,000 callers that read nothing of 1 MB each made a host grow by 268 MB (limit of unsent bytes: 48 MB): the first 256 KB of each answer were buffered, so that another attempt might replace it, before flow control saw them, and were passed on at once. Cost: while the total is too large an answer of over 16 KB that breaks off can't be replaced by another attempt.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -402,6 +402,16 @@
 	fwd->body = g_string_new(NULL);
 }
 
+static size_t fwd_buffer_max(const struct fwd *fwd)
+{
+	return fwd->rules.buffer_max > 0 ? fwd->rules.buffer_max : FWD_BUFFER_MAX_BYTES;
+}
+
+size_t fwd_buffered(const struct fwd *fwd)
+{
+	return fwd->body->len + fwd->aside_body->len + sse_pending_bytes(&fwd->sse);
+}
+
 void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
 {
 	uint64_t parts_before = fwd->parts;
@@ -426,7 +436,7 @@
 	if (!fwd_is_deliverable(&fwd->head))
 		return; /* Answers that aren't passed on aren't buffered. */
 	g_string_append_len(fwd->body, data, (gssize)len);
-	if (fwd->body->len > FWD_BUFFER_MAX_BYTES)
+	if (fwd->body->len > fwd_buffer_max(fwd))
 		fwd_start_passthrough(fwd);
 }
 
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -105,6 +105,11 @@
 	 * endpoints.
 	 */
 	int64_t limit_wait_until_us;
+	/*
+	 * Largest size of an answer that is buffered until it is complete, in bytes; a larger one
+	 * is passed on as it arrives. 0: FWD_BUFFER_MAX_BYTES.
+	 */
+	size_t buffer_max;
 	/*
 	 * Time at which the first endpoint may be used again, in microseconds; valid after
 	 * FWD_ERESTING.
@@ -275,6 +280,9 @@
  */
 bool fwd_can_abandon_attempt(const struct fwd *fwd, int64_t now_us);
 
+/* Returns the bytes of answers that are buffered. */
+size_t fwd_buffered(const struct fwd *fwd);
+
 /* Restarts the allowed silence, after a sign of progress other than data of the answer. */
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us);
 
--- a/router/flow.c
+++ b/router/flow.c
@@ -24,6 +24,11 @@
 	return total > limits->total_max ? MIN(low, (size_t)FLOW_FLOOR_BYTES) : low;
 }
 
+size_t flow_buffer_max(const struct flow_limits *limits, uint64_t total)
+{
+	return total > limits->total_max ? FLOW_FLOOR_BYTES : limits->answer_max;
+}
+
 bool flow_may_go_on(const struct flow_limits *limits, const struct flow_unsent *unsent)
 {
 	return unsent->answer <= flow_low_mark(limits, unsent->total);
--- a/router/flow.h
+++ b/router/flow.h
@@ -23,7 +23,7 @@
 /* What callers have not read yet. */
 struct flow_unsent {
 	size_t answer;	/* of this answer, in bytes */
-	uint64_t total; /* of all answers of this host, in bytes */
+	uint64_t total; /* of all answers of this host, in bytes, with those that are buffered */
 };
 
 /* Returns whether the attempt must be held back. */
@@ -35,6 +35,12 @@
 /* Returns the unsent bytes of an answer at which its attempt may go on, with that total. */
 size_t flow_low_mark(const struct flow_limits *limits, uint64_t total);
 
+/*
+ * Returns the bytes of an answer that are buffered before it is passed on, with that total; until
+ * then the answer of another attempt may replace it.
+ */
+size_t flow_buffer_max(const struct flow_limits *limits, uint64_t total);
+
 G_END_DECLS
 
 #endif
--- a/router/flow_test.cc
+++ b/router/flow_test.cc
@@ -35,6 +35,13 @@
 	}
 }
 
+/* Guards against many answers that are buffered at once, outside of the limit on all. */
+TEST(FlowTest, LessIsBufferedWhileTheTotalIsTooLarge)
+{
+	EXPECT_EQ(flow_buffer_max(&limits, limits.total_max), limits.answer_max);
+	EXPECT_EQ(flow_buffer_max(&limits, limits.total_max + 1), 16 * KB);
+}
+
 /* Guards against an attempt that waits for ever, or is held again as soon as it goes on. */
 TEST(FlowTest, AnAnswerAtItsLowMarkGoesOnAndIsNotHeld)
 {
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -126,6 +126,7 @@
 	GPtrArray *zone_names;	      /* availability zone names; index: number minus 1 */
 	GPtrArray *reqs;	      /* requests that have not been freed (struct txn) */
 	struct flow_limits flow;      /* limits on what callers have not read yet */
+	uint64_t buffered;	      /* bytes of answers that aren't passed on yet */
 	int held;		      /* requests whose attempt their caller holds back */
 	struct hop hop;		      /* measured cost of hops between availability zones */
 	GQueue *parked; /* requests received before the first complete view (struct traf_parked) */
--- a/router/txn.c
+++ b/router/txn.c
@@ -87,6 +87,7 @@
 	tmr_cancel(&traf->loop.tmr, &txn->timer);
 	txn_cancel(txn);
 	txn_cancel_aside(txn);
+	txn_count_buffered(txn, 0);
 	traf_target_release(&txn->target);
 	txn_avoid_clear(txn);
 	seam_answer_finish(&txn->answer);
@@ -508,7 +509,9 @@
 	txn->traf->any_data_us = txn->last_activity_us;
 	if (txn->target.count > 0)
 		txn->target.stages[0].ep->last_data_us = txn->last_activity_us;
+	txn_limit_buffer(txn);
 	fwd_on_data(&txn->fwd, data, len, tmr_now());
+	txn_count_buffered(txn, fwd_buffered(&txn->fwd));
 	if (txn->fwd.parts > parts)
 		txn_on_part(txn);
 }
--- a/router/txn_flow.c
+++ b/router/txn_flow.c
@@ -5,14 +5,31 @@
 	TXN_HELD_LOG_MS = 1000 /* a request that is held back for longer is logged */
 };
 
+static uint64_t txn_unsent_total(const struct txn *txn)
+{
+	return hd_unsent_total(txn->traf->router->front) + txn->traf->buffered;
+}
+
 static struct flow_unsent txn_unsent(const struct txn *txn)
 {
 	return (struct flow_unsent){
 		.answer = hd_unsent(txn->call),
-		.total = hd_unsent_total(txn->traf->router->front),
+		.total = txn_unsent_total(txn),
 	};
 }
 
+void txn_count_buffered(struct txn *txn, size_t buffered)
+{
+	txn->traf->buffered += buffered;
+	txn->traf->buffered -= txn->buffered;
+	txn->buffered = buffered;
+}
+
+void txn_limit_buffer(struct txn *txn)
+{
+	txn->fwd.rules.buffer_max = flow_buffer_max(&txn->traf->flow, txn_unsent_total(txn));
+}
+
 bool txn_is_held(const struct txn *txn)
 {
 	return txn->held_us > 0;
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -84,6 +84,7 @@
 			   * not */
 	bool held_logged; /* the log says so */
 	uint64_t answer_bytes; /* bytes of an answer in parts that were passed to the caller */
+	size_t buffered;       /* bytes of the answer that count in traf->buffered */
 	bool answer_failed;    /* a part of the answer, or its end, could not be sent */
 };
 
@@ -152,6 +153,12 @@
 /* Looks again whether a held attempt may go on, and logs one that is held for long. */
 void txn_flow_on_sweep(struct txn *txn, int64_t now_us);
 
+/* Counts what is buffered of the answer. Called whenever data has arrived, and before the end. */
+void txn_count_buffered(struct txn *txn, size_t buffered);
+
+/* Sets how much of the answer may be buffered. */
+void txn_limit_buffer(struct txn *txn);
+
 /* The request has ended. */
 void txn_flow_on_end(struct txn *txn);
 
