--- a/base/frm_test.cc
+++ b/base/frm_test.cc
@@ -2,6 +2,7 @@
 #include "base/frm.h"
 #include "base/met.h"
 #include "msg/tunnel.pb-c.h"
+#include "base/testing.h"
 
 #include <arpa/inet.h>
 #include <functional>
@@ -42,22 +43,9 @@
 		client_ = frm_connect(&loop_, addr_.c_str(), &ops_, &limits_, this);
 		ASSERT_NE(client_, nullptr);
 	}
-	/* Runs the loop until the condition holds. */
 	void RunUntil(std::function<bool()> done)
 	{
-		done_ = std::move(done);
-		loop_.stopping = false;
-		OnPoll(this, 0);
-		loop_run(&loop_);
-	}
-	static void OnPoll(void *ctx, int64_t)
-	{
-		FrmTest *test = (FrmTest *)ctx;
-
-		if (test->done_())
-			loop_stop(&test->loop_);
-		else
-			loop_start_timer(&test->loop_, &test->poll_, 1000, OnPoll, test);
+		runner_.RunUntil(std::move(done));
 	}
 	static int OnMsg(void *ctx, frm_conn *, uint16_t, const uint8_t *, size_t len)
 	{
@@ -77,14 +65,13 @@
 	const frm_ops ops_ = {OnMsg, OnClose};
 	const frm_limits limits_ = {tmr_from_s(60), tmr_from_s(60), tmr_from_s(60)};
 	loop loop_;
+	LoopRunner runner_{&loop_};
 	frm_server server_{};
 	std::string addr_;
 	frm_conn *client_ = nullptr;
 	int received_ = 0;
 	size_t received_len_ = 0;
 	int closed_ = 0; /* error with which the client's connection ended */
-	tmr poll_{};
-	std::function<bool()> done_;
 };
 
 /* A process without free descriptors used a whole core to accept, and said nothing. */
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -1,4 +1,5 @@
 #include "base/hc.h"
+#include "base/testing.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -20,15 +21,7 @@
       public:
 	explicit Server(int connections) : listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
-		EXPECT_EQ(listen(listener_, 8), 0);
-		getsockname(listener_, (sockaddr *)&sin, &len);
-		addr = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		addr = listen_on_loopback(listener_, 8);
 		thread_ = std::thread([this, connections] { serve(connections); });
 	}
 	~Server()
@@ -196,15 +189,7 @@
 	BodyServer(int connections, const std::string &head, const std::string &body)
 		: listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
-		EXPECT_EQ(listen(listener_, 8), 0);
-		getsockname(listener_, (sockaddr *)&sin, &len);
-		url = "http://127.0.0.1:" + std::to_string(ntohs(sin.sin_port)) + "/";
+		url = "http://" + listen_on_loopback(listener_, 8) + "/";
 		for (int i = 0; i < connections; i++)
 			threads_.emplace_back([this, head, body] { Serve(head + body); });
 	}
--- a/router/gateway_test.cc
+++ b/router/gateway_test.cc
@@ -1,6 +1,7 @@
 #include "base/frm.h"
 #include "msg/kind.h"
 #include "router/gateway.h"
+#include "base/testing.h"
 
 #include <arpa/inet.h>
 #include <cstdio>
@@ -20,15 +21,7 @@
       protected:
 	GatewayTest() : endpoint_(socket(AF_INET, SOCK_STREAM, 0))
 	{
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(endpoint_, (sockaddr *)&sin, sizeof(sin)), 0);
-		EXPECT_EQ(listen(endpoint_, 4), 0);
-		getsockname(endpoint_, (sockaddr *)&sin, &len);
-		addr_ = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		addr_ = listen_on_loopback(endpoint_, 4);
 		EXPECT_EQ(loop_init(&loop_), 0);
 		reach_init(&reach_);
 		gateway_ = gateway_new(&loop_, &reach_, "");
@@ -39,22 +32,9 @@
 		loop_finish(&loop_);
 		close(endpoint_);
 	}
-	/* Runs the loop until the condition holds. */
 	void RunUntil(std::function<bool()> done)
 	{
-		done_ = std::move(done);
-		loop_.stopping = false;
-		OnPoll(this, 0);
-		loop_run(&loop_);
-	}
-	static void OnPoll(void *ctx, int64_t)
-	{
-		GatewayTest *test = (GatewayTest *)ctx;
-
-		if (test->done_())
-			loop_stop(&test->loop_);
-		else
-			loop_start_timer(&test->loop_, &test->poll_, 1000, OnPoll, test);
+		runner_.RunUntil(std::move(done));
 	}
 	/* Asks for a tunnel on one end of the pair of sockets. */
 	void Ask(const int *pair)
@@ -86,12 +66,11 @@
 		return result;
 	}
 	loop loop_;
+	LoopRunner runner_{&loop_};
 	reach reach_{};
 	gateway *gateway_;
 	int endpoint_;
 	std::string addr_;
-	tmr poll_{};
-	std::function<bool()> done_;
 };
 
 /* A tunnel whose socket can't be watched passed nothing until the caller's deadline. */
--- a/router/hosts_test.cc
+++ b/router/hosts_test.cc
@@ -1,3 +1,5 @@
+#include "base/testing.h"
+
 #include <arpa/inet.h>
 #include <condition_variable>
 #include <functional>
@@ -24,15 +26,7 @@
       public:
 	Store() : listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
-		EXPECT_EQ(listen(listener_, 4), 0);
-		getsockname(listener_, (sockaddr *)&sin, &len);
-		addr = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+		addr = listen_on_loopback(listener_, 4);
 		thread_ = std::thread([this] { Serve(); });
 	}
 	~Store()
@@ -151,22 +145,9 @@
 
 		hosts_on_announced(ctrl_->host_list, name, &host);
 	}
-	/* Runs the loop until the condition holds. */
 	void RunUntil(std::function<bool()> done)
 	{
-		done_ = std::move(done);
-		loop_.stopping = false;
-		OnPoll(this, 0);
-		loop_run(&loop_);
-	}
-	static void OnPoll(void *ctx, int64_t)
-	{
-		HostsTest *test = (HostsTest *)ctx;
-
-		if (test->done_())
-			loop_stop(&test->loop_);
-		else
-			loop_start_timer(&test->loop_, &test->poll_, 1000, OnPoll, test);
+		runner_.RunUntil(std::move(done));
 	}
 	bool IsWriting() const
 	{
@@ -190,10 +171,9 @@
 	}
 	Store store_;
 	loop loop_;
+	LoopRunner runner_{&loop_};
 	router router_{};
 	ctrl *ctrl_;
-	tmr poll_{};
-	std::function<bool()> done_;
 };
 
 /* A host announced during a write never came into the store: the write's end discarded it. */
