--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -102,6 +102,7 @@
         self.drain_ms = 2000
         self.timeout_ms = 8000    # timeout of routes, in milliseconds
         self.idle_ms = 15000      # idle timeout of connections, in milliseconds
+        self.body_max_bytes = 100000    # largest body of a request
         self.store_port = self.base
         self.engine_control = self.base + 1
         self.hosts = ["host-%d" % i for i in range(hosts)]
@@ -228,7 +229,7 @@
         return {"version": self.version, "routes": routes,
                 "services": [{"name": "llm", "healthPath": "/health", "engine": engine},
                              {"name": "plain", "healthPath": "/health"}],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": self.body_max_bytes,
                            "headerTimeoutMs": 3000, "idleTimeoutMs": self.idle_ms},
                 "tenants": [{"name": n, "apiKeys": k} for n, k in self.keys.items()]}
 
