hc: an answer that switches protocols ends the request at once

What callers saw: a request whose endpoint answers 101 and keeps the connection waited until its deadline (504 after 8.0 s in the case), though no answer could come. Cause: libcurl takes a 101 that nobody asked for as the final answer and reads on until the connection ends; hc took it for an interim one, so no head was ever reported and nobody could judge it.

hc refuses the head. The request then fails as any that broke off without one: repeated elsewhere if it may, else 502 at once. case_odd_status failed before with 504 after 8.0 s, HcTest with the time limit; both pass now. Statuses 099 and 000 were played, too: libcurl refuses them, 502 on both codes.

--- a/base/hc.c
+++ b/base/hc.c
@@ -13,7 +13,8 @@
 	HC_IDLE_CONNS_MAX = 1024, /* idle connections that are kept for reuse */
 	HC_RECEIVE_BUFFER = 4096, /* bytes; small, because a stream sends one token at a time */
 	HC_SEND_BUFFER = 16384,	  /* bytes of the upload buffer of a request */
-	USEC_PER_MSEC = 1000	  /* microseconds in a millisecond */
+	HC_SWITCHING_PROTOCOLS = 101,
+	USEC_PER_MSEC = 1000 /* microseconds in a millisecond */
 };
 
 struct hc {
@@ -199,6 +200,9 @@
 		return len;
 	}
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	/* No other protocol was asked for, and the library reads on until the connection ends. */
+	if (status == HC_SWITCHING_PROTOCOLS)
+		return 0;
 	if (status / 100 == 1) {
 		g_ptr_array_set_size(call->response_headers, 0);
 		return len;
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -1,4 +1,5 @@
 #include "base/hc.h"
+#include "base/err.h"
 #include "base/testing.h"
 
 #include <algorithm>
@@ -15,14 +16,16 @@
 namespace
 {
 
-/* A server on loopback that sends the head and a part of the body to each of its connections. */
+/* A server on loopback that sends an answer to each of its connections and keeps them open. */
 class Server
 {
       public:
-	explicit Server(int connections) : listener_(socket(AF_INET, SOCK_STREAM, 0))
+	explicit Server(int connections, const char *answer = "HTTP/1.1 200 OK\r\n"
+							      "Content-Length: 4\r\n\r\nbody")
+		: listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
 		addr = listen_on_loopback(listener_, 8);
-		thread_ = std::thread([this, connections] { serve(connections); });
+		thread_ = std::thread([this, connections, answer] { serve(connections, answer); });
 	}
 	~Server()
 	{
@@ -37,7 +40,7 @@
 
       private:
 	/* All heads are sent only once all requests are there, so that all calls are under way. */
-	void serve(int connections)
+	void serve(int connections, const char *answer)
 	{
 		for (int i = 0; i < connections; i++) {
 			int fd = accept(listener_, nullptr, nullptr);
@@ -54,11 +57,8 @@
 			received.push_back(text);
 			open_.push_back(fd);
 		}
-		for (int fd : open_) {
-			const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
-
+		for (int fd : open_)
 			send(fd, answer, strlen(answer), MSG_NOSIGNAL);
-		}
 	}
 
 	int listener_;
@@ -74,6 +74,8 @@
 		hc_call *call;
 		int done = 0;
 		int status = -1;
+		int err = 0;
+		bool sent = true;
 	};
 
 	void SetUp() override
@@ -84,10 +86,12 @@
 			Call *call = (Call *)ctx;
 			return call->test->OnHead(call);
 		};
-		ops_.on_done = [](void *ctx, int status, int, bool, const char *, size_t) {
+		ops_.on_done = [](void *ctx, int status, int err, bool sent, const char *, size_t) {
 			Call *call = (Call *)ctx;
 			call->done++;
 			call->status = status;
+			call->err = err;
+			call->sent = sent;
 			call->call = nullptr;
 			loop_stop(&call->test->loop_);
 		};
@@ -115,7 +119,7 @@
 		request.method = "GET";
 		request.url = url.c_str();
 		request.connect_ms = 5000;
-		request.total_ms = 5000;
+		request.total_ms = total_ms_;
 		request.fresh = true;
 		request.close = true;
 		request.via = via;
@@ -127,6 +131,7 @@
 	loop loop_{};
 	hc *hc_ = nullptr;
 	hc_ops ops_{};
+	int64_t total_ms_ = 5000;
 	std::vector<Call *> cancel_; /* calls that the first head cancels */
 };
 
@@ -170,6 +175,20 @@
 	EXPECT_NE(received.find("Host: 127.0.0.2:9\r\n"), std::string::npos);
 }
 
+/* Guards against a request that waits until its time limit since its answer has no end. */
+TEST_F(HcTest, SwitchOfProtocolsEndsTheRequest)
+{
+	Server server(1, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+	Call call{};
+
+	total_ms_ = 1000;
+	start(&call, "http://" + server.addr + "/", nullptr, nullptr);
+	loop_run(&loop_);
+	EXPECT_EQ(call.status, 0);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_TRUE(call.sent);
+}
+
 /* A call that notes what it receives and acts in its callback. */
 struct BodyCall {
 	struct loop *loop;
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -3,9 +3,11 @@
 import socket
 import struct
 import sys
+import time
 
 from cases import expect, run
 from cases_lost import WHOLE, Connection, request_bytes
+from proxy import Proxy
 from stack import Failure, eventually
 
 # Kinds of frames, as in msg/kind.h.
@@ -73,6 +75,35 @@
         conn.close()
 
 
+class Renumberer(Proxy):
+    """A proxy that passes on answers with another status once it has one."""
+
+    status = None
+
+    def alter(self, data):
+        return data.replace(b"HTTP/1.1 200 ", b"HTTP/1.1 %s " % self.status) if self.status else data
+
+
+def case_odd_status(stack):
+    """Guards against callers that get no byte, or wait until their deadline, since an endpoint answers with a status that
+    is no status of a final answer."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(Renumberer(stack.base + 60 + i, point[1]))
+    stack.up()
+    for number in (b"099", b"000", b"101"):
+        for proxy in proxies:
+            proxy.status = number
+        for kind in ("once", "many"):
+            began = time.monotonic()
+            got, status, _ = ask(stack, "host-0", "/%s/a" % kind, "status-%s-%s" % (number.decode(), kind))
+            expect("what the caller got", (got, status), (WHOLE, 502))
+            if time.monotonic() - began > 3:
+                raise Failure("answered after %.1f s" % (time.monotonic() - began))
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
