hc: a request that the library does not take whole is not sent

Two results that nobody asked for, both open in docs/design/results.md. hc_start() dropped those of curl_easy_setopt() and curl_multi_add_handle(): a request whose target the library refused was sent with the one of its URL, and one that was not added never ended, as most requests of callers have no time limit here. hc_connect_via() went on without the tunnel if the gateway's address could not be parsed, so the request reached its endpoint directly, on a way that was chosen as broken.

Now each such request ends as not sent, in the loop, as its owner has not got it yet when hc_start() returns. Not met in practice: addresses are parsed before the dial, and the library refuses texts above 8 MB only.

--- a/base/hc.c
+++ b/base/hc.c
@@ -25,6 +25,7 @@
 	GPtrArray *deferred; /* requests (struct hc_call) that were started inside a callback */
 	GPtrArray *canceled; /* requests that were canceled inside a callback of another one */
 	GPtrArray *resumed;  /* requests that hc_pause() lets go on */
+	GPtrArray *failed;   /* requests that could not be started */
 	bool in_callback;    /* a callback of the library is running */
 	char *source; /* IP address that connections come from, as the library has it; NULL: any */
 };
@@ -52,6 +53,7 @@
 	struct sockaddr_in via; /* address to connect to instead of the host in the URL */
 	GByteArray *preamble;	/* bytes to send before the request; NULL: none */
 	int fd;			/* socket that the preamble is sent on */
+	bool incomplete;	/* the library did not take a part of the request */
 };
 
 static int hc_on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sock);
@@ -79,6 +81,7 @@
 	hc->deferred = g_ptr_array_new();
 	hc->canceled = g_ptr_array_new();
 	hc->resumed = g_ptr_array_new();
+	hc->failed = g_ptr_array_new();
 	return hc;
 }
 
@@ -98,6 +101,7 @@
 	g_ptr_array_unref(hc->deferred);
 	g_ptr_array_unref(hc->canceled);
 	g_ptr_array_unref(hc->resumed);
+	g_ptr_array_unref(hc->failed);
 	curl_multi_cleanup(hc->multi);
 	g_free(hc->source);
 	g_free(hc);
@@ -329,6 +333,7 @@
 	g_ptr_array_remove(call->hc->deferred, call);
 	g_ptr_array_remove(call->hc->canceled, call);
 	g_ptr_array_remove(call->hc->resumed, call);
+	g_ptr_array_remove(call->hc->failed, call);
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -361,71 +366,108 @@
 	return n == (ssize_t)call->preamble->len ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+/* Sets an option of the request; a request that lacks one is not sent. */
+#define hc_set(call, option, value)                                                                \
+	do {                                                                                       \
+		if (curl_easy_setopt((call)->easy, option, value) != CURLE_OK)                     \
+			(call)->incomplete = true;                                                 \
+	} while (0)
+
 static void hc_connect_via(struct hc_call *call, const struct hc_request *request)
 {
-	if (addr_parse(request->via, &call->via) < 0)
+	if (addr_parse(request->via, &call->via) < 0) {
+		call->incomplete = true;
 		return;
+	}
 	call->preamble = g_byte_array_new();
 	g_byte_array_append(call->preamble, request->preamble->data, request->preamble->len);
-	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETFUNCTION, hc_on_open_socket);
-	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETDATA, call);
-	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, hc_on_connected);
-	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+	hc_set(call, CURLOPT_OPENSOCKETFUNCTION, hc_on_open_socket);
+	hc_set(call, CURLOPT_OPENSOCKETDATA, call);
+	hc_set(call, CURLOPT_PREREQFUNCTION, hc_on_connected);
+	hc_set(call, CURLOPT_PREREQDATA, call);
 }
 
-struct hc_call *hc_start(struct hc *hc, const struct hc_request *request, const struct hc_ops *ops,
-			 void *ctx)
+static void hc_set_headers(struct hc_call *call, const struct hc_request *request)
 {
-	struct hc_call *call = g_new0(struct hc_call, 1);
-	CURL *easy = curl_easy_init();
-
-	call->hc = hc;
-	call->easy = easy;
-	call->ops = ops;
-	call->ctx = ctx;
-	call->body = g_string_new(NULL);
 	for (const char *const *h = request->headers; h && *h; h++)
 		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
-	curl_easy_setopt(easy, CURLOPT_URL, request->url);
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)HC_RECEIVE_BUFFER);
-	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)HC_SEND_BUFFER);
-	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_ms);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->total_ms);
-	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, hc_on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
-	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
-	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request->close ? 1L : 0L);
+	hc_set(call, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void hc_set_body(struct hc_call *call, const struct hc_request *request)
+{
+	/* An answer to HEAD has no body, whatever length it states. */
+	if (strcmp(request->method, "HEAD") == 0) {
+		hc_set(call, CURLOPT_NOBODY, 1L);
+	} else if (request->body) {
+		hc_set(call, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
+		hc_set(call, CURLOPT_COPYPOSTFIELDS, request->body);
+	}
+}
+
+static void hc_set_request(struct hc_call *call, const struct hc_request *request)
+{
+	hc_set_headers(call, request);
+	hc_set(call, CURLOPT_URL, request->url);
+	hc_set(call, CURLOPT_CUSTOMREQUEST, request->method);
+	hc_set(call, CURLOPT_NOSIGNAL, 1L);
+	hc_set(call, CURLOPT_NOPROXY, "*");
+	hc_set(call, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	hc_set(call, CURLOPT_TCP_NODELAY, 1L);
+	hc_set(call, CURLOPT_BUFFERSIZE, (long)HC_RECEIVE_BUFFER);
+	hc_set(call, CURLOPT_UPLOAD_BUFFERSIZE, (long)HC_SEND_BUFFER);
+	hc_set(call, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_ms);
+	hc_set(call, CURLOPT_TIMEOUT_MS, (long)request->total_ms);
+	hc_set(call, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
+	hc_set(call, CURLOPT_WRITEFUNCTION, hc_on_body);
+	hc_set(call, CURLOPT_WRITEDATA, call);
+	hc_set(call, CURLOPT_PRIVATE, call);
+	hc_set(call, CURLOPT_FORBID_REUSE, request->close ? 1L : 0L);
 	if (request->via)
 		hc_connect_via(call, request);
-	else if (hc->source)
-		curl_easy_setopt(easy, CURLOPT_INTERFACE, hc->source);
+	else if (call->hc->source)
+		hc_set(call, CURLOPT_INTERFACE, call->hc->source);
 	if (request->target)
-		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
-	if (ops->on_head) {
+		hc_set(call, CURLOPT_REQUEST_TARGET, request->target);
+	if (call->ops->on_head) {
 		call->response_headers = g_ptr_array_new_with_free_func(g_free);
-		curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, hc_on_header);
-		curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
-	}
-	/* An answer to HEAD has no body, whatever length it states. */
-	if (strcmp(request->method, "HEAD") == 0) {
-		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-	} else if (request->body) {
-		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
-		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body);
+		hc_set(call, CURLOPT_HEADERFUNCTION, hc_on_header);
+		hc_set(call, CURLOPT_HEADERDATA, call);
 	}
+	hc_set_body(call, request);
+}
+
+/*
+ * Passes the request to the library. If that fails, it ends in the loop, as its owner has not got
+ * it yet; otherwise it would wait for ever, or do without what could not be set.
+ */
+static void hc_add(struct hc_call *call)
+{
+	struct hc *hc = call->hc;
+
+	if (!call->incomplete && curl_multi_add_handle(hc->multi, call->easy) == CURLM_OK)
+		return;
+	g_ptr_array_add(hc->failed, call);
+	loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_on_deferred, hc);
+}
+
+struct hc_call *hc_start(struct hc *hc, const struct hc_request *request, const struct hc_ops *ops,
+			 void *ctx)
+{
+	struct hc_call *call = g_new0(struct hc_call, 1);
+
+	call->hc = hc;
+	call->easy = curl_easy_init();
+	call->ops = ops;
+	call->ctx = ctx;
+	call->body = g_string_new(NULL);
+	hc_set_request(call, request);
 	if (hc->in_callback) {
 		g_ptr_array_add(hc->deferred, call);
 		loop_start_timer(hc->loop, &hc->deferred_timer, 0, hc_on_deferred, hc);
 	} else {
-		curl_multi_add_handle(hc->multi, easy);
+		hc_add(call);
 	}
 	return call;
 }
@@ -473,12 +515,10 @@
 	(void)now_us;
 	while (hc->canceled->len > 0)
 		hc_call_free(g_ptr_array_steal_index_fast(hc->canceled, 0));
-	for (guint i = 0; i < hc->deferred->len; i++) {
-		struct hc_call *call = hc->deferred->pdata[i];
-
-		curl_multi_add_handle(hc->multi, call->easy);
-	}
-	g_ptr_array_set_size(hc->deferred, 0);
+	while (hc->deferred->len > 0)
+		hc_add(g_ptr_array_steal_index(hc->deferred, 0));
+	while (hc->failed->len > 0)
+		hc_finish_call(g_ptr_array_steal_index(hc->failed, 0), CURLE_FAILED_INIT);
 	while (hc->resumed->len > 0)
 		hc_resume(g_ptr_array_steal_index_fast(hc->resumed, 0));
 }
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -122,6 +122,7 @@
 		request.total_ms = total_ms_;
 		request.fresh = true;
 		request.close = true;
+		request.target = target_.empty() ? nullptr : target_.c_str();
 		request.via = via;
 		request.preamble = preamble;
 		call->test = this;
@@ -132,6 +133,7 @@
 	hc *hc_ = nullptr;
 	hc_ops ops_{};
 	int64_t total_ms_ = 5000;
+	std::string target_;
 	std::vector<Call *> cancel_; /* calls that the first head cancels */
 };
 
@@ -189,6 +191,45 @@
 	EXPECT_TRUE(call.sent);
 }
 
+/* Guards against a request that reaches its server directly since the way there is unknown. */
+TEST_F(HcTest, RequestByABadAddressIsNotSent)
+{
+	GByteArray *bytes = g_byte_array_new();
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	std::string addr = listen_on_loopback(listener, 8);
+	Call call{};
+
+	total_ms_ = 1000;
+	start(&call, "http://" + addr + "/", "nowhere", bytes);
+	EXPECT_EQ(call.done, 0);
+	loop_run(&loop_);
+	EXPECT_EQ(call.done, 1);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_FALSE(call.sent);
+	EXPECT_LT(accept(listener, nullptr, nullptr), 0);
+	close(listener);
+	g_byte_array_unref(bytes);
+}
+
+/* Guards against a request that is sent without a part that the library does not take. */
+TEST_F(HcTest, RequestThatLacksAPartIsNotSent)
+{
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	std::string addr = listen_on_loopback(listener, 8);
+	Call call{};
+
+	total_ms_ = 1000;
+	target_ = "/" + std::string(9 << 20, 'x');
+	start(&call, "http://" + addr + "/", nullptr, nullptr);
+	EXPECT_EQ(call.done, 0);
+	loop_run(&loop_);
+	EXPECT_EQ(call.done, 1);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_FALSE(call.sent);
+	EXPECT_LT(accept(listener, nullptr, nullptr), 0);
+	close(listener);
+}
+
 /* A call that notes what it receives and acts in its callback. */
 struct BodyCall {
 	struct loop *loop;
