hd: a broken answer to a caller of HTTP/1.0 is reset, so that it doesn't look whole

What callers saw: a stream, or a large answer without a length, that is broken off came short and looked whole, if the caller speaks HTTP/1.0: it knows no chunks, and the end of the connection is the end of the answer. The host logged 'aborted' and counted broken_off, that is an end that the caller sees. The same where the library ends the connection as the caller reads nothing.

The connection is now disconnected (connect with AF_UNSPEC sends a reset) before the library closes it in order; at a timeout its close is queued behind bytes that the caller has not read, and the reset drops both. Answers with a length and those of HTTP/1.1 end as before.

--- a/base/hd.c
+++ b/base/hd.c
@@ -57,6 +57,7 @@
 	bool headers_received; /* the request line and the headers were received */
 	bool too_large;	       /* the request body exceeded body_max */
 	bool handler_called;   /* the handler has been called */
+	bool is_http_1_0;      /* the client knows no chunks */
 	int port;	       /* local TCP port; 0 if unknown */
 	int fd;		       /* socket of the connection; -1 if unknown */
 	int64_t began_us;      /* time at which the headers had been received */
@@ -97,7 +98,8 @@
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max);
 static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn);
 static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target);
-static void hd_call_begin(struct hd_call *call, const char *url, const char *method);
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method,
+			  const char *version);
 static enum MHD_Result hd_queue_response(struct hd_call *call);
 static void hd_resume(struct hd_call *call);
 
@@ -260,7 +262,8 @@
 	return call;
 }
 
-static void hd_call_begin(struct hd_call *call, const char *url, const char *method)
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method,
+			  const char *version)
 {
 	unsigned int idle_s;
 
@@ -269,6 +272,7 @@
 	call->headers_received = true;
 	call->method = g_strdup(method);
 	call->path = g_strdup(url);
+	call->is_http_1_0 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
 	if (idle_s > 0)
 		MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
@@ -387,11 +391,10 @@
 	struct hd_call *call = *state;
 	enum MHD_Result result = MHD_YES;
 
-	(void)version;
 	if (!call)
 		return MHD_NO;
 	if (!call->headers_received) {
-		hd_call_begin(call, url, method);
+		hd_call_begin(call, url, method, version);
 		return MHD_YES;
 	}
 	if (*len > 0) {
@@ -452,6 +455,21 @@
 	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
 }
 
+/* Returns whether nothing but the end of the connection tells the client that the response ends. */
+static bool hd_is_unframed(const struct hd_call *call)
+{
+	return call->is_http_1_0 && call->streaming && call->length == HD_LENGTH_UNKNOWN;
+}
+
+/* Resets the connection, so that its client doesn't take an unframed response for complete. */
+static void hd_reset(const struct hd_call *call)
+{
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	if (connect(call->fd, &none, sizeof(none)) < 0)
+		met_add(met_counter("bg_resets_failed_total", ""), 1);
+}
+
 /* Returns the number of bytes of the response that the library hasn't read yet. */
 static size_t hd_pending(const struct hd_call *call)
 {
@@ -502,6 +520,8 @@
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
 	call->end = hd_end_of(call, code);
+	if (call->end == HD_END_TIMEOUT && hd_is_unframed(call))
+		hd_reset(call);
 	hd_report_end(ctx, call);
 	if (call->streaming)
 		hd_drop_pending(call);
@@ -549,6 +569,8 @@
 	if (hd_pending(call) > 0) {
 		n = (ssize_t)hd_take_pending(call, buf, max);
 	} else if (call->aborted) {
+		if (hd_is_unframed(call))
+			hd_reset(call);
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (call->ended) {
 		n = MHD_CONTENT_READER_END_OF_STREAM;
--- a/base/hd.h
+++ b/base/hd.h
@@ -223,7 +223,9 @@
 /*
  * Closes the connection without the last chunk, so that the client doesn't take a response in parts
  * for complete. The status and parts that were written before are still sent; a request without
- * either ends without any response.
+ * either ends without any response. To a client of HTTP/1.0, which knows no chunks, the end of the
+ * connection is the end of a response without a length, so its connection is reset instead, and the
+ * last parts may be lost.
  */
 void hd_abort(struct hd_call *call);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -465,6 +465,25 @@
 	EXPECT_GT(outcome.unsent, 0U);
 }
 
+/* Guards against an answer of which a client of HTTP/1.0 reads a part too late, and takes that for
+ * whole. */
+TEST_F(HdUnlimitedTest, IdleTimeoutWithinAnAnswerWithoutFramingResetsTheConnection)
+{
+	hd_set_limits(hd_, 100, 1);
+	hd_call *call = Send("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+	hd_reply_begin(call, 200, "text/plain");
+	const std::string part(4 << 20, 'x');
+	EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	EXPECT_EQ(WaitForEnd().end, HD_END_TIMEOUT);
+	hd_unref(call);
+	char buf[4096];
+	ssize_t n;
+	while ((n = recv(client_, buf, sizeof(buf), 0)) > 0)
+		;
+	EXPECT_EQ(n, -1);
+	EXPECT_EQ(errno, ECONNRESET);
+}
+
 /* Guards against idle connections that stay open for ever. */
 TEST_F(HdTest, IdleConnectionIsClosedByTheLimitOfLate)
 {
@@ -554,6 +573,26 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a broken answer that a client of HTTP/1.0 takes for whole, since it ends as a
+ * whole one does: by the end of the connection. */
+TEST_F(HdTest, AbortOfAnAnswerWithoutFramingResetsTheConnection)
+{
+	hd_call *call = Send("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+	char buf[4096];
+	ssize_t n;
+
+	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, "half", 4), 0);
+	ASSERT_GT(recv(client_, buf, 1, MSG_PEEK), 0);
+	hd_abort(call);
+	hd_unref(call);
+	EXPECT_EQ(WaitForEnd().end, HD_END_ABORTED);
+	while ((n = recv(client_, buf, sizeof(buf), 0)) > 0)
+		;
+	EXPECT_EQ(n, -1);
+	EXPECT_EQ(errno, ECONNRESET);
+}
+
 /* Guards against a client that gets no byte since the head of its answer is long. */
 TEST_F(HdTest, AnswerWithTooLongAHeadIsReplaced)
 {
