hc: an answer whose length is not to be trusted fails

What callers saw: a part of an answer, complete by its form (200, the right length for the part), where the endpoint states two lengths and the smaller one last, or a length above any number and ends its connection early; if it keeps the connection, the caller waited until its deadline (504 after 8 s). Cause: libcurl goes by the last length, and reads on to the end of the connection after one that overflows; hc reported the call as whole.

Such a head is refused, so the call fails as one that broke off: repeated elsewhere if it may, else 502. A head that states the same length twice, or chunks, passes as before. HcTest failed before for all three wrong lengths; case_odd_length got 'whole answer', 200 for two lengths on the code before, and 502 now.

--- a/base/hc.c
+++ b/base/hc.c
@@ -179,6 +179,41 @@
 	hc_finish_done_calls(hc);
 }
 
+/* Returns the value of a header line with this name and a colon, or NULL if it has another name. */
+static const char *hc_header_value(const char *line, const char *name)
+{
+	size_t len = strlen(name);
+
+	return g_ascii_strncasecmp(line, name, len) == 0 ? line + len : NULL;
+}
+
+/*
+ * Returns whether the length of the body is too large for any number, or stated twice and
+ * differently. The library reads such a body until the connection ends, or to the last length, and
+ * takes what there is for the whole. Chunks state their lengths themselves.
+ */
+static bool hc_has_wrong_length(const GPtrArray *lines)
+{
+	bool known = false;
+	bool wrong = false;
+	guint64 length = 0;
+
+	for (guint i = 0; i < lines->len; i++) {
+		const char *text = hc_header_value(lines->pdata[i], "Content-Length:");
+		guint64 stated;
+
+		if (hc_header_value(lines->pdata[i], "Transfer-Encoding:"))
+			return false;
+		if (!text)
+			continue;
+		stated = g_ascii_strtoull(text, NULL, 10);
+		wrong = wrong || stated > G_MAXINT64 || (known && stated != length);
+		known = true;
+		length = stated;
+	}
+	return wrong;
+}
+
 /*
  * Called for the status line, for each header line and for the empty line at the end. An interim
  * response (1xx) has lines and an empty line of its own, which are discarded. Lines after the
@@ -211,6 +246,8 @@
 		g_ptr_array_set_size(call->response_headers, 0);
 		return len;
 	}
+	if (hc_has_wrong_length(call->response_headers))
+		return 0;
 	call->on_head_called = true;
 	call->callback_running = true;
 	call->hc->in_callback = true;
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -488,4 +488,31 @@
 	EXPECT_TRUE(paused.body == body);
 }
 
+/* Guards against a part of an answer that looks whole, since its length is not to be trusted. */
+TEST_F(HcTest, AnswerWithAWrongLengthFails)
+{
+	const struct {
+		const char *name, *lines;
+		int err;
+	} cases[] = {
+		{"right", "Content-Length: 4", 0},
+		{"right, spaces", "content-length:  4 ", 0},
+		{"twice the same", "Content-Length: 4\r\nContent-Length: 4", 0},
+		{"too large", "Content-Length: 99999999999999999999", BASE_EHTTP},
+		{"just too large", "Content-Length: 9223372036854775808", BASE_EHTTP},
+		{"two", "Content-Length: 8\r\nContent-Length: 4", BASE_EHTTP},
+	};
+
+	for (const auto &c : cases) {
+		BodyServer server(1, std::string("HTTP/1.1 200 OK\r\n") + c.lines + "\r\n\r\n",
+				  "half");
+		Call call{};
+
+		loop_.stopping = false;
+		start(&call, server.url, nullptr, nullptr);
+		loop_run(&loop_);
+		EXPECT_EQ(call.err, c.err) << c.name;
+	}
+}
+
 } // namespace
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -104,6 +104,37 @@
                 raise Failure("answered after %.1f s" % (time.monotonic() - began))
 
 
+class Relengther(Proxy):
+    """A proxy that passes on heads with another length once it has one, and the first bytes of their bodies."""
+
+    lines = None
+
+    def alter(self, data):
+        head, end, body = data.partition(b"\r\n\r\n")
+        if not self.lines or not head.startswith(b"HTTP/1.1 200 ") or b"Request-Id: length-" not in head:
+            return data
+        kept = [line for line in head.split(b"\r\n") if not line.lower().startswith(b"content-length:")]
+        return b"\r\n".join(kept + self.lines) + end + body[:1]
+
+
+def case_odd_length(stack):
+    """Guards against a part of an answer that a caller takes for the whole, since the endpoint states a length that is
+    too large for any number, or two."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(Relengther(stack.base + 60 + i, point[1]))
+    stack.up()
+    for name, lines in (("two", [b"Content-Length: 100", b"Content-Length: 1"]),
+                        ("huge", [b"Content-Length: 99999999999999999999"])):
+        for proxy in proxies:
+            proxy.lines = lines
+        for kind in ("once", "many"):
+            got, status, body = ask(stack, "host-0", "/%s/a" % kind, "length-%s-%s" % (name, kind))
+            expect("what the caller got", (got, status), (WHOLE, 502))
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
