hc: a list of lengths is no length

The library goes by the first number of 'Content-Length: 4, 8'; what the endpoint meant is unknown. HcTest has the case; it would have passed as 4 bytes before.

--- a/base/hc.c
+++ b/base/hc.c
@@ -187,8 +187,17 @@
 	return g_ascii_strncasecmp(line, name, len) == 0 ? line + len : NULL;
 }
 
+static bool hc_parse_length(const char *text, guint64 *length)
+{
+	char *digits = g_strstrip(g_strdup(text));
+	bool good = g_ascii_string_to_unsigned(digits, 10, 0, G_MAXINT64, length, NULL);
+
+	g_free(digits);
+	return good;
+}
+
 /*
- * Returns whether the length of the body is too large for any number, or stated twice and
+ * Returns whether the length of the body is no number, too large for any, or stated twice and
  * differently. The library reads such a body until the connection ends, or to the last length, and
  * takes what there is for the whole. Chunks state their lengths themselves.
  */
@@ -200,14 +209,13 @@
 
 	for (guint i = 0; i < lines->len; i++) {
 		const char *text = hc_header_value(lines->pdata[i], "Content-Length:");
-		guint64 stated;
+		guint64 stated = 0;
 
 		if (hc_header_value(lines->pdata[i], "Transfer-Encoding:"))
 			return false;
 		if (!text)
 			continue;
-		stated = g_ascii_strtoull(text, NULL, 10);
-		wrong = wrong || stated > G_MAXINT64 || (known && stated != length);
+		wrong = wrong || !hc_parse_length(text, &stated) || (known && stated != length);
 		known = true;
 		length = stated;
 	}
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -500,6 +500,7 @@
 		{"twice the same", "Content-Length: 4\r\nContent-Length: 4", 0},
 		{"too large", "Content-Length: 99999999999999999999", BASE_EHTTP},
 		{"just too large", "Content-Length: 9223372036854775808", BASE_EHTTP},
+		{"a list", "Content-Length: 4, 8", BASE_EHTTP},
 		{"two", "Content-Length: 8\r\nContent-Length: 4", BASE_EHTTP},
 	};
 
