hd: a request with an unknown transfer coding gets 501

Cause: the library takes the length of such a body as unknown, whatever length is stated, and reads until the connection ends.

The head is answered at once: 501, not run. HdTest failed before: no byte within 2 s.

--- a/base/hd.c
+++ b/base/hd.c
@@ -371,6 +371,23 @@
 	return hd_queue_error(call, MHD_HTTP_CONTENT_TOO_LARGE, call->hd->too_large, "no");
 }
 
+/*
+ * Returns whether the body has a transfer coding that the library does not know. It would read the
+ * body until the connection ends, and a client that waits for its answer does not end it.
+ */
+static bool hd_has_unknown_coding(struct hd_call *call)
+{
+	const char *coding = hd_header(call, MHD_HTTP_HEADER_TRANSFER_ENCODING);
+
+	return coding && g_ascii_strcasecmp(coding, "chunked") != 0;
+}
+
+static enum MHD_Result hd_reply_unknown_coding(struct hd_call *call)
+{
+	return hd_queue_error(call, MHD_HTTP_NOT_IMPLEMENTED,
+			      "{\"error\":{\"code\":\"unknown_transfer_coding\"}}", "no");
+}
+
 /* Returns the largest body by any limit that the client may have gone by. */
 static uint64_t hd_body_max(struct hd_call *call)
 {
@@ -395,7 +412,7 @@
 		return MHD_NO;
 	if (!call->headers_received) {
 		hd_call_begin(call, url, method, version);
-		return MHD_YES;
+		return hd_has_unknown_coding(call) ? hd_reply_unknown_coding(call) : MHD_YES;
 	}
 	if (*len > 0) {
 		if (call->body->len + *len > hd_body_max(call))
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -667,6 +667,31 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a request that waits for the end of a body whose length the library does not know.
+ */
+TEST_F(HdTest, UnknownTransferCodingGets501)
+{
+	const timeval patience = {2, 0};
+	const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+				    "Content-Length: 2\r\n\r\n{}";
+	setsockopt(client_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 501 "), std::string::npos);
+	EXPECT_EQ(call_, nullptr) << "the handler is not called";
+}
+
+/* Guards against chunks that are refused for how their coding is written. */
+TEST_F(HdTest, ChunkedTransferCodingIsRead)
+{
+	hd_call *call = Send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
+			     "2\r\n{}\r\n0\r\n\r\n");
+	size_t len;
+	EXPECT_STREQ(hd_body(call, &len), "{}");
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+}
+
 /* Guards against a head above the limit whose client gets no answer since it has sent more. */
 TEST_F(HdTest, HeadAboveLimitGets431)
 {
