prog: a reply that is no JSON is an error, and does not end the process

The test ended the test program by SIGSEGV before; now the caller gets 500. Not met in practice: what these daemons write was read from JSON or checked.

--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -1,5 +1,6 @@
 #include "base/hd.h"
 #include "base/err.h"
+#include "base/prog.h"
 #include "base/tmr.h"
 
 #include <arpa/inet.h>
@@ -667,6 +668,17 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a process that ends, with all that it has under way, since a reply is no JSON. */
+TEST_F(HdTest, ReplyThatIsNoJsonIsAnError)
+{
+	handler_hook_ = [](hd_call *call) {
+		prog_reply_json(call, 200, json_pack("{s:s}", "text", "\xe9"));
+	};
+	const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 500 "), std::string::npos);
+}
+
 /* Guards against a request that waits for the end of a body whose length the library does not know.
  */
 TEST_F(HdTest, UnknownTransferCodingGets501)
--- a/base/prog.c
+++ b/base/prog.c
@@ -11,6 +11,10 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+enum {
+	PROG_STATUS_NO_JSON = 500 /* status of a reply whose body can't be written */
+};
+
 /* A watched set of signals and its callback. */
 struct prog_signal {
 	struct loop_fd lfd;
@@ -161,11 +165,17 @@
 	prog_watch_signals(loop, &set, fn, ctx);
 }
 
+/* A value that is no UTF-8 text is no JSON, and json_pack() returns NULL for all that contains it.
+ */
 void prog_reply_json(struct hd_call *call, int status, json_t *body)
 {
+	static const char no_json[] = "{\"error\":{\"code\":\"no_json\"}}";
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	hd_reply(call, status, "application/json", text, strlen(text));
+	if (text)
+		hd_reply(call, status, "application/json", text, strlen(text));
+	else
+		hd_reply(call, PROG_STATUS_NO_JSON, "application/json", no_json, strlen(no_json));
 	free(text);
 	json_decref(body);
 	hd_unref(call);
--- a/base/prog.h
+++ b/base/prog.h
@@ -7,6 +7,8 @@
 
 #include <jansson.h>
 
+G_BEGIN_DECLS
+
 /* Version that --version prints. */
 #define PROG_VERSION "0.1.0"
 
@@ -56,4 +58,6 @@
 /* Returns the part of path after prefix, or NULL if path doesn't start with prefix. */
 const char *prog_path_suffix(const char *path, const char *prefix);
 
+G_END_DECLS
+
 #endif
