Failing test: a connection whose handshake is not complete is reset by a server that stops

Hypotheses: (1) the filter that hd_quiesce() attaches to the listening socket drops every packet, also the end of a handshake that has begun: its client is connected and sends, the kernel here never queues the connection, and the close resets it; (2) the process ends before the HTTP library's thread has read a connection that was taken from the queue; (3) what arrives between the last accept() and close(). This test shows (1): TCP_DEFER_ACCEPT keeps a handshake incomplete while its client is connected; after the refusal the client's request never arrives.

--- a/base/hd.c
+++ b/base/hd.c
@@ -3,13 +3,13 @@
 #include "base/conns.h"
 #include "base/err.h"
 #include "base/jl.h"
+#include "base/lsn.h"
 #include "base/met.h"
 #include "base/tmr.h"
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
 #include <errno.h>
-#include <linux/filter.h>
 #include <microhttpd.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -302,18 +302,6 @@
 	ck_pr_store_uint(&hd->closing, 1);
 }
 
-/*
- * Makes the kernel drop all further packets to a listening socket, so that no connection is made
- * while those in its queue are accepted. Where that is not supported, one may be made meanwhile.
- */
-static void hd_drop_new_connections(int fd)
-{
-	struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-	struct sock_fprog filter = {.len = 1, .filter = &drop_all};
-
-	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
-}
-
 void hd_quiesce(struct hd *hd)
 {
 	int fd = MHD_quiesce_daemon(hd->daemon);
@@ -321,10 +309,10 @@
 
 	if (fd < 0)
 		return;
-	hd_drop_new_connections(fd);
-	while ((accepted = accept(fd, NULL, NULL)) >= 0)
+	lsn_refuse(fd);
+	while ((accepted = lsn_accept(fd)) >= 0)
 		hd_adopt(hd, accepted);
-	if (errno != EAGAIN)
+	if (accepted != -EAGAIN)
 		met_add(met_counter("bg_http_adopt_failed_total", ""), 1);
 	close(fd);
 }
