Stand-ins of endpoints own their listening sockets (base/lsn)

What was seen: the stand-in of endpoints closed a listening socket of the HTTP library to simulate a crash. A crashed endpoint refuses connections as before.

--- a/fake/engine.c
+++ b/fake/engine.c
@@ -4,9 +4,6 @@
 
 #include <arpa/inet.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 /*
  * Simulates model engines and plain services: serves every endpoint and service of a declarations
@@ -41,15 +38,6 @@
 
 static const struct sim_ops engine_sim_ops = {engine_on_run_changed};
 
-void engine_stop_listening(struct engine_port *port)
-{
-	if (!port->listening)
-		return;
-	port->listening = false;
-	loop_fd_del(&port->engine->loop, &port->listener);
-	close(port->listener.fd);
-}
-
 bool engine_dispatch(struct engine *engine, struct engine_port *port, struct hd_call *call,
 		     const struct engine_route *routes, size_t n)
 {
@@ -102,27 +90,18 @@
 	loop_post(&posted->engine->loop, engine_on_call, posted);
 }
 
-static void engine_on_accept(void *ctx, uint32_t events)
+static void engine_on_connection(void *ctx, int fd)
 {
 	struct engine_port *port = ctx;
-	int fd = accept(port->listener.fd, NULL, NULL);
 
-	(void)events;
-	if (fd >= 0)
-		hd_adopt(port->engine->hd, fd);
+	hd_adopt(port->engine->hd, fd);
 }
 
 void engine_listen(struct engine_port *port)
 {
-	if (port->listening)
-		return;
-	port->listener.fd = addr_listen(port->address);
-	if (port->listener.fd < 0) {
-		log_msg(LOG_ERR, "listen_failed addr=%s", port->address);
-		exit(PROG_EXIT_FAILED);
-	}
-	port->listening = true;
-	if (loop_fd_add(&port->engine->loop, &port->listener, EPOLLIN) < 0) {
+	struct loop *loop = &port->engine->loop;
+
+	if (lsn_open(&port->listener, loop, port->address, engine_on_connection, port) < 0) {
 		log_msg(LOG_ERR, "listen_failed addr=%s", port->address);
 		exit(PROG_EXIT_FAILED);
 	}
@@ -143,8 +122,6 @@
 	port->service = g_strdup(service);
 	port->address = g_strdup(address);
 	port->port = ntohs(sin.sin_port);
-	port->listener.fn = engine_on_accept;
-	port->listener.ctx = port;
 	port->calls = g_ptr_array_new();
 	g_ptr_array_add(engine->ports, port);
 	g_hash_table_insert(engine->by_port, GINT_TO_POINTER((int)port->port), port);
--- a/fake/engine.h
+++ b/fake/engine.h
@@ -2,6 +2,7 @@
 #define FAKE_ENGINE_H
 
 #include "fake/sim.h"
+#include "base/lsn.h"
 #include "base/prog.h"
 
 /* Simulated model engines and plain services; shared by the files fake/engine*.c. */
@@ -21,8 +22,7 @@
 	struct sim_endpoint *endpoint; /* NULL if the port serves a plain service */
 	char *service;		       /* name of the plain service; NULL for a model endpoint */
 	char *address;		       /* listening address, as IP:PORT */
-	struct loop_fd listener;
-	bool listening;
+	struct lsn listener;
 	uint16_t port;	       /* TCP port number in host byte order */
 	int reported_running;  /* number of runs at the last load sample */
 	bool reported_leaving; /* whether the endpoint was leaving at the last load sample */
@@ -59,7 +59,6 @@
 
 /* engine.c: listening sockets and routing; a socket that can't be opened ends the process */
 void engine_listen(struct engine_port *port);
-void engine_stop_listening(struct engine_port *port);
 
 /* Calls the handler of the first matching route; returns false if none matches. */
 bool engine_dispatch(struct engine *engine, struct engine_port *port, struct hd_call *call,
--- a/fake/engine_admin.c
+++ b/fake/engine_admin.c
@@ -74,7 +74,7 @@
 	struct sim_endpoint *e = port->endpoint;
 
 	if (strcmp(fault, "die") == 0) {
-		engine_stop_listening(port);
+		lsn_close(&port->listener);
 		if (e)
 			sim_kill_endpoint(&engine->sim, e);
 	} else if (strcmp(fault, "revive") == 0) {
