Failing test: sound engines that stand still count as ended by the requests that run there

Their lines: two engines stand still; each host's probe of them times out once (cut_checked, vanished, 250 ms); each stream that had been moved away from them is counted as their crash (cut_when_begun), which with two engines and three hosts is enough to put the content of the requests into quarantine; quarantine ends the streams of that content that wait for an endpoint. A sound endpoint may fall silent for a second and go on, and that is no reason to end an answer.

--- a/regress/soak/cases_silence.py
+++ b/regress/soak/cases_silence.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from cases import run
+from cases import events, run
 from cases_lost import LOST, UNSENT, WHOLE, Connection, request_bytes
 from cases_reach import up
 from stack import HOST_NAME, Failure, check_stream, eventually
@@ -20,6 +20,7 @@
 VERSION_S = 0.06        # time between two versions of the configuration, in seconds
 SHORT_MS, LONG_MS = 6000, 8000  # timeouts of routes, between which versions change, in milliseconds
 SILENT_S = 1.2          # a silence of a sound endpoint, in seconds
+SILENCES = 8            # silences of a case
 LAST_MOMENT_S = 0.3     # time before the deadline in which a request may be ended, in seconds
 RETRY_S = 0.05          # pause of a caller after a refusal, in seconds
 REFUSALS = (429, 503)
@@ -266,6 +267,28 @@
     check_all_whole(stack, callers)
 
 
+def case_silence_is_no_crash(stack):
+    """Guards against streams that are broken off, and requests that are refused, since sound endpoints that stand still
+    while requests of the same content run there are taken for ended by them."""
+    with_routes(stack)
+    gates = up(stack, hosts=3)
+    engines = [i for i, point in enumerate(stack.points) if point[4] != "-"]
+    draw = random.Random(1)
+    with KeptCallers(stack, ["stream", "stream1", "plainstream"], each=4) as callers:
+        eventually("all kinds are served", lambda: len(callers.table()) == 3)
+        for _ in range(SILENCES):
+            still = draw.sample(engines, len(engines) // 2)
+            hold(stack, gates, still)
+            time.sleep(SILENT_S)
+            go_on(stack, gates, still)
+            time.sleep(PAUSE_S)
+    for host in stack.hosts:
+        for event in ("quarantined", "cut_when_begun"):
+            if '"event":"%s"' % event in stack.log(host):
+                raise Failure("%s: %s for a silence: %r" % (host, event, events(stack, host, event)[0]))
+    check_all_whole(stack, callers)
+
+
 def case_silence_beside_versions(stack):
     """Guards against answers that are lost when endpoints fall silent beside versions of the configuration."""
     check_all_whole(stack, play(stack, 15, versions=True))
