Crash finding: an endpoint that only stands still is not taken for ended

What callers saw: streams broke off after less than a second of six, and requests were refused, with the cause crashes_endpoints, while sound endpoints stood still for 1.2 s. Cause: one probe of 250 ms that timed out, while other endpoints sent data, was proof enough that the endpoint had ended. Each request that had just begun there counted as the cause of it: three such counts put its content, or a part of its prompt, into quarantine, and quarantine ends streams of that content that wait for an endpoint. That the endpoint answers again takes the count back, but not the streams. Change: timeouts count only once all probes have timed out for 2 s, longer than a sound endpoint stands still; until then the check goes on probing each 350 ms. Refused and closed connections, and later starts, count as before, at once. Why this works: a sound endpoint answers a probe, or sends data, before the 2 s are over, and the check ends. Cost: an endpoint whose machine is gone (packets lost, none refused) is named as an end 1.75 s later; a request that crashes endpoints in that way reaches up to that many more.

--- a/router/crash.c
+++ b/router/crash.c
@@ -50,6 +50,8 @@
 	int64_t began_us;   /* time at which the last probe began, in microseconds */
 	int refusals;	    /* number of probes that were refused */
 	int64_t refused_us; /* time at which the first of them began, in microseconds */
+	int64_t silent_us;  /* time at which the first of the last probes that all timed out began,
+			       in microseconds; 0: the last one did not */
 	int tries;	    /* number of probes begun */
 	int confirm_tries;  /* number of probes scheduled after the endpoint seemed to have ended */
 	bool counted;	 /* the endpoint seemed to have ended, so its cut attempts were counted */
@@ -154,15 +156,17 @@
 	return !ep->listed && g_hash_table_contains(traf->by_addr, ep->rec->addr);
 }
 
-static enum crash_finding crash_evaluate(const struct crash_check *check, int status, int err,
-					 struct str body)
+static struct crash_evidence crash_evidence(const struct crash_check *check, int status, int err,
+					    struct str body)
 {
 	const struct traf *traf = check->traf;
 	const struct reach *reach = way_reach(traf->way);
-	const struct crash_evidence evidence = {
+
+	return (struct crash_evidence){
 		.status = status,
 		.err = err,
 		.tries = check->tries,
+		.silent_ms = check->silent_us ? (tmr_now() - check->silent_us) / TMR_US_PER_MS : 0,
 		.is_same_incarnation = crash_is_same_incarnation(check, status, body),
 		.sent_data = check->ep->last_data_us > check->began_us,
 		.is_replaced = crash_is_replaced(traf, check->ep),
@@ -172,22 +176,16 @@
 		.refusals = check->refusals,
 		.heard_since_refusal = reach->heard_us > check->refused_us,
 	};
-
-	return crash_find(&evidence);
 }
 
 /*
- * Returns after how many ms to probe again, as the result is unclear and more may tell; -1 if not.
- * After a refusal another endpoint is asked, which tells whether this host is cut off.
+ * Returns after how many ms to probe again. After a refusal another endpoint is asked, which tells
+ * whether this host is cut off.
  */
-static int64_t crash_retry_ms(const struct crash_check *check, enum crash_finding finding, int err)
+static int64_t crash_retry_ms(const struct crash_check *check, int err)
 {
-	if (finding != CRASH_UNCLEAR)
-		return -1;
 	if (err != BASE_EREFUSED)
-		return check->tries < CRASH_TRIES ? CRASH_RETRY_MS : -1;
-	if (check->refusals >= CRASH_REFUSALS)
-		return -1;
+		return CRASH_RETRY_MS;
 	way_ask_witness(check->traf->way, check->ep->rec->addr);
 	return CRASH_REFUSED_RETRY_MS;
 }
@@ -374,23 +372,33 @@
 	return true;
 }
 
+/* Records since when probes are refused, and since when they time out. */
+static void crash_note_error(struct crash_check *check, int err)
+{
+	if (err == BASE_EREFUSED && check->refusals++ == 0)
+		check->refused_us = check->began_us;
+	if (err != BASE_ETIMEOUT)
+		check->silent_us = 0;
+	else if (check->silent_us == 0)
+		check->silent_us = check->began_us;
+}
+
 static void crash_on_probed(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	struct crash_check *check = ctx;
+	struct crash_evidence evidence;
 	enum crash_finding finding;
-	int64_t retry_ms;
 
 	(void)sent;
-	if (err == BASE_EREFUSED && check->refusals++ == 0)
-		check->refused_us = check->began_us;
-	finding = crash_evaluate(check, status, err, str_make(body, len));
+	crash_note_error(check, err);
+	evidence = crash_evidence(check, status, err, str_make(body, len));
+	finding = crash_find(&evidence);
 	if (check->counted) {
 		crash_on_confirm_probed(check, status, finding);
 		return;
 	}
-	retry_ms = crash_retry_ms(check, finding, err);
-	if (retry_ms >= 0) {
-		crash_probe_later(check, retry_ms);
+	if (crash_may_probe_again(&evidence)) {
+		crash_probe_later(check, crash_retry_ms(check, err));
 		return;
 	}
 	crash_log(check, finding, err);
--- a/router/crash_finding.c
+++ b/router/crash_finding.c
@@ -29,9 +29,10 @@
 
 /*
  * A timeout shows that the endpoint has ended only if this host has received data from other
- * endpoints meanwhile. A connection that is closed may exceed the limit of a busy endpoint; if
- * several probes in a row are closed and the endpoint sends nothing else, it has ended behind a
- * proxy.
+ * endpoints meanwhile, and nothing from this one for longer than a sound endpoint stands still:
+ * else the requests that run there would count as the cause of its end, and be refused. A
+ * connection that is closed may exceed the limit of a busy endpoint; if several probes in a row are
+ * closed and the endpoint sends nothing else, it has ended behind a proxy.
  */
 enum crash_finding crash_find(const struct crash_evidence *evidence)
 {
@@ -45,9 +46,21 @@
 		return CRASH_RESPONDING;
 	if (evidence->err == BASE_EREFUSED)
 		return crash_find_refused(evidence);
-	if (evidence->err == BASE_ETIMEOUT && evidence->heard_during_probe)
+	if (evidence->err == BASE_ETIMEOUT && evidence->heard_during_probe &&
+	    evidence->silent_ms >= CRASH_SILENT_MS)
 		return CRASH_VANISHED;
 	if (evidence->err == BASE_ECLOSED && evidence->tries == CRASH_TRIES)
 		return CRASH_VANISHED;
 	return CRASH_UNCLEAR;
 }
+
+bool crash_may_probe_again(const struct crash_evidence *evidence)
+{
+	if (crash_find(evidence) != CRASH_UNCLEAR)
+		return false;
+	if (evidence->err == BASE_EREFUSED)
+		return evidence->refusals < CRASH_REFUSALS;
+	if (evidence->err == BASE_ETIMEOUT)
+		return evidence->silent_ms < CRASH_SILENT_MS;
+	return evidence->tries < CRASH_TRIES;
+}
