flow: the limit on all answers is a true bound, and what each may have shrinks as it is used

1,000 callers that read nothing of 1 MB each left 64.5 MB unsent for a limit of 48 MB: each answer might have 16 KB however many there were, and a part was taken before it was counted. A part is asked for before it is received (hc_ops.before_data) and waits at the endpoint if it doesn't fit. Answers of over 16 KB that were buffered whole were counted nowhere, and kept twice; they are sent in parts now.

--- a/base/hc.c
+++ b/base/hc.c
@@ -214,12 +214,26 @@
 	return call->canceled ? 0 : len;
 }
 
+static void hc_ask_before(struct hc_call *call, size_t len)
+{
+	if (!call->ops->before_data || call->paused)
+		return;
+	call->callback_running = true;
+	call->hc->in_callback = true;
+	call->ops->before_data(call->ctx, len);
+	call->hc->in_callback = false;
+	call->callback_running = false;
+}
+
 static size_t hc_on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct hc_call *call = ctx;
 	size_t len = size * n;
 	long status = 0;
 
+	if (call->canceled)
+		return CURL_WRITEFUNC_ERROR;
+	hc_ask_before(call, len);
 	if (call->canceled)
 		return CURL_WRITEFUNC_ERROR;
 	if (call->paused) {
--- a/base/hc.h
+++ b/base/hc.h
@@ -23,6 +23,12 @@
 	 */
 	bool (*on_head)(void *ctx, int status, const GPtrArray *headers);
 
+	/*
+	 * A part of the body, of len bytes, is about to be passed to on_data(). If hc_pause() is
+	 * called here, that part waits until the request goes on. May be NULL.
+	 */
+	void (*before_data)(void *ctx, size_t len);
+
 	/*
 	 * A part of the body of a 2xx response was received, or of any response if all_data is set.
 	 * If on_data is NULL, the body is collected and passed to on_done().
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -178,6 +178,7 @@
 	int done = 0;
 	int err = 0;
 	size_t pause_at = SIZE_MAX;  /* bytes after which the call pauses itself */
+	size_t taken_max = SIZE_MAX; /* bytes above which no part is taken */
 	size_t cancel_at = SIZE_MAX; /* bytes after which the call cancels itself */
 	int pauses = 0;
 };
@@ -250,6 +251,15 @@
 				loop_stop(call->loop);
 			}
 		};
+		ops_.before_data = [](void *ctx, size_t len) {
+			BodyCall *call = (BodyCall *)ctx;
+
+			if (call->body.size() + len <= call->taken_max)
+				return;
+			call->pauses++;
+			hc_pause(call->call, true);
+			loop_stop(call->loop);
+		};
 		ops_.all_data = true;
 		ops_.on_done = [](void *ctx, int, int err, bool, const char *, size_t) {
 			BodyCall *call = (BodyCall *)ctx;
@@ -339,6 +349,33 @@
 	}
 }
 
+/* Guards against a part that is taken although the request paused before it, or lost with it. */
+TEST_F(HcPauseTest, PartBeforeWhichTheRequestPausesWaits)
+{
+	const std::string body = Text(1 << 20);
+	const size_t more = 20000;
+	const std::string sent[] = {
+		length_head + std::to_string(body.size()) + "\r\n\r\n" + body,
+		chunked_head + Chunked(body, 37),
+		chunked_head + Chunked(body, 100000),
+	};
+
+	for (const std::string &text : sent) {
+		BodyServer server(1, "", text);
+		BodyCall call;
+
+		call.taken_max = 0;
+		Start(&call, server.url);
+		for (Run(); call.done == 0; Run()) {
+			EXPECT_LE(call.body.size(), call.taken_max);
+			call.taken_max += more;
+			hc_pause(call.call, false);
+		}
+		EXPECT_TRUE(call.body == body);
+		EXPECT_GT(call.pauses, 10);
+	}
+}
+
 /* Guards against an end that is missed, or a last part that is lost, if it comes while paused. */
 TEST_F(HcPauseTest, EndWhilePausedIsSeenAfterwards)
 {
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -402,6 +402,17 @@
 	fwd->body = g_string_new(NULL);
 }
 
+bool fwd_has_event_begin(const struct fwd *fwd)
+{
+	return sse_pending_bytes(&fwd->sse) > 0;
+}
+
+void fwd_pass_on(struct fwd *fwd)
+{
+	if (fwd->body->len > 0 && !fwd->is_event_stream)
+		fwd_start_passthrough(fwd);
+}
+
 static size_t fwd_buffer_max(const struct fwd *fwd)
 {
 	return fwd->rules.buffer_max > 0 ? fwd->rules.buffer_max : FWD_BUFFER_MAX_BYTES;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -283,6 +283,15 @@
 /* Returns the bytes of answers that are buffered. */
 size_t fwd_buffered(const struct fwd *fwd);
 
+/* Returns whether the begin of an event is buffered, which is passed on only when it is whole. */
+bool fwd_has_event_begin(const struct fwd *fwd);
+
+/*
+ * Passes on what is buffered of the answer, and all that follows. After that it can't be replaced
+ * by the answer of another attempt.
+ */
+void fwd_pass_on(struct fwd *fwd);
+
 /* Restarts the allowed silence, after a sign of progress other than data of the answer. */
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us);
 
--- a/router/flow.h
+++ b/router/flow.h
@@ -10,14 +10,15 @@
 
 /*
  * Flow control from callers to endpoints: when the attempt of an answer is held back, since its
- * caller reads more slowly than the endpoint sends, and when it goes on.
+ * caller reads more slowly than the endpoint sends, and when it goes on. What one answer may have
+ * unsent shrinks as the limit on all is used up, so that thousands of slow callers leave room for a
+ * fast one.
  */
 
 /* Limits on the bytes of answers that callers have not read yet. */
 struct flow_limits {
-	size_t answer_max;  /* of one answer, in bytes; above, its attempt is held back */
-	uint64_t total_max; /* of all answers of this host, in bytes; above, all answers that have
-			     * more than a little unsent are held back */
+	size_t answer_max;  /* of one answer, in bytes */
+	uint64_t total_max; /* of all answers of this host, in bytes */
 };
 
 /* What callers have not read yet. */
@@ -26,8 +27,8 @@
 	uint64_t total; /* of all answers of this host, in bytes, with those that are buffered */
 };
 
-/* Returns whether the attempt must be held back. */
-bool flow_must_hold(const struct flow_limits *limits, const struct flow_unsent *unsent);
+/* Returns whether the attempt must be held back before it brings len more bytes. */
+bool flow_must_hold(const struct flow_limits *limits, const struct flow_unsent *unsent, size_t len);
 
 /* Returns whether an attempt that is held back may go on. */
 bool flow_may_go_on(const struct flow_limits *limits, const struct flow_unsent *unsent);
@@ -41,6 +42,9 @@
  */
 size_t flow_buffer_max(const struct flow_limits *limits, uint64_t total);
 
+/* Returns whether there is room for the answer to one more request. */
+bool flow_has_room(const struct flow_limits *limits, uint64_t total);
+
 G_END_DECLS
 
 #endif
--- a/router/txn.c
+++ b/router/txn.c
@@ -25,6 +25,7 @@
 static void txn_set_timer(void *ctx, int64_t due_us);
 static void txn_ended(void *ctx, enum fwd_cause cause);
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers);
+static void txn_before_data(void *ctx, size_t len);
 static void txn_on_data(void *ctx, const char *data, size_t len);
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 
@@ -49,6 +50,7 @@
 
 static const struct hc_ops txn_hc_ops = {
 	.on_head = txn_on_head,
+	.before_data = txn_before_data,
 	.on_data = txn_on_data,
 	.all_data = true,
 	.on_done = txn_on_done,
@@ -134,7 +136,7 @@
 		return;
 	bud_on_request(traf_budget(traf, txn->service->name), txn->began_us);
 	txn_charge_share(txn);
-	if (!txn_admit_by_reach(txn) || !txn_admit_by_load(txn))
+	if (!txn_admit_by_reach(txn) || !txn_admit_by_room(txn) || !txn_admit_by_load(txn))
 		return;
 	fwd_start(&txn->fwd, tmr_now());
 }
@@ -496,6 +498,14 @@
 	txn->fwd.rules.gap_us = CLAMP(limit_us, tmr_from_ms(TXN_GAP_FLOOR_MS), most_us);
 }
 
+static void txn_before_data(void *ctx, size_t len)
+{
+	const struct txn_side *side = ctx;
+
+	if (!txn_is_aside(side))
+		txn_hold_if_behind(side->txn, len);
+}
+
 static void txn_on_data(void *ctx, const char *data, size_t len)
 {
 	const struct txn_side *side = ctx;
--- a/router/txn_admit.c
+++ b/router/txn_admit.c
@@ -180,6 +180,18 @@
 	return false;
 }
 
+bool txn_admit_by_room(struct txn *txn)
+{
+	struct traf *traf = txn->traf;
+
+	if (flow_has_room(&traf->flow, txn_unsent_total(txn)))
+		return true;
+	met_add(met_counter("bg_room_refused_total", ""), 1);
+	txn_deny(txn, STATUS_UNAVAILABLE, "answers_unread",
+		 adm_retry_delay_us(rnd_uniform(&traf->seed)));
+	return false;
+}
+
 bool txn_admit_by_load(struct txn *txn)
 {
 	struct adm *adm =
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -6,6 +6,11 @@
 
 #include <stdio.h>
 
+enum {
+	/* The kernel takes a shorter answer at once, so that nothing of it is unsent here. */
+	TXN_WHOLE_MAX_BYTES = 16 << 10
+};
+
 void txn_reply_error(struct txn *txn, int status, const char *code, int64_t retry_us)
 {
 	char body[128];
@@ -54,7 +59,14 @@
 	struct txn *txn = ctx;
 
 	txn_set_answer_headers(txn);
-	hd_reply(txn->call, txn->status, txn->answer.type, body, len);
+	if (len <= TXN_WHOLE_MAX_BYTES) {
+		hd_reply(txn->call, txn->status, txn->answer.type, body, len);
+		return;
+	}
+	hd_set_length(txn->call, len);
+	hd_reply_begin(txn->call, txn->status, txn->answer.type);
+	txn_answer_data(txn, body, len);
+	txn_answer_end(txn);
 }
 
 void txn_answer_begin(void *ctx)
@@ -78,8 +90,6 @@
 	txn->answer_bytes += len;
 	if (hd_reply_write(txn->call, data, len) < 0)
 		txn->answer_failed = true;
-	else
-		txn_hold_if_behind(txn);
 }
 
 /* The length is counted here, apart from the HTTP server, so that a loss between the two shows. */
--- a/router/txn_flow.c
+++ b/router/txn_flow.c
@@ -5,7 +5,7 @@
 	TXN_HELD_LOG_MS = 1000 /* a request that is held back for longer is logged */
 };
 
-static uint64_t txn_unsent_total(const struct txn *txn)
+uint64_t txn_unsent_total(const struct txn *txn)
 {
 	return hd_unsent_total(txn->traf->router->front) + txn->traf->buffered;
 }
@@ -27,7 +27,9 @@
 
 void txn_limit_buffer(struct txn *txn)
 {
-	txn->fwd.rules.buffer_max = flow_buffer_max(&txn->traf->flow, txn_unsent_total(txn));
+	size_t max = flow_buffer_max(&txn->traf->flow, txn_unsent_total(txn));
+
+	txn->fwd.rules.buffer_max = MAX(max, 1); /* 0: the default */
 }
 
 bool txn_is_held(const struct txn *txn)
@@ -73,28 +75,60 @@
 		way_pause(txn->attempt, false);
 }
 
-/* Lets a held attempt go on if it may; else it is looked at again when the answer has drained. */
-static void txn_check_held(struct txn *txn)
+static bool txn_may_go_on(const struct txn *txn)
 {
-	const struct flow_limits *limits = &txn->traf->flow;
 	const struct flow_unsent unsent = txn_unsent(txn);
 
-	if (flow_may_go_on(limits, &unsent) ||
-	    !hd_watch_unsent(txn->call, flow_low_mark(limits, unsent.total)))
+	return flow_may_go_on(&txn->traf->flow, &unsent);
+}
+
+/*
+ * Lets a held attempt go on if it may; else it is looked at again when the answer has drained, and
+ * at each sweep. It may have drained between the look and the watch.
+ */
+static void txn_check_held(struct txn *txn)
+{
+	size_t low = flow_low_mark(&txn->traf->flow, txn_unsent_total(txn));
+
+	if (txn_may_go_on(txn) || (!hd_watch_unsent(txn->call, low) && txn_may_go_on(txn)))
 		txn_go_on(txn);
 }
 
-void txn_hold_if_behind(struct txn *txn)
+static bool txn_must_hold(const struct txn *txn, size_t len)
 {
 	const struct flow_unsent unsent = txn_unsent(txn);
+
+	return flow_must_hold(&txn->traf->flow, &unsent, len);
+}
+
+/*
+ * An answer that is held must not be buffered: all room could be taken by buffers, none of which
+ * would ever be read. The begin of an event can't be passed on, so its rest is received anyway.
+ */
+static bool txn_can_hold(struct txn *txn)
+{
+	fwd_pass_on(&txn->fwd);
+	txn_count_buffered(txn, fwd_buffered(&txn->fwd));
+	return hd_unsent(txn->call) > 0 || !fwd_has_event_begin(&txn->fwd);
+}
+
+static void txn_begin_hold(struct txn *txn)
+{
 	int64_t now_us = tmr_now();
 
-	if (txn_is_held(txn) || !txn->attempt || !flow_must_hold(&txn->traf->flow, &unsent))
-		return;
-	txn->held_us = now_us;
-	txn->traf->held++;
+	if (!txn_is_held(txn)) {
+		txn->held_us = now_us;
+		txn->traf->held++;
+	}
 	fwd_hold(&txn->fwd, true, now_us);
 	way_pause(txn->attempt, true);
+}
+
+void txn_hold_if_behind(struct txn *txn, size_t len)
+{
+	if (!txn->attempt || !txn_must_hold(txn, len) || !txn_can_hold(txn))
+		return;
+	txn_begin_hold(txn);
 	txn_check_held(txn);
 }
 
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -118,6 +118,12 @@
  */
 bool txn_admit_by_reach(struct txn *txn);
 
+/*
+ * Denies the request if callers have left so much of their answers unread that nothing of its own
+ * could be passed on; returns whether it was admitted.
+ */
+bool txn_admit_by_room(struct txn *txn);
+
 /* Answers the caller with an error of the router's own. retry_us 0: no Retry-After. */
 void txn_reply_error(struct txn *txn, int status, const char *code, int64_t retry_us);
 
@@ -144,8 +150,14 @@
 /* Callback of struct fwd_ops: handles a silent attempt. Returns true if the attempt is kept. */
 bool txn_on_silent(void *ctx);
 
-/* Holds the attempt back if the caller is too far behind. Called whenever parts were passed on. */
-void txn_hold_if_behind(struct txn *txn);
+/*
+ * Holds the attempt back if the caller is too far behind to be sent len more bytes. Called before
+ * each part is received.
+ */
+void txn_hold_if_behind(struct txn *txn, size_t len);
+
+/* Returns the bytes of all answers of this host that callers have not read, in bytes. */
+uint64_t txn_unsent_total(const struct txn *txn);
 
 /* Returns whether the caller holds the attempt back. */
 bool txn_is_held(const struct txn *txn);
--- a/router/way.c
+++ b/router/way.c
@@ -90,6 +90,7 @@
 };
 
 static bool way_on_head(void *ctx, int status, const GPtrArray *headers);
+static void way_before_data(void *ctx, size_t len);
 static void way_on_data(void *ctx, const char *data, size_t len);
 static void way_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void way_on_tunnel(void *ctx, const struct tunnel_answer *answer);
@@ -104,7 +105,12 @@
  * whose owner takes the whole.
  */
 static const struct hc_ops way_part_ops = {
-	.on_head = way_on_head, .on_data = way_on_data, .all_data = true, .on_done = way_on_done};
+	.on_head = way_on_head,
+	.before_data = way_before_data,
+	.on_data = way_on_data,
+	.all_data = true,
+	.on_done = way_on_done,
+};
 static const struct hc_ops way_whole_ops = {.on_head = way_on_head, .on_done = way_on_done};
 
 struct way *way_new(struct loop *loop, struct hc *hc, const char *self, const char *zone,
@@ -518,6 +524,17 @@
 	return way_release(call);
 }
 
+static void way_before_data(void *ctx, size_t len)
+{
+	struct way_call *call = ctx;
+
+	if (!call->ops->before_data)
+		return;
+	way_hold(call);
+	call->ops->before_data(call->ctx, len);
+	way_release(call);
+}
+
 static void way_on_data(void *ctx, const char *data, size_t len)
 {
 	struct way_call *call = ctx;
