--- a/base/hd.h
+++ b/base/hd.h
@@ -140,7 +140,7 @@
 
 /*
  * Returns the value of a header of the request, or NULL. Only allowed before the response is
- * started.
+ * started, and in hd_config.on_drained.
  */
 const char *hd_header(struct hd_call *call, const char *name);
 
