--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -1,4 +1,5 @@
 #include "base/hc.h"
+#include "base/err.h"
 #include "base/testing.h"
 
 #include <algorithm>
@@ -15,14 +16,16 @@
 namespace
 {
 
-/* A server on loopback that sends the head and a part of the body to each of its connections. */
+/* A server on loopback that sends an answer to each of its connections and keeps them open. */
 class Server
 {
       public:
-	explicit Server(int connections) : listener_(socket(AF_INET, SOCK_STREAM, 0))
+	explicit Server(int connections, const char *answer = "HTTP/1.1 200 OK\r\n"
+							      "Content-Length: 4\r\n\r\nbody")
+		: listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
 		addr = listen_on_loopback(listener_, 8);
-		thread_ = std::thread([this, connections] { serve(connections); });
+		thread_ = std::thread([this, connections, answer] { serve(connections, answer); });
 	}
 	~Server()
 	{
@@ -37,7 +40,7 @@
 
       private:
 	/* All heads are sent only once all requests are there, so that all calls are under way. */
-	void serve(int connections)
+	void serve(int connections, const char *answer)
 	{
 		for (int i = 0; i < connections; i++) {
 			int fd = accept(listener_, nullptr, nullptr);
@@ -54,11 +57,8 @@
 			received.push_back(text);
 			open_.push_back(fd);
 		}
-		for (int fd : open_) {
-			const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
-
+		for (int fd : open_)
 			send(fd, answer, strlen(answer), MSG_NOSIGNAL);
-		}
 	}
 
 	int listener_;
@@ -74,6 +74,8 @@
 		hc_call *call;
 		int done = 0;
 		int status = -1;
+		int err = 0;
+		bool sent = true;
 	};
 
 	void SetUp() override
@@ -84,10 +86,12 @@
 			Call *call = (Call *)ctx;
 			return call->test->OnHead(call);
 		};
-		ops_.on_done = [](void *ctx, int status, int, bool, const char *, size_t) {
+		ops_.on_done = [](void *ctx, int status, int err, bool sent, const char *, size_t) {
 			Call *call = (Call *)ctx;
 			call->done++;
 			call->status = status;
+			call->err = err;
+			call->sent = sent;
 			call->call = nullptr;
 			loop_stop(&call->test->loop_);
 		};
@@ -115,9 +119,10 @@
 		request.method = "GET";
 		request.url = url.c_str();
 		request.connect_ms = 5000;
-		request.total_ms = 5000;
+		request.total_ms = total_ms_;
 		request.fresh = true;
 		request.close = true;
+		request.target = target_.empty() ? nullptr : target_.c_str();
 		request.via = via;
 		request.preamble = preamble;
 		call->test = this;
@@ -127,6 +132,8 @@
 	loop loop_{};
 	hc *hc_ = nullptr;
 	hc_ops ops_{};
+	int64_t total_ms_ = 5000;
+	std::string target_;
 	std::vector<Call *> cancel_; /* calls that the first head cancels */
 };
 
@@ -170,6 +177,59 @@
 	EXPECT_NE(received.find("Host: 127.0.0.2:9\r\n"), std::string::npos);
 }
 
+/* Guards against a request that waits until its time limit since its answer has no end. */
+TEST_F(HcTest, SwitchOfProtocolsEndsTheRequest)
+{
+	Server server(1, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+	Call call{};
+
+	total_ms_ = 1000;
+	start(&call, "http://" + server.addr + "/", nullptr, nullptr);
+	loop_run(&loop_);
+	EXPECT_EQ(call.status, 0);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_TRUE(call.sent);
+}
+
+/* Guards against a request that reaches its server directly since the way there is unknown. */
+TEST_F(HcTest, RequestByABadAddressIsNotSent)
+{
+	GByteArray *bytes = g_byte_array_new();
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	std::string addr = listen_on_loopback(listener, 8);
+	Call call{};
+
+	total_ms_ = 1000;
+	start(&call, "http://" + addr + "/", "nowhere", bytes);
+	EXPECT_EQ(call.done, 0);
+	loop_run(&loop_);
+	EXPECT_EQ(call.done, 1);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_FALSE(call.sent);
+	EXPECT_LT(accept(listener, nullptr, nullptr), 0);
+	close(listener);
+	g_byte_array_unref(bytes);
+}
+
+/* Guards against a request that is sent without a part that the library does not take. */
+TEST_F(HcTest, RequestThatLacksAPartIsNotSent)
+{
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	std::string addr = listen_on_loopback(listener, 8);
+	Call call{};
+
+	total_ms_ = 1000;
+	target_ = "/" + std::string(9 << 20, 'x');
+	start(&call, "http://" + addr + "/", nullptr, nullptr);
+	EXPECT_EQ(call.done, 0);
+	loop_run(&loop_);
+	EXPECT_EQ(call.done, 1);
+	EXPECT_EQ(call.err, BASE_EHTTP);
+	EXPECT_FALSE(call.sent);
+	EXPECT_LT(accept(listener, nullptr, nullptr), 0);
+	close(listener);
+}
+
 /* A call that notes what it receives and acts in its callback. */
 struct BodyCall {
 	struct loop *loop;
@@ -465,4 +525,32 @@
 	EXPECT_TRUE(paused.body == body);
 }
 
+/* Guards against a part of an answer that looks whole, since its length is not to be trusted. */
+TEST_F(HcTest, AnswerWithAWrongLengthFails)
+{
+	const struct {
+		const char *name, *lines;
+		int err;
+	} cases[] = {
+		{"right", "Content-Length: 4", 0},
+		{"right, spaces", "content-length:  4 ", 0},
+		{"twice the same", "Content-Length: 4\r\nContent-Length: 4", 0},
+		{"too large", "Content-Length: 99999999999999999999", BASE_EHTTP},
+		{"just too large", "Content-Length: 9223372036854775808", BASE_EHTTP},
+		{"a list", "Content-Length: 4, 8", BASE_EHTTP},
+		{"two", "Content-Length: 8\r\nContent-Length: 4", BASE_EHTTP},
+	};
+
+	for (const auto &c : cases) {
+		BodyServer server(1, std::string("HTTP/1.1 200 OK\r\n") + c.lines + "\r\n\r\n",
+				  "half");
+		Call call{};
+
+		loop_.stopping = false;
+		start(&call, server.url, nullptr, nullptr);
+		loop_run(&loop_);
+		EXPECT_EQ(call.err, c.err) << c.name;
+	}
+}
+
 } // namespace
