txn: an attempt that ends without a head is not judged by an earlier one's

The head of an attempt stayed until the next head. So an attempt that broke off without one was logged with the status, not_run and culprit of the one before, and blamed on the endpoint that the earlier head named: that one was passed over by other requests once more, and the endpoint that had failed was not. Each attempt now begins without an answer.

case_stale_head failed before: an attempt that broke off after it was sent had status 421 and not_run 1, those of the rejection before it. What callers were told was right, as fwd/ keeps a head of its own and resets it.

--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from cases import expect, run
+from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
 from proxy import Proxy
 from stack import Failure, eventually
@@ -135,6 +135,39 @@
             expect("what the caller got", (got, status), (WHOLE, 502))
 
 
+class RejectsThenBreaks(Proxy):
+    """A proxy that turns the first answer at any of them into a rejection, and ends further connections without one."""
+
+    rejected = None     # list of the rejections so far; None: passes on all
+
+    def alter(self, data):
+        if self.rejected is None or b"Request-Id: stale-" not in data:
+            return data
+        if self.rejected:
+            raise OSError("no answer")
+        self.rejected.append(1)
+        return data.replace(b"HTTP/1.1 200 ", b"HTTP/1.1 421 ")
+
+
+def case_stale_head(stack):
+    """Guards against an attempt that ends without a head and is judged by the head of an earlier one: the endpoint that
+    rejected is blamed again, and the one that failed is not."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(RejectsThenBreaks(stack.base + 60 + i, point[1]))
+    stack.up()
+    for name in range(5):
+        for proxy in proxies:
+            proxy.rejected = proxies[0].rejected if proxy is not proxies[0] else []
+        ask(stack, "host-0", "/many/a", "stale-%d" % name)
+    failed = [e for e in events(stack, "host-0", "attempt_failed") if e["id"].startswith("stale-")]
+    expect("attempts at least", len(failed) >= 10, True)
+    expect("statuses of first attempts", {e["status"] for e in failed[::2]}, {421})
+    expect("statuses of attempts without a head", {e["status"] for e in failed[1::2]}, {0})
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/txn.c
+++ b/router/txn.c
@@ -237,6 +237,13 @@
 	       strcmp(txn->service->name, service) == 0;
 }
 
+/* Forgets what the last attempt's head said: the next one may end without a head. */
+static void txn_forget_answer(struct txn *txn)
+{
+	seam_answer_finish(&txn->answer);
+	memset(&txn->answer, 0, sizeof(txn->answer));
+}
+
 static int txn_send(void *ctx, int attempt, const char *resume_after)
 {
 	struct txn *txn = ctx;
@@ -253,6 +260,7 @@
 	int err;
 
 	traf_target_release(&txn->target);
+	txn_forget_answer(txn);
 	if (txn_quarantine_us(txn, tmr_now()) > 0)
 		return FWD_EQUARANTINED;
 	err = txn_pick(txn, trust, &txn->target);
