control: an error that cites half a character is reported, and does not end the daemon

What operators saw: a change with a statement like 'aééé...' ended bgcontrold by SIGSEGV, with all that it had under way. Cause: errors cite at most so many bytes of a statement, which may end within a character; json_pack() gave NULL, and the length of no text was asked for.

--- a/prog/control_log.c
+++ b/prog/control_log.c
@@ -320,13 +320,15 @@
 static void control_command_reply(struct control_command *cmd, const struct clog_verdict *verdict)
 {
 	bool accepted = verdict->outcome == CLOG_ACCEPTED;
+	/* The text may end within a character of the statement that it cites. */
+	char *reason = g_utf8_make_valid(verdict->problem.text, -1);
 
 	prog_reply_json(cmd->call, accepted ? 200 : 409,
 			json_pack("{s:s, s:s, s:I, s:i, s:i, s:s}", "outcome",
 				  accepted ? "accepted" : "rejected", "id", verdict->id, "revision",
 				  (json_int_t)verdict->revision, "line", verdict->problem.line,
-				  "column", verdict->problem.column, "reason",
-				  verdict->problem.text));
+				  "column", verdict->problem.column, "reason", reason));
+	g_free(reason);
 	cmd->call = NULL;
 	control_command_free(cmd);
 }
