--- /dev/null
+++ b/regress/proc/pipelined_head.sh
@@ -0,0 +1,6 @@
+# Answers with a long head, of which no byte is sent if their caller has sent much behind its request.
+set -euo pipefail
+
+here=$(cd "$(dirname "$0")/../.." && pwd)
+"${BUILD:-$here/build}"/unit-tests --gtest_also_run_disabled_tests \
+	--gtest_filter='HdTest.DISABLED_AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest' --gtest_brief=1
