--- a/base/early.c
+++ b/base/early.c
@@ -1,4 +1,5 @@
 #include "base/early.h"
+#include "base/err.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -71,16 +72,18 @@
 	pthread_mutex_unlock(&early->lock);
 }
 
-void early_reply(struct early *early, int fd, const struct early_response *response, int64_t now_us)
+int early_reply(struct early *early, int fd, const struct early_response *response, int64_t now_us)
 {
 	GString *text = early_text(response);
+	ssize_t n = send(fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+	bool sent = n == (ssize_t)text->len;
 	int kept = fcntl(fd, F_DUPFD_CLOEXEC, 0);
 
-	send(fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+	g_string_free(text, TRUE);
 	shutdown(fd, SHUT_WR);
 	if (kept >= 0)
 		early_keep_open(early, kept, now_us);
-	g_string_free(text, TRUE);
+	return sent && kept >= 0 ? 0 : BASE_ESYS;
 }
 
 /* Drops what has come. Returns whether the client may send more. */
--- a/base/early.h
+++ b/base/early.h
@@ -35,10 +35,11 @@
 
 /*
  * Sends the response and the end of the stream. The caller closes fd afterwards; the connection
- * stays open until the client closes it or its time is over. Any thread may call this.
+ * stays open until the client closes it or its time is over. Any thread may call this. Returns 0 or
+ * BASE_ESYS: the client may not get the response.
  */
-void early_reply(struct early *early, int fd, const struct early_response *response,
-		 int64_t now_us);
+int early_reply(struct early *early, int fd, const struct early_response *response,
+		int64_t now_us) G_GNUC_WARN_UNUSED_RESULT;
 
 /*
  * Drops what clients have sent and closes the connections that have ended or whose time is over; to
--- a/base/hd.c
+++ b/base/hd.c
@@ -68,6 +68,7 @@
 	bool handler_called;   /* the handler has been called */
 	bool refused;	       /* the request was refused before its body had been received */
 	enum hd_refusal why;   /* reason; valid if refused is set */
+	bool early_failed;     /* the client may not get the refusal */
 	bool is_http_1_0;      /* the client knows no chunks */
 	int port;	       /* local TCP port; 0 if unknown */
 	int fd;		       /* socket of the connection; -1 if unknown */
@@ -417,7 +418,10 @@
 	};
 
 	call->queued = true;
-	early_reply(&call->hd->early, call->fd, &response, tmr_now());
+	if (early_reply(&call->hd->early, call->fd, &response, tmr_now()) == 0)
+		return;
+	call->early_failed = true;
+	met_add(met_counter("bg_early_responses_failed_total", ""), 1);
 }
 
 /* Ends a request whose body is not received further; the library closes the connection. */
@@ -542,6 +546,8 @@
 		return HD_END_CLIENT;
 	if (call->aborted)
 		return HD_END_ABORTED;
+	if (call->early_failed)
+		return HD_END_ERROR;
 	if (call->refused)
 		return call->why == HD_REFUSED_SLOW ? HD_END_TIMEOUT : HD_END_WHOLE;
 	switch (code) {
