An event of over 1 MB is passed on in parts in place of breaking its stream off

A stream with an event above 1 MB ended as broken (502, or a visible break-off). An event is still kept until it is complete, so that the stream can be resumed behind it, but from 1 MB on it is passed on as it arrives; inside of it the stream can't be resumed and is broken off if its endpoint fails. While the unsent bytes of a host are above [answers] unsent_total_mb, that holds from 16 KB on, as for plain answers, so the memory is bounded by what answers have unsent anyway.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -53,7 +53,7 @@
 static void fwd_end_with_cause(struct fwd *fwd, enum fwd_cause cause);
 static void fwd_on_no_endpoint(struct fwd *fwd, int err, int64_t now_us);
 static void fwd_wait_or_end(struct fwd *fwd, int64_t now_us);
-static void fwd_on_event(void *ctx, const char *data, size_t len);
+static void fwd_on_event(void *ctx, const char *data, size_t len, bool ends_event);
 
 const char *fwd_cause_name(enum fwd_cause cause)
 {
@@ -235,7 +235,7 @@
 {
 	if (runs >= fwd->rules.runs_max || (runs > 0 && !fwd->rules.may_repeat))
 		return false;
-	if (fwd->begun && (fwd->parts == 0 || !fwd->sse.has_id))
+	if (fwd->begun && (fwd->parts == 0 || !sse_can_resume(&fwd->sse)))
 		return false;
 	return now_us + FWD_MIN_TIME_LEFT_US < fwd->rules.deadline_us;
 }
@@ -373,7 +373,14 @@
 	return true;
 }
 
-static void fwd_on_event(void *ctx, const char *data, size_t len)
+/* Passes on a part of an answer that has begun. */
+static void fwd_pass(struct fwd *fwd, const char *data, size_t len)
+{
+	fwd->passed += len;
+	fwd->ops->answer_data(fwd->ctx, data, len);
+}
+
+static void fwd_on_event(void *ctx, const char *data, size_t len, bool ends_event)
 {
 	struct fwd *fwd = ctx;
 
@@ -381,9 +388,11 @@
 		fwd->begun = true;
 		fwd->ops->answer_begin(fwd->ctx);
 	}
-	fwd->parts++;
-	fwd->waits = 0;
-	fwd->ops->answer_data(fwd->ctx, data, len);
+	if (ends_event) {
+		fwd->parts++;
+		fwd->waits = 0;
+	}
+	fwd_pass(fwd, data, len);
 }
 
 /*
@@ -397,7 +406,7 @@
 	fwd->begun = true;
 	fwd->passthrough = true;
 	fwd->ops->answer_begin(fwd->ctx);
-	fwd->ops->answer_data(fwd->ctx, fwd->body->str, fwd->body->len);
+	fwd_pass(fwd, fwd->body->str, fwd->body->len);
 	g_string_free(fwd->body, TRUE);
 	fwd->body = g_string_new(NULL);
 }
@@ -412,25 +421,26 @@
 	return fwd->body->len + fwd->aside_body->len + sse_pending_bytes(&fwd->sse);
 }
 
-void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
+static void fwd_on_stream_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
 {
-	uint64_t parts_before = fwd->parts;
+	size_t event_max = fwd->rules.event_max > 0 ? fwd->rules.event_max : SSE_EVENT_MAX;
+	uint64_t passed_before = fwd->passed;
 
+	sse_feed(&fwd->sse, data, len, event_max, fwd_on_event, fwd);
+	if (fwd->passed > passed_before)
+		fwd->last_received_us = now_us;
+	fwd_set_timer(fwd);
+}
+
+void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
+{
 	if (fwd->is_event_stream) {
-		if (sse_feed(&fwd->sse, data, len, fwd_on_event, fwd) < 0) {
-			fwd->failure = FWD_BROKEN;
-			fwd->ops->cancel(fwd->ctx);
-			fwd_attempt_failed(fwd, true, now_us);
-			return;
-		}
-		if (fwd->parts > parts_before)
-			fwd->last_received_us = now_us;
-		fwd_set_timer(fwd);
+		fwd_on_stream_data(fwd, data, len, now_us);
 		return;
 	}
 	fwd->last_received_us = now_us;
 	if (fwd->passthrough) {
-		fwd->ops->answer_data(fwd->ctx, data, len);
+		fwd_pass(fwd, data, len);
 		return;
 	}
 	if (!fwd_is_deliverable(&fwd->head))
@@ -476,7 +486,7 @@
 {
 	if (!fwd->is_event_stream)
 		return fwd->begun == fwd->passthrough;
-	return (fwd->begun || fwd->rules.resumes) && sse_pending_bytes(&fwd->sse) == 0;
+	return (fwd->begun || fwd->rules.resumes) && !sse_is_within_event(&fwd->sse);
 }
 
 /* The endpoint sent a complete answer with status 2xx. */
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -115,6 +115,11 @@
 	 * is passed on as it arrives. 0: FWD_BUFFER_MAX_BYTES.
 	 */
 	size_t buffer_max;
+	/*
+	 * Largest size of an event that is buffered until it is complete, in bytes; a larger one is
+	 * passed on as it arrives, and the stream can't be resumed inside of it. 0: SSE_EVENT_MAX.
+	 */
+	size_t event_max;
 	/*
 	 * Time at which the first endpoint may be used again, in microseconds; valid after
 	 * FWD_ERESTING.
@@ -245,6 +250,8 @@
 	bool passthrough;
 	/* Number of events passed to the caller, over all attempts. */
 	uint64_t parts;
+	/* Bytes of the answer passed to the caller, over all attempts. */
+	uint64_t passed;
 	/* Time of the last progress of the attempt, in microseconds; the silence starts here. */
 	int64_t last_received_us;
 	/* In FWD_WAITING: time at which the request is sent, in microseconds. */
--- a/regress/soak/cases_slow.py
+++ b/regress/soak/cases_slow.py
@@ -24,6 +24,7 @@
 # Sizes of a plain answer and of each event of a stream that don't fit into the kernel's buffers from an endpoint to a
 # caller.
 HUGE_BYTES, HUGE_EVENT_BYTES = 40000000, 1000000
+LARGE_EVENT_BYTES = 8000000     # larger than what a host keeps of an event until it is complete
 IDLE_MS = 2000              # short idle timeout, in milliseconds
 # A caller that reads a little: bytes a time, time between two reads and for how long, in seconds.
 SIP_BYTES, SIP_EVERY_S, SIPS_S = 65536, 0.25, 3 * IDLE_MS / 1000.0
@@ -184,6 +185,20 @@
     check_answer(caller, caller.read_whole())
 
 
+def case_large_events(stack):
+    """Guards against a stream that is broken off since its events are larger than what is kept of one, and against a
+    host that keeps them whole."""
+    up(stack)
+    before = memory_bytes(stack, "host-0")
+    caller = SlowCaller(stack, "/stream/a", "large-events", answer_bytes=LARGE_EVENT_BYTES)
+    caller.wait_until_full()
+    grown = memory_bytes(stack, "host-0") - before
+    print("memory of host-0 grew by %d bytes" % grown)
+    if grown > LARGE_EVENT_BYTES:
+        raise Failure("an event of %d bytes made host-0 grow by %d bytes" % (LARGE_EVENT_BYTES, grown))
+    check_answer(caller, caller.read_whole())
+
+
 def case_crowd(stack):
     """Guards against a host whose memory grows with what its callers don't read."""
     up(stack)
--- a/router/flow.c
+++ b/router/flow.c
@@ -1,4 +1,5 @@
 #include "router/flow.h"
+#include "sse/sse.h"
 
 enum {
 	/*
@@ -29,6 +30,11 @@
 	return total > limits->total_max ? FLOW_FLOOR_BYTES : limits->answer_max;
 }
 
+size_t flow_event_max(const struct flow_limits *limits, uint64_t total)
+{
+	return total > limits->total_max ? FLOW_FLOOR_BYTES : SSE_EVENT_MAX;
+}
+
 bool flow_may_go_on(const struct flow_limits *limits, const struct flow_unsent *unsent)
 {
 	return unsent->answer <= flow_low_mark(limits, unsent->total);
--- a/router/flow.h
+++ b/router/flow.h
@@ -41,6 +41,9 @@
  */
 size_t flow_buffer_max(const struct flow_limits *limits, uint64_t total);
 
+/* Returns the bytes of an event that are kept until it is complete, with that total. */
+size_t flow_event_max(const struct flow_limits *limits, uint64_t total);
+
 G_END_DECLS
 
 #endif
--- a/router/flow_test.cc
+++ b/router/flow_test.cc
@@ -1,4 +1,5 @@
 #include "router/flow.h"
+#include "sse/sse.h"
 
 #include <gtest/gtest.h>
 
@@ -40,6 +41,8 @@
 {
 	EXPECT_EQ(flow_buffer_max(&limits, limits.total_max), limits.answer_max);
 	EXPECT_EQ(flow_buffer_max(&limits, limits.total_max + 1), 16 * KB);
+	EXPECT_EQ(flow_event_max(&limits, limits.total_max), (size_t)SSE_EVENT_MAX);
+	EXPECT_EQ(flow_event_max(&limits, limits.total_max + 1), 16 * KB);
 }
 
 /* Guards against an attempt that waits for ever, or is held again as soon as it goes on. */
--- a/router/txn_flow.c
+++ b/router/txn_flow.c
@@ -27,7 +27,11 @@
 
 void txn_limit_buffer(struct txn *txn)
 {
-	txn->fwd.rules.buffer_max = flow_buffer_max(&txn->traf->flow, txn_unsent_total(txn));
+	const struct flow_limits *limits = &txn->traf->flow;
+	uint64_t total = txn_unsent_total(txn);
+
+	txn->fwd.rules.buffer_max = flow_buffer_max(limits, total);
+	txn->fwd.rules.event_max = flow_event_max(limits, total);
 }
 
 bool txn_is_held(const struct txn *txn)
--- a/sse/sse.c
+++ b/sse/sse.c
@@ -17,6 +17,7 @@
 {
 	g_string_truncate(sse->pending, 0);
 	memset(&sse->event, 0, sizeof(sse->event));
+	sse->open = false;
 }
 
 void sse_discard_pending(struct sse *sse)
@@ -29,6 +30,16 @@
 	return sse->pending->len;
 }
 
+bool sse_is_within_event(const struct sse *sse)
+{
+	return sse->open || sse->pending->len > 0;
+}
+
+bool sse_can_resume(const struct sse *sse)
+{
+	return sse->has_id && !sse->open;
+}
+
 /*
  * Stores the id that the line states. A part of an id would make the next endpoint resume the
  * stream at another event, so one that does not fit counts as none.
@@ -94,7 +105,15 @@
 		sse->has_id = event->has_id;
 }
 
-int sse_feed(struct sse *sse, const char *data, size_t len, sse_event_fn fn, void *ctx)
+/* Passes on what is kept of the event. */
+static void sse_pass(struct sse *sse, bool ends_event, sse_event_fn fn, void *ctx)
+{
+	fn(ctx, sse->pending->str, sse->pending->len, ends_event);
+	g_string_truncate(sse->pending, 0);
+}
+
+void sse_feed(struct sse *sse, const char *data, size_t len, size_t event_max, sse_event_fn fn,
+	      void *ctx)
 {
 	size_t start = 0;
 
@@ -104,9 +123,12 @@
 		g_string_append_len(sse->pending, data + start, (gssize)(i + 1 - start));
 		start = i + 1;
 		sse_store_id(sse);
-		fn(ctx, sse->pending->str, sse->pending->len);
+		sse_pass(sse, true, fn, ctx);
 		sse_begin_event(sse);
 	}
 	g_string_append_len(sse->pending, data + start, (gssize)(len - start));
-	return sse->pending->len > SSE_EVENT_MAX ? SSE_ETOOLONG : 0;
+	if (sse->pending->len > event_max || (sse->open && sse->pending->len > 0)) {
+		sse->open = true;
+		sse_pass(sse, false, fn, ctx);
+	}
 }
--- a/sse/sse.h
+++ b/sse/sse.h
@@ -15,11 +15,8 @@
 enum {
 	SSE_ID_MAX = 64,	/* size of an event id with its terminating NUL, in bytes */
 	SSE_LINE_MAX = 128,	/* bytes of a line that are looked at */
-	SSE_EVENT_MAX = 1 << 20 /* longest event, in bytes; events of models are far shorter */
-};
-
-enum sse_err {
-	SSE_ETOOLONG = -800 /* an event is longer than SSE_EVENT_MAX */
+	SSE_EVENT_MAX = 1 << 20 /* bytes of an event that are kept until it is complete; events of
+				 * models are far shorter */
 };
 
 /* What is known of the event that is not complete. */
@@ -35,7 +32,8 @@
 /* State of the splitter for one stream. */
 struct sse {
 	GString *pending;	  /* bytes of an event that is not complete */
-	struct sse_event event;	  /* what they state */
+	struct sse_event event;	  /* what is known of that event */
+	bool open;		  /* the first bytes of that event were passed on */
 	char last_id[SSE_ID_MAX]; /* id of the last complete event that had one */
 	/*
 	 * Whether a stream that is resumed after last_id goes on behind the last event: that event
@@ -44,8 +42,11 @@
 	bool has_id;
 };
 
-/* Called for each complete event, with its bytes unchanged. */
-typedef void (*sse_event_fn)(void *ctx, const char *data, size_t len);
+/*
+ * Called for each complete event, with its bytes unchanged, and for each part of an event that is
+ * too long to be kept. ends_event: the event is complete with these bytes.
+ */
+typedef void (*sse_event_fn)(void *ctx, const char *data, size_t len, bool ends_event);
 
 void sse_init(struct sse *sse);
 void sse_finish(struct sse *sse);
@@ -56,12 +57,25 @@
  */
 void sse_discard_pending(struct sse *sse);
 
-/* Adds data and calls fn for each event that is complete now. Returns 0 or SSE_ETOOLONG. */
-int sse_feed(struct sse *sse, const char *data, size_t len, sse_event_fn fn, void *ctx);
+/*
+ * Adds data and calls fn for each event that is complete now. If more than event_max bytes of an
+ * event are kept then, they are passed on as well, and its further bytes as they come.
+ */
+void sse_feed(struct sse *sse, const char *data, size_t len, size_t event_max, sse_event_fn fn,
+	      void *ctx);
 
-/* Returns the number of bytes of the event that is not complete. */
+/* Returns the number of bytes that are kept of the event that is not complete. */
 size_t sse_pending_bytes(const struct sse *sse);
 
+/* Returns whether the stream is inside an event. */
+bool sse_is_within_event(const struct sse *sse);
+
+/*
+ * Returns whether the stream can be resumed at another endpoint so that no event is missing or
+ * comes twice.
+ */
+bool sse_can_resume(const struct sse *sse);
+
 G_END_DECLS
 
 #endif
