Failing test of an endpoint that is blamed for an attempt at another

odd_blame.sh: the second attempt ends without a head; its line names the first answer's status and culprit, and that endpoint is excluded and doubted once more.

--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -4,8 +4,9 @@
 import struct
 import sys
 
-from cases import expect, run
+from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
+from proxy import Proxy
 from stack import Failure, eventually
 
 # Kinds of frames, as in msg/kind.h.
@@ -81,6 +82,38 @@
            ask(stack, "host-0", "/stream/a", "resumed", Last_Event_Id="12"), (WHOLE, 200, b""))
 
 
+class Blamer(Proxy):
+    """Stands before an endpoint. Of all requests to /many/ that reach blamers, the first is rejected with the name of
+    an endpoint at fault, and the others get nothing."""
+
+    answers = []    # left to send, of all blamers
+
+    def forward(self, near):
+        if not near.recv(65536, socket.MSG_PEEK).startswith(b"POST /many/"):
+            super().forward(near)
+            return
+        near.recv(65536)
+        if Blamer.answers:
+            near.sendall(Blamer.answers.pop())
+        near.close()
+
+
+def case_late_blame(stack):
+    """Guards against an endpoint that is blamed for an attempt which it had no part in, since an earlier answer to the
+    same request named it."""
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            Blamer(stack.base + 60 + i, point[1])
+    stack.up()
+    named = "127.0.0.1:%d" % stack.points[0][1]
+    Blamer.answers = [("HTTP/1.1 503 Service Unavailable\r\nBronzegauge-Not-Executed: 1\r\n"
+                       "At-Server: %s\r\nContent-Length: 0\r\n\r\n" % named).encode()]
+    expect("what the caller got", ask(stack, "host-0", "/many/a", "blamed")[:2], (WHOLE, 502))
+    failed = [(e["status"], e.get("culprit")) for e in events(stack, "host-0", "attempt_failed")]
+    expect("status and culprit of the attempts", failed, [(503, named), (0, None)])
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
