--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -594,6 +594,30 @@
 	EXPECT_FALSE(WaitForEnd().received);
 }
 
+/*
+ * Guards against malformed requests that reach the handler or get no answer. The library closes the
+ * connection without one only if the first line has no target, so is no request.
+ */
+TEST_F(HdTest, MalformedRequestsAreRefused)
+{
+	const struct {
+		const char *request;
+		const char *answer; /* begin of the answer */
+	} cases[] = {{"GARBAGE\r\n\r\n", ""},
+		     {"GET /x\r\nHost: h\r\n\r\n", "HTTP/1.1 400 "},
+		     {"GET /x WORD\r\nHost: h\r\n\r\n", "HTTP/1.1 400 "},
+		     {"GET /x HTTP/9.9\r\nHost: h\r\n\r\n", "HTTP/1.1 505 "},
+		     {"GET /x HTTP/1.1\r\nHost h\r\n\r\n", "HTTP/1.1 400 "}};
+
+	for (const auto &c : cases) {
+		TearDown();
+		SetUp();
+		send(client_, c.request, strlen(c.request), 0);
+		EXPECT_EQ(ReadAll().substr(0, strlen("HTTP/1.1 400 ")), c.answer) << c.request;
+		EXPECT_EQ(call_, nullptr) << c.request;
+	}
+}
+
 /* Guards against a body within the limit at the time it was sent that a later, lower one rejects.
  */
 TEST_F(HdTest, BodyWithinTheLimitAtItsBeginIsAccepted)
