Count answers whose bytes in and out differ: bg_answers_differ_total, answer_differs

A difference is an error line and counts; the soak and all its cases fail if the counter is above 0, as they do for bg_requests_unanswered_total.

--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -167,9 +167,9 @@
                 eventually(host + " is ready", lambda h=host: self.is_ready(h))
                 eventually(host + " serves a stream", lambda h=host: self.serves_stream(h))
 
-    def unanswered(self):
-        """Returns the number of requests that hosts have read whole and that ended without an answer and without a
-        decision of the host: host -> number, of the hosts that still run and answer."""
+    def faults_counted(self, counter):
+        """Returns the counter, which counts what must not happen: host -> number above 0, of the hosts that still run
+        and answer."""
         found = {}
         for host in self.hosts:
             if host not in self.procs or self.procs[host].poll() is not None:
@@ -179,14 +179,18 @@
             except (OSError, http.client.HTTPException):
                 continue    # the case has stopped the host
             found[host] = sum(float(line.split()[-1]) for line in text.splitlines()
-                              if line.startswith("bg_requests_unanswered_total"))
+                              if line.startswith(counter))
         return {host: n for host, n in found.items() if n > 0}
 
     def check_answered(self):
-        """Fails if a request that was read whole ended without an answer at a host that still runs."""
-        found = self.unanswered()
+        """Fails if a request that was read whole ended without an answer at a host that still runs, or if a host has
+        passed on other bytes of an answer than it took."""
+        found = self.faults_counted("bg_requests_unanswered_total")
         if found:
             raise Failure("requests that ended without an answer: %r (lines connection_ended)" % found)
+        found = self.faults_counted("bg_answers_differ_total")
+        if found:
+            raise Failure("answers of other bytes than their endpoints': %r (lines answer_differs)" % found)
 
     def down(self, keep=False):
         for proc in self.procs.values():
--- a/router/txn.c
+++ b/router/txn.c
@@ -246,6 +246,7 @@
 	txn->head_received = false;
 	txn->part_received = false;
 	txn->has_gone_on = false;
+	txn->tally = (struct txn_tally){0};
 }
 
 static int txn_send(void *ctx, int attempt, const char *resume_after)
@@ -344,6 +345,8 @@
 {
 	struct txn *txn = ctx;
 
+	if (txn->attempt)
+		txn_check_stream(txn);
 	txn_cancel_call(&txn->attempt);
 	txn_cancel_order(txn);
 }
@@ -518,6 +521,7 @@
 	txn->traf->any_data_us = txn->last_activity_us;
 	if (txn->target.count > 0)
 		txn->target.stages[0].ep->last_data_us = txn->last_activity_us;
+	txn->tally.taken += len;
 	txn_limit_buffer(txn);
 	fwd_on_data(&txn->fwd, data, len, tmr_now());
 	txn_count_buffered(txn, fwd_buffered(&txn->fwd));
@@ -539,6 +543,7 @@
 	}
 	if (txn_is_aside(side))
 		fwd_on_aside_progress(&txn->fwd);
+	txn_check_stream(txn);
 	failed = err < 0 || status >= 500 || txn->answer.head.not_run;
 	txn->attempt = NULL;
 	txn_cancel(txn);
--- a/router/txn_answer.c
+++ b/router/txn_answer.c
@@ -54,6 +54,8 @@
 	struct txn *txn = ctx;
 
 	txn_set_answer_headers(txn);
+	txn->tally.passed += len;
+	txn_check_whole(txn);
 	hd_reply(txn->call, txn->status, txn->answer.type, body, len);
 }
 
@@ -76,6 +78,7 @@
 	struct txn *txn = ctx;
 
 	txn->answer_bytes += len;
+	txn->tally.passed += len;
 	if (hd_reply_write(txn->call, data, len) < 0)
 		txn->answer_failed = true;
 	else
@@ -87,6 +90,7 @@
 {
 	struct txn *txn = ctx;
 
+	txn_check_whole(txn);
 	hd_expect_length(txn->call, txn->answer_bytes);
 	if (hd_reply_end(txn->call) < 0)
 		txn->answer_failed = true;
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -25,6 +25,12 @@
 	struct txn *txn;
 };
 
+/* Bytes of the body of an attempt's answer. */
+struct txn_tally {
+	uint64_t taken;	 /* received from the endpoint */
+	uint64_t passed; /* handed to the HTTP server for the caller */
+};
+
 /* A silent attempt that is kept beside the current one. */
 struct txn_aside {
 	struct way_call *call;	   /* NULL: none */
@@ -32,6 +38,7 @@
 	struct seam_answer answer; /* head of its answer, if that was received */
 	int64_t boot_us;	   /* time at which it was sent, by tmr_boot_now() */
 	bool head_received;	   /* it has received the head of an answer */
+	struct txn_tally tally;	   /* bytes of its answer */
 };
 
 struct txn {
@@ -83,9 +90,10 @@
 	int64_t held_us;  /* time since which the caller holds the attempt back, in us; 0: it does
 			   * not */
 	bool held_logged; /* the log says so */
-	uint64_t answer_bytes; /* bytes of an answer in parts that were passed to the caller */
-	size_t buffered;       /* bytes of the answer that count in traf->buffered */
-	bool answer_failed;    /* a part of the answer, or its end, could not be sent */
+	uint64_t answer_bytes;	/* bytes of an answer in parts that were passed to the caller */
+	size_t buffered;	/* bytes of the answer that count in traf->buffered */
+	bool answer_failed;	/* a part of the answer, or its end, could not be sent */
+	struct txn_tally tally; /* bytes of the last attempt's answer */
 };
 
 /* Frees the request. */
@@ -124,6 +132,12 @@
 /* Answers a request that was never sent with an error, logs that, and frees the request. */
 void txn_deny(struct txn *txn, int status, const char *code, int64_t retry_us);
 
+/* The last attempt of a stream has ended or is cancelled: checks what was passed on of it. */
+void txn_check_stream(const struct txn *txn);
+
+/* The answer ends as a whole one: checks that all of it was passed on. */
+void txn_check_whole(const struct txn *txn);
+
 /* Callbacks of struct fwd_ops, where fwd/fwd.h describes them; ctx is the struct txn. */
 void txn_answer_whole(void *ctx, const char *body, size_t len);
 void txn_answer_begin(void *ctx);
