--- a/base/hd.c
+++ b/base/hd.c
@@ -3,13 +3,14 @@
 #include "base/conns.h"
 #include "base/err.h"
 #include "base/jl.h"
+#include "base/log.h"
+#include "base/lsn.h"
 #include "base/met.h"
 #include "base/tmr.h"
 
 #include <arpa/inet.h>
 #include <ck_pr.h>
 #include <errno.h>
-#include <linux/filter.h>
 #include <microhttpd.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -42,6 +43,7 @@
 	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
 	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
 	struct conns conns;
+	int listen_fd;		   /* the library's; -1: none */
 	pthread_mutex_t body_lock; /* guards the fields below */
 	struct recent body_max;	   /* largest request body in bytes */
 	bool body_max_set;	   /* hd_set_limits() has been called */
@@ -57,6 +59,7 @@
 	bool headers_received; /* the request line and the headers were received */
 	bool too_large;	       /* the request body exceeded body_max */
 	bool handler_called;   /* the handler has been called */
+	bool is_http_1_0;      /* the client knows no chunks */
 	int port;	       /* local TCP port; 0 if unknown */
 	int fd;		       /* socket of the connection; -1 if unknown */
 	int64_t began_us;      /* time at which the headers had been received */
@@ -97,7 +100,8 @@
 static ssize_t hd_on_read(void *ctx, uint64_t pos, char *buf, size_t max);
 static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn);
 static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target);
-static void hd_call_begin(struct hd_call *call, const char *url, const char *method);
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method,
+			  const char *version);
 static enum MHD_Result hd_queue_response(struct hd_call *call);
 static void hd_resume(struct hd_call *call);
 
@@ -186,6 +190,7 @@
 	} else {
 		flags |= MHD_USE_NO_LISTEN_SOCKET;
 	}
+	hd->listen_fd = fd;
 	hd->daemon = MHD_start_daemon(
 		flags, 0, config->may_accept ? hd_on_connection : NULL, hd, hd_on_request, hd,
 		MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd, MHD_OPTION_NOTIFY_CONNECTION,
@@ -260,7 +265,8 @@
 	return call;
 }
 
-static void hd_call_begin(struct hd_call *call, const char *url, const char *method)
+static void hd_call_begin(struct hd_call *call, const char *url, const char *method,
+			  const char *version)
 {
 	unsigned int idle_s;
 
@@ -269,6 +275,7 @@
 	call->headers_received = true;
 	call->method = g_strdup(method);
 	call->path = g_strdup(url);
+	call->is_http_1_0 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
 	if (idle_s > 0)
 		MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
@@ -302,31 +309,10 @@
 	ck_pr_store_uint(&hd->closing, 1);
 }
 
-/*
- * Makes the kernel drop all further packets to a listening socket, so that no connection is made
- * while those in its queue are accepted. Where that is not supported, one may be made meanwhile.
- */
-static void hd_drop_new_connections(int fd)
-{
-	struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-	struct sock_fprog filter = {.len = 1, .filter = &drop_all};
-
-	setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
-}
-
-void hd_quiesce(struct hd *hd)
+void hd_refuse(struct hd *hd)
 {
-	int fd = MHD_quiesce_daemon(hd->daemon);
-	int accepted;
-
-	if (fd < 0)
-		return;
-	hd_drop_new_connections(fd);
-	while ((accepted = accept(fd, NULL, NULL)) >= 0)
-		hd_adopt(hd, accepted);
-	if (errno != EAGAIN)
-		met_add(met_counter("bg_http_adopt_failed_total", ""), 1);
-	close(fd);
+	if (lsn_refuse(hd->listen_fd) < 0)
+		log_msg(LOG_WARNING, "connections_not_refused reason=\"%s\"", strerror(errno));
 }
 
 void hd_unref(struct hd_call *call)
@@ -367,6 +353,23 @@
 	return hd_queue_error(call, MHD_HTTP_CONTENT_TOO_LARGE, call->hd->too_large, "no");
 }
 
+/*
+ * Returns whether the body has a transfer coding that the library does not know. It would read the
+ * body until the connection ends, and a client that waits for its answer does not end it.
+ */
+static bool hd_has_unknown_coding(struct hd_call *call)
+{
+	const char *coding = hd_header(call, MHD_HTTP_HEADER_TRANSFER_ENCODING);
+
+	return coding && g_ascii_strcasecmp(coding, "chunked") != 0;
+}
+
+static enum MHD_Result hd_reply_unknown_coding(struct hd_call *call)
+{
+	return hd_queue_error(call, MHD_HTTP_NOT_IMPLEMENTED,
+			      "{\"error\":{\"code\":\"unknown_transfer_coding\"}}", "no");
+}
+
 /* Returns the largest body by any limit that the client may have gone by. */
 static uint64_t hd_body_max(struct hd_call *call)
 {
@@ -387,12 +390,11 @@
 	struct hd_call *call = *state;
 	enum MHD_Result result = MHD_YES;
 
-	(void)version;
 	if (!call)
 		return MHD_NO;
 	if (!call->headers_received) {
-		hd_call_begin(call, url, method);
-		return MHD_YES;
+		hd_call_begin(call, url, method, version);
+		return hd_has_unknown_coding(call) ? hd_reply_unknown_coding(call) : MHD_YES;
 	}
 	if (*len > 0) {
 		if (call->body->len + *len > hd_body_max(call))
@@ -452,6 +454,21 @@
 	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
 }
 
+/* Returns whether nothing but the end of the connection tells the client that the response ends. */
+static bool hd_is_unframed(const struct hd_call *call)
+{
+	return call->is_http_1_0 && call->streaming && call->length == HD_LENGTH_UNKNOWN;
+}
+
+/* Resets the connection, so that its client doesn't take an unframed response for complete. */
+static void hd_reset(const struct hd_call *call)
+{
+	const struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	if (connect(call->fd, &none, sizeof(none)) < 0)
+		met_add(met_counter("bg_resets_failed_total", ""), 1);
+}
+
 /* Returns the number of bytes of the response that the library hasn't read yet. */
 static size_t hd_pending(const struct hd_call *call)
 {
@@ -502,6 +519,8 @@
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
 	call->end = hd_end_of(call, code);
+	if (call->end == HD_END_TIMEOUT && hd_is_unframed(call))
+		hd_reset(call);
 	hd_report_end(ctx, call);
 	if (call->streaming)
 		hd_drop_pending(call);
@@ -549,6 +568,8 @@
 	if (hd_pending(call) > 0) {
 		n = (ssize_t)hd_take_pending(call, buf, max);
 	} else if (call->aborted) {
+		if (hd_is_unframed(call))
+			hd_reset(call);
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (call->ended) {
 		n = MHD_CONTENT_READER_END_OF_STREAM;
@@ -587,10 +608,20 @@
 }
 
 /*
- * Sends an error in place of a response whose head is too long: the library would close the
+ * Sends an error in place of a response that the library does not take: it would close the
  * connection without a byte.
  */
-static enum MHD_Result hd_replace_response(struct hd_call *call, size_t size, size_t room)
+static enum MHD_Result hd_replace_response(struct hd_call *call, const char *body)
+{
+	if (call->streaming)
+		hd_drop_pending(call);
+	call->streaming = false;
+	call->incomplete = true;
+	call->expected = HD_LENGTH_UNKNOWN;
+	return hd_queue_error(call, MHD_HTTP_BAD_GATEWAY, body, "unknown");
+}
+
+static enum MHD_Result hd_replace_long_head(struct hd_call *call, size_t size, size_t room)
 {
 	jl_begin(JL_UNLIMITED, "answer_head_too_long");
 	jl_str("id", call->label);
@@ -598,13 +629,19 @@
 	jl_int("room", (int64_t)room);
 	jl_end();
 	met_add(met_counter("bg_answer_heads_too_long_total", ""), 1);
-	if (call->streaming)
-		hd_drop_pending(call);
-	call->streaming = false;
-	call->incomplete = true;
-	call->expected = HD_LENGTH_UNKNOWN;
-	return hd_queue_error(call, MHD_HTTP_BAD_GATEWAY,
-			      "{\"error\":{\"code\":\"answer_head_too_long\"}}", "unknown");
+	return hd_replace_response(call, "{\"error\":{\"code\":\"answer_head_too_long\"}}");
+}
+
+/* The library takes no status that has not three digits. */
+static enum MHD_Result hd_replace_refused(struct hd_call *call)
+{
+	jl_begin(JL_UNLIMITED, "answer_refused");
+	jl_str("id", call->label);
+	jl_str("method", call->method);
+	jl_int("status", call->status);
+	jl_end();
+	met_add(met_counter("bg_answers_refused_total", ""), 1);
+	return hd_replace_response(call, "{\"error\":{\"code\":\"answer_refused\"}}");
 }
 
 /* Passes the response to the library. Called with the lock held, in the library's thread. */
@@ -618,7 +655,7 @@
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
 	if (size > room)
-		return hd_replace_response(call, size, room);
+		return hd_replace_long_head(call, size, room);
 	if (call->streaming)
 		resp = MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
 							 call, NULL);
@@ -634,7 +671,7 @@
 	call->queued = true;
 	result = MHD_queue_response(call->conn, (unsigned int)call->status, resp);
 	MHD_destroy_response(resp);
-	return result;
+	return result == MHD_YES ? MHD_YES : hd_replace_refused(call);
 }
 
 /* Makes the library poll a suspended connection again. Called with the lock held. */
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -1,5 +1,6 @@
 #include "base/hd.h"
 #include "base/err.h"
+#include "base/prog.h"
 #include "base/tmr.h"
 
 #include <arpa/inet.h>
@@ -465,6 +466,25 @@
 	EXPECT_GT(outcome.unsent, 0U);
 }
 
+/* Guards against an answer of which a client of HTTP/1.0 reads a part too late, and takes that for
+ * whole. */
+TEST_F(HdUnlimitedTest, IdleTimeoutWithinAnAnswerWithoutFramingResetsTheConnection)
+{
+	hd_set_limits(hd_, 100, 1);
+	hd_call *call = Send("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+	hd_reply_begin(call, 200, "text/plain");
+	const std::string part(4 << 20, 'x');
+	EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+	EXPECT_EQ(WaitForEnd().end, HD_END_TIMEOUT);
+	hd_unref(call);
+	char buf[4096];
+	ssize_t n;
+	while ((n = recv(client_, buf, sizeof(buf), 0)) > 0)
+		;
+	EXPECT_EQ(n, -1);
+	EXPECT_EQ(errno, ECONNRESET);
+}
+
 /* Guards against idle connections that stay open for ever. */
 TEST_F(HdTest, IdleConnectionIsClosedByTheLimitOfLate)
 {
@@ -554,6 +574,26 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+/* Guards against a broken answer that a client of HTTP/1.0 takes for whole, since it ends as a
+ * whole one does: by the end of the connection. */
+TEST_F(HdTest, AbortOfAnAnswerWithoutFramingResetsTheConnection)
+{
+	hd_call *call = Send("GET /x HTTP/1.0\r\nHost: h\r\n\r\n");
+	char buf[4096];
+	ssize_t n;
+
+	hd_reply_begin(call, 200, "text/plain");
+	EXPECT_EQ(hd_reply_write(call, "half", 4), 0);
+	ASSERT_GT(recv(client_, buf, 1, MSG_PEEK), 0);
+	hd_abort(call);
+	hd_unref(call);
+	EXPECT_EQ(WaitForEnd().end, HD_END_ABORTED);
+	while ((n = recv(client_, buf, sizeof(buf), 0)) > 0)
+		;
+	EXPECT_EQ(n, -1);
+	EXPECT_EQ(errno, ECONNRESET);
+}
+
 /* Guards against a client that gets no byte since the head of its answer is long. */
 TEST_F(HdTest, AnswerWithTooLongAHeadIsReplaced)
 {
@@ -584,6 +624,86 @@
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
 
+class HdRefusedTest : public HdTest, public ::testing::WithParamInterface<int>
+{
+};
+
+/* Guards against a client that gets no byte since the library takes no response with its status. */
+TEST_P(HdRefusedTest, AnswerIsReplaced)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_reply(call, GetParam(), "text/plain", "x", 1);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find(" 502 "), std::string::npos);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+	EXPECT_EQ(outcome_.status, 502);
+}
+
+/* Guards against the same for a response in parts. */
+TEST_P(HdRefusedTest, StreamIsReplaced)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_reply_begin(call, GetParam(), "text/plain");
+	EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
+	hd_reply_end(call);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find(" 502 "), std::string::npos);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+	EXPECT_EQ(hd_unsent_total(hd_), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, HdRefusedTest, ::testing::Values(0, 99, 1000));
+
+/* Guards against a client that gets no byte since it has sent more behind its request, which takes
+ * the memory for the answer's head. */
+TEST_F(HdTest, DISABLED_AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
+			     std::string(40000, 'z'));
+	const std::string answer_filler(20000, 'y');
+	hd_set_header(call, "X-Filler", answer_filler.c_str());
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	EXPECT_NE(ReadAll().find("HTTP/1.1 "), std::string::npos);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+}
+
+/* Guards against a process that ends, with all that it has under way, since a reply is no JSON. */
+TEST_F(HdTest, ReplyThatIsNoJsonIsAnError)
+{
+	handler_hook_ = [](hd_call *call) {
+		prog_reply_json(call, 200, json_pack("{s:s}", "text", "\xe9"));
+	};
+	const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 500 "), std::string::npos);
+}
+
+/* Guards against a request that waits for the end of a body whose length the library does not know.
+ */
+TEST_F(HdTest, UnknownTransferCodingGets501)
+{
+	const timeval patience = {2, 0};
+	const std::string request = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n"
+				    "Content-Length: 2\r\n\r\n{}";
+	setsockopt(client_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	send(client_, request.data(), request.size(), 0);
+	EXPECT_NE(ReadAll().find(" 501 "), std::string::npos);
+	EXPECT_EQ(call_, nullptr) << "the handler is not called";
+}
+
+/* Guards against chunks that are refused for how their coding is written. */
+TEST_F(HdTest, ChunkedTransferCodingIsRead)
+{
+	hd_call *call = Send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
+			     "2\r\n{}\r\n0\r\n\r\n");
+	size_t len;
+	EXPECT_STREQ(hd_body(call, &len), "{}");
+	hd_reply(call, 200, "text/plain", "x", 1);
+	hd_unref(call);
+	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
+}
+
 /* Guards against a head above the limit whose client gets no answer since it has sent more. */
 TEST_F(HdTest, HeadAboveLimitGets431)
 {
