--- a/router/txn.c
+++ b/router/txn.c
@@ -25,6 +25,7 @@
 static void txn_set_timer(void *ctx, int64_t due_us);
 static void txn_ended(void *ctx, enum fwd_cause cause);
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers);
+static void txn_before_data(void *ctx, size_t len);
 static void txn_on_data(void *ctx, const char *data, size_t len);
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 
@@ -49,6 +50,7 @@
 
 static const struct hc_ops txn_hc_ops = {
 	.on_head = txn_on_head,
+	.before_data = txn_before_data,
 	.on_data = txn_on_data,
 	.all_data = true,
 	.on_done = txn_on_done,
@@ -134,7 +136,7 @@
 		return;
 	bud_on_request(traf_budget(traf, txn->service->name), txn->began_us);
 	txn_charge_share(txn);
-	if (!txn_admit_by_reach(txn) || !txn_admit_by_load(txn))
+	if (!txn_admit_by_reach(txn) || !txn_admit_by_room(txn) || !txn_admit_by_load(txn))
 		return;
 	fwd_start(&txn->fwd, tmr_now());
 }
@@ -237,15 +239,12 @@
 	       strcmp(txn->service->name, service) == 0;
 }
 
-/* Forgets the answer to the attempt before: the next one may end without a head. */
+/* Forgets what the last attempt's head said: the next one may end without a head. */
 static void txn_forget_answer(struct txn *txn)
 {
 	seam_answer_finish(&txn->answer);
 	memset(&txn->answer, 0, sizeof(txn->answer));
 	txn->answer_length = HD_LENGTH_UNKNOWN;
-	txn->head_received = false;
-	txn->part_received = false;
-	txn->has_gone_on = false;
 	txn->tally = (struct txn_tally){0};
 }
 
@@ -265,6 +264,7 @@
 	int err;
 
 	traf_target_release(&txn->target);
+	txn_forget_answer(txn);
 	if (txn_quarantine_us(txn, tmr_now()) > 0)
 		return FWD_EQUARANTINED;
 	err = txn_pick(txn, trust, &txn->target);
@@ -295,7 +295,9 @@
 		request.http.body_len = txn->body_len;
 	}
 	txn->earlier_duration_us += txn_attempt_duration_us(txn);
-	txn_forget_answer(txn);
+	txn->head_received = false;
+	txn->part_received = false;
+	txn->has_gone_on = false;
 	txn->broken_at = NULL;
 	txn->last_activity_us = tmr_now();
 	txn->attempt_boot_us = tmr_boot_now();
@@ -508,6 +510,14 @@
 	txn->fwd.rules.gap_us = CLAMP(limit_us, tmr_from_ms(TXN_GAP_FLOOR_MS), most_us);
 }
 
+static void txn_before_data(void *ctx, size_t len)
+{
+	const struct txn_side *side = ctx;
+
+	if (!txn_is_aside(side))
+		txn_hold_if_behind(side->txn, len);
+}
+
 static void txn_on_data(void *ctx, const char *data, size_t len)
 {
 	const struct txn_side *side = ctx;
