An attempt that is taken back keeps the length of its answer

By reading, no test: a silent attempt that is taken back after another one was tried had the Content-Length of that other answer, or none, so a large answer could be broken off at its end, or sent without its length. It is kept with the rest of what is known of the attempt.

--- a/router/txn_aside.c
+++ b/router/txn_aside.c
@@ -18,6 +18,7 @@
 	txn->aside.boot_us = txn->attempt_boot_us;
 	txn->aside.head_received = txn->head_received;
 	txn->aside.tally = txn->tally;
+	txn->aside.answer_length = txn->answer_length;
 	txn->attempt = NULL;
 	memset(&txn->target, 0, sizeof(txn->target));
 	memset(&txn->answer, 0, sizeof(txn->answer));
@@ -37,6 +38,7 @@
 	txn->attempt_boot_us = txn->aside.boot_us;
 	txn->head_received = txn->aside.head_received;
 	txn->tally = txn->aside.tally;
+	txn->answer_length = txn->aside.answer_length;
 	memset(&txn->aside, 0, sizeof(txn->aside));
 	txn->side = !txn->side;
 	txn->part_received = false;
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -39,6 +39,7 @@
 	int64_t boot_us;	   /* time at which it was sent, by tmr_boot_now() */
 	bool head_received;	   /* it has received the head of an answer */
 	struct txn_tally tally;	   /* bytes of its answer */
+	uint64_t answer_length;	   /* Content-Length of its answer, as in struct txn */
 };
 
 struct txn {
