--- a/base/hc.c
+++ b/base/hc.c
@@ -1,6 +1,7 @@
 #include "base/hc.h"
 #include "base/addr.h"
 #include "base/err.h"
+#include "base/hc_framing.h"
 #include "base/log.h"
 #include "base/met.h"
 
@@ -179,49 +180,6 @@
 	hc_finish_done_calls(hc);
 }
 
-/* Returns the value of a header line with this name and a colon, or NULL if it has another name. */
-static const char *hc_header_value(const char *line, const char *name)
-{
-	size_t len = strlen(name);
-
-	return g_ascii_strncasecmp(line, name, len) == 0 ? line + len : NULL;
-}
-
-static bool hc_parse_length(const char *text, guint64 *length)
-{
-	char *digits = g_strstrip(g_strdup(text));
-	bool good = g_ascii_string_to_unsigned(digits, 10, 0, G_MAXINT64, length, NULL);
-
-	g_free(digits);
-	return good;
-}
-
-/*
- * Returns whether the length of the body is no number, too large for any, or stated twice and
- * differently. The library reads such a body until the connection ends, or to the last length, and
- * takes what there is for the whole. Chunks state their lengths themselves.
- */
-static bool hc_has_wrong_length(const GPtrArray *lines)
-{
-	bool known = false;
-	bool wrong = false;
-	guint64 length = 0;
-
-	for (guint i = 0; i < lines->len; i++) {
-		const char *text = hc_header_value(lines->pdata[i], "Content-Length:");
-		guint64 stated = 0;
-
-		if (hc_header_value(lines->pdata[i], "Transfer-Encoding:"))
-			return false;
-		if (!text)
-			continue;
-		wrong = wrong || !hc_parse_length(text, &stated) || (known && stated != length);
-		known = true;
-		length = stated;
-	}
-	return wrong;
-}
-
 /*
  * Called for the status line, for each header line and for the empty line at the end. An interim
  * response (1xx) has lines and an empty line of its own, which are discarded. Lines after the
@@ -254,8 +212,6 @@
 		g_ptr_array_set_size(call->response_headers, 0);
 		return len;
 	}
-	if (hc_has_wrong_length(call->response_headers))
-		return 0;
 	call->on_head_called = true;
 	call->callback_running = true;
 	call->hc->in_callback = true;
@@ -264,7 +220,8 @@
 	call->callback_running = false;
 	if (!go_on)
 		call->canceled = true;
-	return call->canceled ? 0 : len;
+	/* 0 ends the call, as an error if it was not canceled. */
+	return call->canceled || !hc_framing_is_usable(call->response_headers) ? 0 : len;
 }
 
 static void hc_ask_before(struct hc_call *call, size_t len)
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -75,6 +75,47 @@
         conn.close()
 
 
+def case_empty_resume(stack):
+    """Guards against a resume after the last event of a stream, which has nothing more to send, that is answered by an
+    error."""
+    stack.up()
+    expect("answer to a resume after the last event",
+           ask(stack, "host-0", "/stream/a", "resumed", Last_Event_Id="12"), (WHOLE, 200, b""))
+
+
+class Blamer(Proxy):
+    """Stands before an endpoint. Of all requests to /many/ that reach blamers, the first is rejected with the name of
+    an endpoint at fault, and the others get nothing."""
+
+    answers = []    # left to send, of all blamers
+
+    def forward(self, near):
+        if not near.recv(65536, socket.MSG_PEEK).startswith(b"POST /many/"):
+            super().forward(near)
+            return
+        near.recv(65536)
+        if Blamer.answers:
+            near.sendall(Blamer.answers.pop())
+        near.close()
+
+
+def case_late_blame(stack):
+    """Guards against an endpoint that is blamed for an attempt which it had no part in, since an earlier answer to the
+    same request named it."""
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            Blamer(stack.base + 60 + i, point[1])
+    stack.up()
+    named = "127.0.0.1:%d" % stack.points[0][1]
+    Blamer.answers = [("HTTP/1.1 503 Service Unavailable\r\nBronzegauge-Not-Executed: 1\r\n"
+                       "At-Server: %s\r\nContent-Length: 0\r\n\r\n" % named).encode()]
+    expect("what the caller got", ask(stack, "host-0", "/many/a", "blamed")[:2], (WHOLE, 502))
+    failed = [(e["status"], e.get("culprit")) for e in events(stack, "host-0", "attempt_failed")]
+    expect("status and culprit of the first attempt", failed[0], (503, named))
+    expect("status and culprit of the others", set(failed[1:]), {(0, None)})
+
+
 class Renumberer(Proxy):
     """A proxy that passes on answers with another status once it has one."""
 
--- a/router/flow.c
+++ b/router/flow.c
@@ -1,4 +1,5 @@
 #include "router/flow.h"
+#include "sse/sse.h"
 
 enum {
 	FLOW_PART_BYTES = 4 << 10, /* of an answer that arrive at once, at most */
@@ -10,6 +11,11 @@
 	FLOW_STEPS = 32,
 	/* This part of the limit on all is kept for answers that have begun. */
 	FLOW_RESERVE_DIVISOR = 64,
+	/*
+	 * While less than this part of the limit on all is used, events are kept whole. Parts of
+	 * events don't drain, so they must not use up the limit.
+	 */
+	FLOW_EVENTS_DIVISOR = 2,
 	/* A held attempt goes on at 1/2 of the limit, so that it isn't held again at once. */
 	FLOW_LOW_DIVISOR = 2
 };
@@ -48,6 +54,13 @@
 	return flow_share(limits, total);
 }
 
+size_t flow_event_max(const struct flow_limits *limits, uint64_t total)
+{
+	bool is_low = total < limits->total_max / FLOW_EVENTS_DIVISOR;
+
+	return is_low ? SSE_EVENT_MAX : flow_share(limits, total);
+}
+
 bool flow_may_go_on(const struct flow_limits *limits, const struct flow_unsent *unsent)
 {
 	return unsent->answer <= flow_low_mark(limits, unsent->total) &&
--- a/router/flow_test.cc
+++ b/router/flow_test.cc
@@ -1,4 +1,5 @@
 #include "router/flow.h"
+#include "sse/sse.h"
 
 #include <gtest/gtest.h>
 
@@ -49,6 +50,9 @@
 	EXPECT_EQ(flow_buffer_max(&limits, 0), limits.answer_max);
 	EXPECT_EQ(flow_buffer_max(&limits, 512 * KB), 16 * KB);
 	EXPECT_EQ(flow_buffer_max(&limits, limits.total_max), PART);
+	EXPECT_EQ(flow_event_max(&limits, limits.total_max / 2 - 1), (size_t)SSE_EVENT_MAX);
+	EXPECT_EQ(flow_event_max(&limits, limits.total_max / 2), PART);
+	EXPECT_EQ(flow_event_max(&limits, limits.total_max + 1), PART);
 }
 
 /* Guards against requests that are accepted although nothing of their answers can be passed on. */
