HdTest: the write behind a head that is too long is made in the server's thread

Cause, by reading: the test's own race. Once the answer has begun, the server's thread may send the 502 in its place and close before the test writes.

--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -613,13 +613,14 @@
 	std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
 	for (int i = 0; i < 150; i++)
 		request += "X-Filler-" + std::to_string(i) + ": " + std::string(85, 'x') + "\r\n";
-	hd_call *call = Send(request + "\r\n");
-	const std::string answer_filler(9000, 'y');
-	hd_set_header(call, "X-Filler", answer_filler.c_str());
-	hd_reply_begin(call, 200, "text/plain");
-	EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
-	hd_reply_end(call);
-	hd_unref(call);
+	/* In the server's thread, which sends nothing meanwhile. */
+	handler_hook_ = [](hd_call *call) {
+		hd_set_header(call, "X-Filler", std::string(9000, 'y').c_str());
+		hd_reply_begin(call, 200, "text/plain");
+		EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
+		hd_reply_end(call);
+	};
+	hd_unref(Send(request + "\r\n"));
 	EXPECT_NE(ReadAll().find(" 502 "), std::string::npos);
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 }
