--- a/base/hd.c
+++ b/base/hd.c
@@ -1,8 +1,5 @@
-#include "base/hd.h"
+#include "base/hd_int.h"
 #include "base/addr.h"
-#include "base/body_pace.h"
-#include "base/conns.h"
-#include "base/early.h"
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/log.h"
@@ -37,71 +34,6 @@
 	HD_CONNECTIONS_MAX = 16384 /* connections open at once */
 };
 
-struct hd {
-	struct MHD_Daemon *daemon;
-	struct hd_config config;
-	char *too_large;	    /* body of the response with status 413, JSON */
-	unsigned int open_requests; /* requests in progress; atomic */
-	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
-	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
-	uint64_t bodies;	    /* bytes of all request bodies that are held; atomic */
-	struct conns conns;
-	struct early early;
-	int listen_fd;		   /* the library's; -1: none */
-	pthread_mutex_t body_lock; /* guards the fields below */
-	struct recent body_max;	   /* largest request body in bytes */
-	bool body_max_set;	   /* hd_set_limits() has been called */
-};
-
-struct hd_call {
-	struct hd *hd;
-	struct MHD_Connection *conn;
-	char *method;
-	char *path;
-	char *target;	       /* request target as the client sent it */
-	GString *body;	       /* request body received so far */
-	uint64_t stated;       /* Content-Length of the request; 0: none */
-	struct body_pace pace; /* pace at which the request body comes */
-	int64_t idle_us;       /* idle timeout; 0: none */
-	bool headers_received; /* the request line and the headers were received */
-	bool too_large;	       /* the request body exceeded body_max */
-	bool handler_called;   /* the handler has been called */
-	bool refused;	       /* the request was refused before its body had been received */
-	enum hd_refusal why;   /* reason; valid if refused is set */
-	bool early_failed;     /* the client may not get the refusal */
-	bool is_http_1_0;      /* the client knows no chunks */
-	int port;	       /* local TCP port; 0 if unknown */
-	int fd;		       /* socket of the connection; -1 if unknown */
-	int64_t began_us;      /* time at which the headers had been received */
-	unsigned int refs;     /* references to this struct; atomic */
-	void *owner;	       /* object of the handler, used by its thread only */
-
-	/* lock guards all fields below. */
-	pthread_mutex_t lock;
-	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
-			     * on */
-	size_t pending_at;  /* bytes of pending that the library has read */
-	uint64_t length;    /* Content-Length of a response in parts; HD_LENGTH_UNKNOWN: none */
-	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
-	size_t low;	    /* unsent bytes at which on_drained() is called */
-	bool watched;	    /* on_drained() is to be called */
-	GPtrArray *headers; /* response headers: name, value, name, value, ... */
-	char *type;	    /* Content-Type of the response; may be NULL */
-	char *label;	    /* names the request to hd_config.on_end; may be NULL */
-	uint64_t sent;	    /* bytes of the response body that the library has read */
-	int status;	    /* HTTP status of the response */
-	bool streaming;	    /* the response is sent in parts */
-	bool answered;	    /* the status and the response headers are set */
-	bool queued;	    /* the response was passed to the library */
-	bool ended;	    /* the response body is complete */
-	bool aborted;	    /* the response ends with a close of the connection */
-	bool incomplete;    /* hd_reply_write() did not take a part of the response */
-	bool closed;	    /* the library has finished the request */
-	enum hd_end end;    /* how the request ended; valid if closed is set */
-	bool client_closed; /* hd_client_closed() found that the client has closed */
-	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
-};
-
 static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
 				     const char *method, const char *version, const char *data,
 				     size_t *len, void **state);
@@ -330,14 +262,6 @@
 		log_msg(LOG_WARNING, "connections_not_refused reason=\"%s\"", strerror(errno));
 }
 
-/* Frees the request body received so far. */
-static void hd_drop_body(struct hd_call *call)
-{
-	ck_pr_sub_64(&call->hd->bodies, call->body->len);
-	g_string_free(call->body, TRUE);
-	call->body = g_string_new(NULL);
-}
-
 void hd_unref(struct hd_call *call)
 {
 	if (ck_pr_faa_uint(&call->refs, (unsigned int)-1) != 1)
@@ -394,104 +318,6 @@
 			      "{\"error\":{\"code\":\"unknown_transfer_coding\"}}", "no");
 }
 
-/* Returns the largest body by any limit that the client may have gone by. */
-static uint64_t hd_body_max(struct hd_call *call)
-{
-	struct hd *hd = call->hd;
-	uint64_t max;
-
-	pthread_mutex_lock(&hd->body_lock);
-	max = recent_largest(&hd->body_max, call->began_us - CONNS_LIMIT_DELAY_US);
-	pthread_mutex_unlock(&hd->body_lock);
-	return max;
-}
-
-/* Sends the response that hd_config.refuse() has set. */
-static void hd_send_early(struct hd_call *call)
-{
-	const struct early_response response = {
-		.status = call->status,
-		.type = call->type,
-		.headers = call->headers,
-		.body = call->pending->str,
-		.len = strcmp(call->method, "HEAD") == 0 ? 0 : call->pending->len,
-	};
-
-	call->queued = true;
-	if (early_reply(&call->hd->early, call->fd, &response, tmr_now()) == 0)
-		return;
-	call->early_failed = true;
-	met_add(met_counter("bg_early_responses_failed_total", ""), 1);
-}
-
-/* Ends a request whose body is not received further; the library closes the connection. */
-static enum MHD_Result hd_refuse_body(struct hd_call *call, enum hd_refusal why)
-{
-	const struct hd_config *config = &call->hd->config;
-
-	hd_drop_body(call);
-	call->refused = true;
-	call->why = why;
-	if (config->refuse)
-		config->refuse(config->ctx, call, why);
-	if (call->answered)
-		hd_send_early(call);
-	return MHD_NO;
-}
-
-static bool hd_may_hold(const struct hd_call *call, uint64_t own, uint64_t more)
-{
-	const struct hd_config *config = &call->hd->config;
-	const struct hd_body_use use = {
-		.total = hd_bodies_total(call->hd),
-		.own = MAX(own, call->stated),
-		.more = more,
-	};
-
-	return !config->may_hold || config->may_hold(config->ctx, &use);
-}
-
-/* Decides on the body of a request whose head was received. Bodies that are too large get 413. */
-static enum MHD_Result hd_admit_body(struct hd_call *call)
-{
-	const char *length = hd_header(call, MHD_HTTP_HEADER_CONTENT_LENGTH);
-	bool has_body = hd_header(call, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
-
-	call->stated = length ? g_ascii_strtoull(length, NULL, 10) : 0;
-	has_body |= call->stated > 0;
-	if (!has_body || call->stated > hd_body_max(call))
-		return MHD_YES;
-	if (!hd_may_hold(call, 1, MAX(call->stated, 1)))
-		return hd_refuse_body(call, HD_REFUSED_FULL);
-	return MHD_YES;
-}
-
-static void hd_keep_body(struct hd_call *call, const char *data, size_t len)
-{
-	g_string_append_len(call->body, data, (gssize)len);
-	ck_pr_add_64(&call->hd->bodies, len);
-}
-
-/* Takes a part of the request body. What is too large is read and dropped, and then gets 413. */
-static enum MHD_Result hd_on_body(struct hd_call *call, const char *data, size_t len)
-{
-	size_t own = call->body->len + len;
-
-	if (!body_pace_on_data(&call->pace, len, call->idle_us, tmr_now()))
-		return hd_refuse_body(call, HD_REFUSED_SLOW);
-	call->too_large |= own > hd_body_max(call);
-	if (!call->too_large && !hd_may_hold(call, own, len)) {
-		call->too_large = call->stated > hd_body_max(call);
-		if (!call->too_large)
-			return hd_refuse_body(call, HD_REFUSED_FULL);
-	}
-	if (call->too_large)
-		hd_drop_body(call);
-	else
-		hd_keep_body(call, data, len);
-	return MHD_YES;
-}
-
 static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
 				     const char *method, const char *version, const char *data,
 				     size_t *len, void **state)
@@ -1025,11 +851,6 @@
 	return call->body->str;
 }
 
-uint64_t hd_bodies_total(const struct hd *hd)
-{
-	return ck_pr_load_64(&hd->bodies);
-}
-
 int hd_local_port(const struct hd_call *call)
 {
 	return call->port;
--- /dev/null
+++ b/base/hd_int.h
@@ -0,0 +1,88 @@
+#ifndef BASE_HD_INT_H
+#define BASE_HD_INT_H
+
+#include "base/body_pace.h"
+#include "base/conns.h"
+#include "base/early.h"
+#include "base/hd.h"
+#include "base/recent.h"
+
+#include <microhttpd.h>
+#include <pthread.h>
+
+/* What the files of the HTTP server share: hd.c and hd_body.c. */
+struct hd {
+	struct MHD_Daemon *daemon;
+	struct hd_config config;
+	char *too_large;	    /* body of the response with status 413, JSON */
+	unsigned int open_requests; /* requests in progress; atomic */
+	unsigned int closing;	    /* 1: responses carry "Connection: close"; atomic */
+	uint64_t unsent;	    /* unsent bytes of all responses in parts; atomic */
+	uint64_t bodies;	    /* bytes of all request bodies that are held; atomic */
+	struct conns conns;
+	struct early early;
+	int listen_fd;		   /* the library's; -1: none */
+	pthread_mutex_t body_lock; /* guards the fields below */
+	struct recent body_max;	   /* largest request body in bytes */
+	bool body_max_set;	   /* hd_set_limits() has been called */
+};
+
+struct hd_call {
+	struct hd *hd;
+	struct MHD_Connection *conn;
+	char *method;
+	char *path;
+	char *target;	       /* request target as the client sent it */
+	GString *body;	       /* request body received so far */
+	uint64_t stated;       /* Content-Length of the request; 0: none */
+	struct body_pace pace; /* pace at which the request body comes */
+	int64_t idle_us;       /* idle timeout; 0: none */
+	bool headers_received; /* the request line and the headers were received */
+	bool too_large;	       /* the request body exceeded body_max */
+	bool handler_called;   /* the handler has been called */
+	bool refused;	       /* the request was refused before its body had been received */
+	enum hd_refusal why;   /* reason; valid if refused is set */
+	bool early_failed;     /* the client may not get the refusal */
+	bool is_http_1_0;      /* the client knows no chunks */
+	int port;	       /* local TCP port; 0 if unknown */
+	int fd;		       /* socket of the connection; -1 if unknown */
+	int64_t began_us;      /* time at which the headers had been received */
+	unsigned int refs;     /* references to this struct; atomic */
+	void *owner;	       /* object of the handler, used by its thread only */
+
+	/* lock guards all fields below. */
+	pthread_mutex_t lock;
+	GString *pending;   /* bytes of the response; the library hasn't read those from pending_at
+			     * on */
+	size_t pending_at;  /* bytes of pending that the library has read */
+	uint64_t length;    /* Content-Length of a response in parts; HD_LENGTH_UNKNOWN: none */
+	uint64_t expected;  /* bytes of the response body by hd_expect_length() */
+	size_t low;	    /* unsent bytes at which on_drained() is called */
+	bool watched;	    /* on_drained() is to be called */
+	GPtrArray *headers; /* response headers: name, value, name, value, ... */
+	char *type;	    /* Content-Type of the response; may be NULL */
+	char *label;	    /* names the request to hd_config.on_end; may be NULL */
+	uint64_t sent;	    /* bytes of the response body that the library has read */
+	int status;	    /* HTTP status of the response */
+	bool streaming;	    /* the response is sent in parts */
+	bool answered;	    /* the status and the response headers are set */
+	bool queued;	    /* the response was passed to the library */
+	bool ended;	    /* the response body is complete */
+	bool aborted;	    /* the response ends with a close of the connection */
+	bool incomplete;    /* hd_reply_write() did not take a part of the response */
+	bool closed;	    /* the library has finished the request */
+	enum hd_end end;    /* how the request ended; valid if closed is set */
+	bool client_closed; /* hd_client_closed() found that the client has closed */
+	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
+};
+
+/* Frees the request body received so far. */
+void hd_drop_body(struct hd_call *call);
+
+/* Decides on the body of a request whose head was received. Bodies that are too large get 413. */
+enum MHD_Result hd_admit_body(struct hd_call *call);
+
+/* Takes a part of the request body. What is too large is read and dropped, and then gets 413. */
+enum MHD_Result hd_on_body(struct hd_call *call, const char *data, size_t len);
+
+#endif
