HdTest: a stream that is replaced is written in the server's thread, for odd statuses too

The same race of the test as in StreamWithTooLongAHeadIsReplaced: once the answer has begun, the server's thread may send the 502 in its place and close before the test writes. The write is made in the handler; the checks are unchanged.

--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -627,8 +627,19 @@
 
 class HdRefusedTest : public HdTest, public ::testing::WithParamInterface<int>
 {
+      protected:
+	/* Answers in the server's thread, which sends nothing meanwhile. */
+	static void ReplyInParts(hd_call *call)
+	{
+		hd_reply_begin(call, status_, "text/plain");
+		EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
+		hd_reply_end(call);
+	}
+	static int status_;
 };
 
+int HdRefusedTest::status_;
+
 /* Guards against a client that gets no byte since the library takes no response with its status. */
 TEST_P(HdRefusedTest, AnswerIsReplaced)
 {
@@ -643,11 +654,9 @@
 /* Guards against the same for a response in parts. */
 TEST_P(HdRefusedTest, StreamIsReplaced)
 {
-	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-	hd_reply_begin(call, GetParam(), "text/plain");
-	EXPECT_EQ(hd_reply_write(call, "x", 1), 0);
-	hd_reply_end(call);
-	hd_unref(call);
+	status_ = GetParam();
+	handler_hook_ = ReplyInParts;
+	hd_unref(Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
 	EXPECT_NE(ReadAll().find(" 502 "), std::string::npos);
 	EXPECT_EQ(WaitForEnd().end, HD_END_WHOLE);
 	EXPECT_EQ(hd_unsent_total(hd_), 0U);
