Soak cases: proxies before plain endpoints, and endpoints that stand still, stand once each

Both are functions now (before_plain_endpoints(), stand_still()); checks, order of calls and of random draws are unchanged.

--- a/regress/soak/cases_lost.py
+++ b/regress/soak/cases_lost.py
@@ -9,7 +9,7 @@
 
 from cases import endpoint_state, events, expect, run
 from stack import HOST_NAME, Failure, check_stream, eventually
-from proxy import Proxy
+from proxy import Proxy, before_plain_endpoints
 
 # What a caller gets for a request that it has sent whole.
 WHOLE, BROKEN, LOST = "whole answer", "half an answer", "no answer"
@@ -311,11 +311,7 @@
 def case_foreign_answer(stack):
     """Guards against a host that ends, with all that it has under way, since an endpoint answers with the id of another
     request."""
-    proxies = []
-    for i, point in enumerate(stack.points):
-        if point[4] == "-":
-            stack.known_as[point[0]] = stack.base + 60 + i
-            proxies.append(Misnamer(stack.base + 60 + i, point[1]))
+    proxies = before_plain_endpoints(stack, Misnamer)
     stack.up()
     for proxy in proxies:
         proxy.misnames = True
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -7,7 +7,7 @@
 
 from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
-from proxy import Proxy
+from proxy import Proxy, before_plain_endpoints
 from stack import Failure, eventually
 
 # Kinds of frames, as in msg/kind.h.
@@ -102,10 +102,7 @@
 def case_late_blame(stack):
     """Guards against an endpoint that is blamed for an attempt which it had no part in, since an earlier answer to the
     same request named it."""
-    for i, point in enumerate(stack.points):
-        if point[4] == "-":
-            stack.known_as[point[0]] = stack.base + 60 + i
-            Blamer(stack.base + 60 + i, point[1])
+    before_plain_endpoints(stack, Blamer)
     stack.up()
     named = "127.0.0.1:%d" % stack.points[0][1]
     Blamer.answers = [("HTTP/1.1 503 Service Unavailable\r\nBronzegauge-Not-Executed: 1\r\n"
@@ -128,11 +125,7 @@
 def case_odd_status(stack):
     """Guards against callers that get no byte, or wait until their deadline, since an endpoint answers with a status that
     is no status of a final answer."""
-    proxies = []
-    for i, point in enumerate(stack.points):
-        if point[4] == "-":
-            stack.known_as[point[0]] = stack.base + 60 + i
-            proxies.append(Renumberer(stack.base + 60 + i, point[1]))
+    proxies = before_plain_endpoints(stack, Renumberer)
     stack.up()
     for number in (b"099", b"000", b"101"):
         for proxy in proxies:
@@ -161,11 +154,7 @@
 def case_odd_length(stack):
     """Guards against a part of an answer that a caller takes for the whole, since the endpoint states a length that is
     too large for any number, or two."""
-    proxies = []
-    for i, point in enumerate(stack.points):
-        if point[4] == "-":
-            stack.known_as[point[0]] = stack.base + 60 + i
-            proxies.append(Relengther(stack.base + 60 + i, point[1]))
+    proxies = before_plain_endpoints(stack, Relengther)
     stack.up()
     for name, lines in (("two", [b"Content-Length: 100", b"Content-Length: 1"]),
                         ("huge", [b"Content-Length: 99999999999999999999"])):
@@ -193,11 +182,7 @@
 def case_stale_head(stack):
     """Guards against an attempt that ends without a head and is judged by the head of an earlier one: the endpoint that
     rejected is blamed again, and the one that failed is not."""
-    proxies = []
-    for i, point in enumerate(stack.points):
-        if point[4] == "-":
-            stack.known_as[point[0]] = stack.base + 60 + i
-            proxies.append(RejectsThenBreaks(stack.base + 60 + i, point[1]))
+    proxies = before_plain_endpoints(stack, RejectsThenBreaks)
     stack.up()
     for name in range(5):
         for proxy in proxies:
--- a/regress/soak/cases_silence.py
+++ b/regress/soak/cases_silence.py
@@ -158,6 +158,13 @@
         gates[i].mend()
 
 
+def stand_still(stack, gates, chosen, seconds):
+    """Makes the endpoints stand still for that time."""
+    hold(stack, gates, chosen)
+    time.sleep(seconds)
+    go_on(stack, gates, chosen)
+
+
 class Versions:
     """Context manager: writes versions of the configuration, one after another."""
 
@@ -222,9 +229,7 @@
                 leaving = [stack.points[i][0] for i in indices if i not in chosen][:1]
                 for name in leaving:
                     stack.fault_engine(name, "drain")
-                hold(stack, gates, chosen)
-                time.sleep(draw.choice(silent_s))
-                go_on(stack, gates, chosen)
+                stand_still(stack, gates, chosen, draw.choice(silent_s))
                 for name in leaving:
                     stack.fault_engine(name, "ok")
                 time.sleep(PAUSE_S)
@@ -261,9 +266,7 @@
         for _ in range(6):
             asked = len(callers.asked)
             eventually("requests are served", lambda n=asked: len(callers.asked) > n + 100)
-            hold(stack, gates, still)
-            time.sleep(SILENT_S)
-            go_on(stack, gates, still)
+            stand_still(stack, gates, still, SILENT_S)
     check_all_whole(stack, callers)
 
 
@@ -278,9 +281,7 @@
         eventually("all kinds are served", lambda: len(callers.table()) == 3)
         for _ in range(SILENCES):
             still = draw.sample(engines, len(engines) // 2)
-            hold(stack, gates, still)
-            time.sleep(SILENT_S)
-            go_on(stack, gates, still)
+            stand_still(stack, gates, still, SILENT_S)
             time.sleep(PAUSE_S)
     for host in stack.hosts:
         for event in ("quarantined", "cut_when_begun"):
--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -120,3 +120,14 @@
         self.open = False
         self.reset_connection(self.listener)
         self.listener.close()
+
+
+def before_plain_endpoints(stack, proxy_class):
+    """Puts a proxy of this class before each plain endpoint, which its entry names in its place; returns the proxies. To
+    be called before the stack is started."""
+    proxies = []
+    for i, point in enumerate(stack.points):
+        if point[4] == "-":
+            stack.known_as[point[0]] = stack.base + 60 + i
+            proxies.append(proxy_class(stack.base + 60 + i, point[1]))
+    return proxies
