A success reaches its caller with the seal that was judged, or not at all

Cause: judge and sender each had an idea of a header. pf_read_answer_header() took the seal for present by its name; the HTTP library takes no header without a value or with a tab or line end in it, and hd_queue_response() dropped its word.

Ruled out: the state machine (without the line, without a colon, with a blank before it, nothing was passed on).

A header that can't be sent is known before the answer is judged: no value says nothing; an odd one makes the answer unusable if the caller needs the header. An attempt whose answer may not be passed on counts as failed, with its fault in the log, and its endpoint is avoided. Lines header_lost, answer_header_refused.

The fwd models' and FwdTest's heads got one more member.

--- a/base/hd.c
+++ b/base/hd.c
@@ -279,6 +279,38 @@
 	g_free(call);
 }
 
+static void hd_log_failure(const struct hd_call *call, const char *event, const char *name)
+{
+	jl_begin(JL_UNLIMITED, event);
+	jl_str("id", call->label);
+	jl_str("method", call->method);
+	jl_int("status", call->status);
+	if (name)
+		jl_str("header", name);
+	jl_end();
+}
+
+/* Returns false, and says so, if the library does not take the header. */
+static bool hd_add_header(const struct hd_call *call, struct MHD_Response *resp, const char *name,
+			  const char *value)
+{
+	if (MHD_add_response_header(resp, name, value) == MHD_YES)
+		return true;
+	hd_log_failure(call, "answer_header_refused", name);
+	met_add(met_counter("bg_answer_headers_refused_total", ""), 1);
+	return false;
+}
+
+/* Returns false, and says so, if the library has no memory for the response. */
+static bool hd_is_created(const struct hd_call *call, const struct MHD_Response *resp)
+{
+	if (resp)
+		return true;
+	hd_log_failure(call, "answer_not_created", NULL);
+	met_add(met_counter("bg_answers_not_created_total", ""), 1);
+	return false;
+}
+
 /* Sends an error of the server itself. ran: value of the header Bg-Ran. */
 static enum MHD_Result hd_queue_error(struct hd_call *call, int status, const char *body,
 				      const char *ran)
@@ -287,8 +319,10 @@
 		MHD_create_response_from_buffer(strlen(body), (char *)body, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result result;
 
-	MHD_add_response_header(resp, "Content-Type", "application/json");
-	MHD_add_response_header(resp, "Bg-Ran", ran);
+	if (!hd_is_created(call, resp))
+		return MHD_NO;
+	hd_add_header(call, resp, "Content-Type", "application/json");
+	hd_add_header(call, resp, "Bg-Ran", ran);
 	call->status = status;
 	call->queued = true;
 	result = MHD_queue_response(call->conn, (unsigned int)status, resp);
@@ -570,46 +604,61 @@
 	return hd_replace_response(call, "{\"error\":{\"code\":\"answer_head_too_long\"}}");
 }
 
-/* The library takes no status that has not three digits. */
+/* The library takes no status that has not three digits, and no header without a value. */
 static enum MHD_Result hd_replace_refused(struct hd_call *call)
 {
-	jl_begin(JL_UNLIMITED, "answer_refused");
-	jl_str("id", call->label);
-	jl_str("method", call->method);
-	jl_int("status", call->status);
-	jl_end();
+	hd_log_failure(call, "answer_refused", NULL);
 	met_add(met_counter("bg_answers_refused_total", ""), 1);
 	return hd_replace_response(call, "{\"error\":{\"code\":\"answer_refused\"}}");
 }
 
-/* Passes the response to the library. Called with the lock held, in the library's thread. */
+static struct MHD_Response *hd_create_response(struct hd_call *call)
+{
+	if (call->streaming)
+		return MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
+							 call, NULL);
+	return MHD_create_response_from_buffer(call->pending->len, call->pending->str,
+					       MHD_RESPMEM_MUST_COPY);
+}
+
+/* Returns whether the library has taken all headers of the response. */
+static bool hd_add_headers(const struct hd_call *call, struct MHD_Response *resp)
+{
+	bool taken = !call->type || hd_add_header(call, resp, "Content-Type", call->type);
+
+	if (ck_pr_load_uint(&call->hd->closing))
+		taken &= hd_add_header(call, resp, "Connection", "close");
+	for (guint i = 0; i + 1 < call->headers->len; i += 2)
+		taken &= hd_add_header(call, resp, call->headers->pdata[i],
+				       call->headers->pdata[i + 1]);
+	return taken;
+}
+
+/*
+ * Passes the response to the library. Called with the lock held, in the library's thread. One that
+ * would lack a header is replaced: its client would take it for something else.
+ */
 static enum MHD_Result hd_queue_response(struct hd_call *call)
 {
 	size_t size = hd_head_size(call);
 	size_t room = hd_head_room(call);
 	struct MHD_Response *resp;
-	enum MHD_Result result;
+	bool taken;
 
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
 	if (size > room)
 		return hd_replace_long_head(call, size, room);
-	if (call->streaming)
-		resp = MHD_create_response_from_callback(call->length, HD_BLOCK_LEN, hd_on_read,
-							 call, NULL);
-	else
-		resp = MHD_create_response_from_buffer(call->pending->len, call->pending->str,
-						       MHD_RESPMEM_MUST_COPY);
-	if (call->type)
-		MHD_add_response_header(resp, "Content-Type", call->type);
-	if (ck_pr_load_uint(&call->hd->closing))
-		MHD_add_response_header(resp, "Connection", "close");
-	for (guint i = 0; i + 1 < call->headers->len; i += 2)
-		MHD_add_response_header(resp, call->headers->pdata[i], call->headers->pdata[i + 1]);
-	call->queued = true;
-	result = MHD_queue_response(call->conn, (unsigned int)call->status, resp);
+	resp = hd_create_response(call);
+	if (!hd_is_created(call, resp))
+		return hd_replace_refused(call);
+	taken = hd_add_headers(call, resp);
+	if (taken) {
+		call->queued = true;
+		taken = MHD_queue_response(call->conn, (unsigned int)call->status, resp) == MHD_YES;
+	}
 	MHD_destroy_response(resp);
-	return result == MHD_YES ? MHD_YES : hd_replace_refused(call);
+	return taken ? MHD_YES : hd_replace_refused(call);
 }
 
 /* Makes the library poll a suspended connection again. Called with the lock held. */
--- a/base/hd.h
+++ b/base/hd.h
@@ -197,7 +197,11 @@
 /* Sets a text that names the request to hd_config.on_end; it is copied. */
 void hd_set_label(struct hd_call *call, const char *label);
 
-/* Adds a header to the response. Only allowed before hd_reply() or hd_reply_begin(). */
+/*
+ * Adds a header to the response. Only allowed before hd_reply() or hd_reply_begin(). The response
+ * is replaced by an error with status 502 unless fld_can_send() holds for the header, and for the
+ * Content-Type.
+ */
 void hd_set_header(struct hd_call *call, const char *name, const char *value);
 
 /*
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -662,6 +662,20 @@
 	EXPECT_EQ(hd_unsent_total(hd_), 0U);
 }
 
+/* Guards against a client that gets a success without a header that the handler had set. */
+TEST_F(HdTest, AnswerWithAHeaderThatCantBeSentIsReplaced)
+{
+	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+	hd_set_header(call, "X-Good", "1");
+	hd_set_header(call, "X-Proof", "");
+	hd_reply(call, 200, "text/plain", "body", 4);
+	hd_unref(call);
+	std::string answer = ReadAll();
+	EXPECT_NE(answer.find(" 502 "), std::string::npos);
+	EXPECT_EQ(answer.find("X-Good"), std::string::npos);
+	EXPECT_EQ(WaitForEnd().status, 502);
+}
+
 INSTANTIATE_TEST_SUITE_P(Statuses, HdRefusedTest, ::testing::Values(0, 99, 1000));
 
 /* Guards against a client that gets no byte since it has sent more behind its request, which takes
--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -124,10 +124,21 @@
 	fwd_send(fwd, now_us);
 }
 
+const char *fwd_head_fault(const struct fwd_head *head)
+{
+	if (!head->id_matches)
+		return "not the id of the request";
+	if (head->unusable)
+		return "head that can't be passed on";
+	if (!head->sealed)
+		return "no seal";
+	return head->encoded ? "encoded body" : NULL;
+}
+
 /* Returns whether the answer may be passed to the caller. */
 static bool fwd_is_deliverable(const struct fwd_head *head)
 {
-	return head->id_matches && !head->encoded && head->sealed;
+	return !fwd_head_fault(head);
 }
 
 /* Returns whether the current answer is a successful one that may be passed to the caller. */
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -139,8 +139,13 @@
 	bool id_matches;
 	/* Whether the body has a content encoding and so isn't the original body. */
 	bool encoded;
+	/* Whether the head contradicts itself, or a part of it that counts can't be passed on. */
+	bool unusable;
 };
 
+/* Returns why an answer with that head may not be passed to the caller, or NULL if it may. */
+const char *fwd_head_fault(const struct fwd_head *head);
+
 struct fwd_ops {
 	/*
 	 * Chooses endpoints and sends the request. attempt is the number of attempts sent before;
--- a/fwd/fwd_answer_model_test.cc
+++ b/fwd/fwd_answer_model_test.cc
@@ -313,7 +313,7 @@
 	}
 	void PlayAnswer(const Event &event)
 	{
-		const fwd_head head = {event.status, false, true, true, false};
+		const fwd_head head = {event.status, false, true, true, false, false};
 
 		if (aside_ > 0 && event.attempt == aside_) {
 			if (event.kind == DONE && !event.whole) {
--- a/fwd/fwd_model_test.cc
+++ b/fwd/fwd_model_test.cc
@@ -172,7 +172,7 @@
 		int breaks_after = Chance(25) ? (int)Draw(after, parts_ + 1) : parts_;
 		std::string rest;
 
-		ScheduleHead(at_us, {200, false, !Chance(3), !Chance(3), Chance(3)});
+		ScheduleHead(at_us, {200, false, !Chance(3), !Chance(3), Chance(3), false});
 		if (!streaming_) {
 			rest = Whole().substr(0, breaks_after < parts_ ? Whole().size() / 2
 								       : std::string::npos);
@@ -198,13 +198,14 @@
 		int64_t at_us = now_ + Silence();
 
 		failure_body_ = Chance(10) ? std::string(LARGE_BYTES, 'f') : "failure";
-		ScheduleHead(at_us, {Chance(50) ? 500 : 404, false, true, true, false});
+		ScheduleHead(at_us, {Chance(50) ? 500 : 404, false, true, true, false, false});
 		ScheduleData(at_us += Silence(), failure_body_);
 		ScheduleEnd(at_us + Silence(), true, true);
 	}
 	void ScheduleRejection()
 	{
-		ScheduleHead(now_ + 2 * MS, {Chance(50) ? 421 : 503, true, false, true, false});
+		ScheduleHead(now_ + 2 * MS,
+			     {Chance(50) ? 421 : 503, true, false, true, false, false});
 		ScheduleData(now_ + 3 * MS, "{}");
 		ScheduleEnd(now_ + 4 * MS, true, true);
 	}
--- a/fwd/fwd_test.cc
+++ b/fwd/fwd_test.cc
@@ -40,9 +40,9 @@
 			fwd_finish(&fwd_);
 	}
 	void Head(int status, bool sealed = true, bool id_matches = true, bool not_run = false,
-		  bool encoded = false)
+		  bool encoded = false, bool unusable = false)
 	{
-		fwd_head head{status, not_run, sealed, id_matches, encoded};
+		fwd_head head{status, not_run, sealed, id_matches, encoded, unusable};
 		fwd_on_head(&fwd_, &head, now_);
 	}
 	void Data(const std::string &data)
@@ -261,6 +261,25 @@
 	EXPECT_EQ(Actions(), "send refuse502? broken");
 }
 
+/* Guards against a success that its caller gets without a header that counts. */
+TEST_F(FwdTest, AnswerWithAHeadThatCantBePassedOnIsNotPassedOn)
+{
+	for (int status : {200, 404}) {
+		Start(false, false);
+		Head(status, true, true, false, false, true);
+		Data("x");
+		Done(true);
+		EXPECT_EQ(Actions(), status == 200 ? "send refuse502? broken"
+						   : "send refuse502? endpoint_failed");
+		fwd_finish(&fwd_);
+	}
+	Start(true, true);
+	Head(200, true, true, false, false, true);
+	Data("id: 1\n\n");
+	Done(true);
+	EXPECT_EQ(Actions(), "send send");
+}
+
 /*
  * Guards against a duplicate or partial event in a stream. The first endpoint's answer ends in the
  * middle of event 2; a partial event must not be passed to the caller.
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -8,18 +8,25 @@
 from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
 from proxy import Proxy, before_plain_endpoints
+from spoil import FORMS, spoil
 from stack import Failure, eventually
 
 # Kinds of frames, as in msg/kind.h.
 FEED_ASK, LIMIT_ASK, TUNNEL_OPEN, TUNNEL_ATTACH = 18, 23, 26, 28
 
 
-def ask(stack, host, path, request_id, **headers):
-    """Sends a request on a connection of its own; returns what the caller got, the status and the body."""
+def ask_for_all(stack, host, path, request_id, **headers):
+    """Sends a request on a connection of its own; returns what the caller got, the status, the headers and the body."""
     conn = Connection(stack.port(host, "front"))
     conn.send(request_bytes(path, request_id, close=True, **headers))
-    got, status, _, body = conn.read_answer()
+    answer = conn.read_answer()
     conn.close()
+    return answer
+
+
+def ask(stack, host, path, request_id, **headers):
+    """The same without the headers."""
+    got, status, _, body = ask_for_all(stack, host, path, request_id, **headers)
     return got, status, body
 
 
@@ -194,6 +201,38 @@
     expect("statuses of attempts without a head", {e["status"] for e in failed[1::2]}, {0})
 
 
+class Spoiler(Proxy):
+    """A proxy that passes on the heads of answers to requests of callers with the seal's line in its form."""
+
+    form = None
+
+    def alter(self, data):
+        return spoil(data, self.form) if self.form and b"Request-Id: seal-" in data else data
+
+
+def case_odd_seal(stack):
+    """Guards against a success without its endpoint's seal, since a seal counted that the HTTP library does not send."""
+    proxies = before_plain_endpoints(stack, Spoiler)
+    stack.up()
+    wrong = []
+    for form, (_, is_good) in FORMS.items():
+        for spoilt in (1, 2):
+            for proxy in proxies:
+                proxy.form = form if proxies.index(proxy) < spoilt else None
+            for i in range(12):
+                kind = ("once", "many")[i % 2]
+                name = "seal-%s-%d-%d" % (form.replace(" ", "_"), spoilt, i)
+                got, status, headers, _ = ask_for_all(stack, "host-%d" % (i % 3), "/%s/a" % kind, name)
+                seal = headers.get("bronzegauge-response-seal")
+                served = got == WHOLE and status == 200 and seal == "stand." + name
+                refused = got == WHOLE and status == 502 and seal is None
+                if not (served or refused and not is_good and (spoilt == 2 or kind == "once")):
+                    wrong.append((name, got, status, seal))
+    expect("wrong answers", wrong, [])
+    lost = [e for e in events(stack, "host-0", "attempt_failed") if e["id"].startswith("seal-no_value-")]
+    expect("why attempts failed", {e.get("fault") for e in lost}, {"no seal"})
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -79,7 +79,7 @@
 	traf->admissions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	lim_fair_init(&traf->limit_fair);
 	traf->limit_retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	traf->unknown_headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	traf->logged_headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	traf->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	traf->zone_names = g_ptr_array_new();
 	traf->reqs = g_ptr_array_new();
--- a/router/traffic.h
+++ b/router/traffic.h
@@ -121,15 +121,16 @@
 	struct lim_fair limit_fair;   /* shares scarce permits among client accounts */
 	GHashTable *limit_retries;    /* retry times given to callers refused for rate limits, by
 				       * service: char * -> struct lim_retry */
-	GHashTable *unknown_headers;  /* set of logged names of unknown headers, in lower case */
-	GHashTable *zones;	      /* availability zone name -> its number, from 1 */
-	GPtrArray *zone_names;	      /* availability zone names; index: number minus 1 */
-	GPtrArray *reqs;	      /* requests that have not been freed (struct txn) */
-	struct flow_limits flow;      /* limits on what callers have not read yet */
-	uint64_t buffered;	      /* bytes of answers that aren't passed on yet */
-	int held;		      /* requests whose attempt their caller holds back */
-	struct traf_body *body;	      /* bound on the bodies of requests */
-	struct hop hop;		      /* measured cost of hops between availability zones */
+	GHashTable *logged_headers; /* set of events and names of headers that were logged, in lower
+				       case */
+	GHashTable *zones;	    /* availability zone name -> its number, from 1 */
+	GPtrArray *zone_names;	    /* availability zone names; index: number minus 1 */
+	GPtrArray *reqs;	    /* requests that have not been freed (struct txn) */
+	struct flow_limits flow;    /* limits on what callers have not read yet */
+	uint64_t buffered;	    /* bytes of answers that aren't passed on yet */
+	int held;		    /* requests whose attempt their caller holds back */
+	struct traf_body *body;	    /* bound on the bodies of requests */
+	struct hop hop;		    /* measured cost of hops between availability zones */
 	GQueue *parked; /* requests received before the first complete view (struct traf_parked) */
 	struct tmr sweep;	   /* timer of the periodic sweep */
 	uint32_t seed;		   /* state of the random number generator */
--- a/router/traffic_head.c
+++ b/router/traffic_head.c
@@ -9,10 +9,10 @@
 
 enum {
 	/*
-	 * Maximum number of names of unknown headers that are kept; an endpoint may use a new one
-	 * in each answer.
+	 * Maximum number of names of headers that are kept to log each once; an endpoint may use a
+	 * new one in each answer.
 	 */
-	TRAF_HEAD_UNKNOWN_MAX = 16,
+	TRAF_HEAD_LOGGED_MAX = 32,
 	TRAF_HEAD_STATUS_MISDIRECTED = 421 /* HTTP 421: another endpoint has the address */
 };
 
@@ -30,15 +30,49 @@
 	jl_str("addr", ep->rec->addr);
 }
 
+/*
+ * Logs a matter of a header of that name once; later ones are only counted, as an endpoint may
+ * bring them in each answer. Returns whether the line was begun.
+ */
+static bool traf_head_begin_once(struct traf *traf, const struct traf_ep *ep, const char *event,
+				 const char *name)
+{
+	char *lower = g_ascii_strdown(name, -1);
+	char *key = g_strdup_printf("%s %s", event, lower);
+	bool has_room = g_hash_table_size(traf->logged_headers) < TRAF_HEAD_LOGGED_MAX;
+
+	g_free(lower);
+	if (!has_room || g_hash_table_contains(traf->logged_headers, key)) {
+		g_free(key);
+		return false;
+	}
+	g_hash_table_add(traf->logged_headers, key);
+	traf_head_log_begin(event, ep);
+	jl_str("header", name);
+	return true;
+}
+
 static void traf_head_log_unknown(struct traf *traf, const struct traf_ep *ep, const char *name,
 				  const char *request)
 {
 	met_add(met_counter("bg_headers_unknown_total", ""), 1);
-	if (g_hash_table_size(traf->unknown_headers) >= TRAF_HEAD_UNKNOWN_MAX ||
-	    !g_hash_table_add(traf->unknown_headers, g_ascii_strdown(name, -1)))
+	if (!traf_head_begin_once(traf, ep, "header_unknown", name))
 		return;
-	traf_head_log_begin("header_unknown", ep);
-	jl_str("header", name);
+	jl_str("id", request);
+	jl_end();
+}
+
+/* The caller does not get these headers: the HTTP server can't send them. */
+static void traf_head_log_lost(struct traf *traf, const struct traf_ep *ep,
+			       const struct seam_answer *answer, const char *request)
+{
+	const char *why = answer->lost_odd ? "why=\"odd\"" : "why=\"empty\"";
+
+	met_add(met_counter("bg_headers_lost_total", why), (uint64_t)answer->lost_count);
+	if (!traf_head_begin_once(traf, ep, "header_lost", answer->lost))
+		return;
+	jl_str("why", answer->lost_odd ? "odd value" : "no value");
+	jl_int("unusable", answer->head.unusable);
 	jl_str("id", request);
 	jl_end();
 }
@@ -81,6 +115,8 @@
 {
 	if (answer->unknown)
 		traf_head_log_unknown(traf, ep, answer->unknown, request);
+	if (answer->lost)
+		traf_head_log_lost(traf, ep, answer, request);
 	if (answer->rest == SEAM_REST_UNREADABLE || answer->rest_value_count > 1)
 		traf_head_log_rest_unreadable(ep, answer, request);
 	if (answer->rest == SEAM_REST_STATED)
--- a/router/txn.c
+++ b/router/txn.c
@@ -460,6 +460,7 @@
 	const struct txn_side *side = ctx;
 	struct txn *txn = side->txn;
 	struct way_call *call;
+	bool is_served;
 	bool go_on;
 
 	if (txn_is_aside(side))
@@ -475,7 +476,8 @@
 	if (txn->target.count > 0)
 		traf_head_of_request(txn->traf, txn->target.stages[0].ep, &txn->answer,
 				     txn->attempt_boot_us, txn->request.id);
-	if (status / 100 == 2) {
+	is_served = status / 100 == 2 && !fwd_head_fault(&txn->answer.head);
+	if (is_served) {
 		txn_clear_doubts(txn);
 		if (txn->target.count > 0)
 			penalty_on_served(&txn->target.stages[0].ep->failing, txn->head_us);
@@ -543,6 +545,7 @@
 {
 	const struct txn_side *side = ctx;
 	struct txn *txn = side->txn;
+	const char *fault;
 	bool failed;
 
 	(void)body;
@@ -554,7 +557,8 @@
 	if (txn_is_aside(side))
 		fwd_on_aside_progress(&txn->fwd);
 	txn_check_stream(txn);
-	failed = err < 0 || status >= 500 || txn->answer.head.not_run;
+	fault = txn->head_received ? fwd_head_fault(&txn->answer.head) : NULL;
+	failed = err < 0 || status >= 500 || txn->answer.head.not_run || fault;
 	txn->attempt = NULL;
 	txn_cancel(txn);
 	if (failed) {
@@ -565,6 +569,7 @@
 		jl_int("status", txn->answer.head.status);
 		jl_int("not_run", txn->answer.head.not_run || !sent);
 		jl_str("error", err < 0 ? base_strerror(err) : NULL);
+		jl_str("fault", txn->answer.head.not_run ? NULL : fault);
 		jl_str("culprit", txn->answer.culprit);
 		if (txn->answer.rest == SEAM_REST_STATED)
 			jl_int("rest_ms", txn->answer.rest_us / TMR_US_PER_MS);
--- a/seam/seam.c
+++ b/seam/seam.c
@@ -29,6 +29,7 @@
 	g_free(answer->culprit);
 	g_free(answer->type);
 	g_free(answer->unknown);
+	g_free(answer->lost);
 	g_clear_pointer(&answer->keep, g_ptr_array_unref);
 }
 
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -89,6 +89,9 @@
 	int rest_value_count; /* number of stated times; more than one is an endpoint's fault */
 	bool leaving;	      /* the endpoint is shutting down */
 	char *unknown;	      /* name of an unknown header of the platform; owned; NULL if none */
+	char *lost;	      /* name of a header that can't be passed on; owned; NULL if none */
+	int lost_count;	      /* number of such headers */
+	bool lost_odd;	      /* one of them has a value, of odd characters */
 };
 
 /* Status that an engine reports about itself. */
