An answer with a line that is no header field is broken

What callers saw: as a success, a body with the lengths of its chunks in it, where the endpoint wrote "Transfer-Encoding : chunked"; headers whose folded rest was missing; values of which a carriage return at the end was missing.

Change: hc_framing.c reads fields by base/fld.h and refuses a head with a line that is none; txn.c asks it for the length; of a line's end only its own carriage return is taken off.

Test: HcTest.AnswerWithALineThatIsNoHeaderIsNotWhole, on the code before: status 200 in place of an error for a coding with a blank, two folded lines and two names that are none. HcTest's server takes a std::string, for a line with a zero byte.

--- a/base/hc.c
+++ b/base/hc.c
@@ -180,6 +180,16 @@
 	hc_finish_done_calls(hc);
 }
 
+/* Returns the length of a line without its end; any further carriage return belongs to its text. */
+static size_t hc_text_len(const char *data, size_t len)
+{
+	if (len > 0 && data[len - 1] == '\n')
+		len--;
+	if (len > 0 && data[len - 1] == '\r')
+		len--;
+	return len;
+}
+
 /*
  * Called for the status line, for each header line and for the empty line at the end. An interim
  * response (1xx) has lines and an empty line of its own, which are discarded. Lines after the
@@ -189,7 +199,7 @@
 {
 	struct hc_call *call = ctx;
 	size_t len = size * n;
-	size_t text = len;
+	size_t text = hc_text_len(data, len);
 	long status = 0;
 	bool go_on;
 
@@ -197,8 +207,6 @@
 		return 0;
 	if (call->on_head_called)
 		return len;
-	while (text > 0 && (data[text - 1] == '\n' || data[text - 1] == '\r'))
-		text--;
 	if (text > 0) {
 		if (strncmp(data, "HTTP/", strlen("HTTP/")) != 0)
 			g_ptr_array_add(call->response_headers, g_strndup(data, text));
--- a/base/hc_framing.c
+++ b/base/hc_framing.c
@@ -1,66 +1,87 @@
 #include "base/hc_framing.h"
+#include "base/fld.h"
 
-#include <string.h>
-
-/* Returns the value of a header line with this name and a colon, or NULL if it has another name. */
-static const char *hc_header_value(const char *line, const char *name)
+static bool hc_is_line(const char *line)
 {
-	size_t len = strlen(name);
+	struct fld fld;
 
-	return g_ascii_strncasecmp(line, name, len) == 0 ? line + len : NULL;
+	return fld_read(&fld, line);
 }
 
-static bool hc_parse_length(const char *text, guint64 *length)
+/* Returns whether all lines are fields: the library reads an odd one otherwise than others do. */
+static bool hc_has_only_fields(const GPtrArray *headers)
 {
-	char *digits = g_strstrip(g_strdup(text));
-	bool good = g_ascii_string_to_unsigned(digits, 10, 0, G_MAXINT64, length, NULL);
-
-	g_free(digits);
-	return good;
+	for (guint i = 0; i < headers->len; i++) {
+		if (!hc_is_line(headers->pdata[i]))
+			return false;
+	}
+	return true;
 }
 
-/* Returns whether the length of the body is no number, too large for any, or stated differently. */
-static bool hc_has_wrong_length(const GPtrArray *headers)
+/* What the headers say of the end of the body. */
+struct hc_framing {
+	bool has_chunks;
+	bool has_other_coding;
+	bool has_length;
+	bool has_wrong_length; /* it is no number, too large for any, or stated differently */
+	guint64 length;
+};
+
+static void hc_read_length(struct hc_framing *framing, struct str value)
 {
-	bool known = false;
-	bool wrong = false;
 	guint64 length = 0;
+	bool good = fld_read_number(value, &length);
 
-	for (guint i = 0; i < headers->len; i++) {
-		const char *text = hc_header_value(headers->pdata[i], "Content-Length:");
-		guint64 stated = 0;
-
-		if (!text)
-			continue;
-		wrong = wrong || !hc_parse_length(text, &stated) || (known && stated != length);
-		known = true;
-		length = stated;
-	}
-	return wrong;
+	framing->has_wrong_length = framing->has_wrong_length || !good ||
+				    (framing->has_length && framing->length != length);
+	framing->has_length = true;
+	framing->length = length;
 }
 
 /* The request asks for no other coding, so another one, which ends with the connection, is an
  * error. */
-static bool hc_is_chunked(const char *value)
+static void hc_read_coding(struct hc_framing *framing, struct str value)
 {
-	char *text = g_strstrip(g_strdup(value));
+	char *text = str_dup(value);
 	bool is_chunked = g_ascii_strcasecmp(text, "chunked") == 0;
 
+	framing->has_chunks = framing->has_chunks || is_chunked;
+	framing->has_other_coding = framing->has_other_coding || !is_chunked;
 	g_free(text);
-	return is_chunked;
 }
 
-bool hc_framing_is_usable(const GPtrArray *headers)
+static void hc_read_framing(struct hc_framing *framing, const GPtrArray *headers)
 {
-	bool has_chunks = false;
-
+	*framing = (struct hc_framing){0};
 	for (guint i = 0; i < headers->len; i++) {
-		const char *coding = hc_header_value(headers->pdata[i], "Transfer-Encoding:");
+		struct fld fld;
 
-		if (coding && !hc_is_chunked(coding))
-			return false;
-		has_chunks = has_chunks || coding;
+		if (!fld_read(&fld, headers->pdata[i]))
+			continue;
+		if (fld_is_named(&fld, "Content-Length"))
+			hc_read_length(framing, fld.value);
+		if (fld_is_named(&fld, "Transfer-Encoding"))
+			hc_read_coding(framing, fld.value);
 	}
+}
+
+bool hc_framing_is_usable(const GPtrArray *headers)
+{
+	struct hc_framing framing;
+
+	hc_read_framing(&framing, headers);
+	if (framing.has_other_coding || !hc_has_only_fields(headers))
+		return false;
 	/* Chunks state their lengths themselves. */
-	return has_chunks || !hc_has_wrong_length(headers);
+	return framing.has_chunks || !framing.has_wrong_length;
+}
+
+bool hc_framing_length(const GPtrArray *headers, uint64_t *length)
+{
+	struct hc_framing framing;
+
+	hc_read_framing(&framing, headers);
+	*length = framing.length;
+	return framing.has_length && !framing.has_wrong_length && !framing.has_chunks &&
+	       !framing.has_other_coding;
 }
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -20,9 +20,10 @@
 class Server
 {
       public:
-	explicit Server(int connections,
-			const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
-			bool closes = false)
+	explicit Server(
+		int connections,
+		const std::string &answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		bool closes = false)
 		: answer_(answer), closes_(closes), listener_(socket(AF_INET, SOCK_STREAM, 0))
 	{
 		addr = listen_on_loopback(listener_, 8);
@@ -59,13 +60,13 @@
 			open_.push_back(fd);
 		}
 		for (int fd : open_) {
-			send(fd, answer_, strlen(answer_), MSG_NOSIGNAL);
+			send(fd, answer_.data(), answer_.size(), MSG_NOSIGNAL);
 			if (closes_)
 				shutdown(fd, SHUT_WR);
 		}
 	}
 
-	const char *answer_;
+	std::string answer_;
 	bool closes_; /* whether the server closes its side of a connection after the answer */
 	int listener_;
 	std::vector<int> open_;
@@ -207,6 +208,33 @@
 	}
 }
 
+/*
+ * Guards against an answer that is judged by a line that others read otherwise: chunks that pass
+ * for a body, and values that are cut.
+ */
+TEST_F(HcTest, AnswerWithALineThatIsNoHeaderIsNotWhole)
+{
+	const std::string lines[] = {"Transfer-Encoding : chunked",
+				     "X-Folded: a\r\n b",
+				     "X-Folded: a\r\n\tb",
+				     "X Name: a",
+				     ": a",
+				     std::string("X-Nul: a\0b", 10)};
+
+	for (const std::string &line : lines) {
+		std::string answer =
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + line + "\r\n\r\nbody";
+		Server server(1, answer);
+		Call call{};
+
+		loop_.stopping = false;
+		start(&call, "http://" + server.addr + "/", nullptr, nullptr);
+		loop_run(&loop_);
+		EXPECT_EQ(call.done, 1) << line;
+		EXPECT_EQ(call.status, 0) << line;
+	}
+}
+
 /* Guards against a request that waits until its time limit for an answer that can't be decoded. */
 TEST_F(HcTest, AnswerInAnUnknownTransferCodingEndsAtItsHead)
 {
--- a/router/txn.c
+++ b/router/txn.c
@@ -1,4 +1,5 @@
 #include "base/err.h"
+#include "base/hc_framing.h"
 #include "base/jl.h"
 #include "base/met.h"
 #include "router/txn_int.h"
@@ -429,30 +430,12 @@
 	jl_end();
 }
 
-/* Returns the value of the header, or NULL. */
-static const char *txn_find_header(const GPtrArray *headers, const char *name)
-{
-	size_t len = strlen(name);
-
-	for (guint i = 0; i < headers->len; i++) {
-		const char *line = headers->pdata[i];
-
-		if (g_ascii_strncasecmp(line, name, len) == 0 && line[len] == ':')
-			return line + len + 1 + strspn(line + len + 1, " \t");
-	}
-	return NULL;
-}
-
 /* Returns the length of the body that the headers state, or HD_LENGTH_UNKNOWN. */
 static uint64_t txn_stated_length(const GPtrArray *headers)
 {
-	const char *text = txn_find_header(headers, "Content-Length");
-	guint64 len;
+	uint64_t len;
 
-	if (!text || txn_find_header(headers, "Transfer-Encoding") ||
-	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64, &len, NULL))
-		return HD_LENGTH_UNKNOWN;
-	return len;
+	return hc_framing_length(headers, &len) ? len : HD_LENGTH_UNKNOWN;
 }
 
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
