A request counts as not run only if a mark says so

What callers saw: a request that may run once only, whose endpoint had run it, was answered 503 ("not run"), or could be sent to another endpoint, if the header that marks a rejection had no value, blanks, "0", "false" or anything else; also in a success.

Cause: as of the seal, the mark was taken for present by its name. Evidence: odd_mark.sh on the build before: 503 for a run request.

A success that says it was not run is unusable.

--- a/regress/fuzz/heads.c
+++ b/regress/fuzz/heads.c
@@ -29,6 +29,8 @@
 		abort();
 	if (answer->keep->len % 2 != 0)
 		abort();
+	if (answer->head.not_run && status < 400)
+		abort();
 }
 
 /* Returns the number of seals that the HTTP library sends, and aborts if it drops a header. */
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -233,6 +233,32 @@
     expect("why attempts failed", {e.get("fault") for e in lost}, {"no seal"})
 
 
+class Marker(Proxy):
+    """A proxy that passes on answers as rejections with a mark, once it has one."""
+
+    mark = None
+
+    def alter(self, data):
+        if self.mark is None or b"Request-Id: mark-" not in data:
+            return data
+        return data.replace(b"HTTP/1.1 200 ", b"HTTP/1.1 503 ").replace(
+            b"Bronzegauge-Response-Seal:", b"Bronzegauge-Not-Executed:" + self.mark + b"\r\nX-Seal:")
+
+
+def case_odd_mark(stack):
+    """Guards against a request that may run once only and runs twice, or is said not to have run, since a mark without
+    a value, or an odd one, is taken for "not run"."""
+    proxies = before_plain_endpoints(stack, Marker)
+    stack.up()
+    for mark in (b"", b" \t", b" 0", b" false", b" 1\r", b" maybe"):
+        for proxy in proxies:
+            proxy.mark = mark
+        for i in range(4):
+            name = "mark-%s-%d" % (mark.hex(), i)
+            expect("answer to " + name, ask(stack, "host-0", "/once/a", name)[:2], (WHOLE, 502))
+            expect("runs of " + name, stack.ledger()["runs"].get(name), 1)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
