Headers of callers: those without a value are passed on, and state nothing

Found by looking for the same cause on related paths. Adding a header that fails for memory fails the request.

--- a/base/hc.c
+++ b/base/hc.c
@@ -411,11 +411,36 @@
 	hc_set(call, CURLOPT_PREREQDATA, call);
 }
 
+static void hc_add_header(struct hc_call *call, const char *line)
+{
+	struct curl_slist *headers = curl_slist_append(call->headers, line);
+
+	if (headers)
+		call->headers = headers;
+	else
+		call->incomplete = true;
+}
+
+/* The library leaves out a header without a value unless a semicolon is in place of the colon. */
+static void hc_add_request_header(struct hc_call *call, const char *line)
+{
+	size_t len = strlen(line);
+	char *name;
+
+	if (len <= strlen(": ") || strchr(line, ':') != line + len - strlen(": ")) {
+		hc_add_header(call, line);
+		return;
+	}
+	name = g_strdup_printf("%.*s;", (int)(len - strlen(": ")), line);
+	hc_add_header(call, name);
+	g_free(name);
+}
+
 static void hc_set_headers(struct hc_call *call, const struct hc_request *request)
 {
 	for (const char *const *h = request->headers; h && *h; h++)
-		call->headers = curl_slist_append(call->headers, *h);
-	call->headers = curl_slist_append(call->headers, "Expect:");
+		hc_add_request_header(call, *h);
+	hc_add_header(call, "Expect:");
 	hc_set(call, CURLOPT_HTTPHEADER, call->headers);
 }
 
--- a/base/hc.h
+++ b/base/hc.h
@@ -49,11 +49,15 @@
 struct hc_request {
 	const char *method;
 	const char *url;
-	const char *const *headers; /* NULL-terminated list of lines "Name: value"; may be NULL */
-	const char *body;	    /* request body, copied by hc_start(); may be NULL */
-	size_t body_len;	    /* length of body in bytes */
-	int64_t connect_ms;	    /* time limit for the connection, in milliseconds */
-	int64_t total_ms;	    /* time limit for the request, in milliseconds; 0: none */
+	/*
+	 * NULL-terminated list of lines "Name: value"; may be NULL. "Name: " sends a header without
+	 * a value, "Name:" leaves out one that the library would add.
+	 */
+	const char *const *headers;
+	const char *body;   /* request body, copied by hc_start(); may be NULL */
+	size_t body_len;    /* length of body in bytes */
+	int64_t connect_ms; /* time limit for the connection, in milliseconds */
+	int64_t total_ms;   /* time limit for the request, in milliseconds; 0: none */
 	/*
 	 * Use a new connection. Otherwise the library may send the request a second time by itself
 	 * if a reused connection is closed before a response arrives.
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -130,12 +130,14 @@
 		request.fresh = true;
 		request.close = true;
 		request.target = target_.empty() ? nullptr : target_.c_str();
+		request.headers = headers_.empty() ? nullptr : headers_.data();
 		request.via = via;
 		request.preamble = preamble;
 		call->test = this;
 		call->call = hc_start(hc_, &request, &ops_, call);
 	}
 
+	std::vector<const char *> headers_; /* ends with nullptr; empty: none */
 	loop loop_{};
 	hc *hc_ = nullptr;
 	hc_ops ops_{};
@@ -184,6 +186,26 @@
 	EXPECT_NE(received.find("Host: 127.0.0.2:9\r\n"), std::string::npos);
 }
 
+/* Guards against headers of callers that their endpoint does not get, as they have no value. */
+TEST_F(HcTest, HeadersWithoutAValueAreSent)
+{
+	std::string received;
+	{
+		Server server(1);
+		Call call{};
+
+		headers_ = {"X-Empty: ", "X-Colon: :", "X: ", "X-Good: 1", "Accept:", nullptr};
+		start(&call, "http://" + server.addr + "/", nullptr, nullptr);
+		loop_run(&loop_);
+		EXPECT_EQ(call.status, 200);
+		received = server.received.at(0);
+	}
+	for (const char *line :
+	     {"\r\nX-Empty:\r\n", "\r\nX-Colon: :\r\n", "\r\nX:\r\n", "\r\nX-Good: 1\r\n"})
+		EXPECT_NE(received.find(line), std::string::npos) << line;
+	EXPECT_EQ(received.find("Accept"), std::string::npos);
+}
+
 /* Guards against an answer that is short but looks whole, since its length is not a number. */
 TEST_F(HcTest, AnswerWithAnUnusableLengthIsNotWhole)
 {
