A tab within a header's value is passed on

A tab is allowed there (RFC 9110), so such a value is passed on unchanged, and counts. The form is taken out of spoil.py: the seal that arrives is the one sent.

--- a/base/fld.c
+++ b/base/fld.c
@@ -52,7 +52,7 @@
 enum fld_state fld_value_state(struct str value)
 {
 	for (size_t i = 0; i < value.len; i++) {
-		if (g_ascii_iscntrl(value.data[i]))
+		if (g_ascii_iscntrl(value.data[i]) && value.data[i] != '\t')
 			return FLD_ODD;
 	}
 	return value.len > 0 ? FLD_SENDABLE : FLD_EMPTY;
--- a/base/fld.h
+++ b/base/fld.h
@@ -23,7 +23,7 @@
 enum fld_state {
 	FLD_SENDABLE,
 	FLD_EMPTY, /* the HTTP library takes no field without a value */
-	FLD_ODD	   /* has a control character, a tab among them */
+	FLD_ODD	   /* has a control character other than a tab; a message must not have one */
 };
 
 /*
--- a/regress/soak/spoil.py
+++ b/regress/soak/spoil.py
@@ -6,7 +6,6 @@
     "no value": (lambda name, value: [name + b":"], False),
     "blanks only": (lambda name, value: [name + b": \t "], False),
     "carriage return": (lambda name, value: [name + b": " + value[:3] + b"\r" + value[3:]], False),
-    "tab within": (lambda name, value: [name + b": " + value[:3] + b"\t" + value[3:]], False),
     "control character": (lambda name, value: [name + b": " + value + b"\x01"], False),
     "folded": (lambda name, value: [name + b": " + value, b" more"], False),
     "no colon": (lambda name, value: [name + b" " + value], False),
@@ -21,7 +20,9 @@
 
 
 def spoil(data, form):
-    """Returns the bytes of an answer, of which the head is whole, with the seal's line in that form."""
+    """Returns the bytes with which an answer begins, with the seal's line in that form; other bytes unchanged."""
+    if not data.startswith(b"HTTP/"):
+        return data
     head, end, body = data.partition(b"\r\n\r\n")
     lines = []
     for line in head.split(b"\r\n"):
