--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -1,7 +1,7 @@
 """Randomized fault injection soak test of bgrouterd, run with real processes.
 
 python3 regress/soak/soak.py [--seeds A-B] [--seconds S] [--hosts N] [--copies] [--crashing] [--limits]
-                               [--rests] [--classes] [--cuts] [--slow] [--keep]
+                               [--rests] [--classes] [--cuts] [--slow] [--spoilt] [--keep]
 
 Each seed gives one run. Callers send streams and plain requests over persistent connections. Meanwhile
 hosts are killed, stopped, paused and started; engines stop answering, slow down, restart without layers or
@@ -26,6 +26,7 @@
 - with --cuts, some or all hosts are also cut off from all or half of the endpoints, in each way that
   gate.py knows
 - with --slow, some answers are large, and some callers read them slowly or late
+- with --spoilt, the seal's line of some answers is spoilt, in each form that spoil.py knows
 """
 import argparse
 import collections
@@ -41,6 +42,7 @@
 from limit import Period, max_in_window
 from rest import REST_REQUESTS_MAX, max_during_rest, rests, sent_after_drain
 from proxy import MODES, Proxy
+from spoil import FORMS, spoil
 from stack import HOST_NAME, Failure, Stack, check_stream, check_words, eventually
 
 # Status codes that state that the request has not run.
@@ -66,6 +68,8 @@
 LARGE_BYTES = {"plain": (400000, 2000000, 6000000), "stream": (8000, 40000, 200000)}
 # Callers that read slowly: bytes a time, longest time between two reads and number of reads.
 SIP_BYTES, SIP_EVERY_S, SIPS = 65536, 0.2, 20
+# Part of the answers whose seal's line is spoilt.
+SPOILT_PART = 0.08
 # Announced limits, in requests per second.
 LIMITS = ("0", "0.3", "1", "3", "8")
 
@@ -222,7 +226,7 @@
     """One run of a seed: the deployment, the faults in progress, and the records for the checks."""
 
     def __init__(self, seed, seconds, hosts, crashing=False, copies=False, limits=False, rests=False,
-                 cuts=False, slow=False):
+                 cuts=False, slow=False, spoilt=False):
         self.seed = seed
         self.seconds = seconds
         self.random = random.Random(seed)
@@ -269,12 +273,20 @@
             self.add_link(host, base + 85 + i, self.stack.port(host, "control"))
         for i, point in enumerate(self.stack.points):
             self.add_link(point[0], base + 60 + i, point[1], Gate if cuts else Proxy)
+            if spoilt:
+                self.links["to " + point[0]].alter = self.spoil
 
     def add_link(self, name, port, target, proxy=Proxy):
         """Routes connections to a host's control port, or to an endpoint, through a proxy."""
         self.links["to " + name] = proxy(port, target)
         self.stack.known_as[name] = port
 
+    def spoil(self, data):
+        if self.random.random() >= SPOILT_PART:
+            return data
+        self.count["spoilt"] += 1
+        return spoil(data, self.random.choice(sorted(FORMS)))
+
     def record_failure(self, what):
         self.failures.append("%.1f s: %s" % (time.monotonic() - self.began, what))
 
@@ -609,13 +621,14 @@
     parser.add_argument("--cuts", action="store_true", help="also cut hosts off from endpoints")
     parser.add_argument("--slow", action="store_true",
                         help="some answers are large, and some callers read them slowly or late")
+    parser.add_argument("--spoilt", action="store_true", help="the seal's line of some answers is spoilt")
     parser.add_argument("--keep", action="store_true", help="keep the logs of runs that failed")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
     bad = 0
     for seed in range(int(first), int(last or first) + 1):
         soak = Soak(seed, args.seconds, args.hosts, args.crashing, args.copies, args.limits,
-                    args.rests, args.cuts, args.slow)
+                    args.rests, args.cuts, args.slow, args.spoilt)
         if args.classes:
             soak.stack.classes = {"urgent": 0, "later": 2}
         try:
