Responses that go on without end are broken off at a bound

What callers saw (shared measurements, rig with real processes): beside answers whose trailers have no end a host grew by 266 to 290 MB, and other services' requests took 210 to 270 ms at the 99th percentile in place of 23.

Cause: nothing counted what a response has beside its body. libcurl keeps each trailer line and looks through all for the next one; it reads up to 0.8 MB in one go where nothing is passed on (traced with strace: 532,364 reads of 4,096 bytes in 2,706 waits).

Ruled out: a bound on the number of reads alone; it took 4.4 s and 2 GB for extensions of chunks (trial).

Change: base/hc_bound.h bounds heads with interim responses, trailers (bytes, lines, 0.1 s), framing (by the kernel's count of the connection's bytes less lines and body) and collected bodies, for all calls. A body before trailers is whole and is passed on; on_excess() tells its owner. Line response_without_end, counter by form. Reports and probes may have 256 KiB, the store's answers 4 MiB.

--- a/base/err.c
+++ b/base/err.c
@@ -13,6 +13,7 @@
 	[-BASE_EFILE] = "settings file cannot be read",
 	[-BASE_ESETTING] = "settings file is wrong",
 	[-BASE_EFULL] = "too many bytes unsent",
+	[-BASE_EENDLESS] = "response without end",
 };
 
 const char *base_strerror(int err)
--- a/base/err.h
+++ b/base/err.h
@@ -21,7 +21,8 @@
 	BASE_ETIMEOUT = -8,  /* the response did not arrive within the time limit */
 	BASE_EFILE = -9,     /* the settings file can't be read */
 	BASE_ESETTING = -10, /* the settings file is invalid */
-	BASE_EFULL = -11     /* more bytes would wait to be sent than allowed */
+	BASE_EFULL = -11,    /* more bytes would wait to be sent than allowed */
+	BASE_EENDLESS = -12  /* the response has more bytes than one may have */
 };
 
 /* Returns a description of err, a value of enum base_err; never NULL. */
--- a/base/hc.c
+++ b/base/hc.c
@@ -1,19 +1,23 @@
 #include "base/hc.h"
 #include "base/addr.h"
 #include "base/err.h"
+#include "base/hc_bound.h"
 #include "base/hc_framing.h"
+#include "base/jl.h"
 #include "base/log.h"
 #include "base/met.h"
+#include "base/tcp_read.h"
 
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
 enum {
-	HC_BODY_MAX = 16 << 20,	  /* largest collected response body, in bytes */
 	HC_IDLE_CONNS_MAX = 1024, /* idle connections that are kept for reuse */
 	HC_RECEIVE_BUFFER = 4096, /* bytes; small, because a stream sends one token at a time */
 	HC_SEND_BUFFER = 16384,	  /* bytes of the upload buffer of a request */
+	HC_TRAILER_MS = 100,	  /* time for lines behind the body, which are ignored */
+	HC_READS_PER_CHECK = 16,  /* reads that bring something between two looks at their bytes */
 	HC_SWITCHING_PROTOCOLS = 101,
 	USEC_PER_MSEC = 1000 /* microseconds in a millisecond */
 };
@@ -28,6 +32,7 @@
 	GPtrArray *resumed;  /* requests that hc_pause() lets go on */
 	GPtrArray *failed;   /* requests that could not be started */
 	bool in_callback;    /* a callback of the library is running */
+	bool has_brought;    /* the library has passed on a line or a part of a body */
 	char *source; /* IP address that connections come from, as the library has it; NULL: any */
 };
 
@@ -35,7 +40,8 @@
 struct hc_sock {
 	struct loop_fd lfd;
 	struct hc *hc;
-	uint32_t events; /* EPOLLIN and EPOLLOUT as the library requested them */
+	struct hc_call *call; /* request on the connection; NULL: none */
+	uint32_t events;      /* EPOLLIN and EPOLLOUT as the library requested them */
 };
 
 struct hc_call {
@@ -45,7 +51,7 @@
 	const struct hc_ops *ops;
 	void *ctx;
 	GString *body;		     /* collected response body */
-	GPtrArray *response_headers; /* header lines of the response; NULL without ops->on_head */
+	GPtrArray *response_headers; /* header lines of the response */
 	bool on_head_called;	     /* on_head() was called */
 	bool canceled; /* canceled inside its own callback; freed after the callback returns */
 	bool callback_running;	/* a callback of this request is running */
@@ -55,6 +61,11 @@
 	GByteArray *preamble;	/* bytes to send before the request; NULL: none */
 	int fd;			/* socket that the preamble is sent on */
 	bool incomplete;	/* the library did not take a part of the request */
+	struct hc_sock *sock;	/* socket of the connection; NULL: none */
+	struct hcb bound;	/* what the response has had beside its body */
+	size_t body_max;	/* largest collected body, in bytes */
+	unsigned int reads;	/* reads that have brought something */
+	struct tmr trailer_timer; /* end of the time for lines behind the body */
 };
 
 static int hc_on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sock);
@@ -65,6 +76,8 @@
 static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx);
 static void hc_on_deferred(void *ctx, int64_t now_us);
 static void hc_finish_done_calls(struct hc *hc);
+static struct hc_call *hc_call_of(CURL *easy);
+static void hc_attach(struct hc_sock *s, struct hc_call *call);
 static void hc_finish_call(struct hc_call *call, CURLcode code);
 static void hc_call_free(struct hc_call *call);
 
@@ -131,14 +144,34 @@
 	hc_finish_done_calls(hc);
 }
 
+/* Notes which request the socket serves; NULL: none. */
+static void hc_attach(struct hc_sock *s, struct hc_call *call)
+{
+	if (s->call)
+		s->call->sock = NULL;
+	if (call && call->sock)
+		call->sock->call = NULL;
+	s->call = call;
+	if (call)
+		call->sock = s;
+}
+
+static struct hc_call *hc_call_of(CURL *easy)
+{
+	struct hc_call *call = NULL;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	return call;
+}
+
 static int hc_on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *sock)
 {
 	struct hc *hc = ctx;
 	struct hc_sock *s = sock;
 
-	(void)easy;
 	if (what == CURL_POLL_REMOVE) {
 		if (s) {
+			hc_attach(s, NULL);
 			loop_fd_del(hc->loop, &s->lfd);
 			curl_multi_assign(hc->multi, fd, NULL);
 			g_free(s);
@@ -155,6 +188,7 @@
 			log_msg(LOG_ERR, "socket_not_watched fd=%d", (int)fd);
 		curl_multi_assign(hc->multi, fd, s);
 	}
+	hc_attach(s, hc_call_of(easy));
 	s->events = (what & CURL_POLL_IN ? EPOLLIN : 0) | (what & CURL_POLL_OUT ? EPOLLOUT : 0);
 	/* An error returned to the library would end all of its requests; the timeout ends this
 	 * one. */
@@ -163,10 +197,31 @@
 	return 0;
 }
 
+/*
+ * Ends a request if its connection brings too much beside lines and the body: the library tells
+ * nothing of such bytes. Most reads bring something, and are not looked at each time.
+ */
+static void hc_on_read(struct hc_call *call, int fd)
+{
+	bool has_brought = call->hc->has_brought;
+	uint64_t read;
+	bool known;
+
+	if (has_brought && ++call->reads % HC_READS_PER_CHECK != 0)
+		return;
+	known = tcp_read_bytes(fd, &read);
+	if (!known && has_brought)
+		return;
+	if (!hcb_on_read(&call->bound, known ? &read : NULL) && !call->canceled)
+		hc_finish_call(call, CURLE_RECV_ERROR);
+}
+
 static void hc_on_event(void *ctx, uint32_t events)
 {
 	struct hc_sock *s = ctx;
 	struct hc *hc = s->hc;
+	struct hc_call *call = s->call;
+	int fd = s->lfd.fd;
 	int flags = 0;
 	int running;
 
@@ -176,7 +231,11 @@
 		flags |= CURL_CSELECT_OUT;
 	if (events & (EPOLLERR | EPOLLHUP))
 		flags |= CURL_CSELECT_ERR;
-	curl_multi_socket_action(hc->multi, s->lfd.fd, flags, &running);
+	hc->has_brought = false;
+	curl_multi_socket_action(hc->multi, fd, flags, &running);
+	/* The request is not freed before its end is known; s may be, with its connection. */
+	if (call && events & EPOLLIN)
+		hc_on_read(call, fd);
 	hc_finish_done_calls(hc);
 }
 
@@ -190,46 +249,84 @@
 	return len;
 }
 
+/* Tells the owner the head of the response. Returns whether the request goes on. */
+static bool hc_tell_head(struct hc_call *call, long status)
+{
+	bool go_on;
+
+	call->on_head_called = true;
+	if (!call->ops->on_head)
+		return true;
+	call->callback_running = true;
+	call->hc->in_callback = true;
+	go_on = call->ops->on_head(call->ctx, (int)status, call->response_headers);
+	call->hc->in_callback = false;
+	call->callback_running = false;
+	call->canceled = call->canceled || !go_on;
+	return !call->canceled;
+}
+
+/* Handles the end of a head. Returns whether the request goes on. */
+static bool hc_on_head_end(struct hc_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	/* No other protocol was asked for, and the library reads on until the connection ends. */
+	if (status == HC_SWITCHING_PROTOCOLS)
+		return false;
+	if (status / 100 == 1) {
+		g_ptr_array_set_size(call->response_headers, 0);
+		return true;
+	}
+	return hc_tell_head(call, status) && hc_framing_is_usable(call->response_headers);
+}
+
+static void hc_on_trailer_timeout(void *ctx, int64_t now_us)
+{
+	struct hc_call *call = ctx;
+
+	(void)now_us;
+	call->bound.form = HCB_TRAILER;
+	hc_finish_call(call, CURLE_RECV_ERROR);
+}
+
+/*
+ * Counts a line behind the body. Without a time limit, lines that come slowly, or stop to come,
+ * would withhold a body that is whole. Returns whether the request goes on.
+ */
+static bool hc_on_trailer(struct hc_call *call, size_t len)
+{
+	if (!tmr_is_set(&call->trailer_timer))
+		loop_start_timer(call->hc->loop, &call->trailer_timer,
+				 HC_TRAILER_MS * USEC_PER_MSEC, hc_on_trailer_timeout, call);
+	return hcb_on_trailer(&call->bound, len);
+}
+
 /*
  * Called for the status line, for each header line and for the empty line at the end. An interim
  * response (1xx) has lines and an empty line of its own, which are discarded. Lines after the
- * headers of the final response are trailers, which are ignored.
+ * headers of the final response are trailers, which are ignored. 0 ends the request, as an error if
+ * it was not canceled.
  */
 static size_t hc_on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	struct hc_call *call = ctx;
 	size_t len = size * n;
 	size_t text = hc_text_len(data, len);
-	long status = 0;
-	bool go_on;
 
+	call->hc->has_brought = true;
 	if (call->canceled)
 		return 0;
 	if (call->on_head_called)
-		return len;
-	if (text > 0) {
-		if (strncmp(data, "HTTP/", strlen("HTTP/")) != 0)
-			g_ptr_array_add(call->response_headers, g_strndup(data, text));
-		return len;
-	}
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	/* No other protocol was asked for, and the library reads on until the connection ends. */
-	if (status == HC_SWITCHING_PROTOCOLS)
+		return hc_on_trailer(call, len) ? len : 0;
+	if (!hcb_on_head_line(&call->bound, len))
 		return 0;
-	if (status / 100 == 1) {
-		g_ptr_array_set_size(call->response_headers, 0);
-		return len;
-	}
-	call->on_head_called = true;
-	call->callback_running = true;
-	call->hc->in_callback = true;
-	go_on = call->ops->on_head(call->ctx, (int)status, call->response_headers);
-	call->hc->in_callback = false;
-	call->callback_running = false;
-	if (!go_on)
-		call->canceled = true;
-	/* 0 ends the call, as an error if it was not canceled. */
-	return call->canceled || !hc_framing_is_usable(call->response_headers) ? 0 : len;
+	if (text == 0)
+		return hc_on_head_end(call) ? len : 0;
+	if (strncmp(data, "HTTP/", strlen("HTTP/")) != 0)
+		g_ptr_array_add(call->response_headers, g_strndup(data, text));
+	return len;
 }
 
 static void hc_ask_before(struct hc_call *call, size_t len)
@@ -249,6 +346,7 @@
 	size_t len = size * n;
 	long status = 0;
 
+	call->hc->has_brought = true;
 	if (call->canceled)
 		return CURL_WRITEFUNC_ERROR;
 	hc_ask_before(call, len);
@@ -258,6 +356,7 @@
 		call->withheld = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
+	hcb_on_body(&call->bound, len);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->ops->on_data && (call->ops->all_data || status / 100 == 2)) {
 		call->callback_running = true;
@@ -267,7 +366,7 @@
 		call->callback_running = false;
 		return call->canceled ? CURL_WRITEFUNC_ERROR : len;
 	}
-	if (call->body->len + len > HC_BODY_MAX)
+	if (!hcb_on_collected(&call->bound, call->body->len + len, call->body_max))
 		return CURL_WRITEFUNC_ERROR;
 	g_string_append_len(call->body, data, (gssize)len);
 	return len;
@@ -279,13 +378,10 @@
 	int left;
 
 	while ((msg = curl_multi_info_read(hc->multi, &left))) {
-		struct hc_call *call;
 		CURLcode code = msg->data.result;
 
-		if (msg->msg != CURLMSG_DONE)
-			continue;
-		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
-		hc_finish_call(call, code);
+		if (msg->msg == CURLMSG_DONE)
+			hc_finish_call(hc_call_of(msg->easy_handle), code);
 	}
 }
 
@@ -326,6 +422,49 @@
 	met_add(met_counter("bg_http_bytes_received_total", ""), (uint64_t)(body + head));
 }
 
+/* Logs and counts a response that was broken off as it went on without end. */
+static void hc_log_excess(const struct hc_call *call)
+{
+	const char *form = hcb_form_name(call->bound.form);
+	char *labels = g_strdup_printf("form=\"%s\"", form);
+	const char *url = NULL;
+
+	curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+	jl_begin(JL_INFO, "response_without_end");
+	jl_str("url", url);
+	jl_str("form", form);
+	jl_int("head_bytes", (int64_t)call->bound.head_bytes);
+	jl_int("head_lines", call->bound.head_lines);
+	jl_int("trailer_bytes", (int64_t)call->bound.trailer_bytes);
+	jl_int("trailer_lines", call->bound.trailer_lines);
+	jl_int("framing_bytes", (int64_t)call->bound.framing);
+	jl_int("empty_reads", call->bound.empty_reads);
+	jl_int("body_bytes", (int64_t)call->body->len);
+	jl_end();
+	met_add(met_counter("bg_responses_without_end_total", labels), 1);
+	g_free(labels);
+}
+
+/*
+ * Returns the error of a request that has ended. Lines behind the last chunk are no part of the
+ * body, so a response that has too many of them is whole.
+ */
+static int hc_end_error(struct hc_call *call, CURLcode code)
+{
+	/* The library has a bound of its own on the length of a line. */
+	if (code == CURLE_OUT_OF_MEMORY && !call->on_head_called)
+		call->bound.form = HCB_HEAD;
+	if (call->bound.form == HCB_NONE)
+		return hc_error(code);
+	hc_log_excess(call);
+	if (call->bound.form != HCB_TRAILER)
+		return BASE_EENDLESS;
+	call->callback_running = true;
+	if (call->ops->on_excess && !call->canceled)
+		call->ops->on_excess(call->ctx);
+	return 0;
+}
+
 /*
  * "sent" is false only if the library never had a connection for the request, so that no byte of it
  * can have reached the server.
@@ -335,7 +474,7 @@
 	long status = 0;
 	curl_off_t connected = 0;
 	long size = 0;
-	int err = hc_error(code);
+	int err = hc_end_error(call, code);
 	bool sent;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -352,6 +491,9 @@
 
 static void hc_call_free(struct hc_call *call)
 {
+	if (call->sock)
+		hc_attach(call->sock, NULL);
+	tmr_cancel(&call->hc->loop->tmr, &call->trailer_timer);
 	if (call->preamble)
 		g_byte_array_unref(call->preamble);
 	g_ptr_array_remove(call->hc->deferred, call);
@@ -361,7 +503,7 @@
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
-	g_clear_pointer(&call->response_headers, g_ptr_array_unref);
+	g_ptr_array_unref(call->response_headers);
 	g_string_free(call->body, TRUE);
 	g_free(call);
 }
@@ -479,11 +621,8 @@
 		hc_set(call, CURLOPT_INTERFACE, call->hc->source);
 	if (request->target)
 		hc_set(call, CURLOPT_REQUEST_TARGET, request->target);
-	if (call->ops->on_head) {
-		call->response_headers = g_ptr_array_new_with_free_func(g_free);
-		hc_set(call, CURLOPT_HEADERFUNCTION, hc_on_header);
-		hc_set(call, CURLOPT_HEADERDATA, call);
-	}
+	hc_set(call, CURLOPT_HEADERFUNCTION, hc_on_header);
+	hc_set(call, CURLOPT_HEADERDATA, call);
 	hc_set_body(call, request);
 }
 
@@ -511,6 +650,9 @@
 	call->ops = ops;
 	call->ctx = ctx;
 	call->body = g_string_new(NULL);
+	call->bound.is_fresh = request->fresh;
+	call->body_max = request->body_max > 0 ? request->body_max : HC_BODY_MAX;
+	call->response_headers = g_ptr_array_new_with_free_func(g_free);
 	hc_set_request(call, request);
 	if (hc->in_callback) {
 		g_ptr_array_add(hc->deferred, call);
--- a/base/hc.h
+++ b/base/hc.h
@@ -8,6 +8,11 @@
 
 G_BEGIN_DECLS
 
+enum {
+	HC_BODY_MAX =
+		16 << 20 /* largest collected body of a response, in bytes, if none is stated */
+};
+
 /* HTTP client on an event loop (libcurl). All functions must be called in the loop's thread. */
 struct hc;
 
@@ -38,9 +43,17 @@
 	bool all_data; /* on_data() receives the body of a response of any status */
 
 	/*
-	 * The request has ended. status is the HTTP status, or 0 with err a negative base error.
-	 * sent is false if certainly no byte of the request has left this process. body holds the
-	 * collected body, of len bytes. The hc_call is freed after the callback.
+	 * The response, of which the body is whole, went on without end behind it, and was broken
+	 * off; on_done() follows without an error. May be NULL.
+	 */
+	void (*on_excess)(void *ctx);
+
+	/*
+	 * The request has ended. A response with more lines, bytes of its head or bytes beside its
+	 * body than one may have (base/hc_bound.h) is broken off with BASE_EENDLESS. status is the
+	 * HTTP status, or 0 with err a negative base error. sent is false if certainly no byte of
+	 * the request has left this process. body holds the collected body, of len bytes. The
+	 * hc_call is freed after the callback.
 	 */
 	void (*on_done)(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 };
@@ -56,6 +69,7 @@
 	const char *const *headers;
 	const char *body;   /* request body, copied by hc_start(); may be NULL */
 	size_t body_len;    /* length of body in bytes */
+	size_t body_max;    /* largest collected body of the response, in bytes; 0: HC_BODY_MAX */
 	int64_t connect_ms; /* time limit for the connection, in milliseconds */
 	int64_t total_ms;   /* time limit for the request, in milliseconds; 0: none */
 	/*
--- a/router/store_call.c
+++ b/router/store_call.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum {
-	STORE_CONNECT_MS = 500 /* Time limit for connecting to the store, in milliseconds */
+	STORE_CONNECT_MS = 500,	       /* Time limit for connecting to the store, in milliseconds */
+	STORE_BODY_MAX_BYTES = 4 << 20 /* largest body of an answer; pages and reads have 1 MB */
 };
 
 struct store_call {
@@ -38,6 +39,7 @@
 		.body = request->body ? request->body->str : request->json,
 		.connect_ms = STORE_CONNECT_MS,
 		.total_ms = request->total_ms,
+		.body_max = STORE_BODY_MAX_BYTES,
 		.fresh = request->fresh,
 	};
 
--- a/router/way.c
+++ b/router/way.c
@@ -33,7 +33,9 @@
 	/* Least interval in us between two probes that show whether any endpoint answers. */
 	WAY_ALONE_PROBE_US = 100000,
 	/* Time limit of a probe, in ms. */
-	WAY_PROBE_MS = 300
+	WAY_PROBE_MS = 300,
+	/* Largest body of a response that is taken whole: a report or what answers a probe. */
+	WAY_BODY_MAX_BYTES = 256 << 10
 };
 
 /* Where a call is. */
@@ -92,6 +94,7 @@
 static bool way_on_head(void *ctx, int status, const GPtrArray *headers);
 static void way_before_data(void *ctx, size_t len);
 static void way_on_data(void *ctx, const char *data, size_t len);
+static void way_on_excess(void *ctx);
 static void way_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 static void way_on_tunnel(void *ctx, const struct tunnel_answer *answer);
 static void way_on_probe_tick(void *ctx, int64_t now_us);
@@ -109,9 +112,14 @@
 	.before_data = way_before_data,
 	.on_data = way_on_data,
 	.all_data = true,
+	.on_excess = way_on_excess,
+	.on_done = way_on_done,
+};
+static const struct hc_ops way_whole_ops = {
+	.on_head = way_on_head,
+	.on_excess = way_on_excess,
 	.on_done = way_on_done,
 };
-static const struct hc_ops way_whole_ops = {.on_head = way_on_head, .on_done = way_on_done};
 
 struct way *way_new(struct loop *loop, struct hc *hc, const char *self, const char *zone,
 		    const struct way_ops *ops, void *ctx)
@@ -274,6 +282,7 @@
 	struct hc_request *http = &call->request.http;
 
 	call->request = *from;
+	http->body_max = WAY_BODY_MAX_BYTES;
 	http->method = g_strdup(from->http.method);
 	http->url = g_strdup(from->http.url);
 	http->headers = (const char *const *)g_strdupv((char **)from->http.headers);
@@ -544,6 +553,16 @@
 	way_release(call);
 }
 
+static void way_on_excess(void *ctx)
+{
+	struct way_call *call = ctx;
+
+	way_hold(call);
+	if (call->ops->on_excess && !call->canceled)
+		call->ops->on_excess(call->ctx);
+	call->callback_running = false;
+}
+
 /*
  * Returns whether a tunnel should be tried after the direct call has failed. A call that may have
  * arrived is repeated only if it is harmless and no endpoint answers this host directly: a busy
