An answer that is of no use is broken off where that is known

Cause: an answer was judged at its head and its end was waited for all the same.

Change: a success that may not be passed on, or an answer of another request, ends its attempt at the head: the next endpoint at once, 502 if it may run once only; such a head also ends an attempt that was set aside, without cancelling the current one. The body of a rejection or failure that is not passed on is broken off after 64 KiB or 0.1 s. The endpoint counts as failed (drop()): logged, avoided. A plain endpoint whose answer went on behind its body counts as failed, too.

--- a/fwd/fwd.c
+++ b/fwd/fwd.c
@@ -7,6 +7,13 @@
 	FWD_ATTEMPTS_MAX = 5,
 	/* Largest size of an answer that is buffered until it is complete, in bytes. */
 	FWD_BUFFER_MAX_BYTES = 256 << 10,
+	/*
+	 * Bytes and time, in microseconds, after which an answer that may not be passed on is
+	 * broken off: its body, which may have no end, is of no use. A connection that is closed
+	 * before its end is a reset for the endpoint, so short ones are read.
+	 */
+	FWD_DROP_MAX_BYTES = 64 << 10,
+	FWD_DROP_MAX_US = 100000,
 	FWD_STATUS_BAD_GATEWAY = 502,
 	FWD_STATUS_UNAVAILABLE = 503,
 	FWD_STATUS_TIMEOUT = 504,
@@ -54,6 +61,7 @@
 static void fwd_on_no_endpoint(struct fwd *fwd, int err, int64_t now_us);
 static void fwd_wait_or_end(struct fwd *fwd, int64_t now_us);
 static void fwd_on_event(void *ctx, const char *data, size_t len, bool ends_event);
+static void fwd_conclude(struct fwd *fwd, int64_t now_us);
 
 const char *fwd_cause_name(enum fwd_cause cause)
 {
@@ -101,6 +109,12 @@
 	return fwd->parts > 0 ? fwd->rules.gap_us : fwd->rules.first_us;
 }
 
+/* Returns whether the body of an answer that may not be passed on is being received. */
+static bool fwd_is_dropping(const struct fwd *fwd)
+{
+	return fwd->state == FWD_ANSWERING && fwd->drop_us > 0;
+}
+
 static void fwd_set_timer(struct fwd *fwd)
 {
 	int64_t due = fwd->rules.deadline_us;
@@ -114,6 +128,8 @@
 		return;
 	if (silence > 0 && (fwd->state == FWD_SENT || fwd->state == FWD_ANSWERING))
 		due = MIN(due, fwd->last_received_us + silence);
+	if (fwd_is_dropping(fwd))
+		due = MIN(due, fwd->drop_us);
 	if (fwd->state == FWD_WAITING)
 		due = MIN(due, fwd->resend_us);
 	fwd->ops->set_timer(fwd->ctx, due);
@@ -141,10 +157,20 @@
 	return !fwd_head_fault(head);
 }
 
+static bool fwd_is_success(const struct fwd_head *head)
+{
+	return head->status / 100 == 2;
+}
+
+bool fwd_is_useless_head(const struct fwd_head *head)
+{
+	return !head->id_matches || (fwd_is_success(head) && !fwd_is_deliverable(head));
+}
+
 /* Returns whether the current answer is a successful one that may be passed to the caller. */
 static bool fwd_has_success(const struct fwd *fwd)
 {
-	return fwd->head.status / 100 == 2 && fwd_is_deliverable(&fwd->head);
+	return fwd_is_success(&fwd->head) && fwd_is_deliverable(&fwd->head);
 }
 
 static bool fwd_has_event_stream(const struct fwd *fwd)
@@ -158,6 +184,8 @@
 	fwd->state = FWD_SENT;
 	fwd->is_event_stream = false;
 	fwd->passthrough = false;
+	fwd->dropped = 0;
+	fwd->drop_us = 0;
 	memset(&fwd->head, 0, sizeof(fwd->head));
 	g_string_truncate(fwd->body, 0);
 	sse_discard_pending(&fwd->sse);
@@ -181,6 +209,8 @@
 	fwd->state = fwd->aside_state;
 	fwd->head = fwd->aside_head;
 	fwd->is_event_stream = fwd_has_event_stream(fwd);
+	if (fwd->state == FWD_ANSWERING && !fwd_is_deliverable(&fwd->head))
+		fwd->drop_us = fwd->last_received_us + FWD_DROP_MAX_US;
 	fwd->ops->take_back(fwd->ctx);
 }
 
@@ -371,13 +401,16 @@
 {
 	fwd->head = *head;
 	fwd->last_received_us = now_us;
-	if (!head->id_matches) {
+	if (fwd_is_useless_head(head)) {
+		fwd->ops->drop(fwd->ctx);
 		fwd->failure = FWD_BROKEN;
 		fwd_attempt_failed(fwd, true, now_us);
 		return false;
 	}
 	if (fwd_has_success(fwd))
 		fwd_cancel_aside(fwd);
+	if (!fwd_is_deliverable(head))
+		fwd->drop_us = now_us + FWD_DROP_MAX_US;
 	fwd->is_event_stream = fwd_has_event_stream(fwd);
 	fwd->state = FWD_ANSWERING;
 	fwd_set_timer(fwd);
@@ -454,6 +487,22 @@
 	fwd_set_timer(fwd);
 }
 
+/* The body of an answer that may not be passed on has no end, or a late one: its head says enough.
+ */
+static void fwd_stop_dropping(struct fwd *fwd, int64_t now_us)
+{
+	fwd->ops->drop(fwd->ctx);
+	fwd_conclude(fwd, now_us);
+}
+
+/* Drops a part of an answer that may not be passed on. */
+static void fwd_drop_data(struct fwd *fwd, size_t len, int64_t now_us)
+{
+	fwd->dropped += len;
+	if (fwd_is_dropping(fwd) && fwd->dropped > FWD_DROP_MAX_BYTES)
+		fwd_stop_dropping(fwd, now_us);
+}
+
 void fwd_on_data(struct fwd *fwd, const char *data, size_t len, int64_t now_us)
 {
 	if (fwd->is_event_stream) {
@@ -465,8 +514,10 @@
 		fwd_pass(fwd, data, len);
 		return;
 	}
-	if (!fwd_is_deliverable(&fwd->head))
-		return; /* Answers that aren't passed on aren't buffered. */
+	if (!fwd_is_deliverable(&fwd->head)) {
+		fwd_drop_data(fwd, len, now_us);
+		return;
+	}
 	g_string_append_len(fwd->body, data, (gssize)len);
 	if (fwd->body->len > fwd_buffer_max(fwd))
 		fwd_start_passthrough(fwd);
@@ -526,6 +577,19 @@
 	fwd_end(fwd, FWD_OK);
 }
 
+/* Decides on an attempt of which the head has arrived, and as much of the rest as counts. */
+static void fwd_conclude(struct fwd *fwd, int64_t now_us)
+{
+	if (fwd->head.not_run) {
+		fwd->failure = FWD_REJECTED;
+		fwd_attempt_failed(fwd, false, now_us);
+	} else if (fwd_is_success(&fwd->head)) {
+		fwd_on_success_answer(fwd, now_us);
+	} else {
+		fwd_on_failure_answer(fwd, now_us);
+	}
+}
+
 void fwd_on_done(struct fwd *fwd, bool whole, bool sent, int64_t now_us)
 {
 	bool has_head = fwd->state == FWD_ANSWERING;
@@ -537,20 +601,12 @@
 		fwd_attempt_failed(fwd, false, now_us);
 		return;
 	}
-	if (has_head && fwd->head.not_run) {
-		fwd->failure = FWD_REJECTED;
-		fwd_attempt_failed(fwd, false, now_us);
-		return;
-	}
-	if (!whole || !has_head) {
-		fwd->failure = FWD_BROKEN;
-		fwd_attempt_failed(fwd, true, now_us);
+	if (has_head && (whole || fwd->head.not_run)) {
+		fwd_conclude(fwd, now_us);
 		return;
 	}
-	if (fwd->head.status / 100 == 2)
-		fwd_on_success_answer(fwd, now_us);
-	else
-		fwd_on_failure_answer(fwd, now_us);
+	fwd->failure = FWD_BROKEN;
+	fwd_attempt_failed(fwd, true, now_us);
 }
 
 void fwd_restart_silence(struct fwd *fwd, int64_t now_us)
@@ -683,6 +739,10 @@
 			fwd_set_timer(fwd);
 		return;
 	}
+	if (fwd_is_dropping(fwd) && now_us >= fwd->drop_us) {
+		fwd_stop_dropping(fwd, now_us);
+		return;
+	}
 	if (silence <= 0 || now_us < fwd->last_received_us + silence) {
 		fwd_set_timer(fwd);
 		return;
--- a/fwd/fwd.h
+++ b/fwd/fwd.h
@@ -146,6 +146,12 @@
 /* Returns why an answer with that head may not be passed to the caller, or NULL if it may. */
 const char *fwd_head_fault(const struct fwd_head *head);
 
+/*
+ * Returns whether nothing that follows that head is of use: it is not of this request's answer, or
+ * of a success that may not be passed on. Its body may have no end.
+ */
+bool fwd_is_useless_head(const struct fwd_head *head);
+
 struct fwd_ops {
 	/*
 	 * Chooses endpoints and sends the request. attempt is the number of attempts sent before;
@@ -211,6 +217,12 @@
 
 	/* The request has ended. No callback is called after this one. */
 	void (*ended)(void *ctx, enum fwd_cause cause);
+
+	/*
+	 * Cancels the current attempt as cancel() does, as its answer is of no use. The attempt has
+	 * failed, by its endpoint's fault unless that has rejected the request.
+	 */
+	void (*drop)(void *ctx);
 };
 
 enum fwd_state {
@@ -257,6 +269,10 @@
 	uint64_t parts;
 	/* Bytes of the answer passed to the caller, over all attempts. */
 	uint64_t passed;
+	/* Bytes of the current answer that were dropped, as it may not be passed on. */
+	size_t dropped;
+	/* Time at which such an answer is broken off, in microseconds; 0: it may be passed on. */
+	int64_t drop_us;
 	/* Time of the last progress of the attempt, in microseconds; the silence starts here. */
 	int64_t last_received_us;
 	/* In FWD_WAITING: time at which the request is sent, in microseconds. */
@@ -277,8 +293,8 @@
 void fwd_start(struct fwd *fwd, int64_t now_us);
 
 /*
- * The head of the current attempt's answer arrived. Returns false if the answer belongs to another
- * request; the caller of this function must then drop the attempt.
+ * The head of the current attempt's answer arrived. Returns false if it is useless; the attempt was
+ * dropped then, and fwd_on_data() and fwd_on_done() must not be called for it.
  */
 bool fwd_on_head(struct fwd *fwd, const struct fwd_head *head, int64_t now_us);
 
--- a/fwd/fwd_answer_model_test.cc
+++ b/fwd/fwd_answer_model_test.cc
@@ -413,6 +413,7 @@
 			Self(ctx)->ends_++;
 			Self(ctx)->Note(fwd_cause_name(cause));
 		},
+		[](void *ctx) { Self(ctx)->Check(false, "a good answer is dropped"); },
 	};
 	std::mt19937 random_;
 	fwd fwd_{};
--- a/router/txn.c
+++ b/router/txn.c
@@ -13,10 +13,11 @@
 enum {
 	/* connection timeout, in ms; a live endpoint accepts within a few ms */
 	TXN_CONNECT_MS = 300,
-	TXN_GAP_FLOOR_MS = 70,	   /* shortest limit on silence, in ms; a batch that reads a
-				    * prompt causes such pauses */
-	TXN_GAP_MEAN_DIVISOR = 4,  /* the newest gap counts 1/4 in the running mean */
-	TXN_GAP_SILENCE_FACTOR = 3 /* a stream is silent after 3 times the mean gap */
+	TXN_GAP_FLOOR_MS = 70,	    /* shortest limit on silence, in ms; a batch that reads a
+				     * prompt causes such pauses */
+	TXN_GAP_MEAN_DIVISOR = 4,   /* the newest gap counts 1/4 in the running mean */
+	TXN_GAP_SILENCE_FACTOR = 3, /* a stream is silent after 3 times the mean gap */
+	STATUS_FIRST_SERVER_ERROR = 500
 };
 
 static int txn_send(void *ctx, int attempt, const char *resume_after);
@@ -25,9 +26,11 @@
 static void txn_on_wait(void *ctx);
 static void txn_set_timer(void *ctx, int64_t due_us);
 static void txn_ended(void *ctx, enum fwd_cause cause);
+static void txn_drop(void *ctx);
 static bool txn_on_head(void *ctx, int status, const GPtrArray *headers);
 static void txn_before_data(void *ctx, size_t len);
 static void txn_on_data(void *ctx, const char *data, size_t len);
+static void txn_on_excess(void *ctx);
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len);
 
 static const struct fwd_ops txn_fwd_ops = {
@@ -47,6 +50,7 @@
 	.refuse = txn_refuse,
 	.set_timer = txn_set_timer,
 	.ended = txn_ended,
+	.drop = txn_drop,
 };
 
 static const struct hc_ops txn_hc_ops = {
@@ -54,6 +58,7 @@
 	.before_data = txn_before_data,
 	.on_data = txn_on_data,
 	.all_data = true,
+	.on_excess = txn_on_excess,
 	.on_done = txn_on_done,
 };
 
@@ -308,6 +313,7 @@
 	if (txn->sent_us == 0)
 		txn->sent_us = txn->last_activity_us;
 	txn_log_sent(txn, attempt, pipeline, resume_after);
+	txn->sides[txn->side].has_excess = false;
 	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, &txn->sides[txn->side]);
 	way_pause(txn->attempt, txn_is_held(txn));
 	g_ptr_array_unref(headers);
@@ -438,42 +444,48 @@
 	return hc_framing_length(headers, &len) ? len : HD_LENGTH_UNKNOWN;
 }
 
-static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
+/* Takes note of the head of the current attempt's answer. */
+static void txn_take_head(struct txn *txn, const GPtrArray *headers,
+			  const struct seam_answer *answer)
 {
-	const struct txn_side *side = ctx;
-	struct txn *txn = side->txn;
-	struct way_call *call;
-	bool is_served;
-	bool go_on;
-
-	if (txn_is_aside(side))
-		fwd_on_aside_progress(&txn->fwd);
-	call = txn->attempt;
 	txn->head_received = true;
 	txn->answer_length = txn_stated_length(headers);
 	txn->head_us = tmr_now();
-	txn->traf->any_data_us = tmr_now();
+	txn->traf->any_data_us = txn->head_us;
 	txn_log_gateway(txn);
 	seam_answer_finish(&txn->answer);
-	txn->traf->router->seam->wire.read_answer(status, headers, txn->request.id, &txn->answer);
+	txn->answer = *answer;
 	if (txn->target.count > 0)
 		traf_head_of_request(txn->traf, txn->target.stages[0].ep, &txn->answer,
 				     txn->attempt_boot_us, txn->request.id);
-	is_served = status / 100 == 2 && !fwd_head_fault(&txn->answer.head);
-	if (is_served) {
-		txn_clear_doubts(txn);
-		if (txn->target.count > 0)
-			penalty_on_served(&txn->target.stages[0].ep->failing, txn->head_us);
-		bk_on_served(traf_retry_delay(txn->traf, txn->service->name), tmr_now());
+}
+
+/* The current attempt's answer has begun and may be passed on. */
+static void txn_on_served(struct txn *txn)
+{
+	txn_clear_doubts(txn);
+	if (txn->target.count > 0)
+		penalty_on_served(&txn->target.stages[0].ep->failing, txn->head_us);
+	bk_on_served(traf_retry_delay(txn->traf, txn->service->name), txn->head_us);
+}
+
+static bool txn_on_head(void *ctx, int status, const GPtrArray *headers)
+{
+	const struct txn_side *side = ctx;
+	struct txn *txn = side->txn;
+	struct seam_answer answer;
+
+	txn->traf->router->seam->wire.read_answer(status, headers, txn->request.id, &answer);
+	if (txn_is_aside(side) && fwd_is_useless_head(&answer.head)) {
+		txn_drop_aside(txn, &answer);
+		return false;
 	}
-	/* The order would replace the pipeline of the next attempt. */
-	if (!txn->answer.head.id_matches)
-		txn_cancel_order(txn);
-	go_on = fwd_on_head(&txn->fwd, &txn->answer.head, tmr_now());
-	/* A call that is dropped frees itself; if it stayed here, it would be cancelled later. */
-	if (!go_on && txn->attempt == call)
-		txn->attempt = NULL;
-	return go_on;
+	if (txn_is_aside(side))
+		fwd_on_aside_progress(&txn->fwd);
+	txn_take_head(txn, headers, &answer);
+	if (status / 100 == 2 && !fwd_head_fault(&txn->answer.head))
+		txn_on_served(txn);
+	return fwd_on_head(&txn->fwd, &txn->answer.head, tmr_now());
 }
 
 /*
@@ -524,12 +536,53 @@
 		txn_on_part(txn);
 }
 
+static void txn_on_excess(void *ctx)
+{
+	struct txn_side *side = ctx;
+
+	side->has_excess = true;
+}
+
+static void txn_log_failed_attempt(const struct txn *txn, int err, bool sent)
+{
+	const char *fault = txn->head_received ? fwd_head_fault(&txn->answer.head) : NULL;
+
+	jl_begin(JL_UNLIMITED, "attempt_failed");
+	jl_str("id", txn->request.id);
+	jl_str("endpoint", txn->target.count > 0 ? txn->target.stages[0].ep->rec->id : NULL);
+	jl_int("status", txn->answer.head.status);
+	jl_int("not_run", txn->answer.head.not_run || !sent);
+	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_str("fault", txn->answer.head.not_run ? NULL : fault);
+	jl_str("culprit", txn->answer.culprit);
+	if (txn->answer.rest == SEAM_REST_STATED)
+		jl_int("rest_ms", txn->answer.rest_us / TMR_US_PER_MS);
+	jl_int("parts", (int64_t)txn->fwd.parts);
+	txn_log_content(txn);
+	jl_end();
+}
+
+static bool txn_has_failed(const struct txn *txn, int status, int err)
+{
+	if (err < 0 || status >= STATUS_FIRST_SERVER_ERROR || txn->answer.head.not_run)
+		return true;
+	return txn->head_received && fwd_head_fault(&txn->answer.head);
+}
+
+static void txn_drop(void *ctx)
+{
+	struct txn *txn = ctx;
+
+	txn_log_failed_attempt(txn, 0, true);
+	txn_record_failure(txn, BASE_EHTTP, true);
+	txn_cancel(txn);
+}
+
 static void txn_on_done(void *ctx, int status, int err, bool sent, const char *body, size_t len)
 {
 	const struct txn_side *side = ctx;
 	struct txn *txn = side->txn;
-	const char *fault;
-	bool failed;
+	struct traf_ep *first;
 
 	(void)body;
 	(void)len;
@@ -540,28 +593,16 @@
 	if (txn_is_aside(side))
 		fwd_on_aside_progress(&txn->fwd);
 	txn_check_stream(txn);
-	fault = txn->head_received ? fwd_head_fault(&txn->answer.head) : NULL;
-	failed = err < 0 || status >= 500 || txn->answer.head.not_run || fault;
 	txn->attempt = NULL;
 	txn_cancel(txn);
-	if (failed) {
-		jl_begin(JL_UNLIMITED, "attempt_failed");
-		jl_str("id", txn->request.id);
-		jl_str("endpoint",
-		       txn->target.count > 0 ? txn->target.stages[0].ep->rec->id : NULL);
-		jl_int("status", txn->answer.head.status);
-		jl_int("not_run", txn->answer.head.not_run || !sent);
-		jl_str("error", err < 0 ? base_strerror(err) : NULL);
-		jl_str("fault", txn->answer.head.not_run ? NULL : fault);
-		jl_str("culprit", txn->answer.culprit);
-		if (txn->answer.rest == SEAM_REST_STATED)
-			jl_int("rest_ms", txn->answer.rest_us / TMR_US_PER_MS);
-		jl_int("parts", (int64_t)txn->fwd.parts);
-		txn_log_content(txn);
-		jl_end();
-		if (err < 0 && sent && txn->target.count > 0)
-			txn_on_attempt_broken(txn, txn->target.stages[0].ep);
-		txn_record_failure(txn, err < 0 ? err : -1, sent);
+	first = txn->target.count > 0 ? txn->target.stages[0].ep : NULL;
+	if (txn_has_failed(txn, status, err)) {
+		txn_log_failed_attempt(txn, err, sent);
+		if (err < 0 && sent && first)
+			txn_on_attempt_broken(txn, first);
+		txn_record_failure(txn, err < 0 ? err : BASE_EHTTP, sent);
+	} else if (side->has_excess && first) {
+		penalty_on_failed(&first->failing, tmr_now());
 	}
 	fwd_on_done(&txn->fwd, err == 0, sent, tmr_now());
 }
--- a/router/txn_aside.c
+++ b/router/txn_aside.c
@@ -1,6 +1,7 @@
 #include "base/err.h"
 #include "base/jl.h"
 #include "base/met.h"
+#include "router/traffic_head.h"
 #include "router/txn_int.h"
 
 #include <string.h>
@@ -73,7 +74,7 @@
 	return side != &side->txn->sides[side->txn->side];
 }
 
-void txn_on_aside_done(struct txn *txn, int err, bool sent)
+static void txn_end_aside(struct txn *txn, const char *error, bool sent)
 {
 	struct traf_ep *ep = txn->aside.target.stages[0].ep;
 
@@ -81,9 +82,22 @@
 	jl_str("id", txn->request.id);
 	jl_str("endpoint", ep->rec->id);
 	jl_int("not_run", !sent);
-	jl_str("error", err < 0 ? base_strerror(err) : NULL);
+	jl_str("error", error);
 	jl_end();
 	penalty_on_failed(&ep->failing, tmr_now());
 	txn_forget_aside(txn);
 	fwd_on_aside_done(&txn->fwd, sent);
 }
+
+void txn_on_aside_done(struct txn *txn, int err, bool sent)
+{
+	txn_end_aside(txn, err < 0 ? base_strerror(err) : NULL, sent);
+}
+
+void txn_drop_aside(struct txn *txn, struct seam_answer *answer)
+{
+	traf_head_of_request(txn->traf, txn->aside.target.stages[0].ep, answer, txn->aside.boot_us,
+			     txn->request.id);
+	txn_end_aside(txn, fwd_head_fault(&answer->head), true);
+	seam_answer_finish(answer);
+}
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -23,6 +23,7 @@
 /* Context of the calls of one of two attempts that may be under way together. */
 struct txn_side {
 	struct txn *txn;
+	bool has_excess; /* the answer went on without end behind its body */
 };
 
 /* Bytes of the body of an attempt's answer. */
@@ -209,6 +210,9 @@
 /* The attempt that was kept beside the current one ended without a complete answer. */
 void txn_on_aside_done(struct txn *txn, int err, bool sent);
 
+/* The attempt that was kept beside the current one has a useless head, which is freed here. */
+void txn_drop_aside(struct txn *txn, struct seam_answer *answer);
+
 /* Handles an attempt that broke off at an endpoint, which may have crashed. */
 void txn_on_attempt_broken(struct txn *txn, struct traf_ep *ep);
 
