--- a/base/hc.c
+++ b/base/hc.c
@@ -298,8 +298,8 @@
 static bool hc_on_trailer(struct hc_call *call, size_t len)
 {
 	if (!tmr_is_set(&call->trailer_timer))
-		loop_start_timer(call->hc->loop, &call->trailer_timer,
-				 HC_TRAILER_MS * USEC_PER_MSEC, hc_on_trailer_timeout, call);
+		loop_start_timer(call->hc->loop, &call->trailer_timer, tmr_from_ms(HC_TRAILER_MS),
+				 hc_on_trailer_timeout, call);
 	return hcb_on_trailer(&call->bound, len);
 }
 
