A stop hands the kernel all answers that are ready

Cause: the bound on what the kernel takes of an answer (128 KiB) held during the stop; what the kernel has is delivered after the exit, what the process has is not. Ruled out: a break-off on purpose, and a loss in the kernel (docs/incidents).

Change: struct conns knows all connections and their bound; a stop lifts it, so that the kernel takes what is ready.

--- a/base/conns.c
+++ b/base/conns.c
@@ -1,4 +1,5 @@
 #include "base/conns.h"
+#include "base/met.h"
 #include "base/tmr.h"
 
 #include <netinet/in.h>
@@ -24,6 +25,8 @@
 	pthread_mutex_init(&conns->lock, NULL);
 	recent_init(&conns->limits, 0);
 	g_queue_init(&conns->idle);
+	g_queue_init(&conns->all);
+	conns->not_sent_max = 0;
 }
 
 void conns_finish(struct conns *conns)
@@ -38,6 +41,23 @@
 	pthread_mutex_unlock(&conns->lock);
 }
 
+static void conn_limit_not_sent(const struct conn *conn)
+{
+	const int max = conn->conns->not_sent_max;
+
+	if (setsockopt(conn->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max, sizeof(max)) < 0)
+		met_add(met_counter("bg_not_sent_limits_failed_total", ""), 1);
+}
+
+void conns_set_not_sent_max(struct conns *conns, int bytes)
+{
+	pthread_mutex_lock(&conns->lock);
+	conns->not_sent_max = bytes;
+	for (GList *link = conns->all.head; link; link = link->next)
+		conn_limit_not_sent(link->data);
+	pthread_mutex_unlock(&conns->lock);
+}
+
 uint64_t conns_limit_us(struct conns *conns, int64_t now_us)
 {
 	uint64_t limit_us;
@@ -122,8 +142,12 @@
 
 	conn->conns = conns;
 	conn->link.data = conn;
+	conn->all_link.data = conn;
 	conn->fd = fd;
 	pthread_mutex_lock(&conns->lock);
+	g_queue_push_tail_link(&conns->all, &conn->all_link);
+	if (conns->not_sent_max > 0)
+		conn_limit_not_sent(conn);
 	conn_enter_idle(conn, CONNS_NO_REQUEST);
 	pthread_mutex_unlock(&conns->lock);
 	return conn;
@@ -150,6 +174,7 @@
 {
 	pthread_mutex_lock(&conn->conns->lock);
 	conn_leave_idle(conn);
+	g_queue_unlink(&conn->conns->all, &conn->all_link);
 	pthread_mutex_unlock(&conn->conns->lock);
 	conn_discard_unread(conn);
 	g_free(conn);
--- a/base/conns.h
+++ b/base/conns.h
@@ -25,12 +25,16 @@
 	pthread_mutex_t lock; /* guards the fields below and those of each struct conn */
 	struct recent limits; /* idle timeouts in us; 0: none */
 	GQueue idle;	      /* struct conn without an open request, longest idle first */
+	GQueue all;	      /* all struct conn */
+	int not_sent_max; /* bytes that the kernel takes before it has sent them; 0: its own bound
+			   */
 };
 
 /* A connection. */
 struct conn {
 	struct conns *conns;
-	GList link; /* in conns->idle */
+	GList link;	/* in conns->idle */
+	GList all_link; /* in conns->all */
 	int fd;
 	int64_t idle_since_us; /* end of the last request; CONNS_NO_REQUEST: there was none */
 	bool idle;	       /* no request is open */
@@ -46,6 +50,13 @@
 /* Puts an idle timeout in force. */
 void conns_set_limit(struct conns *conns, uint64_t idle_us, int64_t now_us);
 
+/*
+ * Sets how many bytes the kernel takes of what is sent on a connection, now and later, before it
+ * has sent them; 0: as many as it likes. What it has taken is delivered even if the process ends.
+ * Any thread may call this.
+ */
+void conns_set_not_sent_max(struct conns *conns, int bytes);
+
 /* Returns the largest idle timeout in us that clients may go by at present; 0: none. */
 uint64_t conns_limit_us(struct conns *conns, int64_t now_us);
 
--- a/base/hd.c
+++ b/base/hd.c
@@ -11,7 +11,6 @@
 #include <ck_pr.h>
 #include <errno.h>
 #include <microhttpd.h>
-#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -83,13 +82,6 @@
 	return info ? info->connect_fd : -1;
 }
 
-static void hd_limit_not_sent(int fd)
-{
-	const int max = HD_NOT_SENT_MAX;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max, sizeof(max));
-}
-
 static void hd_on_notify(void *ctx, struct MHD_Connection *conn, void **state,
 			 enum MHD_ConnectionNotificationCode code)
 {
@@ -97,7 +89,6 @@
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		*state = conn_new(&hd->conns, hd_fd(conn));
-		hd_limit_not_sent(hd_fd(conn));
 	} else if (*state) {
 		conn_free(*state);
 		*state = NULL;
@@ -122,6 +113,7 @@
 	hd->config = *config;
 	hd->too_large = g_strdup(config->too_large ? config->too_large : "{}");
 	conns_init(&hd->conns);
+	conns_set_not_sent_max(&hd->conns, HD_NOT_SENT_MAX);
 	early_init(&hd->early);
 	pthread_mutex_init(&hd->body_lock, NULL);
 	recent_init(&hd->body_max, config->body_max);
@@ -256,6 +248,11 @@
 	ck_pr_store_uint(&hd->closing, 1);
 }
 
+void hd_release_responses(struct hd *hd)
+{
+	conns_set_not_sent_max(&hd->conns, 0);
+}
+
 void hd_refuse(struct hd *hd)
 {
 	if (lsn_refuse(hd->listen_fd) < 0)
--- a/base/hd.h
+++ b/base/hd.h
@@ -147,6 +147,12 @@
 /* Adds the header "Connection: close" to all further responses. Any thread may call this. */
 void hd_set_connection_close(struct hd *hd);
 
+/*
+ * Hands the kernel as much of all responses as it takes, now and later. It delivers that to slow
+ * readers even if the process ends before they have read it. Any thread may call this.
+ */
+void hd_release_responses(struct hd *hd);
+
 /*
  * Lets no further client connect; what clients have begun is served: connections in the queue of
  * the listening socket, and handshakes. The socket itself stays open until hd_stop() or the exit:
--- a/prog/router.c
+++ b/prog/router.c
@@ -369,6 +369,7 @@
 	router_log_event("stopping", NULL);
 	g_atomic_int_set(&m->router.stopping, 1);
 	hd_set_connection_close(m->router.front);
+	hd_release_responses(m->router.front);
 	ctrl_stop(m->router.ctrl);
 	loop_start_timer(&m->loop, &m->stop_timer, 0, router_on_stop_timer, m);
 }
--- a/regress/soak/cases_slow.py
+++ b/regress/soak/cases_slow.py
@@ -24,6 +24,7 @@
 # Sizes of a plain answer and of each event of a stream that don't fit into the kernel's buffers from an endpoint to a
 # caller.
 HUGE_BYTES, HUGE_EVENT_BYTES = 40000000, 1000000
+READY_BYTES = 393216        # answer that a host has whole while its caller has read a part of it
 LARGE_EVENT_BYTES = 8000000     # larger than what a host keeps of an event until it is complete
 IDLE_MS = 2000              # short idle timeout, in milliseconds
 # A caller that reads a little: bytes a time, time between two reads and for how long, in seconds.
@@ -309,6 +310,21 @@
     read_resumed(stack, caller)
 
 
+def case_ready_at_stop(stack):
+    """Guards against answers that a host has whole when it is stopped and that it throws away, since their callers read
+    them slowly, though the kernel would deliver them after the process has ended."""
+    up(stack)
+    for path in ("/once/x", "/many/x"):
+        host = "host-0" if path.startswith("/once/") else "host-1"
+        crowd = [SlowCaller(stack, path, "ready-%s-%d" % (host, i), host, READY_BYTES) for i in range(CROWD)]
+        for caller in crowd:
+            caller.wait_until_full()
+        stack.signal(host, signal.SIGTERM)
+        eventually(host + " has ended", lambda h=host: stack.procs[h].poll() is not None)
+        read_together(crowd, lambda caller: check_answer(caller, caller.read_whole()))
+        expect("cuts of " + host, events(stack, host, "stop_cuts"), [])
+
+
 def case_host_stops(stack):
     """Guards against answers that come short and look whole when their host is stopped before slow callers have read
     them, and against those that read on and don't get a whole one."""
