A body of a request is held once, whatever attempts there are

Cause: a copy for each attempt and one more in the HTTP client library; two attempts beside each other.

Change: hd_share_body() gives references to the one body; the library reads from it. Memory for a stated length is taken at once.

--- a/base/hc.c
+++ b/base/hc.c
@@ -209,6 +209,7 @@
 	curl_multi_remove_handle(call->hc->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
+	g_clear_pointer(&call->shared_body, g_bytes_unref);
 	g_ptr_array_unref(call->response_headers);
 	g_string_free(call->body, TRUE);
 	g_free(call);
@@ -297,6 +298,13 @@
 	/* An answer to HEAD has no body, whatever length it states. */
 	if (strcmp(request->method, "HEAD") == 0) {
 		hc_set(call, CURLOPT_NOBODY, 1L);
+	} else if (request->shared_body) {
+		gsize len;
+		const char *data = g_bytes_get_data(request->shared_body, &len);
+
+		call->shared_body = g_bytes_ref(request->shared_body);
+		hc_set(call, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)len);
+		hc_set(call, CURLOPT_POSTFIELDS, data);
 	} else if (request->body) {
 		hc_set(call, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
 		hc_set(call, CURLOPT_COPYPOSTFIELDS, request->body);
--- a/base/hc.h
+++ b/base/hc.h
@@ -67,8 +67,13 @@
 	 * a value, "Name:" leaves out one that the library would add.
 	 */
 	const char *const *headers;
-	const char *body;   /* request body, copied by hc_start(); may be NULL */
-	size_t body_len;    /* length of body in bytes */
+	const char *body; /* request body, copied by hc_start(); may be NULL */
+	size_t body_len;  /* length of body in bytes */
+	/*
+	 * Request body in place of body, which is not copied: a reference is held until the request
+	 * has ended. NULL: none.
+	 */
+	GBytes *shared_body;
 	size_t body_max;    /* largest collected body of the response, in bytes; 0: HC_BODY_MAX */
 	int64_t connect_ms; /* time limit for the connection, in milliseconds */
 	int64_t total_ms;   /* time limit for the request, in milliseconds; 0: none */
--- a/base/hc_int.h
+++ b/base/hc_int.h
@@ -36,6 +36,7 @@
 	struct curl_slist *headers;
 	const struct hc_ops *ops;
 	void *ctx;
+	GBytes *shared_body;	     /* request body; NULL: none, or the library has a copy */
 	GString *body;		     /* collected response body */
 	GPtrArray *response_headers; /* header lines of the response */
 	bool on_head_called;	     /* on_head() was called */
--- a/base/hd.c
+++ b/base/hd.c
@@ -891,6 +891,17 @@
 	return MHD_lookup_connection_value(call->conn, MHD_GET_ARGUMENT_KIND, name);
 }
 
+static void hd_release_body(void *ctx)
+{
+	hd_unref(ctx);
+}
+
+GBytes *hd_share_body(struct hd_call *call)
+{
+	ck_pr_inc_uint(&call->refs);
+	return g_bytes_new_with_free_func(call->body->str, call->body->len, hd_release_body, call);
+}
+
 const char *hd_body(const struct hd_call *call, size_t *len)
 {
 	*len = call->body->len;
--- a/base/hd.h
+++ b/base/hd.h
@@ -191,6 +191,12 @@
 /* Returns the body of the request and its length in bytes. */
 const char *hd_body(const struct hd_call *call, size_t *len);
 
+/*
+ * Returns a reference to the body of the request, which has at least a byte. It is not copied: the
+ * request is kept until the last reference is released, by any thread.
+ */
+GBytes *hd_share_body(struct hd_call *call);
+
 /*
  * Returns the bytes of all request bodies that are held: those that are being received, and those
  * of requests to which a reference exists. Any thread may call this.
--- a/base/hd_body.c
+++ b/base/hd_body.c
@@ -69,6 +69,13 @@
 	return !config->may_hold || config->may_hold(config->ctx, &use);
 }
 
+/* A body that grows as it comes would be moved, and take up to twice its length. */
+static void hd_reserve_body(struct hd_call *call)
+{
+	g_string_free(call->body, TRUE);
+	call->body = g_string_sized_new(call->stated);
+}
+
 enum MHD_Result hd_admit_body(struct hd_call *call)
 {
 	const char *length = hd_header(call, MHD_HTTP_HEADER_CONTENT_LENGTH);
@@ -80,6 +87,7 @@
 		return MHD_YES;
 	if (!hd_may_hold(call, 1, MAX(call->stated, 1)))
 		return hd_refuse_body(call, HD_REFUSED_FULL);
+	hd_reserve_body(call);
 	return MHD_YES;
 }
 
--- a/regress/soak/cases_bodies.py
+++ b/regress/soak/cases_bodies.py
@@ -1,12 +1,15 @@
 """Test cases for requests whose bodies fill a host's memory: python3 regress/soak/cases_bodies.py NAME. Each docstring
 names the failure that the case guards against."""
 import select
+import socket
 import threading
 import time
 
 from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
+from cases_endless import forget_peak, peak_kb
 from cases_slow import TIMEOUT_MS, memory_bytes, read_together, up
+from proxy import Proxy, before_plain_endpoints
 from stack import Failure, eventually
 
 BODY_TOTAL_BYTES = 64 << 20     # bodies that a host holds at most: the default of [requests] body_total_mb
@@ -17,6 +20,8 @@
 IDLE_MS = 2000                  # short idle timeout, in milliseconds
 ENDED_S = 3 * IDLE_MS / 1000.0  # time within which a caller that sends a byte a second must be ended, in seconds
 BYTES, BYTE_EVERY_S = 100, 1.0  # a body that is sent byte by byte: its size, and time between two bytes, in seconds
+# Bodies of requests to endpoints that don't read them for so long, in seconds; memory by which their host may grow.
+UNREAD_BYTES, UNREAD, UNREAD_S, UNREAD_MEMORY_MAX_KB = 4 << 20, 12, 1.0, 56 << 10
 SLOW_CALLERS = 16               # number of callers that send a byte a second
 
 
@@ -145,6 +150,61 @@
                lambda: sum(e["slow"] for e in events(stack, "host-0", "bodies_refused")) == SLOW_CALLERS)
 
 
+class LateReader(Proxy):
+    """Stands for a plain endpoint that reads nothing of large bodies for a while, so that their requests are tried at a
+    second one beside it, and then answers."""
+
+    attempts = 0
+
+    def forward(self, near):
+        head = near.recv(1 << 16, socket.MSG_PEEK)
+        if b"Request-Id: unread-" not in head:
+            super().forward(near)
+            return
+        LateReader.attempts += 1
+        time.sleep(UNREAD_S)
+        request_id = head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+        left = head.index(b"\r\n\r\n") + 4 + UNREAD_BYTES
+        try:
+            while left > 0:
+                part = near.recv(min(left, 1 << 16))
+                if not part:
+                    break
+                left -= len(part)
+            if left == 0:
+                near.sendall(b"HTTP/1.1 200 OK\r\nBronzegauge-Request-Id: %s\r\nBronzegauge-Response-Seal: s\r\n"
+                             b"Content-Length: 2\r\n\r\nok" % request_id)
+        except OSError:
+            pass
+        near.close()
+
+
+def case_held_once(stack):
+    """Guards against a host that runs out of memory since it holds each body once for each attempt and once more for
+    the HTTP client, while endpoints don't read."""
+    before_plain_endpoints(stack, LateReader)
+    stack.body_max_bytes = UNREAD_BYTES
+    up(stack)
+    forget_peak(stack, "host-0")
+    before = peak_kb(stack, "host-0")
+    answers = []
+
+    def send(number):
+        conn = Connection(stack.port("host-0", "front"))
+        conn.send(request_bytes("/many/a", "unread-%d" % number, b"x" * UNREAD_BYTES,
+                                Bronzegauge_Deadline_Ms=TIMEOUT_MS))
+        answers.append(conn.read_answer()[:2])
+        conn.close()
+
+    read_together(range(UNREAD), send)
+    grown = peak_kb(stack, "host-0") - before
+    print("%d bodies of %d KiB, %d attempts: grown by %d KiB" % (UNREAD, UNREAD_BYTES >> 10, LateReader.attempts, grown))
+    expect("answers", answers, [(WHOLE, 200)] * UNREAD)
+    expect("more than one attempt each", LateReader.attempts > UNREAD, True)
+    if grown > UNREAD_MEMORY_MAX_KB:
+        raise Failure("the host has grown by %d KiB" % grown)
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 
--- a/router/txn.c
+++ b/router/txn.c
@@ -118,6 +118,7 @@
 {
 	struct txn *txn = g_new0(struct txn, 1);
 	struct fwd_rules rules;
+	const char *body;
 	size_t len;
 
 	txn->traf = traf;
@@ -134,10 +135,10 @@
 	if (!txn_admit(txn))
 		return;
 	txn_fill_rules(txn, &txn->fwd.rules);
-	txn->body = (char *)hd_body(call, &len);
+	body = hd_body(call, &len);
 	txn->body_len = len;
 	txn->key = quar_key_of(str_from_cstr(txn_account_name(txn)), str_from_cstr(hd_target(call)),
-			       str_make(txn->body, len));
+			       str_make(body, len));
 	if (txn_deny_if_quarantined(txn))
 		return;
 	bud_on_request(traf_budget(traf, txn->service->name), txn->began_us);
@@ -296,10 +297,10 @@
 	request.http.url = url;
 	request.http.target = hd_target(txn->call);
 	request.http.headers = (const char *const *)headers->pdata;
-	if (txn->body_len > 0 || strcmp(request.http.method, "POST") == 0) {
-		request.http.body = txn->body;
-		request.http.body_len = txn->body_len;
-	}
+	if (txn->body_len > 0)
+		request.http.shared_body = hd_share_body(txn->call);
+	else if (strcmp(request.http.method, "POST") == 0)
+		request.http.body = "";
 	txn->earlier_duration_us += txn_attempt_duration_us(txn);
 	txn->head_received = false;
 	txn->part_received = false;
@@ -316,6 +317,7 @@
 	txn->sides[txn->side].has_excess = false;
 	txn->attempt = way_start(traf->way, &request, &txn_hc_ops, &txn->sides[txn->side]);
 	way_pause(txn->attempt, txn_is_held(txn));
+	g_clear_pointer(&request.http.shared_body, g_bytes_unref);
 	g_ptr_array_unref(headers);
 	g_free(url);
 	g_free(pipeline);
--- a/router/txn_int.h
+++ b/router/txn_int.h
@@ -74,7 +74,6 @@
 	int64_t began_us;    /* time at which the whole request had been received, in us */
 	int64_t sent_us;     /* time of the first attempt, in us; 0: not sent yet */
 	int64_t first_us;    /* time at which the answer to the caller began, in us; 0: not yet */
-	char *body;	     /* body of the request; owned by call */
 	size_t body_len;     /* bytes of the body */
 	struct quar_key key; /* digest of account, path and body, for the quarantine */
 	bool head_received;  /* the last attempt has received the head of an answer */
--- a/router/way.c
+++ b/router/way.c
@@ -252,6 +252,7 @@
 	g_free((char *)http->url);
 	g_strfreev((char **)http->headers);
 	g_free((char *)http->body);
+	g_clear_pointer(&http->shared_body, g_bytes_unref);
 	g_free((char *)http->target);
 	g_free((char *)call->request.addr);
 	g_free((char *)call->request.id);
@@ -286,7 +287,9 @@
 	http->method = g_strdup(from->http.method);
 	http->url = g_strdup(from->http.url);
 	http->headers = (const char *const *)g_strdupv((char **)from->http.headers);
-	if (from->http.body) {
+	if (from->http.shared_body) {
+		g_bytes_ref(http->shared_body);
+	} else if (from->http.body) {
 		char *body = g_malloc0(from->http.body_len + 1);
 
 		memcpy(body, from->http.body, from->http.body_len);
