Only the configuration's own key is the configuration

What callers would see: once the operator keeps anything else in its topic that reads as a configuration of a higher version, hosts go by that and refuse the true ones from then on.

Change: seam.store.conf_key() names it.

--- a/regress/soak/cases_versions.py
+++ b/regress/soak/cases_versions.py
@@ -1,13 +1,14 @@
 """Test cases of new configurations while requests are under way: python3 regress/soak/cases_versions.py NAME. Each
 docstring names the failure that the case guards against."""
 import itertools
+import json
 import time
 
 from cases import events, expect, run
 from cases_lost import WHOLE, Connection, request_bytes
 from cases_reach import up
 from cases_silence import EVENTS
-from stack import check_stream, eventually
+from stack import call, check_stream, eventually
 
 IDLE_MS = 1000          # the shortest idle timeout, in milliseconds
 HELD_S = 1.4            # time for which endpoints stand still, longer than that and than the short route timeout
@@ -146,6 +147,20 @@
         check_change(stack, gates, number, what)
 
 
+def case_other_key(stack):
+    """Guards against hosts that take what the operator keeps under another key for the configuration, and refuse the
+    true one from then on."""
+    stack.up()
+    other = dict(stack.config(), version=stack.version + 1000, routes=[])
+    call(stack.store_port, "POST", "/put?topic=keyed.op&key=draft", json.dumps(other))
+    stack.extra_routes.append("added")
+    stack.put_config()
+    for host in stack.hosts:
+        eventually(host + " serves the route that was added",
+                   lambda h=host: stack.ask(h, "/added/x", "added-%s-%f" % (h, time.monotonic()))[0] == 200, 15)
+        expect("version at " + host, stack.state(host)["configuration"], stack.version)
+
+
 CASES = {k[len("case_"):]: v for k, v in globals().items() if k.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/store_reader.c
+++ b/router/store_reader.c
@@ -291,13 +291,19 @@
 		loop_start_timer(t->ctrl->loop, &t->timer, delay_us, reader_on_timer, t);
 }
 
+/* The operator may keep other things in that topic, which must not be taken for a configuration. */
+static bool reader_is_conf(const struct reader_topic *t, struct str key)
+{
+	return str_eq_cstr(key, t->ctrl->router->seam->store.conf_key());
+}
+
 static void reader_on_record(void *ctx, int64_t offset, struct str key, struct str value)
 {
 	struct reader_topic *t = ctx;
 	int64_t place = era_make_place(t->ctrl->era.now, offset);
 	char *name = str_dup(key);
 
-	if (t->topic == SEAM_TOPIC_CONF && value.data)
+	if (t->topic == SEAM_TOPIC_CONF && value.data && reader_is_conf(t, key))
 		ctrl_apply_conf(t->ctrl, place, value, "store");
 	else if (t->topic == SEAM_TOPIC_ENDPOINTS)
 		ctrl_apply_endpoint(t->ctrl, place, name, value);
--- a/seam/seam.h
+++ b/seam/seam.h
@@ -124,7 +124,7 @@
 
 /* Topics of the store. A topic keeps the newest record of each key. */
 enum seam_topic {
-	SEAM_TOPIC_CONF,	    /* configuration; the newest version under a single key */
+	SEAM_TOPIC_CONF,	    /* configuration; the newest version, see conf_key() */
 	SEAM_TOPIC_ENDPOINTS,	    /* endpoints by id */
 	SEAM_TOPIC_HOSTS,	    /* this system's own hosts by name */
 	SEAM_TOPIC_KNOWN_ENDPOINTS, /* last known list of endpoints, under a single key */
@@ -193,6 +193,9 @@
 	/* Returns the store's era that an answer states, or ERA_NONE. */
 	int64_t (*read_era)(const GPtrArray *headers);
 
+	/* Key under which SEAM_TOPIC_CONF has the configuration; the topic may have others. */
+	const char *(*conf_key)(void);
+
 	/* Path, with query, that lists the newest record of each key; after may be NULL. */
 	char *(*newest_path)(enum seam_topic topic, const char *after);
 
