case_drain waits until the hosts know that the endpoint leaves

Traced by the hosts' logs: the wait took one round of 15 requests at the other endpoint for the news; in that round host-1 chose the other one five times by chance with a view of 446 ms, and 50 ms after the fault was set, before the news had come, sent one to the leaving endpoint, as it may for 2 s. The test's own race: no fault of the hosts.

The wait is for the state of each host now, which says what it chooses by; the checks are the same, one round more.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -464,8 +464,13 @@
                    for h in stack.hosts for _ in range(5)]
         return all(a[0] == 200 and a[2].endswith(b" p1") for a in answers)
 
-    eventually("no request is sent to the leaving endpoint", all_at_other_endpoint)
-    for _ in range(30):
+    def knows(host):
+        states = [e["state"] for e in stack.state(host)["endpoints"] if e["id"].startswith("i-p0-")]
+        return "ready" not in states
+
+    for host in stack.hosts:
+        eventually(host + " knows that the endpoint is leaving", lambda h=host: knows(h))
+    for _ in range(31):
         if not all_at_other_endpoint():
             raise Failure("a request went to an endpoint that is leaving")
 
