case_crashing_popular sends streams while it waits for one that runs

Its printed log ends in a turn of case_crashing_popular; 60 plays of the case, five at a time, failed 3 times with "another engine runs streams of host-2" after 60 s.

Cause, by the kept logs of such a play: host-2 had just started, its eight streams went to an engine that had been started anew a moment before and holds no layers; it answers 421, the streams end with 503 ("rejected", true: not run), all within 10 ms. The case looks for a running stream every 20 ms, sends none meanwhile, and so waits for nothing.

Ruled out: a quarantine that is not cleared (no line "quarantined" at any host in those plays; each host had served the request within 10 s).

Change: when all its streams have ended, the case sends eight more and looks again. What it checks is unchanged: host-2 must have counted three crashes, and all hosts must serve the request.

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -988,6 +988,18 @@
                      if e["service"] == "llm" and e["from"] == 0 and e["in_flight"] > 0 and
                      e["id"].split("-")[1] not in ended), None)
 
+    def begin_streams(threads, turn):
+        for i in range(8):
+            threads.append(threading.Thread(target=popular, args=(
+                "host-2", "popular-2-%d-%d" % (turn, len(threads)), 200)))
+            threads[-1].start()
+
+    def engine_by_new_streams(threads, turn, ended):
+        """The same, after more streams if all have ended, as they do if no engine holds the first layers just then."""
+        if not any(thread.is_alive() for thread in threads):
+            begin_streams(threads, turn)
+        return engine_in_use(ended)
+
     for turn in range(5):
         serves_all(stack)
         for host in ("host-0", "host-1"):
@@ -997,13 +1009,14 @@
         eventually("host-2 is ready", lambda: stack.is_ready("host-2"))
         threads, ended = [], []
         while len(ended) < 3:
-            for i in range(8):
-                threads.append(threading.Thread(target=popular, args=(
-                    "host-2", "popular-2-%d-%d" % (turn, len(threads)), 200)))
-                threads[-1].start()
-            eventually("another engine runs streams of host-2", lambda: engine_in_use(ended))
-            ended.append(engine_in_use(ended))
-            stack.fault_engine(ended[-1], "reborn")
+            begin_streams(threads, turn)
+            eventually("another engine runs streams of host-2",
+                       lambda: engine_by_new_streams(threads, turn, ended))
+            engine = engine_in_use(ended)
+            if not engine:
+                continue    # its streams have just ended
+            ended.append(engine)
+            stack.fault_engine(engine, "reborn")
         for thread in threads:
             thread.join()
         if counted():
