What a head leaves for its answer is known before the request runs

Cause: the HTTP library keeps the head, 64 bytes for each header, cookie and parameter, a copy of the cookies, bytes sent behind and the answer's head in one block of 32 KiB for each connection. The room for the answer was worked out when the answer came, from head and lines alone.

Ruled out: the limit on heads (one parameter of the same length is served); odd bytes (the number decides, with any value).

The library is not shown queries, as nobody asks for parameters of clients; our own pages look into the target. Lines, cookies and bytes behind are counted when the head is there and when the body is, and a request that would leave less than 6 KiB gets 431, not run.

--- a/base/conns.h
+++ b/base/conns.h
@@ -5,6 +5,7 @@
 
 #include <pthread.h>
 #include <stdbool.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
@@ -39,6 +40,9 @@
 	int64_t idle_since_us; /* end of the last request; CONNS_NO_REQUEST: there was none */
 	bool idle;	       /* no request is open */
 	bool closed;	       /* it has been closed here, and the library does not know it yet */
+
+	/* Bytes of the requests that were answered; used by the library's thread only. */
+	uint64_t requests_bytes;
 };
 
 /* Returns the time until which a connection that is idle since then stays open; 0: for ever. */
--- a/base/hd.c
+++ b/base/hd.c
@@ -17,17 +17,14 @@
 #include <unistd.h>
 
 enum {
-	HD_BLOCK_LEN = 4096,	      /* bytes of the send buffer of a response in parts; a part
-					 holds a few tokens */
-	HD_CONNECTION_MEMORY = 32768, /* bytes for each connection: the longest request line with
-					 headers, 16 KiB, and the library's buffers */
+	HD_BLOCK_LEN = 4096, /* bytes of the send buffer of a response in parts; a part
+				holds a few tokens */
 	/*
 	 * Bytes that the kernel takes of a response before those are sent. It would take up to
 	 * 4 MB, and ask for more only when a third of them was read: the idle timeout would end
 	 * connections of clients that read slowly but steadily.
 	 */
 	HD_NOT_SENT_MAX = 128 << 10,
-	HD_HEADER_OVERHEAD = 64,   /* bytes that the library needs for each header received */
 	HD_HEADER_SEPARATOR = 2,   /* bytes behind a name or a value in a head */
 	HD_HEAD_FIXED = 512,	   /* bytes for the lines that the library adds to a head */
 	HD_CONNECTIONS_MAX = 16384 /* connections open at once */
@@ -172,9 +169,13 @@
 /* Called for a new request. The library passes the result to its other callbacks as the state. */
 static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn)
 {
+	struct hd_call *call;
+
 	if (!conn_on_request(hd_conn(conn)))
 		return NULL;
-	return hd_call_new(ctx, conn, target);
+	call = hd_call_new(ctx, conn, target);
+	hd_hide_query(target);
+	return call;
 }
 
 static struct hd_call *hd_call_new(struct hd *hd, struct MHD_Connection *conn, const char *target)
@@ -189,6 +190,7 @@
 	call->body = g_string_new(NULL);
 	call->pending = g_string_new(NULL);
 	call->headers = g_ptr_array_new_with_free_func(g_free);
+	call->query_values = g_ptr_array_new_with_free_func(g_free);
 	call->length = HD_LENGTH_UNKNOWN;
 	call->expected = HD_LENGTH_UNKNOWN;
 	call->refs = 1;
@@ -211,6 +213,7 @@
 	idle_s = (unsigned int)(call->idle_us / TMR_US_PER_S);
 	body_pace_init(&call->pace, call->began_us);
 	call->headers_received = true;
+	hd_head_read(&call->head, call->conn);
 	call->method = g_strdup(method);
 	call->path = g_strdup(url);
 	call->is_http_1_0 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
@@ -266,6 +269,7 @@
 	hd_drop_body(call);
 	pthread_mutex_destroy(&call->lock);
 	g_ptr_array_free(call->headers, TRUE);
+	g_ptr_array_free(call->query_values, TRUE);
 	g_string_free(call->pending, TRUE);
 	g_string_free(call->body, TRUE);
 	g_free(call->method);
@@ -308,6 +312,12 @@
 	return false;
 }
 
+/* Returns whether the head of the request has left that many bytes for the head of the response. */
+static bool hd_leaves_room(const struct hd_call *call, size_t bytes)
+{
+	return hd_head_leaves(&call->head, bytes, call->fd, hd_conn(call->conn)->requests_bytes);
+}
+
 /* Sends an error of the server itself. ran: value of the header Bg-Ran. */
 static enum MHD_Result hd_queue_error(struct hd_call *call, int status, const char *body,
 				      const char *ran)
@@ -349,6 +359,30 @@
 			      "{\"error\":{\"code\":\"unknown_transfer_coding\"}}", "no");
 }
 
+/* Refuses a request that leaves too little memory for its body and the head of its response. */
+static enum MHD_Result hd_refuse_head(struct hd_call *call)
+{
+	enum MHD_Result result = hd_refuse_call(call, HD_REFUSED_HEAD);
+
+	jl_begin(JL_INFO, "request_head_refused");
+	jl_str("id", call->label);
+	jl_int("bytes", (int64_t)call->head.bytes);
+	jl_int("fields", call->head.fields);
+	jl_end();
+	met_add(met_counter("bg_request_heads_refused_total", ""), 1);
+	return result;
+}
+
+/* Decides on a request whose head has been received. */
+static enum MHD_Result hd_on_head(struct hd_call *call)
+{
+	if (!hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
+		return hd_refuse_head(call);
+	if (hd_has_unknown_coding(call))
+		return hd_reply_unknown_coding(call);
+	return hd_admit_body(call);
+}
+
 static enum MHD_Result hd_on_request(void *ctx, struct MHD_Connection *conn, const char *url,
 				     const char *method, const char *version, const char *data,
 				     size_t *len, void **state)
@@ -361,16 +395,18 @@
 		return MHD_NO;
 	if (!call->headers_received) {
 		hd_call_begin(call, url, method, version);
-		return hd_has_unknown_coding(call) ? hd_reply_unknown_coding(call)
-						   : hd_admit_body(call);
+		return hd_on_head(call);
 	}
 	if (*len > 0) {
+		call->head.body_bytes += *len;
 		result = hd_on_body(call, data, *len);
 		*len = 0;
 		return result;
 	}
 	if (call->too_large)
 		return hd_reply_too_large(call);
+	if (!call->handler_called && !hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
+		return hd_refuse_head(call);
 	if (!call->handler_called) {
 		call->handler_called = true;
 		ck_pr_inc_uint(&call->refs);
@@ -470,8 +506,9 @@
 }
 
 /* From here to the next request, conns_close_idle() closes the connection if need be. */
-static void hd_on_answered(struct MHD_Connection *conn)
+static void hd_on_answered(struct MHD_Connection *conn, const struct hd_head *head)
 {
+	hd_conn(conn)->requests_bytes += head->bytes + head->body_bytes;
 	conn_on_answered(hd_conn(conn), tmr_now());
 	MHD_set_connection_option(conn, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
 }
@@ -484,7 +521,7 @@
 	if (!call)
 		return;
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		hd_on_answered(conn);
+		hd_on_answered(conn, &call->head);
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
 	call->end = hd_end_of(call, code);
@@ -556,17 +593,6 @@
 
 G_STATIC_ASSERT(HD_LENGTH_UNKNOWN == MHD_SIZE_UNKNOWN);
 
-/* Returns the memory that the library has left for the head of the response, in bytes. */
-static size_t hd_head_room(const struct hd_call *call)
-{
-	const union MHD_ConnectionInfo *info =
-		MHD_get_connection_info(call->conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
-	int n = MHD_get_connection_values(call->conn, MHD_HEADER_KIND, NULL, NULL);
-	size_t used = (info ? info->header_size : 0) + (size_t)n * HD_HEADER_OVERHEAD;
-
-	return used < HD_CONNECTION_MEMORY ? HD_CONNECTION_MEMORY - used : 0;
-}
-
 static size_t hd_head_size(const struct hd_call *call)
 {
 	size_t size = HD_HEAD_FIXED + (call->type ? strlen(call->type) : 0);
@@ -590,8 +616,10 @@
 	return hd_queue_error(call, MHD_HTTP_BAD_GATEWAY, body, "unknown");
 }
 
-static enum MHD_Result hd_replace_long_head(struct hd_call *call, size_t size, size_t room)
+static enum MHD_Result hd_replace_long_head(struct hd_call *call, size_t size)
 {
+	size_t room = hd_head_room(&call->head, call->fd, hd_conn(call->conn)->requests_bytes);
+
 	jl_begin(JL_UNLIMITED, "answer_head_too_long");
 	jl_str("id", call->label);
 	jl_int("bytes", (int64_t)size);
@@ -638,14 +666,13 @@
 static enum MHD_Result hd_queue_response(struct hd_call *call)
 {
 	size_t size = hd_head_size(call);
-	size_t room = hd_head_room(call);
 	struct MHD_Response *resp;
 	bool taken;
 
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
-	if (size > room)
-		return hd_replace_long_head(call, size, room);
+	if (!hd_leaves_room(call, size))
+		return hd_replace_long_head(call, size);
 	resp = hd_create_response(call);
 	if (!hd_is_created(call, resp))
 		return hd_replace_refused(call);
@@ -888,7 +915,11 @@
 
 const char *hd_query(struct hd_call *call, const char *name)
 {
-	return MHD_lookup_connection_value(call->conn, MHD_GET_ARGUMENT_KIND, name);
+	char *value = hd_query_value(call->target, name);
+
+	if (value)
+		g_ptr_array_add(call->query_values, value);
+	return value;
 }
 
 static void hd_release_body(void *ctx)
--- a/base/hd.h
+++ b/base/hd.h
@@ -71,10 +71,13 @@
 	uint64_t more;	/* of these, what it needs now and is not in total */
 };
 
-/* Why a request is refused before its body has been received. */
+/* Why a request is refused before its body has been received, or before it is handled. */
 enum hd_refusal {
 	HD_REFUSED_FULL, /* hd_config.may_hold() returned false */
-	HD_REFUSED_SLOW	 /* too little came within the idle timeout, see base/body_pace.h */
+	HD_REFUSED_SLOW, /* too little came within the idle timeout, see base/body_pace.h */
+	HD_REFUSED_HEAD, /* its head leaves too little memory for its response, see base/hd_head.h
+			  */
+	HD_REFUSED_COUNT
 };
 
 /*
@@ -99,7 +102,8 @@
 								     * memory, from one of the
 								     * library's threads; NULL:
 								     * always */
-	hd_refuse_fn refuse;	  /* NULL: connections are closed without a response */
+	hd_refuse_fn refuse;	  /* NULL: HD_REFUSED_HEAD gets 431, others are closed without a
+				   * response */
 	hd_end_fn on_end;	  /* called at the end of each request; NULL: none */
 	hd_drained_fn on_drained; /* needed by hd_watch_unsent(); NULL: none */
 	void *ctx;		  /* first argument of the functions above */
@@ -183,8 +187,8 @@
 const char *hd_header(struct hd_call *call, const char *name);
 
 /*
- * Returns the value of an argument in the query of the request, or NULL. Only allowed before the
- * response is started.
+ * Returns the value of an argument in the query of the request, or NULL. It is valid as long as
+ * call, and for the thread that has called this.
  */
 const char *hd_query(struct hd_call *call, const char *name);
 
--- a/base/hd_body.c
+++ b/base/hd_body.c
@@ -42,8 +42,17 @@
 	met_add(met_counter("bg_early_responses_failed_total", ""), 1);
 }
 
-/* Ends a request whose body is not received further; the library closes the connection. */
-static enum MHD_Result hd_refuse_body(struct hd_call *call, enum hd_refusal why)
+/* Answers a request that is refused by a server that does not answer such requests itself. */
+static void hd_refuse_by_default(struct hd_call *call, enum hd_refusal why)
+{
+	static const char head[] = "{\"error\":{\"code\":\"head_too_large\"}}";
+
+	if (why == HD_REFUSED_HEAD)
+		hd_reply(call, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "application/json", head,
+			 sizeof(head) - 1);
+}
+
+enum MHD_Result hd_refuse_call(struct hd_call *call, enum hd_refusal why)
 {
 	const struct hd_config *config = &call->hd->config;
 
@@ -52,6 +61,8 @@
 	call->why = why;
 	if (config->refuse)
 		config->refuse(config->ctx, call, why);
+	else
+		hd_refuse_by_default(call, why);
 	if (call->answered)
 		hd_send_early(call);
 	return MHD_NO;
@@ -86,7 +97,7 @@
 	if (!has_body || call->stated > hd_body_max(call))
 		return MHD_YES;
 	if (!hd_may_hold(call, 1, MAX(call->stated, 1)))
-		return hd_refuse_body(call, HD_REFUSED_FULL);
+		return hd_refuse_call(call, HD_REFUSED_FULL);
 	hd_reserve_body(call);
 	return MHD_YES;
 }
@@ -102,12 +113,12 @@
 	size_t own = call->body->len + len;
 
 	if (!body_pace_on_data(&call->pace, len, call->idle_us, tmr_now()))
-		return hd_refuse_body(call, HD_REFUSED_SLOW);
+		return hd_refuse_call(call, HD_REFUSED_SLOW);
 	call->too_large |= own > hd_body_max(call);
 	if (!call->too_large && !hd_may_hold(call, own, len)) {
 		call->too_large = call->stated > hd_body_max(call);
 		if (!call->too_large)
-			return hd_refuse_body(call, HD_REFUSED_FULL);
+			return hd_refuse_call(call, HD_REFUSED_FULL);
 	}
 	if (call->too_large)
 		hd_drop_body(call);
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -5,6 +5,7 @@
 #include "base/conns.h"
 #include "base/early.h"
 #include "base/hd.h"
+#include "base/hd_head.h"
 #include "base/recent.h"
 
 #include <microhttpd.h>
@@ -32,23 +33,25 @@
 	struct MHD_Connection *conn;
 	char *method;
 	char *path;
-	char *target;	       /* request target as the client sent it */
-	GString *body;	       /* request body received so far */
-	uint64_t stated;       /* Content-Length of the request; 0: none */
-	struct body_pace pace; /* pace at which the request body comes */
-	int64_t idle_us;       /* idle timeout; 0: none */
-	bool headers_received; /* the request line and the headers were received */
-	bool too_large;	       /* the request body exceeded body_max */
-	bool handler_called;   /* the handler has been called */
-	bool refused;	       /* the request was refused before its body had been received */
-	enum hd_refusal why;   /* reason; valid if refused is set */
-	bool early_failed;     /* the client may not get the refusal */
-	bool is_http_1_0;      /* the client knows no chunks */
-	int port;	       /* local TCP port; 0 if unknown */
-	int fd;		       /* socket of the connection; -1 if unknown */
-	int64_t began_us;      /* time at which the headers had been received */
-	unsigned int refs;     /* references to this struct; atomic */
-	void *owner;	       /* object of the handler, used by its thread only */
+	char *target;		 /* request target as the client sent it */
+	GPtrArray *query_values; /* values that hd_query() has returned */
+	struct hd_head head;	 /* memory that the request takes */
+	GString *body;		 /* request body received so far */
+	uint64_t stated;	 /* Content-Length of the request; 0: none */
+	struct body_pace pace;	 /* pace at which the request body comes */
+	int64_t idle_us;	 /* idle timeout; 0: none */
+	bool headers_received;	 /* the request line and the headers were received */
+	bool too_large;		 /* the request body exceeded body_max */
+	bool handler_called;	 /* the handler has been called */
+	bool refused;		 /* the request was refused before its body had been received */
+	enum hd_refusal why;	 /* reason; valid if refused is set */
+	bool early_failed;	 /* the client may not get the refusal */
+	bool is_http_1_0;	 /* the client knows no chunks */
+	int port;		 /* local TCP port; 0 if unknown */
+	int fd;			 /* socket of the connection; -1 if unknown */
+	int64_t began_us;	 /* time at which the headers had been received */
+	unsigned int refs;	 /* references to this struct; atomic */
+	void *owner;		 /* object of the handler, used by its thread only */
 
 	/* lock guards all fields below. */
 	pthread_mutex_t lock;
@@ -79,6 +82,9 @@
 /* Frees the request body received so far. */
 void hd_drop_body(struct hd_call *call);
 
+/* Ends a request that is not received further; the library closes the connection. */
+enum MHD_Result hd_refuse_call(struct hd_call *call, enum hd_refusal why);
+
 /* Decides on the body of a request whose head was received. Bodies that are too large get 413. */
 enum MHD_Result hd_admit_body(struct hd_call *call);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -680,7 +680,7 @@
 
 /* Guards against a client that gets no byte since it has sent more behind its request, which takes
  * the memory for the answer's head. */
-TEST_F(HdTest, DISABLED_AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest)
+TEST_F(HdTest, AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest)
 {
 	hd_call *call = Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
 			     std::string(40000, 'z'));
--- a/regress/proc/pipelined_head.sh
+++ b/regress/proc/pipelined_head.sh
@@ -2,5 +2,5 @@
 set -euo pipefail
 
 here=$(cd "$(dirname "$0")/../.." && pwd)
-"${BUILD:-$here/build}"/unit-tests --gtest_also_run_disabled_tests \
-	--gtest_filter='HdTest.DISABLED_AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest' --gtest_brief=1
+"${BUILD:-$here/build}"/unit-tests \
+	--gtest_filter='HdTest.AnswerWithALongHeadArrivesThoughMoreWasSentBehindItsRequest' --gtest_brief=1
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -259,6 +259,43 @@
             expect("runs of " + name, stack.ledger()["runs"].get(name), 1)
 
 
+SHAPES = (
+    # name, path with query, headers, whether it must be served
+    ("400-parameters", "/once/x?" + "&".join("p%d=%s" % (i, "v" * 12) for i in range(400)), {}, True),
+    ("8000-parameters", "/once/x?" + "&".join("p" for _ in range(8000)), {}, True),
+    ("100-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(100))}, True),
+    ("350-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(350))}, False),
+    ("100-lines", "/once/x", {"X-Line-%d" % i: "v" * 100 for i in range(100)}, True),
+    ("300-lines", "/once/x", {"X-Line-%d" % i: "v" * 25 for i in range(300)}, False),
+    ("3000-lines", "/once/x", {"X%d" % i: "" for i in range(3000)}, False),
+)
+
+
+def case_heads_of_any_shape(stack):
+    """Guards against requests that run for an answer that can't be sent, or get no answer at all, since their heads take
+    the memory of their connection: each is served, or refused with 431 and has not run."""
+    stack.up()
+    for name in ("p0", "p1"):
+        stack.fault_engine(name, "ok", more="X-Policy: " + "v" * 4000)
+    for name, path, headers, must in SHAPES:
+        for body in (b"{}", b"b" * 5000):
+            conn = Connection(stack.port("host-0", "front"))
+            for prefix in ("first", "shaped"):
+                request_id = "%s-%s-%d" % (prefix, name, len(body))
+                shaped = prefix == "shaped"
+                conn.send(request_bytes(path if shaped else "/once/x", request_id, body=body,
+                                        **(headers if shaped else {})))
+                got, status = conn.read_answer()[:2]
+                expect("answer to " + request_id, got, WHOLE)
+                if must or not shaped:
+                    expect("status of " + request_id, status, 200)
+                elif status not in (200, 431):
+                    raise Failure("status of %s: %r" % (request_id, status))
+                expect("runs of " + request_id, stack.ledger()["runs"].get(request_id, 0),
+                       1 if status == 200 else 0)
+            conn.close()
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/traffic_body.c
+++ b/router/traffic_body.c
@@ -12,8 +12,8 @@
 	/* deadline of a request that states none, in milliseconds */
 	TRAF_BODY_DEADLINE_MS = 60000,
 	TRAF_BODY_LOG_MS = 1000, /* shortest time between two lines of traf_body_log_refused() */
-	TRAF_BODY_WHYS = 2,	 /* values of enum hd_refusal */
 	STATUS_TIMEOUT = 408,
+	STATUS_HEAD_TOO_LARGE = 431,
 	STATUS_UNAVAILABLE = 503
 };
 
@@ -21,15 +21,16 @@
 	pthread_mutex_t lock; /* guards the fields below */
 	uint64_t setting;     /* bound by the settings, in bytes */
 	struct bodies_limits limits;
-	struct bk back;			 /* bodies that were received or refused of late */
-	uint32_t seed;			 /* state of the random number generator */
-	int64_t refused[TRAF_BODY_WHYS]; /* refusals since the last log line, by reason */
-	int64_t log_us;			 /* time from which on the next line is logged */
+	struct bk back;			   /* bodies that were received or refused of late */
+	uint32_t seed;			   /* state of the random number generator */
+	int64_t refused[HD_REFUSED_COUNT]; /* refusals since the last log line, by reason */
+	int64_t log_us;			   /* time from which on the next line is logged */
 };
 
-static const char *const traf_body_whys[TRAF_BODY_WHYS] = {
+static const char *const traf_body_whys[HD_REFUSED_COUNT] = {
 	[HD_REFUSED_FULL] = "full",
 	[HD_REFUSED_SLOW] = "slow",
+	[HD_REFUSED_HEAD] = "head",
 };
 
 struct traf_body *traf_body_new(uint64_t total_max, uint64_t body_max, uint32_t seed)
@@ -85,7 +86,7 @@
 /* Logs bodies that were refused since the last such line, at most once a second. */
 static void traf_body_log_refused(struct traf_body *body, uint64_t held, int64_t now_us)
 {
-	int64_t refused[TRAF_BODY_WHYS] = {0};
+	int64_t refused[HD_REFUSED_COUNT] = {0};
 
 	pthread_mutex_lock(&body->lock);
 	if (now_us >= body->log_us) {
@@ -93,11 +94,11 @@
 		memset(body->refused, 0, sizeof(body->refused));
 	}
 	pthread_mutex_unlock(&body->lock);
-	if (refused[HD_REFUSED_FULL] + refused[HD_REFUSED_SLOW] == 0)
+	if (refused[HD_REFUSED_FULL] + refused[HD_REFUSED_SLOW] + refused[HD_REFUSED_HEAD] == 0)
 		return;
 	body->log_us = now_us + tmr_from_ms(TRAF_BODY_LOG_MS);
 	jl_begin(JL_UNLIMITED, "bodies_refused");
-	for (int why = 0; why < TRAF_BODY_WHYS; why++)
+	for (int why = 0; why < HD_REFUSED_COUNT; why++)
 		jl_int(traf_body_whys[why], refused[why]);
 	jl_int("held", (int64_t)held);
 	jl_int("total", (int64_t)traf_body_total_max(body));
@@ -170,6 +171,7 @@
 {
 	static const char full[] = "{\"error\":{\"code\":\"bodies_full\"}}";
 	static const char slow[] = "{\"error\":{\"code\":\"body_too_slow\"}}";
+	static const char head[] = "{\"error\":{\"code\":\"head_too_large\"}}";
 	struct router *router = ctx;
 	struct seam_request request;
 	int64_t retry_us = 0;
@@ -180,8 +182,10 @@
 		retry_us = traf_body_retry_us(router->traf->body, request.deadline_ms);
 		traf_body_set_retry(router, call, retry_us);
 		hd_reply(call, STATUS_UNAVAILABLE, "application/json", full, sizeof(full) - 1);
-	} else {
+	} else if (why == HD_REFUSED_SLOW) {
 		hd_reply(call, STATUS_TIMEOUT, "application/json", slow, sizeof(slow) - 1);
+	} else {
+		hd_reply(call, STATUS_HEAD_TOO_LARGE, "application/json", head, sizeof(head) - 1);
 	}
 	traf_body_note_refused(router->traf->body, request.id, why, retry_us);
 	seam_request_finish(&request);
