In an outage of the store each host's feeder leads to a reader

Cause: a host that finds no feeder in touch with the store tries readers and spare feeders in turn, 4 s each in an outage. In a small deployment each host is one or the other, so they followed each other in a ring, and what the readers read first reached nobody; each host learned of it by its own call to the store, 2.5 s after a failed one.

Ruled out: late readers; a reader that keeps a change to itself since its other reads still fail (feeds pass on a configuration all the same).

Change: once all have been tried, a spare feeder follows readers and spare feeders ranked before it only.

--- a/router/follow.c
+++ b/router/follow.c
@@ -217,9 +217,8 @@
 static int64_t follow_stale_limit_ms(const struct follow *follow)
 {
 	const struct rank *rank = &follow->ctrl->rank;
-	unsigned int all = RANK_FEEDERS_TRIED + (rank->follows_relay ? RANK_RELAYS_TRIED : 0);
 
-	if (follow->feeders_tried >= all)
+	if (follow->feeders_tried >= rank_feeders_tried_max(rank->follows_relay))
 		return FOLLOW_STALE_OUTAGE_MS;
 	return rank->follows_relay && follow->feeders_tried < RANK_RELAYS_TRIED
 		       ? FOLLOW_STALE_RELAY_MS
--- a/router/rank.c
+++ b/router/rank.c
@@ -64,14 +64,15 @@
 }
 
 /*
- * Returns the feeder for that turn, skipping the host itself. The readers come first, beginning
- * with the one at index "start", then the spare feeders.
+ * Returns the feeder for that turn, one of the first "feeders" hosts but the host itself. The
+ * readers come first, beginning with the one at index "start", then the spare feeders.
  */
 static const struct host *rank_feeder_at(const struct rank_list *list, const char *name,
-					 unsigned int start, unsigned int turn)
+					 unsigned int feeders, unsigned int start,
+					 unsigned int turn)
 {
-	for (unsigned int i = 0; i < list->feeders; i++) {
-		unsigned int at = (i + turn) % list->feeders;
+	for (unsigned int i = 0; i < feeders; i++) {
+		unsigned int at = (i + turn) % feeders;
 		const struct host *host = at < list->readers
 						  ? list->hosts[(start + at) % list->readers]
 						  : list->hosts[at];
@@ -120,6 +121,11 @@
 	return NULL;
 }
 
+unsigned int rank_feeders_tried_max(bool follows_relay)
+{
+	return RANK_FEEDERS_TRIED + (follows_relay ? RANK_RELAYS_TRIED : 0);
+}
+
 /*
  * Readers follow the next reader, so that a reader that the store rejects has a feed. Spare feeders
  * and relays follow readers. All other hosts follow relays if there are any, otherwise readers.
@@ -129,6 +135,7 @@
 {
 	struct rank_list list;
 	unsigned int turn = self->turn;
+	unsigned int feeders;
 	unsigned int start;
 	unsigned int at;
 
@@ -148,7 +155,8 @@
 	start = rank->reader ? at + 1
 			     : (unsigned int)(str_hash(self->name, strlen(self->name), 0) %
 					      list.readers);
-	rank->feeder = rank_feeder_at(&list, self->name, start, turn);
+	feeders = rank->spare && turn >= rank_feeders_tried_max(false) ? at : list.feeders;
+	rank->feeder = rank_feeder_at(&list, self->name, feeders, start, turn);
 }
 
 bool rank_should_read_store(const struct rank_state *host)
--- a/router/rank.h
+++ b/router/rank.h
@@ -46,6 +46,15 @@
 	unsigned int turn;  /* number of feeders that it has tried without success so far */
 };
 
+/*
+ * Returns the number of feeders that a host tries before it takes the store to be unavailable. From
+ * then on a spare feeder follows only readers and spare feeders that are ranked before it. So each
+ * host's feeder leads to a reader in a few steps, and what the first reader reads when the store is
+ * back reaches all hosts by messages. Spare feeders that followed each other in a ring learned of
+ * it by calls of their own to the store, up to 2.5 s later.
+ */
+unsigned int rank_feeders_tried_max(bool follows_relay);
+
 /* Roles of a host, and the feeder that it should follow. */
 struct rank {
 	bool reader;		   /* the host reads the store */
--- a/router/rank_test.cc
+++ b/router/rank_test.cc
@@ -215,6 +215,42 @@
 	}
 }
 
+/*
+ * Guards against changes that are late after an outage of the store: spare feeders follow each
+ * other in a ring, so that what a reader reads reaches them only by calls of their own.
+ */
+TEST_F(RankTest, InAnOutageEachHostFollowsAReaderInAFewSteps)
+{
+	for (int hosts : {2, 6, 7, 60, 300, 984, 1968}) {
+		std::vector<int> feeder;
+		std::set<int> readers;
+		Hosts(hosts);
+		for (unsigned int seed = 0; seed < 4; seed++) {
+			for (int i = 0; i < hosts; i++) {
+				/* Each host has tried another number of feeders by then. */
+				unsigned int turn = rank_feeders_tried_max(true) +
+						    ((unsigned int)i * 31 + seed * 7) % 13;
+				rank r = Choose(i, turn);
+				feeder.push_back(atoi(r.feeder->name + strlen("host-")));
+				if (r.reader)
+					readers.insert(i);
+			}
+			for (int i = 0; i < hosts; i++) {
+				int at = i, steps = 0;
+				while (!readers.count(at) && steps <= RANK_FEEDERS_TRIED) {
+					at = feeder[(size_t)at];
+					steps++;
+				}
+				EXPECT_LT(steps, RANK_FEEDERS_TRIED)
+					<< "host " << i << " of " << hosts;
+			}
+			feeder.clear();
+		}
+		host_table_finish(&table_);
+	}
+	Hosts(1);
+}
+
 TEST_F(RankTest, ASilentReaderIsReplaced)
 {
 	Hosts(7);
