Each state of a connection has its time: heads that never end get 408

What could be seen (no caller has reported it): a client that never ends the head of its request, or connects and sends nothing, kept its connection for good, 32 KiB and a descriptor of the host each.

Change: enum conn_state in base/conns.h; each state but the one of a received request ends by a time there. Limits of late count, as for the idle timeout, and bytes that wait unread are not the client's delay.

--- a/base/conns.c
+++ b/base/conns.c
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 enum {
@@ -11,20 +12,22 @@
 	CONNS_DISCARD_MAX = 4194304  /* bytes that are discarded of one connection */
 };
 
-int64_t conns_idle_until_us(const struct recent *limits, int64_t idle_since_us)
+int64_t conns_until_us(const struct recent *limits, int64_t since_us)
 {
-	uint64_t limit_us = recent_largest(limits, idle_since_us - CONNS_LIMIT_DELAY_US);
+	uint64_t limit_us = recent_largest(limits, since_us - CONNS_LIMIT_DELAY_US);
 
 	if (limit_us == 0)
 		return 0;
-	return idle_since_us + (int64_t)limit_us + CONNS_LIMIT_DELAY_US;
+	return since_us + (int64_t)limit_us + CONNS_LIMIT_DELAY_US;
 }
 
 void conns_init(struct conns *conns)
 {
 	pthread_mutex_init(&conns->lock, NULL);
 	recent_init(&conns->limits, 0);
+	recent_init(&conns->head_limits, 0);
 	g_queue_init(&conns->idle);
+	g_queue_init(&conns->heads);
 	g_queue_init(&conns->all);
 	conns->not_sent_max = 0;
 }
@@ -41,6 +44,13 @@
 	pthread_mutex_unlock(&conns->lock);
 }
 
+void conns_set_head_limit(struct conns *conns, uint64_t head_us, int64_t now_us)
+{
+	pthread_mutex_lock(&conns->lock);
+	recent_set(&conns->head_limits, head_us, now_us);
+	pthread_mutex_unlock(&conns->lock);
+}
+
 static void conn_limit_not_sent(const struct conn *conn)
 {
 	const int max = conn->conns->not_sent_max;
@@ -79,39 +89,62 @@
 	return tmr_now() - tmr_from_ms(info.tcpi_last_data_recv);
 }
 
-static void conn_leave_idle(struct conn *conn)
+/* Returns the queue of connections in that state, or NULL. */
+static GQueue *conn_queue(const struct conn *conn)
 {
-	if (!conn->idle)
-		return;
-	conn->idle = false;
-	g_queue_unlink(&conn->conns->idle, &conn->link);
+	if (conn->state == CONN_BUSY)
+		return NULL;
+	return conn->state == CONN_IDLE ? &conn->conns->idle : &conn->conns->heads;
 }
 
-static void conn_enter_idle(struct conn *conn, int64_t since_us)
+static void conn_leave_queue(struct conn *conn)
 {
-	conn->idle = true;
-	conn->idle_since_us = since_us;
-	g_queue_push_tail_link(&conn->conns->idle, &conn->link);
+	GQueue *queue = conn_queue(conn);
+
+	if (queue)
+		g_queue_unlink(queue, &conn->link);
+}
+
+static void conn_enter(struct conn *conn, enum conn_state state, int64_t now_us)
+{
+	GQueue *queue;
+
+	conn_leave_queue(conn);
+	conn->state = state;
+	conn->since_us = now_us;
+	conn->part_us = 0;
+	queue = conn_queue(conn);
+	if (queue)
+		g_queue_push_tail_link(queue, &conn->link);
 }
 
 static void conn_close(struct conn *conn)
 {
-	conn_leave_idle(conn);
+	conn_leave_queue(conn);
+	conn->state = CONN_BUSY;
 	conn->closed = true;
 	shutdown(conn->fd, SHUT_RDWR);
 }
 
-static bool conn_is_idle_too_long(const struct conn *conn, int64_t now_us)
+static bool conn_is_over(const struct recent *limits, int64_t since_us, int64_t now_us)
 {
-	const struct recent *limits = &conn->conns->limits;
-	int64_t until_us;
+	int64_t until_us = conns_until_us(limits, since_us);
 
-	if (conn->idle_since_us == CONNS_NO_REQUEST)
-		return false;
-	until_us = conns_idle_until_us(limits, conn->idle_since_us);
-	if (until_us == 0 || until_us > now_us)
+	return until_us != 0 && until_us <= now_us;
+}
+
+/* A client that sends a request line byte by byte is never idle for long; its head takes long. */
+static bool conn_is_idle_too_long(struct conn *conn, int64_t now_us)
+{
+	const struct conns *conns = conn->conns;
+
+	if (!conn_is_over(&conns->limits, conn->since_us, now_us))
 		return false;
-	return conns_idle_until_us(limits, MAX(conn->idle_since_us, conn_data_us(conn))) <= now_us;
+	if (conn_is_over(&conns->limits, MAX(conn->since_us, conn_data_us(conn)), now_us))
+		return true;
+	if (conn->part_us == 0)
+		conn->part_us = now_us;
+	return conn_is_over(&conns->head_limits, conn->part_us, now_us);
 }
 
 void conns_close_idle(struct conns *conns, int64_t now_us)
@@ -128,6 +161,41 @@
 	pthread_mutex_unlock(&conns->lock);
 }
 
+static bool conn_has_unread(const struct conn *conn)
+{
+	int n = 0;
+
+	return ioctl(conn->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
+static bool conn_is_head_too_slow(const struct conn *conn, int64_t now_us)
+{
+	return conn->state == CONN_HEAD &&
+	       conn_is_over(&conn->conns->head_limits, conn->since_us, now_us) &&
+	       !conn_has_unread(conn);
+}
+
+void conns_close_slow_heads(struct conns *conns, int64_t now_us, conn_slow_fn fn, void *ctx)
+{
+	GList *link;
+	GList *next;
+
+	pthread_mutex_lock(&conns->lock);
+	for (link = conns->heads.head; link; link = next) {
+		struct conn *conn = link->data;
+
+		next = link->next;
+		if (conn->state == CONN_CLOSING && conn->since_us + CONNS_CLOSING_US <= now_us) {
+			conn_close(conn);
+		} else if (conn_is_head_too_slow(conn, now_us)) {
+			fn(ctx, conn);
+			conn->closed = true;
+			conn_enter(conn, CONN_CLOSING, now_us);
+		}
+	}
+	pthread_mutex_unlock(&conns->lock);
+}
+
 void conns_close_all_idle(struct conns *conns)
 {
 	pthread_mutex_lock(&conns->lock);
@@ -148,7 +216,8 @@
 	g_queue_push_tail_link(&conns->all, &conn->all_link);
 	if (conns->not_sent_max > 0)
 		conn_limit_not_sent(conn);
-	conn_enter_idle(conn, CONNS_NO_REQUEST);
+	conn->since_us = tmr_now();
+	g_queue_push_tail_link(&conns->idle, &conn->link);
 	pthread_mutex_unlock(&conns->lock);
 	return conn;
 }
@@ -173,28 +242,39 @@
 void conn_free(struct conn *conn)
 {
 	pthread_mutex_lock(&conn->conns->lock);
-	conn_leave_idle(conn);
+	conn_leave_queue(conn);
 	g_queue_unlink(&conn->conns->all, &conn->all_link);
 	pthread_mutex_unlock(&conn->conns->lock);
 	conn_discard_unread(conn);
 	g_free(conn);
 }
 
-bool conn_on_request(struct conn *conn)
+/* Enters the state unless the connection was given up; returns whether it did. */
+static bool conn_proceed(struct conn *conn, enum conn_state state)
 {
 	bool closed;
 
 	pthread_mutex_lock(&conn->conns->lock);
-	conn_leave_idle(conn);
 	closed = conn->closed;
+	if (!closed)
+		conn_enter(conn, state, tmr_now());
 	pthread_mutex_unlock(&conn->conns->lock);
 	return !closed;
 }
 
+bool conn_on_request(struct conn *conn)
+{
+	return conn_proceed(conn, CONN_HEAD);
+}
+
+bool conn_on_head(struct conn *conn)
+{
+	return conn_proceed(conn, CONN_BUSY);
+}
+
 void conn_on_answered(struct conn *conn, int64_t now_us)
 {
 	pthread_mutex_lock(&conn->conns->lock);
-	conn_leave_idle(conn);
-	conn_enter_idle(conn, now_us);
+	conn_enter(conn, CONN_IDLE, now_us);
 	pthread_mutex_unlock(&conn->conns->lock);
 }
--- a/base/conns.h
+++ b/base/conns.h
@@ -10,23 +10,33 @@
 G_BEGIN_DECLS
 
 /*
- * The connections of an HTTP server between two requests. The library's own timeout can be set only
- * while a request is open, so a connection would keep the limit of its last request, though its
- * client goes by a longer one that came into force since. This closes idle connections instead.
+ * The connections of an HTTP server outside of requests that were received. The library's own
+ * timeout can be set only while a request is open, so a connection would keep the limit of its last
+ * request, though its client goes by a longer one that came into force since; and a connection
+ * whose first head never ends would have none at all. Each state has its time here instead.
  */
 
 enum {
 	/* time in us within which clients and servers act by a new limit */
-	CONNS_LIMIT_DELAY_US = 5000000
+	CONNS_LIMIT_DELAY_US = 5000000,
+	/* time in us for a client to read that its request was refused */
+	CONNS_CLOSING_US = 5000000
 };
 
-#define CONNS_NO_REQUEST INT64_MAX
+enum conn_state {
+	CONN_IDLE,   /* no request has begun; it is closed when the idle timeout is over */
+	CONN_HEAD,   /* a head has begun; it is answered with 408 when the time for heads is over */
+	CONN_BUSY,   /* a head was received; the request has times of its own */
+	CONN_CLOSING /* it was answered with 408; it is closed after CONNS_CLOSING_US */
+};
 
 struct conns {
-	pthread_mutex_t lock; /* guards the fields below and those of each struct conn */
-	struct recent limits; /* idle timeouts in us; 0: none */
-	GQueue idle;	      /* struct conn without an open request, longest idle first */
-	GQueue all;	      /* all struct conn */
+	pthread_mutex_t lock;	   /* guards the fields below and those of each struct conn */
+	struct recent limits;	   /* idle timeouts in us; 0: none */
+	struct recent head_limits; /* times in us that heads may take; 0: any */
+	GQueue idle;		   /* struct conn in CONN_IDLE, longest idle first */
+	GQueue heads;		   /* struct conn in CONN_HEAD and CONN_CLOSING */
+	GQueue all;		   /* all struct conn */
 	int not_sent_max; /* bytes that the kernel takes before it has sent them; 0: its own bound
 			   */
 };
@@ -34,19 +44,21 @@
 /* A connection. */
 struct conn {
 	struct conns *conns;
-	GList link;	/* in conns->idle */
+	GList link;	/* in conns->idle or conns->heads */
 	GList all_link; /* in conns->all */
 	int fd;
-	int64_t idle_since_us; /* end of the last request; CONNS_NO_REQUEST: there was none */
-	bool idle;	       /* no request is open */
-	bool closed;	       /* it has been closed here, and the library does not know it yet */
+	enum conn_state state;
+	int64_t since_us; /* when it entered the state */
+	/* when part of a request line was first seen on an idle connection; 0: none was seen */
+	int64_t part_us;
+	bool closed; /* it has been given up here, and the library does not know it yet */
 
 	/* Bytes of the requests that were answered; used by the library's thread only. */
 	uint64_t requests_bytes;
 };
 
-/* Returns the time until which a connection that is idle since then stays open; 0: for ever. */
-int64_t conns_idle_until_us(const struct recent *limits, int64_t idle_since_us);
+/* Returns the time until which a connection may be in a state since then; 0: for ever. */
+int64_t conns_until_us(const struct recent *limits, int64_t since_us);
 
 void conns_init(struct conns *conns);
 void conns_finish(struct conns *conns);
@@ -54,6 +66,9 @@
 /* Puts an idle timeout in force. */
 void conns_set_limit(struct conns *conns, uint64_t idle_us, int64_t now_us);
 
+/* Puts a time in force that the head of a request may take. */
+void conns_set_head_limit(struct conns *conns, uint64_t head_us, int64_t now_us);
+
 /*
  * Sets how many bytes the kernel takes of what is sent on a connection, now and later, before it
  * has sent them; 0: as many as it likes. What it has taken is delivered even if the process ends.
@@ -67,6 +82,16 @@
 /* Closes the connections that have been idle for too long. Any thread may call this. */
 void conns_close_idle(struct conns *conns, int64_t now_us);
 
+/* Answers a connection whose head has taken too long, and ends the stream to its client. */
+typedef void (*conn_slow_fn)(void *ctx, const struct conn *conn);
+
+/*
+ * Has fn called for connections whose heads have taken too long, and closes those for which it was
+ * called a while ago. Bytes that the library has not read yet are not the client's delay. Any
+ * thread may call this.
+ */
+void conns_close_slow_heads(struct conns *conns, int64_t now_us, conn_slow_fn fn, void *ctx);
+
 /* Closes all connections without an open request. Any thread may call this. */
 void conns_close_all_idle(struct conns *conns);
 
@@ -80,6 +105,9 @@
  */
 bool conn_on_request(struct conn *conn);
 
+/* The head of the request was received. Returns false as conn_on_request() does. */
+bool conn_on_head(struct conn *conn);
+
 /* A request was answered and the connection is kept. */
 void conn_on_answered(struct conn *conn, int64_t now_us);
 
--- a/base/conns_test.cc
+++ b/base/conns_test.cc
@@ -62,7 +62,7 @@
 				EXPECT_GT(until_us, change.at_us) << c.name;
 			}
 			recent_set(&limits, change.limit_us, change.at_us);
-			until_us = conns_idle_until_us(&limits, c.idle_since_us);
+			until_us = conns_until_us(&limits, c.idle_since_us);
 		}
 		EXPECT_GE(until_us, c.min_us) << c.name;
 		EXPECT_LE(until_us, c.max_us) << c.name;
@@ -73,7 +73,7 @@
 {
 	struct recent limits;
 	recent_init(&limits, 0);
-	EXPECT_EQ(conns_idle_until_us(&limits, 100 * S), 0);
+	EXPECT_EQ(conns_until_us(&limits, 100 * S), 0);
 }
 
 } // namespace
--- a/base/hd.c
+++ b/base/hd.c
@@ -235,9 +235,36 @@
 	pthread_mutex_unlock(&hd->body_lock);
 }
 
+void hd_set_head_limit(struct hd *hd, int64_t head_us)
+{
+	conns_set_head_limit(&hd->conns, (uint64_t)MAX(head_us, 0), tmr_now());
+}
+
+/* Answers a connection on which the head of a request has taken too long. */
+static void hd_reply_slow_head(void *ctx, const struct conn *conn)
+{
+	static const char body[] = "{\"error\":{\"code\":\"head_too_slow\"}}";
+	const struct early_response response = {
+		.status = MHD_HTTP_REQUEST_TIMEOUT,
+		.type = "application/json",
+		.body = body,
+		.len = sizeof(body) - 1,
+	};
+	struct hd *hd = ctx;
+	int64_t now_us = tmr_now();
+
+	jl_begin(JL_INFO, "request_head_slow");
+	jl_int("since_ms", (now_us - conn->since_us) / TMR_US_PER_MS);
+	jl_end();
+	met_add(met_counter("bg_request_heads_slow_total", ""), 1);
+	if (early_reply(&hd->early, conn->fd, &response, now_us) < 0)
+		met_add(met_counter("bg_early_responses_failed_total", ""), 1);
+}
+
 void hd_close_idle(struct hd *hd, int64_t now_us)
 {
 	conns_close_idle(&hd->conns, now_us);
+	conns_close_slow_heads(&hd->conns, now_us, hd_reply_slow_head, hd);
 	early_on_sweep(&hd->early, now_us);
 }
 
@@ -394,6 +421,8 @@
 	if (!call)
 		return MHD_NO;
 	if (!call->headers_received) {
+		if (!conn_on_head(hd_conn(conn)))
+			return MHD_NO;
 		hd_call_begin(call, url, method, version);
 		return hd_on_head(call);
 	}
@@ -441,6 +470,8 @@
 		return HD_END_ABORTED;
 	if (call->early_failed)
 		return HD_END_ERROR;
+	if (!call->headers_received && hd_conn(call->conn)->closed)
+		return HD_END_TIMEOUT;
 	if (call->refused)
 		return call->why == HD_REFUSED_SLOW ? HD_END_TIMEOUT : HD_END_WHOLE;
 	switch (code) {
--- a/base/hd.h
+++ b/base/hd.h
@@ -137,8 +137,15 @@
 void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s);
 
 /*
- * Closes connections that have been idle for too long between two requests, and drops what clients
- * send whose requests were refused; to be called several times a second.
+ * Sets the time in us that the head of a request may take; 0: any. A client may go by an older one,
+ * as above. Any thread may call this.
+ */
+void hd_set_head_limit(struct hd *hd, int64_t head_us);
+
+/*
+ * Closes connections that have been idle for too long between two requests, answers those whose
+ * heads take too long with 408, and drops what clients send whose requests were refused; to be
+ * called several times a second.
  */
 void hd_close_idle(struct hd *hd, int64_t now_us);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -43,6 +43,11 @@
 		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		ASSERT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
 		ASSERT_EQ(listen(listener_, 4), 0);
+		Connect();
+	}
+	void Connect()
+	{
+		sockaddr_in sin{};
 		socklen_t len = sizeof(sin);
 		getsockname(listener_, (sockaddr *)&sin, &len);
 		client_ = socket(AF_INET, SOCK_STREAM, 0);
@@ -502,6 +507,42 @@
 	EXPECT_EQ(ReadAll(), "");
 }
 
+/* Guards against connections that stay open for ever, since their heads never end. */
+TEST_F(HdTest, HeadThatTakesTooLongGets408)
+{
+	const std::string part = "GET /x HTTP/1.1\r\nHost:", rest = " h\r\n\r\n";
+	hd_set_head_limit(hd_, TMR_US_PER_S);
+	send(client_, part.data(), part.size(), 0);
+	while (hd_open_requests(hd_) == 0)
+		std::this_thread::yield();
+	hd_close_idle(hd_, tmr_now() + 5 * TMR_US_PER_S);
+	char answer[1000];
+	EXPECT_EQ(recv(client_, answer, 1, MSG_DONTWAIT), -1) << "its time is not over";
+	hd_close_idle(hd_, tmr_now() + 7 * TMR_US_PER_S);
+	EXPECT_NE(ReadAll().find(" 408 "), std::string::npos);
+	send(client_, rest.data(), rest.size(), MSG_NOSIGNAL);
+	hd_close_idle(hd_, tmr_now() + 60 * TMR_US_PER_S);
+	EXPECT_EQ(WaitForEnd().end, HD_END_TIMEOUT);
+	EXPECT_EQ(call_, nullptr) << "the request is not handled";
+}
+
+/* Guards against the same where nothing, or no whole request line, comes on a new connection. */
+TEST_F(HdTest, ConnectionWithoutARequestLineIsClosed)
+{
+	for (const char *part : {"", "GET /x"}) {
+		hd_set_limits(hd_, 100, 1);
+		send(client_, part, strlen(part), 0);
+		char byte;
+		ssize_t n;
+		/* The server's thread takes the connection meanwhile. */
+		while ((n = recv(client_, &byte, 1, MSG_DONTWAIT)) < 0)
+			hd_close_idle(hd_, tmr_now() + 90 * TMR_US_PER_S);
+		EXPECT_EQ(n, 0);
+		close(client_);
+		Connect();
+	}
+}
+
 /* Guards against requests that are read just before the process ends. */
 TEST_F(HdTest, ConnectionsWithoutARequestAreClosedUnread)
 {
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -1,5 +1,6 @@
 """Test cases for requests and answers of odd bytes: python3 regress/soak/cases_odd.py NAME. Each docstring names the
 failure that the case guards against."""
+import select
 import socket
 import struct
 import sys
@@ -296,6 +297,30 @@
             conn.close()
 
 
+def case_heads_without_end(stack):
+    """Guards against connections that stay open for ever, one after the other, since the heads of their requests never
+    end; a caller that sends a byte now and then is one of them."""
+    stack.up()
+    whole = request_bytes("/once/x", "endless")
+    begun = {"line": whole[:whole.index(b"\r\n") + 2], "lines": whole[:120], "drip": whole[:60]}
+    open_conns = {}
+    for name, data in begun.items():
+        for kept in (False, True):
+            conn = Connection(stack.port("host-0", "front"), timeout=30)
+            if kept:
+                conn.send(request_bytes("/once/x", "before-" + name))
+                expect("status before " + name, conn.read_answer()[1], 200)
+            conn.send(data)
+            open_conns[name, kept] = conn
+    for (name, kept), conn in open_conns.items():
+        while name == "drip" and not select.select([conn.sock], [], [], 0.1)[0]:
+            conn.send(b"x")
+        expect("answer to %s, %s" % (name, kept), conn.read_answer()[:2], (WHOLE, 408))
+        conn.close()
+    expect("runs", stack.ledger()["runs"].get("endless", 0), 0)
+    expect("served afterwards", ask(stack, "host-0", "/once/x", "sound")[:2], (WHOLE, 200))
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
