--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -11,7 +11,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 
-/* What the files of the HTTP server share: hd.c and hd_body.c. */
+/* What the files of the HTTP server share: hd.c, hd_body.c and hd_response.c. */
 struct hd {
 	struct MHD_Daemon *daemon;
 	struct hd_config config;
@@ -79,6 +79,33 @@
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
 };
 
+/* Returns what is kept of the connection. */
+struct conn *hd_conn(struct MHD_Connection *conn);
+
+/* Returns whether the head of the request has left that many bytes for the head of the response. */
+bool hd_leaves_room(const struct hd_call *call, size_t bytes);
+
+/* Sends an error of the server itself. ran: value of the header Bg-Ran. */
+enum MHD_Result hd_queue_error(struct hd_call *call, int status, const char *body, const char *ran);
+
+/*
+ * Passes the response to the library. Called with the lock held, in the library's thread. One that
+ * would lack a header is replaced: its client would take it for something else.
+ */
+enum MHD_Result hd_queue_response(struct hd_call *call);
+
+/* Returns the number of bytes of the response that the library hasn't read yet. */
+size_t hd_pending(const struct hd_call *call);
+
+/* Frees what is left of a response when the request has ended. */
+void hd_drop_pending(struct hd_call *call);
+
+/* Returns whether nothing but the end of the connection tells the client that the response ends. */
+bool hd_is_unframed(const struct hd_call *call);
+
+/* Resets the connection, so that its client doesn't take an unframed response for complete. */
+void hd_reset(const struct hd_call *call);
+
 /* Frees the request body received so far. */
 void hd_drop_body(struct hd_call *call);
 
