An entry of an unknown service takes no endpoint's address

Cause: ep_assign_addr() gave the address to whatever entry came last and removed the endpoint there as ended, until it registered again. That is right for an endpoint that starts anew under another id, and wrong for an entry that names no endpoint to use.

Change: the list asks whether a service is known; a record of another one is kept in the list, where no route leads to it, and takes no address. It does once the configuration names the service. Until a configuration is known any service may exist, as before.

--- a/ep/ep.c
+++ b/ep/ep.c
@@ -81,6 +81,12 @@
 	list->listed_us = -1;
 }
 
+void ep_set_services(struct ep_list *list, ep_service_fn is_service, void *ctx)
+{
+	list->is_service = is_service;
+	list->ctx = ctx;
+}
+
 void ep_list_finish(struct ep_list *list)
 {
 	g_hash_table_destroy(list->entries);
@@ -272,13 +278,18 @@
 	return entry && rec && rec->born_ms < entry->rec->born_ms;
 }
 
-/* Assigns the address to the record's endpoint and removes an older endpoint there as ended. */
+/*
+ * Assigns the address to the record's endpoint and removes an older endpoint there as ended. Does
+ * nothing if the record's service is not known.
+ */
 static void ep_assign_addr(struct ep_list *list, int64_t place, const struct ep_rec *rec,
 			   int64_t now_us)
 {
 	struct ep_addr_owner *owner = g_hash_table_lookup(list->addr_owners, rec->addr);
 	const struct ep_entry *previous = NULL;
 
+	if (list->is_service && !list->is_service(list->ctx, rec->service))
+		return;
 	if (!owner) {
 		owner = g_new0(struct ep_addr_owner, 1);
 		g_hash_table_insert(list->addr_owners, g_strdup(rec->addr), owner);
--- a/ep/ep.h
+++ b/ep/ep.h
@@ -83,25 +83,36 @@
 	int64_t at_us;	   /* time at which this tombstone was created */
 };
 
+/* Returns whether requests may be routed to endpoints of the service. */
+typedef bool (*ep_service_fn)(void *ctx, const char *service);
+
 struct ep_list {
-	GHashTable *entries;	 /* id -> struct ep_entry */
-	GHashTable *departures;	 /* id that announced that it leaves -> struct ep_tombstone */
-	GHashTable *removals;	 /* id of a removed entry -> struct ep_tombstone */
-	GHashTable *addr_owners; /* address -> struct ep_addr_owner */
-	bool store_failing;	 /* the last call to the store failed */
-	int64_t failed_us;	 /* time at which the last outage began */
-	int64_t store_back_us;	 /* time of the last end of an outage of the store; -1 if none */
-	int64_t listed_us;	 /* time of the first complete listing; -1 if none */
-	int64_t next;		 /* place in the store's log of the next record to read */
-	int64_t era;		 /* latest known era of the store */
-	bool store_has_eras;	 /* the store reports eras, so it may be restored from a copy */
-	bool listing;		 /* a complete listing is being read */
-	bool changed;		 /* set with each change to the list; cleared by the caller */
-	guint version;		 /* number of changes to the entries; heartbeats don't count */
+	ep_service_fn is_service; /* NULL: any service may be routed to */
+	void *ctx;		  /* first argument of is_service */
+	GHashTable *entries;	  /* id -> struct ep_entry */
+	GHashTable *departures;	  /* id that announced that it leaves -> struct ep_tombstone */
+	GHashTable *removals;	  /* id of a removed entry -> struct ep_tombstone */
+	GHashTable *addr_owners;  /* address -> struct ep_addr_owner */
+	bool store_failing;	  /* the last call to the store failed */
+	int64_t failed_us;	  /* time at which the last outage began */
+	int64_t store_back_us;	  /* time of the last end of an outage of the store; -1 if none */
+	int64_t listed_us;	  /* time of the first complete listing; -1 if none */
+	int64_t next;		  /* place in the store's log of the next record to read */
+	int64_t era;		  /* latest known era of the store */
+	bool store_has_eras;	  /* the store reports eras, so it may be restored from a copy */
+	bool listing;		  /* a complete listing is being read */
+	bool changed;		  /* set with each change to the list; cleared by the caller */
+	guint version;		  /* number of changes to the entries; heartbeats don't count */
 };
 
 void ep_list_init(struct ep_list *list);
 
+/*
+ * Sets which services are known. A record of another service may be anybody's, so it does not take
+ * an address from an endpoint that is in use.
+ */
+void ep_set_services(struct ep_list *list, ep_service_fn is_service, void *ctx);
+
 /* Returns a new set of the listed incarnations. The strings belong to the list. */
 GHashTable *ep_incarnation_set(const struct ep_list *list);
 
--- a/ep/ep_test.cc
+++ b/ep/ep_test.cc
@@ -1,5 +1,6 @@
 #include "ep/ep.h"
 
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -237,6 +238,31 @@
 	EXPECT_EQ(Ids(), "bc") << "the older entry does not come back";
 }
 
+/* Guards against an endpoint that is lost since somebody wrote an entry with its address and a
+ * service that does not exist. */
+TEST_F(EpTest, AnEntryOfAnUnknownServiceTakesNoAddress)
+{
+	bool is_known = false;
+	ep_set_services(
+		&list_,
+		[](void *ctx, const char *service) {
+			return *(bool *)ctx || strcmp(service, "s") == 0;
+		},
+		&is_known);
+	same_addr_ = true;
+	Put("a", SEC);
+	ep_rec *odd = Rec("b");
+	g_free(odd->service);
+	odd->service = g_strdup("odd");
+	ep_on_record(&list_, offset_++, "b", ep_rec_ref(odd), SEC);
+	EXPECT_EQ(Ids(), "ab");
+	Put("a", 2 * SEC);
+	EXPECT_EQ(Ids(), "ab") << "it goes on registering";
+	is_known = true;
+	ep_on_record(&list_, offset_++, "b", odd, 3 * SEC);
+	EXPECT_EQ(Ids(), "b") << "a service that is known by then";
+}
+
 TEST_F(EpTest, AListingRemovesEntriesThatItLacks)
 {
 	Put("a", SEC);
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -1,5 +1,7 @@
 """Test cases for requests and answers of odd bytes: python3 regress/soak/cases_odd.py NAME. Each docstring names the
 failure that the case guards against."""
+import base64
+import json
 import select
 import socket
 import struct
@@ -10,7 +12,7 @@
 from cases_lost import WHOLE, Connection, request_bytes
 from proxy import Proxy, before_plain_endpoints
 from spoil import FORMS, spoil
-from stack import Failure, eventually
+from stack import Failure, call, eventually
 
 # Kinds of frames, as in msg/kind.h.
 FEED_ASK, LIMIT_ASK, TUNNEL_OPEN, TUNNEL_ATTACH = 18, 23, 26, 28
@@ -321,6 +323,30 @@
     expect("served afterwards", ask(stack, "host-0", "/once/x", "sound")[:2], (WHOLE, 200))
 
 
+def case_entry_of_no_service(stack):
+    """Guards against endpoints that no request reaches, since somebody writes entries with their addresses and a service
+    that does not exist."""
+    stack.up()
+    entries = [json.loads(base64.b64decode(i["value"]))
+               for i in stack.listing("keyed.servers")]
+    plain = [e for e in entries if e["service"] == "plain"]
+    expect("endpoints of the service", len(plain), 2)
+    failed = []
+    for turn in range(5):
+        odd = [dict(e, id="odd-%d-%d" % (turn, i), service="nobody") for i, e in enumerate(plain)]
+        for entry in odd:
+            call(stack.store_port, "POST", "/put?topic=keyed.servers&key=" + entry["id"], json.dumps(entry))
+        for host in stack.hosts:
+            eventually("%s has read the entries of turn %d" % (host, turn), lambda h=host: {e["id"] for e in odd} <=
+                       {e["id"] for e in stack.state(h)["endpoints"]}, patience_s=20)
+            for i in range(4):
+                name = "odd-entry-%d-%s-%d" % (turn, host, i)
+                status = stack.ask(host, "/once/a", name)[0]
+                if status != 200:
+                    failed.append((name, status))
+    expect("failed requests", failed, [])
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
--- a/router/ctrl.c
+++ b/router/ctrl.c
@@ -83,6 +83,14 @@
 	return encoded > 0 ? encoded - 1 : ERA_NONE;
 }
 
+/* Any service may exist until a configuration is known. */
+static bool ctrl_is_service(void *ctx, const char *service)
+{
+	const struct ctrl *ctrl = ctx;
+
+	return !ctrl->conf || g_hash_table_contains(ctrl->conf->services, service);
+}
+
 struct ctrl *ctrl_new(struct router *router, struct loop *loop)
 {
 	struct ctrl *ctrl = g_new0(struct ctrl, 1);
@@ -101,6 +109,7 @@
 	ctrl->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, ctrl_host_free);
 	hdelta_init(&ctrl->host_changes);
 	ep_list_init(&ctrl->endpoints);
+	ep_set_services(&ctrl->endpoints, ctrl_is_service, ctrl);
 	ctrl->conf_deflated = g_byte_array_new();
 	ctrl->suspect_told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	ctrl->dead = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
