case_removed_endpoint waits until the endpoint writes its entry no more

Cause, by the kept logs: the hosts had 9 endpoints after the listing of the restored store, and 10 from 1.2 s later on, where the stand-in of the store rewrites what was lost. Setting the fault "dark" makes the stand-in of the endpoints write p0's entry once more; the case removes the entry right after, and its removal overtook that write. So the endpoint had registered again, with a later heartbeat than the removed one, and the hosts were right to list it.

Change: the ledger of the stand-in names the endpoints that are writing their entries, and the case waits until p0 is none.

--- a/regress/soak/cases_copy.py
+++ b/regress/soak/cases_copy.py
@@ -156,6 +156,7 @@
     addr = addr_of(stack, "p0")
     point_id = endpoint_state(stack, "host-0", addr)["id"]
     stack.fault_engine("p0", "dark")
+    eventually("p0 writes its entry no more", lambda: "p0" not in stack.ledger()["putting"])
     call(stack.store_port, "POST", "/put?topic=keyed.servers&key=" + point_id, "")
 
     def listed(host):
