One copy of what the review's mends had written again

Found when the whole change was read once more; behaviour, bounds and assertions are unchanged.

- hcb_on_head_line() and hcb_on_trailer() were alike: one function counts a line, a table has the bounds of each form.
- Two places wrote a refusal to the socket and counted its failure: hd_reply_early().
- The refusals since the last line were added up by naming each reason; a new one would have been left out.
They are summed over the enum.
- Tests: connect_on_loopback() in base/testing.h in place of two connections made by hand, listen_on_loopback() in place of two more; HcTest asks by one function in four tests; one reader of a process's memory (Stack.memory_kb()), one of a request's id; ask_all() uses read_together(), so a failure in one of its threads fails the case now.

--- a/base/hc_bound.c
+++ b/base/hc_bound.c
@@ -18,24 +18,28 @@
 	return bound->form == HCB_NONE;
 }
 
-bool hcb_on_head_line(struct hcb *bound, size_t len)
+/* Counts a line of the form; seen: those before it. */
+static bool hcb_on_line(struct hcb *bound, enum hcb_form form, struct hcb_lines *seen, size_t len)
 {
+	static const struct hcb_lines max[HCB_FORM_COUNT] = {
+		[HCB_HEAD] = {HCB_HEAD_BYTES_MAX, HCB_HEAD_LINES_MAX},
+		[HCB_TRAILER] = {HCB_TRAILER_BYTES_MAX, HCB_TRAILER_LINES_MAX},
+	};
+
 	bound->brought += len;
-	bound->head_bytes += len;
-	bound->head_lines++;
-	return hcb_check(bound, HCB_HEAD,
-			 bound->head_bytes > HCB_HEAD_BYTES_MAX ||
-				 bound->head_lines > HCB_HEAD_LINES_MAX);
+	seen->bytes += len;
+	seen->n++;
+	return hcb_check(bound, form, seen->bytes > max[form].bytes || seen->n > max[form].n);
+}
+
+bool hcb_on_head_line(struct hcb *bound, size_t len)
+{
+	return hcb_on_line(bound, HCB_HEAD, &bound->head, len);
 }
 
 bool hcb_on_trailer(struct hcb *bound, size_t len)
 {
-	bound->brought += len;
-	bound->trailer_bytes += len;
-	bound->trailer_lines++;
-	return hcb_check(bound, HCB_TRAILER,
-			 bound->trailer_bytes > HCB_TRAILER_BYTES_MAX ||
-				 bound->trailer_lines > HCB_TRAILER_LINES_MAX);
+	return hcb_on_line(bound, HCB_TRAILER, &bound->trailer, len);
 }
 
 void hcb_on_body(struct hcb *bound, size_t len)
--- a/base/hc_bound.h
+++ b/base/hc_bound.h
@@ -45,13 +45,17 @@
 /* Returns the name of the form for the log. */
 const char *hcb_form_name(enum hcb_form form);
 
+/* Lines of a head, or behind a body. */
+struct hcb_lines {
+	size_t bytes;
+	unsigned int n;
+};
+
 /* What a response has had so far. */
 struct hcb {
 	enum hcb_form form; /* what it has too much of; HCB_NONE: nothing */
-	size_t head_bytes;
-	unsigned int head_lines;
-	size_t trailer_bytes;
-	unsigned int trailer_lines;
+	struct hcb_lines head;
+	struct hcb_lines trailer;
 	uint64_t brought;	  /* bytes of lines and of the body */
 	bool is_fresh;		  /* the connection has had no response before */
 	bool has_base;		  /* framing_base is known */
--- a/base/hc_response.c
+++ b/base/hc_response.c
@@ -190,10 +190,10 @@
 	jl_begin(JL_INFO, "response_without_end");
 	jl_str("url", url);
 	jl_str("form", form);
-	jl_int("head_bytes", (int64_t)call->bound.head_bytes);
-	jl_int("head_lines", call->bound.head_lines);
-	jl_int("trailer_bytes", (int64_t)call->bound.trailer_bytes);
-	jl_int("trailer_lines", call->bound.trailer_lines);
+	jl_int("head_bytes", (int64_t)call->bound.head.bytes);
+	jl_int("head_lines", call->bound.head.n);
+	jl_int("trailer_bytes", (int64_t)call->bound.trailer.bytes);
+	jl_int("trailer_lines", call->bound.trailer.n);
 	jl_int("framing_bytes", (int64_t)call->bound.framing);
 	jl_int("empty_reads", call->bound.empty_reads);
 	jl_int("body_bytes", (int64_t)call->body->len);
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -108,6 +108,16 @@
 		hc_free(hc_);
 		loop_finish(&loop_);
 	}
+	/* Sends a request and waits for its end. */
+	Call Ask(const std::string &url)
+	{
+		Call call{};
+
+		loop_.stopping = false;
+		start(&call, url, nullptr, nullptr);
+		loop_run(&loop_);
+		return call;
+	}
 	bool OnHead(Call *call)
 	{
 		for (Call *other : cancel_) {
@@ -220,11 +230,8 @@
 		std::string answer = std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
 				     "\r\n\r\nbody";
 		Server server(1, answer.c_str(), true);
-		Call call{};
+		Call call = Ask("http://" + server.addr + "/");
 
-		loop_.stopping = false;
-		start(&call, "http://" + server.addr + "/", nullptr, nullptr);
-		loop_run(&loop_);
 		EXPECT_EQ(call.done, 1) << length;
 		EXPECT_EQ(call.status, 0) << length;
 	}
@@ -247,11 +254,8 @@
 		std::string answer =
 			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + line + "\r\n\r\nbody";
 		Server server(1, answer);
-		Call call{};
+		Call call = Ask("http://" + server.addr + "/");
 
-		loop_.stopping = false;
-		start(&call, "http://" + server.addr + "/", nullptr, nullptr);
-		loop_run(&loop_);
 		EXPECT_EQ(call.done, 1) << line;
 		EXPECT_EQ(call.status, 0) << line;
 	}
@@ -275,12 +279,9 @@
 		std::string answer = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") +
 				     c.coding + "\r\nContent-Length: 4\r\n\r\n" + c.body;
 		Server server(1, answer.c_str());
-		Call call{};
 		gint64 began = g_get_monotonic_time();
+		Call call = Ask("http://" + server.addr + "/");
 
-		loop_.stopping = false;
-		start(&call, "http://" + server.addr + "/", nullptr, nullptr);
-		loop_run(&loop_);
 		EXPECT_EQ(call.status, c.status) << c.coding;
 		EXPECT_LT(g_get_monotonic_time() - began, 2 * G_USEC_PER_SEC) << c.coding;
 	}
@@ -653,11 +654,8 @@
 	for (const auto &c : cases) {
 		BodyServer server(1, std::string("HTTP/1.1 200 OK\r\n") + c.lines + "\r\n\r\n",
 				  "half");
-		Call call{};
+		Call call = Ask(server.url);
 
-		loop_.stopping = false;
-		start(&call, server.url, nullptr, nullptr);
-		loop_run(&loop_);
 		EXPECT_EQ(call.err, c.err) << c.name;
 	}
 }
--- a/base/hd.c
+++ b/base/hd.c
@@ -243,15 +243,12 @@
 		.body = body,
 		.len = sizeof(body) - 1,
 	};
-	struct hd *hd = ctx;
-	int64_t now_us = tmr_now();
 
 	jl_begin(JL_INFO, "request_head_slow");
-	jl_int("since_ms", (now_us - conn->since_us) / TMR_US_PER_MS);
+	jl_int("since_ms", (tmr_now() - conn->since_us) / TMR_US_PER_MS);
 	jl_end();
 	met_add(met_counter("bg_request_heads_slow_total", ""), 1);
-	if (early_reply(&hd->early, conn->fd, &response, now_us) < 0)
-		met_add(met_counter("bg_early_responses_failed_total", ""), 1);
+	hd_reply_early(ctx, conn->fd, &response);
 }
 
 void hd_close_idle(struct hd *hd, int64_t now_us)
--- a/base/hd_body.c
+++ b/base/hd_body.c
@@ -24,6 +24,14 @@
 	return max;
 }
 
+bool hd_reply_early(struct hd *hd, int fd, const struct early_response *response)
+{
+	if (early_reply(&hd->early, fd, response, tmr_now()) == 0)
+		return true;
+	met_add(met_counter("bg_early_responses_failed_total", ""), 1);
+	return false;
+}
+
 /* Sends the response that hd_config.refuse() has set. */
 static void hd_send_early(struct hd_call *call)
 {
@@ -36,10 +44,7 @@
 	};
 
 	call->queued = true;
-	if (early_reply(&call->hd->early, call->fd, &response, tmr_now()) == 0)
-		return;
-	call->early_failed = true;
-	met_add(met_counter("bg_early_responses_failed_total", ""), 1);
+	call->early_failed = !hd_reply_early(call->hd, call->fd, &response);
 }
 
 /* Answers a request that is refused by a server that does not answer such requests itself. */
--- a/base/hd_body_test.cc
+++ b/base/hd_body_test.cc
@@ -66,20 +66,11 @@
 	}
 	int Connect()
 	{
-		int fds[2];
-		int listener = socket(AF_INET, SOCK_STREAM, 0);
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-
-		listen_on_loopback(listener, 1);
-		getsockname(listener, (sockaddr *)&sin, &len);
-		fds[0] = socket(AF_INET, SOCK_STREAM, 0);
-		EXPECT_EQ(connect(fds[0], (sockaddr *)&sin, sizeof(sin)), 0);
-		fds[1] = accept(listener, nullptr, nullptr);
-		close(listener);
-		hd_adopt(hd_, fds[1]);
-		clients_.push_back(fds[0]);
-		return fds[0];
+		LoopbackConnection conn = connect_on_loopback();
+
+		hd_adopt(hd_, conn.accepted);
+		clients_.push_back(conn.client);
+		return conn.client;
 	}
 	static std::string Head(const std::string &framing, const char *method = "POST")
 	{
--- a/base/hd_head_test.cc
+++ b/base/hd_head_test.cc
@@ -1,8 +1,7 @@
 #include "base/hd_head.h"
+#include "base/testing.h"
 
-#include <arpa/inet.h>
 #include <cstring>
-#include <gtest/gtest.h>
 #include <string>
 #include <sys/socket.h>
 #include <tuple>
@@ -79,19 +78,10 @@
 	void Connect()
 	{
 		const timeval patience = {PATIENCE_S, 0};
-		int listener = socket(AF_INET, SOCK_STREAM, 0);
-		sockaddr_in sin{};
-		socklen_t len = sizeof(sin);
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		ASSERT_EQ(bind(listener, (sockaddr *)&sin, sizeof(sin)), 0);
-		ASSERT_EQ(listen(listener, 1), 0);
-		getsockname(listener, (sockaddr *)&sin, &len);
-		client_ = socket(AF_INET, SOCK_STREAM, 0);
+		LoopbackConnection conn = connect_on_loopback();
+		client_ = conn.client;
 		setsockopt(client_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-		ASSERT_EQ(connect(client_, (sockaddr *)&sin, sizeof(sin)), 0);
-		hd_adopt(hd_, accept(listener, nullptr, nullptr));
-		close(listener);
+		hd_adopt(hd_, conn.accepted);
 	}
 	static void OnRequest(void *ctx, hd_call *call)
 	{
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -109,6 +109,12 @@
 /* Frees the request body received so far. */
 void hd_drop_body(struct hd_call *call);
 
+/*
+ * Writes a response to the socket, see base/early.h. Returns false, and counts it, if the client
+ * may not get it.
+ */
+bool hd_reply_early(struct hd *hd, int fd, const struct early_response *response);
+
 /* Ends a request that is not received further; the library closes the connection. */
 enum MHD_Result hd_refuse_call(struct hd_call *call, enum hd_refusal why);
 
--- a/base/hd_test.cc
+++ b/base/hd_test.cc
@@ -1,15 +1,13 @@
 #include "base/hd.h"
 #include "base/err.h"
 #include "base/prog.h"
+#include "base/testing.h"
 #include "base/tmr.h"
 
-#include <arpa/inet.h>
 #include <condition_variable>
 #include <cstring>
-#include <gtest/gtest.h>
 #include <mutex>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -38,11 +36,7 @@
 		hd_ = hd_start(&config);
 		ASSERT_NE(hd_, nullptr);
 		listener_ = socket(AF_INET, SOCK_STREAM, 0);
-		sockaddr_in sin{};
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		ASSERT_EQ(bind(listener_, (sockaddr *)&sin, sizeof(sin)), 0);
-		ASSERT_EQ(listen(listener_, 4), 0);
+		listen_on_loopback(listener_, 4);
 		Connect();
 	}
 	void Connect()
@@ -858,12 +852,9 @@
 	int taken = socket(AF_INET, SOCK_STREAM, 0);
 	sockaddr_in sin{};
 	socklen_t len = sizeof(sin);
-	sin.sin_family = AF_INET;
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	ASSERT_EQ(bind(taken, (sockaddr *)&sin, sizeof(sin)), 0);
+	const std::string addr = listen_on_loopback(taken, 1);
 	getsockname(taken, (sockaddr *)&sin, &len);
 	close(taken);
-	const std::string addr = "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
 	config.addr = addr.c_str();
 	hd *hd = hd_start(&config);
 	ASSERT_NE(hd, nullptr);
--- a/base/testing.h
+++ b/base/testing.h
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 /* What C++ tests of sockets and event loops share. */
@@ -26,6 +27,27 @@
 	return "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
 }
 
+/* A TCP connection to this process on loopback; the user closes both ends. */
+struct LoopbackConnection {
+	int client = -1, accepted = -1;
+};
+
+inline LoopbackConnection connect_on_loopback()
+{
+	LoopbackConnection conn;
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in sin{};
+	socklen_t len = sizeof(sin);
+
+	listen_on_loopback(listener, 1);
+	getsockname(listener, (sockaddr *)&sin, &len);
+	conn.client = socket(AF_INET, SOCK_STREAM, 0);
+	EXPECT_EQ(connect(conn.client, (sockaddr *)&sin, sizeof(sin)), 0);
+	conn.accepted = accept(listener, nullptr, nullptr);
+	close(listener);
+	return conn;
+}
+
 /* Runs an event loop until a condition holds, which is checked each millisecond. */
 class LoopRunner
 {
--- a/regress/soak/cases_bodies.py
+++ b/regress/soak/cases_bodies.py
@@ -9,7 +9,7 @@
 from cases_lost import WHOLE, Connection, request_bytes
 from cases_endless import forget_peak, peak_kb
 from cases_slow import TIMEOUT_MS, memory_bytes, read_together, up
-from proxy import Proxy, before_plain_endpoints
+from proxy import Proxy, before_plain_endpoints, request_id_of
 from stack import Failure, eventually
 
 BODY_TOTAL_BYTES = 64 << 20     # bodies that a host holds at most: the default of [requests] body_total_mb
@@ -163,7 +163,7 @@
             return
         LateReader.attempts += 1
         time.sleep(UNREAD_S)
-        request_id = head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+        request_id = request_id_of(head)
         left = head.index(b"\r\n\r\n") + 4 + UNREAD_BYTES
         try:
             while left > 0:
--- a/regress/soak/cases_endless.py
+++ b/regress/soak/cases_endless.py
@@ -6,7 +6,8 @@
 
 from cases import expect, run
 from cases_lost import WHOLE, Connection, request_bytes
-from proxy import Proxy, before_plain_endpoints
+from cases_slow import read_together
+from proxy import Proxy, before_plain_endpoints, request_id_of
 from stack import Failure, eventually
 
 GROWTH_MAX_KB = 4 << 10     # memory by which a host may grow, in KiB
@@ -53,7 +54,7 @@
             return
         with Endless.lock:
             Endless.under_way += 1
-        request_id = head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+        request_id = request_id_of(head)
         begin, repeated, _ = FORMS[self.form]
         try:
             near.sendall(begin.replace(b"%s", request_id))
@@ -113,8 +114,7 @@
 
 
 def peak_kb(stack, host):
-    with open("/proc/%d/status" % stack.procs[host].pid) as status:
-        return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:"))
+    return stack.memory_kb(host, "VmHWM")
 
 
 def forget_peak(stack, host):
@@ -136,11 +136,7 @@
                 conn.close()
                 answers.append((name, kind, got, status, headers.get("bronzegauge-response-seal")))
 
-    threads = [threading.Thread(target=ask_host, args=(h,)) for h in stack.hosts]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    read_together(stack.hosts, ask_host)
     return answers
 
 
--- a/regress/soak/cases_slow.py
+++ b/regress/soak/cases_slow.py
@@ -104,8 +104,7 @@
 
 def memory_bytes(stack, host):
     """Returns the resident memory of the host's process."""
-    with open("/proc/%d/status" % stack.procs[host].pid) as status:
-        return 1024 * int(next(line.split()[1] for line in status if line.startswith("VmRSS:")))
+    return 1024 * stack.memory_kb(host)
 
 
 def fill_crowd(stack, path, host="host-0", **more):
--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -122,6 +122,11 @@
         self.listener.close()
 
 
+def request_id_of(head):
+    """Returns the id of the request with that head."""
+    return head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+
+
 def before_plain_endpoints(stack, proxy_class):
     """Puts a proxy of this class before each plain endpoint, which its entry names in its place; returns the proxies. To
     be called before the stack is started."""
--- a/regress/soak/stack.py
+++ b/regress/soak/stack.py
@@ -204,6 +204,11 @@
         if not keep:
             shutil.rmtree(self.dir, ignore_errors=True)
 
+    def memory_kb(self, host, field="VmRSS"):
+        """Returns the resident memory of the host's process; field VmHWM: the largest it has had."""
+        with open("/proc/%d/status" % self.procs[host].pid) as status:
+            return next(int(line.split()[1]) for line in status if line.startswith(field + ":"))
+
     def keep_logs(self, name):
         """Copies the logs to a folder that is kept after the test; returns the folder."""
         kept = tempfile.mkdtemp(prefix="bgsoak-failed-%s." % name)
--- a/router/traffic_body.c
+++ b/router/traffic_body.c
@@ -87,6 +87,7 @@
 static void traf_body_log_refused(struct traf_body *body, uint64_t held, int64_t now_us)
 {
 	int64_t refused[HD_REFUSED_COUNT] = {0};
+	int64_t total = 0;
 
 	pthread_mutex_lock(&body->lock);
 	if (now_us >= body->log_us) {
@@ -94,7 +95,9 @@
 		memset(body->refused, 0, sizeof(body->refused));
 	}
 	pthread_mutex_unlock(&body->lock);
-	if (refused[HD_REFUSED_FULL] + refused[HD_REFUSED_SLOW] + refused[HD_REFUSED_HEAD] == 0)
+	for (int why = 0; why < HD_REFUSED_COUNT; why++)
+		total += refused[why];
+	if (total == 0)
 		return;
 	body->log_us = now_us + tmr_from_ms(TRAF_BODY_LOG_MS);
 	jl_begin(JL_UNLIMITED, "bodies_refused");
