Heads of any shape are served: the library's block is chosen before it reads

What callers saw: heads within the configuration's limits got 431 from 300 header lines or cookies on (3 to 4 kB, a quarter of the limit), 200 beside bytes sent behind; and requests that had run, once-only ones too, lost a good answer to 502 when its head didn't fit beside theirs (14 to 24 kB).

Cause: the HTTP library has one size of memory for all connections of a server, 32 KiB, for the head, 64 bytes for each line and cookie, bytes behind the request and the head of the answer.

Ruled out: larger blocks for all (the library writes zeros over the whole block after each answer, so 1,000 kept connections cost 256 MB at 256 KiB); reading heads ourselves (a parser of our own); a socket pair before the library (two more copies of each byte).

Change: - base/intake accepts connections and holds each one, new or kept, until the head of its next request lies in the kernel. It is measured, not parsed, and stays unread. A held connection is suspended in the library. - A usual head goes to the server with blocks of 32 KiB, as before. Another one goes to a second server with blocks of 1 MiB, of which only the pages in use cost memory; the connection is closed behind the answer. At most 64 at once; above it 503 with a time to return, unread, so it has not run. - The head of an answer that the library has no room for is written to the socket beside it (base/hd_direct.c), with the body, by the same rules: chunks or a length, a visible break-off, the idle timeout. Up to the bound of 64 KiB and 512 lines by which endpoints' heads are judged, any is sent. - maxHeaderBytes of the configuration is in force (request line and headers each): 431 unread. Until now the library's memory was the limit. - What the kernel counts is asked until it is exact.

Conclusion: within the limits what a head is made of no longer decides, and no answer is thrown away for want of the library's memory.

--- a/base/conns.c
+++ b/base/conns.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum {
 	CONNS_DISCARD_BLOCK = 16384, /* bytes that are discarded at a time */
@@ -29,11 +30,13 @@
 	g_queue_init(&conns->idle);
 	g_queue_init(&conns->heads);
 	g_queue_init(&conns->all);
+	conns->offered = g_hash_table_new(NULL, NULL);
 	conns->not_sent_max = 0;
 }
 
 void conns_finish(struct conns *conns)
 {
+	g_hash_table_destroy(conns->offered);
 	pthread_mutex_destroy(&conns->lock);
 }
 
@@ -100,6 +103,7 @@
 		return &conn->conns->heads;
 	case CONN_BUSY:
 	case CONN_CLOSED:
+	case CONN_REPLACED:
 		break;
 	}
 	return NULL;
@@ -217,6 +221,7 @@
 	conn->conns = conns;
 	conn->link.data = conn;
 	conn->all_link.data = conn;
+	conn->part_link.data = conn;
 	conn->fd = fd;
 	pthread_mutex_lock(&conns->lock);
 	g_queue_push_tail_link(&conns->all, &conn->all_link);
@@ -255,6 +260,71 @@
 	g_free(conn);
 }
 
+void conn_drop(struct conn *conn)
+{
+	int fd = conn->fd;
+
+	conn_free(conn);
+	close(fd);
+}
+
+/* Frees a connection that the library could not take: it has closed the descriptor. */
+static void conns_forget_offered(struct conns *conns, int fd)
+{
+	struct conn *conn = g_hash_table_lookup(conns->offered, GINT_TO_POINTER(fd));
+
+	if (!conn)
+		return;
+	g_queue_unlink(&conns->all, &conn->all_link);
+	g_free(conn);
+}
+
+void conn_offer(struct conn *conn)
+{
+	struct conns *conns = conn->conns;
+
+	pthread_mutex_lock(&conns->lock);
+	conns_forget_offered(conns, conn->fd);
+	conn_enter(conn, CONN_BUSY, tmr_now());
+	g_hash_table_insert(conns->offered, GINT_TO_POINTER(conn->fd), conn);
+	pthread_mutex_unlock(&conns->lock);
+}
+
+struct conn *conns_claim(struct conns *conns, int fd)
+{
+	struct conn *conn;
+
+	pthread_mutex_lock(&conns->lock);
+	conn = g_hash_table_lookup(conns->offered, GINT_TO_POINTER(fd));
+	g_hash_table_remove(conns->offered, GINT_TO_POINTER(fd));
+	if (conn)
+		conn_enter(conn, CONN_IDLE, tmr_now());
+	pthread_mutex_unlock(&conns->lock);
+	return conn;
+}
+
+void conn_give_up(struct conn *conn)
+{
+	pthread_mutex_lock(&conn->conns->lock);
+	conn_close(conn);
+	pthread_mutex_unlock(&conn->conns->lock);
+}
+
+void conn_refuse(struct conn *conn)
+{
+	pthread_mutex_lock(&conn->conns->lock);
+	conn_enter(conn, CONN_REFUSED, tmr_now());
+	pthread_mutex_unlock(&conn->conns->lock);
+}
+
+void conn_replace(struct conn *conn, struct conn *by)
+{
+	pthread_mutex_lock(&conn->conns->lock);
+	conn_enter(conn, CONN_REPLACED, tmr_now());
+	by->replaced = conn;
+	pthread_mutex_unlock(&conn->conns->lock);
+}
+
 /* Enters the state unless the connection was given up; returns whether it did. */
 static bool conn_proceed(struct conn *conn, enum conn_state state)
 {
--- a/base/conns.h
+++ b/base/conns.h
@@ -1,6 +1,7 @@
 #ifndef BASE_CONNS_H
 #define BASE_CONNS_H
 
+#include "base/loop.h"
 #include "base/recent.h"
 
 #include <pthread.h>
@@ -28,10 +29,15 @@
 	CONN_IDLE,    /* no request has begun; it is closed when the idle timeout is over */
 	CONN_HEAD,    /* a head has begun; it is refused when the time for heads is over */
 	CONN_BUSY,    /* a head was received; the request has times of its own */
-	CONN_REFUSED, /* its head was too slow; it is closed after CONNS_REFUSED_US */
-	CONN_CLOSED   /* the library finds the end of the stream */
+	CONN_REFUSED, /* nothing more is read; it is closed after CONNS_REFUSED_US */
+	CONN_CLOSED,  /* the library finds the end of the stream */
+	CONN_REPLACED /* another struct conn has the connection's request, see conn.replaced */
 };
 
+struct hd_call;
+struct intake;
+struct MHD_Connection;
+
 struct conns {
 	pthread_mutex_t lock;	   /* guards the fields below and those of each struct conn */
 	struct recent limits;	   /* idle timeouts in us; 0: none */
@@ -39,6 +45,7 @@
 	GQueue idle;		   /* struct conn in CONN_IDLE, longest idle first */
 	GQueue heads;		   /* struct conn in CONN_HEAD and CONN_REFUSED */
 	GQueue all;		   /* all struct conn */
+	GHashTable *offered;	   /* by descriptor: struct conn that the library is to take */
 	int not_sent_max; /* bytes that the kernel takes before it has sent them; 0: its own bound
 			   */
 };
@@ -56,6 +63,18 @@
 
 	/* Bytes of the requests that were answered; used by the library's thread only. */
 	uint64_t requests_bytes;
+
+	/* Set by base/hd.c, see base/intake.h. */
+	struct intake *intake;		/* NULL: none holds it */
+	struct loop_fd lfd;		/* of the loop of intake */
+	bool watched;			/* lfd is in the loop */
+	bool awaiting;			/* the intake waits for the next head; atomic */
+	int64_t part_since_us;		/* when the intake first saw a part of a head; 0: none */
+	GList part_link;		/* in intake->parts if part_since_us is set */
+	struct MHD_Connection *library; /* the library's connection; NULL: it has none yet */
+	struct hd_call *direct;		/* request whose response the library doesn't send */
+	bool large;			/* its block has HD_LARGE_MEMORY */
+	struct conn *replaced;		/* connection that waits for the end of this one */
 };
 
 /* Returns the time until which a connection may be in a state since then; 0: for ever. */
@@ -100,6 +119,24 @@
 struct conn *conn_new(struct conns *conns, int fd);
 void conn_free(struct conn *conn);
 
+/* Frees a connection of which the library was never told, and closes it. */
+void conn_drop(struct conn *conn);
+
+/* Keeps the connection for conns_claim(), as the library knows only its descriptor. */
+void conn_offer(struct conn *conn);
+
+/* Returns the connection that was offered, or NULL. */
+struct conn *conns_claim(struct conns *conns, int fd);
+
+/* Gives the connection up and closes it. */
+void conn_give_up(struct conn *conn);
+
+/* Gives the connection up, and leaves its client CONNS_REFUSED_US to read what was sent. */
+void conn_refuse(struct conn *conn);
+
+/* Leaves the request of the connection to another struct conn, which refers to it. */
+void conn_replace(struct conn *conn, struct conn *by);
+
 /*
  * A request begins. Returns false if it must not be read: the connection was closed meanwhile, so
  * it could not be answered.
--- a/base/hd.c
+++ b/base/hd.c
@@ -64,7 +64,7 @@
 	return info ? info->socket_context : NULL;
 }
 
-static int hd_fd(struct MHD_Connection *conn)
+int hd_fd(struct MHD_Connection *conn)
 {
 	const union MHD_ConnectionInfo *info =
 		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -78,9 +78,11 @@
 	struct hd *hd = ctx;
 
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		*state = conn_new(&hd->conns, hd_fd(conn));
+		*state = conns_claim(&hd->conns, hd_fd(conn));
+		if (!*state)
+			*state = conn_new(&hd->conns, hd_fd(conn));
 	} else if (*state) {
-		conn_free(*state);
+		hd_any_on_closed(hd, *state);
 		*state = NULL;
 	}
 }
@@ -94,11 +96,39 @@
 	g_free(hd);
 }
 
+struct MHD_Daemon *hd_start_library(struct hd *hd, unsigned int threads, size_t memory)
+{
+	const struct hd_config *config = &hd->config;
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+	bool listens = hd->listen_fd >= 0 && !config->any_head;
+
+	if (!listens)
+		flags |= MHD_USE_NO_LISTEN_SOCKET;
+	return MHD_start_daemon(
+		flags, 0, listens && config->may_accept ? hd_on_connection : NULL, hd,
+		hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd,
+		MHD_OPTION_NOTIFY_CONNECTION, hd_on_notify, hd, MHD_OPTION_URI_LOG_CALLBACK,
+		hd_on_target, hd, MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
+		listens ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, hd->listen_fd, MHD_OPTION_END);
+}
+
+/* Starts the library's servers. Returns whether all have started. */
+static bool hd_start_all(struct hd *hd)
+{
+	hd->daemon = hd_start_library(hd, hd->config.threads, HD_CONNECTION_MEMORY);
+	if (!hd->daemon)
+		return false;
+	if (!hd->config.any_head || hd_any_start(hd) == 0)
+		return true;
+	MHD_stop_daemon(hd->daemon);
+	return false;
+}
+
 struct hd *hd_start(const struct hd_config *config)
 {
 	struct hd *hd = g_new0(struct hd, 1);
-	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-	int fd = -1;
 
 	hd->config = *config;
 	hd->too_large = g_strdup(config->too_large ? config->too_large : "{}");
@@ -107,27 +137,11 @@
 	early_init(&hd->early);
 	pthread_mutex_init(&hd->body_lock, NULL);
 	recent_init(&hd->body_max, config->body_max);
-	if (config->addr) {
-		fd = addr_listen(config->addr);
-		if (fd < 0) {
-			hd_free(hd);
-			return NULL;
-		}
-	} else {
-		flags |= MHD_USE_NO_LISTEN_SOCKET;
-	}
-	hd->listen_fd = fd;
-	hd->daemon = MHD_start_daemon(
-		flags, 0, config->may_accept ? hd_on_connection : NULL, hd, hd_on_request, hd,
-		MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd, MHD_OPTION_NOTIFY_CONNECTION,
-		hd_on_notify, hd, MHD_OPTION_URI_LOG_CALLBACK, hd_on_target, hd,
-		MHD_OPTION_THREAD_POOL_SIZE, config->threads > 1 ? config->threads : 0U,
-		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HD_CONNECTION_MEMORY,
-		fd >= 0 ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, fd, MHD_OPTION_END);
-	if (!hd->daemon) {
-		if (fd >= 0)
-			close(fd);
+	recent_init(&hd->head_max, INTAKE_HEAD_MAX);
+	hd->listen_fd = config->addr ? addr_listen(config->addr) : -1;
+	if ((config->addr && hd->listen_fd < 0) || !hd_start_all(hd)) {
+		if (hd->listen_fd >= 0)
+			close(hd->listen_fd);
 		hd_free(hd);
 		return NULL;
 	}
@@ -136,7 +150,11 @@
 
 void hd_stop(struct hd *hd)
 {
+	if (hd->config.any_head)
+		hd_any_stop(hd);
 	MHD_stop_daemon(hd->daemon);
+	if (hd->config.any_head)
+		hd_any_finish(hd);
 	hd_free(hd);
 }
 
@@ -145,7 +163,7 @@
 	return ck_pr_load_uint(&hd->open_requests);
 }
 
-void hd_adopt(struct hd *hd, int fd)
+void hd_add_connection(struct MHD_Daemon *daemon, int fd)
 {
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
@@ -155,10 +173,18 @@
 		close(fd);
 		return;
 	}
-	if (MHD_add_connection(hd->daemon, fd, (struct sockaddr *)&sin, len) != MHD_YES)
+	if (MHD_add_connection(daemon, fd, (struct sockaddr *)&sin, len) != MHD_YES)
 		met_add(met_counter("bg_http_adopt_failed_total", ""), 1);
 }
 
+void hd_adopt(struct hd *hd, int fd)
+{
+	if (hd->config.any_head)
+		intake_await(&hd->intake, conn_new(&hd->conns, fd));
+	else
+		hd_add_connection(hd->daemon, fd);
+}
+
 /* Called for a new request. The library passes the result to its other callbacks as the state. */
 static void *hd_on_target(void *ctx, const char *target, struct MHD_Connection *conn)
 {
@@ -206,10 +232,12 @@
 	idle_s = (unsigned int)(call->idle_us / TMR_US_PER_S);
 	body_pace_init(&call->pace, call->began_us);
 	call->headers_received = true;
+	call->head.block = hd_conn(call->conn)->large ? HD_LARGE_MEMORY : HD_CONNECTION_MEMORY;
 	hd_head_read(&call->head, call->conn);
 	call->method = g_strdup(method);
 	call->path = g_strdup(url);
 	call->is_http_1_0 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
+	hd_any_on_begin(call);
 	if (idle_s > 0)
 		MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
@@ -233,6 +261,17 @@
 	conns_set_head_limit(&hd->conns, (uint64_t)MAX(head_us, 0), tmr_now());
 }
 
+void hd_set_head_max(struct hd *hd, size_t bytes)
+{
+	pthread_mutex_lock(&hd->body_lock);
+	if (hd->head_max_set)
+		recent_set(&hd->head_max, bytes, tmr_now());
+	else
+		recent_init(&hd->head_max, bytes);
+	hd->head_max_set = true;
+	pthread_mutex_unlock(&hd->body_lock);
+}
+
 /* Answers a connection on which the head of a request has taken too long. */
 static void hd_reply_slow_head(void *ctx, const struct conn *conn)
 {
@@ -288,6 +327,8 @@
 	g_ptr_array_free(call->headers, TRUE);
 	g_ptr_array_free(call->query_values, TRUE);
 	g_string_free(call->pending, TRUE);
+	if (call->wire)
+		g_string_free(call->wire, TRUE);
 	g_string_free(call->body, TRUE);
 	g_free(call->method);
 	g_free(call->path);
@@ -336,7 +377,7 @@
 /* Decides on a request whose head has been received. */
 static enum MHD_Result hd_on_head(struct hd_call *call)
 {
-	if (!hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
+	if (hd_any_is_over(call) || !hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
 		return hd_refuse_head(call);
 	if (hd_has_unknown_coding(call))
 		return hd_reply_unknown_coding(call);
@@ -361,6 +402,7 @@
 	}
 	if (*len > 0) {
 		call->head.body_bytes += *len;
+		hd_any_on_body(call, *len);
 		result = hd_on_body(call, data, *len);
 		*len = 0;
 		return result;
@@ -375,7 +417,9 @@
 		hd->config.handler(hd->config.ctx, call);
 	}
 	pthread_mutex_lock(&call->lock);
-	if (call->answered && !call->queued) {
+	if (call->direct_ended) {
+		result = MHD_NO;
+	} else if (call->answered && !call->queued) {
 		result = hd_queue_response(call);
 	} else if (!call->queued) {
 		call->suspended = true;
@@ -407,6 +451,10 @@
 		return HD_END_TIMEOUT;
 	if (call->refused)
 		return call->why == HD_REFUSED_SLOW ? HD_END_TIMEOUT : HD_END_WHOLE;
+	if (call->direct_whole)
+		return HD_END_WHOLE;
+	if (call->direct_timed_out)
+		return HD_END_TIMEOUT;
 	switch (code) {
 	case MHD_REQUEST_TERMINATED_COMPLETED_OK:
 		return HD_END_WHOLE;
@@ -440,11 +488,15 @@
 }
 
 /* From here to the next request, conns_close_idle() closes the connection if need be. */
-static void hd_on_answered(struct MHD_Connection *conn, const struct hd_head *head)
+static void hd_on_answered(struct hd_call *call)
 {
-	hd_conn(conn)->requests_bytes += head->bytes + head->body_bytes;
-	conn_on_answered(hd_conn(conn), tmr_now());
-	MHD_set_connection_option(conn, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+	struct conn *conn = hd_conn(call->conn);
+
+	conn->requests_bytes += call->head.bytes + call->head.body_bytes;
+	conn_on_answered(conn, tmr_now());
+	MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+	if (call->hd->config.any_head)
+		hd_any_on_answered(call);
 }
 
 static void hd_on_completed(void *ctx, struct MHD_Connection *conn, void **state,
@@ -454,8 +506,7 @@
 
 	if (!call)
 		return;
-	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		hd_on_answered(conn, &call->head);
+	(void)conn;
 	pthread_mutex_lock(&call->lock);
 	call->closed = true;
 	call->end = hd_end_of(call, code);
@@ -466,6 +517,8 @@
 		hd_drop_pending(call);
 	pthread_mutex_unlock(&call->lock);
 	*state = NULL;
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		hd_on_answered(call);
 	ck_pr_dec_uint(&call->hd->open_requests);
 	hd_unref(call);
 }
--- a/base/hd.h
+++ b/base/hd.h
@@ -90,8 +90,13 @@
 /* Configuration of a server. */
 struct hd_config {
 	const char *addr; /* listening address IP:PORT; NULL: only hd_adopt() adds connections */
-	unsigned int threads;  /* number of the library's threads */
-	size_t body_max;       /* largest request body in bytes; a larger one gets status 413 */
+	unsigned int threads; /* number of the library's threads */
+	size_t body_max;      /* largest request body in bytes; a larger one gets status 413 */
+	/*
+	 * Any head within hd_set_head_max() is served, whatever it is made of, and any head of a
+	 * response is sent. Without it, what HD_CONNECTION_MEMORY has no room for is refused.
+	 */
+	bool any_head;
 	size_t pending_max;    /* unsent bytes of a response above which hd_reply_write() fails;
 				* 0: no limit */
 	const char *too_large; /* body of the response with status 413, JSON */
@@ -143,6 +148,13 @@
  */
 void hd_set_head_limit(struct hd *hd, int64_t head_us);
 
+/*
+ * Sets the largest request line, and the most bytes of headers, of a request; a larger one gets
+ * status 431. A client may go by an older limit, as above. INTAKE_HEAD_MAX holds in any case, and
+ * alone before the first call. Only for hd_config.any_head. Any thread may call this.
+ */
+void hd_set_head_max(struct hd *hd, size_t bytes);
+
 /*
  * Closes connections that have been idle for too long between two requests, answers those whose
  * heads take too long with 408, and drops what clients send whose requests were refused; to be
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -6,14 +6,24 @@
 #include "base/early.h"
 #include "base/hd.h"
 #include "base/hd_head.h"
+#include "base/intake.h"
 #include "base/recent.h"
 
 #include <microhttpd.h>
 #include <pthread.h>
 
-/* What the files of the HTTP server share: hd.c, hd_body.c and hd_response.c. */
+enum {
+	HD_LARGE_MAX = 64 /* connections with a large block at once */
+};
+
+/* What the files of the HTTP server share: hd.c, hd_any.c, hd_body.c, hd_direct.c, hd_response.c.
+ */
 struct hd {
 	struct MHD_Daemon *daemon;
+	struct MHD_Daemon *large; /* serves requests with large heads; NULL unless any_head */
+	unsigned int large_open;  /* its connections; atomic */
+	unsigned int stopping;	  /* 1: the intake takes no further connection; atomic */
+	struct intake intake;	  /* of hd_config.any_head */
 	struct hd_config config;
 	char *too_large;	    /* body of the response with status 413, JSON */
 	unsigned int open_requests; /* requests in progress; atomic */
@@ -25,6 +35,8 @@
 	int listen_fd;		   /* the library's; -1: none */
 	pthread_mutex_t body_lock; /* guards the fields below */
 	struct recent body_max;	   /* largest request body in bytes */
+	struct recent head_max;	   /* see hd_set_head_max() */
+	bool head_max_set;	   /* it has been called */
 	bool body_max_set;	   /* hd_set_limits() has been called */
 };
 
@@ -47,6 +59,9 @@
 	enum hd_refusal why;	 /* reason; valid if refused is set */
 	bool early_failed;	 /* the client may not get the refusal */
 	bool is_http_1_0;	 /* the client knows no chunks */
+	bool says_close;	 /* the client ends the connection after the response */
+	bool is_chunked;	 /* the request body is chunked */
+	uint64_t framing;	 /* bytes that the framing of a chunked body has at most */
 	int port;		 /* local TCP port; 0 if unknown */
 	int fd;			 /* socket of the connection; -1 if unknown */
 	int64_t began_us;	 /* time at which the headers had been received */
@@ -77,8 +92,73 @@
 	enum hd_end end;    /* how the request ended; valid if closed is set */
 	bool client_closed; /* hd_client_closed() found that the client has closed */
 	bool suspended;	    /* the library doesn't poll the connection until it is resumed */
+
+	/* Of a response that hd_direct.c sends, guarded by lock. */
+	bool direct;		 /* it does; the library doesn't poll the connection meanwhile */
+	bool direct_ended;	 /* the library is to close the connection */
+	bool direct_whole;	 /* the whole response was passed to the kernel */
+	bool direct_timed_out;	 /* its client read nothing for the idle timeout */
+	GString *wire;		 /* bytes that are to be sent next */
+	size_t wire_at;		 /* bytes of wire that were sent */
+	bool direct_last;	 /* the last chunk was added to wire */
+	int64_t direct_us;	 /* when the kernel last took some of it */
+	struct tmr direct_timer; /* of the intake's loop; not guarded */
 };
 
+/* Returns the socket of the connection; -1: unknown. */
+int hd_fd(struct MHD_Connection *conn);
+
+/* Has the library serve a connection. It owns and closes fd, also if it can't. */
+void hd_add_connection(struct MHD_Daemon *daemon, int fd);
+
+/* Starts one of the library's servers, which has such a block of memory for each connection. */
+struct MHD_Daemon *hd_start_library(struct hd *hd, unsigned int threads, size_t memory);
+
+/* Starts what hd_config.any_head needs. Returns 0 or BASE_ESYS. */
+int hd_any_start(struct hd *hd);
+
+/* Ends it, so that the library can be stopped. */
+void hd_any_stop(struct hd *hd);
+
+/* Frees connections that the library never had; it is stopped already. */
+void hd_any_finish(struct hd *hd);
+
+/* Holds the connection, whose request was answered, until its next head has come if that can be. */
+void hd_any_on_answered(struct hd_call *call);
+
+/* A connection of the library is about to be closed. */
+void hd_any_on_closed(struct hd *hd, struct conn *conn);
+
+/* Notes what the head of a request says of its connection. */
+void hd_any_on_begin(struct hd_call *call);
+
+/* Returns whether the head is longer than any limit by which its client may have gone. */
+bool hd_any_is_over(const struct hd_call *call);
+
+/* Notes a piece of a request body. */
+void hd_any_on_body(struct hd_call *call, size_t len);
+
+/* Sends the response beside the library. Called with the lock held, in the library's thread. */
+enum MHD_Result hd_direct_begin(struct hd_call *call);
+
+/* Sends what has been added to the response. Called with the lock held. */
+void hd_direct_resume(struct hd_call *call);
+
+/* Sends more of a response; for struct intake_config. */
+void hd_direct_on_writable(void *ctx, struct conn *conn);
+
+/* Returns whether a header, the closing one or Connection, ends the connection. */
+bool hd_response_closes(struct hd_call *call);
+
+/* Has hd_config.on_drained called; not with the lock held. */
+void hd_notify_drained(struct hd_call *call);
+
+/* Replaces a response that has a header or status which can't be sent. */
+enum MHD_Result hd_replace_refused(struct hd_call *call);
+
+/* Moves up to max unsent bytes of the response to buf; returns their number. */
+size_t hd_take_pending(struct hd_call *call, char *buf, size_t max);
+
 /* Returns what is kept of the connection. */
 struct conn *hd_conn(struct MHD_Connection *conn);
 
--- a/base/hd_response.c
+++ b/base/hd_response.c
@@ -102,7 +102,7 @@
  * Copies unsent bytes of the response to buf. Those that were read are removed once they are the
  * greater part: removed one block at a time, a large response would be moved once for each block.
  */
-static size_t hd_take_pending(struct hd_call *call, char *buf, size_t max)
+size_t hd_take_pending(struct hd_call *call, char *buf, size_t max)
 {
 	size_t n = MIN(max, hd_pending(call));
 
@@ -117,7 +117,7 @@
 	return n;
 }
 
-static void hd_notify_drained(struct hd_call *call)
+void hd_notify_drained(struct hd_call *call)
 {
 	const struct hd_config *config = &call->hd->config;
 
@@ -192,7 +192,7 @@
 }
 
 /* The library takes no status that has not three digits, and no header without a value. */
-static enum MHD_Result hd_replace_refused(struct hd_call *call)
+enum MHD_Result hd_replace_refused(struct hd_call *call)
 {
 	hd_log_failure(call, "answer_refused", NULL);
 	met_add(met_counter("bg_answers_refused_total", ""), 1);
@@ -208,12 +208,27 @@
 					       MHD_RESPMEM_MUST_COPY);
 }
 
+/* A connection with a large block is closed, as the block would be kept with it. */
+static bool hd_must_close(const struct hd_call *call)
+{
+	return ck_pr_load_uint(&call->hd->closing) || hd_conn(call->conn)->large;
+}
+
+bool hd_response_closes(struct hd_call *call)
+{
+	bool closes = hd_must_close(call);
+
+	for (guint i = 0; i + 1 < call->headers->len; i += 2)
+		closes |= g_ascii_strcasecmp(call->headers->pdata[i], "Connection") == 0;
+	return closes;
+}
+
 /* Returns whether the library has taken all headers of the response. */
 static bool hd_add_headers(const struct hd_call *call, struct MHD_Response *resp)
 {
 	bool taken = !call->type || hd_add_header(call, resp, "Content-Type", call->type);
 
-	if (ck_pr_load_uint(&call->hd->closing))
+	if (hd_must_close(call))
 		taken &= hd_add_header(call, resp, "Connection", "close");
 	for (guint i = 0; i + 1 < call->headers->len; i += 2)
 		taken &= hd_add_header(call, resp, call->headers->pdata[i],
@@ -230,7 +245,8 @@
 	if (call->aborted && call->status == 0)
 		return MHD_NO;
 	if (!hd_leaves_room(call, size))
-		return hd_replace_long_head(call, size);
+		return call->hd->config.any_head ? hd_direct_begin(call)
+						 : hd_replace_long_head(call, size);
 	resp = hd_create_response(call);
 	if (!hd_is_created(call, resp))
 		return hd_replace_refused(call);
@@ -246,6 +262,8 @@
 /* Makes the library poll a suspended connection again. Called with the lock held. */
 static void hd_resume(struct hd_call *call)
 {
+	if (call->direct)
+		hd_direct_resume(call);
 	if (!call->suspended || call->closed)
 		return;
 	call->suspended = false;
--- a/base/tcp_read.h
+++ b/base/tcp_read.h
@@ -13,6 +13,12 @@
  */
 bool tcp_read_bytes(int fd, uint64_t *bytes) G_GNUC_WARN_UNUSED_RESULT;
 
+/*
+ * Does the same, exactly: the result of tcp_read_bytes() lacks what arrives while it asks. Returns
+ * false also if something arrives each time.
+ */
+bool tcp_read_bytes_exactly(int fd, uint64_t *bytes) G_GNUC_WARN_UNUSED_RESULT;
+
 G_END_DECLS
 
 #endif
--- a/prog/router.c
+++ b/prog/router.c
@@ -154,6 +154,7 @@
 	const struct hd_config config = {
 		.addr = router->settings.front,
 		.threads = ROUTER_THREADS,
+		.any_head = true,
 		.body_max = ROUTER_BODY_MAX,
 		.handler = traf_on_call,
 		.may_accept = traf_may_accept,
--- a/regress/soak/cases_odd.py
+++ b/regress/soak/cases_odd.py
@@ -267,9 +267,13 @@
     ("400-parameters", "/once/x?" + "&".join("p%d=%s" % (i, "v" * 12) for i in range(400)), {}, True),
     ("8000-parameters", "/once/x?" + "&".join("p" for _ in range(8000)), {}, True),
     ("100-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(100))}, True),
-    ("350-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(350))}, False),
+    ("350-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(350))}, True),
+    ("1500-cookies", "/once/x", {"Cookie": "; ".join("c%d=v" % i for i in range(1500))}, True),
     ("100-lines", "/once/x", {"X-Line-%d" % i: "v" * 100 for i in range(100)}, True),
-    ("300-lines", "/once/x", {"X-Line-%d" % i: "v" * 25 for i in range(300)}, False),
+    ("300-lines", "/once/x", {"X-Line-%d" % i: "v" * 25 for i in range(300)}, True),
+    ("1300-lines", "/once/x", {"X%d" % i: "v" for i in range(1300)}, True),
+    ("parameters-lines-and-cookies", "/once/x?" + "&".join("p%d=v" % i for i in range(500)),
+     dict({"X%d" % i: "v" for i in range(500)}, Cookie="; ".join("c%d=v" % i for i in range(500))), True),
     ("3000-lines", "/once/x", {"X%d" % i: "" for i in range(3000)}, False),
 )
 
--- a/router/traffic.c
+++ b/router/traffic.c
@@ -348,6 +348,7 @@
 
 	hd_set_limits(traf->router->front, (size_t)limits->max_body_bytes,
 		      (unsigned int)((limits->idle_ms + 999) / 1000));
+	hd_set_head_max(traf->router->front, (size_t)MAX(limits->max_head_bytes, 1));
 	hd_set_head_limit(traf->router->front, tmr_from_ms(limits->head_ms));
 	traf_body_set_max(traf->body, (uint64_t)limits->max_body_bytes);
 }
--- a/rt/rt.h
+++ b/rt/rt.h
@@ -107,6 +107,7 @@
 
 /* Limits on callers' connections. */
 struct rt_limits {
+	int64_t max_head_bytes; /* maximum size of a request line, and of headers, in bytes */
 	int64_t max_body_bytes; /* maximum size of a request body, in bytes */
 	int64_t idle_ms;	/* time after which an idle connection is closed, in milliseconds */
 	int64_t head_ms;	/* time that the head of a request may take, in milliseconds */
