--- a/base/hd.c
+++ b/base/hd.c
@@ -101,10 +101,11 @@
 	const struct hd_config *config = &hd->config;
 	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
 	bool listens = hd->listen_fd >= 0 && !config->any_head;
+	struct MHD_Daemon *daemon;
 
 	if (!listens)
 		flags |= MHD_USE_NO_LISTEN_SOCKET;
-	return MHD_start_daemon(
+	daemon = MHD_start_daemon(
 		flags, 0, listens && config->may_accept ? hd_on_connection : NULL, hd,
 		hd_on_request, hd, MHD_OPTION_NOTIFY_COMPLETED, hd_on_completed, hd,
 		MHD_OPTION_NOTIFY_CONNECTION, hd_on_notify, hd, MHD_OPTION_URI_LOG_CALLBACK,
@@ -112,6 +113,7 @@
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
 		listens ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, hd->listen_fd, MHD_OPTION_END);
+	return daemon;
 }
 
 /* Starts the library's servers. Returns whether all have started. */
@@ -261,17 +263,6 @@
 	conns_set_head_limit(&hd->conns, (uint64_t)MAX(head_us, 0), tmr_now());
 }
 
-void hd_set_head_max(struct hd *hd, size_t bytes)
-{
-	pthread_mutex_lock(&hd->body_lock);
-	if (hd->head_max_set)
-		recent_set(&hd->head_max, bytes, tmr_now());
-	else
-		recent_init(&hd->head_max, bytes);
-	hd->head_max_set = true;
-	pthread_mutex_unlock(&hd->body_lock);
-}
-
 /* Answers a connection on which the head of a request has taken too long. */
 static void hd_reply_slow_head(void *ctx, const struct conn *conn)
 {
@@ -523,16 +514,6 @@
 	hd_unref(call);
 }
 
-void hd_set_owner(struct hd_call *call, void *owner)
-{
-	call->owner = owner;
-}
-
-void *hd_owner(const struct hd_call *call)
-{
-	return call->owner;
-}
-
 /*
  * The library doesn't poll the socket of a suspended connection, so a client that disconnects would
  * keep its endpoint busy until the next token. This checks the socket without consuming data.
@@ -560,76 +541,3 @@
 	pthread_mutex_unlock(&call->lock);
 	return timed_out;
 }
-
-const char *hd_method(const struct hd_call *call)
-{
-	return call->method;
-}
-
-const char *hd_target(const struct hd_call *call)
-{
-	return call->target;
-}
-
-struct hd_header_iter {
-	hd_header_fn fn;
-	void *ctx;
-};
-
-static enum MHD_Result hd_on_header(void *ctx, enum MHD_ValueKind kind, const char *name,
-				    const char *value)
-{
-	struct hd_header_iter *iter = ctx;
-
-	(void)kind;
-	iter->fn(iter->ctx, name, value ? value : "");
-	return MHD_YES;
-}
-
-void hd_each_header(struct hd_call *call, hd_header_fn fn, void *ctx)
-{
-	struct hd_header_iter iter = {fn, ctx};
-
-	MHD_get_connection_values(call->conn, MHD_HEADER_KIND, hd_on_header, &iter);
-}
-
-const char *hd_path(const struct hd_call *call)
-{
-	return call->path;
-}
-
-const char *hd_header(struct hd_call *call, const char *name)
-{
-	return MHD_lookup_connection_value(call->conn, MHD_HEADER_KIND, name);
-}
-
-const char *hd_query(struct hd_call *call, const char *name)
-{
-	char *value = hd_query_value(call->target, name);
-
-	if (value)
-		g_ptr_array_add(call->query_values, value);
-	return value;
-}
-
-static void hd_release_body(void *ctx)
-{
-	hd_unref(ctx);
-}
-
-GBytes *hd_share_body(struct hd_call *call)
-{
-	ck_pr_inc_uint(&call->refs);
-	return g_bytes_new_with_free_func(call->body->str, call->body->len, hd_release_body, call);
-}
-
-const char *hd_body(const struct hd_call *call, size_t *len)
-{
-	*len = call->body->len;
-	return call->body->str;
-}
-
-int hd_local_port(const struct hd_call *call)
-{
-	return call->port;
-}
--- a/base/hd_any.c
+++ b/base/hd_any.c
@@ -33,6 +33,17 @@
 	return MIN(max, INTAKE_HEAD_MAX);
 }
 
+void hd_set_head_max(struct hd *hd, size_t bytes)
+{
+	pthread_mutex_lock(&hd->body_lock);
+	if (hd->head_max_set)
+		recent_set(&hd->head_max, bytes, tmr_now());
+	else
+		recent_init(&hd->head_max, bytes);
+	hd->head_max_set = true;
+	pthread_mutex_unlock(&hd->body_lock);
+}
+
 bool hd_any_is_over(const struct hd_call *call)
 {
 	return call->hd->config.any_head && call->head.bytes > 2 * hd_head_max(call->hd);
@@ -107,7 +118,7 @@
 
 	g_ptr_array_add(headers, g_strdup(MHD_HTTP_HEADER_RETRY_AFTER));
 	g_ptr_array_add(headers, g_strdup_printf("%d", HD_LARGE_RETRY_S));
-	hd_log_refused("request_head_waits_not", size);
+	hd_log_refused("request_head_busy", size);
 	met_add(met_counter("bg_request_heads_busy_total", ""), 1);
 	hd_refuse_unread(hd, conn, &response);
 	g_ptr_array_free(headers, TRUE);
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -16,8 +16,7 @@
 	HD_LARGE_MAX = 64 /* connections with a large block at once */
 };
 
-/* What the files of the HTTP server share: hd.c, hd_any.c, hd_body.c, hd_direct.c, hd_response.c.
- */
+/* What the files of the HTTP server, base/hd_*.c, share. */
 struct hd {
 	struct MHD_Daemon *daemon;
 	struct MHD_Daemon *large; /* serves requests with large heads; NULL unless any_head */
