What the HTTP library or the kernel does not give is said

The code takes for granted that the library starts with its options, and that the kernel tells how much of a connection was read. A library that refuses an option ended in listen_failed with the address, as if that were at fault; counts that the kernel doesn't tell were passed over in silence, and large heads on kept connections would get 431 for no reason that anybody sees.

http_library_not_started has the library's version, whether it has epoll, the block and the reason; read_counts_unknown comes once, with a counter for each request.

--- a/base/hd.c
+++ b/base/hd.c
@@ -96,6 +96,15 @@
 	g_free(hd);
 }
 
+/* Says what a library that does not start lacks: it may be another version, or built otherwise. */
+static void hd_log_not_started(size_t memory)
+{
+	log_msg(LOG_ERR, "http_library_not_started version=%s epoll=%s memory=%zu reason=\"%s\"",
+		MHD_get_version(),
+		MHD_is_feature_supported(MHD_FEATURE_EPOLL) == MHD_YES ? "yes" : "no", memory,
+		strerror(errno));
+}
+
 struct MHD_Daemon *hd_start_library(struct hd *hd, unsigned int threads, size_t memory)
 {
 	const struct hd_config *config = &hd->config;
@@ -113,6 +122,8 @@
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)HD_CONNECTIONS_MAX,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
 		listens ? MHD_OPTION_LISTEN_SOCKET : MHD_OPTION_END, hd->listen_fd, MHD_OPTION_END);
+	if (!daemon)
+		hd_log_not_started(memory);
 	return daemon;
 }
 
--- a/base/hd_any.c
+++ b/base/hd_any.c
@@ -1,11 +1,13 @@
 #include "base/hd_int.h"
 #include "base/err.h"
 #include "base/jl.h"
+#include "base/log.h"
 #include "base/met.h"
 #include "base/tcp_read.h"
 #include "base/tmr.h"
 
 #include <ck_pr.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <string.h>
 
@@ -255,6 +257,19 @@
 		call->framing++;
 }
 
+/*
+ * Without the kernel's counts the next head is read unmeasured, and refused if a usual block has no
+ * room for it.
+ */
+static void hd_count_unknown(void)
+{
+	struct met_ctr *ctr = met_counter("bg_read_counts_unknown_total", "");
+
+	if (met_get(ctr) == 0)
+		log_msg(LOG_WARNING, "read_counts_unknown reason=\"%s\"", strerror(errno));
+	met_add(ctr, 1);
+}
+
 /*
  * Returns whether the library has read nothing behind the request, whose framing is known only as
  * far as it can reach. If it has, it must go on: it would wait for the rest otherwise.
@@ -264,7 +279,11 @@
 	uint64_t least = conn->requests_bytes;
 	uint64_t read;
 
-	if (!tcp_read_bytes_exactly(conn->fd, &read) || read < least)
+	if (!tcp_read_bytes_exactly(conn->fd, &read)) {
+		hd_count_unknown();
+		return false;
+	}
+	if (read < least)
 		return false;
 	if (read > least + call->framing)
 		return false;
