intake: what a watched connection says is written before the kernel is asked

Found by the thread sanitizer in the tests of the HTTP server: intake_watch() noted that a connection is watched after the call to the kernel. By then the intake's thread may have the connection, take it out of its loop and note so; the late note would stand, the next call would fail, and the connection be closed between two requests. Adopted connections might even be freed already.

The note comes first now. A stop of the server walked the list of connections under another lock than its ends; it takes both now (no daemon stops a server, tests do).

What the sanitizer still reports there, 28 places, are hand-overs through epoll and reference counts of Concurrency Kit, of which it sees neither: each was read, and the writes stand before the call that hands over.

--- a/base/conns.h
+++ b/base/conns.h
@@ -68,7 +68,7 @@
 	struct intake *intake;		/* NULL: none holds it */
 	struct loop_fd lfd;		/* of the loop of intake */
 	bool watched;			/* lfd is in the loop */
-	bool awaiting;			/* the intake waits for the next head; atomic */
+	bool awaiting;			/* the intake waits for the next head */
 	int64_t part_since_us;		/* when the intake first saw a part of a head; 0: none */
 	GList part_link;		/* in intake->parts if part_since_us is set */
 	struct MHD_Connection *library; /* the library's connection; NULL: it has none yet */
--- a/base/hd_any.c
+++ b/base/hd_any.c
@@ -212,6 +212,7 @@
 static void hd_resume_all(struct hd *hd)
 {
 	pthread_mutex_lock(&hd->body_lock);
+	pthread_mutex_lock(&hd->conns.lock);
 	hd->stopping = true;
 	for (GList *link = hd->conns.all.head; link; link = link->next) {
 		const struct conn *conn = link->data;
@@ -219,6 +220,7 @@
 		if (conn->awaiting || conn->direct)
 			MHD_resume_connection(conn->library);
 	}
+	pthread_mutex_unlock(&hd->conns.lock);
 	pthread_mutex_unlock(&hd->body_lock);
 }
 
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -21,7 +21,7 @@
 	struct MHD_Daemon *daemon;
 	struct MHD_Daemon *large; /* serves requests with large heads; NULL unless any_head */
 	unsigned int large_open;  /* its connections; atomic */
-	unsigned int stopping;	  /* 1: the intake takes no further connection; atomic */
+	bool stopping;		  /* no further connection is held; guarded by body_lock */
 	struct intake intake;	  /* of hd_config.any_head */
 	struct hd_config config;
 	char *too_large;	    /* body of the response with status 413, JSON */
--- a/base/intake.c
+++ b/base/intake.c
@@ -19,18 +19,21 @@
 static void intake_on_event(void *ctx, uint32_t events);
 static void intake_on_parts_timer(void *ctx, int64_t now_us);
 
+/* From the call to the kernel on, the intake's thread may have the connection. */
 static void intake_watch(struct intake *intake, struct conn *conn, uint32_t events)
 {
+	bool was_watched = conn->watched;
 	int err;
 
+	conn->intake = intake;
 	conn->lfd.fd = conn->fd;
 	conn->lfd.fn = intake_on_event;
 	conn->lfd.ctx = conn;
-	if (conn->watched)
+	conn->watched = true;
+	if (was_watched)
 		err = loop_fd_mod(&intake->loop, &conn->lfd, events);
 	else
 		err = loop_fd_add(&intake->loop, &conn->lfd, events);
-	conn->watched = true;
 	if (err == 0)
 		return;
 	/* Nobody would notice its next request; its client sees the end instead. */
@@ -41,13 +44,11 @@
 
 void intake_await(struct intake *intake, struct conn *conn)
 {
-	conn->intake = intake;
 	intake_watch(intake, conn, EPOLLIN | EPOLLRDHUP | EPOLLONESHOT);
 }
 
 void intake_await_writable(struct intake *intake, struct conn *conn)
 {
-	conn->intake = intake;
 	intake_watch(intake, conn, EPOLLOUT | EPOLLONESHOT);
 }
 
