Callers who have left are noticed though more than their request lies unread

What could be seen: a caller that sends more than one request and leaves before the first is answered kept its endpoint at work to the end, and the end of its connection counted as unanswered, which must not happen. Nobody has reported it.

Cause: whether the caller is there was asked by looking at the next byte of the connection. With bytes unread there is one, also behind an end or a reset.

Ruled out: memory of the library (a 404 of 200 bytes is among them), spoilt framing (a sound request is, too).

If there are bytes, the kernel is asked for the connection's state (base/tcp_end.c), while a request runs and when the library reports an error. Without bytes nothing changes, so nothing changes for callers that await their answers.

--- a/base/hd.c
+++ b/base/hd.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/lsn.h"
 #include "base/met.h"
+#include "base/tcp_end.h"
 #include "base/tmr.h"
 
 #include <arpa/inet.h>
@@ -431,15 +432,6 @@
 	return result;
 }
 
-/* Returns whether the client has closed or reset the connection. */
-static bool hd_is_peer_gone(int fd)
-{
-	char byte;
-	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-}
-
 /* The library reports a failed send as it reports failures of its own, so the socket is asked. */
 static enum hd_end hd_end_of(const struct hd_call *call, enum MHD_RequestTerminationCode code)
 {
@@ -470,7 +462,7 @@
 	case MHD_REQUEST_TERMINATED_WITH_ERROR:
 		break;
 	}
-	return hd_is_peer_gone(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
+	return tcp_peer_has_closed(call->fd) ? HD_END_CLIENT : HD_END_ERROR;
 }
 
 static void hd_report_end(struct hd *hd, const struct hd_call *call)
@@ -531,13 +523,12 @@
  */
 bool hd_client_closed(struct hd_call *call)
 {
-	char byte;
 	bool gone;
 
 	pthread_mutex_lock(&call->lock);
 	gone = call->closed && call->end != HD_END_WHOLE;
 	if (!call->closed && call->fd >= 0)
-		gone = recv(call->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+		gone = tcp_peer_has_closed(call->fd);
 	call->client_closed |= gone;
 	pthread_mutex_unlock(&call->lock);
 	return gone;
--- a/base/hd_any_test.cc
+++ b/base/hd_any_test.cc
@@ -93,6 +93,10 @@
 		auto *test = (HdAnyTest *)ctx;
 		size_t len;
 		test->runs_++;
+		if (test->holds_) {
+			test->held_ = call;
+			return;
+		}
 		hd_body(call, &len);
 		test->body_bytes_ = len;
 		if (strncmp(hd_path(call), "/x", 2) == 0 && test->filler_ > 0)
@@ -162,6 +166,8 @@
 	int client_ = -1, filler_ = 0, stream_parts_ = 0;
 	bool aborts_ = false;
 	std::string received_;
+	std::atomic<bool> holds_{false};
+	std::atomic<hd_call *> held_{nullptr};
 	std::atomic<int> runs_{0}, ends_{0};
 	std::atomic<size_t> body_bytes_{0};
 	std::atomic<int> last_end_{HD_END_COUNT};
@@ -324,6 +330,47 @@
 	}
 }
 
+/* Guards against requests that wait for ever, as they had been read with the one before them when
+ * the connection was held. */
+TEST_F(HdAnyTest, PipelinedRequestsAreServed)
+{
+	const std::string get = RequestOf({}, 0, Body::NONE);
+	const std::string chunked = RequestOf({}, 0, Body::CHUNKED);
+	for (const std::string &all : {get + get + get, chunked + get, chunked + chunked + get}) {
+		Connect();
+		Send(all);
+		for (size_t at = 0; (at = all.find("HTTP/1.1", at)) != std::string::npos; at++)
+			ASSERT_NE(ReadAnswer().find(" 200 "), std::string::npos) << all.size();
+	}
+}
+
+/* Guards against callers who have left and are not noticed, since more than their request lies
+ * unread: their endpoints work on, and their requests count as unanswered. */
+TEST_F(HdAnyTest, ClientThatLeavesWithBytesUnreadIsNoticed)
+{
+	const linger reset = {1, 0};
+	for (bool by_reset : {false, true}) {
+		Connect();
+		ends_ = 0;
+		holds_ = true;
+		Send(RequestOf({}, 0, Body::NONE) + std::string(100000, 'z'));
+		while (!held_)
+			std::this_thread::yield();
+		if (by_reset)
+			setsockopt(client_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(client_);
+		client_ = -1;
+		while (!hd_client_closed(held_))
+			std::this_thread::yield();
+		hd_reply(held_, 200, "text/plain", "answer", 6);
+		hd_unref(held_);
+		held_ = nullptr;
+		while (ends_ == 0)
+			std::this_thread::yield();
+		EXPECT_EQ(last_end_, HD_END_CLIENT) << by_reset;
+	}
+}
+
 /* Guards against a head that never ends and is held for ever. */
 TEST_F(HdAnyTest, HeadThatNeverEndsGets408)
 {
--- a/regress/soak/cases_heads.py
+++ b/regress/soak/cases_heads.py
@@ -4,6 +4,8 @@
 import os
 import random
 import resource
+import socket
+import struct
 
 from cases import expect, run
 from cases_lost import WHOLE, Connection, request_bytes
@@ -132,6 +134,67 @@
         conn.close()
 
 
+def spoilt(rng, data):
+    """Changes some bytes of a request, most of them where its framing is."""
+    data = bytearray(data)
+    for _ in range(rng.choice((0, 1, 1, 2, 8))):
+        at = rng.randrange(min(len(data), rng.choice((40, 400, 1 << 20))))
+        change = rng.choice((b"\r\n", b"\n", b"\r", b":", b" ", b"\0", b";", b"\xff", b"\r\n\r\n", b"chunked", b"-1", b""))
+        data[at:at + rng.randrange(3)] = change
+    return bytes(data)
+
+
+def in_pieces(rng, data):
+    """Yields what to send at a time."""
+    while data:
+        n = rng.choice((1, 3, 50, 1460, 1 << 20))
+        yield data[:n]
+        data = data[n:]
+
+
+def fuzz_connection(rng, stack, host, names):
+    """Sends some requests, sound and spoilt ones, in pieces, one behind the other or in turn; leaves in some way."""
+    conn = Connection(stack.port(host, "front"), timeout=0.2)
+    try:
+        for _ in range(rng.randrange(1, 5)):
+            query, headers = SHAPES[rng.choice(sorted(SHAPES))](rng.choice((1, 30, 300, 1300)))
+            body = b"b" * rng.choice((1, 2000, 30000))
+            data = request_bytes("/%s/x%s" % (rng.choice(("once", "many")), query), next(names), body=body, **headers)
+            if rng.random() < 0.3:
+                data = chunked(data, body)
+            for piece in in_pieces(rng, spoilt(rng, data)):
+                conn.send(piece)
+            if rng.random() < 0.6:
+                conn.read_answer()
+        if rng.random() < 0.3:
+            conn.sock.shutdown(socket.SHUT_WR)
+            conn.fill()
+        if rng.random() < 0.3:
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except (OSError, ValueError, IndexError):
+        pass
+    conn.close()
+
+
+def case_fuzz(stack):
+    """Guards against bytes by which a host ends, hangs, loses sound requests or keeps memory: connections with spoilt
+    heads and framing, in pieces, beside sound ones. BG_HEADS: number of connections."""
+    stack.up()
+    rng = random.Random(int(os.environ.get("BG_HEADS_SEED", "1")))
+    names, total = ("fuzz-%d" % i for i in itertools.count()), int(os.environ.get("BG_HEADS", "400"))
+    for name in ("p0", "p1"):
+        stack.fault_engine(name, "ok", more="X-Policy: " + "v" * 30000)
+    for i in range(total):
+        fuzz_connection(rng, stack, "host-%d" % (i % 3), names)
+        if i % 20 == 0:
+            for host in stack.hosts:
+                expect("sound request at " + host, stack.ask(host, "/once/a", "sound-%d-%s" % (i, host))[0], 200)
+    for host in stack.hosts:
+        if stack.memory_kb(host, "VmHWM") > 200 * 1024:
+            raise Failure("%s has had %d KiB" % (host, stack.memory_kb(host, "VmHWM")))
+    print("%d connections, largest host %d KiB" % (total, max(stack.memory_kb(h, "VmHWM") for h in stack.hosts)))
+
+
 CASES = {name[5:]: fn for name, fn in globals().items() if name.startswith("case_")}
 
 if __name__ == "__main__":
