hd_direct: what was sent at the end of a turn is not sent again

Of an answer that is sent beside the library, at most 256 KiB go out in a turn. The part that reached that bound was sent, but not counted as sent, so it came twice. Chunks looked whole.

The test of these answers looked at their begin and end alone; it compares all bytes now, with parts that differ: HdLongAnswerTest.AnswerIsSentBesideTheLibrary failed in its two cases of 500 kB before (Stream, StreamToAnOldClient), and passes after.

--- a/base/hd_any_test.cc
+++ b/base/hd_any_test.cc
@@ -108,12 +108,17 @@
 			hd_reply(call, 200, "text/plain", "answer", 6);
 		hd_unref(call);
 	}
+	static std::string PartOf(int i)
+	{
+		return std::string(1000, (char)('a' + i % 26));
+	}
 	void Stream(hd_call *call) const
 	{
-		const std::string part(1000, 'p');
 		hd_reply_begin(call, 200, "text/plain");
-		for (int i = 0; i < stream_parts_; i++)
+		for (int i = 0; i < stream_parts_; i++) {
+			const std::string part = PartOf(i);
 			EXPECT_EQ(hd_reply_write(call, part.data(), part.size()), 0);
+		}
 		if (aborts_)
 			hd_abort(call);
 		else
@@ -255,6 +260,19 @@
 	}
 };
 
+/* Returns what the chunks hold, as far as they are there. */
+std::string Unchunk(const std::string &chunks)
+{
+	std::string all;
+	for (size_t at = 0; at < chunks.size();) {
+		size_t line = chunks.find("\r\n", at);
+		size_t n = std::stoul(chunks.substr(at, line - at), nullptr, 16);
+		all += chunks.substr(line + 2, n);
+		at = line + 2 + n + 2;
+	}
+	return all;
+}
+
 struct LongAnswerCase {
 	const char *name, *method, *version;
 	int parts; /* of 1,000 bytes; 0: a whole answer */
@@ -267,10 +285,10 @@
 	{"Whole", "GET", "1.1", 0, false, "answer", "answer", HD_END_WHOLE},
 	{"WholeToAnOldClient", "GET", "1.0", 0, false, "answer", "answer", HD_END_WHOLE},
 	{"HeadOnly", "HEAD", "1.1", 0, false, "", "\r\n\r\n", HD_END_WHOLE},
-	{"Stream", "GET", "1.1", 500, false, "4000\r\npppp", "\r\n0\r\n\r\n", HD_END_WHOLE},
+	{"Stream", "GET", "1.1", 500, false, "4000\r\naaaa", "\r\n0\r\n\r\n", HD_END_WHOLE},
 	{"StreamOfHeadOnly", "HEAD", "1.1", 50, false, "", "\r\n\r\n", HD_END_WHOLE},
-	{"AbortedStream", "GET", "1.1", 50, true, "", "ppp\r\n", HD_END_ABORTED},
-	{"StreamToAnOldClient", "GET", "1.0", 500, false, "pppp", "pppp", HD_END_WHOLE},
+	{"AbortedStream", "GET", "1.1", 50, true, "", "xxx\r\n", HD_END_ABORTED},
+	{"StreamToAnOldClient", "GET", "1.0", 500, false, "aaaa", "ffff", HD_END_WHOLE},
 };
 
 /* Guards against answers that are replaced by 502, though their requests have run, since their
@@ -292,6 +310,14 @@
 		EXPECT_EQ(all.compare(body, strlen(c.body_begin), c.body_begin), 0);
 		EXPECT_EQ(all.substr(all.size() - strlen(c.all_end)), c.all_end);
 		EXPECT_EQ(last_end_, c.end);
+		if (c.parts > 0 && strcmp(c.method, "GET") == 0) {
+			const bool chunked = strcmp(c.version, "1.1") == 0;
+			const std::string sent = all.substr(body);
+			std::string expected;
+			for (int i = 0; i < c.parts; i++)
+				expected += PartOf(i);
+			EXPECT_TRUE((chunked ? Unchunk(sent) : sent) == expected);
+		}
 		EXPECT_EQ(hd_unsent_total(hd_), 0u);
 	}
 }
--- a/base/hd_direct.c
+++ b/base/hd_direct.c
@@ -173,12 +173,14 @@
 			call->client_closed = true;
 			return true;
 		}
+		if (n > 0) {
+			call->wire_at += (size_t)n;
+			total += (size_t)n;
+			call->direct_us = tmr_now();
+		}
 		*waits = n < 0 || total >= HD_DIRECT_TURN_MAX;
 		if (*waits)
 			return false;
-		call->wire_at += (size_t)n;
-		total += (size_t)n;
-		call->direct_us = tmr_now();
 	}
 	return hd_direct_on_sent(call);
 }
