Trailers of a request count before it runs

What could be seen: a request with a chunked body and 140 to 220 lines behind its last chunk ran, and its connection was closed without a byte, if its answer had a head of 20 to 25 kB. Nobody has reported it.

Cause: what the library's block holds was added up when the head was there.

Ruled out: a caller who had left (the end is an error), an answer sent beside the library (no byte of it was).

They are added once the body has been received, before the request runs.

--- a/base/hd.c
+++ b/base/hd.c
@@ -409,9 +409,10 @@
 	}
 	if (call->too_large)
 		return hd_reply_too_large(call);
-	if (!call->handler_called && !hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
-		return hd_refuse_head(call);
 	if (!call->handler_called) {
+		hd_head_read_trailers(&call->head, conn);
+		if (!hd_leaves_room(call, HD_RESPONSE_ROOM_MIN))
+			return hd_refuse_head(call);
 		call->handler_called = true;
 		ck_pr_inc_uint(&call->refs);
 		hd->config.handler(hd->config.ctx, call);
--- a/base/hd_any_test.cc
+++ b/base/hd_any_test.cc
@@ -346,6 +346,27 @@
 	EXPECT_EQ(last_end_, HD_END_CLIENT);
 }
 
+/* Guards against requests that run and end without an answer, since the lines behind their chunked
+ * bodies have taken the library's memory. */
+TEST_F(HdAnyTest, TrailersOfARequestTakeNoAnswer)
+{
+	for (int lines : {1, 20, 60, 100, 140, 180, 220, 300, 1000}) {
+		for (int filler : {0, 6000, 12000, 20000, 25000, 60000}) {
+			Connect();
+			runs_ = 0;
+			filler_ = filler;
+			std::string request = RequestOf({}, 0, Body::CHUNKED);
+			request.resize(request.size() - 2);
+			Send(request + Repeat("T%d: v\r\n", lines) + "\r\n");
+			const std::string answer = ReadAnswer();
+			const bool served = answer.find(" 200 ") != std::string::npos;
+			EXPECT_TRUE(served || answer.find(" 431 ") != std::string::npos)
+				<< lines << " " << filler << " " << answer.substr(0, 99);
+			EXPECT_EQ(runs_, served ? 1 : 0) << lines << " " << filler;
+		}
+	}
+}
+
 /* Guards against heads that are not served since they come in pieces. */
 TEST_F(HdAnyTest, HeadInPiecesIsServed)
 {
--- a/base/hd_head.c
+++ b/base/hd_head.c
@@ -106,6 +106,17 @@
 		head->memory += strlen(cookies) + HD_FIELD_MEMORY;
 }
 
+/* Their bytes are not counted as read, so they count as sent behind the request. */
+void hd_head_read_trailers(struct hd_head *head, struct MHD_Connection *conn)
+{
+	int n = MHD_get_connection_values(conn, MHD_FOOTER_KIND, NULL, NULL);
+
+	if (n <= 0)
+		return;
+	head->fields += (unsigned int)n;
+	head->memory += (size_t)n * HD_FIELD_MEMORY;
+}
+
 /* Returns the most bytes that the library may have read behind the head. */
 static size_t hd_behind_max(size_t block, size_t bytes)
 {
--- a/base/hd_head.h
+++ b/base/hd_head.h
@@ -68,6 +68,9 @@
 /* Fills in all but block and body_bytes when the library has parsed the head. */
 void hd_head_read(struct hd_head *head, struct MHD_Connection *conn);
 
+/* Adds what the library has made of the lines behind a chunked body, once that was received. */
+void hd_head_read_trailers(struct hd_head *head, struct MHD_Connection *conn);
+
 /*
  * Returns the bytes that are left for the head of the response. earlier: bytes of the requests that
  * the connection had before. As the framing of chunked bodies is not counted, it may return less
