--- a/base/conns.h
+++ b/base/conns.h
@@ -64,7 +64,7 @@
 	/* Bytes of the requests that were answered; used by the library's thread only. */
 	uint64_t requests_bytes;
 
-	/* Set by base/hd.c, see base/intake.h. */
+	/* Set by base/hd_any.c and base/intake.c. */
 	struct intake *intake;		/* NULL: none holds it */
 	struct loop_fd lfd;		/* of the loop of intake */
 	bool watched;			/* lfd is in the loop */
