A request that is given up resets its endpoint's connection

The connection was closed, not reset, so the kernel went on to deliver what it had taken of the request, up to some megabytes, and an endpoint that reads slowly received it whole and ran it for nobody.

Cause: the HTTP client library closes a cancelled connection as a regular end.

Change: hc_cancel() sets the connection to be reset when it is closed. A gateway passes a reset of the asking host on to the endpoint, a regular end as a regular end. A paused request has no socket in our list, and its request was sent whole, so nothing of it is left to drop.

Ruled out: the library's option for the open socket (getinfo ACTIVESOCKET) names none while the transfer runs; tried first, the test went on to fail.

One copy of the option moved to base/tcp_end.c.

--- a/base/hc.c
+++ b/base/hc.c
@@ -2,6 +2,7 @@
 #include "base/addr.h"
 #include "base/log.h"
 #include "base/met.h"
+#include "base/tcp_end.h"
 #include "base/tcp_read.h"
 
 #include <sys/epoll.h>
@@ -428,6 +429,17 @@
 		hc_resume(g_ptr_array_steal_index_fast(hc->resumed, 0));
 }
 
+/*
+ * Without a reset the kernel would go on to deliver what it has taken of the request, and a server
+ * that reads slowly would receive it whole and run it for nobody.
+ */
+static void hc_reset_on_close(const struct hc_call *call)
+{
+	/* A paused request has none: all of it was sent. */
+	if (call->sock && tcp_reset_on_close(call->sock->lfd.fd) < 0)
+		met_add(met_counter("bg_resets_failed_total", ""), 1);
+}
+
 /*
  * A handle must not be removed inside its own callback. There the request is only marked; the
  * library then ends it and hc_finish_call() frees it.
@@ -437,6 +449,7 @@
 	struct hc *hc = call->hc;
 
 	call->canceled = true;
+	hc_reset_on_close(call);
 	if (call->callback_running)
 		return;
 	if (!hc->in_callback) {
--- a/base/hc.h
+++ b/base/hc.h
@@ -115,7 +115,7 @@
  */
 void hc_pause(struct hc_call *call, bool on);
 
-/* Cancels a request; on_done() isn't called. */
+/* Cancels a request and resets its connection; on_done() isn't called. */
 void hc_cancel(struct hc_call *call);
 
 G_END_DECLS
--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -340,6 +342,46 @@
 	close(listener);
 }
 
+/* Guards against an endpoint that receives the rest of a request that was given up, and runs it. */
+TEST_F(HcTest, CanceledRequestResetsItsConnection)
+{
+	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	std::string url = "http://" + listen_on_loopback(listener, 8) + "/";
+	std::string body(4 << 20, 'x');
+	GBytes *shared = g_bytes_new_static(body.data(), body.size());
+	LoopRunner runner(&loop_);
+	char block[65536];
+	int unread = 0;
+	int fd = -1;
+	ssize_t n;
+	Call call{};
+
+	hc_request request{};
+	request.method = "POST";
+	request.url = url.c_str();
+	request.connect_ms = 5000;
+	request.fresh = true;
+	request.close = true;
+	request.shared_body = shared;
+	call.test = this;
+	call.call = hc_start(hc_, &request, &ops_, &call);
+	runner.RunUntil([&] {
+		if (fd < 0)
+			fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+		return fd >= 0 && ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
+	});
+	hc_cancel(call.call);
+	runner.RunUntil([&] {
+		n = recv(fd, block, sizeof(block), 0);
+		return n == 0 || (n < 0 && errno != EAGAIN);
+	});
+	EXPECT_EQ(n, -1);
+	EXPECT_EQ(errno, ECONNRESET);
+	g_bytes_unref(shared);
+	close(fd);
+	close(listener);
+}
+
 /* A call that notes what it receives and acts in its callback. */
 struct BodyCall {
 	struct loop *loop;
--- a/base/tcp_end.c
+++ b/base/tcp_end.c
@@ -35,3 +35,10 @@
 		return tcp_has_ended(fd);
 	return n == 0 || (errno != EAGAIN && errno != EINTR);
 }
+
+int tcp_reset_on_close(int fd)
+{
+	const struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	return setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
--- a/base/tcp_end.h
+++ b/base/tcp_end.h
@@ -12,6 +12,12 @@
  */
 bool tcp_peer_has_closed(int fd);
 
+/*
+ * Has the kernel reset the connection whenever it is closed: what has not been sent is dropped, and
+ * the peer sees no regular end. Returns -1 on failure.
+ */
+int tcp_reset_on_close(int fd) G_GNUC_WARN_UNUSED_RESULT;
+
 G_END_DECLS
 
 #endif
--- a/router/gateway.c
+++ b/router/gateway.c
@@ -3,6 +3,7 @@
 #include "base/frm.h"
 #include "base/jl.h"
 #include "base/met.h"
+#include "base/tcp_end.h"
 #include "msg/kind.h"
 
 #include <ck_pr.h>
@@ -142,6 +143,18 @@
 	jl_end();
 }
 
+/*
+ * An asking host that gives its request up resets its connection. The endpoint must not receive the
+ * rest of the request then, nor take what it has for the whole.
+ */
+static void gateway_pass_reset(const struct gateway_tunnel *tunnel)
+{
+	if (tunnel->state != GATEWAY_ATTACHED || tunnel->host.ended || tunnel->endpoint.ended)
+		return;
+	if (tcp_reset_on_close(tunnel->endpoint.lfd.fd) < 0)
+		met_add(met_counter("bg_resets_failed_total", ""), 1);
+}
+
 static void gateway_close(struct gateway_tunnel *tunnel, const char *why)
 {
 	struct gateway *gateway = tunnel->gateway;
@@ -151,6 +164,7 @@
 	tunnel->closed = true;
 	if (tunnel->state == GATEWAY_ATTACHED)
 		gateway_log(tunnel, "tunnel_ended", why);
+	gateway_pass_reset(tunnel);
 	tmr_cancel(&gateway->loop->tmr, &tunnel->timer);
 	gateway_side_close(&tunnel->ask);
 	gateway_side_close(&tunnel->host);
@@ -160,18 +174,6 @@
 	loop_post(gateway->loop, gateway_free, tunnel);
 }
 
-/*
- * Makes the kernel reset the connection whenever it is closed. If this process is killed in the
- * middle of an answer without a length, the asking host must not take the end of the connection for
- * the end of the answer. A regular end is a shutdown before the close. Returns -1 on failure.
- */
-static int gateway_reset_on_close(int fd)
-{
-	const struct linger linger = {.l_onoff = 1, .l_linger = 0};
-
-	return setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-}
-
 /* Notices an asking host that is gone without having closed the connection. */
 static void gateway_set_keepalive(int fd)
 {
@@ -479,8 +481,12 @@
 	}
 	tmr_cancel(&gateway->loop->tmr, &tunnel->timer);
 	tunnel->state = GATEWAY_ATTACHED;
-	if (gateway_side_init(&tunnel->host, msg->fd, 0) < 0 ||
-	    gateway_reset_on_close(msg->fd) < 0) {
+	/*
+	 * If this process is killed in the middle of an answer without a length, the asking host
+	 * must not take the end of the connection for the end of the answer. A regular end is a
+	 * shutdown before the close.
+	 */
+	if (gateway_side_init(&tunnel->host, msg->fd, 0) < 0 || tcp_reset_on_close(msg->fd) < 0) {
 		gateway_close(tunnel, "not watched");
 		return;
 	}
--- a/router/gateway_test.cc
+++ b/router/gateway_test.cc
@@ -1,9 +1,11 @@
 #include "base/frm.h"
 #include "msg/kind.h"
 #include "router/gateway.h"
+#include "base/tcp_end.h"
 #include "base/testing.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <cstdio>
 #include <functional>
 #include <gtest/gtest.h>
@@ -93,6 +95,54 @@
 	close(pair[1]);
 }
 
+struct TunnelEndRow {
+	const char *name;
+	bool reset; /* the asking host resets its connection; it ends it otherwise */
+	int last;   /* result of the endpoint's last read */
+};
+
+class GatewayEndTest : public GatewayTest, public ::testing::WithParamInterface<TunnelEndRow>
+{
+};
+
+/* Guards against an endpoint that runs a request which the asking host has given up. */
+TEST_P(GatewayEndTest, EndOfTheAskingHostReachesTheEndpoint)
+{
+	LoopbackConnection host = connect_on_loopback();
+	int pair[2];
+	uint64_t token = 0;
+	char block[256];
+	ssize_t n = 0;
+
+	ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+	Ask(pair);
+	ASSERT_EQ(ReadAnswer(pair[1], &token), TUNNEL__RESULT__OPENED);
+	int endpoint = accept4(endpoint_, nullptr, nullptr, SOCK_NONBLOCK);
+	gateway_post_attach(gateway_, host.accepted, token, g_byte_array_new());
+	ASSERT_EQ(send(host.client, "begun", 5, 0), 5);
+	RunUntil([&] { return recv(endpoint, block, sizeof(block), 0) == 5; });
+	if (GetParam().reset) {
+		ASSERT_EQ(tcp_reset_on_close(host.client), 0);
+	}
+	close(host.client);
+	RunUntil([&] {
+		n = recv(endpoint, block, sizeof(block), 0);
+		return n >= 0 || errno != EAGAIN;
+	});
+	EXPECT_EQ(n, GetParam().last);
+	EXPECT_EQ(gateway_open_tunnels(gateway_), 0u);
+	close(endpoint);
+	close(pair[1]);
+}
+
+static const TunnelEndRow tunnel_end_rows[] = {
+	{"Close", false, 0},
+	{"Reset", true, -1},
+};
+
+INSTANTIATE_TEST_SUITE_P(Ends, GatewayEndTest, ::testing::ValuesIn(tunnel_end_rows),
+			 [](const auto &row) { return row.param.name; });
+
 /* A gateway without free descriptors told other hosts that the endpoint refuses connections. */
 TEST_F(GatewayTest, LackOfDescriptorsIsNotARefusalOfTheEndpoint)
 {
