--- a/base/hc.c
+++ b/base/hc.c
@@ -437,7 +437,7 @@
 {
 	/* A paused request has none: all of it was sent. */
 	if (call->sock && tcp_reset_on_close(call->sock->lfd.fd) < 0)
-		met_add(met_counter("bg_resets_failed_total", ""), 1);
+		met_add(met_counter("bg_endpoint_resets_failed_total", ""), 1);
 }
 
 /*
--- a/router/gateway.c
+++ b/router/gateway.c
@@ -152,7 +152,7 @@
 	if (tunnel->state != GATEWAY_ATTACHED || tunnel->host.ended || tunnel->endpoint.ended)
 		return;
 	if (tcp_reset_on_close(tunnel->endpoint.lfd.fd) < 0)
-		met_add(met_counter("bg_resets_failed_total", ""), 1);
+		met_add(met_counter("bg_endpoint_resets_failed_total", ""), 1);
 }
 
 static void gateway_close(struct gateway_tunnel *tunnel, const char *why)
