case_crashing_popular: each turn has a request of its own

Cause: the case. In its first turn one of the streams outlived the crashes and ended whole after 1.2 s; 55 ms later the host wrote that to the store (quarantine_noted). From then on the same request counted as one that runs long at every host, the newly started one included, so no crash of it counted in the four turns that were left, though each ended three engines.

Ruled out: hosts that don't count (the same plays count, once the request differs).

--- a/regress/soak/cases.py
+++ b/regress/soak/cases.py
@@ -970,8 +970,10 @@
     stack.up()
 
     def popular(host, name, events=5):
+        """Sends the request of this turn. Hosts remember how long one of an earlier turn ran, and count no crash of it."""
         try:
-            return stack.ask(host, "/stream/x", name, timeout=10, Bronzegauge_Token_Counts="50,%d" % events)[0]
+            return stack.ask(host, "/stream/popular-%d" % turn, name, timeout=10,
+                             Bronzegauge_Token_Counts="50,%d" % events)[0]
         except (OSError, http.client.HTTPException):
             return 0    # the stream was cut
 
