--- a/base/hc.c
+++ b/base/hc.c
@@ -435,7 +435,7 @@
  */
 static void hc_reset_on_close(const struct hc_call *call)
 {
-	/* A paused request has none: all of it was sent. */
+	/* There is none while the response is paused and the whole request was sent. */
 	if (call->sock && tcp_reset_on_close(call->sock->lfd.fd) < 0)
 		met_add(met_counter("bg_endpoint_resets_failed_total", ""), 1);
 }
