One copy of what the mends of heads and resets had written again

- hd_put_in_force(): the limits on bodies and on heads come into force by the same rule (the first one replaces the default); it stood twice.
- Tests of clients that reset their connections call tcp_reset_on_close(), as the product does, in place of three socket options of their own.
- HcTest.CanceledRequestResetsItsConnection sends its request by HcTest's start(), which takes a body now.

The process tests were not run on this commit by hand.

--- a/base/hc_test.cc
+++ b/base/hc_test.cc
@@ -135,7 +135,8 @@
 	{
 		hc_request request{};
 
-		request.method = "GET";
+		request.method = body_ ? "POST" : "GET";
+		request.shared_body = body_;
 		request.url = url.c_str();
 		request.connect_ms = 5000;
 		request.total_ms = total_ms_;
@@ -154,6 +155,7 @@
 	hc *hc_ = nullptr;
 	hc_ops ops_{};
 	int64_t total_ms_ = 5000;
+	GBytes *body_ = nullptr; /* request body; nullptr: none */
 	std::string target_;
 	std::vector<Call *> cancel_; /* calls that the first head cancels */
 };
@@ -348,7 +350,6 @@
 	int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	std::string url = "http://" + listen_on_loopback(listener, 8) + "/";
 	std::string body(4 << 20, 'x');
-	GBytes *shared = g_bytes_new_static(body.data(), body.size());
 	LoopRunner runner(&loop_);
 	char block[65536];
 	int unread = 0;
@@ -356,15 +357,9 @@
 	ssize_t n;
 	Call call{};
 
-	hc_request request{};
-	request.method = "POST";
-	request.url = url.c_str();
-	request.connect_ms = 5000;
-	request.fresh = true;
-	request.close = true;
-	request.shared_body = shared;
-	call.test = this;
-	call.call = hc_start(hc_, &request, &ops_, &call);
+	total_ms_ = 0;
+	body_ = g_bytes_new_static(body.data(), body.size());
+	start(&call, url, nullptr, nullptr);
 	runner.RunUntil([&] {
 		if (fd < 0)
 			fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
@@ -377,7 +372,7 @@
 	});
 	EXPECT_EQ(n, -1);
 	EXPECT_EQ(errno, ECONNRESET);
-	g_bytes_unref(shared);
+	g_bytes_unref(body_);
 	close(fd);
 	close(listener);
 }
--- a/base/hd.c
+++ b/base/hd.c
@@ -253,17 +253,22 @@
 		MHD_set_connection_option(call->conn, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
 
+void hd_put_in_force(struct recent *limit, bool *was_set, size_t value, int64_t now_us)
+{
+	if (*was_set)
+		recent_set(limit, value, now_us);
+	else
+		recent_init(limit, value);
+	*was_set = true;
+}
+
 void hd_set_limits(struct hd *hd, size_t body_max, unsigned int idle_s)
 {
 	int64_t now_us = tmr_now();
 
 	conns_set_limit(&hd->conns, (uint64_t)tmr_from_s(idle_s), now_us);
 	pthread_mutex_lock(&hd->body_lock);
-	if (hd->body_max_set)
-		recent_set(&hd->body_max, body_max, now_us);
-	else
-		recent_init(&hd->body_max, body_max);
-	hd->body_max_set = true;
+	hd_put_in_force(&hd->body_max, &hd->body_max_set, body_max, now_us);
 	pthread_mutex_unlock(&hd->body_lock);
 }
 
--- a/base/hd_any.c
+++ b/base/hd_any.c
@@ -38,11 +38,7 @@
 void hd_set_head_max(struct hd *hd, size_t bytes)
 {
 	pthread_mutex_lock(&hd->body_lock);
-	if (hd->head_max_set)
-		recent_set(&hd->head_max, bytes, tmr_now());
-	else
-		recent_init(&hd->head_max, bytes);
-	hd->head_max_set = true;
+	hd_put_in_force(&hd->head_max, &hd->head_max_set, bytes, tmr_now());
 	pthread_mutex_unlock(&hd->body_lock);
 }
 
--- a/base/hd_any_test.cc
+++ b/base/hd_any_test.cc
@@ -1,4 +1,5 @@
 #include "base/hd_int.h"
+#include "base/tcp_end.h"
 #include "base/testing.h"
 
 #include <atomic>
@@ -335,11 +336,10 @@
 /* Guards against an answer that stays open since its client has left. */
 TEST_F(HdLongAnswerTest, ClientThatLeavesEndsTheAnswer)
 {
-	const linger reset = {1, 0};
 	stream_parts_ = 20000;
 	Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 	ASSERT_TRUE(Receive());
-	setsockopt(client_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	EXPECT_EQ(tcp_reset_on_close(client_), 0);
 	close(client_);
 	client_ = -1;
 	WaitForEnd();
@@ -415,7 +415,6 @@
  * unread: their endpoints work on, and their requests count as unanswered. */
 TEST_F(HdAnyTest, ClientThatLeavesWithBytesUnreadIsNoticed)
 {
-	const linger reset = {1, 0};
 	for (bool by_reset : {false, true}) {
 		Connect();
 		ends_ = 0;
@@ -423,8 +422,9 @@
 		Send(RequestOf({}, 0, Body::NONE) + std::string(100000, 'z'));
 		while (!held_)
 			std::this_thread::yield();
-		if (by_reset)
-			setsockopt(client_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		if (by_reset) {
+			EXPECT_EQ(tcp_reset_on_close(client_), 0);
+		}
 		close(client_);
 		client_ = -1;
 		while (!hd_client_closed(held_))
@@ -522,7 +522,6 @@
 /* Guards against places for large heads that are lost with clients who leave at once. */
 TEST_F(HdAnyTest, ClientsThatLeaveAtOnceTakeNoPlace)
 {
-	const linger reset = {1, 0};
 	const std::string head = RequestOf(shapes[1], 1000, Body::NONE);
 	for (int i = 0; i < 8 * HD_LARGE_MAX; i++) {
 		Connect();
@@ -530,7 +529,7 @@
 			Send(RequestOf({}, 0, Body::NONE));
 			ASSERT_NE(ReadAnswer().find(" 200 "), std::string::npos);
 		}
-		setsockopt(client_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		EXPECT_EQ(tcp_reset_on_close(client_), 0);
 		Send(head);
 	}
 	Connect();
--- a/base/hd_int.h
+++ b/base/hd_int.h
@@ -131,6 +131,9 @@
 /* Notes what the head of a request says of its connection. */
 void hd_any_on_begin(struct hd_call *call);
 
+/* Puts a limit in force; the first one replaces the default. */
+void hd_put_in_force(struct recent *limit, bool *was_set, size_t value, int64_t now_us);
+
 /* Returns whether the head is longer than any limit by which its client may have gone. */
 bool hd_any_is_over(const struct hd_call *call);
 
