--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -25,6 +26,8 @@
           "retryBudgetSlack": 198, "graceS": 8}
 HEARTBEAT_S = 1.2
 START_S = 30
+PORTS = (15000, 30000)
+USED_PORTS = set()
 
 
 class NotRun(Exception):
@@ -32,13 +35,20 @@
 
 
 def free_ports(n):
-    socks = [socket.socket() for _ in range(n)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Returns ports below those that the kernel gives to sockets, so that nothing takes one before its owner listens."""
+    ports = []
+    for port in random.sample(range(*PORTS), PORTS[1] - PORTS[0]):
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            ports.append(port)
+            USED_PORTS.add(port)
+        if len(ports) == n:
+            return ports
+    raise NotRun("no free ports")
 
 
 def http_call(port, method, path, body=None, headers=None, timeout=5):
@@ -250,6 +260,8 @@
                 if b" /health " in line:
                     conn.sendall(b"HTTP/1.1 200 OK\r\nBronzegauge-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n" %
                                  self.name.encode())
+                elif "bronzegauge-request-id" not in headers:
+                    conn.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
                 elif headers.get("bronzegauge-expect-instance", self.name) != self.name:
                     conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nBronzegauge-Not-Executed: 1\r\n"
                                  b"Content-Length: 0\r\n\r\n")
--- a/review/store_2.py
+++ b/review/store_2.py
@@ -12,7 +12,8 @@
 import time
 import urllib.parse
 
-PAGE_ITEMS = 500
+# Limits of one page of a listing.
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20
 
 
 class Store:
@@ -33,8 +34,8 @@
             self.changed.notify_all()
             return {"offset": offset, "end": len(log)}
 
-    def read(self, topic, start, wait_s):
-        """Returns the body of a read, or None if there is no such offset."""
+    def read(self, topic, start, wait_s, most):
+        """Returns the body of a read with records of most bytes together, or None if there is no such offset."""
         end = time.monotonic() + wait_s
         with self.changed:
             log = self.logs.setdefault(topic, [])
@@ -42,8 +43,13 @@
                 return None
             while start >= len(log) and time.monotonic() < end:
                 self.changed.wait(max(end - time.monotonic(), 0.001))
-            records = b"".join(struct.pack(">I", len(r)) + r for r in log[start:])
-            return struct.pack(">QQ", len(log), 0) + records
+            records, size = [], 0
+            for record in log[start:]:
+                size += len(record)
+                if records and size > most:
+                    break
+                records.append(struct.pack(">I", len(record)) + record)
+            return struct.pack(">QQ", len(log), 0) + b"".join(records)
 
     def newest(self, topic, after):
         with self.changed:
@@ -56,7 +62,13 @@
                 items[key] = {"key": key.decode("utf-8", "replace"), "value": base64.b64encode(value).decode(),
                               "offset": offset}
         keys = sorted(k for k in items if after is None or k > after.encode())
-        return {"items": [items[k] for k in keys[:PAGE_ITEMS]], "hasMore": len(keys) > PAGE_ITEMS, "end": len(log)}
+        page, size = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(items[key]["value"])
+            if page and size > PAGE_BYTES:
+                break
+            page.append(items[key])
+        return {"items": page, "hasMore": len(keys) > len(page), "end": len(log)}
 
     def join(self, call):
         with self.changed:
@@ -104,7 +116,8 @@
     def do_GET(self):
         path, query, _ = self.parse()
         if path == "/-/log-read":
-            body = STORE.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000)
+            body = STORE.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000,
+                              int(query.get("maxKb", 1024)) << 10)
             if body is None:
                 self.answer(410, {"first": 0})
             else:
