--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -120,13 +120,16 @@
         if status != 200:
             raise NotRun("the store did not take a record")
 
-    def put_config(self):
+    def put_config(self, **streams):
+        """streams: more fields of the streaming route."""
         self.version += 3
         route = {"hostname": HOST_NAME, "service": "plain", "timeoutMs": 4000, "targetLatencyMs": 300,
                  "maxAttempts": 2, "priority": 1}
         config = {"version": self.version,
                   "routes": [dict(route, name="once", pathPrefix="/once/", routeType="non_idempotent"),
-                             dict(route, name="many", pathPrefix="/many/", routeType="idempotent")],
+                             dict(route, name="many", pathPrefix="/many/", routeType="idempotent"),
+                             dict(route, name="stream", pathPrefix="/stream/", routeType="streaming",
+                                  timeoutMs=20000, gapAimMs=200, resumable=False, **streams)],
                   "services": [{"name": "plain", "healthPath": "/health"}],
                   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                              "idleTimeoutMs": 15000},
@@ -157,6 +160,18 @@
             out.write(text)
         return path
 
+    def up(self, runners):
+        """Starts everything; the runners check in and the hosts become ready."""
+        self.start_store()
+        for runner in runners:
+            runner.check_in_always()
+        self.put_config()
+        for host in self.hosts:
+            self.start_host(host)
+        for host in self.hosts:
+            self.until(host + " is ready", lambda h=host: self.is_ready(h))
+        time.sleep(1)
+
     def start_host(self, host):
         env = {"PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"), "LANG": "C",
                "BRONZEGAUGE_CONFIG": self.settings(host)}
@@ -256,7 +271,6 @@
                         return
                     name, _, value = text.decode("latin-1").partition(":")
                     headers[name.lower()] = value.strip()
-                body = stream.read(int(headers.get("content-length", 0)))
                 if b" /health " in line:
                     conn.sendall(b"HTTP/1.1 200 OK\r\nBronzegauge-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n" %
                                  self.name.encode())
@@ -266,12 +280,17 @@
                     conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nBronzegauge-Not-Executed: 1\r\n"
                                  b"Content-Length: 0\r\n\r\n")
                 else:
-                    self.serve(conn, headers, body)
+                    self.take(conn, stream, headers)
         except OSError:
             pass
         finally:
             conn.close()
 
+    def take(self, conn, stream, headers):
+        """Takes the body of a request whose head has come, and answers."""
+        body = stream.read(int(headers.get("content-length", 0)))
+        self.serve(conn, headers, body)
+
     def note_run(self, headers):
         request_id = headers["bronzegauge-request-id"]
         with self.lock:
